Lay out the workspace with object model, wire types and design

Cause: an empty repository; the parts need one contract before they grow. Ruled out: one package (the core must stay free of sockets), types in the server (the command line and stand-ins need them too).

--- /dev/null
+++ b/crates/core/src/ids.rs
@@ -0,0 +1,121 @@
+//! Names and numbers that identify things, each with a type of its own.
+
+use std::{fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+/// Longest accepted name, in bytes.
+pub const MAX_NAME_BYTES: usize = 63;
+
+macro_rules! names {
+    ($($(#[$doc:meta])* $name:ident;)+) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Wraps `name` without checking it.
+            pub fn new(name: impl AsRef<str>) -> Self {
+                Self(Arc::from(name.as_ref()))
+            }
+
+            /// Borrows the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(name: &str) -> Self {
+                Self::new(name)
+            }
+        }
+
+        impl std::borrow::Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+    )+};
+}
+
+names! {
+    /// Name of a workspace.
+    WorkspaceName;
+    /// Name of a pipeline.
+    PipelineName;
+    /// Name of a stage within its pipeline.
+    StageName;
+    /// Name of a pool of backend servers that do the same work.
+    PoolName;
+    /// Name of a backend server.
+    BackendName;
+    /// Name of an entry instance.
+    InstanceName;
+    /// Name of an availability zone.
+    ZoneName;
+    /// Name of a region.
+    RegionName;
+    /// Name of a model.
+    ModelName;
+    /// Identifier of one request, unique within its workspace's traffic.
+    RequestId;
+    /// A caller's idempotency key, scoped by its workspace.
+    IdempotencyKey;
+    /// Identifier of one proposed change of configuration.
+    ChangeId;
+    /// Name of the operator who proposed a change.
+    OperatorName;
+}
+
+/// Tells whether `name` is 1 to 63 lower-case letters, digits, `-` or `.`,
+/// beginning and ending with a letter or digit.
+pub fn is_valid_name(name: &str) -> bool {
+    let bytes = name.as_bytes();
+    let edge = |b: &u8| b.is_ascii_lowercase() || b.is_ascii_digit();
+    let inner = |b: &u8| edge(b) || matches!(b, b'-' | b'.');
+    bytes.len() <= MAX_NAME_BYTES
+        && bytes.first().is_some_and(edge)
+        && bytes.last().is_some_and(edge)
+        && bytes.iter().all(inner)
+}
+
+/// Position of a record in a stream of the platform's log.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Offset(pub u64);
+
+impl Offset {
+    /// Returns the offset that follows this one.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for Offset {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// Random number that tells one run of an instance from every other run,
+/// also of an instance with the same name and address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,9 @@
+//! Decisions of savoryvane, without input or output.
+//!
+//! Every module is a state machine or a pure function of a borrowed view: time
+//! comes in as an argument, what has to happen goes out as a value.
+
+pub mod change;
+pub mod ids;
+pub mod objects;
+pub mod outcome;
--- /dev/null
+++ b/crates/wire/src/admin.rs
@@ -0,0 +1,150 @@
+//! The operators' interface, on a listener and with a credential of its own.
+//!
+//! - `POST /admin/v1/plans`, body [`Intent`]; answers 200 [`Plan`], 422
+//!   [`AdminError`].
+//! - `POST /admin/v1/confirmations`, body [`Plan`]; answers 200
+//!   [`Confirmation`], 409 [`AdminError`] on a conflict, 503 [`AdminError`]
+//!   when the log can't be reached.
+//! - `GET /admin/v1/status`; answers 200 [`Status`].
+//! - `GET /admin/v1/reach?offset=N`; answers 200 [`Reach`].
+//! - `GET /admin/v1/objects`; answers 200 with the `Object`s in force.
+//! - `GET /admin/v1/history`; answers 200 with [`HistoryEntry`]s, newest first.
+//! - `GET /admin/v1/instances`; answers 200 with [`InstanceView`]s.
+//! - `GET /admin/v1/backends`; answers 200 with [`BackendView`]s.
+//! - `GET /admin/v1/costs`; answers 200 with [`CostLine`]s.
+//! - `POST /admin/v1/drain`, body [`Drain`]; answers 202.
+
+pub use savoryvane_core::change::{Change, ChangeOp, Intent, Plan};
+use savoryvane_core::ids::{
+    BackendName, ChangeId, Incarnation, InstanceName, Offset, OperatorName, PipelineName, PoolName,
+    StageName, WorkspaceName, ZoneName,
+};
+use serde::{Deserialize, Serialize};
+
+/// Answer to a confirm: the change was read back from the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Confirmation {
+    /// Identifier of the change.
+    pub id: ChangeId,
+    /// Offset of its record.
+    pub offset: Offset,
+    /// Where it is in force.
+    pub reach: Reach,
+}
+
+/// How many listed instances have an offset in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reach {
+    /// Offset asked about.
+    pub offset: Offset,
+    /// Listed live instances that have it in force.
+    pub in_force: u32,
+    /// Listed live instances.
+    pub listed: u32,
+    /// Listed instances that have not reported it.
+    pub missing: Vec<InstanceName>,
+}
+
+/// State of the instance that answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Name of the instance.
+    pub instance: InstanceName,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Whether it takes requests.
+    pub ready: bool,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Next offset of the configuration stream that it expects.
+    pub config_next: Offset,
+    /// Time since it last heard that this is the newest, in ms.
+    pub config_age_ms: u64,
+    /// Requests in flight.
+    pub in_flight: u32,
+}
+
+/// One change in the history.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HistoryEntry {
+    /// Offset of the record.
+    pub offset: Offset,
+    /// Identifier of the change.
+    pub id: ChangeId,
+    /// Operator who confirmed it.
+    pub operator: OperatorName,
+    /// Whether it is in force, or why it was rejected.
+    pub result: String,
+}
+
+/// An entry instance as another one sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceView {
+    /// Name of the instance.
+    pub name: InstanceName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// `live`, `leaving`, `silent` or `listed`.
+    pub state: String,
+    /// Next configuration offset that it reported.
+    pub config_next: Option<Offset>,
+    /// Age of what is known of it, in ms.
+    pub age_ms: Option<u64>,
+}
+
+/// A backend server as an instance sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendView {
+    /// Name of the backend server.
+    pub name: BackendName,
+    /// Its pool.
+    pub pool: PoolName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// `serving`, `leaving`, `ejected` or `unknown`.
+    pub state: String,
+    /// Calls that this instance has open there.
+    pub in_flight: u32,
+    /// Load last reported: calls running and waiting.
+    pub reported: Option<u32>,
+    /// Age of that report, in ms.
+    pub age_ms: Option<u64>,
+}
+
+/// Cost of one workspace's use of one stage, as this instance has booked it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CostLine {
+    /// Workspace.
+    pub workspace: WorkspaceName,
+    /// Pipeline.
+    pub pipeline: PipelineName,
+    /// Stage.
+    pub stage: StageName,
+    /// Calls sent.
+    pub calls: u64,
+    /// Busy time, in µs.
+    pub busy_us: u64,
+    /// Cost, in millionths of the accounting currency.
+    pub cost_micros: u64,
+    /// Part of the cost whose work was not used.
+    pub wasted_micros: u64,
+}
+
+/// Asks the instance to leave.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Drain {
+    /// Name of the instance that is meant; another one refuses.
+    pub instance: InstanceName,
+}
+
+/// Body of every error of this interface.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdminError {
+    /// What went wrong.
+    pub error: String,
+    /// What to do next.
+    pub next_step: String,
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,7 @@
+//! Messages of savoryvane's interfaces: JSON towards callers, operators, the
+//! platform and backend servers.
+
+pub mod admin;
+pub mod backend;
+pub mod caller;
+pub mod platform;
