Move call types to the core, which decides on them

Cause: the request's state machine lives in the core and must name calls. Ruled out: a second set of types with conversions.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every module is a state machine or a pure function of a borrowed view: time
 //! comes in as an argument, what has to happen goes out as a value.
 
+pub mod call;
 pub mod change;
 pub mod ids;
 pub mod objects;
