Add configuration state, plans and checkpoints

Cause: every instance has to come to the same configuration from the log. The rule depends on record and state only. A base older than 4096 offsets is rejected, so what the state forgets never alters a verdict. Rejected changes keep their identifier too: ruled out was remembering applied ones only, since a repeated append could then put in force what its operator was told was rejected. Checkpoint parts carry typed entries; ruled out was a blob in base64, which needs a second decoder and a third more room.

--- a/crates/core/src/change.rs
+++ b/crates/core/src/change.rs
@@ -36,6 +36,16 @@
     Delete(ObjectKey),
 }
 
+impl ChangeOp {
+    /// Returns the key of the object that the step touches.
+    pub fn key(&self) -> ObjectKey {
+        match self {
+            Self::Put(object) => object.key(),
+            Self::Delete(key) => key.clone(),
+        }
+    }
+}
+
 /// A change of configuration, made against the state at `base`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
--- /dev/null
+++ b/crates/core/src/config/rules.rs
@@ -0,0 +1,311 @@
+//! What a valid configuration is.
+
+use std::collections::BTreeSet;
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    config::store::Store,
+    ids::{ModelName, PipelineName, PoolName, StageName, is_valid_name},
+    objects::{Backend, Model, ObjectKey, ObjectKind, Pipeline, Pool, Stage, StageKind, Workspace},
+};
+
+/// Most stages of a pipeline.
+pub const MAX_STAGES: usize = 16;
+/// Longest deadline of a pipeline, in ms.
+pub const MAX_DEADLINE_MS: u64 = 600_000;
+/// Most calls that a backend server can be declared to work on at once.
+pub const MAX_SLOTS: u32 = 4_096;
+/// Most engines of an availability zone that a model can ask for.
+pub const MAX_REPLICAS: u32 = 1_000;
+/// Greatest weight of a workspace.
+pub const MAX_WEIGHT: u32 = 1_000_000;
+/// Most pipelines that a workspace can use.
+pub const MAX_PIPELINES_PER_WORKSPACE: usize = 256;
+
+const CREDENTIAL_HEX_DIGITS: usize = 64;
+const PER_MILLE: u32 = 1_000;
+
+quick_error! {
+    /// What is wrong with one object.
+    #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+    #[serde(rename_all = "snake_case")]
+    pub enum Fault {
+        /// A name breaks the rule for names.
+        BadName(name: String) {
+            display("name {:?}: found what is not 1 to 63 lower-case letters, digits, `-` or `.` between letters or digits", name)
+        }
+        /// A number is out of its range.
+        OutOfRange(field: String, found: u64, least: u64, most: u64) {
+            display("{}: found {}, allowed are {} to {}", field, found, least, most)
+        }
+        /// A pool is named that would not exist.
+        UnknownPool(name: PoolName) {
+            display("pool {:?} is not configured, or would be removed", name.as_str())
+        }
+        /// A model is named that would not exist.
+        UnknownModel(name: ModelName) {
+            display("model {:?} is not configured, or would be removed", name.as_str())
+        }
+        /// A pipeline is named that would not exist.
+        UnknownPipeline(name: PipelineName) {
+            display("pipeline {:?} is not configured, or would be removed", name.as_str())
+        }
+        /// A model is asked of a pool that does not generate.
+        NotGenerating(pool: PoolName) {
+            display("pool {:?} is not of kind generate, so it serves no model", pool.as_str())
+        }
+        /// A stage's model belongs to another pool than the stage.
+        ModelOfOtherPool(model: ModelName, pool: PoolName) {
+            display("model {:?} is not served by pool {:?}", model.as_str(), pool.as_str())
+        }
+        /// Two stages of a pipeline have the same name.
+        DuplicateStage(name: StageName) {
+            display("stage {:?} is named twice", name.as_str())
+        }
+        /// A workspace names a pipeline twice.
+        DuplicatePipeline(name: PipelineName) {
+            display("pipeline {:?} is named twice", name.as_str())
+        }
+        /// The credential's digest is not 64 lower-case hex digits.
+        BadCredential {
+            display("credential_sha256: allowed are 64 lower-case hex digits")
+        }
+    }
+}
+
+/// A fault and the object that has it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Violation {
+    /// Object that would not be valid.
+    pub key: ObjectKey,
+    /// What is wrong with it.
+    pub fault: Fault,
+}
+
+impl std::fmt::Display for Violation {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}: {}", self.key, self.fault)
+    }
+}
+
+/// Checks the touched objects and those that refer to them; everything else
+/// was valid before and still is.
+pub(crate) fn check(store: &Store, touched: &BTreeSet<ObjectKey>) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for key in affected(store, touched) {
+        for fault in faults(store, &key) {
+            found.push(Violation {
+                key: key.clone(),
+                fault,
+            });
+        }
+    }
+    found
+}
+
+fn affected(store: &Store, touched: &BTreeSet<ObjectKey>) -> BTreeSet<ObjectKey> {
+    let has = |kind, name: &str| {
+        touched.contains(&ObjectKey {
+            kind,
+            name: name.to_owned(),
+        })
+    };
+    let any = |kind| touched.iter().any(|key| key.kind == kind);
+    let mut keys = touched.clone();
+    let mut add = |kind, name: &str| {
+        keys.insert(ObjectKey {
+            kind,
+            name: name.to_owned(),
+        })
+    };
+    if any(ObjectKind::Pool) {
+        for backend in store.backends.values() {
+            if has(ObjectKind::Pool, backend.pool.as_str()) {
+                add(ObjectKind::Backend, backend.name.as_str());
+            }
+        }
+        for model in store.models.values() {
+            if has(ObjectKind::Pool, model.pool.as_str()) {
+                add(ObjectKind::Model, model.name.as_str());
+            }
+        }
+    }
+    if any(ObjectKind::Pool) || any(ObjectKind::Model) {
+        let refers = |stage: &Stage| {
+            has(ObjectKind::Pool, stage.pool.as_str())
+                || (stage.model.as_ref()).is_some_and(|x| has(ObjectKind::Model, x.as_str()))
+        };
+        for pipeline in store.pipelines.values() {
+            if pipeline.stages.iter().any(refers) {
+                add(ObjectKind::Pipeline, pipeline.name.as_str());
+            }
+        }
+    }
+    if any(ObjectKind::Pipeline) {
+        let refers = |name: &PipelineName| has(ObjectKind::Pipeline, name.as_str());
+        for workspace in store.workspaces.values() {
+            if workspace.pipelines.iter().any(refers) {
+                add(ObjectKind::Workspace, workspace.name.as_str());
+            }
+        }
+    }
+    keys
+}
+
+fn faults(store: &Store, key: &ObjectKey) -> Vec<Fault> {
+    let name = key.name.as_str();
+    let mut found = Vec::new();
+    match key.kind {
+        ObjectKind::Pool => {
+            if let Some(pool) = store.pools.get(name) {
+                check_pool(pool, &mut found);
+            }
+        }
+        ObjectKind::Backend => {
+            if let Some(backend) = store.backends.get(name) {
+                check_backend(store, backend, &mut found);
+            }
+        }
+        ObjectKind::Model => {
+            if let Some(model) = store.models.get(name) {
+                check_model(store, model, &mut found);
+            }
+        }
+        ObjectKind::Pipeline => {
+            if let Some(pipeline) = store.pipelines.get(name) {
+                check_pipeline(store, pipeline, &mut found);
+            }
+        }
+        ObjectKind::Workspace => {
+            if let Some(workspace) = store.workspaces.get(name) {
+                check_workspace(store, workspace, &mut found);
+            }
+        }
+    }
+    found
+}
+
+fn check_name(name: &str, found: &mut Vec<Fault>) {
+    if !is_valid_name(name) {
+        found.push(Fault::BadName(name.to_owned()));
+    }
+}
+
+fn check_range(field: &str, value: u64, least: u64, most: u64, found: &mut Vec<Fault>) {
+    if value < least || value > most {
+        found.push(Fault::OutOfRange(field.to_owned(), value, least, most));
+    }
+}
+
+fn check_pool(pool: &Pool, found: &mut Vec<Fault>) {
+    check_name(pool.name.as_str(), found);
+}
+
+fn check_backend(store: &Store, backend: &Backend, found: &mut Vec<Fault>) {
+    check_name(backend.name.as_str(), found);
+    check_name(backend.zone.as_str(), found);
+    check_range("slots", backend.slots.into(), 1, MAX_SLOTS.into(), found);
+    if !store.pools.contains_key(&backend.pool) {
+        found.push(Fault::UnknownPool(backend.pool.clone()));
+    }
+}
+
+fn check_model(store: &Store, model: &Model, found: &mut Vec<Fault>) {
+    check_name(model.name.as_str(), found);
+    let replicas = model.min_replicas.into();
+    check_range("min_replicas", replicas, 0, MAX_REPLICAS.into(), found);
+    match store.pools.get(&model.pool) {
+        None => found.push(Fault::UnknownPool(model.pool.clone())),
+        Some(pool) if pool.kind != StageKind::Generate => {
+            found.push(Fault::NotGenerating(model.pool.clone()));
+        }
+        Some(_) => {}
+    }
+}
+
+fn check_pipeline(store: &Store, pipeline: &Pipeline, found: &mut Vec<Fault>) {
+    check_name(pipeline.name.as_str(), found);
+    check_range(
+        "deadline_ms",
+        pipeline.deadline_ms,
+        1,
+        MAX_DEADLINE_MS,
+        found,
+    );
+    let stages = pipeline.stages.len();
+    check_range("stages", stages as u64, 1, MAX_STAGES as u64, found);
+    let mut names = BTreeSet::new();
+    for stage in &pipeline.stages {
+        check_name(stage.name.as_str(), found);
+        if !names.insert(&stage.name) {
+            found.push(Fault::DuplicateStage(stage.name.clone()));
+        }
+        check_stage(store, stage, found);
+    }
+}
+
+fn check_stage(store: &Store, stage: &Stage, found: &mut Vec<Fault>) {
+    let pool = store.pools.get(&stage.pool);
+    if pool.is_none() {
+        found.push(Fault::UnknownPool(stage.pool.clone()));
+    }
+    let Some(name) = &stage.model else { return };
+    if pool.is_some_and(|pool| pool.kind != StageKind::Generate) {
+        found.push(Fault::NotGenerating(stage.pool.clone()));
+    }
+    match store.models.get(name) {
+        None => found.push(Fault::UnknownModel(name.clone())),
+        Some(model) if model.pool != stage.pool => {
+            found.push(Fault::ModelOfOtherPool(name.clone(), stage.pool.clone()));
+        }
+        Some(_) => {}
+    }
+}
+
+fn check_workspace(store: &Store, workspace: &Workspace, found: &mut Vec<Fault>) {
+    check_name(workspace.name.as_str(), found);
+    check_range(
+        "weight",
+        workspace.weight.into(),
+        1,
+        MAX_WEIGHT.into(),
+        found,
+    );
+    let quota = workspace.quota_per_s.into();
+    check_range("quota_per_s", quota, 1, u32::MAX.into(), found);
+    let attainment = workspace.attainment_per_mille.into();
+    check_range(
+        "attainment_per_mille",
+        attainment,
+        0,
+        PER_MILLE.into(),
+        found,
+    );
+    let pipelines = workspace.pipelines.len() as u64;
+    check_range(
+        "pipelines",
+        pipelines,
+        0,
+        MAX_PIPELINES_PER_WORKSPACE as u64,
+        found,
+    );
+    if !is_credential_digest(&workspace.credential_sha256) {
+        found.push(Fault::BadCredential);
+    }
+    let mut names = BTreeSet::new();
+    for name in &workspace.pipelines {
+        if !names.insert(name) {
+            found.push(Fault::DuplicatePipeline(name.clone()));
+        }
+        if !store.pipelines.contains_key(name) {
+            found.push(Fault::UnknownPipeline(name.clone()));
+        }
+    }
+}
+
+fn is_credential_digest(text: &str) -> bool {
+    let is_digit = |b: &u8| matches!(b, b'0'..=b'9' | b'a'..=b'f');
+    text.len() == CREDENTIAL_HEX_DIGITS && text.as_bytes().iter().all(is_digit)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod call;
 pub mod change;
+pub mod config;
 pub mod ids;
 pub mod objects;
 pub mod outcome;
--- a/crates/core/src/objects.rs
+++ b/crates/core/src/objects.rs
@@ -1,7 +1,7 @@
 //! What an operator configures: pools, backend servers, models, pipelines and
 //! workspaces.
 
-use std::net::SocketAddr;
+use std::{fmt, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
 
@@ -205,6 +205,19 @@
     Workspace,
 }
 
+impl ObjectKind {
+    /// Returns the name used in intents, logs and errors.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Pool => "pool",
+            Self::Backend => "backend",
+            Self::Model => "model",
+            Self::Pipeline => "pipeline",
+            Self::Workspace => "workspace",
+        }
+    }
+}
+
 /// Identifies an object of the configuration.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -215,6 +228,12 @@
     pub name: String,
 }
 
+impl fmt::Display for ObjectKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {:?}", self.kind.as_str(), self.name)
+    }
+}
+
 impl Object {
     /// Returns the key that identifies this object.
     pub fn key(&self) -> ObjectKey {
--- /dev/null
+++ b/crates/core/tests/config_state.rs
@@ -0,0 +1,303 @@
+//! The rule by which records change the configuration.
+
+mod config_fixtures;
+
+use config_fixtures::*;
+use quickcheck::{Gen, quickcheck};
+use savoryvane_core::{
+    change::{ChangeOp, Intent},
+    config::{
+        Applied, Assembler, Assembly, ConfigRecord, Fault, InvalidReason, MAX_PART_BYTES,
+        PartFault, PlanError, REMEMBERED_OFFSETS, State, Verdict, Violation,
+    },
+    ids::Offset,
+    objects::{Object, ObjectKind},
+};
+
+#[test]
+fn racing_plans_get_one_winner_and_one_conflict() {
+    let mut state = small_state();
+    let base = state.next().0;
+    let first = put_pool(base, "llm", 6);
+    let second = put_pool(base, "llm", 7);
+    assert_eq!(apply_next(&mut state, &first), Applied::InForce);
+    let touched = vec![key(ObjectKind::Pool, "llm")];
+    assert_eq!(
+        apply_next(&mut state, &second),
+        Applied::Conflict { touched }
+    );
+    assert_eq!(state.pool("llm").unwrap().price_micros_per_s, 6);
+}
+
+#[test]
+fn removed_objects_still_conflict() {
+    let mut state = small_state();
+    let base = state.next().0;
+    let remove = ChangeOp::Delete(key(ObjectKind::Backend, "runner-1"));
+    let remove = ConfigRecord::Change(change(base, vec![remove]));
+    let put = ChangeOp::Put(Object::Backend(backend("runner-1", "llm", 8)));
+    let put = ConfigRecord::Change(change(base, vec![put]));
+    assert_eq!(apply_next(&mut state, &remove), Applied::InForce);
+    assert!(matches!(
+        apply_next(&mut state, &put),
+        Applied::Conflict { .. }
+    ));
+    assert!(state.backend("runner-1").is_none());
+}
+
+#[test]
+fn a_repeat_does_nothing_whatever_its_first_verdict_was() {
+    let mut state = State::new();
+    let refers = ChangeOp::Put(Object::Backend(backend("runner-1", "later", 1)));
+    let early = ConfigRecord::Change(change(0, vec![refers]));
+    assert!(matches!(
+        apply_next(&mut state, &early),
+        Applied::Invalid { .. }
+    ));
+    assert_eq!(
+        apply_next(&mut state, &put_pool(0, "later", 1)),
+        Applied::InForce
+    );
+    let first = Offset(0);
+    assert_eq!(apply_next(&mut state, &early), Applied::Repeat { first });
+    assert_eq!(
+        apply_next(&mut state, &put_pool(0, "later", 1)),
+        Applied::Repeat { first: Offset(1) }
+    );
+    assert!(state.backend("runner-1").is_none());
+}
+
+#[test]
+fn a_change_that_breaks_a_reference_is_rejected_whole() {
+    let mut state = small_state();
+    let ops = vec![
+        ChangeOp::Put(Object::Pool(pool("new", 1))),
+        ChangeOp::Delete(key(ObjectKind::Pool, "llm")),
+    ];
+    let record = ConfigRecord::Change(change(state.next().0, ops));
+    let before: Vec<_> = state.objects().collect();
+    let applied = apply_next(&mut state, &record);
+    let Applied::Invalid { reasons } = applied else {
+        panic!("{applied:?}")
+    };
+    let broken = InvalidReason::Rule(Violation {
+        key: key(ObjectKind::Pipeline, "quote"),
+        fault: Fault::UnknownPool("llm".into()),
+    });
+    assert!(reasons.contains(&broken), "{reasons:?}");
+    assert_eq!(state.objects().collect::<Vec<_>>(), before);
+}
+
+#[test]
+fn forged_records_leave_no_trace_but_their_offset() {
+    let mut state = small_state();
+    let mut forged = change(state.next().0, Vec::new());
+    forged.ops = vec![ChangeOp::Put(Object::Pool(pool("x", 1)))];
+    let reasons = vec![InvalidReason::IdMismatch];
+    let applied = apply_next(&mut state, &ConfigRecord::Change(forged));
+    assert_eq!(applied, Applied::Invalid { reasons });
+    let ahead = put_pool(state.next().0 + 1, "x", 1);
+    let reasons = vec![InvalidReason::BaseAhead];
+    assert_eq!(apply_next(&mut state, &ahead), Applied::Invalid { reasons });
+    assert_eq!(state.history().count(), 1);
+    assert!(state.pool("x").is_none());
+}
+
+#[test]
+fn gaps_and_old_offsets_are_never_applied() {
+    let mut state = small_state();
+    let before = state.clone();
+    let record = put_pool(1, "x", 1);
+    let expected = state.next();
+    assert_eq!(
+        state.apply(Offset(expected.0 + 1), &record),
+        Applied::Gap { expected }
+    );
+    assert_eq!(state.apply(Offset(0), &record), Applied::Old);
+    assert_eq!(state.apply_undecodable(Offset(0)), Applied::Old);
+    assert_eq!(state, before);
+}
+
+#[test]
+fn a_base_out_of_memory_is_rejected_as_too_old() {
+    let mut state = small_state();
+    let base = state.next().0;
+    while state.next().0 < base + REMEMBERED_OFFSETS {
+        state.apply_undecodable(state.next());
+    }
+    let mut at_edge = state.clone();
+    let in_time = apply_next(&mut at_edge, &put_pool(base, "x", 1));
+    assert_eq!(in_time, Applied::InForce);
+    state.apply_undecodable(state.next());
+    let late = apply_next(&mut state, &put_pool(base, "x", 1));
+    assert_eq!(late, Applied::TooOld);
+    assert_eq!(state.history().next().unwrap().verdict, Verdict::TooOld);
+    assert_eq!(state.history().len(), 1);
+}
+
+#[test]
+fn a_plan_tells_every_error_at_once() {
+    let mut intent = small_intent();
+    intent.pools.push(pool("llm", 9));
+    intent.backends[0].slots = 0;
+    intent.models[0].pool = "nowhere".into();
+    intent.pipelines[0].stages = vec![stage("only", "missing"); 17];
+    intent.workspaces[0].credential_sha256 = "secret".to_owned();
+    intent.workspaces[0].name = "Signs!".into();
+    intent.remove = vec![key(ObjectKind::Pool, "llm"), key(ObjectKind::Model, "none")];
+    let errors = State::new().plan(&intent, &"Anna".into()).unwrap_err();
+    let has = |wanted: &str| errors.iter().any(|x| x.to_string().contains(wanted));
+    for wanted in [
+        "operator \"Anna\"",
+        "pool \"llm\": named more than once",
+        "pool \"llm\": both configured and removed",
+        "model \"none\": to be removed, but not configured",
+        "slots: found 0, allowed are 1 to 4096",
+        "pool \"nowhere\" is not configured",
+        "stages: found 17, allowed are 1 to 16",
+        "stage \"only\" is named twice",
+        "64 lower-case hex digits",
+        "name \"Signs!\"",
+    ] {
+        assert!(has(wanted), "{wanted} is not in {errors:#?}");
+    }
+}
+
+#[test]
+fn a_plan_holds_only_what_would_change() {
+    let state = small_state();
+    let mut intent = small_intent();
+    intent.models[0].min_replicas = 3;
+    let plan = state.plan(&intent, &operator()).unwrap();
+    assert_eq!(plan.summary, ["replace model \"chat\""]);
+    assert_eq!(plan.moves.len(), 1);
+    assert_eq!(plan.change.base, state.next());
+    let again = state.plan(&small_intent(), &operator()).unwrap();
+    assert!(again.change.ops.is_empty());
+    assert_eq!(again.warnings, ["nothing would change"]);
+}
+
+#[test]
+fn a_plan_too_large_for_a_record_is_refused() {
+    let pools = (0..5_000).map(|i| pool(&format!("pool-{i}"), 1)).collect();
+    let intent = Intent {
+        pools,
+        ..Intent::default()
+    };
+    let errors = State::new().plan(&intent, &operator()).unwrap_err();
+    assert!(matches!(errors[..], [PlanError::TooLarge(_)]), "{errors:?}");
+}
+
+fn large_state() -> State {
+    let mut state = State::new();
+    for batch in 0..10 {
+        let pools = (0..1_000).map(|i| pool(&format!("pool-{batch}-{i}"), 1));
+        let intent = Intent {
+            pools: pools.collect(),
+            ..Intent::default()
+        };
+        let plan = state.plan(&intent, &operator()).unwrap();
+        apply_next(&mut state, &ConfigRecord::Change(plan.change));
+    }
+    state
+}
+
+#[test]
+fn checkpoints_come_in_bounded_parts_and_complete_in_any_order() {
+    let state = large_state();
+    let mut parts = state.checkpoint();
+    assert!(parts.len() > 4);
+    for part in &parts {
+        let record = ConfigRecord::Checkpoint(part.clone());
+        assert!(serde_json::to_vec(&record).unwrap().len() <= MAX_PART_BYTES);
+    }
+    parts.reverse();
+    let mut assembler = Assembler::new();
+    let last = parts.pop().unwrap();
+    for part in parts {
+        let assembly = assembler.add(Offset(99), part);
+        assert_eq!(assembly, Assembly::Incomplete);
+    }
+    let assembly = assembler.add(Offset(99), last);
+    assert_eq!(assembly, Assembly::Complete(Box::new(state)));
+}
+
+#[test]
+fn wrong_checkpoints_are_ignored_and_counted() {
+    let state = small_state();
+    let mut assembler = Assembler::new();
+    let good = state.checkpoint().remove(0);
+    let mut wrong = good.clone();
+    wrong.items.pop();
+    let bad_digest = Assembly::Ignored(PartFault::BadDigest);
+    assert_eq!(assembler.add(Offset(5), wrong), bad_digest);
+    let mut out_of_range = good.clone();
+    out_of_range.index = 7;
+    let bad_index = Assembly::Ignored(PartFault::BadIndex);
+    assert_eq!(assembler.add(Offset(5), out_of_range), bad_index);
+    let ahead = Assembly::Ignored(PartFault::CoversAhead);
+    assert_eq!(assembler.add(Offset(0), good.clone()), ahead);
+    assert_eq!(assembler.ignored(), 3);
+    let complete = Assembly::Complete(Box::new(state));
+    assert_eq!(assembler.add(Offset(5), good), complete);
+}
+
+/// Draws a record against `state` that is sometimes stale, repeated or wrong.
+fn draw(g: &mut Gen, state: &State, earlier: &[ConfigRecord]) -> ConfigRecord {
+    let dice = u8::arbitrary_in(g, 10);
+    if dice == 0
+        && let Some(record) = g.choose(earlier)
+    {
+        return record.clone();
+    }
+    let back = u64::from(u8::arbitrary_in(g, 4));
+    let base = state.next().0.saturating_sub(back);
+    let name = *g.choose(&["a", "b", "c"]).unwrap();
+    let price = u64::from(u8::arbitrary_in(g, 200));
+    let op = match dice {
+        1..4 => ChangeOp::Put(Object::Pool(pool(name, price))),
+        4..6 => ChangeOp::Delete(key(ObjectKind::Pool, name)),
+        6..8 => ChangeOp::Put(Object::Backend(backend(name, "a", u32::from(dice)))),
+        _ => ChangeOp::Delete(key(ObjectKind::Backend, name)),
+    };
+    ConfigRecord::Change(change(base, vec![op]))
+}
+
+trait ArbitraryIn {
+    fn arbitrary_in(g: &mut Gen, end: u8) -> Self;
+}
+
+impl ArbitraryIn for u8 {
+    fn arbitrary_in(g: &mut Gen, end: u8) -> Self {
+        <Self as quickcheck::Arbitrary>::arbitrary(g) % end
+    }
+}
+
+quickcheck! {
+    fn checkpoint_and_tail_equal_the_full_replay(seed: u64, records: u8, split: u8) -> bool {
+        let mut g = Gen::from_size_and_seed(64, seed);
+        let mut full = State::new();
+        let mut stream = Vec::new();
+        let mut resumed = None;
+        for at in 0..=records {
+            if at == split.min(records) {
+                let mut assembler = Assembler::new();
+                resumed = full.checkpoint().into_iter().find_map(|part| {
+                    match assembler.add(full.next(), part) {
+                        Assembly::Complete(state) => Some(*state),
+                        Assembly::Incomplete | Assembly::Ignored(_) => None,
+                    }
+                });
+                assert!(resumed.as_ref() == Some(&full));
+            }
+            let record = draw(&mut g, &full, &stream);
+            let offset = full.next();
+            let applied = full.apply(offset, &record);
+            if let Some(resumed) = &mut resumed {
+                assert_eq!(resumed.apply(offset, &record), applied);
+            }
+            stream.push(record);
+        }
+        resumed == Some(full)
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod admin;
 pub mod backend;
 pub mod caller;
+pub mod config;
 pub mod platform;
