Add the request's state machine, fleet view and cost book to the core

Cause: the server needs one interface that decides for a request: where its calls go, when they are repeated, and which outcome is true at its end. Ruled out: deciding on hand-over events alone (a call between the decision and the socket would then count as not run while it may be sent); a call counts as handed over until NotSent takes that back. Types of usage, cost lines and load reports move to the core, since it decides on them; wire re-exports them.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ids::{ModelName, RequestId, StageName},
+    ids::{BackendName, ModelName, RequestId, StageName},
     objects::StageKind,
 };
 
@@ -117,3 +117,23 @@
     /// It finishes what it has.
     Leaving,
 }
+
+/// A backend server's report of its load, which may lag.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Backend server that reports.
+    pub server: BackendName,
+    /// Whether it takes new work.
+    pub state: ServingState,
+    /// Calls being worked on.
+    pub running: u32,
+    /// Calls waiting.
+    pub queued: u32,
+    /// Calls that it works on at the same time.
+    pub slots: u32,
+    /// Age of the figures when the report was sent, in ms.
+    pub age_ms: u64,
+    /// Models loaded.
+    #[serde(default)]
+    pub models: Vec<ModelName>,
+}
--- /dev/null
+++ b/crates/core/src/execution/finish.rs
@@ -0,0 +1,114 @@
+//! The end of a request: which outcome is true, and when to come back.
+
+use serde_json::Value;
+
+use super::{Action, Completion, Execution, Reason, State, Turn};
+use crate::{
+    decision::{Decision, DecisionKind, DecisionReason},
+    outcome::Outcome,
+};
+
+impl Execution {
+    /// Gives up a request whose time has run out, and keeps the timer set.
+    pub(super) fn check_time(&mut self, turn: &mut Turn<'_>) {
+        if turn.now_ms >= self.spec.deadline_at_ms {
+            return self.give_up(DecisionReason::DeadlinePassed, turn);
+        }
+        let at_ms = self.spec.deadline_at_ms;
+        if self.timer_at_ms != Some(at_ms) {
+            self.timer_at_ms = Some(at_ms);
+            turn.act(Action::SetTimer { at_ms });
+        }
+    }
+
+    /// The caller has gone. What may take effect runs on, so that a repeat
+    /// under the same key gets its answer.
+    pub(super) fn on_caller_gone(&mut self, turn: &mut Turn<'_>) {
+        if self.state == State::New {
+            self.state = State::Running;
+        }
+        if !self.may_have_taken_effect() {
+            self.give_up(DecisionReason::CallerGone, turn);
+        }
+    }
+
+    pub(super) fn give_up(&mut self, reason: DecisionReason, turn: &mut Turn<'_>) {
+        turn.act(self.log_give_up(reason));
+        self.fail(Reason::GivenUp(reason), turn);
+    }
+
+    pub(super) fn log_give_up(&self, reason: DecisionReason) -> Action {
+        Action::Log(Box::new(Decision {
+            kind: DecisionKind::GiveUp,
+            request: self.spec.request.clone(),
+            stage: Some(self.stage().name.clone()),
+            attempt: None,
+            candidates: Vec::new(),
+            choice: None,
+            reason,
+        }))
+    }
+
+    /// Ends the request without an answer, now.
+    pub(super) fn fail(&mut self, reason: Reason, turn: &mut Turn<'_>) {
+        let outcome = self.failed_outcome();
+        let retry_after_ms = outcome
+            .is_safe_to_repeat()
+            .then(|| self.retry_after_ms(turn));
+        self.abandon_live(turn);
+        if !self.usage.is_empty() {
+            self.usage_mut().elapsed_us = self.stage_elapsed_us(turn.now_ms);
+        }
+        let completion = Completion {
+            outcome,
+            reason: Some(reason),
+            output: None,
+            retry_after_ms,
+            stages: Vec::new(),
+        };
+        self.finish(completion, turn);
+    }
+
+    pub(super) fn complete(&mut self, output: Value, turn: &mut Turn<'_>) {
+        let completion = Completion {
+            outcome: Outcome::Complete,
+            reason: None,
+            output: Some(output),
+            retry_after_ms: None,
+            stages: Vec::new(),
+        };
+        self.finish(completion, turn);
+    }
+
+    fn finish(&mut self, mut completion: Completion, turn: &mut Turn<'_>) {
+        self.state = State::Finished;
+        let is_wasted = completion.outcome != Outcome::Complete;
+        for usage in &self.usage {
+            turn.fleet.costs.book(
+                &self.spec.workspace,
+                &self.spec.pipeline.name,
+                usage,
+                is_wasted,
+            );
+        }
+        completion.stages = std::mem::take(&mut self.usage);
+        turn.act(Action::Finish(Box::new(completion)));
+    }
+
+    /// Says what is true of a request that ends without an answer.
+    fn failed_outcome(&self) -> Outcome {
+        if self.maybe_effective > 0 {
+            Outcome::Unknown
+        } else if self.handed_over > 0 {
+            Outcome::Failed
+        } else if self.spec.earlier_may_have_run {
+            Outcome::NotStarted
+        } else {
+            Outcome::NotRun
+        }
+    }
+
+    fn retry_after_ms(&self, turn: &Turn<'_>) -> u64 {
+        turn.fleet.settings.default_retry_after_ms
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet.rs
@@ -0,0 +1,357 @@
+//! What one instance knows of the backend servers, and how it chooses one.
+
+use std::collections::{BTreeMap, HashMap};
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    call::{LoadReport, RefusalReason, ServingState},
+    cost::CostBook,
+    ids::{BackendName, InstanceName, ModelName, PoolName, ZoneName},
+    objects::{Backend, Pool},
+    quantile::Quantiles,
+    settings::PolicySettings,
+};
+
+mod retry_budget;
+mod route;
+
+pub(crate) use retry_budget::RetryBudget;
+pub(crate) use route::{RouteQuery, Routed};
+
+/// State of a backend server as one instance sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum BackendState {
+    /// It gets new work.
+    Serving,
+    /// It is leaving and gets nothing new.
+    Leaving,
+    /// It failed too often and is left alone for a while.
+    Ejected,
+    /// Nothing was heard of it yet; it gets new work.
+    Unknown,
+}
+
+impl BackendState {
+    /// Returns the name used in logs, metrics and the admin interface.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Serving => "serving",
+            Self::Leaving => "leaving",
+            Self::Ejected => "ejected",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// A backend server as the admin interface shows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BackendStatus {
+    /// Name of the backend server.
+    pub name: BackendName,
+    /// Its pool.
+    pub pool: PoolName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Its state.
+    pub state: BackendState,
+    /// Calls that this instance has open there.
+    pub in_flight: u32,
+    /// Load last reported: calls running and waiting.
+    pub reported: Option<u32>,
+    /// Age of that report, in ms.
+    pub age_ms: Option<u64>,
+}
+
+/// How a call ended, as routing learns from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallEnd {
+    /// It answered after `elapsed_us`, of which it worked for `busy_us`.
+    Done { elapsed_us: u64, busy_us: u64 },
+    /// It was refused.
+    Refused(RefusalReason),
+    /// It failed, or its connection did.
+    Failed,
+    /// It was given up before it ended.
+    Abandoned,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Report {
+    pub(crate) load: u32,
+    pub(crate) own_in_flight: u32,
+    pub(crate) measured_at_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct KnownBackend {
+    pub(crate) name: BackendName,
+    pub(crate) pool: PoolName,
+    pub(crate) zone: ZoneName,
+    pub(crate) slots: u32,
+    pub(crate) leaving: bool,
+    pub(crate) heard: bool,
+    pub(crate) ejected_until_ms: u64,
+    pub(crate) in_flight: u32,
+    pub(crate) report: Option<Report>,
+    /// Models that the last report names; nothing is known before it.
+    pub(crate) models: Option<Vec<ModelName>>,
+}
+
+impl KnownBackend {
+    fn new(backend: &Backend) -> Self {
+        Self {
+            name: backend.name.clone(),
+            pool: backend.pool.clone(),
+            zone: backend.zone.clone(),
+            slots: backend.slots.max(1),
+            leaving: false,
+            heard: false,
+            ejected_until_ms: 0,
+            in_flight: 0,
+            report: None,
+            models: None,
+        }
+    }
+
+    pub(crate) fn state(&self, now_ms: u64) -> BackendState {
+        if self.leaving {
+            BackendState::Leaving
+        } else if now_ms < self.ejected_until_ms {
+            BackendState::Ejected
+        } else if self.heard {
+            BackendState::Serving
+        } else {
+            BackendState::Unknown
+        }
+    }
+
+    fn status(&self, now_ms: u64) -> BackendStatus {
+        BackendStatus {
+            name: self.name.clone(),
+            pool: self.pool.clone(),
+            zone: self.zone.clone(),
+            state: self.state(now_ms),
+            in_flight: self.in_flight,
+            reported: self.report.as_ref().map(|report| report.load),
+            age_ms: self
+                .report
+                .as_ref()
+                .map(|report| now_ms.saturating_sub(report.measured_at_ms)),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct KnownPool {
+    pub(crate) pool: Pool,
+    /// Its backend servers, as indices into the fleet's.
+    pub(crate) members: Vec<usize>,
+    pub(crate) next_turn: usize,
+    pub(crate) busy: Quantiles,
+    pub(crate) elapsed: Quantiles,
+}
+
+/// Everything that one instance knows of the backend servers.
+#[derive(Debug)]
+pub struct Fleet {
+    instance: InstanceName,
+    zone: ZoneName,
+    pub(crate) settings: PolicySettings,
+    rng: Pcg64Mcg,
+    backends: Vec<KnownBackend>,
+    by_name: HashMap<BackendName, usize>,
+    pools: BTreeMap<PoolName, KnownPool>,
+    pub(crate) retry_budget: RetryBudget,
+    pub(crate) costs: CostBook,
+}
+
+impl Fleet {
+    /// Creates the view of `instance`, which stands in `zone`; `seed` drives
+    /// its random choices.
+    pub fn new(
+        instance: InstanceName,
+        zone: ZoneName,
+        settings: PolicySettings,
+        seed: u64,
+    ) -> Self {
+        Self {
+            instance,
+            zone,
+            retry_budget: RetryBudget::new(&settings),
+            settings,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            backends: Vec::new(),
+            by_name: HashMap::new(),
+            pools: BTreeMap::new(),
+            costs: CostBook::default(),
+        }
+    }
+
+    /// Takes over the configured pools and backend servers. What was observed
+    /// of those that stay is kept; those that are gone get nothing new.
+    pub fn configure<'a>(
+        &mut self,
+        pools: impl IntoIterator<Item = &'a Pool>,
+        backends: impl IntoIterator<Item = &'a Backend>,
+    ) {
+        let mut known: HashMap<BackendName, KnownBackend> = std::mem::take(&mut self.backends)
+            .into_iter()
+            .map(|backend| (backend.name.clone(), backend))
+            .collect();
+        let mut old_pools = std::mem::take(&mut self.pools);
+        for pool in pools {
+            let kept = old_pools.remove(&pool.name);
+            let (busy, elapsed) = kept
+                .map(|kept| (kept.busy, kept.elapsed))
+                .unwrap_or_default();
+            let known_pool = KnownPool {
+                pool: pool.clone(),
+                members: Vec::new(),
+                next_turn: 0,
+                busy,
+                elapsed,
+            };
+            self.pools.insert(pool.name.clone(), known_pool);
+        }
+        for backend in backends {
+            let mut entry = known
+                .remove(&backend.name)
+                .unwrap_or_else(|| KnownBackend::new(backend));
+            entry.pool = backend.pool.clone();
+            entry.zone = backend.zone.clone();
+            entry.slots = backend.slots.max(1);
+            self.backends.push(entry);
+        }
+        self.backends.sort_by(|a, b| a.name.cmp(&b.name));
+        self.by_name = self
+            .backends
+            .iter()
+            .enumerate()
+            .map(|(index, backend)| (backend.name.clone(), index))
+            .collect();
+        self.assign_subsets();
+    }
+
+    /// Gives each pool the part of its backend servers that this instance
+    /// uses: the first of each availability zone by rendezvous hash.
+    fn assign_subsets(&mut self) {
+        let seed = xxh3_64_with_seed(self.instance.as_str().as_bytes(), 0);
+        for known in self.pools.values_mut() {
+            let mut zones: BTreeMap<&ZoneName, Vec<(u64, usize)>> = BTreeMap::new();
+            for (index, backend) in self.backends.iter().enumerate() {
+                if backend.pool == known.pool.name {
+                    let rank = xxh3_64_with_seed(backend.name.as_str().as_bytes(), seed);
+                    zones.entry(&backend.zone).or_default().push((rank, index));
+                }
+            }
+            known.members = zones
+                .into_values()
+                .flat_map(|mut ranked| {
+                    ranked.sort_unstable();
+                    ranked.truncate(self.settings.subset_size);
+                    ranked.into_iter().map(|(_, index)| index)
+                })
+                .collect();
+        }
+    }
+
+    /// Takes in a load report, which may be old.
+    pub fn on_load_report(&mut self, now_ms: u64, report: &LoadReport) {
+        let Some(backend) = self.known_mut(&report.server) else {
+            return;
+        };
+        let measured_at_ms = now_ms.saturating_sub(report.age_ms);
+        if backend
+            .report
+            .as_ref()
+            .is_some_and(|known| known.measured_at_ms > measured_at_ms)
+        {
+            return;
+        }
+        backend.heard = true;
+        backend.leaving = report.state == ServingState::Leaving;
+        backend.slots = report.slots.max(1);
+        backend.models = Some(report.models.clone());
+        backend.report = Some(Report {
+            load: report.running + report.queued,
+            own_in_flight: backend.in_flight,
+            measured_at_ms,
+        });
+    }
+
+    /// Notes that some source (the list, a peer, its own answer) calls a
+    /// backend server leaving; it gets nothing new from now on. A later load
+    /// report of its own that says otherwise takes it back.
+    pub fn on_leaving(&mut self, backend: &BackendName) {
+        if let Some(known) = self.known_mut(backend) {
+            known.leaving = true;
+        }
+    }
+
+    /// Lists the backend servers, ordered by name.
+    pub fn statuses(&self, now_ms: u64) -> impl Iterator<Item = BackendStatus> {
+        self.backends
+            .iter()
+            .map(move |backend| backend.status(now_ms))
+    }
+
+    /// Returns what this instance's requests have cost.
+    pub fn costs(&self) -> &CostBook {
+        &self.costs
+    }
+
+    /// Tells whether a backend server gets new work.
+    pub fn takes_new_work(&self, now_ms: u64, backend: &BackendName) -> bool {
+        self.known(backend).is_some_and(|known| {
+            matches!(
+                known.state(now_ms),
+                BackendState::Serving | BackendState::Unknown
+            )
+        })
+    }
+
+    pub(crate) fn pool(&self, name: &PoolName) -> Option<&KnownPool> {
+        self.pools.get(name)
+    }
+
+    pub(crate) fn known(&self, name: &BackendName) -> Option<&KnownBackend> {
+        self.by_name.get(name).map(|index| &self.backends[*index])
+    }
+
+    fn known_mut(&mut self, name: &BackendName) -> Option<&mut KnownBackend> {
+        self.by_name
+            .get(name)
+            .map(|index| &mut self.backends[*index])
+    }
+
+    pub(crate) fn on_call_sent(&mut self, name: &BackendName) {
+        if let Some(backend) = self.known_mut(name) {
+            backend.in_flight += 1;
+        }
+    }
+
+    pub(crate) fn on_call_ended(&mut self, name: &BackendName, end: CallEnd) {
+        let Some(backend) = self.known_mut(name) else {
+            return;
+        };
+        backend.in_flight = backend.in_flight.saturating_sub(1);
+        let pool = backend.pool.clone();
+        match end {
+            CallEnd::Refused(RefusalReason::Leaving) => backend.leaving = true,
+            CallEnd::Done {
+                elapsed_us,
+                busy_us,
+            } => {
+                backend.heard = true;
+                if let Some(known) = self.pools.get_mut(&pool) {
+                    known.elapsed.record(elapsed_us);
+                    known.busy.record(busy_us);
+                }
+            }
+            CallEnd::Refused(_) | CallEnd::Failed | CallEnd::Abandoned => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/route.rs
@@ -0,0 +1,166 @@
+//! Chooses the backend server of one call.
+
+use rand::{Rng, RngExt};
+
+use super::{BackendState, Fleet, KnownBackend};
+use crate::{
+    decision::{Candidate, DecisionReason},
+    ids::{BackendName, ModelName, PoolName},
+    settings::Routing,
+};
+
+/// Busy time of a call that is assumed before one was seen, in µs.
+const ASSUMED_BUSY_US: u64 = 10_000;
+
+/// What a call needs of its backend server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RouteQuery<'a> {
+    pub(crate) pool: &'a PoolName,
+    pub(crate) model: Option<&'a ModelName>,
+    /// Backend servers that the stage has tried; others are better.
+    pub(crate) tried: &'a [BackendName],
+}
+
+/// Outcome of a routing decision.
+#[derive(Clone, Debug)]
+pub(crate) struct Routed {
+    pub(crate) candidates: Vec<Candidate>,
+    pub(crate) choice: Option<BackendName>,
+    pub(crate) reason: DecisionReason,
+}
+
+impl Fleet {
+    /// Chooses a backend server for a call.
+    pub(crate) fn route(&mut self, now_ms: u64, query: &RouteQuery<'_>) -> Routed {
+        let eligible = self.eligible(now_ms, query);
+        match self.settings.routing {
+            Routing::RoundRobin => self.take_turn(now_ms, query, &eligible),
+            Routing::TwoChoices => self.choose_of_two(now_ms, query, &eligible),
+        }
+    }
+
+    /// Returns the members that can take the call: untried ones if there are
+    /// any.
+    fn eligible(&self, now_ms: u64, query: &RouteQuery<'_>) -> Vec<usize> {
+        let Some(pool) = self.pools.get(query.pool) else {
+            return Vec::new();
+        };
+        let can_serve = |index: &usize| {
+            let backend = &self.backends[*index];
+            let takes_work = matches!(
+                backend.state(now_ms),
+                BackendState::Serving | BackendState::Unknown
+            );
+            takes_work && has_model(backend, query.model)
+        };
+        let able: Vec<usize> = pool.members.iter().copied().filter(can_serve).collect();
+        let untried: Vec<usize> = able
+            .iter()
+            .copied()
+            .filter(|index| !query.tried.contains(&self.backends[*index].name))
+            .collect();
+        if untried.is_empty() { able } else { untried }
+    }
+
+    fn take_turn(&mut self, now_ms: u64, query: &RouteQuery<'_>, eligible: &[usize]) -> Routed {
+        let Some(pool) = self.pools.get_mut(query.pool) else {
+            return none();
+        };
+        if eligible.is_empty() {
+            return none();
+        }
+        let turn = pool.next_turn;
+        pool.next_turn = turn.wrapping_add(1);
+        self.routed(
+            now_ms,
+            &[eligible[turn % eligible.len()]],
+            DecisionReason::Turn,
+        )
+    }
+
+    fn choose_of_two(&mut self, now_ms: u64, query: &RouteQuery<'_>, eligible: &[usize]) -> Routed {
+        let _ = query;
+        let near: Vec<usize> = eligible
+            .iter()
+            .copied()
+            .filter(|index| self.backends[*index].zone == self.zone)
+            .collect();
+        let choices = if near.is_empty() { eligible } else { &near };
+        match choices {
+            [] => none(),
+            [only] => self.routed(now_ms, &[*only], DecisionReason::Only),
+            [..] => {
+                let pair = pick_two(&mut self.rng, choices);
+                self.routed(now_ms, &pair, DecisionReason::LeastLoad)
+            }
+        }
+    }
+
+    /// Scores `considered` and chooses the lowest.
+    fn routed(&self, now_ms: u64, considered: &[usize], reason: DecisionReason) -> Routed {
+        let mut candidates: Vec<Candidate> = considered
+            .iter()
+            .map(|index| self.candidate(now_ms, &self.backends[*index]))
+            .collect();
+        candidates.sort_by_key(|candidate| candidate.score_us);
+        Routed {
+            choice: candidates
+                .first()
+                .map(|candidate| candidate.backend.clone()),
+            candidates,
+            reason,
+        }
+    }
+
+    fn candidate(&self, now_ms: u64, backend: &KnownBackend) -> Candidate {
+        Candidate {
+            backend: backend.name.clone(),
+            zone: backend.zone.clone(),
+            score_us: self.score_us(now_ms, backend),
+        }
+    }
+
+    /// Estimates the wait at a backend server: its load over its slots.
+    fn score_us(&self, now_ms: u64, backend: &KnownBackend) -> u64 {
+        let busy_us = self
+            .pools
+            .get(&backend.pool)
+            .and_then(|pool| pool.busy.mean_us())
+            .unwrap_or(ASSUMED_BUSY_US);
+        busy_us * u64::from(self.load(now_ms, backend)) / u64::from(backend.slots)
+    }
+
+    /// Estimates the calls at a backend server: what it reported of others,
+    /// as long as that is recent, and what this instance has open there.
+    fn load(&self, now_ms: u64, backend: &KnownBackend) -> u32 {
+        let others = backend.report.as_ref().map_or(0, |report| {
+            let age_ms = now_ms.saturating_sub(report.measured_at_ms);
+            if age_ms > self.settings.report_max_age_ms {
+                return 0;
+            }
+            report.load.saturating_sub(report.own_in_flight)
+        });
+        others + backend.in_flight
+    }
+}
+
+fn none() -> Routed {
+    Routed {
+        candidates: Vec::new(),
+        choice: None,
+        reason: DecisionReason::NoBackend,
+    }
+}
+
+fn has_model(backend: &KnownBackend, model: Option<&ModelName>) -> bool {
+    match (model, &backend.models) {
+        (Some(model), Some(models)) => models.contains(model),
+        (None, _) | (Some(_), None) => true,
+    }
+}
+
+fn pick_two(rng: &mut impl Rng, choices: &[usize]) -> [usize; 2] {
+    let first = rng.random_range(0..choices.len());
+    let second = (first + rng.random_range(1..choices.len())) % choices.len();
+    [choices[first], choices[second]]
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,12 @@
 pub mod call;
 pub mod change;
 pub mod config;
+pub mod cost;
+pub mod decision;
+pub mod execution;
+pub mod fleet;
 pub mod ids;
 pub mod objects;
 pub mod outcome;
+pub mod quantile;
+pub mod settings;
--- /dev/null
+++ b/crates/core/src/settings.rs
@@ -0,0 +1,43 @@
+//! Settings of the policy: routing, admission, retries and hedging.
+
+/// Tunes every decision of an instance. The defaults suit today's sizes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PolicySettings {
+    /// Backend servers of a pool and availability zone that one instance uses.
+    pub subset_size: usize,
+    /// How a backend server is chosen among the candidates.
+    pub routing: Routing,
+    /// Calls of one stage of one request, the first included.
+    pub max_attempts: u32,
+    /// Retries allowed for each hundred first attempts.
+    pub retry_percent: u32,
+    /// Retries that may be sent before any traffic has earned them.
+    pub retry_burst: u32,
+    /// Age after which a load report counts for nothing, in ms.
+    pub report_max_age_ms: u64,
+    /// Time to come back after when nothing better is known, in ms.
+    pub default_retry_after_ms: u64,
+}
+
+impl Default for PolicySettings {
+    fn default() -> Self {
+        Self {
+            subset_size: 16,
+            routing: Routing::TwoChoices,
+            max_attempts: 3,
+            retry_percent: 10,
+            retry_burst: 10,
+            report_max_age_ms: 5_000,
+            default_retry_after_ms: 1_000,
+        }
+    }
+}
+
+/// How a backend server is chosen among the candidates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Routing {
+    /// Each candidate in turn, whatever its load.
+    RoundRobin,
+    /// The less loaded of two random ones, the own availability zone first.
+    TwoChoices,
+}
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -14,10 +14,12 @@
 //! - `GET /admin/v1/costs`; answers 200 with [`CostLine`]s.
 //! - `POST /admin/v1/drain`, body [`Drain`]; answers 202.
 
-pub use savoryvane_core::change::{Change, ChangeOp, Intent, Plan};
 use savoryvane_core::ids::{
-    BackendName, ChangeId, Incarnation, InstanceName, Offset, OperatorName, PipelineName, PoolName,
-    StageName, WorkspaceName, ZoneName,
+    BackendName, ChangeId, Incarnation, InstanceName, Offset, OperatorName, PoolName, ZoneName,
+};
+pub use savoryvane_core::{
+    change::{Change, ChangeOp, Intent, Plan},
+    cost::CostLine,
 };
 use serde::{Deserialize, Serialize};
 
@@ -113,25 +115,6 @@
     pub age_ms: Option<u64>,
 }
 
-/// Cost of one workspace's use of one stage, as this instance has booked it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CostLine {
-    /// Workspace.
-    pub workspace: WorkspaceName,
-    /// Pipeline.
-    pub pipeline: PipelineName,
-    /// Stage.
-    pub stage: StageName,
-    /// Calls sent.
-    pub calls: u64,
-    /// Busy time, in µs.
-    pub busy_us: u64,
-    /// Cost, in millionths of the accounting currency.
-    pub cost_micros: u64,
-    /// Part of the cost whose work was not used.
-    pub wasted_micros: u64,
-}
-
 /// Asks the instance to leave.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/wire/src/backend.rs
+++ b/crates/wire/src/backend.rs
@@ -9,8 +9,10 @@
 //! - `POST /v1/orders`, body [`Order`]; answers 200 [`OrderReply`], 409
 //!   [`OrderReply`] when the fencing number is old and the engine checks it.
 
-pub use savoryvane_core::call::{CallId, RefusalReason, ServingState, StageCall, StageEvent};
-use savoryvane_core::ids::{BackendName, ModelName};
+pub use savoryvane_core::call::{
+    CallId, LoadReport, RefusalReason, ServingState, StageCall, StageEvent,
+};
+use savoryvane_core::ids::ModelName;
 use serde::{Deserialize, Serialize};
 
 /// Body of a refusal; the call has not run.
@@ -28,26 +30,6 @@
     pub id: CallId,
 }
 
-/// A backend server's report of its load, which may lag.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadReport {
-    /// Backend server that reports.
-    pub server: BackendName,
-    /// Whether it takes new work.
-    pub state: ServingState,
-    /// Calls being worked on.
-    pub running: u32,
-    /// Calls waiting.
-    pub queued: u32,
-    /// Calls that it works on at the same time.
-    pub slots: u32,
-    /// Age of the figures when the report was sent, in ms.
-    pub age_ms: u64,
-    /// Models loaded.
-    #[serde(default)]
-    pub models: Vec<ModelName>,
-}
-
 /// What an engine is told to do.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "action", rename_all = "snake_case")]
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -4,10 +4,8 @@
 //! [`Answer`], or with `Accept: application/x-ndjson` one [`AnswerEvent`] a
 //! line. `POST /v1/tickets` answers 201 [`Ticket`].
 
-use savoryvane_core::{
-    ids::{RequestId, StageName},
-    outcome::Outcome,
-};
+pub use savoryvane_core::cost::StageUsage;
+use savoryvane_core::{ids::RequestId, outcome::Outcome};
 use serde::{Deserialize, Serialize};
 
 /// Header with the workspace's credential: `Bearer <credential>`.
@@ -35,23 +33,6 @@
     pub input: serde_json::Value,
 }
 
-/// Time and cost of one stage.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StageUsage {
-    /// Stage.
-    pub stage: StageName,
-    /// Time from the stage's start to its end, in µs.
-    pub elapsed_us: u64,
-    /// Busy time of all its calls, in µs.
-    pub busy_us: u64,
-    /// Cost of that time, in millionths of the accounting currency.
-    pub cost_micros: u64,
-    /// Part of the cost spent on calls whose answer was not used.
-    pub wasted_micros: u64,
-    /// Calls sent, the first attempt included.
-    pub calls: u32,
-}
-
 /// Body of an answer, whatever its outcome.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Answer {
