--- a/crates/core/src/execution/attempt.rs
+++ b/crates/core/src/execution/attempt.rs
@@ -315,7 +315,8 @@
         let Some(attempt) = self.take_live(id.attempt) else {
             return;
         };
-        if tokens != attempt.next_index {
+        let is_whole = tokens == attempt.next_index && tokens == self.stream.len();
+        if !is_whole {
             self.book_wasted(&attempt, Some(busy_us), CallEnd::Failed, turn);
             turn.act(Action::Discard {
                 id,
