Add stand-ins for log, list, backend servers and balancer

Ruled out: mocks inside other packages' tests (each would invent its own protocol) and one process for all (a test must kill one alone). Before: no stand-in. Conclusion: other packages can start them in-process or as `standin`.

--- /dev/null
+++ b/crates/standins/src/bin/standin/run.rs
@@ -0,0 +1,162 @@
+//! Runs the subcommands.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use savoryvane_core::{
+    ids::ModelName,
+    objects::{Fencing, StageKind},
+};
+use savoryvane_standins::{
+    BackendServer, BackendSettings, Balancer, BalancerSettings, Error, ListServer, ListSettings,
+    LogServer, LogSettings, Result, WeightStore, client,
+};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::cli;
+
+/// Time between two health checks of the balancer, in ms.
+const DEFAULT_CHECK_MS: u64 = 200;
+
+/// Runs a subcommand; servers run until SIGTERM.
+pub(crate) async fn run(command: cli::StandinCmd) -> Result<()> {
+    match command {
+        cli::StandinCmd::Log(flags) => log(flags).await,
+        cli::StandinCmd::List(flags) => list(flags).await,
+        cli::StandinCmd::Engine(flags) => backend(engine_settings(flags)).await,
+        cli::StandinCmd::Service(flags) => backend(service_settings(flags)?).await,
+        cli::StandinCmd::Balancer(flags) => balancer(flags).await,
+        cli::StandinCmd::Send(flags) => send(flags).await,
+    }
+}
+
+async fn log(flags: cli::Log) -> Result<()> {
+    let mut terminate = terminations()?;
+    let defaults = LogSettings::default();
+    let server = LogServer::start(LogSettings {
+        addr: listen(flags.listen),
+        retention_ms: flags.retention_ms.unwrap_or(defaults.retention_ms),
+        retention_records: flags
+            .retention_records
+            .unwrap_or(defaults.retention_records),
+        appends_per_s: flags.appends_per_s.unwrap_or(defaults.appends_per_s),
+        ..defaults
+    })
+    .await?;
+    announce(server.addr());
+    terminate.recv().await;
+    server.stop().await;
+    Ok(())
+}
+
+async fn list(flags: cli::List) -> Result<()> {
+    let mut terminate = terminations()?;
+    let defaults = ListSettings::default();
+    let server = ListServer::start(ListSettings {
+        addr: listen(flags.listen),
+        lag_ms: flags.lag_ms.unwrap_or(defaults.lag_ms),
+    })
+    .await?;
+    announce(server.addr());
+    terminate.recv().await;
+    server.stop().await;
+    Ok(())
+}
+
+async fn backend(settings: BackendSettings) -> Result<()> {
+    let mut terminate = terminations()?;
+    let server = BackendServer::start(settings).await?;
+    announce(server.addr());
+    terminate.recv().await;
+    server.stop().await;
+    Ok(())
+}
+
+fn engine_settings(flags: cli::Engine) -> BackendSettings {
+    let defaults = BackendSettings::new(flags.name.as_str(), StageKind::Generate);
+    let fencing = if flags.check_fence {
+        Fencing::Checked
+    } else {
+        Fencing::Ignored
+    };
+    BackendSettings {
+        addr: listen(flags.listen),
+        slots: flags.slots.unwrap_or(defaults.slots),
+        queue_limit: flags.queue.unwrap_or(defaults.queue_limit),
+        seed: flags.seed.unwrap_or(defaults.seed),
+        service_us: flags.service_us.unwrap_or(defaults.service_us),
+        token_us: flags.token_us.unwrap_or(defaults.token_us),
+        load_lag_ms: flags.load_lag_ms.unwrap_or(defaults.load_lag_ms),
+        models: flags.model.iter().map(ModelName::new).collect(),
+        fencing,
+        model_mb: flags.model_mb.unwrap_or(defaults.model_mb),
+        weights: Arc::new(WeightStore::new(flags.weights_mb_per_s.unwrap_or(0))),
+        ..defaults
+    }
+}
+
+fn service_settings(flags: cli::Service) -> Result<BackendSettings> {
+    let defaults = BackendSettings::new(flags.name.as_str(), stage_kind(&flags.kind)?);
+    Ok(BackendSettings {
+        addr: listen(flags.listen),
+        slots: flags.slots.unwrap_or(defaults.slots),
+        queue_limit: flags.queue.unwrap_or(defaults.queue_limit),
+        seed: flags.seed.unwrap_or(defaults.seed),
+        service_us: flags.service_us.unwrap_or(defaults.service_us),
+        load_lag_ms: flags.load_lag_ms.unwrap_or(defaults.load_lag_ms),
+        ..defaults
+    })
+}
+
+async fn balancer(flags: cli::Balancer) -> Result<()> {
+    let mut terminate = terminations()?;
+    let server = Balancer::start(BalancerSettings {
+        addr: listen(flags.listen),
+        targets: flags.to,
+        check_ms: flags.check_ms.unwrap_or(DEFAULT_CHECK_MS),
+    })
+    .await?;
+    announce(server.addr());
+    terminate.recv().await;
+    server.stop().await;
+    Ok(())
+}
+
+async fn send(flags: cli::Send) -> Result<()> {
+    let body = match (flags.body_file, flags.body) {
+        (Some(file), _) => std::fs::read(file)?,
+        (None, Some(text)) => text.into_bytes(),
+        (None, None) => Vec::new(),
+    };
+    let method = flags.method.parse().map_err(http::Error::from)?;
+    let (status, answer) = client::exchange(flags.addr, method, &flags.path, body).await?;
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    if !status.is_success() {
+        return Err(Error::Status(status, answer));
+    }
+    println!("{answer}");
+    Ok(())
+}
+
+fn stage_kind(kind: &str) -> Result<StageKind> {
+    match kind {
+        "encode" => Ok(StageKind::Encode),
+        "retrieve" => Ok(StageKind::Retrieve),
+        "rerank" => Ok(StageKind::Rerank),
+        "call" => Ok(StageKind::Call),
+        other => Err(Error::Argument(format!(
+            "--kind {other}: must be encode, retrieve, rerank or call"
+        ))),
+    }
+}
+
+fn listen(addr: Option<SocketAddr>) -> SocketAddr {
+    addr.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)))
+}
+
+fn terminations() -> Result<Signal> {
+    Ok(signal(SignalKind::terminate())?)
+}
+
+fn announce(addr: SocketAddr) {
+    println!("listening {addr}");
+}
--- /dev/null
+++ b/crates/standins/src/log_server.rs
@@ -0,0 +1,411 @@
+//! The platform log over HTTP, with its limits and fault switches.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use savoryvane_core::ids::Offset;
+use savoryvane_wire::platform::{Appended, LogRecord, Records, Trimmed};
+use serde::{Deserialize, Serialize};
+use tokio::{
+    sync::watch,
+    time::{self, Instant},
+};
+
+use crate::{
+    Error, Result,
+    body::{self, empty, json},
+    log::{BeforeFirst, Delivery, Kept, Retention, Slice, Streams},
+    server::{HangUp, Reply, Server, until_set},
+};
+
+/// Records of one read when the reader names no limit.
+const DEFAULT_LIMIT: usize = 256;
+
+/// Longest wait of a read, in ms.
+const MAX_WAIT_MS: u64 = 60_000;
+
+/// How often a waiting read looks for delayed records.
+const DELAYED_CHECK: Duration = Duration::from_millis(10);
+
+/// Settings of the log.
+#[derive(Clone, Debug)]
+pub struct LogSettings {
+    /// Address to listen on.
+    pub addr: SocketAddr,
+    /// Age up to which a record is kept, in ms.
+    pub retention_ms: u64,
+    /// Records that a stream keeps at most.
+    pub retention_records: usize,
+    /// Appends accepted in a second over all streams.
+    pub appends_per_s: u32,
+    /// Largest payload, in bytes.
+    pub max_payload_bytes: usize,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            addr: SocketAddr::from(([127, 0, 0, 1], 0)),
+            retention_ms: 3_600_000,
+            retention_records: 100_000,
+            appends_per_s: 400,
+            max_payload_bytes: 1024 * 1024,
+        }
+    }
+}
+
+/// Faults of the log; `POST /fault` replaces them all.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogFaults {
+    /// Answers 503 to everything.
+    pub outage: bool,
+    /// Waits before each exchange, in ms.
+    pub slow_ms: u64,
+    /// Holds each exchange until the fault is lifted; it is carried out then.
+    pub hang: bool,
+    /// Appends take effect, and the connection closes without an answer.
+    pub lose_append_answers: bool,
+    /// Delivers records only this long after their append, in ms.
+    pub delivery_delay_ms: u64,
+    /// Delivers no record that was appended since the fault was set.
+    pub pause_delivery: bool,
+    /// Drops every kept record, once.
+    pub trim: bool,
+}
+
+/// The log as it runs in this process.
+#[derive(Debug)]
+pub struct LogServer {
+    server: Server,
+    state: Arc<State>,
+}
+
+impl LogServer {
+    /// Starts a log.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be listened on.
+    pub async fn start(settings: LogSettings) -> Result<Self> {
+        let addr = settings.addr;
+        let state = Arc::new(State::new(settings));
+        let shared = Arc::clone(&state);
+        let handler = move |request| Arc::clone(&shared).answer(request);
+        let server = Server::start(addr, Arc::default(), handler).await?;
+        Ok(Self { server, state })
+    }
+
+    /// Returns the address that it listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: LogFaults) {
+        self.state.set_faults(faults);
+    }
+
+    /// Returns the payloads that a stream keeps, oldest first.
+    pub fn payloads(&self, stream: &str) -> Vec<Vec<u8>> {
+        self.state.payloads(stream)
+    }
+
+    /// Stops listening and ends open exchanges.
+    pub async fn stop(self) {
+        self.state.set_faults(LogFaults::default());
+        self.state.stopping.send_replace(true);
+        self.server.stop().await;
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    settings: LogSettings,
+    started: Instant,
+    started_at_ms: u64,
+    memory: Mutex<Memory>,
+    faults: watch::Sender<LogFaults>,
+    appended: watch::Sender<u64>,
+    stopping: watch::Sender<bool>,
+}
+
+#[derive(Debug)]
+struct Memory {
+    streams: Streams,
+    appends: AppendLimit,
+    paused_since_ms: Option<u64>,
+}
+
+#[derive(Debug)]
+struct ReadQuery {
+    from: u64,
+    limit: usize,
+    wait_ms: u64,
+}
+
+impl State {
+    fn new(settings: LogSettings) -> Self {
+        let retention = Retention {
+            age_ms: settings.retention_ms,
+            records: settings.retention_records,
+        };
+        Self {
+            started: Instant::now(),
+            started_at_ms: unix_now_ms(),
+            memory: Mutex::new(Memory {
+                streams: Streams::new(retention),
+                appends: AppendLimit::new(settings.appends_per_s),
+                paused_since_ms: None,
+            }),
+            faults: watch::Sender::new(LogFaults::default()),
+            appended: watch::Sender::new(0),
+            stopping: watch::Sender::new(false),
+            settings,
+        }
+    }
+
+    fn memory(&self) -> MutexGuard<'_, Memory> {
+        self.memory.lock().expect("no holder of the lock panics")
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.started_at_ms + elapsed_ms(self.started)
+    }
+
+    fn set_faults(&self, mut faults: LogFaults) {
+        {
+            let now_ms = self.now_ms();
+            let mut memory = self.memory();
+            if std::mem::take(&mut faults.trim) {
+                memory.streams.trim_all();
+            }
+            memory.paused_since_ms = match (faults.pause_delivery, memory.paused_since_ms) {
+                (false, _) => None,
+                (true, since) => since.or(Some(now_ms)),
+            };
+        }
+        self.faults.send_replace(faults);
+        self.appended.send_modify(|count| *count += 1);
+    }
+
+    fn payloads(&self, stream: &str) -> Vec<Vec<u8>> {
+        let now_ms = self.now_ms();
+        let mut memory = self.memory();
+        let read = |memory: &mut Memory, from| {
+            memory
+                .streams
+                .read(stream, from, usize::MAX, now_ms, Delivery::default())
+        };
+        let slice = read(&mut memory, 0).or_else(|trimmed| read(&mut memory, trimmed.first));
+        slice.map_or_else(
+            |_| Vec::new(),
+            |slice| slice.records.iter().map(|r| r.payload.to_vec()).collect(),
+        )
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Reply {
+        if request.uri().path() == "/fault" {
+            return Ok(self.answer_fault(request).await);
+        }
+        if let Some(refused) = self.suffer().await {
+            return Ok(refused);
+        }
+        let path = request.uri().path().to_owned();
+        let stream = path
+            .strip_prefix("/v1/streams/")
+            .and_then(|rest| rest.strip_suffix("/records"))
+            .filter(|stream| !stream.is_empty() && !stream.contains('/'));
+        match (stream, request.method()) {
+            (Some(stream), &Method::POST) => self.append(stream, request).await,
+            (Some(stream), &Method::GET) => Ok(self.read(stream, &request).await),
+            (Some(_), _) => Ok(empty(StatusCode::METHOD_NOT_ALLOWED)),
+            (None, _) => Ok(empty(StatusCode::NOT_FOUND)),
+        }
+    }
+
+    async fn answer_fault(&self, request: Request<Incoming>) -> http::Response<body::Body> {
+        match body::read_json(request.into_body()).await {
+            Ok(faults) => {
+                self.set_faults(faults);
+                empty(StatusCode::NO_CONTENT)
+            }
+            Err(err) => json(StatusCode::BAD_REQUEST, &err.to_string()),
+        }
+    }
+
+    async fn suffer(&self) -> Option<http::Response<body::Body>> {
+        let mut faults = self.faults.subscribe();
+        // The sender lives as long as `self`, so waiting cannot fail.
+        let _ = faults.wait_for(|faults| !faults.hang).await;
+        let slow_ms = faults.borrow().slow_ms;
+        if slow_ms > 0 {
+            time::sleep(Duration::from_millis(slow_ms)).await;
+        }
+        let outage = faults.borrow().outage;
+        outage.then(|| empty(StatusCode::SERVICE_UNAVAILABLE))
+    }
+
+    async fn append(&self, stream: &str, request: Request<Incoming>) -> Reply {
+        let payload = match body::read(request.into_body(), self.settings.max_payload_bytes).await {
+            Ok(payload) => payload,
+            Err(Error::TooLarge(_)) => return Ok(empty(StatusCode::PAYLOAD_TOO_LARGE)),
+            Err(_) => return Err(HangUp),
+        };
+        let now_ms = self.now_ms();
+        let offset = {
+            let mut memory = self.memory();
+            if !memory.appends.admit(now_ms) {
+                return Ok(empty(StatusCode::TOO_MANY_REQUESTS));
+            }
+            memory.streams.append(stream, now_ms, payload)
+        };
+        self.appended.send_modify(|count| *count += 1);
+        if self.faults.borrow().lose_append_answers {
+            return Err(HangUp);
+        }
+        let appended = Appended {
+            offset: Offset(offset),
+        };
+        Ok(json(StatusCode::OK, &appended))
+    }
+
+    async fn read(&self, stream: &str, request: &Request<Incoming>) -> http::Response<body::Body> {
+        let Some(query) = ReadQuery::parse(request.uri().query().unwrap_or_default()) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        let until = Instant::now() + Duration::from_millis(query.wait_ms.min(MAX_WAIT_MS));
+        let mut appended = self.appended.subscribe();
+        let mut stopping = self.stopping.subscribe();
+        loop {
+            appended.mark_unchanged();
+            if self.faults.borrow().outage {
+                return empty(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            match self.read_now(stream, &query) {
+                Err(BeforeFirst { first }) => {
+                    let trimmed = Trimmed {
+                        first: Offset(first),
+                    };
+                    return json(StatusCode::GONE, &trimmed);
+                }
+                Ok(slice) if !slice.records.is_empty() || Instant::now() >= until => {
+                    return json(StatusCode::OK, &to_records(slice));
+                }
+                Ok(slice) => tokio::select! {
+                    _ = appended.changed() => {}
+                    () = time::sleep_until(self.next_check(until)) => {}
+                    () = until_set(&mut stopping) => {
+                        return json(StatusCode::OK, &to_records(slice));
+                    }
+                },
+            }
+        }
+    }
+
+    fn next_check(&self, until: Instant) -> Instant {
+        match self.faults.borrow().delivery_delay_ms {
+            0 => until,
+            _ => until.min(Instant::now() + DELAYED_CHECK),
+        }
+    }
+
+    fn read_now(&self, stream: &str, query: &ReadQuery) -> std::result::Result<Slice, BeforeFirst> {
+        let delay_ms = self.faults.borrow().delivery_delay_ms;
+        let now_ms = self.now_ms();
+        let mut memory = self.memory();
+        let delivery = Delivery {
+            delay_ms,
+            paused_since_ms: memory.paused_since_ms,
+        };
+        memory
+            .streams
+            .read(stream, query.from, query.limit, now_ms, delivery)
+    }
+}
+
+impl ReadQuery {
+    fn parse(query: &str) -> Option<Self> {
+        let mut parsed = Self {
+            from: 0,
+            limit: DEFAULT_LIMIT,
+            wait_ms: 0,
+        };
+        for pair in query.split('&').filter(|pair| !pair.is_empty()) {
+            let (name, value) = pair.split_once('=')?;
+            match name {
+                "from" => parsed.from = value.parse().ok()?,
+                "limit" => parsed.limit = value.parse().ok()?,
+                "wait_ms" => parsed.wait_ms = value.parse().ok()?,
+                _ => return None,
+            }
+        }
+        Some(parsed)
+    }
+}
+
+/// Token bucket of one second's appends.
+#[derive(Debug)]
+struct AppendLimit {
+    per_s: u64,
+    milli_tokens: u64,
+    refilled_at_ms: u64,
+}
+
+impl AppendLimit {
+    fn new(per_s: u32) -> Self {
+        let per_s = u64::from(per_s);
+        Self {
+            per_s,
+            milli_tokens: per_s * 1000,
+            refilled_at_ms: 0,
+        }
+    }
+
+    fn admit(&mut self, now_ms: u64) -> bool {
+        let elapsed_ms = now_ms.saturating_sub(self.refilled_at_ms);
+        self.refilled_at_ms = now_ms;
+        let refilled = self
+            .milli_tokens
+            .saturating_add(elapsed_ms.saturating_mul(self.per_s));
+        self.milli_tokens = refilled.min(self.per_s * 1000);
+        let admitted = self.milli_tokens >= 1000;
+        if admitted {
+            self.milli_tokens -= 1000;
+        }
+        admitted
+    }
+}
+
+fn to_records(slice: Slice) -> Records {
+    Records {
+        first: Offset(slice.first),
+        next: Offset(slice.next),
+        records: slice.records.iter().map(to_record).collect(),
+    }
+}
+
+fn to_record(kept: &Kept) -> LogRecord {
+    LogRecord {
+        offset: Offset(kept.offset),
+        appended_at_ms: kept.appended_at_ms,
+        payload: STANDARD.encode(&kept.payload),
+    }
+}
+
+fn unix_now_ms() -> u64 {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn elapsed_ms(since: Instant) -> u64 {
+    u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
