Add the transport between instances

Configuration, claims, gossip and usage need messages and requests between instances over connections that may go silent for good.

A request can name the incarnation that it is for; any other run refuses it with 421.

Ruled out: TCP keepalive, which takes no part in a connection whose bytes are swallowed by something that answers for the peer.

--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -1,1 +1,3 @@
 //! stub
+
+pub mod peer;
--- /dev/null
+++ b/crates/server/src/peer/server.rs
@@ -0,0 +1,249 @@
+//! Serving peers: gossip streams and requests on the listener for instances.
+
+use std::{future::Future, pin::Pin, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use h2::{
+    RecvStream,
+    server::{self, SendResponse},
+};
+use http::{HeaderMap, Request, Response, StatusCode};
+use savoryvane_wire::peer::{
+    Declined, FROM, FROM_INCARNATION, FrameReader, GOSSIP_PATH, Message, REQUEST_PATH, TO,
+    TO_INCARNATION, WAIT_MS, encode,
+};
+use slog::{Logger, debug};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    time,
+};
+
+use super::{
+    error::{PeerError, Result},
+    link::{PeerId, WINDOW_BYTES, read_message, read_peer, send_all, until_quiet},
+};
+
+/// Connections of peers open at the same time.
+const MAX_CONNECTIONS: usize = 1_024;
+/// Streams open on one connection at the same time.
+const MAX_STREAMS: u32 = 256;
+/// Time for the message of a request to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time that a request waits for its answer.
+const LONGEST_WAIT: Duration = Duration::from_secs(120);
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answer to a request of a peer, in the making.
+pub type PeerAnswer = Pin<Box<dyn Future<Output = Message> + Send>>;
+
+/// What takes the messages of peers.
+pub trait PeerHandler: Send + Sync + 'static {
+    /// Takes a message that came one way.
+    fn on_gossip(&self, from: &PeerId, message: Message);
+
+    /// Answers a request, within `wait`.
+    fn on_request(&self, from: PeerId, message: Message, wait: Duration) -> PeerAnswer;
+}
+
+/// Serves peers on one listener.
+pub struct PeerServer<H> {
+    /// The run that serves.
+    pub me: PeerId,
+    /// What takes the messages.
+    pub handler: Arc<H>,
+    /// Where what goes wrong is noted.
+    pub log: Logger,
+}
+
+impl<H> Clone for PeerServer<H> {
+    fn clone(&self) -> Self {
+        Self {
+            me: self.me.clone(),
+            handler: Arc::clone(&self.handler),
+            log: self.log.clone(),
+        }
+    }
+}
+
+impl<H: PeerHandler> PeerServer<H> {
+    /// Serves every connection for as long as the task lives.
+    pub async fn run(self, listener: TcpListener) {
+        let room = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+        loop {
+            let socket = match listener.accept().await {
+                Ok((socket, _)) => socket,
+                Err(err) => {
+                    debug!(self.log, "peer not accepted"; "error" => %err);
+                    time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            let Ok(permit) = Arc::clone(&room).try_acquire_owned() else {
+                metrics::counter!("savoryvane_peer_refused_total").increment(1);
+                continue;
+            };
+            let server = self.clone();
+            tokio::spawn(async move {
+                if let Err(err) = server.serve(socket).await {
+                    debug!(server.log, "peer connection closed"; "error" => %err);
+                }
+                drop(permit);
+            });
+        }
+    }
+
+    async fn serve(&self, socket: TcpStream) -> std::result::Result<(), h2::Error> {
+        let _ = socket.set_nodelay(true);
+        let mut builder = server::Builder::new();
+        builder
+            .initial_window_size(WINDOW_BYTES)
+            .initial_connection_window_size(WINDOW_BYTES)
+            .max_concurrent_streams(MAX_STREAMS);
+        let handshake = builder.handshake::<_, Bytes>(socket);
+        let Ok(connection) = time::timeout(BODY_TIMEOUT, handshake).await else {
+            return Ok(());
+        };
+        let mut connection = connection?;
+        let quiet = until_quiet(connection.ping_pong());
+        tokio::pin!(quiet);
+        loop {
+            let accepted = tokio::select! {
+                accepted = connection.accept() => accepted,
+                () = &mut quiet => return Ok(()),
+            };
+            let Some(accepted) = accepted else {
+                return Ok(());
+            };
+            let (request, respond) = accepted?;
+            let server = self.clone();
+            tokio::spawn(async move {
+                if let Err(err) = server.answer(request, respond).await {
+                    metrics::counter!("savoryvane_peer_errors_total").increment(1);
+                    debug!(server.log, "message of a peer dropped"; "error" => %err);
+                }
+            });
+        }
+    }
+
+    async fn answer(
+        &self,
+        request: Request<RecvStream>,
+        mut respond: SendResponse<Bytes>,
+    ) -> Result<()> {
+        let headers = request.headers();
+        let Some(from) = read_peer(headers, FROM, FROM_INCARNATION) else {
+            return self.refuse(&mut respond, StatusCode::BAD_REQUEST);
+        };
+        if !self.is_meant(headers) {
+            return self.refuse(&mut respond, StatusCode::MISDIRECTED_REQUEST);
+        }
+        let wait = read_wait(headers);
+        let path = request.uri().path().to_owned();
+        match path.as_str() {
+            GOSSIP_PATH => self.take_gossip(from, request.into_body(), respond).await,
+            REQUEST_PATH => {
+                self.take_request(from, request.into_body(), wait, respond)
+                    .await
+            }
+            _ => self.refuse(&mut respond, StatusCode::NOT_FOUND),
+        }
+    }
+
+    async fn take_gossip(
+        &self,
+        from: PeerId,
+        mut body: RecvStream,
+        mut respond: SendResponse<Bytes>,
+    ) -> Result<()> {
+        // Dropping it would reset the stream.
+        let _open = self.respond(&mut respond, StatusCode::OK, false)?;
+        let mut reader = FrameReader::new();
+        while let Some(bytes) = body.data().await {
+            let bytes = bytes.map_err(|err| PeerError::Unanswered(err.to_string()))?;
+            let _ = body.flow_control().release_capacity(bytes.len());
+            reader.push(&bytes);
+            loop {
+                let message = reader.next_message();
+                let message = message.map_err(|err| PeerError::Malformed(err.to_string()))?;
+                match message {
+                    Some(Message::Hello(_)) => {}
+                    Some(message) => self.handler.on_gossip(&from, message),
+                    None => break,
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn take_request(
+        &self,
+        from: PeerId,
+        body: RecvStream,
+        wait: Duration,
+        mut respond: SendResponse<Bytes>,
+    ) -> Result<()> {
+        let read = time::timeout(BODY_TIMEOUT, read_message(body)).await;
+        let message = match read.unwrap_or_else(|_| Err(body_timeout())) {
+            Ok(message) => message,
+            Err(err) => {
+                self.refuse(&mut respond, StatusCode::BAD_REQUEST)?;
+                return Err(err);
+            }
+        };
+        let answer = match message {
+            Some(message) => self.handler.on_request(from, message, wait).await,
+            None => Message::Declined(Declined::Unsupported),
+        };
+        let Ok(frame) = encode(&answer) else {
+            return self.refuse(&mut respond, StatusCode::INTERNAL_SERVER_ERROR);
+        };
+        let mut stream = self.respond(&mut respond, StatusCode::OK, false)?;
+        send_all(&mut stream, frame.into(), true).await
+    }
+
+    fn is_meant(&self, headers: &HeaderMap) -> bool {
+        let is = |name: &str, mine: &str| {
+            headers
+                .get(name)
+                .is_none_or(|value| value.as_bytes() == mine.as_bytes())
+        };
+        is(TO, self.me.instance.as_str()) && is(TO_INCARNATION, &self.me.incarnation.to_string())
+    }
+
+    fn refuse(&self, respond: &mut SendResponse<Bytes>, status: StatusCode) -> Result<()> {
+        self.respond(respond, status, true).map(drop)
+    }
+
+    fn respond(
+        &self,
+        respond: &mut SendResponse<Bytes>,
+        status: StatusCode,
+        end: bool,
+    ) -> Result<h2::SendStream<Bytes>> {
+        let response = Response::builder()
+            .status(status)
+            .header(FROM, self.me.instance.as_str())
+            .header(FROM_INCARNATION, self.me.incarnation.to_string())
+            .body(())
+            .map_err(|err| PeerError::Malformed(err.to_string()))?;
+        respond
+            .send_response(response, end)
+            .map_err(|err| PeerError::Unanswered(err.to_string()))
+    }
+}
+
+fn read_wait(headers: &HeaderMap) -> Duration {
+    let wait_ms = headers
+        .get(WAIT_MS)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok());
+    wait_ms
+        .map_or(LONGEST_WAIT, Duration::from_millis)
+        .min(LONGEST_WAIT)
+}
+
+fn body_timeout() -> PeerError {
+    PeerError::Unanswered("timeout while reading".to_owned())
+}
