Serve requests end to end: settings, listeners, follower, runner and admin

Ruled out: hyper-util's legacy pool for backend servers, which hides whether a request was handed to a socket; a small pool over client::conn::http1 gives an unsent request back. Refusals without a refusal's body do not count as such, since something between may answer 503 after the call has run.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -298,6 +298,12 @@
             .map(move |backend| backend.status(now_ms))
     }
 
+    /// Names the backend servers that this instance uses, pool by pool.
+    pub fn members(&self) -> impl Iterator<Item = &BackendName> {
+        let members = self.pools.values().flat_map(|known| &known.members);
+        members.map(|index| &self.backends[*index].name)
+    }
+
     /// Returns what this instance's requests have cost.
     pub fn costs(&self) -> &CostBook {
         &self.costs
--- /dev/null
+++ b/crates/server/src/admin.rs
@@ -0,0 +1,397 @@
+//! The operators' interface, on a listener and with a credential of its own.
+
+use std::{convert::Infallible, sync::Arc};
+
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use savoryvane_core::{
+    ids::{InstanceName, Offset, OperatorName},
+    objects::Object,
+};
+use savoryvane_wire::{
+    admin::{
+        self, AdminError, BackendView, Confirmation, Drain, HistoryEntry, InstanceView, Intent,
+        Plan, Reach, Status,
+    },
+    platform::{Listed, ListedRole, ListedState},
+};
+use serde::de::DeserializeOwned;
+use slog::{info, warn};
+use tower::util::BoxCloneSyncService;
+
+use crate::{
+    clock::unix_ms,
+    confirm::{self, ConfirmError},
+    credential,
+    http_body::{self, Body, BodyFault},
+    instance::Shared,
+    phase::Phase,
+};
+
+/// Media type of metrics.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+
+/// An answer or an error with its status.
+type Reply = Result<Response<Body>, Failure>;
+
+/// An error of this interface.
+struct Failure {
+    status: StatusCode,
+    error: String,
+    next_step: &'static str,
+}
+
+impl Failure {
+    fn new(status: StatusCode, error: impl Into<String>, next_step: &'static str) -> Self {
+        Self {
+            status,
+            error: error.into(),
+            next_step,
+        }
+    }
+}
+
+impl From<BodyFault> for Failure {
+    fn from(fault: BodyFault) -> Self {
+        match fault {
+            BodyFault::TooLarge => Self::new(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "the body is too large",
+                "split the intent",
+            ),
+            BodyFault::TooSlow => Self::new(
+                StatusCode::REQUEST_TIMEOUT,
+                "the body did not arrive in time",
+                "send it again",
+            ),
+            BodyFault::Broken => Self::new(
+                StatusCode::BAD_REQUEST,
+                "the body broke off",
+                "send it again",
+            ),
+        }
+    }
+}
+
+impl From<ConfirmError> for Failure {
+    fn from(err: ConfirmError) -> Self {
+        let (status, next_step) = match err {
+            ConfirmError::NotAPlan(_) | ConfirmError::Invalid(_) => (
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "make a new plan from the intent",
+            ),
+            ConfirmError::Conflict(_) => (
+                StatusCode::CONFLICT,
+                "look at the history, then make a new plan from the intent",
+            ),
+            ConfirmError::NotAppended(_) | ConfirmError::Unknown => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "confirm the same plan again; it takes effect once",
+            ),
+        };
+        Self::new(status, err.to_string(), next_step)
+    }
+}
+
+/// Builds the service of the operators' listener.
+pub(crate) fn service(
+    shared: Arc<Shared>,
+) -> BoxCloneSyncService<Request<Incoming>, Response<Body>, Infallible> {
+    BoxCloneSyncService::new(tower::service_fn(move |request: Request<Incoming>| {
+        let shared = Arc::clone(&shared);
+        async move {
+            let path = request.uri().path().to_owned();
+            let reply = handle(&shared, request).await;
+            Ok::<_, Infallible>(reply.unwrap_or_else(|failure| fail(&shared, &path, failure)))
+        }
+    }))
+}
+
+async fn handle(shared: &Arc<Shared>, request: Request<Incoming>) -> Reply {
+    let path = request.uri().path().to_owned();
+    // Metrics carry no secret, and collectors have no credential of operators.
+    if path == "/metrics" && request.method() == Method::GET {
+        let text = shared.meters.render();
+        return Ok(http_body::with_type(StatusCode::OK, METRICS_TYPE, text));
+    }
+    authenticate(shared, &request)?;
+    match (request.method().as_str(), path.as_str()) {
+        ("POST", "/admin/v1/plans") => plan(shared, request).await,
+        ("POST", "/admin/v1/confirmations") => confirm(shared, request).await,
+        ("POST", "/admin/v1/drain") => drain(shared, request).await,
+        ("GET", "/admin/v1/status") => ok(&status(shared)),
+        ("GET", "/admin/v1/reach") => ok(&reach(shared, asked_offset(&request)?)),
+        ("GET", "/admin/v1/objects") => ok(&objects(shared)),
+        ("GET", "/admin/v1/history") => ok(&history(shared)),
+        ("GET", "/admin/v1/instances") => ok(&instances(shared)),
+        ("GET", "/admin/v1/backends") => ok(&backends(shared)),
+        ("GET", "/admin/v1/costs") => ok(&shared.fleet().costs().lines().collect::<Vec<_>>()),
+        _ => Err(Failure::new(
+            StatusCode::NOT_FOUND,
+            format!("there is no {} {path}", request.method()),
+            "see docs/API.md for the paths of this interface",
+        )),
+    }
+}
+
+fn authenticate(shared: &Shared, request: &Request<Incoming>) -> Result<(), Failure> {
+    let expected = &shared.settings.admin_credential_sha256;
+    let is_right = credential::presented(request.headers())
+        .is_some_and(|credential| credential::matches(credential, expected));
+    if is_right {
+        return Ok(());
+    }
+    metrics::counter!("savoryvane_admin_unauthorized_total").increment(1);
+    Err(Failure::new(
+        StatusCode::UNAUTHORIZED,
+        "the operators' credential is missing or wrong",
+        "send it as `Authorization: Bearer <credential>`",
+    ))
+}
+
+async fn plan(shared: &Shared, request: Request<Incoming>) -> Reply {
+    let operator = request
+        .headers()
+        .get(admin::OPERATOR)
+        .map_or(Ok(admin::DEFAULT_OPERATOR), |value| value.to_str())
+        .map(OperatorName::new)
+        .map_err(|_| {
+            Failure::new(
+                StatusCode::BAD_REQUEST,
+                "the operator's name is not text",
+                "name the operator with lower-case letters, digits, `-` or `.`",
+            )
+        })?;
+    let intent: Intent = body(shared, request).await?;
+    let plan = shared.configuration.state().plan(&intent, &operator);
+    match plan {
+        Ok(plan) => {
+            info!(shared.log, "plan made"; "change" => %plan.change.id, "operator" => %operator,
+                "base" => plan.change.base.0, "steps" => plan.change.ops.len());
+            ok(&plan)
+        }
+        Err(errors) => {
+            let lines: Vec<_> = errors.iter().map(|err| err.to_string()).collect();
+            Err(Failure::new(
+                StatusCode::UNPROCESSABLE_ENTITY,
+                lines.join("\n"),
+                "correct the intent and plan again",
+            ))
+        }
+    }
+}
+
+async fn confirm(shared: &Shared, request: Request<Incoming>) -> Reply {
+    let plan: Plan = body(shared, request).await?;
+    let id = plan.change.id.clone();
+    let offset = confirm::confirm(shared, plan).await?;
+    let reach = reach(shared, offset);
+    ok(&Confirmation { id, offset, reach })
+}
+
+async fn drain(shared: &Shared, request: Request<Incoming>) -> Reply {
+    let drain: Drain = body(shared, request).await?;
+    let own = &shared.settings.instance;
+    if drain.instance != *own {
+        return Err(Failure::new(
+            StatusCode::CONFLICT,
+            format!("this is instance {own}, not {}", drain.instance),
+            "ask the instance that is meant",
+        ));
+    }
+    info!(shared.log, "drain asked for by an operator");
+    shared.phases.advance(Phase::Leaving);
+    Ok(http_body::with_type(
+        StatusCode::ACCEPTED,
+        http_body::JSON,
+        "{}",
+    ))
+}
+
+fn status(shared: &Shared) -> Status {
+    let phase = shared.phases.current();
+    Status {
+        instance: shared.settings.instance.clone(),
+        incarnation: shared.incarnation,
+        zone: shared.settings.zone.clone(),
+        ready: phase == Phase::Serving,
+        leaving: phase >= Phase::Leaving,
+        config_next: shared.configuration.state().next(),
+        config_age_ms: shared.configuration.head_age_ms().unwrap_or(u64::MAX),
+        in_flight: shared.in_flight(),
+    }
+}
+
+fn asked_offset(request: &Request<Incoming>) -> Result<Offset, Failure> {
+    request
+        .uri()
+        .query()
+        .and_then(|query| {
+            query
+                .split('&')
+                .find_map(|pair| pair.strip_prefix("offset="))
+        })
+        .and_then(|text| text.parse().ok())
+        .map(Offset)
+        .ok_or_else(|| {
+            Failure::new(
+                StatusCode::BAD_REQUEST,
+                "the query has no offset",
+                "ask for /admin/v1/reach?offset=N",
+            )
+        })
+}
+
+/// Counts what is known to have an offset in force: of other instances nothing
+/// is known without word from them.
+fn reach(shared: &Shared, offset: Offset) -> Reach {
+    let own = &shared.settings.instance;
+    let is_own_in_force = shared.configuration.state().next() > offset;
+    let mut listed: Vec<_> = listed_instances(shared)
+        .into_iter()
+        .filter(|listed| listed.state == ListedState::Live)
+        .map(|listed| InstanceName::new(&listed.name))
+        .collect();
+    if !listed.contains(own) {
+        listed.push(own.clone());
+    }
+    let missing: Vec<_> = listed
+        .iter()
+        .filter(|name| *name != own || !is_own_in_force)
+        .cloned()
+        .collect();
+    Reach {
+        offset,
+        in_force: count(listed.len() - missing.len()),
+        listed: count(listed.len()),
+        missing,
+    }
+}
+
+fn listed_instances(shared: &Shared) -> Vec<Listed> {
+    let listing = shared.listing.load();
+    let entries = listing.iter().flat_map(|listing| &listing.entries);
+    entries
+        .filter(|entry| entry.role == ListedRole::Entry)
+        .cloned()
+        .collect()
+}
+
+fn objects(shared: &Shared) -> Vec<Object> {
+    shared.configuration.state().objects().collect()
+}
+
+fn history(shared: &Shared) -> Vec<HistoryEntry> {
+    let state = shared.configuration.state();
+    let entries = state.history().map(|entry| HistoryEntry {
+        offset: entry.offset,
+        id: entry.id.clone(),
+        operator: entry.operator.clone(),
+        result: entry.verdict.to_string(),
+    });
+    entries.collect()
+}
+
+fn instances(shared: &Shared) -> Vec<InstanceView> {
+    let own = &shared.settings.instance;
+    let list_age_ms = shared
+        .listing
+        .load()
+        .as_ref()
+        .map(|listing| unix_ms().saturating_sub(listing.as_of_ms));
+    let mut views = vec![own_view(shared)];
+    let others = listed_instances(shared)
+        .into_iter()
+        .filter(|listed| listed.name != own.as_str());
+    views.extend(others.map(|listed| InstanceView {
+        name: InstanceName::new(&listed.name),
+        zone: listed.zone,
+        state: match listed.state {
+            ListedState::Live => "listed".to_owned(),
+            ListedState::Leaving => "leaving".to_owned(),
+        },
+        config_next: None,
+        age_ms: list_age_ms,
+    }));
+    views
+}
+
+fn own_view(shared: &Shared) -> InstanceView {
+    let state = if shared.phases.is_leaving() {
+        "leaving"
+    } else {
+        "live"
+    };
+    InstanceView {
+        name: shared.settings.instance.clone(),
+        zone: shared.settings.zone.clone(),
+        state: state.to_owned(),
+        config_next: Some(shared.configuration.state().next()),
+        age_ms: Some(0),
+    }
+}
+
+fn backends(shared: &Shared) -> Vec<BackendView> {
+    let now_ms = shared.clock.now_ms();
+    let fleet = shared.fleet();
+    let views = fleet.statuses(now_ms).map(|status| BackendView {
+        name: status.name,
+        pool: status.pool,
+        zone: status.zone,
+        state: status.state.as_str().to_owned(),
+        in_flight: status.in_flight,
+        reported: status.reported,
+        age_ms: status.age_ms,
+    });
+    views.collect()
+}
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
+async fn body<T: DeserializeOwned>(
+    shared: &Shared,
+    request: Request<Incoming>,
+) -> Result<T, Failure> {
+    let limits = &shared.settings.limits;
+    let bytes = http_body::read(
+        request.into_body(),
+        limits.body_bytes,
+        limits.body_timeout(),
+    )
+    .await?;
+    serde_json::from_slice(&bytes).map_err(|err| {
+        Failure::new(
+            StatusCode::BAD_REQUEST,
+            format!("the body is not what is asked for here: {err}"),
+            "see docs/API.md for the body of this request",
+        )
+    })
+}
+
+fn ok<T: serde::Serialize>(value: &T) -> Reply {
+    Ok(http_body::json(StatusCode::OK, value))
+}
+
+fn fail(shared: &Shared, path: &str, failure: Failure) -> Response<Body> {
+    let Failure {
+        status,
+        error,
+        next_step,
+    } = failure;
+    warn!(shared.log, "operator's request refused"; "path" => path,
+        "status" => status.as_u16(), "error" => &error);
+    let body = AdminError {
+        error,
+        next_step: next_step.to_owned(),
+    };
+    let mut response = http_body::json(status, &body);
+    if status == StatusCode::UNAUTHORIZED {
+        let scheme = HeaderValue::from_static("Bearer");
+        response
+            .headers_mut()
+            .insert(header::WWW_AUTHENTICATE, scheme);
+    }
+    response
+}
--- /dev/null
+++ b/crates/server/src/bin/savoryvane/app.rs
@@ -0,0 +1,144 @@
+//! Runs the program and turns what became of it into an exit code.
+
+use std::{
+    io::{self, Write},
+    path::Path,
+    process::ExitCode,
+};
+
+use savoryvane_server::{Ended, Error, Instance, Settings};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::{
+    config::{self, Mode},
+    flags::Savoryvane,
+};
+
+/// It did what it was asked; a stop interrupted nothing.
+const EXIT_OK: u8 = 0;
+/// It could not start, or the system refused something.
+const EXIT_FAILED: u8 = 1;
+/// The command line is wrong.
+const EXIT_USAGE: u8 = 2;
+/// The settings are wrong.
+const EXIT_SETTINGS: u8 = 3;
+/// The drain timeout passed with requests in flight.
+const EXIT_DRAIN_TIMEOUT: u8 = 4;
+/// A second signal ended it at once.
+const EXIT_SECOND_SIGNAL: u8 = 5;
+
+/// Runs the program.
+pub(crate) fn run() -> ExitCode {
+    let flags = match Savoryvane::from_env() {
+        Ok(flags) => flags,
+        Err(err) if err.is_help() => return print(&err.to_string()),
+        Err(err) => return usage(&err.to_string()),
+    };
+    match config::mode(flags) {
+        Ok(Mode::Version) => print(concat!("savoryvane ", env!("CARGO_PKG_VERSION"))),
+        Ok(Mode::Check(file)) => check(&file),
+        Ok(Mode::Serve(file)) => serve(&file),
+        Err(reason) => usage(reason),
+    }
+}
+
+fn check(file: &Path) -> ExitCode {
+    match Settings::load(file) {
+        Ok(_) => print("settings are valid"),
+        Err(err) => fail(&err),
+    }
+}
+
+fn serve(file: &Path) -> ExitCode {
+    let settings = match Settings::load(file) {
+        Ok(settings) => settings,
+        Err(err) => return fail(&err),
+    };
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(err) => return fail(&Error::System("runtime", err)),
+    };
+    let code = match runtime.block_on(serve_until_stopped(settings)) {
+        Ok(code) => ExitCode::from(code),
+        Err(err) => fail(&err),
+    };
+    // What is left are operators' connections, which end with the process.
+    runtime.shutdown_background();
+    code
+}
+
+async fn serve_until_stopped(settings: Settings) -> Result<u8, Error> {
+    let mut signals = Signals::new().map_err(|err| Error::System("signals", err))?;
+    let instance = Instance::start(settings).await?;
+    announce(&instance);
+    tokio::select! {
+        () = signals.next() => {}
+        () = instance.leaving() => {}
+    }
+    tokio::select! {
+        ended = instance.leave() => Ok(match ended {
+            Ended::Drained => EXIT_OK,
+            Ended::TimedOut => EXIT_DRAIN_TIMEOUT,
+        }),
+        () = signals.next() => Ok(EXIT_SECOND_SIGNAL),
+    }
+}
+
+/// Signals that ask the process to stop.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn new() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+/// Scripts read the ports that were taken from this line.
+fn announce(instance: &Instance) {
+    let addresses = instance.addresses();
+    print(&format!(
+        "listening caller={} peer={} admin={}",
+        addresses.caller, addresses.peer, addresses.admin
+    ));
+}
+
+/// Writes a line; a reader that has gone is no reason to fail.
+fn print(text: &str) -> ExitCode {
+    let mut out = io::stdout().lock();
+    let _ = writeln!(out, "{}", text.trim_end());
+    let _ = out.flush();
+    ExitCode::from(EXIT_OK)
+}
+
+fn usage(reason: &str) -> ExitCode {
+    complain(&format!("{reason}\nsee `savoryvane --help`"));
+    ExitCode::from(EXIT_USAGE)
+}
+
+fn fail(err: &Error) -> ExitCode {
+    complain(&err.to_string());
+    ExitCode::from(match err {
+        Error::Unreadable(..) | Error::Settings(..) => EXIT_SETTINGS,
+        _ => EXIT_FAILED,
+    })
+}
+
+fn complain(text: &str) {
+    let _ = writeln!(io::stderr().lock(), "{text}");
+}
--- /dev/null
+++ b/crates/server/src/calls.rs
@@ -0,0 +1,334 @@
+//! Carries one call to a backend server and reads the events of its answer.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::{Buf, Bytes, BytesMut};
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use savoryvane_core::{
+    call::{CallId, StageCall, StageEvent},
+    execution::Event,
+    ids::BackendName,
+};
+use savoryvane_wire::backend::{Cancel, LoadReport, Refusal};
+use slog::{Logger, warn};
+use tokio::{
+    sync::mpsc,
+    time::{self, Instant},
+};
+
+use crate::{
+    connections::{ConnectionSettings, Connections, Exchange, SendError},
+    platform::request,
+    settings::Backends,
+};
+
+/// Largest body of a refusal or report, in bytes.
+const MAX_SMALL_BODY_BYTES: usize = 64 * 1024;
+/// Lines of an answer besides those with tokens.
+const SPARE_LINES: u32 = 16;
+/// Lines of an answer to a call that names no most tokens.
+const DEFAULT_MAX_LINES: u32 = 100_000;
+/// Time for an answer to end after its last event, for its connection to be
+/// used again.
+const END_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Client of the backend servers.
+#[derive(Debug)]
+pub(crate) struct BackendClient {
+    log: Logger,
+    settings: Backends,
+    connections: Arc<Connections>,
+}
+
+/// Where a call goes and until when it may be handed over.
+#[derive(Clone, Debug)]
+pub(crate) struct Destination {
+    /// Backend server.
+    pub(crate) backend: BackendName,
+    /// Its address.
+    pub(crate) addr: SocketAddr,
+    /// Time after which the call must not be handed to a socket.
+    pub(crate) not_after: Instant,
+}
+
+impl BackendClient {
+    /// Creates a client without connections.
+    pub(crate) fn new(settings: Backends, log: Logger) -> Self {
+        let connections = Connections::new(ConnectionSettings {
+            connect_timeout: Duration::from_millis(settings.connect_timeout_ms),
+            max_idle: usize::try_from(settings.idle_connections).unwrap_or(usize::MAX),
+            idle_timeout: Duration::from_millis(settings.idle_timeout_ms),
+        });
+        Self {
+            log,
+            settings,
+            connections,
+        }
+    }
+
+    /// Sends `call` and reports everything that becomes of it to `events`.
+    pub(crate) async fn run(
+        &self,
+        to: Destination,
+        call: Box<StageCall>,
+        events: mpsc::Sender<Event>,
+    ) {
+        let mut answer = AnswerReader {
+            log: &self.log,
+            silence: Duration::from_millis(self.settings.silence_ms),
+            max_line_bytes: usize::try_from(self.settings.line_bytes).unwrap_or(usize::MAX),
+            lines_left: max_lines(&call),
+            backend: &to.backend,
+            id: &call.id,
+            events: &events,
+        };
+        let last = self.exchange(&to, &call, &mut answer).await;
+        if let Some(event) = last {
+            // Nobody waits for it when the request has ended.
+            let _ = events.send(event).await;
+        }
+    }
+
+    /// Asks a backend server to give up a call; it is told once, and closing
+    /// the connection tells it as well.
+    pub(crate) async fn cancel(&self, addr: SocketAddr, id: CallId) {
+        let body = serde_json::to_vec(&Cancel { id }).unwrap_or_default();
+        let request = request(Method::POST, addr, "/v1/cancel", Bytes::from(body));
+        let sending = async {
+            if let Ok(Exchange { response, lease }) = self.send(addr, request).await {
+                let body = Limited::new(response.into_body(), MAX_SMALL_BODY_BYTES);
+                if body.collect().await.is_ok() {
+                    lease.keep().await;
+                }
+            }
+        };
+        let _ = time::timeout(self.small_timeout(), sending).await;
+    }
+
+    /// Reads the load of the backend server at `addr`.
+    pub(crate) async fn load(&self, addr: SocketAddr) -> Option<LoadReport> {
+        let request = request(Method::GET, addr, "/v1/load", Bytes::new());
+        let reading = async {
+            let Exchange { response, lease } = self.send(addr, request).await.ok()?;
+            if response.status() != StatusCode::OK {
+                return None;
+            }
+            let body = Limited::new(response.into_body(), MAX_SMALL_BODY_BYTES);
+            let body = body.collect().await.ok()?.to_bytes();
+            lease.keep().await;
+            serde_json::from_slice(&body).ok()
+        };
+        match time::timeout(self.small_timeout(), reading).await {
+            Ok(report) => report,
+            Err(_) => {
+                self.connections.forget(addr);
+                None
+            }
+        }
+    }
+
+    /// Forgets idle connections to a server that went silent on one.
+    pub(crate) fn forget(&self, addr: SocketAddr) {
+        self.connections.forget(addr);
+    }
+
+    /// Closes connections that have been idle for long.
+    pub(crate) fn prune(&self) {
+        self.connections.prune();
+    }
+
+    async fn send(
+        &self,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Exchange, SendError> {
+        let not_after = Instant::now() + self.small_timeout();
+        self.connections.send(addr, request, not_after).await
+    }
+
+    fn small_timeout(&self) -> Duration {
+        Duration::from_millis(self.settings.connect_timeout_ms + self.settings.silence_ms)
+    }
+
+    /// Returns the last event of the call, unless the answer had it.
+    async fn exchange(
+        &self,
+        to: &Destination,
+        call: &StageCall,
+        answer: &mut AnswerReader<'_>,
+    ) -> Option<Event> {
+        let attempt = call.id.attempt;
+        let body = match serde_json::to_vec(call) {
+            Ok(body) if Instant::now() < to.not_after => body,
+            Ok(_) | Err(_) => return Some(Event::NotSent { attempt }),
+        };
+        let request = request(Method::POST, to.addr, "/v1/run", Bytes::from(body));
+        let sending = self.connections.send(to.addr, request, to.not_after);
+        let exchange = match answer.watch(sending).await {
+            Ok(exchange) => exchange,
+            Err(SendError::NotSent(reason)) => {
+                warn!(self.log, "call not sent"; "request" => %call.id.request,
+                    "stage" => %call.id.stage, "attempt" => attempt,
+                    "backend" => %to.backend, "error" => reason);
+                return Some(Event::NotSent { attempt });
+            }
+            Err(SendError::Sent(reason)) => {
+                answer.note_lost(&reason);
+                return Some(Event::Lost { attempt });
+            }
+        };
+        let Exchange { response, lease } = exchange;
+        let status = response.status();
+        if status != StatusCode::OK {
+            return Some(refusal(attempt, response.into_body()).await);
+        }
+        match answer.read(response.into_body()).await {
+            Ending::Whole => {
+                lease.keep().await;
+                None
+            }
+            Ending::Untidy => None,
+            Ending::Lost(reason) => {
+                answer.note_lost(&reason);
+                Some(Event::Lost { attempt })
+            }
+        }
+    }
+}
+
+/// A refusal counts as one only when it says so itself: what stands between
+/// may answer with the same status after the call has run.
+async fn refusal(attempt: u64, body: Incoming) -> Event {
+    let body = Limited::new(body, MAX_SMALL_BODY_BYTES).collect().await;
+    let refusal = body
+        .ok()
+        .and_then(|body| serde_json::from_slice::<Refusal>(&body.to_bytes()).ok());
+    match refusal {
+        Some(Refusal { reason }) => Event::Refused { attempt, reason },
+        None => Event::Lost { attempt },
+    }
+}
+
+fn max_lines(call: &StageCall) -> u32 {
+    match call.max_tokens {
+        0 => DEFAULT_MAX_LINES,
+        max_tokens => max_tokens.saturating_add(SPARE_LINES),
+    }
+}
+
+/// How an answer ended.
+enum Ending {
+    /// With its last event and nothing after it.
+    Whole,
+    /// With its last event, but its connection is of no further use.
+    Untidy,
+    /// Without its last event.
+    Lost(String),
+}
+
+/// Reads the events of one answer and watches that they keep coming.
+struct AnswerReader<'a> {
+    log: &'a Logger,
+    silence: Duration,
+    max_line_bytes: usize,
+    lines_left: u32,
+    backend: &'a BackendName,
+    id: &'a CallId,
+    events: &'a mpsc::Sender<Event>,
+}
+
+impl AnswerReader<'_> {
+    /// Waits for `progress`, and reports once when it does not come for long.
+    async fn watch<T>(&self, progress: impl Future<Output = T>) -> T {
+        tokio::pin!(progress);
+        match time::timeout(self.silence, progress.as_mut()).await {
+            Ok(value) => value,
+            Err(_) => {
+                metrics::counter!("savoryvane_silent_connections_total").increment(1);
+                let attempt = self.id.attempt;
+                let _ = self.events.send(Event::Silent { attempt }).await;
+                progress.await
+            }
+        }
+    }
+
+    async fn read(&mut self, mut body: Incoming) -> Ending {
+        let mut buffer = BytesMut::new();
+        loop {
+            let frame = match self.watch(body.frame()).await {
+                Some(Ok(frame)) => frame,
+                Some(Err(err)) => return Ending::Lost(err.to_string()),
+                None => return Ending::Lost("answer ended before its last event".to_owned()),
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            buffer.extend_from_slice(&data);
+            while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
+                let line = buffer.split_to(end);
+                buffer.advance(1);
+                match self.take_line(&line).await {
+                    Line::More => {}
+                    Line::Last if buffer.is_empty() => return tidy_end(body).await,
+                    Line::Last => return Ending::Untidy,
+                    Line::Bad(reason) => return Ending::Lost(reason),
+                }
+            }
+            if buffer.len() > self.max_line_bytes {
+                return Ending::Lost(self.bad("oversized", "line is too long"));
+            }
+        }
+    }
+
+    async fn take_line(&mut self, line: &[u8]) -> Line {
+        if line.len() > self.max_line_bytes {
+            return Line::Bad(self.bad("oversized", "line is too long"));
+        }
+        if self.lines_left == 0 {
+            return Line::Bad(self.bad("oversized", "answer has too many lines"));
+        }
+        self.lines_left -= 1;
+        let Ok(event) = serde_json::from_slice::<StageEvent>(line) else {
+            return Line::Bad(self.bad("malformed", "line is not an event"));
+        };
+        if event.id() != self.id {
+            return Line::Bad(self.bad("foreign", "event of another call"));
+        }
+        let is_last = !matches!(event, StageEvent::Token { .. });
+        // A call that may not be repeated is read to its end even when its
+        // request has ended and nobody listens.
+        let _ = self.events.send(Event::Answered(event)).await;
+        if is_last { Line::Last } else { Line::More }
+    }
+
+    /// Counts and logs an answer that is not used any further.
+    fn bad(&self, kind: &'static str, reason: &str) -> String {
+        metrics::counter!("savoryvane_bad_answers_total", "kind" => kind).increment(1);
+        reason.to_owned()
+    }
+
+    fn note_lost(&self, reason: &str) {
+        warn!(self.log, "answer lost, connection closed"; "request" => %self.id.request,
+            "stage" => %self.id.stage, "attempt" => self.id.attempt,
+            "backend" => %self.backend, "error" => reason);
+    }
+}
+
+/// What one line was.
+enum Line {
+    /// An event that is not the last.
+    More,
+    /// The last event.
+    Last,
+    /// Nothing that can be used.
+    Bad(String),
+}
+
+async fn tidy_end(mut body: Incoming) -> Ending {
+    match time::timeout(END_TIMEOUT, body.frame()).await {
+        Ok(None) => Ending::Whole,
+        Ok(Some(_)) | Err(_) => Ending::Untidy,
+    }
+}
--- /dev/null
+++ b/crates/server/src/connections.rs
@@ -0,0 +1,254 @@
+//! A small pool of HTTP/1.1 connections to backend servers and the platform.
+//!
+//! A connection goes back to the pool only after a whole answer. One whose
+//! exchange was given up is closed: it may have gone silent, and what would
+//! still come over it has no receiver.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use quick_error::quick_error;
+use tokio::{
+    net::TcpStream,
+    task::AbortHandle,
+    time::{self, Instant},
+};
+
+/// Largest head of an answer that is read, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+quick_error! {
+    /// Why an exchange has no answer.
+    #[derive(Debug)]
+    pub enum SendError {
+        /// No byte of the request was handed to a socket.
+        NotSent(reason: String) {
+            display("not sent: {reason}")
+        }
+        /// The request was handed over; what became of it is not known.
+        Sent(reason: String) {
+            display("sent, then: {reason}")
+        }
+    }
+}
+
+/// How connections are made and kept.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConnectionSettings {
+    /// Time for a connection to be made.
+    pub(crate) connect_timeout: Duration,
+    /// Idle connections that are kept to one address.
+    pub(crate) max_idle: usize,
+    /// Time after which an idle connection is closed.
+    pub(crate) idle_timeout: Duration,
+}
+
+/// Connections to any number of addresses.
+#[derive(Debug)]
+pub(crate) struct Connections {
+    settings: ConnectionSettings,
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+/// One connection; closed when dropped.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// An answer whose body is still to be read.
+#[derive(Debug)]
+pub(crate) struct Exchange {
+    /// The answer.
+    pub(crate) response: Response<Incoming>,
+    /// Connection that it comes over.
+    pub(crate) lease: Lease,
+}
+
+/// Holds a connection while an answer comes over it; closes it when dropped.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    pool: Arc<Connections>,
+    addr: SocketAddr,
+    connection: Connection,
+}
+
+impl Lease {
+    /// Gives the connection back for reuse, after the whole answer was read.
+    pub(crate) async fn keep(self) {
+        let Self {
+            pool,
+            addr,
+            mut connection,
+        } = self;
+        if connection.sender.ready().await.is_ok() {
+            pool.put(addr, connection);
+        }
+    }
+}
+
+impl Connections {
+    /// Creates an empty pool.
+    pub(crate) fn new(settings: ConnectionSettings) -> Arc<Self> {
+        Arc::new(Self {
+            settings,
+            idle: Mutex::default(),
+        })
+    }
+
+    /// Sends `request` to `addr`, unless `not_after` has passed before it can be
+    /// handed over, and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError::NotSent`] only when nothing of the request was
+    /// handed to a socket.
+    pub(crate) async fn send(
+        self: &Arc<Self>,
+        addr: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        not_after: Instant,
+    ) -> Result<Exchange, SendError> {
+        while let Some(connection) = self.take(addr) {
+            match self.send_over(addr, connection, request).await {
+                Ok(exchange) => return Ok(exchange),
+                Err(Attempt::Handed(err)) => return Err(err),
+                Err(Attempt::Unsent(unsent, _)) => request = *unsent,
+            }
+        }
+        let connection = self.connect(addr).await?;
+        if Instant::now() >= not_after {
+            return Err(SendError::NotSent("too late".to_owned()));
+        }
+        self.send_over(addr, connection, request)
+            .await
+            .map_err(|attempt| match attempt {
+                Attempt::Handed(err) => err,
+                Attempt::Unsent(_, reason) => SendError::NotSent(reason),
+            })
+    }
+
+    /// Closes every idle connection to `addr`, after one to it went silent.
+    pub(crate) fn forget(&self, addr: SocketAddr) {
+        self.lock().remove(&addr);
+    }
+
+    /// Closes idle connections that are older than the idle timeout.
+    pub(crate) fn prune(&self) {
+        let oldest = self.settings.idle_timeout;
+        self.lock().retain(|_, idle| {
+            idle.retain(|idle| {
+                idle.since.elapsed() < oldest && !idle.connection.sender.is_closed()
+            });
+            !idle.is_empty()
+        });
+    }
+
+    async fn send_over(
+        self: &Arc<Self>,
+        addr: SocketAddr,
+        mut connection: Connection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Exchange, Attempt> {
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => Ok(Exchange {
+                response,
+                lease: Lease {
+                    pool: Arc::clone(self),
+                    addr,
+                    connection,
+                },
+            }),
+            Err(mut err) => {
+                let reason = err.error().to_string();
+                Err(match err.take_message() {
+                    Some(request) => Attempt::Unsent(Box::new(request), reason),
+                    None => Attempt::Handed(SendError::Sent(reason)),
+                })
+            }
+        }
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> Result<Connection, SendError> {
+        let connecting = time::timeout(self.settings.connect_timeout, TcpStream::connect(addr));
+        let stream = match connecting.await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(err)) => return Err(SendError::NotSent(err.to_string())),
+            Err(_) => return Err(SendError::NotSent("connect timeout".to_owned())),
+        };
+        // Without it small writes wait for acknowledgements; it may fail on a
+        // socket that is closed already, which the exchange then finds out.
+        let _ = stream.set_nodelay(true);
+        let (sender, driver) = http1::Builder::new()
+            .max_header_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|err| SendError::NotSent(err.to_string()))?;
+        let driver = tokio::spawn(async move {
+            // What goes wrong on the connection is told to its exchange.
+            let _ = driver.await;
+        });
+        Ok(Connection {
+            sender,
+            driver: driver.abort_handle(),
+        })
+    }
+
+    fn take(&self, addr: SocketAddr) -> Option<Connection> {
+        let mut all = self.lock();
+        let idle = all.get_mut(&addr)?;
+        while let Some(Idle { connection, since }) = idle.pop() {
+            if since.elapsed() < self.settings.idle_timeout && connection.sender.is_ready() {
+                return Some(connection);
+            }
+        }
+        all.remove(&addr);
+        None
+    }
+
+    fn put(&self, addr: SocketAddr, connection: Connection) {
+        let mut all = self.lock();
+        let idle = all.entry(addr).or_default();
+        if idle.len() < self.settings.max_idle {
+            let since = Instant::now();
+            idle.push(Idle { connection, since });
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Why one connection did not bring an answer.
+enum Attempt {
+    /// The request was not handed over and comes back.
+    Unsent(Box<Request<Full<Bytes>>>, String),
+    /// The request was handed over.
+    Handed(SendError),
+}
--- /dev/null
+++ b/crates/server/src/http_body.rs
@@ -0,0 +1,70 @@
+//! Bodies of HTTP messages: bounded reads and answers in JSON.
+
+use std::{convert::Infallible, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody};
+use hyper::body::Incoming;
+use serde::Serialize;
+use tokio::time;
+
+/// Body of every answer of this instance.
+pub(crate) type Body = UnsyncBoxBody<Bytes, Infallible>;
+
+/// Media type of JSON.
+pub(crate) const JSON: &str = "application/json";
+/// Media type of one JSON value a line.
+pub(crate) const NDJSON: &str = "application/x-ndjson";
+
+/// Why the body of a request was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyFault {
+    /// It is larger than allowed.
+    TooLarge,
+    /// It did not arrive in time.
+    TooSlow,
+    /// Its sender broke off or its framing is wrong.
+    Broken,
+}
+
+/// Reads a whole body of at most `max_bytes` that arrives within `timeout`.
+pub(crate) async fn read(
+    body: Incoming,
+    max_bytes: u64,
+    timeout: Duration,
+) -> Result<Bytes, BodyFault> {
+    let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
+    let whole = time::timeout(timeout, Limited::new(body, max_bytes).collect());
+    match whole.await {
+        Err(_) => Err(BodyFault::TooSlow),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(BodyFault::TooLarge),
+        Ok(Err(_)) => Err(BodyFault::Broken),
+    }
+}
+
+/// Wraps bytes as a body.
+pub(crate) fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).boxed_unsync()
+}
+
+/// Builds an answer with `value` as JSON.
+pub(crate) fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
+    let bytes = serde_json::to_vec(value).unwrap_or_default();
+    with_type(status, JSON, bytes)
+}
+
+/// Builds an answer with a body of the given media type.
+pub(crate) fn with_type(
+    status: StatusCode,
+    media_type: &'static str,
+    bytes: impl Into<Bytes>,
+) -> Response<Body> {
+    let mut response = Response::new(full(bytes));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, HeaderValue::from_static(media_type));
+    response
+}
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -1,3 +1,38 @@
-//! stub
+//! The entry instance of savoryvane: sockets and timers round the decisions of
+//! the core.
 
+mod admin;
+mod caller;
+mod calls;
+mod checkpoints;
+mod clock;
+mod configuration;
+mod confirm;
+mod connections;
+mod controller;
+mod credential;
+mod error;
+mod fields;
+mod follower;
+mod http_body;
+mod instance;
+mod listener;
+mod listing;
+mod loads;
+mod logging;
+mod meters;
 pub mod peer;
+mod phase;
+mod platform;
+mod refusal;
+mod runner;
+mod settings;
+mod shared_stream;
+
+pub use crate::{
+    error::{Error, Result},
+    instance::{Addresses, Ended, Instance},
+    settings::{
+        Backends, Drain, Fault, Limits, Listen, Log, LogForm, LogLevel, Platform, Settings,
+    },
+};
--- /dev/null
+++ b/crates/server/src/loads.rs
@@ -0,0 +1,62 @@
+//! Reads the load of the backend servers that this instance uses.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use rand::random_range;
+use savoryvane_core::ids::BackendName;
+use slog::warn;
+use tokio::{task::JoinSet, time};
+
+use crate::instance::Shared;
+
+/// Reads at the same time.
+const MAX_READS: usize = 64;
+
+/// Reads loads for as long as the instance lives.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let interval_ms = shared.settings.backends.load_interval_ms;
+    loop {
+        read_all(&shared).await;
+        shared.backends.prune();
+        shared.meters.upkeep();
+        let jittered_ms = random_range(interval_ms * 3 / 4..=interval_ms * 5 / 4);
+        time::sleep(Duration::from_millis(jittered_ms)).await;
+    }
+}
+
+async fn read_all(shared: &Arc<Shared>) {
+    let mut reads = JoinSet::new();
+    for (backend, addr) in used(shared) {
+        if reads.len() >= MAX_READS {
+            reads.join_next().await;
+        }
+        let shared = Arc::clone(shared);
+        reads.spawn(async move { read(&shared, &backend, addr).await });
+    }
+    while reads.join_next().await.is_some() {}
+}
+
+async fn read(shared: &Shared, backend: &BackendName, addr: SocketAddr) {
+    let Some(report) = shared.backends.load(addr).await else {
+        metrics::counter!("savoryvane_load_read_errors_total").increment(1);
+        return;
+    };
+    if report.server != *backend {
+        warn!(shared.log, "load report of another backend server";
+            "backend" => %backend, "reported" => %report.server);
+        return;
+    }
+    let now_ms = shared.clock.now_ms();
+    shared.fleet().on_load_report(now_ms, &report);
+}
+
+fn used(shared: &Shared) -> Vec<(BackendName, SocketAddr)> {
+    let state = shared.configuration.state();
+    let used: Vec<_> = shared.fleet().members().cloned().collect();
+    used.into_iter()
+        .filter_map(|name| {
+            let addr = state.backend(name.as_str())?.addr;
+            Some((name, addr))
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/server/src/runner.rs
@@ -0,0 +1,224 @@
+//! Puts sockets and timers round the state machine of one request.
+
+use std::{collections::HashMap, sync::Arc};
+
+use savoryvane_core::{
+    call::CallId,
+    decision::Decision,
+    execution::{Action, Completion, DiscardReason, Event, Execution, ExecutionSpec},
+    ids::BackendName,
+};
+use slog::{info, warn};
+use tokio::{
+    sync::mpsc,
+    task::AbortHandle,
+    time::{self, Instant},
+};
+
+use crate::{
+    calls::Destination,
+    controller::Account,
+    instance::{InFlight, Shared},
+};
+
+/// Events of calls that wait for the state machine.
+const EVENT_BUFFER: usize = 64;
+
+/// What the caller of a request is told.
+#[derive(Debug)]
+pub(crate) enum Update {
+    /// One token of the last stage.
+    Token {
+        /// Index of the token, from 0.
+        index: u32,
+        /// Text of the token.
+        text: String,
+    },
+    /// The final answer.
+    Final(Box<Completion>),
+}
+
+/// Runs a request in a task of its own, and accounts for it at its end; `guard`
+/// counts it as in flight. Tokens
+/// are not held back for a slow caller: there are at most as many as the stage
+/// may generate.
+pub(crate) fn start(
+    shared: &Arc<Shared>,
+    spec: ExecutionSpec,
+    account: Account,
+    guard: InFlight,
+) -> mpsc::UnboundedReceiver<Update> {
+    let (updates, receiver) = mpsc::unbounded_channel();
+    let (events, inbox) = mpsc::channel(EVENT_BUFFER);
+    let execution = Execution::new(spec, shared.clock.now_ms());
+    let runner = Runner {
+        shared: Arc::clone(shared),
+        execution,
+        account,
+        calls: HashMap::new(),
+        events,
+        updates,
+        timer: None,
+    };
+    shared.tasks.spawn(async move {
+        runner.run(inbox).await;
+        drop(guard);
+    });
+    receiver
+}
+
+struct Runner {
+    shared: Arc<Shared>,
+    execution: Execution,
+    account: Account,
+    /// Calls by attempt.
+    calls: HashMap<u64, RunningCall>,
+    events: mpsc::Sender<Event>,
+    updates: mpsc::UnboundedSender<Update>,
+    timer: Option<Instant>,
+}
+
+struct RunningCall {
+    task: AbortHandle,
+    is_silent: bool,
+}
+
+impl Runner {
+    async fn run(mut self, mut inbox: mpsc::Receiver<Event>) {
+        let mut is_caller_here = true;
+        self.take(Event::Start);
+        while !self.execution.is_finished() {
+            let timer = self.timer.unwrap_or_else(Instant::now);
+            let event = tokio::select! {
+                biased;
+                () = self.updates.closed(), if is_caller_here => Event::CallerGone,
+                Some(event) = inbox.recv() => event,
+                () = time::sleep_until(timer), if self.timer.is_some() => Event::Timer,
+            };
+            match event {
+                Event::CallerGone => is_caller_here = false,
+                Event::Timer => self.timer = None,
+                Event::Silent { attempt } => self.note_silent(attempt),
+                _ => {}
+            }
+            self.take(event);
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        let now_ms = self.shared.clock.now_ms();
+        let actions = {
+            let mut fleet = self.shared.fleet();
+            self.execution.on_event(now_ms, event, &mut fleet)
+        };
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send {
+                backend,
+                call,
+                not_after_ms,
+            } => {
+                let attempt = call.id.attempt;
+                let Some(addr) = self.addr(&backend) else {
+                    return self.report(Event::NotSent { attempt });
+                };
+                let to = Destination {
+                    backend,
+                    addr,
+                    not_after: self.shared.clock.instant(not_after_ms),
+                };
+                let (shared, events) = (Arc::clone(&self.shared), self.events.clone());
+                let task = self
+                    .shared
+                    .tasks
+                    .spawn(async move { shared.backends.run(to, call, events).await });
+                let call = RunningCall {
+                    task: task.abort_handle(),
+                    is_silent: false,
+                };
+                self.calls.insert(attempt, call);
+            }
+            Action::Cancel { backend, call } => self.cancel(&backend, call),
+            Action::EmitToken { index, text } => self.update(Update::Token { index, text }),
+            Action::SetTimer { at_ms } => self.timer = Some(self.shared.clock.instant(at_ms)),
+            Action::Log(decision) => self.log(&decision),
+            Action::Discard { id, reason } => self.discard(&id, reason),
+            Action::Finish(completion) => {
+                self.account.close(&completion);
+                self.update(Update::Final(completion));
+            }
+        }
+    }
+
+    fn addr(&self, backend: &BackendName) -> Option<std::net::SocketAddr> {
+        let state = self.shared.configuration.state();
+        state.backend(backend.as_str()).map(|backend| backend.addr)
+    }
+
+    fn report(&self, event: Event) {
+        // The inbox holds more than a request has calls.
+        let _ = self.events.try_send(event);
+    }
+
+    fn update(&self, update: Update) {
+        // Nobody listens when the caller has gone.
+        let _ = self.updates.send(update);
+    }
+
+    fn note_silent(&mut self, attempt: u64) {
+        if let Some(call) = self.calls.get_mut(&attempt) {
+            call.is_silent = true;
+        }
+    }
+
+    fn cancel(&mut self, backend: &BackendName, id: CallId) {
+        let call = self.calls.remove(&id.attempt);
+        if let Some(call) = &call {
+            call.task.abort();
+        }
+        let Some(addr) = self.addr(backend) else {
+            return;
+        };
+        if call.is_some_and(|call| call.is_silent) {
+            self.shared.backends.forget(addr);
+        }
+        let shared = Arc::clone(&self.shared);
+        self.shared
+            .tasks
+            .spawn(async move { shared.backends.cancel(addr, id).await });
+    }
+
+    fn discard(&mut self, id: &CallId, reason: DiscardReason) {
+        metrics::counter!("savoryvane_discarded_answers_total", "reason" => reason.as_str())
+            .increment(1);
+        warn!(self.shared.log, "answer not used"; "request" => %id.request,
+            "stage" => %id.stage, "attempt" => id.attempt, "reason" => reason.as_str());
+        if reason != DiscardReason::Late
+            && let Some(call) = self.calls.remove(&id.attempt)
+        {
+            call.task.abort();
+        }
+    }
+
+    fn log(&self, decision: &Decision) {
+        metrics::counter!("savoryvane_decisions_total",
+            "kind" => decision.kind.as_str(), "reason" => decision.reason.as_str())
+        .increment(1);
+        let candidates: Vec<_> = decision
+            .candidates
+            .iter()
+            .map(|candidate| format!("{}={}us", candidate.backend, candidate.score_us))
+            .collect();
+        info!(self.shared.log, "decision"; "kind" => decision.kind.as_str(),
+            "request" => %decision.request,
+            "stage" => decision.stage.as_ref().map(|stage| stage.to_string()),
+            "attempt" => decision.attempt, "candidates" => candidates.join(","),
+            "choice" => decision.choice.as_ref().map(|backend| backend.to_string()),
+            "reason" => decision.reason.as_str());
+    }
+}
--- /dev/null
+++ b/crates/server/src/shared_stream.rs
@@ -0,0 +1,93 @@
+//! A TCP stream that can be written to after its connection was given up.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll, ready},
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+/// One of several handles of a stream; it is closed with the last of them.
+#[derive(Clone, Debug)]
+pub(crate) struct SharedStream(Arc<TcpStream>);
+
+impl SharedStream {
+    /// Shares `stream`.
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self(Arc::new(stream))
+    }
+
+    /// Writes a last few bytes, as far as there is room for them.
+    pub(crate) fn write_last(&self, bytes: &[u8]) {
+        // A peer that has gone does not miss them.
+        let _ = self.0.try_write(bytes);
+    }
+}
+
+impl AsyncRead for SharedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(cx))?;
+            match self.0.try_read(buf.initialize_unfilled()) {
+                Ok(count) => {
+                    buf.advance(count);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                Err(err) => return Poll::Ready(Err(err)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for SharedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(cx))?;
+            match self.0.try_write(bytes) {
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(cx))?;
+            match self.0.try_write_vectored(slices) {
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    /// Closing is left to the last handle.
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -1,7 +1,7 @@
 //! The operators' interface, on a listener and with a credential of its own.
 //!
 //! - `POST /admin/v1/plans`, body [`Intent`]; answers 200 [`Plan`], 422
-//!   [`AdminError`].
+//!   [`AdminError`]. Header `x-operator` names who asks.
 //! - `POST /admin/v1/confirmations`, body [`Plan`]; answers 200
 //!   [`Confirmation`], 409 [`AdminError`] on a conflict, 503 [`AdminError`]
 //!   when the log can't be reached.
@@ -23,6 +23,11 @@
 };
 use serde::{Deserialize, Serialize};
 
+/// Header that names the operator who asks for a plan.
+pub const OPERATOR: &str = "x-operator";
+/// Name of an operator who gives none.
+pub const DEFAULT_OPERATOR: &str = "operator";
+
 /// Answer to a confirm: the change was read back from the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Confirmation {
