Add a caller and a load tool that check every answer

Cause: an experiment is worth something only when each answer is compared with the one that the caller must get. Ruled out: existing load generators (they count statuses, not contents) and a closed loop (late answers would thin out the load). Before: no tool. Conclusion: `standin load` and `standin ask` fail unless all is right.

--- a/crates/standins/src/bin/standin/cli.rs
+++ b/crates/standins/src/bin/standin/cli.rs
@@ -79,6 +79,65 @@
             /// Time between health checks, in ms.
             optional --check-ms ms: u64
         }
+        /// Sends requests at a rate, checks each answer and prints a report;
+        /// fails unless every answer was whole and right.
+        cmd load {
+            /// Balancer or callers' listener.
+            required addr: SocketAddr
+            /// Workspace.
+            required --workspace name: String
+            /// Credential of the workspace.
+            required --credential secret: String
+            /// Pipeline.
+            required --pipeline name: String
+            /// Kinds of its stages, such as encode,retrieve,generate:64 with
+            /// the most tokens after a colon.
+            required --steps kinds: String
+            /// Time given to each request, in ms.
+            optional --deadline-ms ms: u64
+            /// Requests a second.
+            optional --rate count: u32
+            /// Time for which requests are sent, in ms.
+            optional --duration-ms ms: u64
+            /// Share of streamed answers, per mille.
+            optional --streamed-per-mille share: u32
+            /// Uses HTTP/2 with prior knowledge.
+            optional --http2
+            /// Connections over HTTP/2.
+            optional --connections count: usize
+            /// Sends an idempotency key with each request.
+            optional --with-keys
+            /// Seed of the inputs and request ids.
+            optional --seed seed: u64
+            /// Takes `not_run` and `not_started` for good answers.
+            optional --allow-refusals
+        }
+        /// Sends one request of a caller and prints its answer with time and
+        /// cost by stage; fails unless the answer is whole and right.
+        cmd ask {
+            /// Balancer or callers' listener.
+            required addr: SocketAddr
+            /// Workspace.
+            required --workspace name: String
+            /// Credential of the workspace.
+            required --credential secret: String
+            /// Pipeline.
+            required --pipeline name: String
+            /// Kinds of its stages, as for `load`.
+            required --steps kinds: String
+            /// Time given to the request, in ms.
+            optional --deadline-ms ms: u64
+            /// Request id.
+            required --request-id id: String
+            /// Input as JSON.
+            required --input json: String
+            /// Asks for a streamed answer.
+            optional --stream
+            /// Idempotency key.
+            optional --key key: String
+            /// Uses HTTP/2 with prior knowledge.
+            optional --http2
+        }
         /// Sends one HTTP request and prints the answer's body.
         cmd send {
             /// Server to send it to.
--- a/crates/standins/src/bin/standin/main.rs
+++ b/crates/standins/src/bin/standin/main.rs
@@ -1,6 +1,8 @@
 //! Runs one stand-in as a process until SIGTERM.
 
+mod calls;
 mod cli;
+mod kinds;
 mod run;
 
 use std::process::ExitCode;
--- a/crates/standins/src/bin/standin/run.rs
+++ b/crates/standins/src/bin/standin/run.rs
@@ -1,6 +1,10 @@
 //! Runs the subcommands.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    io::{self, Write},
+    net::SocketAddr,
+    sync::Arc,
+};
 
 use savoryvane_core::{
     ids::ModelName,
@@ -12,7 +16,7 @@
 };
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use crate::cli;
+use crate::{calls, cli, kinds};
 
 /// Time between two health checks of the balancer, in ms.
 const DEFAULT_CHECK_MS: u64 = 200;
@@ -25,6 +29,8 @@
         cli::StandinCmd::Engine(flags) => backend(engine_settings(flags)).await,
         cli::StandinCmd::Service(flags) => backend(service_settings(flags)?).await,
         cli::StandinCmd::Balancer(flags) => balancer(flags).await,
+        cli::StandinCmd::Load(flags) => calls::load(flags).await,
+        cli::StandinCmd::Ask(flags) => calls::ask(flags).await,
         cli::StandinCmd::Send(flags) => send(flags).await,
     }
 }
@@ -138,15 +144,13 @@
 }
 
 fn stage_kind(kind: &str) -> Result<StageKind> {
-    match kind {
-        "encode" => Ok(StageKind::Encode),
-        "retrieve" => Ok(StageKind::Retrieve),
-        "rerank" => Ok(StageKind::Rerank),
-        "call" => Ok(StageKind::Call),
-        other => Err(Error::Argument(format!(
-            "--kind {other}: must be encode, retrieve, rerank or call"
-        ))),
-    }
+    kinds::parse(kind)
+        .filter(|kind| *kind != StageKind::Generate)
+        .ok_or_else(|| {
+            Error::Argument(format!(
+                "--kind {kind}: must be encode, retrieve, rerank or call"
+            ))
+        })
 }
 
 fn listen(addr: Option<SocketAddr>) -> SocketAddr {
@@ -157,6 +161,10 @@
     Ok(signal(SignalKind::terminate())?)
 }
 
+/// Scripts read the port that was taken from this line.
 fn announce(addr: SocketAddr) {
-    println!("listening {addr}");
+    let mut out = io::stdout().lock();
+    // A reader that has gone is no reason to stop.
+    let _ = writeln!(out, "listening {addr}");
+    let _ = out.flush();
 }
