Add the policy bench over small fakes of the core's interfaces

Ruled out: a cluster simulator; a server here is a queue with seeded service times, a lagging load report and a fault switch, on a simulated clock.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,14 @@
-//! stub
+//! Policy bench: the real core over small fakes at its interfaces.
+//!
+//! A backend server is a queue with seeded service times, a lagging load report
+//! and a fault switch. Events run on a simulated clock, so that a run repeats
+//! exactly.
+
+pub mod deployment;
+pub mod figures;
+pub mod policy;
+pub mod report;
+pub mod scenario;
+pub mod server;
+pub mod traffic;
+pub mod world;
--- /dev/null
+++ b/crates/bench/src/policy.rs
@@ -0,0 +1,63 @@
+//! The policies that the bench compares.
+
+use savoryvane_core::settings::{PolicySettings, Routing};
+
+/// A policy to run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// Round robin over all backend servers, no admission, fixed retries.
+    Baseline,
+    /// The defaults of the core.
+    Current,
+    /// The defaults without one part.
+    Without(Part),
+}
+
+/// A part of the policy that can be switched off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Choosing by load.
+    Routing,
+}
+
+impl Part {
+    /// Every part.
+    pub const ALL: [Self; 1] = [Self::Routing];
+
+    /// Returns the name used on the command line.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Routing => "routing",
+        }
+    }
+}
+
+impl Policy {
+    /// Returns the settings of an instance under this policy.
+    pub fn settings(self) -> PolicySettings {
+        match self {
+            Self::Baseline => baseline(),
+            Self::Current => PolicySettings::default(),
+            Self::Without(part) => without(part),
+        }
+    }
+}
+
+fn baseline() -> PolicySettings {
+    PolicySettings {
+        routing: Routing::RoundRobin,
+        retry_percent: 1_000,
+        retry_burst: 1_000_000,
+        ..PolicySettings::default()
+    }
+}
+
+fn without(part: Part) -> PolicySettings {
+    let settings = PolicySettings::default();
+    match part {
+        Part::Routing => PolicySettings {
+            routing: Routing::RoundRobin,
+            ..settings
+        },
+    }
+}
