--- a/crates/standins/src/bin/standin/cli.rs
+++ b/crates/standins/src/bin/standin/cli.rs
@@ -150,6 +150,8 @@
             optional --body-file file: PathBuf
             /// Body.
             optional --body text: String
+            /// Header as `name: value`; may be repeated.
+            repeated --header field: String
         }
     }
 }
--- a/crates/standins/src/bin/standin/run.rs
+++ b/crates/standins/src/bin/standin/run.rs
@@ -6,6 +6,7 @@
     sync::Arc,
 };
 
+use http::{HeaderName, HeaderValue};
 use savoryvane_core::{
     ids::ModelName,
     objects::{Fencing, StageKind},
@@ -134,7 +135,12 @@
         (None, None) => Vec::new(),
     };
     let method = flags.method.parse().map_err(http::Error::from)?;
-    let (status, answer) = client::exchange(flags.addr, method, &flags.path, body).await?;
+    let mut request = client::request(flags.addr, method, &flags.path, body)?;
+    for field in &flags.header {
+        let (name, value) = parse_header(field)?;
+        request.headers_mut().append(name, value);
+    }
+    let (status, answer) = client::send(flags.addr, request).await?;
     let answer = String::from_utf8_lossy(&answer).into_owned();
     if !status.is_success() {
         return Err(Error::Status(status, answer));
@@ -143,6 +149,14 @@
     Ok(())
 }
 
+fn parse_header(field: &str) -> Result<(HeaderName, HeaderValue)> {
+    let unclear = || Error::Argument(format!("--header {field}: must be `name: value`"));
+    let (name, value) = field.split_once(':').ok_or_else(unclear)?;
+    let name = name.trim().parse().map_err(|_| unclear())?;
+    let value = value.trim().parse().map_err(|_| unclear())?;
+    Ok((name, value))
+}
+
 fn stage_kind(kind: &str) -> Result<StageKind> {
     kinds::parse(kind)
         .filter(|kind| *kind != StageKind::Generate)
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -106,7 +106,15 @@
     path: &str,
     body: impl Into<Bytes>,
 ) -> Result<(StatusCode, Bytes)> {
-    let request = request(addr, method, path, body)?;
+    send(addr, request(addr, method, path, body)?).await
+}
+
+/// Sends one request on a connection of its own and reads the whole answer.
+///
+/// # Errors
+///
+/// Fails when the exchange fails or takes too long.
+pub async fn send(addr: SocketAddr, request: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes)> {
     let exchanged = async {
         let mut connection = Connection::open(addr, Version::Http1).await?;
         let response = connection.send(request).await?;
