Let engines in several processes share one weight store

Cause: the platform's weight store is rate-limited for all engines together; a rate for each process let every engine load at full speed. Ruled out: a limit in the engine's own settings, for that reason. Before: stores in one process only. Conclusion: placement can be tried on separate processes.

--- a/crates/standins/src/backend.rs
+++ b/crates/standins/src/backend.rs
@@ -29,12 +29,13 @@
     body::{self, Body, empty, json},
     cache::{CacheReporting, PrefixCache},
     history::History,
-    models::{Models, WeightStore},
+    models::Models,
     outbox::{Closed, Outbox},
     ran::{Ran, RanCall, RanState},
     server::{Reply, Server},
     slots::{Occupancy, Place, Slots},
     socket::SocketSwitches,
+    weights::{WeightSource, WeightStore},
     work::{Step, first_u64, prefix_hash, stage_output, tokens_of},
 };
 
@@ -85,8 +86,8 @@
     pub models: Vec<ModelName>,
     /// Size of every model, in MB.
     pub model_mb: u64,
-    /// Store that models are loaded from.
-    pub weights: Arc<WeightStore>,
+    /// Where models are loaded from.
+    pub weights: WeightSource,
 }
 
 impl BackendSettings {
@@ -109,7 +110,7 @@
             fencing: Fencing::default(),
             models: Vec::new(),
             model_mb: 1000,
-            weights: Arc::new(WeightStore::new(0)),
+            weights: WeightSource::Local(Arc::new(WeightStore::new(0))),
         }
     }
 }
@@ -201,7 +202,7 @@
         let models = Models::new(
             settings.fencing,
             settings.model_mb,
-            Arc::clone(&settings.weights),
+            settings.weights.clone(),
             &settings.models,
         );
         let reporting = CacheReporting {
--- a/crates/standins/src/bin/standin/cli.rs
+++ b/crates/standins/src/bin/standin/cli.rs
@@ -48,8 +48,15 @@
             optional --check-fence
             /// Size of a model's weights, in MB.
             optional --model-mb mb: u64
-            /// Rate of the weight store, in MB a second; 0 for no limit.
-            optional --weights-mb-per-s mb: u64
+            /// Weight store to load models from; without it a load takes no time.
+            optional --weights addr: SocketAddr
+        }
+        /// Runs the weight store.
+        cmd weights {
+            /// Address to listen on; port 0 takes a free one.
+            optional --listen addr: SocketAddr
+            /// Rate at which it hands out weights, in MB a second.
+            optional --mb-per-s mb: u64
         }
         /// Runs an encoder, retriever, reranker or plain service.
         cmd service {
--- a/crates/standins/src/bin/standin/run.rs
+++ b/crates/standins/src/bin/standin/run.rs
@@ -3,7 +3,6 @@
 use std::{
     io::{self, Write},
     net::SocketAddr,
-    sync::Arc,
 };
 
 use http::{HeaderName, HeaderValue};
@@ -13,7 +12,7 @@
 };
 use savoryvane_standins::{
     BackendServer, BackendSettings, Balancer, BalancerSettings, Error, ListServer, ListSettings,
-    LogServer, LogSettings, Result, WeightStore, client,
+    LogServer, LogSettings, Result, WeightServer, WeightSource, WeightStore, client,
 };
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -22,6 +21,9 @@
 /// Time between two health checks of the balancer, in ms.
 const DEFAULT_CHECK_MS: u64 = 200;
 
+/// Rate of the weight store, in MB a second.
+const DEFAULT_MB_PER_S: u64 = 1000;
+
 /// Runs a subcommand; servers run until SIGTERM.
 pub(crate) async fn run(command: cli::StandinCmd) -> Result<()> {
     match command {
@@ -29,6 +31,7 @@
         cli::StandinCmd::List(flags) => list(flags).await,
         cli::StandinCmd::Engine(flags) => backend(engine_settings(flags)).await,
         cli::StandinCmd::Service(flags) => backend(service_settings(flags)?).await,
+        cli::StandinCmd::Weights(flags) => weights(flags).await,
         cli::StandinCmd::Balancer(flags) => balancer(flags).await,
         cli::StandinCmd::Load(flags) => calls::load(flags).await,
         cli::StandinCmd::Ask(flags) => calls::ask(flags).await,
@@ -96,7 +99,7 @@
         models: flags.model.iter().map(ModelName::new).collect(),
         fencing,
         model_mb: flags.model_mb.unwrap_or(defaults.model_mb),
-        weights: Arc::new(WeightStore::new(flags.weights_mb_per_s.unwrap_or(0))),
+        weights: flags.weights.map_or(defaults.weights, WeightSource::Remote),
         ..defaults
     }
 }
@@ -114,6 +117,16 @@
     })
 }
 
+async fn weights(flags: cli::Weights) -> Result<()> {
+    let mut terminate = terminations()?;
+    let store = WeightStore::new(flags.mb_per_s.unwrap_or(DEFAULT_MB_PER_S));
+    let server = WeightServer::start(listen(flags.listen), store).await?;
+    announce(server.addr());
+    terminate.recv().await;
+    server.stop().await;
+    Ok(())
+}
+
 async fn balancer(flags: cli::Balancer) -> Result<()> {
     let mut terminate = terminations()?;
     let server = Balancer::start(BalancerSettings {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -23,6 +23,7 @@
 mod server;
 mod slots;
 mod socket;
+mod weights;
 mod work;
 
 pub use backend::{BackendServer, BackendSettings};
@@ -33,7 +34,7 @@
 pub use list::{ListFaults, ListServer, ListSettings};
 pub use load::{LoadSettings, run_load};
 pub use log_server::{LogFaults, LogServer, LogSettings};
-pub use models::WeightStore;
 pub use ran::{RanCall, RanState};
 pub use report::{Report, StageTotals, usage_table};
+pub use weights::{WeightServer, WeightSource, WeightStore};
 pub use work::{Step, expected_output, prefix_hash, stage_output, tokens_of};
--- a/crates/standins/src/models.rs
+++ b/crates/standins/src/models.rs
@@ -2,57 +2,20 @@
 
 use std::{
     collections::BTreeSet,
-    sync::{Arc, Mutex},
-    time::Duration,
+    sync::{Arc, Mutex, MutexGuard},
 };
 
 use savoryvane_core::{ids::ModelName, objects::Fencing};
 use savoryvane_wire::backend::{Order, OrderAction, OrderReply};
-use tokio::time::{self, Instant};
 
-/// A store that hands out weights at a limited rate to all engines together.
-#[derive(Debug)]
-pub struct WeightStore {
-    mb_per_s: u64,
-    busy_until: Mutex<Option<Instant>>,
-}
-
-impl WeightStore {
-    /// Makes a store that hands out `mb_per_s` in all; 0 lifts the limit.
-    pub fn new(mb_per_s: u64) -> Self {
-        Self {
-            mb_per_s,
-            busy_until: Mutex::new(None),
-        }
-    }
-
-    /// Waits until weights of `size_mb` have been handed out, first come first
-    /// served.
-    pub(crate) async fn fetch(&self, size_mb: u64) {
-        if self.mb_per_s == 0 {
-            return;
-        }
-        let takes = Duration::from_millis(size_mb * 1000 / self.mb_per_s);
-        let ready = {
-            let now = Instant::now();
-            let mut busy_until = self
-                .busy_until
-                .lock()
-                .expect("no holder of the lock panics");
-            let ready = busy_until.map_or(now, |until| until.max(now)) + takes;
-            *busy_until = Some(ready);
-            ready
-        };
-        time::sleep_until(ready).await;
-    }
-}
+use crate::weights::WeightSource;
 
 /// Models of one engine and the highest fencing number that it has seen.
 #[derive(Debug)]
 pub(crate) struct Models {
     fencing: Fencing,
     model_mb: u64,
-    store: Arc<WeightStore>,
+    weights: WeightSource,
     state: Mutex<State>,
 }
 
@@ -68,14 +31,14 @@
     pub(crate) fn new(
         fencing: Fencing,
         model_mb: u64,
-        store: Arc<WeightStore>,
+        weights: WeightSource,
         loaded: &[ModelName],
     ) -> Self {
         let loaded: BTreeSet<_> = loaded.iter().cloned().collect();
         Self {
             fencing,
             model_mb,
-            store,
+            weights,
             state: Mutex::new(State {
                 wanted: loaded.clone(),
                 loaded,
@@ -138,14 +101,14 @@
     }
 
     async fn load(self: Arc<Self>, model: ModelName) {
-        self.store.fetch(self.model_mb).await;
+        self.weights.fetch(self.model_mb).await;
         let mut state = self.state();
         if state.wanted.contains(&model) {
             state.loaded.insert(model);
         }
     }
 
-    fn state(&self) -> std::sync::MutexGuard<'_, State> {
+    fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder of the lock panics")
     }
 }
--- a/crates/standins/tests/backend.rs
+++ b/crates/standins/tests/backend.rs
@@ -1,6 +1,6 @@
 //! Backend servers: answers, limits, cancels, orders and faults.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
@@ -9,8 +9,8 @@
     objects::{Fencing, StageKind},
 };
 use savoryvane_standins::{
-    BackendFaults, BackendServer, BackendSettings, Mislabel, RanState, Step, client, stage_output,
-    tokens_of,
+    BackendFaults, BackendServer, BackendSettings, Mislabel, RanState, Step, WeightServer,
+    WeightSource, WeightStore, client, stage_output, tokens_of,
 };
 use savoryvane_wire::backend::{
     CacheEvents, Cancel, LoadReport, Order, OrderAction, OrderReply, Refusal,
@@ -74,6 +74,10 @@
     (status, refusal.reason)
 }
 
+async fn load(addr: SocketAddr) -> LoadReport {
+    client::get_json(addr, "/v1/load").await.unwrap()
+}
+
 async fn until(what: &str, mut condition: impl FnMut() -> bool) {
     for _ in 0..400 {
         if condition() {
@@ -246,7 +250,7 @@
         refused,
         (StatusCode::SERVICE_UNAVAILABLE, RefusalReason::Leaving)
     );
-    let report: LoadReport = client::get_json(server.addr(), "/v1/load").await.unwrap();
+    let report = load(server.addr()).await;
     assert_eq!(report.state, ServingState::Leaving);
     let stopping = tokio::spawn(server.stop());
     let bytes = body.collect().await.unwrap().to_bytes();
@@ -265,7 +269,7 @@
     .await;
     let _held = hold(server.addr(), &call("r-1", StageKind::Call)).await;
     let running = || async {
-        let report: LoadReport = client::get_json(server.addr(), "/v1/load").await.unwrap();
+        let report = load(server.addr()).await;
         (report.running, report.age_ms)
     };
     assert_eq!(running().await, (0, 500));
@@ -308,35 +312,45 @@
 
 #[tokio::test]
 async fn a_model_serves_once_its_weights_are_loaded() {
-    let server = start(BackendSettings {
-        weights: std::sync::Arc::new(savoryvane_standins::WeightStore::new(1000)),
-        model_mb: 500,
-        ..BackendSettings::new("engine-1", StageKind::Generate)
-    })
-    .await;
-    let mut call = call("r-1", StageKind::Generate);
-    call.model = Some("chat-large".into());
-    let missing = refusal(server.addr(), &call).await;
-    assert_eq!(
-        missing,
-        (StatusCode::SERVICE_UNAVAILABLE, RefusalReason::NoModel)
-    );
-    let order = Order {
-        fence: 1,
-        action: OrderAction::Load {
-            model: "chat-large".into(),
-        },
-    };
-    client::send_json(server.addr(), Method::POST, "/v1/orders", &order)
+    let addr = "127.0.0.1:0".parse().unwrap();
+    let store = WeightServer::start(addr, WeightStore::new(1000))
         .await
         .unwrap();
-    assert_eq!(
-        refusal(server.addr(), &call).await.1,
-        RefusalReason::NoModel
-    );
-    sleep(Duration::from_millis(600)).await;
-    assert!(events(server.addr(), &call).await.len() > 1);
-    server.stop().await;
+    let sources = [
+        WeightSource::Local(Arc::new(WeightStore::new(1000))),
+        WeightSource::Remote(store.addr()),
+    ];
+    for weights in sources {
+        let server = start(BackendSettings {
+            weights,
+            model_mb: 500,
+            load_lag_ms: 0,
+            ..BackendSettings::new("engine-1", StageKind::Generate)
+        })
+        .await;
+        let mut call = call("r-1", StageKind::Generate);
+        call.model = Some("chat-large".into());
+        let missing = (StatusCode::SERVICE_UNAVAILABLE, RefusalReason::NoModel);
+        assert_eq!(refusal(server.addr(), &call).await, missing);
+        let order = Order {
+            fence: 1,
+            action: OrderAction::Load {
+                model: "chat-large".into(),
+            },
+        };
+        client::send_json(server.addr(), Method::POST, "/v1/orders", &order)
+            .await
+            .unwrap();
+        assert_eq!(refusal(server.addr(), &call).await, missing);
+        let loaded = async {
+            while load(server.addr()).await.models.is_empty() {
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        timeout(Duration::from_secs(10), loaded).await.unwrap();
+        assert!(events(server.addr(), &call).await.len() > 1);
+        server.stop().await;
+    }
 }
 
 #[tokio::test]
--- a/crates/standins/tests/standin.rs
+++ b/crates/standins/tests/standin.rs
@@ -50,6 +50,7 @@
         &["list"],
         &["engine", "--name", "engine-1"],
         &["service", "--name", "calendar-1", "--kind", "call"],
+        &["weights", "--mb-per-s", "500"],
         &["balancer", "--to", "127.0.0.1:9"],
     ] {
         let (mut running, addr) = start(arguments);
