--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,10 +2,11 @@
 //!
 //! A backend server is a queue with seeded service times, a lagging load report
 //! and a fault switch. Events run on a simulated clock, so that a run repeats
-//! exactly.
+//! exactly. [`peer_net`] joins many membership cores in the same way.
 
 pub mod deployment;
 pub mod figures;
+pub mod peer_net;
 pub mod policy;
 pub mod report;
 pub mod scenario;
--- a/crates/core/src/digest.rs
+++ b/crates/core/src/digest.rs
@@ -104,7 +104,16 @@
     /// Requests in flight.
     pub in_flight: u32,
     /// Backend servers known to be leaving, newest first.
-    pub leaving: Vec<BackendName>,
+    pub leaving: Vec<LeavingBackend>,
+}
+
+/// A backend server that is leaving.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingBackend {
+    /// Name of the backend server.
+    pub backend: BackendName,
+    /// Time since it was first known to leave, in ms.
+    pub age_ms: u32,
 }
 
 /// What a leaving notice is about.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -13,7 +13,7 @@
 use bincode::config::{Configuration, Limit, LittleEndian, Varint};
 use quick_error::quick_error;
 pub use savoryvane_core::{
-    digest::{AgedDigest, Digest, DigestBatch, Leaver, LeavingNotice, ZoneDigest},
+    digest::{AgedDigest, Digest, DigestBatch, Leaver, LeavingBackend, LeavingNotice, ZoneDigest},
     quota::{Claimant, Demand, Grant, Rate, UsageGrant, UsageReport, WorkspaceKey},
 };
 use savoryvane_core::{
@@ -442,7 +442,10 @@
     is_short(digest.zone.as_str())
         && is_short(digest.region.as_str())
         && digest.leaving.len() <= MAX_ENTRIES
-        && digest.leaving.iter().all(|name| is_short(name.as_str()))
+        && digest
+            .leaving
+            .iter()
+            .all(|entry| is_short(entry.backend.as_str()))
 }
 
 fn is_claimant_bounded(claimant: &Claimant) -> bool {
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -50,7 +50,10 @@
             config_max: Offset(2),
             at_max: 1,
             in_flight: 9,
-            leaving: vec!["llm-3".into()],
+            leaving: vec![LeavingBackend {
+                backend: "llm-3".into(),
+                age_ms: 3,
+            }],
         }]),
         Message::UsageReport(UsageReport {
             shard: Shard(3),
