Add a relay for cut networks and record calls that are sent twice

Cause: tests of cut zones and silent connections need a switch between two processes; and a backend server took the second sending of a call for a cancel of the first, which would have hidden a doubled call from tests. Ruled out: faults at the endpoints only (a cut zone's instances keep talking to each other); the switch for cancels held one sender a call. Before: the test of a call sent twice saw one cancelled call (with one sender a call). Conclusion: `standin relay` cuts, silences, closes and delays one path.

--- a/crates/standins/src/backend.rs
+++ b/crates/standins/src/backend.rs
@@ -1,7 +1,7 @@
 //! A model engine, pool service or plain service over HTTP.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, hash_map::Entry},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
@@ -179,7 +179,7 @@
     models: Arc<Models>,
     cache: PrefixCache,
     ran: Ran,
-    open: Mutex<HashMap<CallId, oneshot::Sender<()>>>,
+    open: Mutex<HashMap<CallId, Vec<oneshot::Sender<()>>>>,
     load: Mutex<History<Load>>,
 }
 
@@ -263,7 +263,7 @@
         };
         let (chunks, body) = body::chunked(STREAM_CAPACITY);
         let (cancel, cancelled) = oneshot::channel();
-        self.open().insert(call.id.clone(), cancel);
+        self.open().entry(call.id.clone()).or_default().push(cancel);
         let outbox = Outbox::new(
             chunks,
             self.faults.subscribe(),
@@ -311,17 +311,30 @@
         drop(place);
         if slot.is_some() {
             self.note_load();
-            self.run(&call, cancelled, &mut outbox).await;
+            self.run(&call, &mut cancelled, &mut outbox).await;
         }
         drop(slot);
-        self.open().remove(&call.id);
+        drop(cancelled);
+        self.forget_ended(&call.id);
         self.note_load();
     }
 
+    /// Drops the cancel switches of ended calls; the same call may have been
+    /// sent twice and still run once more.
+    fn forget_ended(&self, id: &CallId) {
+        let mut open = self.open();
+        if let Entry::Occupied(mut entry) = open.entry(id.clone()) {
+            entry.get_mut().retain(|cancel| !cancel.is_closed());
+            if entry.get().is_empty() {
+                entry.remove();
+            }
+        }
+    }
+
     async fn run(
         &self,
         call: &StageCall,
-        mut cancelled: oneshot::Receiver<()>,
+        cancelled: &mut oneshot::Receiver<()>,
         outbox: &mut Outbox,
     ) {
         let index = self.ran.begin(RanCall {
@@ -333,7 +346,7 @@
         });
         let ending = tokio::select! {
             biased;
-            _ = &mut cancelled => Ending::Cancelled,
+            _ = cancelled => Ending::Cancelled,
             ending = self.work(call, outbox) => ending,
         };
         let state = match ending {
@@ -416,7 +429,7 @@
         let Ok(cancel) = body::read_json::<Cancel, _>(request.into_body()).await else {
             return empty(StatusCode::BAD_REQUEST);
         };
-        if let Some(open) = self.open().remove(&cancel.id) {
+        for open in self.open().remove(&cancel.id).into_iter().flatten() {
             // The call may have ended just now.
             let _ = open.send(());
         }
@@ -485,7 +498,7 @@
         history.set(load);
     }
 
-    fn open(&self) -> MutexGuard<'_, HashMap<CallId, oneshot::Sender<()>>> {
+    fn open(&self) -> MutexGuard<'_, HashMap<CallId, Vec<oneshot::Sender<()>>>> {
         self.open.lock().expect("no holder of the lock panics")
     }
 
--- a/crates/standins/src/balancer.rs
+++ b/crates/standins/src/balancer.rs
@@ -12,7 +12,6 @@
 
 use http::{Method, StatusCode};
 use tokio::{
-    io,
     net::{TcpListener, TcpStream},
     sync::watch,
     task::{JoinHandle, JoinSet},
@@ -21,6 +20,7 @@
 
 use crate::{
     Result, client,
+    link::{self, LinkFaults, LinkSwitch},
     server::{self, until_set},
 };
 
@@ -45,6 +45,7 @@
 #[derive(Debug)]
 pub struct Balancer {
     addr: SocketAddr,
+    state: Arc<State>,
     stop: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
@@ -59,6 +60,7 @@
 struct State {
     targets: Vec<Target>,
     next: AtomicUsize,
+    link: LinkSwitch,
 }
 
 impl Balancer {
@@ -77,12 +79,18 @@
         let state = Arc::new(State {
             targets: targets.collect(),
             next: AtomicUsize::new(0),
+            link: LinkSwitch::default(),
         });
         state.check_all().await;
         let (stop, stopped) = watch::channel(false);
         let check = Duration::from_millis(settings.check_ms);
-        let task = tokio::spawn(run(listener, state, check, stopped));
-        Ok(Self { addr, stop, task })
+        let task = tokio::spawn(run(listener, Arc::clone(&state), check, stopped));
+        Ok(Self {
+            addr,
+            state,
+            stop,
+            task,
+        })
     }
 
     /// Returns the address that it listens on.
@@ -90,6 +98,11 @@
         self.addr
     }
 
+    /// Replaces the faults of the connections that it passes on.
+    pub fn set_faults(&self, faults: LinkFaults) {
+        self.state.link.set(faults);
+    }
+
     /// Stops listening, then waits a while for open connections.
     pub async fn stop(mut self) {
         self.stop.send_replace(true);
@@ -135,15 +148,14 @@
     }
 }
 
-async fn forward(mut caller: TcpStream, state: Arc<State>) {
-    let Some(mut target) = state.connect().await else {
+async fn forward(caller: TcpStream, state: Arc<State>) {
+    let mut link = state.link.subscribe();
+    if !link::opens(&mut link).await {
         return;
-    };
-    // Small writes must not wait for each other; a failure only costs time.
-    let _ = caller.set_nodelay(true);
-    let _ = target.set_nodelay(true);
-    // Either end may go away at any time, which ends the other one too.
-    let _ = io::copy_bidirectional(&mut caller, &mut target).await;
+    }
+    if let Some(target) = state.connect().await {
+        link::forward(caller, target, link).await;
+    }
 }
 
 impl State {
--- a/crates/standins/src/bin/standin/cli.rs
+++ b/crates/standins/src/bin/standin/cli.rs
@@ -86,6 +86,16 @@
             /// Time between health checks, in ms.
             optional --check-ms ms: u64
         }
+        /// Runs a network path to one process; prints `control <addr>`, which
+        /// takes faults, before its `listening` line.
+        cmd relay {
+            /// Address to listen on; port 0 takes a free one.
+            optional --listen addr: SocketAddr
+            /// Process that connections are passed on to.
+            required --to addr: SocketAddr
+            /// Address for `POST /fault`; port 0 takes a free one.
+            optional --control addr: SocketAddr
+        }
         /// Sends requests at a rate, checks each answer and prints a report;
         /// fails unless every answer was whole and right.
         cmd load {
--- a/crates/standins/src/bin/standin/run.rs
+++ b/crates/standins/src/bin/standin/run.rs
@@ -1,6 +1,7 @@
 //! Runs the subcommands.
 
 use std::{
+    fmt,
     io::{self, Write},
     net::SocketAddr,
 };
@@ -12,7 +13,8 @@
 };
 use savoryvane_standins::{
     BackendServer, BackendSettings, Balancer, BalancerSettings, Error, ListServer, ListSettings,
-    LogServer, LogSettings, Result, WeightServer, WeightSource, WeightStore, client,
+    LogServer, LogSettings, Relay, RelaySettings, Result, WeightServer, WeightSource, WeightStore,
+    client,
 };
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -33,6 +35,7 @@
         cli::StandinCmd::Service(flags) => backend(service_settings(flags)?).await,
         cli::StandinCmd::Weights(flags) => weights(flags).await,
         cli::StandinCmd::Balancer(flags) => balancer(flags).await,
+        cli::StandinCmd::Relay(flags) => relay(flags).await,
         cli::StandinCmd::Load(flags) => calls::load(flags).await,
         cli::StandinCmd::Ask(flags) => calls::ask(flags).await,
         cli::StandinCmd::Send(flags) => send(flags).await,
@@ -141,6 +144,21 @@
     Ok(())
 }
 
+async fn relay(flags: cli::Relay) -> Result<()> {
+    let mut terminate = terminations()?;
+    let server = Relay::start(RelaySettings {
+        addr: listen(flags.listen),
+        to: flags.to,
+        control: listen(flags.control),
+    })
+    .await?;
+    print(format_args!("control {}", server.control_addr()));
+    announce(server.addr());
+    terminate.recv().await;
+    server.stop().await;
+    Ok(())
+}
+
 async fn send(flags: cli::Send) -> Result<()> {
     let body = match (flags.body_file, flags.body) {
         (Some(file), _) => std::fs::read(file)?,
@@ -190,8 +208,12 @@
 
 /// Scripts read the port that was taken from this line.
 fn announce(addr: SocketAddr) {
+    print(format_args!("listening {addr}"));
+}
+
+fn print(line: fmt::Arguments<'_>) {
     let mut out = io::stdout().lock();
     // A reader that has gone is no reason to stop.
-    let _ = writeln!(out, "listening {addr}");
+    let _ = writeln!(out, "{line}");
     let _ = out.flush();
 }
--- a/crates/standins/tests/backend.rs
+++ b/crates/standins/tests/backend.rs
@@ -210,6 +210,21 @@
     server.stop().await;
 }
 
+#[tokio::test]
+async fn a_call_that_is_sent_twice_runs_and_is_recorded_twice() {
+    let server = start(BackendSettings {
+        service_us: 50_000,
+        ..BackendSettings::new("calendar-1", StageKind::Call)
+    })
+    .await;
+    let call = call("r-1", StageKind::Call);
+    let both = tokio::join!(events(server.addr(), &call), events(server.addr(), &call));
+    assert_eq!((both.0.len(), both.1.len()), (1, 1));
+    let states: Vec<_> = server.ran().iter().map(|ran| ran.state).collect();
+    assert_eq!(states, [RanState::Done, RanState::Done]);
+    server.stop().await;
+}
+
 #[tokio::test]
 async fn a_call_cancelled_while_it_waits_never_runs() {
     let server = start(BackendSettings {
