Join instances by membership and serve peers

An instance knew only the platform's list: reach counted itself, and a backend server's leaving reached each instance by its own poll.

Instances, reach and addresses of the operators' interface come from membership.

Ruled out: keeping links by name only, since an instance that comes back at another address would have stayed unreachable.

--- a/crates/bench/src/peer_net.rs
+++ b/crates/bench/src/peer_net.rs
@@ -321,7 +321,7 @@
         match action {
             Action::Keep(peers) => {
                 let node = &mut self.nodes[index];
-                node.kept = peers.into_iter().collect();
+                node.kept = peers.into_iter().map(|peer| peer.instance).collect();
                 node.linked = node.linked.intersection(&node.kept).cloned().collect();
             }
             Action::Send { to, gossip } => self.send(index, &to, gossip),
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -9,10 +9,7 @@
 mod view;
 mod zone;
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-};
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
     digest::{
@@ -26,7 +23,7 @@
 
 use view::View;
 
-pub use event::{Action, Event, Gossip, Identity, OwnState};
+pub use event::{Action, Contact, Event, Gossip, Identity, OwnState};
 pub use spread::Spread;
 
 /// Time between two ticks, in ms.
@@ -162,11 +159,18 @@
     }
 
     /// Iterates over every instance that can be reached, of all zones.
-    pub fn contacts(&self) -> impl Iterator<Item = (&InstanceName, SocketAddr)> {
-        let mine = self.roster.iter();
-        let mine = mine.filter_map(|(name, member)| Some((name, member.addr()?)));
+    pub fn contacts(&self) -> impl Iterator<Item = Contact> {
+        let mine = self.roster.iter().filter_map(|(name, member)| {
+            Some(Contact {
+                instance: name.clone(),
+                addr: member.addr()?,
+            })
+        });
         let others = self.listed.iter().filter(|l| l.zone != self.me.zone);
-        mine.chain(others.map(|listed| (&listed.instance, listed.addr)))
+        mine.chain(others.map(|listed| Contact {
+            instance: listed.instance.clone(),
+            addr: listed.addr,
+        }))
     }
 
     fn tick(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
--- a/crates/core/src/membership/event.rs
+++ b/crates/core/src/membership/event.rs
@@ -25,6 +25,15 @@
     pub started_at_s: u32,
 }
 
+/// An instance and the address that it is reached at.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Contact {
+    /// Name of the instance.
+    pub instance: InstanceName,
+    /// Its address for peers.
+    pub addr: SocketAddr,
+}
+
 /// What an instance says of itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct OwnState {
@@ -95,7 +104,7 @@
         gossip: Gossip,
     },
     /// Keep a gossip stream to each of these peers and to no other.
-    Keep(Vec<InstanceName>),
+    Keep(Vec<Contact>),
     /// Give a backend server no new work.
     BackendLeaving(BackendName),
     /// A newer run of this instance lives; this one has to leave.
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -5,11 +5,11 @@
 use crate::{
     digest::Readiness,
     ids::{InstanceName, ZoneName},
-    roster::MemberState,
+    roster::{Member, MemberState},
     topology::{Duty, first, neighbours, ranked},
 };
 
-use super::{Action, Membership};
+use super::{Action, Contact, Membership};
 
 /// Instances of another zone that get this zone's digest.
 const ZONE_TARGETS: usize = 2;
@@ -19,7 +19,7 @@
     pub(super) live: Vec<InstanceName>,
     pub(super) neighbours: Vec<InstanceName>,
     pub(super) targets: Vec<(ZoneName, Vec<InstanceName>)>,
-    pub(super) kept: Vec<InstanceName>,
+    pub(super) kept: Vec<Contact>,
 }
 
 impl Membership {
@@ -53,8 +53,9 @@
         near.dedup();
         let near: Vec<_> = near.into_iter().cloned().collect();
         let targets = self.zone_targets(&live);
-        let mut kept = near.clone();
-        kept.extend(targets.iter().flat_map(|(_, targets)| targets).cloned());
+        let far = targets.iter().flat_map(|(_, targets)| targets);
+        let kept = near.iter().chain(far);
+        let kept: Vec<_> = kept.filter_map(|name| self.contact(name)).collect();
         let is_kept_changed = kept != self.view.kept;
         self.view = View {
             live,
@@ -68,6 +69,15 @@
         }
     }
 
+    fn contact(&self, name: &InstanceName) -> Option<Contact> {
+        let known = self.roster.get(name).and_then(Member::addr);
+        let listed = || self.listed.iter().find(|l| l.instance == *name);
+        Some(Contact {
+            instance: name.clone(),
+            addr: known.or_else(|| listed().map(|listed| listed.addr))?,
+        })
+    }
+
     fn zone_targets(&self, live: &[InstanceName]) -> Vec<(ZoneName, Vec<InstanceName>)> {
         let mut by_zone: BTreeMap<&ZoneName, Vec<&InstanceName>> = BTreeMap::new();
         let others = self
--- a/crates/server/src/admin.rs
+++ b/crates/server/src/admin.rs
@@ -5,26 +5,24 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use savoryvane_core::{
-    ids::{InstanceName, Offset, OperatorName},
+    ids::{Offset, OperatorName},
     objects::Object,
+    roster::ListedInstance,
 };
-use savoryvane_wire::{
-    admin::{
-        self, AdminError, BackendView, Confirmation, Drain, HistoryEntry, InstanceView, Intent,
-        Plan, Reach, Status,
-    },
-    platform::{Listed, ListedRole, ListedState},
+use savoryvane_wire::admin::{
+    self, AdminError, BackendView, Confirmation, Drain, HistoryEntry, InstanceView, Intent, Plan,
+    Reach, Status,
 };
 use serde::de::DeserializeOwned;
 use slog::{info, warn};
 use tower::util::BoxCloneSyncService;
 
 use crate::{
-    clock::unix_ms,
     confirm::{self, ConfirmError},
     credential,
     http_body::{self, Body, BodyFault},
     instance::Shared,
+    members,
     phase::Phase,
 };
 
@@ -242,41 +240,19 @@
         })
 }
 
-/// Counts what is known to have an offset in force: of other instances nothing
-/// is known without word from them.
+/// Counts what is known to have an offset in force. Instances of other zones are
+/// known by their zone's digest only.
 fn reach(shared: &Shared, offset: Offset) -> Reach {
-    let own = &shared.settings.instance;
-    let is_own_in_force = shared.configuration.state().next() > offset;
-    let mut listed: Vec<_> = listed_instances(shared)
-        .into_iter()
-        .filter(|listed| listed.state == ListedState::Live)
-        .map(|listed| InstanceName::new(&listed.name))
-        .collect();
-    if !listed.contains(own) {
-        listed.push(own.clone());
-    }
-    let missing: Vec<_> = listed
-        .iter()
-        .filter(|name| *name != own || !is_own_in_force)
-        .cloned()
-        .collect();
+    members::tell_own_state(shared);
+    let spread = shared.members.membership().spread(offset);
     Reach {
         offset,
-        in_force: count(listed.len() - missing.len()),
-        listed: count(listed.len()),
-        missing,
+        in_force: spread.in_force,
+        listed: spread.listed,
+        missing: spread.missing,
     }
 }
 
-fn listed_instances(shared: &Shared) -> Vec<Listed> {
-    let listing = shared.listing.load();
-    let entries = listing.iter().flat_map(|listing| &listing.entries);
-    entries
-        .filter(|entry| entry.role == ListedRole::Entry)
-        .cloned()
-        .collect()
-}
-
 fn objects(shared: &Shared) -> Vec<Object> {
     shared.configuration.state().objects().collect()
 }
@@ -293,29 +269,46 @@
 }
 
 fn instances(shared: &Shared) -> Vec<InstanceView> {
-    let own = &shared.settings.instance;
-    let list_age_ms = shared
-        .listing
-        .load()
-        .as_ref()
-        .map(|listing| unix_ms().saturating_sub(listing.as_of_ms));
+    let now_ms = shared.clock.now_ms();
+    let membership = shared.members.membership();
     let mut views = vec![own_view(shared)];
-    let others = listed_instances(shared)
-        .into_iter()
-        .filter(|listed| listed.name != own.as_str());
-    views.extend(others.map(|listed| InstanceView {
-        name: InstanceName::new(&listed.name),
-        zone: listed.zone,
-        state: match listed.state {
-            ListedState::Live => "listed".to_owned(),
-            ListedState::Leaving => "leaving".to_owned(),
-        },
-        config_next: None,
-        age_ms: list_age_ms,
+    views.extend(
+        membership
+            .members(now_ms)
+            .map(|(name, member, state)| InstanceView {
+                name: name.clone(),
+                zone: shared.settings.zone.clone(),
+                state: state.as_str().to_owned(),
+                config_next: member.digest().map(|digest| digest.config_next),
+                age_ms: member.age_ms(now_ms),
+            }),
+    );
+    let own_zone = &shared.settings.zone;
+    let others = membership.listed().iter().filter(|l| l.zone != *own_zone);
+    views.extend(others.map(|listed| {
+        let zone = membership.zones().get(&listed.zone);
+        let is_known = zone.is_some_and(|zone| zone.digest().silent == 0);
+        InstanceView {
+            name: listed.instance.clone(),
+            zone: listed.zone.clone(),
+            state: far_state(listed, is_known).to_owned(),
+            config_next: zone.map(|zone| zone.digest().config_min),
+            age_ms: zone.map(|zone| zone.age_ms(now_ms)),
+        }
     }));
     views
 }
 
+/// Of another zone only the digest is known: its instances are live when it says
+/// that none is silent.
+fn far_state(listed: &ListedInstance, is_known: bool) -> &'static str {
+    match (listed.is_leaving, is_known) {
+        (true, _) => "leaving",
+        (false, true) => "live",
+        (false, false) => "listed",
+    }
+}
+
 fn own_view(shared: &Shared) -> InstanceView {
     let state = if shared.phases.is_leaving() {
         "leaving"
@@ -346,10 +339,6 @@
     views.collect()
 }
 
-fn count(number: usize) -> u32 {
-    u32::try_from(number).unwrap_or(u32::MAX)
-}
-
 async fn body<T: DeserializeOwned>(
     shared: &Shared,
     request: Request<Incoming>,
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -15,6 +15,7 @@
 use slog::{Logger, info, warn};
 use tokio::{
     net::TcpListener,
+    sync::mpsc,
     task::JoinSet,
     time::{self, Instant},
 };
@@ -30,7 +31,10 @@
     follower,
     listener::{self, Acceptor},
     listing, loads, logging,
+    members::{self, Members},
     meters::Meters,
+    peer::{PeerId, PeerServer},
+    peering::Peering,
     phase::{Phase, Phases},
     platform::PlatformClient,
     refusal::Refusal,
@@ -56,6 +60,8 @@
     pub(crate) platform: PlatformClient,
     /// Newest list of instances and backend servers.
     pub(crate) listing: ArcSwapOption<Listing>,
+    /// The other instances.
+    pub(crate) members: Members,
     /// Client of the backend servers.
     pub(crate) backends: BackendClient,
     /// Metrics.
@@ -134,8 +140,6 @@
     connections: TaskTracker,
     /// Tasks that run for as long as the instance; aborted when dropped.
     background: JoinSet<()>,
-    /// Held until the instance has a use for it.
-    _peer: TcpListener,
 }
 
 impl Instance {
@@ -153,18 +157,19 @@
             peer: local_addr(&peer)?,
             admin: local_addr(&admin)?,
         };
-        let shared = Arc::new(share(settings));
+        let (shared, linked) = share(settings, addresses.peer);
+        let shared = Arc::new(shared);
         info!(shared.log, "instance started"; "incarnation" => %shared.incarnation,
             "caller" => %addresses.caller, "peer" => %addresses.peer,
             "admin" => %addresses.admin, "version" => env!("CARGO_PKG_VERSION"));
         let connections = TaskTracker::new();
-        let background = spawn_all(&shared, &connections, caller, admin);
+        let mut background = spawn_all(&shared, &connections, caller, admin);
+        spawn_peering(&mut background, &shared, peer, linked);
         Ok(Self {
             shared,
             addresses,
             connections,
             background,
-            _peer: peer,
         })
     }
 
@@ -194,6 +199,7 @@
         let drain = shared.settings.drain;
         info!(shared.log, "leaving"; "in_flight" => shared.in_flight());
         shared.phases.advance(Phase::Leaving);
+        members::tell_own_state(shared);
         time::sleep(Duration::from_millis(drain.grace_ms)).await;
         shared.phases.advance(Phase::Draining);
         info!(shared.log, "draining"; "in_flight" => shared.in_flight());
@@ -219,16 +225,19 @@
     }
 }
 
-fn share(settings: Settings) -> Shared {
+fn share(settings: Settings, peer: SocketAddr) -> (Shared, mpsc::UnboundedReceiver<PeerId>) {
     let log = logging::build(&settings);
+    let incarnation = Incarnation(rand::random());
+    let (members, linked) = Members::new(&settings, incarnation, peer, log.clone());
     let fleet = Arc::new(Mutex::new(Fleet::new(
         settings.instance.clone(),
         settings.zone.clone(),
         PolicySettings::default(),
         rand::random(),
     )));
-    Shared {
-        incarnation: Incarnation(rand::random()),
+    let shared = Shared {
+        incarnation,
+        members,
         clock: Clock::start(),
         phases: Arc::new(Phases::new()),
         configuration: Configuration::new(log.clone(), Arc::clone(&fleet)),
@@ -241,7 +250,25 @@
         in_flight: Arc::default(),
         log,
         settings,
-    }
+    };
+    (shared, linked)
+}
+
+fn spawn_peering(
+    background: &mut JoinSet<()>,
+    shared: &Arc<Shared>,
+    listener: TcpListener,
+    linked: mpsc::UnboundedReceiver<PeerId>,
+) {
+    let server = PeerServer {
+        me: shared.members.peers().me().clone(),
+        handler: Arc::new(Peering {
+            shared: Arc::clone(shared),
+        }),
+        log: shared.log.clone(),
+    };
+    background.spawn(server.run(listener));
+    background.spawn(members::run(Arc::clone(shared), linked));
 }
 
 fn spawn_all(
--- a/crates/server/src/listing.rs
+++ b/crates/server/src/listing.rs
@@ -8,7 +8,7 @@
 use slog::debug;
 use tokio::time;
 
-use crate::instance::Shared;
+use crate::{instance::Shared, members};
 
 /// Time between two reads of the list, in ms.
 const INTERVAL_MS: u64 = 500;
@@ -39,5 +39,6 @@
         shared.fleet().on_leaving(backend);
     }
     *told = leaving;
+    members::take_list(shared, &listing);
     shared.listing.store(Some(Arc::new(listing)));
 }
--- a/crates/server/src/loads.rs
+++ b/crates/server/src/loads.rs
@@ -3,11 +3,11 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use rand::random_range;
-use savoryvane_core::ids::BackendName;
+use savoryvane_core::{call::ServingState, ids::BackendName};
 use slog::warn;
 use tokio::{task::JoinSet, time};
 
-use crate::instance::Shared;
+use crate::{instance::Shared, members};
 
 /// Reads at the same time.
 const MAX_READS: usize = 64;
@@ -46,6 +46,9 @@
             "backend" => %backend, "reported" => %report.server);
         return;
     }
+    if report.state == ServingState::Leaving {
+        members::tell_backend_leaving(shared, backend);
+    }
     let now_ms = shared.clock.now_ms();
     shared.fleet().on_load_report(now_ms, &report);
 }
--- a/crates/server/src/peer.rs
+++ b/crates/server/src/peer.rs
@@ -7,6 +7,6 @@
 mod server;
 
 pub use error::{PeerError, Result};
-pub use handle::{PeerAddr, PeerHandle};
+pub use handle::PeerHandle;
 pub use link::PeerId;
 pub use server::{PeerAnswer, PeerHandler, PeerServer};
--- a/crates/server/src/peer/handle.rs
+++ b/crates/server/src/peer/handle.rs
@@ -2,14 +2,17 @@
 //! each of those that are kept.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
 use rand::random_range;
-use savoryvane_core::ids::{Incarnation, InstanceName};
+use savoryvane_core::{
+    ids::{Incarnation, InstanceName},
+    membership::Contact,
+};
 use savoryvane_wire::peer::{Hello, Message, PROTOCOL_VERSION};
 use slog::{Logger, debug};
 use tokio::{
@@ -28,15 +31,6 @@
 /// Longest pause before a gossip stream is opened again, in ms.
 const REOPEN_MS: u64 = 500;
 
-/// A peer and the address that it is reached at.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PeerAddr {
-    /// Name of the instance.
-    pub instance: InstanceName,
-    /// Its address for peers.
-    pub addr: SocketAddr,
-}
-
 /// Sends requests and gossip to peers. Clones share their connections.
 #[derive(Clone, Debug)]
 pub struct PeerHandle {
@@ -92,7 +86,7 @@
     }
 
     /// Replaces what is known of the addresses of peers.
-    pub fn set_addrs(&self, peers: impl IntoIterator<Item = PeerAddr>) {
+    pub fn set_addrs(&self, peers: impl IntoIterator<Item = Contact>) {
         let mut table = self.table();
         table.addrs = peers
             .into_iter()
@@ -108,10 +102,12 @@
     }
 
     /// Keeps a gossip stream to each of `peers` and to no other.
-    pub fn keep(&self, peers: &HashSet<InstanceName>) {
+    pub fn keep(&self, peers: &[Contact]) {
         let mut table = self.table();
-        table.gossip.retain(|name, _| peers.contains(name));
-        for peer in peers {
+        table
+            .gossip
+            .retain(|name, _| peers.iter().any(|peer| peer.instance == *name));
+        for peer in peers.iter().map(|peer| &peer.instance) {
             if table.gossip.contains_key(peer) {
                 continue;
             }
--- a/crates/server/tests/members_transport.rs
+++ b/crates/server/tests/members_transport.rs
@@ -2,7 +2,6 @@
 //! address, hostile bytes and connections that go quiet.
 
 use std::{
-    collections::HashSet,
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -11,10 +10,11 @@
     time::Duration,
 };
 
-use savoryvane_core::ids::{Incarnation, Offset};
-use savoryvane_server::peer::{
-    PeerAddr, PeerAnswer, PeerError, PeerHandle, PeerHandler, PeerId, PeerServer,
+use savoryvane_core::{
+    ids::{Incarnation, Offset},
+    membership::Contact,
 };
+use savoryvane_server::peer::{PeerAnswer, PeerError, PeerHandle, PeerHandler, PeerId, PeerServer};
 use savoryvane_wire::peer::{ConfigHead, ConfigSnapshotPart, Declined, Message};
 use slog::{Discard, Logger, o};
 use tokio::{
@@ -88,7 +88,7 @@
 
 fn handle_to(addr: SocketAddr) -> PeerHandle {
     let (handle, _) = PeerHandle::new(id("entry-1", 1), Logger::root(Discard, o!()));
-    handle.set_addrs([PeerAddr {
+    handle.set_addrs([Contact {
         instance: "entry-2".into(),
         addr,
     }]);
@@ -165,11 +165,14 @@
 async fn gossip_arrives_in_order_with_its_sender() {
     let (addr, handler) = serve(id("entry-2", 2)).await;
     let (handle, mut linked) = PeerHandle::new(id("entry-1", 1), Logger::root(Discard, o!()));
-    handle.set_addrs([PeerAddr {
+    handle.set_addrs([Contact {
+        instance: "entry-2".into(),
+        addr,
+    }]);
+    handle.keep(&[Contact {
         instance: "entry-2".into(),
         addr,
     }]);
-    handle.keep(&HashSet::from(["entry-2".into()]));
     assert_eq!(linked.recv().await, Some(id("entry-2", 2)));
     let sent = [Message::Declined(Declined::Absent), head()];
     for message in &sent {
