Give the stand-ins one accept loop, clock and fault exchange

Cause: three accept loops with their stops, four exchanges that set faults and three conversions of time stood side by side. Ruled out: leaving them, since each had its own way to stop. Conclusion: `acceptor`, `clock` and `body::take_json` have them once.

--- a/crates/standins/src/backend.rs
+++ b/crates/standins/src/backend.rs
@@ -28,6 +28,7 @@
     backend_faults::BackendFaults,
     body::{self, Body, empty, json},
     cache::{CacheReporting, PrefixCache},
+    clock::elapsed_us,
     history::History,
     models::Models,
     outbox::{Closed, Outbox},
@@ -247,7 +248,9 @@
             (&Method::GET, "/v1/cache-events") => self.answer_cache_events(&request),
             (&Method::POST, "/v1/orders") => self.answer_order(request).await,
             (&Method::GET, "/v1/ran") => json(StatusCode::OK, &self.ran.all()),
-            (&Method::POST, "/fault") => self.answer_fault(request).await,
+            (&Method::POST, "/fault") => {
+                body::take_json(request, |faults| self.set_faults(faults)).await
+            }
             _ => empty(StatusCode::NOT_FOUND),
         };
         Ok(response)
@@ -370,7 +373,7 @@
         if worked.is_err() {
             return Ending::Cancelled;
         }
-        let busy_us = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
+        let busy_us = elapsed_us(started);
         let last = if fails {
             failure(call, busy_us)
         } else {
@@ -449,16 +452,6 @@
         json(status, &reply)
     }
 
-    async fn answer_fault(&self, request: Request<Incoming>) -> Response<Body> {
-        match body::read_json(request.into_body()).await {
-            Ok(faults) => {
-                self.set_faults(faults);
-                empty(StatusCode::NO_CONTENT)
-            }
-            Err(err) => json(StatusCode::BAD_REQUEST, &err.to_string()),
-        }
-    }
-
     fn answer_cache_events(&self, request: &Request<Incoming>) -> Response<Body> {
         let query = request.uri().query().unwrap_or("from=0");
         let from = query.strip_prefix("from=").and_then(|n| n.parse().ok());
--- a/crates/standins/src/balancer.rs
+++ b/crates/standins/src/balancer.rs
@@ -11,17 +11,13 @@
 };
 
 use http::{Method, StatusCode};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::watch,
-    task::{JoinHandle, JoinSet},
-    time,
-};
+use tokio::{net::TcpStream, task::JoinHandle, time};
 
 use crate::{
-    Result, client,
+    Result,
+    acceptor::Acceptor,
+    client,
     link::{self, LinkFaults, LinkSwitch},
-    server::{self, until_set},
 };
 
 /// Time that a stop waits for open connections.
@@ -44,10 +40,9 @@
 /// The balancer as it runs in this process.
 #[derive(Debug)]
 pub struct Balancer {
-    addr: SocketAddr,
+    acceptor: Acceptor,
     state: Arc<State>,
-    stop: watch::Sender<bool>,
-    task: JoinHandle<()>,
+    checker: JoinHandle<()>,
 }
 
 #[derive(Debug)]
@@ -70,8 +65,6 @@
     ///
     /// Fails when the address can't be listened on.
     pub async fn start(settings: BalancerSettings) -> Result<Self> {
-        let listener = server::bind(settings.addr).await?;
-        let addr = listener.local_addr()?;
         let targets = settings.targets.iter().map(|addr| Target {
             addr: *addr,
             ready: AtomicBool::new(false),
@@ -82,20 +75,23 @@
             link: LinkSwitch::default(),
         });
         state.check_all().await;
-        let (stop, stopped) = watch::channel(false);
-        let check = Duration::from_millis(settings.check_ms);
-        let task = tokio::spawn(run(listener, Arc::clone(&state), check, stopped));
+        let shared = Arc::clone(&state);
+        let acceptor = Acceptor::start(settings.addr, STOP_GRACE, move |caller, _| {
+            forward(caller, Arc::clone(&shared))
+        });
+        let acceptor = acceptor.await?;
+        let pause = Duration::from_millis(settings.check_ms);
+        let checker = tokio::spawn(check_forever(Arc::clone(&state), pause));
         Ok(Self {
-            addr,
+            acceptor,
             state,
-            stop,
-            task,
+            checker,
         })
     }
 
     /// Returns the address that it listens on.
     pub fn addr(&self) -> SocketAddr {
-        self.addr
+        self.acceptor.addr()
     }
 
     /// Replaces the faults of the connections that it passes on.
@@ -104,41 +100,10 @@
     }
 
     /// Stops listening, then waits a while for open connections.
-    pub async fn stop(mut self) {
-        self.stop.send_replace(true);
-        // A panic of the accept loop has been printed already.
-        let _ = (&mut self.task).await;
-    }
-}
-
-impl Drop for Balancer {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-async fn run(
-    listener: TcpListener,
-    state: Arc<State>,
-    check: Duration,
-    mut stopped: watch::Receiver<bool>,
-) {
-    let mut tasks = JoinSet::new();
-    let checker = tokio::spawn(check_forever(Arc::clone(&state), check));
-    loop {
-        tokio::select! {
-            () = until_set(&mut stopped) => break,
-            Some(_) = tasks.join_next() => {}
-            accepted = listener.accept() => if let Ok((caller, _)) = accepted {
-                tasks.spawn(forward(caller, Arc::clone(&state)));
-            },
-        }
+    pub async fn stop(self) {
+        self.checker.abort();
+        self.acceptor.stop().await;
     }
-    checker.abort();
-    drop(listener);
-    let drained = async { while tasks.join_next().await.is_some() {} };
-    // An idle kept-alive connection never ends by itself.
-    let _ = time::timeout(STOP_GRACE, drained).await;
 }
 
 async fn check_forever(state: Arc<State>, pause: Duration) {
--- a/crates/standins/src/body.rs
+++ b/crates/standins/src/body.rs
@@ -7,9 +7,9 @@
 };
 
 use bytes::Bytes;
-use http::{Response, StatusCode, header};
+use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::BoxBody};
-use hyper::body::{Body as HttpBody, Frame};
+use hyper::body::{Body as HttpBody, Frame, Incoming};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::sync::mpsc;
 
@@ -96,3 +96,18 @@
     let bytes = read(body, MAX_BODY_BYTES).await?;
     Ok(serde_json::from_slice(&bytes)?)
 }
+
+/// Gives the JSON value in a request's body to `take`; answers 204, or 400 when
+/// there is no such value.
+pub(crate) async fn take_json<T: DeserializeOwned>(
+    request: Request<Incoming>,
+    take: impl FnOnce(T),
+) -> Response<Body> {
+    match read_json(request.into_body()).await {
+        Ok(value) => {
+            take(value);
+            empty(StatusCode::NO_CONTENT)
+        }
+        Err(err) => json(StatusCode::BAD_REQUEST, &err.to_string()),
+    }
+}
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -17,6 +17,7 @@
     Error, Result,
     body::{self, MAX_BODY_BYTES},
     client::{self, Connection, Version},
+    clock::elapsed_us,
     work::{Step, expected_output},
 };
 
@@ -122,7 +123,7 @@
             Ok(received) => received,
             Err(_) => Err(Error::Io(std::io::ErrorKind::TimedOut.into())),
         };
-        let latency_us = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
+        let latency_us = elapsed_us(started);
         let mut asked = match received {
             Ok(received) => self.check(ask, &received),
             Err(err) => without_answer(err.to_string()),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each server starts in-process with `start` and gives a handle with its
 //! address; the binary `standin` runs the same servers as processes.
 
+mod acceptor;
 mod backend;
 mod backend_faults;
 mod balancer;
@@ -10,6 +11,7 @@
 mod cache;
 mod caller;
 pub mod client;
+mod clock;
 mod error;
 mod history;
 mod link;
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -4,7 +4,6 @@
     collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
-    time::{SystemTime, UNIX_EPOCH},
 };
 
 use http::{Method, Request, Response, StatusCode};
@@ -15,6 +14,7 @@
 use crate::{
     Result,
     body::{self, Body, empty, json},
+    clock::unix_now_ms,
     history::History,
     server::{Reply, Server},
 };
@@ -136,7 +136,9 @@
                 self.change(|entries| entries.remove(name));
                 empty(StatusCode::NO_CONTENT)
             }
-            (&Method::POST, "/fault", _) => self.set_faults(request).await,
+            (&Method::POST, "/fault", _) => {
+                body::take_json(request, |faults| self.memory().faults = faults).await
+            }
             _ => empty(StatusCode::NOT_FOUND),
         };
         Ok(response)
@@ -165,21 +167,4 @@
             Err(err) => json(StatusCode::BAD_REQUEST, &err.to_string()),
         }
     }
-
-    async fn set_faults(&self, request: Request<Incoming>) -> Response<Body> {
-        match body::read_json(request.into_body()).await {
-            Ok(faults) => {
-                self.memory().faults = faults;
-                empty(StatusCode::NO_CONTENT)
-            }
-            Err(err) => json(StatusCode::BAD_REQUEST, &err.to_string()),
-        }
-    }
-}
-
-fn unix_now_ms() -> u64 {
-    let since_epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     caller::{Ask, Asked, Caller, CallerSettings},
+    clock::elapsed_us,
     report::Report,
 };
 
@@ -65,7 +66,7 @@
 /// Asks, and counts the time from when the request was due, so that a late
 /// start of this tool does not flatter the figures.
 async fn ask_due(caller: &Caller, ask: &Ask, due: Instant) -> Asked {
-    let late_us = u64::try_from(due.elapsed().as_micros()).unwrap_or(u64::MAX);
+    let late_us = elapsed_us(due);
     let mut asked = caller.ask(ask).await;
     asked.latency_us += late_us;
     asked
--- a/crates/standins/src/log_server.rs
+++ b/crates/standins/src/log_server.rs
@@ -3,11 +3,11 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use base64::{Engine, engine::general_purpose::STANDARD};
-use http::{Method, Request, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use savoryvane_core::ids::Offset;
 use savoryvane_wire::platform::{Appended, LogRecord, Records, Trimmed};
@@ -19,9 +19,10 @@
 
 use crate::{
     Error, Result,
-    body::{self, empty, json},
+    body::{self, Body, empty, json},
+    clock::{elapsed_ms, unix_now_ms},
     log::{BeforeFirst, Delivery, Kept, Retention, Slice, Streams},
-    server::{HangUp, Reply, Server, until_set},
+    server::{HangUp, Reply, Server},
 };
 
 /// Records of one read when the reader names no limit.
@@ -212,7 +213,7 @@
 
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Reply {
         if request.uri().path() == "/fault" {
-            return Ok(self.answer_fault(request).await);
+            return Ok(body::take_json(request, |faults| self.set_faults(faults)).await);
         }
         if let Some(refused) = self.suffer().await {
             return Ok(refused);
@@ -230,17 +231,7 @@
         }
     }
 
-    async fn answer_fault(&self, request: Request<Incoming>) -> http::Response<body::Body> {
-        match body::read_json(request.into_body()).await {
-            Ok(faults) => {
-                self.set_faults(faults);
-                empty(StatusCode::NO_CONTENT)
-            }
-            Err(err) => json(StatusCode::BAD_REQUEST, &err.to_string()),
-        }
-    }
-
-    async fn suffer(&self) -> Option<http::Response<body::Body>> {
+    async fn suffer(&self) -> Option<Response<Body>> {
         let mut faults = self.faults.subscribe();
         // The sender lives as long as `self`, so waiting cannot fail.
         let _ = faults.wait_for(|faults| !faults.hang).await;
@@ -276,7 +267,7 @@
         Ok(json(StatusCode::OK, &appended))
     }
 
-    async fn read(&self, stream: &str, request: &Request<Incoming>) -> http::Response<body::Body> {
+    async fn read(&self, stream: &str, request: &Request<Incoming>) -> Response<Body> {
         let Some(query) = ReadQuery::parse(request.uri().query().unwrap_or_default()) else {
             return empty(StatusCode::BAD_REQUEST);
         };
@@ -301,7 +292,7 @@
                 Ok(slice) => tokio::select! {
                     _ = appended.changed() => {}
                     () = time::sleep_until(self.next_check(until)) => {}
-                    () = until_set(&mut stopping) => {
+                    () = until_stop(&mut stopping) => {
                         return json(StatusCode::OK, &to_records(slice));
                     }
                 },
@@ -399,13 +390,7 @@
     }
 }
 
-fn unix_now_ms() -> u64 {
-    let since_epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
-}
-
-fn elapsed_ms(since: Instant) -> u64 {
-    u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
+async fn until_stop(stopping: &mut watch::Receiver<bool>) {
+    // The sender lives as long as the reads that wait.
+    let _ = stopping.wait_for(|stop| *stop).await;
 }
--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -2,20 +2,16 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use http::{Method, Request, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::watch,
-    task::{JoinHandle, JoinSet},
-    time,
-};
+use tokio::{net::TcpStream, sync::watch};
 
 use crate::{
     Result,
-    body::{self, empty, json},
+    acceptor::Acceptor,
+    body::{self, Body, empty},
     link::{self, LinkFaults, LinkState, LinkSwitch},
-    server::{self, Reply, Server, until_set},
+    server::Server,
 };
 
 /// Time that a stop waits for open connections.
@@ -35,11 +31,9 @@
 /// A relay as it runs in this process.
 #[derive(Debug)]
 pub struct Relay {
-    addr: SocketAddr,
+    acceptor: Acceptor,
     control: Server,
     switch: Arc<LinkSwitch>,
-    stop: watch::Sender<bool>,
-    task: JoinHandle<()>,
 }
 
 impl Relay {
@@ -49,26 +43,27 @@
     ///
     /// Fails when one of the addresses can't be listened on.
     pub async fn start(settings: RelaySettings) -> Result<Self> {
-        let listener = server::bind(settings.addr).await?;
-        let addr = listener.local_addr()?;
         let switch = Arc::new(LinkSwitch::default());
         let shared = Arc::clone(&switch);
-        let handler = move |request| answer_fault(Arc::clone(&shared), request);
-        let control = Server::start(settings.control, Arc::default(), handler).await?;
-        let (stop, stopped) = watch::channel(false);
-        let task = tokio::spawn(accept(listener, settings.to, switch.subscribe(), stopped));
+        let acceptor = Acceptor::start(settings.addr, STOP_GRACE, move |near, _| {
+            relay(near, settings.to, shared.subscribe())
+        });
+        let acceptor = acceptor.await?;
+        let shared = Arc::clone(&switch);
+        let control = Server::start(settings.control, Arc::default(), move |request| {
+            let switch = Arc::clone(&shared);
+            async move { Ok(answer_fault(&switch, request).await) }
+        });
         Ok(Self {
-            addr,
-            control,
+            acceptor,
+            control: control.await?,
             switch,
-            stop,
-            task,
         })
     }
 
     /// Returns the address that it listens on.
     pub fn addr(&self) -> SocketAddr {
-        self.addr
+        self.acceptor.addr()
     }
 
     /// Returns the address that takes faults.
@@ -82,39 +77,10 @@
     }
 
     /// Stops listening, then waits a while for open connections.
-    pub async fn stop(mut self) {
-        self.stop.send_replace(true);
-        // A panic of the accept loop has been printed already.
-        let _ = (&mut self.task).await;
-    }
-}
-
-impl Drop for Relay {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-async fn accept(
-    listener: TcpListener,
-    to: SocketAddr,
-    state: watch::Receiver<LinkState>,
-    mut stopped: watch::Receiver<bool>,
-) {
-    let mut connections = JoinSet::new();
-    loop {
-        tokio::select! {
-            () = until_set(&mut stopped) => break,
-            Some(_) = connections.join_next() => {}
-            accepted = listener.accept() => if let Ok((near, _)) = accepted {
-                connections.spawn(relay(near, to, state.clone()));
-            },
-        }
+    pub async fn stop(self) {
+        self.acceptor.stop().await;
+        self.control.stop().await;
     }
-    drop(listener);
-    let drained = async { while connections.join_next().await.is_some() {} };
-    // An idle or silent connection never ends by itself.
-    let _ = time::timeout(STOP_GRACE, drained).await;
 }
 
 async fn relay(near: TcpStream, to: SocketAddr, mut state: watch::Receiver<LinkState>) {
@@ -126,15 +92,9 @@
     }
 }
 
-async fn answer_fault(switch: Arc<LinkSwitch>, request: Request<Incoming>) -> Reply {
+async fn answer_fault(switch: &LinkSwitch, request: Request<Incoming>) -> Response<Body> {
     if (request.method(), request.uri().path()) != (&Method::POST, "/fault") {
-        return Ok(empty(StatusCode::NOT_FOUND));
+        return empty(StatusCode::NOT_FOUND);
     }
-    Ok(match body::read_json(request.into_body()).await {
-        Ok(faults) => {
-            switch.set(faults);
-            empty(StatusCode::NO_CONTENT)
-        }
-        Err(err) => json(StatusCode::BAD_REQUEST, &err.to_string()),
-    })
+    body::take_json(request, |faults| switch.set(faults)).await
 }
