Prove settings, bad callers and planned stops with the real binary

A caller whose first head never ends got no answer: the HTTP library closes without one; it now gets a 408.

--- a/crates/server/src/listener.rs
+++ b/crates/server/src/listener.rs
@@ -161,17 +161,17 @@
         loop {
             tokio::select! {
                 ended = connection.as_mut() => {
-                    if let Err(err) = ended {
-                        debug!(self.log, "connection ended early"; "error" => %err);
+                    let Err(err) = ended else { return };
+                    debug!(self.log, "connection ended early"; "error" => %err);
+                    if is_timeout(&*err) && !began.load(Ordering::Relaxed) {
+                        too_slow(&stream);
                     }
                     return;
                 }
                 () = &mut first_head, if awaits_first => {
                     awaits_first = false;
                     if !began.load(Ordering::Relaxed) {
-                        metrics::counter!("savoryvane_slow_connections_total").increment(1);
-                        stream.write_last(TOO_SLOW);
-                        return;
+                        return too_slow(&stream);
                     }
                 }
                 () = self.phases.reached(Phase::Draining), if !is_draining => {
@@ -209,6 +209,16 @@
     }
 }
 
+fn is_timeout(err: &(dyn std::error::Error + 'static)) -> bool {
+    err.downcast_ref::<hyper::Error>()
+        .is_some_and(hyper::Error::is_timeout)
+}
+
+fn too_slow(stream: &SharedStream) {
+    metrics::counter!("savoryvane_slow_connections_total").increment(1);
+    stream.write_last(TOO_SLOW);
+}
+
 fn refuse(stream: TcpStream) {
     metrics::counter!("savoryvane_connections_refused_total").increment(1);
     // A socket that was just accepted has room for these few bytes.
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -11,8 +11,9 @@
     fields::Fields,
 };
 
-/// Largest settings file that is read, in bytes.
-const MAX_FILE_BYTES: u64 = 1 << 20;
+/// Largest settings file that is read, in bytes; the time that the YAML parser
+/// takes for deep nesting grows with the square of the size.
+const MAX_FILE_BYTES: u64 = 16 * 1024;
 /// What a name may look like.
 const NAME: &str = "1 to 63 of a-z, 0-9, '-' and '.', beginning and ending with a letter or digit";
 /// What a digest may look like.
@@ -161,7 +162,7 @@
         let unreadable = |err| Error::Unreadable(path.to_owned(), err);
         let size_bytes = fs::metadata(path).map_err(unreadable)?.len();
         if size_bytes > MAX_FILE_BYTES {
-            let fault = file_fault(format!("{size_bytes} bytes"), "at most 1 MiB");
+            let fault = file_fault(format!("{size_bytes} bytes"), "at most 16 KiB");
             return Err(Error::Settings(path.to_owned(), vec![fault]));
         }
         let text = fs::read_to_string(path).map_err(unreadable)?;
--- a/crates/server/tests/common/mod.rs
+++ b/crates/server/tests/common/mod.rs
@@ -132,11 +132,15 @@
 
 pub fn settings_text(name: &str, log: SocketAddr, list: SocketAddr, extra: &str) -> String {
     let credential = sha256(OPERATOR_CREDENTIAL);
+    let log_level = match extra.contains("log:") {
+        true => "",
+        false => "log: {level: error}",
+    };
     format!(
         "instance: {name}\nzone: {ZONE}\nregion: nl-midden\n\
          listen: {{caller: '127.0.0.1:0', peer: '127.0.0.1:0', admin: '127.0.0.1:0'}}\n\
          platform: {{log: '{log}', list: '{list}'}}\n\
-         admin: {{credential_sha256: {credential}}}\nlog: {{level: error}}\n\
+         admin: {{credential_sha256: {credential}}}\n{log_level}\n\
          {extra}\n"
     )
 }
