Claim keys on the log and issue tickets in the core

A claim is decided from records read back in order only. A key is forgotten when no entry has named it for the window; every entry counts, so an index that began reading later forgets it at the same record as one that read all of them. A gap or an unreadable record starts the index again, and nothing is decided before the window was read. A claim given up before it was read back is released when it turns up, and never sent on.

Conclusion: the core decides; nothing uses it yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,10 @@
 
 pub mod call;
 pub mod change;
+pub mod claim;
+pub mod claim_batcher;
+pub mod claim_index;
+pub mod claimant;
 pub mod config;
 pub mod cost;
 pub mod decision;
@@ -15,9 +19,11 @@
 pub mod membership;
 pub mod objects;
 pub mod outcome;
+pub mod progress;
 pub mod quantile;
 pub mod quota;
 pub mod roster;
 pub mod settings;
+pub mod ticket;
 pub mod topology;
 pub mod zones;
--- /dev/null
+++ b/crates/core/tests/claims_rules.rs
@@ -0,0 +1,574 @@
+//! The rules of the claim stream, one case each.
+
+use savoryvane_core::{
+    claim::{Batch, ClaimId, Completion, Entry, Fingerprint, KeyHash, MAX_ANSWER_BYTES},
+    claim_batcher::{AppendResult, BatchLimits, ClaimBatcher, interval_ms},
+    claim_index::{ClaimIndex, ClaimRecord, IndexLimits, Standing, Verdict},
+    claimant::{
+        Attempt, ClaimLimits, ClaimReason, ClaimRequest, Claimant, Decision, Ending, Permit, Step,
+    },
+    ids::{IdempotencyKey, Incarnation, Offset, WorkspaceName},
+    outcome::Outcome,
+    progress::{CallKind, Retraction},
+};
+
+const ONCE: CallKind = CallKind::NonIdempotent;
+const WINDOW_MS: u64 = 10_000;
+const KEY: KeyHash = KeyHash([1; 16]);
+const PRINT: Fingerprint = Fingerprint([2; 16]);
+
+const INDEX: IndexLimits = IndexLimits {
+    window_ms: WINDOW_MS,
+    max_keys: 4,
+    max_answer_bytes: 40,
+};
+
+const BATCH: BatchLimits = BatchLimits {
+    interval_ms: 50,
+    mark_interval_ms: WINDOW_MS,
+    max_entries: 4,
+    max_bytes: 1_000,
+    max_waiting: 8,
+};
+
+fn id(incarnation: u64) -> ClaimId {
+    ClaimId {
+        incarnation: Incarnation(incarnation),
+        seq: 1,
+    }
+}
+
+fn claim(of: u64) -> Entry {
+    claim_of(KEY, of)
+}
+
+fn claim_of(key: KeyHash, of: u64) -> Entry {
+    Entry::Claim {
+        key,
+        id: id(of),
+        fingerprint: PRINT,
+    }
+}
+
+fn release(of: u64) -> Entry {
+    Entry::Release {
+        key: KEY,
+        id: id(of),
+        ran: false,
+    }
+}
+
+fn done(of: u64) -> Entry {
+    Entry::Done {
+        key: KEY,
+        id: id(of),
+        completion: Completion::new(Outcome::Complete, b"held"),
+    }
+}
+
+/// Records with the time of their append, from an offset on.
+fn read(index: &mut ClaimIndex, from: u64, records: &[(u64, Entry)]) {
+    for (offset, (at_ms, entry)) in (from..).zip(records) {
+        let entries = vec![entry.clone()];
+        apply(index, offset, *at_ms, Some(&Batch { entries }));
+    }
+}
+
+fn apply(index: &mut ClaimIndex, offset: u64, appended_at_ms: u64, batch: Option<&Batch>) {
+    index.apply(&ClaimRecord {
+        offset: Offset(offset),
+        appended_at_ms,
+        batch,
+    });
+}
+
+fn index_of(records: &[(u64, Entry)]) -> ClaimIndex {
+    let mut index = ClaimIndex::new(INDEX);
+    read(&mut index, 0, records);
+    index
+}
+
+fn holder(index: &ClaimIndex) -> Option<ClaimId> {
+    match index.standing(&KEY) {
+        Standing::Free => None,
+        Standing::Claimed(holder) | Standing::Done(holder, _) => Some(holder.id),
+    }
+}
+
+#[test]
+fn the_lowest_position_wins() {
+    let index = index_of(&[(0, claim(1)), (0, claim(2)), (1, release(2)), (2, done(2))]);
+    assert_eq!(holder(&index), Some(id(1)));
+    assert_eq!(index.verdict(&KEY, id(1)), Verdict::Won { untouched: true });
+    assert_eq!(index.verdict(&KEY, id(2)), Verdict::NotHeld);
+}
+
+#[test]
+fn the_next_claim_after_a_release_wins() {
+    let index = index_of(&[(0, claim(1)), (1, claim(2)), (2, release(1)), (3, claim(3))]);
+    assert_eq!(holder(&index), Some(id(3)));
+}
+
+#[test]
+fn a_late_copy_of_a_released_claim_holds_nothing() {
+    let index = index_of(&[(0, claim(1)), (1, release(1)), (2, claim(1))]);
+    assert_eq!(holder(&index), None);
+}
+
+#[test]
+fn a_late_copy_of_a_release_frees_nobody_else() {
+    let records = [
+        (0, claim(1)),
+        (1, release(1)),
+        (2, claim(2)),
+        (3, release(1)),
+    ];
+    assert_eq!(holder(&index_of(&records)), Some(id(2)));
+}
+
+#[test]
+fn a_run_that_ended_is_not_released() {
+    let index = index_of(&[(0, claim(1)), (1, done(1)), (2, release(1)), (3, claim(2))]);
+    assert!(matches!(index.standing(&KEY), Standing::Done(held, _) if held.id == id(1)));
+}
+
+#[test]
+fn a_key_is_remembered_for_the_window_after_its_last_entry() {
+    let mut index = index_of(&[(0, claim(1)), (WINDOW_MS, claim(2))]);
+    read(&mut index, 2, &[(2 * WINDOW_MS, claim(3))]);
+    assert_eq!(holder(&index), Some(id(1)));
+    read(&mut index, 3, &[(3 * WINDOW_MS + 1, claim(4))]);
+    assert_eq!(holder(&index), Some(id(4)));
+}
+
+/// If a lost claim did not count for the window, the view that began later would
+/// see claim 2 hold the key from 6 s to 16 s and then claim 4 win at 17 s, while
+/// claim 3 won at 11 s for whoever had read claim 1 at 0 s.
+#[test]
+fn a_view_that_began_later_never_lets_a_second_claim_win() {
+    let records = [
+        (0, claim(1)),
+        (6_000, claim(2)),
+        (11_000, claim(3)),
+        (17_000, claim(4)),
+    ];
+    let whole = index_of(&records);
+    let mut later = ClaimIndex::new(INDEX);
+    read(&mut later, 1, &records[1..]);
+    let won = |index: &ClaimIndex, of| matches!(index.verdict(&KEY, id(of)), Verdict::Won { .. });
+    let winners = [3, 4].map(|of| won(&whole, of) || won(&later, of));
+    assert_eq!(winners, [false, false]);
+}
+
+#[test]
+fn nothing_is_decided_before_the_window_was_read() {
+    let mut index = ClaimIndex::new(INDEX);
+    read(&mut index, 5, &[(0, claim(1))]);
+    assert_eq!(index.verdict(&KEY, id(1)), Verdict::Undecidable);
+    assert!(!index.is_complete());
+    read(
+        &mut index,
+        6,
+        &[(WINDOW_MS + 1, claim_of(KeyHash([9; 16]), 2))],
+    );
+    assert!(index.is_complete());
+    assert_eq!(index.verdict(&KEY, id(1)), Verdict::NotHeld);
+}
+
+/// The release that says that something ran may stand before what was read.
+#[test]
+fn a_view_that_began_later_does_not_tell_that_nothing_ran() {
+    let ran = Entry::Release {
+        key: KEY,
+        id: id(1),
+        ran: true,
+    };
+    let records = [
+        (0, claim(1)),
+        (1, ran),
+        (6_000, release(7)),
+        (11_000, claim(2)),
+        (16_001, claim(3)),
+    ];
+    let verdict = |from: usize| {
+        let mut index = ClaimIndex::new(INDEX);
+        read(&mut index, from as u64, &records[from..]);
+        index.verdict(&KEY, id(2))
+    };
+    let nothing_known = Verdict::Won { untouched: false };
+    assert_eq!([0, 1].map(verdict), [nothing_known; 2]);
+}
+
+#[test]
+fn a_gap_or_an_unreadable_record_starts_the_index_again() {
+    let mut gap = index_of(&[(0, claim(1)), (1, release(1))]);
+    read(&mut gap, 7, &[(2, claim(2))]);
+    assert_eq!(gap.verdict(&KEY, id(2)), Verdict::Undecidable);
+    let mut unreadable = index_of(&[(0, claim(1)), (1, release(1))]);
+    apply(&mut unreadable, 2, 2, None);
+    read(&mut unreadable, 3, &[(3, claim(2))]);
+    assert_eq!(unreadable.verdict(&KEY, id(2)), Verdict::Undecidable);
+}
+
+#[test]
+fn a_record_delivered_twice_counts_once() {
+    let mut index = index_of(&[(0, claim(1)), (1, release(1))]);
+    read(&mut index, 0, &[(0, claim(2))]);
+    assert_eq!((holder(&index), index.next()), (None, Offset(2)));
+}
+
+#[test]
+fn the_index_is_bounded() {
+    let keys: Vec<(u64, Entry)> = (1..=5)
+        .map(|n| (0, claim_of(KeyHash([n; 16]), n.into())))
+        .collect();
+    let index = index_of(&keys);
+    assert!(index.is_empty() && !index.is_complete());
+    let answers: Vec<(u64, Entry)> = (1..=3)
+        .flat_map(|n| {
+            let (key, id) = (KeyHash([n; 16]), id(n.into()));
+            let completion = Completion::new(Outcome::Complete, &[0; 20]);
+            let done = Entry::Done {
+                key,
+                id,
+                completion,
+            };
+            [(0, claim_of(key, n.into())), (0, done)]
+        })
+        .collect();
+    let index = index_of(&answers);
+    let kept = |n: u8| match index.standing(&KeyHash([n; 16])) {
+        Standing::Done(_, completion) => completion.answer.is_some(),
+        Standing::Free | Standing::Claimed(_) => panic!("key {n} is forgotten"),
+    };
+    assert_eq!([1, 2, 3].map(kept), [false, true, true]);
+}
+
+#[test]
+fn a_large_answer_is_not_kept_but_its_outcome_is() {
+    let completion = Completion::new(Outcome::Complete, &[0; MAX_ANSWER_BYTES + 1]);
+    assert_eq!(
+        (completion.outcome, completion.answer),
+        (Outcome::Complete, None)
+    );
+}
+
+#[test]
+fn the_same_key_of_two_workspaces_differs() {
+    let hash = |workspace: &str, key: &str| {
+        KeyHash::of(&WorkspaceName::from(workspace), &IdempotencyKey::from(key))
+    };
+    assert_ne!(hash("ab", "c"), hash("a", "bc"));
+    assert_eq!(hash("ab", "c"), hash("ab", "c"));
+}
+
+/// Instances over one log that every test reads and appends to by hand.
+struct Log {
+    records: Vec<(u64, Batch)>,
+}
+
+impl Log {
+    fn new() -> Self {
+        Self {
+            records: vec![(0, Batch::default())],
+        }
+    }
+
+    fn start(&self, incarnation: u64) -> Claimant {
+        let limits = ClaimLimits {
+            index: INDEX,
+            batch: BATCH,
+            max_abandoned: 8,
+        };
+        let mut claimant = Claimant::new(Incarnation(incarnation), limits);
+        self.read(0, &mut claimant);
+        claimant
+    }
+
+    fn read(&self, now_ms: u64, claimant: &mut Claimant) -> Vec<Step> {
+        let from = claimant.index().next().0;
+        let mut steps = Vec::new();
+        for (offset, (appended_at_ms, batch)) in (0..).zip(&self.records) {
+            if offset >= from {
+                let record = ClaimRecord {
+                    offset: Offset(offset),
+                    appended_at_ms: *appended_at_ms,
+                    batch: Some(batch),
+                };
+                steps.extend(claimant.on_record(now_ms, &record));
+            }
+        }
+        steps
+    }
+
+    fn append(&mut self, now_ms: u64, claimant: &mut Claimant, result: AppendResult) {
+        let batch = claimant.poll_append(now_ms).expect("a batch").clone();
+        self.records.push((now_ms, batch));
+        claimant.on_append_result(result);
+    }
+
+    /// Appends what waits and reads it back.
+    fn settle(&mut self, now_ms: u64, claimant: &mut Claimant) -> Vec<Step> {
+        self.append(now_ms, claimant, AppendResult::Appended);
+        self.read(now_ms, claimant)
+    }
+}
+
+fn ask(deadline_ms: u64) -> ClaimRequest {
+    ClaimRequest {
+        key: KEY,
+        fingerprint: PRINT,
+        deadline_ms,
+    }
+}
+
+fn begin(now_ms: u64, claimant: &mut Claimant, deadline_ms: u64) -> Attempt {
+    let (attempt, decision) = claimant.begin(now_ms, ask(deadline_ms));
+    assert_eq!(decision, None);
+    attempt
+}
+
+fn win(now_ms: u64, log: &mut Log, claimant: &mut Claimant, deadline_ms: u64) -> Attempt {
+    let attempt = begin(now_ms, claimant, deadline_ms);
+    let decision = Decision::Won;
+    assert_eq!(log.settle(now_ms, claimant), [Step { attempt, decision }]);
+    attempt
+}
+
+fn ended(outcome: Outcome, reason: ClaimReason) -> Decision {
+    Decision::Ended(Ending { outcome, reason })
+}
+
+#[test]
+fn two_instances_at_the_same_moment_have_one_winner() {
+    let mut log = Log::new();
+    let (mut a, mut b) = (log.start(1), log.start(2));
+    let (of_a, of_b) = (begin(0, &mut a, 1_000), begin(0, &mut b, 1_000));
+    log.append(0, &mut b, AppendResult::Appended);
+    log.append(0, &mut a, AppendResult::Appended);
+    // The append's answer decides nothing, for the one nor for the other.
+    assert_eq!(
+        a.permit(1, of_a, 0, ONCE),
+        Permit::Refused(ClaimReason::NotHolder)
+    );
+    assert_eq!(
+        b.permit(1, of_b, 0, ONCE),
+        Permit::Refused(ClaimReason::NotHolder)
+    );
+    log.read(1, &mut a);
+    log.read(1, &mut b);
+    assert_eq!(
+        a.permit(1, of_a, 0, ONCE),
+        Permit::Refused(ClaimReason::NotHolder)
+    );
+    assert_eq!(b.permit(1, of_b, 0, ONCE), Permit::Send);
+    assert_eq!(
+        b.permit(1, of_b, 0, ONCE),
+        Permit::Refused(ClaimReason::AlreadySent)
+    );
+}
+
+#[test]
+fn an_append_whose_answer_is_lost_is_found_in_the_log() {
+    let mut log = Log::new();
+    let mut a = log.start(1);
+    let attempt = begin(0, &mut a, 1_000);
+    log.append(0, &mut a, AppendResult::NotConfirmed);
+    let steps = log.read(10, &mut a);
+    let decision = Decision::Won;
+    assert_eq!(steps, [Step { attempt, decision }]);
+    assert_eq!(a.permit(10, attempt, 0, ONCE), Permit::Send);
+}
+
+#[test]
+fn a_freeze_past_the_deadline_sends_nothing_and_frees_the_key() {
+    let mut log = Log::new();
+    let (mut a, mut b) = (log.start(1), log.start(2));
+    let of_a = win(0, &mut log, &mut a, 1_000);
+    assert_eq!(
+        a.permit(3_000, of_a, 0, ONCE),
+        Permit::Refused(ClaimReason::Deadline)
+    );
+    assert_eq!(a.finish(3_000, of_a, Outcome::Failed, b""), Outcome::NotRun);
+    log.read(3_000, &mut b);
+    let (of_b, decision) = b.begin(3_000, ask(4_000));
+    assert!(matches!(decision, Some(Decision::Join(_))));
+    log.settle(3_000, &mut a);
+    // The release lets the waiting attempt ask again by itself.
+    log.read(3_010, &mut b);
+    log.settle(3_010, &mut b);
+    assert_eq!(b.permit(3_020, of_b, 0, ONCE), Permit::Send);
+}
+
+#[test]
+fn a_claim_older_than_half_the_window_is_never_sent_on() {
+    let mut log = Log::new();
+    let mut a = log.start(1);
+    let attempt = win(0, &mut log, &mut a, 5 * WINDOW_MS);
+    let too_old = Permit::Refused(ClaimReason::ClaimTooOld);
+    assert_eq!(a.permit(WINDOW_MS / 2, attempt, 0, ONCE), too_old);
+    // By now another attempt may have run: "not run" can't be told.
+    let told = a.finish(2 * WINDOW_MS, attempt, Outcome::Failed, b"");
+    assert_eq!(told, Outcome::NotStarted);
+}
+
+#[test]
+fn a_claim_given_up_before_it_was_read_does_not_block_the_repeat() {
+    let mut log = Log::new();
+    let (mut a, mut b) = (log.start(1), log.start(2));
+    let attempt = begin(0, &mut a, 1_000);
+    log.append(0, &mut a, AppendResult::NotConfirmed);
+    let decision = ended(Outcome::NotStarted, ClaimReason::Deadline);
+    assert_eq!(a.on_tick(1_000), [Step { attempt, decision }]);
+    assert_eq!(log.read(1_100, &mut a), []);
+    assert_eq!(
+        a.permit(1_100, attempt, 0, ONCE),
+        Permit::Refused(ClaimReason::NotHolder)
+    );
+    log.settle(1_100, &mut a);
+    log.read(1_200, &mut b);
+    let of_b = win(1_200, &mut log, &mut b, 2_000);
+    assert_eq!(b.permit(1_300, of_b, 0, ONCE), Permit::Send);
+}
+
+#[test]
+fn a_run_before_is_remembered_when_a_later_attempt_sends_nothing() {
+    let mut log = Log::new();
+    let mut a = log.start(1);
+    let first = win(0, &mut log, &mut a, 1_000);
+    assert_eq!(a.permit(1, first, 0, CallKind::Idempotent), Permit::Send);
+    assert_eq!(a.finish(10, first, Outcome::Failed, b""), Outcome::Failed);
+    log.settle(100, &mut a);
+    let second = win(200, &mut log, &mut a, 1_000);
+    let told = a.finish(210, second, Outcome::NotRun, b"");
+    assert_eq!(told, Outcome::NotStarted);
+}
+
+#[test]
+fn a_refused_call_may_go_elsewhere_but_is_not_told_as_not_run() {
+    let mut log = Log::new();
+    let mut a = log.start(1);
+    let attempt = win(0, &mut log, &mut a, 1_000);
+    assert_eq!(a.permit(1, attempt, 0, ONCE), Permit::Send);
+    a.retract(attempt, Retraction::Refused);
+    assert_eq!(a.permit(2, attempt, 0, ONCE), Permit::Send);
+    a.retract(attempt, Retraction::Refused);
+    assert_eq!(a.finish(3, attempt, Outcome::NotRun, b""), Outcome::Failed);
+}
+
+#[test]
+fn what_was_sent_is_never_told_as_safe_to_repeat() {
+    let mut log = Log::new();
+    let mut a = log.start(1);
+    let attempt = win(0, &mut log, &mut a, 1_000);
+    assert_eq!(a.permit(1, attempt, 1, ONCE), Permit::Send);
+    assert_eq!(
+        a.permit(1, attempt, 0, ONCE),
+        Permit::Refused(ClaimReason::AlreadySent)
+    );
+    assert_eq!(a.finish(2, attempt, Outcome::Failed, b""), Outcome::Unknown);
+}
+
+#[test]
+fn a_repeat_gets_the_first_answer_and_another_request_is_refused() {
+    let mut log = Log::new();
+    let (mut a, mut b) = (log.start(1), log.start(2));
+    let attempt = win(0, &mut log, &mut a, 1_000);
+    assert_eq!(a.permit(1, attempt, 0, ONCE), Permit::Send);
+    a.finish(2, attempt, Outcome::Complete, b"held");
+    log.settle(60, &mut a);
+    log.read(60, &mut b);
+    let recorded = Decision::Recorded(Completion::new(Outcome::Complete, b"held"));
+    assert_eq!(b.begin(70, ask(1_000)).1, Some(recorded));
+    let other = ClaimRequest {
+        fingerprint: Fingerprint([3; 16]),
+        ..ask(1_000)
+    };
+    assert_eq!(b.begin(70, other).1, Some(Decision::Misuse));
+}
+
+#[test]
+fn a_repeat_after_the_holder_died_is_unknown_at_once() {
+    let mut log = Log::new();
+    let (mut a, mut b) = (log.start(1), log.start(2));
+    win(0, &mut log, &mut a, 1_000);
+    drop(a);
+    log.read(5, &mut b);
+    let (attempt, decision) = b.begin(10, ask(1_000));
+    assert_eq!(decision, Some(Decision::Join(ClaimId { seq: 2, ..id(1) })));
+    let unknown = ended(Outcome::Unknown, ClaimReason::HolderGone);
+    assert_eq!(b.on_holder_gone(10, attempt), Some(unknown));
+}
+
+#[test]
+fn a_gap_ends_waiting_attempts_at_once() {
+    let log = Log::new();
+    let mut a = log.start(1);
+    let attempt = begin(0, &mut a, 1_000);
+    let record = ClaimRecord {
+        offset: Offset(9),
+        appended_at_ms: 5,
+        batch: Some(&Batch::default()),
+    };
+    let decision = ended(Outcome::NotStarted, ClaimReason::IndexIncomplete);
+    assert_eq!(
+        a.on_record(5, &record),
+        [Step {
+            attempt,
+            decision: decision.clone()
+        }]
+    );
+    assert_eq!(a.begin(6, ask(1_000)).1, Some(decision));
+}
+
+#[test]
+fn a_log_that_is_away_is_told_at_once_and_tried_again() {
+    let mut log = Log::new();
+    let mut a = log.start(1);
+    begin(0, &mut a, 1_000);
+    for now_ms in [0, 150] {
+        assert!(a.poll_append(now_ms).is_some());
+        a.on_append_result(AppendResult::NotConfirmed);
+    }
+    let away = ended(Outcome::NotStarted, ClaimReason::LogAway);
+    assert_eq!(a.begin(160, ask(1_000)).1, Some(away));
+    log.settle(300, &mut a);
+    assert_eq!(
+        a.begin(301, ask(1_000)).1,
+        Some(Decision::Join(ClaimId { seq: 2, ..id(1) }))
+    );
+}
+
+#[test]
+fn appends_are_grouped_one_at_a_time_and_spaced() {
+    let mut batcher = ClaimBatcher::new(BATCH);
+    (1..=5).for_each(|of| batcher.push(claim(of)));
+    let first = batcher.poll(1_000).map(|batch| batch.entries.len());
+    assert_eq!((first, batcher.poll(2_000)), (Some(4), None));
+    batcher.on_result(AppendResult::Appended, |_| true);
+    assert_eq!(batcher.poll(1_049), None);
+    assert_eq!(
+        batcher.poll(1_050).map(|batch| batch.entries.len()),
+        Some(1)
+    );
+    batcher.on_result(AppendResult::NotConfirmed, |_| false);
+    assert_eq!(batcher.due_at_ms(), Some(WINDOW_MS));
+}
+
+#[test]
+fn a_batch_stays_under_its_size() {
+    let limits = BatchLimits {
+        max_bytes: 150,
+        ..BATCH
+    };
+    let mut batcher = ClaimBatcher::new(limits);
+    (1..=4).for_each(|of| batcher.push(claim(of)));
+    assert_eq!(batcher.poll(0).map(|batch| batch.entries.len()), Some(2));
+}
+
+#[test]
+fn the_interval_keeps_all_instances_under_the_rate() {
+    assert_eq!(interval_ms(8, 100), 80);
+    assert_eq!(interval_ms(570, 100), 5_700);
+    assert_eq!(interval_ms(0, 0), 1_000);
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,9 +1,11 @@
 //! Messages of savoryvane's interfaces: JSON towards callers, operators, the
-//! platform and backend servers, `bincode` between instances.
+//! platform and backend servers, `bincode` between instances and on the claim
+//! stream.
 
 pub mod admin;
 pub mod backend;
 pub mod caller;
+pub mod claims;
 pub mod config;
 pub mod peer;
 pub mod platform;
