--- /dev/null
+++ b/crates/core/src/config/follower.rs
@@ -0,0 +1,608 @@
+//! Follows the configuration stream by the log, by relays of peers and by
+//! snapshots from peers, and never goes back.
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::{
+    config::{
+        Applied, Assembler, Assembly, CheckpointPart, ConfigRecord, Head, State, head::HeadWatch,
+        schedule::Schedule,
+    },
+    ids::{ChangeId, Offset, OperatorName},
+};
+
+/// Time between two [`Event::Tick`]s, in ms.
+pub const TICK_MS: u64 = 100;
+/// Time that a read of the log waits for a record, in ms.
+pub const READ_WAIT_MS: u64 = 500;
+/// Time without the stream's head after which an instance reads the log itself,
+/// in ms.
+pub const HEAD_SILENCE_MS: u64 = 1_500;
+
+/// Most that is added to [`HEAD_SILENCE_MS`], so that not all read at once.
+const SILENCE_JITTER_MS: u64 = 300;
+/// Time that a head has to be fresher by to be passed on, in ms.
+const HEAD_STEP_MS: u64 = 200;
+/// First and longest pause after a failed read, in ms.
+const READ_RETRY_MS: (u64, u64) = (100, 1_000);
+/// Pause after a scan that found no checkpoint, in ms.
+const RESCAN_MS: u64 = 500;
+/// Time for a new instance to start from the log before it asks a peer, in ms.
+const START_PATIENCE_MS: u64 = 500;
+/// Time known to be behind after which a peer is asked for its state, in ms.
+const BEHIND_PATIENCE_MS: u64 = 1_000;
+/// Time known to be behind after which the log is read, so that records on
+/// their way through other peers can still arrive, in ms.
+const BEHIND_READ_MS: u64 = 200;
+/// Pause between two questions to peers, in ms.
+const SNAPSHOT_RETRY_MS: u64 = 500;
+
+/// Content of a record as it arrived.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Content {
+    /// The payload was decoded.
+    Record(ConfigRecord),
+    /// The payload could not be decoded.
+    Undecodable,
+}
+
+/// A record of the stream with its position.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Received {
+    /// Offset of the record.
+    pub offset: Offset,
+    /// Time since its append, in ms.
+    pub age_ms: u64,
+    /// What it carries.
+    pub content: Content,
+}
+
+/// A peer's state.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Snapshot {
+    /// The state.
+    pub state: State,
+    /// Time since the peer knew that it was the newest, in ms.
+    pub age_ms: Option<u64>,
+}
+
+/// What an instance has to do for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Duties {
+    /// Whether it follows the log for its zone.
+    pub tails: bool,
+    /// Its rank for writing checkpoints, 0 for the first.
+    pub checkpoint_rank: u64,
+}
+
+/// What happens to a follower.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// The duties changed.
+    Duties(Duties),
+    /// Answer to [`Action::Read`].
+    Read {
+        /// Oldest offset that the log keeps.
+        first: Offset,
+        /// Offset that the next append will get.
+        next: Offset,
+        /// Records from the asked offset on.
+        records: Vec<Received>,
+    },
+    /// Answer to [`Action::Read`]: the asked offset is no longer kept.
+    Trimmed {
+        /// Oldest offset that the log keeps.
+        first: Offset,
+    },
+    /// [`Action::Read`] failed.
+    ReadFailed,
+    /// A peer passed on the head, with records or without.
+    Relayed {
+        /// Head of the stream.
+        head: Head,
+        /// Records in order.
+        records: Vec<Received>,
+    },
+    /// Another instance reported its state's next offset.
+    PeerAt(Offset),
+    /// Answer to [`Action::FetchSnapshot`]; `None` when no peer had one.
+    Snapshot(Option<Box<Snapshot>>),
+    /// [`Action::WriteCheckpoint`] ended, whether it failed or not.
+    CheckpointWritten,
+}
+
+/// What a follower wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Read the log and answer with exactly one of the read events.
+    Read {
+        /// First offset wanted.
+        from: Offset,
+        /// Time to wait for a record, in ms.
+        wait_ms: u64,
+    },
+    /// Pass the head, and the records if any, to the neighbours.
+    Relay {
+        /// Head of the stream.
+        head: Head,
+        /// Records in order; parts of checkpoints come without items.
+        records: Vec<Received>,
+    },
+    /// Ask a peer, best the one that reported the highest offset, for its
+    /// state, and answer with [`Event::Snapshot`].
+    FetchSnapshot,
+    /// Append the parts one after another and answer with
+    /// [`Event::CheckpointWritten`].
+    WriteCheckpoint(Vec<CheckpointPart>),
+    /// Log how a change was decided.
+    Decided {
+        /// Offset of its record.
+        offset: Offset,
+        /// Identifier of the change.
+        id: ChangeId,
+        /// Operator who confirmed it.
+        operator: OperatorName,
+        /// What was done.
+        applied: Applied,
+    },
+    /// Log that the state was taken over whole.
+    Adopted {
+        /// Where it came from.
+        source: Source,
+        /// Its next offset.
+        next: Offset,
+    },
+}
+
+/// Where a whole state came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// A checkpoint on the log.
+    Checkpoint,
+    /// A peer.
+    Peer,
+}
+
+/// Settings of a follower.
+#[derive(Clone, Copy, Debug)]
+pub struct FollowerSettings {
+    /// Time for which the log keeps a record, in ms.
+    pub retention_ms: u64,
+    /// Seed of its jitter.
+    pub seed: u64,
+}
+
+/// What was ignored or missing so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ignored {
+    /// Parts and checkpoints that were wrong or incomplete.
+    pub checkpoints: u64,
+    /// States of peers that were not newer than the own one.
+    pub snapshots: u64,
+    /// Times that records were missing in a delivery.
+    pub gaps: u64,
+    /// Records that could not be decoded.
+    pub undecodable: u64,
+}
+
+/// How far a follower is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Progress {
+    /// Next offset of the own state.
+    pub next: Offset,
+    /// Highest next offset known of.
+    pub known_next: Offset,
+    /// Time since the own state was known to be the newest, in ms; `None`
+    /// before it ever was.
+    pub age_ms: Option<u64>,
+    /// Whether it has a state to serve by.
+    pub has_started: bool,
+    /// Whether neither log nor checkpoint reaches the own state.
+    pub is_cut_off: bool,
+}
+
+/// Follows the configuration stream.
+#[derive(Clone, Debug)]
+pub struct Follower {
+    state: State,
+    has_started: bool,
+    created_ms: Option<u64>,
+    duties: Duties,
+    reader: Reader,
+    assembler: Assembler,
+    heads: HeadWatch,
+    snapshot: Slot,
+    schedule: Schedule,
+    ignored: Ignored,
+    silence_limit_ms: u64,
+    rng: Pcg64Mcg,
+}
+
+/// One exchange at a time, with a pause before the next one.
+#[derive(Clone, Copy, Debug, Default)]
+struct Slot {
+    is_busy: bool,
+    not_before_ms: u64,
+}
+
+impl Slot {
+    fn take(&mut self, now_ms: u64) -> bool {
+        let is_free = !self.is_busy && now_ms >= self.not_before_ms;
+        self.is_busy |= is_free;
+        is_free
+    }
+
+    fn release(&mut self, not_before_ms: u64) {
+        self.is_busy = false;
+        self.not_before_ms = not_before_ms;
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Reader {
+    slot: Slot,
+    /// Offset to read next; above the state's while a checkpoint is looked for.
+    cursor: Offset,
+    first_kept: Offset,
+    failures: u32,
+    /// Whether all that the log keeps was read and nothing led on.
+    is_stuck: bool,
+}
+
+impl Follower {
+    /// Creates a follower that knows nothing.
+    pub fn new(settings: FollowerSettings) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(settings.seed);
+        let silence_limit_ms = HEAD_SILENCE_MS + rng.random_range(0..=SILENCE_JITTER_MS);
+        Self {
+            state: State::new(),
+            has_started: false,
+            created_ms: None,
+            duties: Duties {
+                tails: true,
+                checkpoint_rank: u64::MAX,
+            },
+            reader: Reader::default(),
+            assembler: Assembler::new(),
+            heads: HeadWatch::default(),
+            snapshot: Slot::default(),
+            schedule: Schedule::new(settings.retention_ms, &mut rng),
+            ignored: Ignored::default(),
+            silence_limit_ms,
+            rng,
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Returns how far it is.
+    pub fn progress(&self, now_ms: u64) -> Progress {
+        Progress {
+            next: self.state.next(),
+            known_next: self.heads.known_next(),
+            age_ms: self.heads.age_ms(now_ms),
+            has_started: self.has_started,
+            is_cut_off: self.reader.is_stuck,
+        }
+    }
+
+    /// Returns what was ignored so far.
+    pub fn ignored(&self) -> Ignored {
+        Ignored {
+            checkpoints: self.assembler.ignored(),
+            ..self.ignored
+        }
+    }
+
+    /// Takes an event and returns what has to be done.
+    pub fn on_event(&mut self, now_ms: u64, event: Event) -> Vec<Action> {
+        let created_ms = *self.created_ms.get_or_insert(now_ms);
+        let mut actions = Vec::new();
+        match event {
+            Event::Tick => {}
+            Event::Duties(duties) => self.set_duties(duties),
+            Event::Read {
+                first,
+                next,
+                records,
+            } => self.on_read(now_ms, first, next, records, &mut actions),
+            Event::Trimmed { first } => self.on_trimmed(now_ms, first),
+            Event::ReadFailed => self.on_read_failed(now_ms),
+            Event::Relayed { head, records } => {
+                self.heads.hear_peer(now_ms, head);
+                self.on_relayed(now_ms, records, &mut actions);
+            }
+            Event::PeerAt(next) => self.heads.hint(next),
+            Event::Snapshot(snapshot) => self.on_snapshot(now_ms, snapshot, &mut actions),
+            Event::CheckpointWritten => self.schedule.finish_write(now_ms),
+        }
+        self.heads.compare(now_ms, self.state.next());
+        self.relay_head(now_ms, &mut actions);
+        self.read_log(now_ms, &mut actions);
+        self.ask_peer(now_ms, created_ms, &mut actions);
+        self.write_checkpoint(now_ms, &mut actions);
+        actions
+    }
+
+    fn set_duties(&mut self, duties: Duties) {
+        self.duties = duties;
+        self.schedule.set_rank(duties.checkpoint_rank);
+    }
+
+    fn on_read(
+        &mut self,
+        now_ms: u64,
+        first: Offset,
+        next: Offset,
+        records: Vec<Received>,
+        actions: &mut Vec<Action>,
+    ) {
+        self.reader.slot.release(now_ms);
+        self.reader.failures = 0;
+        self.reader.first_kept = self.reader.first_kept.max(first);
+        let mut applied = Vec::new();
+        for record in records {
+            if record.offset <= self.state.next() {
+                self.verify_part(now_ms, &record);
+                self.apply(now_ms, record, &mut applied, actions);
+            } else if self.state.next() >= self.reader.first_kept {
+                self.ignored.gaps += 1;
+                self.reader.slot.release(now_ms + READ_RETRY_MS.0);
+                break;
+            } else if self.scan(now_ms, record, actions) {
+                break;
+            }
+        }
+        self.heads.hear_log(now_ms, next);
+        self.finish_read(now_ms, next);
+        self.relay(now_ms, applied, actions);
+    }
+
+    fn finish_read(&mut self, now_ms: u64, next: Offset) {
+        let own_next = self.state.next();
+        if own_next >= self.reader.first_kept {
+            self.reader.cursor = own_next;
+            self.reader.is_stuck = false;
+            self.has_started |= own_next >= next;
+        } else if self.reader.cursor >= next {
+            self.reader.is_stuck = true;
+            self.reader.cursor = self.reader.first_kept;
+            self.reader.slot.release(now_ms + RESCAN_MS);
+        }
+    }
+
+    /// Looks for a checkpoint in a record that the own state does not reach.
+    fn scan(&mut self, now_ms: u64, record: Received, actions: &mut Vec<Action>) -> bool {
+        self.reader.cursor = record.offset.next();
+        let Content::Record(ConfigRecord::Checkpoint(part)) = record.content else {
+            return false;
+        };
+        let Assembly::Complete(state) = self.assembler.add(record.offset, part) else {
+            return false;
+        };
+        if state.next() < self.reader.first_kept || state.next() <= self.state.next() {
+            return false;
+        }
+        let at_ms = now_ms.saturating_sub(record.age_ms);
+        self.schedule.note_content(at_ms);
+        self.schedule
+            .note_complete(state.next(), at_ms, &mut self.rng);
+        self.adopt(*state, Source::Checkpoint, actions);
+        true
+    }
+
+    fn on_trimmed(&mut self, now_ms: u64, first: Offset) {
+        self.reader.slot.release(now_ms);
+        self.reader.failures = 0;
+        self.reader.first_kept = self.reader.first_kept.max(first);
+        self.reader.cursor = self.reader.first_kept.max(self.state.next());
+    }
+
+    fn on_read_failed(&mut self, now_ms: u64) {
+        let (first_ms, longest_ms) = READ_RETRY_MS;
+        let pause_ms = (first_ms << self.reader.failures.min(8)).min(longest_ms);
+        let jitter_ms = self.rng.random_range(0..=pause_ms / 2);
+        self.reader.failures += 1;
+        self.reader.slot.release(now_ms + pause_ms / 2 + jitter_ms);
+    }
+
+    fn on_relayed(&mut self, now_ms: u64, records: Vec<Received>, actions: &mut Vec<Action>) {
+        let mut applied = Vec::new();
+        for record in records {
+            if record.offset > self.state.next() {
+                self.ignored.gaps += 1;
+                break;
+            }
+            if record.offset == self.state.next() {
+                self.count_part(now_ms, &record);
+            }
+            self.apply(now_ms, record, &mut applied, actions);
+        }
+        self.relay(now_ms, applied, actions);
+    }
+
+    fn on_snapshot(
+        &mut self,
+        now_ms: u64,
+        snapshot: Option<Box<Snapshot>>,
+        actions: &mut Vec<Action>,
+    ) {
+        self.snapshot.release(now_ms + SNAPSHOT_RETRY_MS);
+        let Some(snapshot) = snapshot else { return };
+        let Snapshot { state, age_ms } = *snapshot;
+        if !self.is_welcome(now_ms, state.next()) {
+            self.ignored.snapshots += 1;
+            return;
+        }
+        self.has_started = true;
+        if let Some(age_ms) = age_ms {
+            self.heads.adopt_age(now_ms, age_ms);
+        }
+        self.schedule.note_content(now_ms);
+        self.adopt(state, Source::Peer, actions);
+    }
+
+    /// A state that goes back is never taken. A new instance also waits for the
+    /// log rather than start with a state that is known to be old.
+    fn is_welcome(&self, now_ms: u64, offered: Offset) -> bool {
+        if self.has_started {
+            return offered > self.state.next();
+        }
+        let can_wait = !self.is_log_silent(now_ms) && !self.reader.is_stuck;
+        offered >= self.state.next() && (!can_wait || offered >= self.heads.known_next())
+    }
+
+    fn adopt(&mut self, state: State, source: Source, actions: &mut Vec<Action>) {
+        self.state = state;
+        self.reader.cursor = self.state.next();
+        self.reader.is_stuck &= self.state.next() < self.reader.first_kept;
+        actions.push(Action::Adopted {
+            source,
+            next: self.state.next(),
+        });
+    }
+
+    fn apply(
+        &mut self,
+        now_ms: u64,
+        record: Received,
+        applied: &mut Vec<Received>,
+        actions: &mut Vec<Action>,
+    ) {
+        let offset = record.offset;
+        let result = match &record.content {
+            Content::Record(content) => self.state.apply(offset, content),
+            Content::Undecodable => self.state.apply_undecodable(offset),
+        };
+        if matches!(result, Applied::Old | Applied::Gap { .. }) {
+            return;
+        }
+        let at_ms = now_ms.saturating_sub(record.age_ms);
+        self.schedule.note_content(at_ms);
+        match &record.content {
+            Content::Record(ConfigRecord::Change(change)) => actions.push(Action::Decided {
+                offset,
+                id: change.id.clone(),
+                operator: change.operator.clone(),
+                applied: result,
+            }),
+            Content::Record(ConfigRecord::Checkpoint(_)) => {}
+            Content::Undecodable => self.ignored.undecodable += 1,
+        }
+        applied.push(record);
+    }
+
+    /// Verifies a part that came from the log itself.
+    fn verify_part(&mut self, now_ms: u64, record: &Received) {
+        let Content::Record(ConfigRecord::Checkpoint(part)) = &record.content else {
+            return;
+        };
+        if record.offset < self.state.next() {
+            return;
+        }
+        let at_ms = self.written_at_ms(now_ms, record);
+        if let Assembly::Complete(state) = self.assembler.add(record.offset, part.clone()) {
+            self.schedule
+                .note_complete(state.next(), at_ms, &mut self.rng);
+        }
+    }
+
+    fn count_part(&mut self, now_ms: u64, record: &Received) {
+        if let Content::Record(ConfigRecord::Checkpoint(part)) = &record.content {
+            let at_ms = self.written_at_ms(now_ms, record);
+            self.schedule.count_part(part, at_ms, &mut self.rng);
+        }
+    }
+
+    /// Once it follows the head, a record counts as new when it arrives: so
+    /// clocks that disagree can't make every checkpoint look old.
+    fn written_at_ms(&self, now_ms: u64, record: &Received) -> u64 {
+        if self.has_started {
+            now_ms
+        } else {
+            now_ms.saturating_sub(record.age_ms)
+        }
+    }
+
+    fn relay(&mut self, now_ms: u64, applied: Vec<Received>, actions: &mut Vec<Action>) {
+        if applied.is_empty() || !self.has_started {
+            return;
+        }
+        let records = applied.into_iter().map(without_items).collect();
+        let head = self.heads.head(now_ms).unwrap_or(Head {
+            next: self.state.next(),
+            age_ms: 0,
+        });
+        self.heads.mark_relayed();
+        actions.push(Action::Relay { head, records });
+    }
+
+    fn relay_head(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        if !self.heads.is_news(HEAD_STEP_MS) {
+            return;
+        }
+        if let Some(head) = self.heads.head(now_ms) {
+            self.heads.mark_relayed();
+            actions.push(Action::Relay {
+                head,
+                records: Vec::new(),
+            });
+        }
+    }
+
+    fn read_log(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        let is_silent = self.is_log_silent(now_ms);
+        let behind_ms = self.heads.behind_ms(now_ms);
+        let is_behind = behind_ms.is_some_and(|ms| ms >= BEHIND_READ_MS);
+        let is_wanted = self.duties.tails || !self.has_started || is_behind || is_silent;
+        if is_wanted && self.reader.slot.take(now_ms) {
+            self.reader.cursor = self.reader.cursor.max(self.state.next());
+            actions.push(Action::Read {
+                from: self.reader.cursor,
+                wait_ms: READ_WAIT_MS,
+            });
+        }
+    }
+
+    fn is_log_silent(&self, now_ms: u64) -> bool {
+        self.heads
+            .silent_ms(now_ms)
+            .is_none_or(|silent| silent > self.silence_limit_ms)
+    }
+
+    fn ask_peer(&mut self, now_ms: u64, created_ms: u64, actions: &mut Vec<Action>) {
+        let is_late = now_ms.saturating_sub(created_ms) >= START_PATIENCE_MS;
+        let needs_start = !self.has_started && (is_late || self.reader.failures > 0);
+        let behind_ms = self.heads.behind_ms(now_ms);
+        let is_behind = behind_ms.is_some_and(|ms| ms >= BEHIND_PATIENCE_MS);
+        let is_needed = needs_start || is_behind || self.reader.is_stuck;
+        if is_needed && self.snapshot.take(now_ms) {
+            actions.push(Action::FetchSnapshot);
+        }
+    }
+
+    fn write_checkpoint(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        let first_kept = self.reader.first_kept;
+        let can_write = self.has_started
+            && self.state.next() > Offset::default()
+            && self.state.next() >= first_kept;
+        if can_write && self.schedule.take_turn(now_ms, first_kept) {
+            actions.push(Action::WriteCheckpoint(self.state.checkpoint()));
+        }
+    }
+}
+
+/// Leaves out what no receiver of a relay needs: a part of a checkpoint only
+/// takes up its offset in the state.
+fn without_items(mut record: Received) -> Received {
+    if let Content::Record(ConfigRecord::Checkpoint(part)) = &mut record.content {
+        part.items.clear();
+    }
+    record
+}
--- a/crates/core/src/config/state.rs
+++ b/crates/core/src/config/state.rs
@@ -38,6 +38,10 @@
         IdMismatch {
             display("the identifier is not the digest of base, operator and steps")
         }
+        /// The change does not fit a record.
+        TooLarge {
+            display("the change does not fit a record")
+        }
         /// The operator's name breaks the rule for names.
         BadOperator {
             display("the operator's name is not valid")
--- a/crates/core/tests/config_fixtures/mod.rs
+++ b/crates/core/tests/config_fixtures/mod.rs
@@ -116,3 +116,5 @@
     assert_eq!(applied, Applied::InForce);
     state
 }
+
+pub mod world;
--- /dev/null
+++ b/crates/core/tests/config_follower.rs
@@ -0,0 +1,311 @@
+//! Following the stream through failures of the log, of peers and of links.
+
+mod config_fixtures;
+
+use config_fixtures::{
+    put_pool,
+    world::{Faults, Node, World},
+};
+use quickcheck::{Gen, QuickCheck};
+use savoryvane_core::{
+    config::{Action, ConfigRecord, Source, State},
+    ids::Offset,
+};
+
+const HOUR_MS: u64 = 3_600_000;
+const LIMIT_MS: u64 = 4_000;
+
+/// Starts `nodes` followers that are at the head of a log with `changes`.
+fn world(nodes: usize, changes: u64, seed: u64) -> World {
+    let mut world = World::new(nodes, HOUR_MS, seed);
+    for _ in 0..changes {
+        change(&mut world);
+    }
+    world.run_for(3_000);
+    for node in 0..nodes {
+        assert_eq!(world.next_of(node), changes);
+    }
+    world
+}
+
+/// Appends a change and returns the offset that follows it.
+fn change(world: &mut World) -> u64 {
+    let base = world.log.records.len() as u64;
+    world.append(put_pool(base, &format!("pool-{}", base % 7), base));
+    base + 1
+}
+
+/// Applies every record ever appended, whether the log still keeps it or not.
+fn replayed(world: &World) -> State {
+    replayed_to(world, Offset(world.log.records.len() as u64))
+}
+
+fn replayed_to(world: &World, next: Offset) -> State {
+    let mut state = State::new();
+    for (_, record) in &world.log.records[..next.0 as usize] {
+        state.apply(state.next(), record);
+    }
+    state
+}
+
+fn all(_: &Node) -> bool {
+    true
+}
+
+#[test]
+fn in_force_on_9_and_95_instances_within_4_s() {
+    for nodes in [9, 95] {
+        let mut world = world(nodes, 3, 1);
+        let next = change(&mut world);
+        let took_ms = world.run_until_in_force(next, LIMIT_MS, all);
+        println!("{nodes} instances, nothing failing: {took_ms:?} ms");
+        assert!(took_ms.is_some());
+    }
+}
+
+#[test]
+fn in_force_within_4_s_while_both_tailers_are_frozen() {
+    for nodes in [9, 95] {
+        let mut slowest_ms = 0;
+        for seed in 0..10 {
+            let mut world = world(nodes, 3, seed);
+            world.set_frozen(0, true);
+            world.set_frozen(1, true);
+            world.run_for(seed * 97);
+            let next = change(&mut world);
+            let took_ms = world.run_until_in_force(next, LIMIT_MS, |node| !node.is_frozen());
+            slowest_ms = slowest_ms.max(took_ms.expect("within the limit"));
+        }
+        println!("{nodes} instances, both tailers frozen: {slowest_ms} ms");
+    }
+}
+
+#[test]
+fn in_force_within_4_s_on_a_slow_log() {
+    for nodes in [9, 95] {
+        let mut slowest_ms = 0;
+        for seed in 0..10 {
+            let mut world = world(nodes, 3, seed);
+            world.log.faults.slow_ms = 900;
+            world.run_for(5_000 + seed * 97);
+            let next = change(&mut world);
+            let took_ms = world.run_until_in_force(next, LIMIT_MS, all);
+            slowest_ms = slowest_ms.max(took_ms.expect("within the limit"));
+        }
+        println!("{nodes} instances, log slower by 900 ms: {slowest_ms} ms");
+    }
+}
+
+#[test]
+fn relays_keep_most_instances_off_the_log() {
+    let mut world = world(95, 3, 3);
+    world.log.reads = 0;
+    world.run_for(60_000);
+    let polls = world.log.reads;
+    assert!(polls <= 2 * 130, "{polls} polls in 60 s by 2 tailers");
+}
+
+#[test]
+fn a_delivery_gap_is_read_again_and_never_applied_across() {
+    let mut world = world(9, 3, 4);
+    world.log.faults.missing = Some(3);
+    change(&mut world);
+    let next = change(&mut world);
+    world.run_for(3_000);
+    assert!((0..9).all(|node| world.next_of(node) == 3));
+    assert!(world.nodes[0].follower.ignored().gaps > 0);
+    world.log.faults.missing = None;
+    assert!(world.run_until_in_force(next, LIMIT_MS, all).is_some());
+    let expected = replayed(&world);
+    assert!(world.nodes.iter().all(|x| *x.follower.state() == expected));
+}
+
+#[test]
+fn records_held_back_by_the_log_come_from_a_peer_that_has_them() {
+    let mut world = world(9, 3, 5);
+    world.nodes[8].is_cut = true;
+    let next = change(&mut world);
+    world.run_for(1_000);
+    world.log.faults.hidden_from = Some(3);
+    world.nodes[8].is_cut = false;
+    assert!(world.run_until_in_force(next, LIMIT_MS, all).is_some());
+}
+
+#[test]
+fn an_instance_trimmed_past_its_offset_starts_over_from_a_checkpoint() {
+    let mut world = world(9, 3, 6);
+    world.nodes[8].is_cut = true;
+    for _ in 0..5 {
+        change(&mut world);
+    }
+    world.run_for(1_000);
+    let parts = world.nodes[0].follower.state().checkpoint();
+    for part in parts {
+        world.append(ConfigRecord::Checkpoint(part));
+    }
+    world.log.first = 6;
+    let next = change(&mut world);
+    world.run_for(1_000);
+    for node in 0..8 {
+        // Peers can't help: only the log is left.
+        world.set_frozen(node, true);
+    }
+    world.nodes[8].is_cut = false;
+    let took_ms = world.run_until_in_force(next, LIMIT_MS, |node| !node.is_frozen());
+    assert!(took_ms.is_some());
+    let adopted = Action::Adopted {
+        source: Source::Checkpoint,
+        next: Offset(8),
+    };
+    assert!(world.nodes[8].actions.contains(&adopted));
+    assert_eq!(*world.nodes[8].follower.state(), replayed(&world));
+}
+
+#[test]
+fn a_log_that_dropped_every_record_leaves_the_state_and_gets_a_checkpoint() {
+    let mut world = world(9, 3, 7);
+    world.log.first = 3;
+    world.run_for(90_000);
+    let checkpoints = world.log.records[3..].iter();
+    let covers = checkpoints.filter_map(|(_, record)| match record {
+        ConfigRecord::Checkpoint(part) => Some(part.covers),
+        ConfigRecord::Change(_) => None,
+    });
+    assert_eq!(covers.collect::<Vec<_>>(), [Offset(3)]);
+    let new = world.add_node();
+    world.run_for(2_000);
+    assert_eq!(*world.nodes[new].follower.state(), replayed(&world));
+}
+
+#[test]
+fn a_new_instance_starts_from_a_peer_while_the_log_is_down() {
+    let mut world = world(9, 5, 8);
+    world.log.faults.outage = true;
+    world.run_for(10_000);
+    let new = world.add_node();
+    world.run_for(1_000);
+    let progress = world.nodes[new].follower.progress(world.now_ms);
+    assert!(progress.has_started);
+    assert_eq!(world.next_of(new), 5);
+    assert!(progress.age_ms.unwrap() >= 10_000, "{progress:?}");
+    world.log.faults.outage = false;
+    let next = change(&mut world);
+    assert!(world.run_until_in_force(next, LIMIT_MS, all).is_some());
+}
+
+#[test]
+fn an_instance_that_was_cut_off_keeps_its_state_says_its_age_and_catches_up() {
+    let mut world = world(9, 3, 9);
+    world.nodes[4].is_cut = true;
+    let next = change(&mut world);
+    world.run_for(20_000);
+    assert_eq!(world.next_of(4), 3);
+    let progress = world.nodes[4].follower.progress(world.now_ms);
+    assert!(progress.age_ms.unwrap() >= 19_000, "{progress:?}");
+    assert!(
+        world.nodes[5]
+            .follower
+            .progress(world.now_ms)
+            .age_ms
+            .unwrap()
+            < 1_000
+    );
+    world.nodes[4].is_cut = false;
+    assert!(world.run_until_in_force(next, LIMIT_MS, all).is_some());
+}
+
+#[test]
+fn an_instance_that_reaches_peers_but_not_the_log_follows_within_4_s() {
+    let mut world = world(9, 3, 10);
+    for node in 0..8 {
+        world.nodes[node].is_off_log = true;
+    }
+    world.run_for(3_000);
+    let next = change(&mut world);
+    assert!(world.run_until_in_force(next, LIMIT_MS, all).is_some());
+}
+
+#[test]
+fn an_old_peer_never_takes_anyone_back() {
+    let mut world = world(9, 3, 11);
+    world.nodes[8].is_cut = true;
+    for _ in 0..4 {
+        change(&mut world);
+    }
+    world.run_for(2_000);
+    // It offers its old state whenever anyone asks; a new instance that can
+    // reach the log does not start with it.
+    world.nodes[8].is_cut = false;
+    world.nodes[8].is_off_log = true;
+    world.snapshot_from = Some(8);
+    let new = world.add_node();
+    world.run_for(3_000);
+    let adopted = |action: &Action| matches!(action, Action::Adopted { .. });
+    assert!(!world.nodes[new].actions.iter().any(adopted));
+    // The world checks after each event that no state went back.
+    for node in (0..8).chain([new]) {
+        assert_eq!(world.next_of(node), 7);
+    }
+}
+
+#[test]
+fn checkpoints_keep_the_configuration_past_the_retention() {
+    let mut world = World::new(9, 60_000, 12);
+    for _ in 0..5 {
+        change(&mut world);
+    }
+    let mut written = 0;
+    for round in 0..20 {
+        world.run_for(30_000);
+        written = world.log.records.len() - 5;
+        // Instances come and go; in the end none is left that saw the changes.
+        world.set_frozen(round, true);
+        let new = world.add_node();
+        world.run_for(3_000);
+        assert_eq!(*world.nodes[new].follower.state(), replayed(&world));
+    }
+    assert!(world.log.first > 5, "the changes themselves have expired");
+    println!("{written} checkpoints in 660 s at a retention of 60 s");
+    assert!(written <= 66, "{written} checkpoints");
+}
+
+fn any_interleaving(seed: u64, steps: Vec<(u8, u8)>) -> bool {
+    let mut world = World::new(5, 20_000, seed);
+    for (step, node) in steps {
+        let node = usize::from(node) % world.nodes.len();
+        match step % 11 {
+            0..3 => drop(change(&mut world)),
+            3 => world.log.faults.outage ^= true,
+            4 => world.log.faults.slow_ms = u64::from(step) * 5,
+            5 => world.log.faults.hidden_from = Some(world.log.records.len() as u64),
+            6 => world.log.faults = Faults::default(),
+            7 => world.nodes[node].is_cut ^= true,
+            8 => world.set_frozen(node, !world.nodes[node].is_frozen()),
+            9 => world.nodes[node].is_off_log ^= true,
+            _ => world.run_for(u64::from(step) * 10),
+        }
+        world.run_for(u64::from(step));
+    }
+    world.log.faults = Faults::default();
+    for node in 0..world.nodes.len() {
+        world.set_frozen(node, false);
+        world.nodes[node].is_cut = false;
+        world.nodes[node].is_off_log = false;
+    }
+    let next = change(&mut world);
+    let in_force = world.run_until_in_force(next, LIMIT_MS, all).is_some();
+    let is_right = |node: &Node| {
+        let state = node.follower.state();
+        *state == replayed_to(&world, state.next())
+    };
+    in_force && world.nodes.iter().all(is_right)
+}
+
+#[test]
+fn any_interleaving_of_failures_ends_in_the_same_state() {
+    let property = any_interleaving as fn(u64, Vec<(u8, u8)>) -> bool;
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 7))
+        .tests(300)
+        .quickcheck(property);
+}
