Let calls leave the own availability zone by measured wait

Cause: a zone with one or two servers of a service gave no choice, and lost to round robin over all zones. Ruled out: a fixed share of calls sent elsewhere. Another zone's server is scored with the way there (tenth percentile of the time beside work) and the share of one call in its wait on top.

--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -1,6 +1,6 @@
 //! The policies that the bench compares.
 
-use savoryvane_core::settings::{PolicySettings, Routing};
+use savoryvane_core::settings::{PolicySettings, Routing, Spill};
 
 /// A policy to run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,16 +18,19 @@
 pub enum Part {
     /// Choosing by load.
     Routing,
+    /// Leaving the own availability zone by wait.
+    Spill,
 }
 
 impl Part {
     /// Every part.
-    pub const ALL: [Self; 1] = [Self::Routing];
+    pub const ALL: [Self; 2] = [Self::Routing, Self::Spill];
 
     /// Returns the name used on the command line.
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Routing => "routing",
+            Self::Spill => "spill",
         }
     }
 }
@@ -59,5 +62,9 @@
             routing: Routing::RoundRobin,
             ..settings
         },
+        Part::Spill => PolicySettings {
+            spill: Spill::WhenEmpty,
+            ..settings
+        },
     }
 }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -17,6 +17,7 @@
 
 mod retry_budget;
 mod route;
+mod score;
 
 pub(crate) use retry_budget::RetryBudget;
 pub(crate) use route::{RouteQuery, Routed};
@@ -164,6 +165,8 @@
     backends: Vec<KnownBackend>,
     by_name: HashMap<BackendName, usize>,
     pools: BTreeMap<PoolName, KnownPool>,
+    /// Time beside work of the calls to each availability zone.
+    ways: BTreeMap<ZoneName, Quantiles>,
     pub(crate) retry_budget: RetryBudget,
     pub(crate) costs: CostBook,
 }
@@ -186,6 +189,7 @@
             backends: Vec::new(),
             by_name: HashMap::new(),
             pools: BTreeMap::new(),
+            ways: BTreeMap::new(),
             costs: CostBook::default(),
         }
     }
@@ -352,6 +356,9 @@
                 busy_us,
             } => {
                 backend.heard = true;
+                let zone = backend.zone.clone();
+                let way_us = elapsed_us.saturating_sub(busy_us);
+                self.ways.entry(zone).or_default().record(way_us);
                 if let Some(known) = self.pools.get_mut(&pool) {
                     known.elapsed.record(elapsed_us);
                     known.busy.record(busy_us);
--- a/crates/core/src/fleet/route.rs
+++ b/crates/core/src/fleet/route.rs
@@ -6,12 +6,9 @@
 use crate::{
     decision::{Candidate, DecisionReason},
     ids::{BackendName, ModelName, PoolName},
-    settings::Routing,
+    settings::{Routing, Spill},
 };
 
-/// Busy time of a call that is assumed before one was seen, in µs.
-const ASSUMED_BUSY_US: u64 = 10_000;
-
 /// What a call needs of its backend server.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RouteQuery<'a> {
@@ -35,7 +32,7 @@
         let eligible = self.eligible(now_ms, query);
         match self.settings.routing {
             Routing::RoundRobin => self.take_turn(now_ms, query, &eligible),
-            Routing::TwoChoices => self.choose_of_two(now_ms, query, &eligible),
+            Routing::TwoChoices => self.choose_of_two(now_ms, &eligible),
         }
     }
 
@@ -78,21 +75,18 @@
         )
     }
 
-    fn choose_of_two(&mut self, now_ms: u64, query: &RouteQuery<'_>, eligible: &[usize]) -> Routed {
-        let _ = query;
-        let near: Vec<usize> = eligible
+    fn choose_of_two(&mut self, now_ms: u64, eligible: &[usize]) -> Routed {
+        let (near, far): (Vec<usize>, Vec<usize>) = eligible
             .iter()
-            .copied()
-            .filter(|index| self.backends[*index].zone == self.zone)
-            .collect();
-        let choices = if near.is_empty() { eligible } else { &near };
-        match choices {
-            [] => none(),
-            [only] => self.routed(now_ms, &[*only], DecisionReason::Only),
-            [..] => {
-                let pair = pick_two(&mut self.rng, choices);
-                self.routed(now_ms, &pair, DecisionReason::LeastLoad)
-            }
+            .partition(|index| self.backends[**index].zone == self.zone);
+        let mut considered = pick_two(&mut self.rng, &near);
+        if near.is_empty() || self.settings.spill == Spill::ByWait {
+            considered.extend(pick_two(&mut self.rng, &far));
+        }
+        match considered.len() {
+            0 => none(),
+            1 => self.routed(now_ms, &considered, DecisionReason::Only),
+            _ => self.routed(now_ms, &considered, DecisionReason::LeastLoad),
         }
     }
 
@@ -119,29 +113,6 @@
             score_us: self.score_us(now_ms, backend),
         }
     }
-
-    /// Estimates the wait at a backend server: its load over its slots.
-    fn score_us(&self, now_ms: u64, backend: &KnownBackend) -> u64 {
-        let busy_us = self
-            .pools
-            .get(&backend.pool)
-            .and_then(|pool| pool.busy.mean_us())
-            .unwrap_or(ASSUMED_BUSY_US);
-        busy_us * u64::from(self.load(now_ms, backend)) / u64::from(backend.slots)
-    }
-
-    /// Estimates the calls at a backend server: what it reported of others,
-    /// as long as that is recent, and what this instance has open there.
-    fn load(&self, now_ms: u64, backend: &KnownBackend) -> u32 {
-        let others = backend.report.as_ref().map_or(0, |report| {
-            let age_ms = now_ms.saturating_sub(report.measured_at_ms);
-            if age_ms > self.settings.report_max_age_ms {
-                return 0;
-            }
-            report.load.saturating_sub(report.own_in_flight)
-        });
-        others + backend.in_flight
-    }
 }
 
 fn none() -> Routed {
@@ -159,8 +130,12 @@
     }
 }
 
-fn pick_two(rng: &mut impl Rng, choices: &[usize]) -> [usize; 2] {
+/// Picks two of `choices` at random, or all there are.
+fn pick_two(rng: &mut impl Rng, choices: &[usize]) -> Vec<usize> {
+    if choices.len() <= 2 {
+        return choices.to_vec();
+    }
     let first = rng.random_range(0..choices.len());
     let second = (first + rng.random_range(1..choices.len())) % choices.len();
-    [choices[first], choices[second]]
+    vec![choices[first], choices[second]]
 }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -7,6 +7,8 @@
     pub subset_size: usize,
     /// How a backend server is chosen among the candidates.
     pub routing: Routing,
+    /// Whether calls may leave the own availability zone while it has servers.
+    pub spill: Spill,
     /// Calls of one stage of one request, the first included.
     pub max_attempts: u32,
     /// Retries allowed for each hundred first attempts.
@@ -24,6 +26,7 @@
         Self {
             subset_size: 16,
             routing: Routing::TwoChoices,
+            spill: Spill::ByWait,
             max_attempts: 3,
             retry_percent: 10,
             retry_burst: 10,
@@ -41,3 +44,12 @@
     /// The less loaded of two random ones, the own availability zone first.
     TwoChoices,
 }
+
+/// When calls leave the own availability zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spill {
+    /// Only when none of its backend servers takes work.
+    WhenEmpty,
+    /// When the wait there is longer than elsewhere by more than the way.
+    ByWait,
+}
