--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -1,6 +1,6 @@
 //! The policies that the bench compares.
 
-use savoryvane_core::settings::{PolicySettings, Routing, Spill};
+use savoryvane_core::settings::{PolicySettings, Reports, Routing, Spill};
 
 /// A policy to run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,17 +20,20 @@
     Routing,
     /// Leaving the own availability zone by wait.
     Spill,
+    /// Letting load reports fade.
+    FadingReports,
 }
 
 impl Part {
     /// Every part.
-    pub const ALL: [Self; 2] = [Self::Routing, Self::Spill];
+    pub const ALL: [Self; 3] = [Self::Routing, Self::Spill, Self::FadingReports];
 
     /// Returns the name used on the command line.
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Routing => "routing",
             Self::Spill => "spill",
+            Self::FadingReports => "fading_reports",
         }
     }
 }
@@ -66,5 +69,9 @@
             spill: Spill::WhenEmpty,
             ..settings
         },
+        Part::FadingReports => PolicySettings {
+            reports: Reports::Trusted,
+            ..settings
+        },
     }
 }
--- a/crates/core/src/execution/attempt.rs
+++ b/crates/core/src/execution/attempt.rs
@@ -81,7 +81,7 @@
         if !self.stage().idempotent {
             self.maybe_effective += 1;
         }
-        turn.fleet.on_call_sent(&backend);
+        turn.fleet.on_call_sent(turn.now_ms, &backend);
         self.live.push(Attempt {
             number,
             backend: backend.clone(),
@@ -145,7 +145,8 @@
         };
         self.handed_over -= 1;
         self.take_back_effect();
-        turn.fleet.on_call_ended(&attempt.backend, CallEnd::Failed);
+        turn.fleet
+            .on_call_ended(turn.now_ms, &attempt.backend, CallEnd::Failed);
         let why = Reason::GivenUp(DecisionReason::NoBackend);
         self.try_again(why, Charge::Free, turn);
     }
@@ -157,7 +158,7 @@
         self.take_back_effect();
         self.usage_mut().calls += 1;
         turn.fleet
-            .on_call_ended(&attempt.backend, CallEnd::Refused(reason));
+            .on_call_ended(turn.now_ms, &attempt.backend, CallEnd::Refused(reason));
         let stage = self.stage().name.clone();
         let why = Reason::Refused { stage, reason };
         match reason {
@@ -371,7 +372,7 @@
             elapsed_us: elapsed_us(attempt.sent_at_ms, turn.now_ms),
             busy_us,
         };
-        turn.fleet.on_call_ended(&attempt.backend, end);
+        turn.fleet.on_call_ended(turn.now_ms, &attempt.backend, end);
         self.book(busy_us, false, turn);
     }
 
@@ -384,7 +385,7 @@
         end: CallEnd,
         turn: &mut Turn<'_>,
     ) {
-        turn.fleet.on_call_ended(&attempt.backend, end);
+        turn.fleet.on_call_ended(turn.now_ms, &attempt.backend, end);
         let busy_us = busy_us.unwrap_or_else(|| elapsed_us(attempt.sent_at_ms, turn.now_ms));
         self.book(busy_us, true, turn);
     }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -15,10 +15,12 @@
     settings::PolicySettings,
 };
 
+mod in_flight;
 mod retry_budget;
 mod route;
 mod score;
 
+use in_flight::InFlightHistory;
 pub(crate) use retry_budget::RetryBudget;
 pub(crate) use route::{RouteQuery, Routed};
 
@@ -96,6 +98,8 @@
     pub(crate) heard: bool,
     pub(crate) ejected_until_ms: u64,
     pub(crate) in_flight: u32,
+    /// Calls that this instance had open there lately.
+    pub(crate) recent: InFlightHistory,
     pub(crate) report: Option<Report>,
     /// Models that the last report names; nothing is known before it.
     pub(crate) models: Option<Vec<ModelName>>,
@@ -112,6 +116,7 @@
             heard: false,
             ejected_until_ms: 0,
             in_flight: 0,
+            recent: InFlightHistory::default(),
             report: None,
             models: None,
         }
@@ -281,7 +286,7 @@
         backend.models = Some(report.models.clone());
         backend.report = Some(Report {
             load: report.running + report.queued,
-            own_in_flight: backend.in_flight,
+            own_in_flight: backend.recent.at(measured_at_ms),
             measured_at_ms,
         });
     }
@@ -337,17 +342,19 @@
             .map(|index| &mut self.backends[*index])
     }
 
-    pub(crate) fn on_call_sent(&mut self, name: &BackendName) {
+    pub(crate) fn on_call_sent(&mut self, now_ms: u64, name: &BackendName) {
         if let Some(backend) = self.known_mut(name) {
             backend.in_flight += 1;
+            backend.recent.record(now_ms, backend.in_flight);
         }
     }
 
-    pub(crate) fn on_call_ended(&mut self, name: &BackendName, end: CallEnd) {
+    pub(crate) fn on_call_ended(&mut self, now_ms: u64, name: &BackendName, end: CallEnd) {
         let Some(backend) = self.known_mut(name) else {
             return;
         };
         backend.in_flight = backend.in_flight.saturating_sub(1);
+        backend.recent.record(now_ms, backend.in_flight);
         let pool = backend.pool.clone();
         match end {
             CallEnd::Refused(RefusalReason::Leaving) => backend.leaving = true,
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -15,6 +15,8 @@
     pub retry_percent: u32,
     /// Retries that may be sent before any traffic has earned them.
     pub retry_burst: u32,
+    /// How load reports are used as they age.
+    pub reports: Reports,
     /// Age after which a load report counts for nothing, in ms.
     pub report_max_age_ms: u64,
     /// Time to come back after when nothing better is known, in ms.
@@ -30,6 +32,7 @@
             max_attempts: 3,
             retry_percent: 10,
             retry_burst: 10,
+            reports: Reports::Fading,
             report_max_age_ms: 5_000,
             default_retry_after_ms: 1_000,
         }
@@ -53,3 +56,12 @@
     /// When the wait there is longer than elsewhere by more than the way.
     ByWait,
 }
+
+/// How load reports are used as they age.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reports {
+    /// As they are, until they are too old.
+    Trusted,
+    /// The less, the more calls have come and gone since.
+    Fading,
+}
