Eject backend servers that fail or cannot be reached

Cause: a server that fails at once always looks idle, and a zone that is cut off was tried again for each call. Ruled out: one cap on ejections for both kinds; a cap on unreachable servers would keep sending into a cut. At most 34% of a pool is ejected for failing. Calls that may not be repeated prefer servers whose last answer was good.

--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -1,6 +1,6 @@
 //! The policies that the bench compares.
 
-use savoryvane_core::settings::{PolicySettings, Reports, Routing, Spill};
+use savoryvane_core::settings::{Ejection, PolicySettings, Reports, Routing, Spill};
 
 /// A policy to run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,11 +22,18 @@
     Spill,
     /// Letting load reports fade.
     FadingReports,
+    /// Ejecting backend servers that fail.
+    Ejection,
 }
 
 impl Part {
     /// Every part.
-    pub const ALL: [Self; 3] = [Self::Routing, Self::Spill, Self::FadingReports];
+    pub const ALL: [Self; 4] = [
+        Self::Routing,
+        Self::Spill,
+        Self::FadingReports,
+        Self::Ejection,
+    ];
 
     /// Returns the name used on the command line.
     pub fn as_str(self) -> &'static str {
@@ -34,6 +41,7 @@
             Self::Routing => "routing",
             Self::Spill => "spill",
             Self::FadingReports => "fading_reports",
+            Self::Ejection => "ejection",
         }
     }
 }
@@ -52,6 +60,7 @@
 fn baseline() -> PolicySettings {
     PolicySettings {
         routing: Routing::RoundRobin,
+        ejection: Ejection::Off,
         retry_percent: 1_000,
         retry_burst: 1_000_000,
         ..PolicySettings::default()
@@ -73,5 +82,9 @@
             reports: Reports::Trusted,
             ..settings
         },
+        Part::Ejection => PolicySettings {
+            ejection: Ejection::Off,
+            ..settings
+        },
     }
 }
--- a/crates/core/src/execution/attempt.rs
+++ b/crates/core/src/execution/attempt.rs
@@ -7,7 +7,7 @@
     call::{CallId, RefusalReason, StageCall, StageEvent},
     cost::{StageUsage, cost_micros},
     decision::{Decision, DecisionKind, DecisionReason},
-    fleet::{CallEnd, RouteQuery, Routed},
+    fleet::{CallEnd, Fault, RouteQuery, Routed},
     ids::BackendName,
     objects::StageKind,
 };
@@ -60,6 +60,7 @@
             pool: &stage.pool,
             model: stage.model.as_ref(),
             tried: &self.tried,
+            idempotent: stage.idempotent,
         };
         let routed = turn.fleet.route(turn.now_ms, &query);
         let stage_kind = turn.fleet.pool(&stage.pool).map(|known| known.pool.kind);
@@ -145,8 +146,11 @@
         };
         self.handed_over -= 1;
         self.take_back_effect();
-        turn.fleet
-            .on_call_ended(turn.now_ms, &attempt.backend, CallEnd::Failed);
+        turn.fleet.on_call_ended(
+            turn.now_ms,
+            &attempt.backend,
+            CallEnd::Failed(Fault::Unreachable),
+        );
         let why = Reason::GivenUp(DecisionReason::NoBackend);
         self.try_again(why, Charge::Free, turn);
     }
@@ -180,7 +184,7 @@
         let Some(attempt) = self.take_live(number) else {
             return;
         };
-        self.book_wasted(&attempt, None, CallEnd::Failed, turn);
+        self.book_wasted(&attempt, None, CallEnd::Failed(Fault::Unreachable), turn);
         let stage = self.stage().name.clone();
         self.after_failure(Reason::Lost { stage }, turn);
     }
@@ -199,10 +203,15 @@
         let Some(attempt) = self.live.iter_mut().find(|live| live.number == number) else {
             return;
         };
-        if attempt.is_silent || !is_idempotent {
+        if attempt.is_silent {
             return;
         }
         attempt.is_silent = true;
+        turn.fleet
+            .on_bad_answer(turn.now_ms, &attempt.backend, Fault::Unreachable);
+        if !is_idempotent {
+            return;
+        }
         let is_alone = self.live.iter().all(|live| live.is_silent);
         if is_alone && self.may_repeat(Charge::Retry, turn).is_ok() {
             self.send(DecisionKind::Retry, turn);
@@ -290,7 +299,7 @@
         let Some(attempt) = self.take_live(id.attempt) else {
             return;
         };
-        self.book_wasted(&attempt, None, CallEnd::Failed, turn);
+        self.book_wasted(&attempt, None, CallEnd::Failed(Fault::Failing), turn);
         if self.stage().idempotent {
             turn.act(Action::Cancel {
                 backend: attempt.backend,
@@ -318,7 +327,12 @@
         };
         let is_whole = tokens == attempt.next_index && tokens == self.stream.len();
         if !is_whole {
-            self.book_wasted(&attempt, Some(busy_us), CallEnd::Failed, turn);
+            self.book_wasted(
+                &attempt,
+                Some(busy_us),
+                CallEnd::Failed(Fault::Failing),
+                turn,
+            );
             turn.act(Action::Discard {
                 id,
                 reason: DiscardReason::Broken,
@@ -335,7 +349,12 @@
         let Some(attempt) = self.take_live(number) else {
             return;
         };
-        self.book_wasted(&attempt, Some(busy_us), CallEnd::Failed, turn);
+        self.book_wasted(
+            &attempt,
+            Some(busy_us),
+            CallEnd::Failed(Fault::Failing),
+            turn,
+        );
         let stage = self.stage().name.clone();
         self.after_failure(Reason::Failed { stage, message }, turn);
     }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -15,11 +15,14 @@
     settings::PolicySettings,
 };
 
+mod health;
 mod in_flight;
 mod retry_budget;
 mod route;
 mod score;
 
+pub(crate) use health::Fault;
+use health::Health;
 use in_flight::InFlightHistory;
 pub(crate) use retry_budget::RetryBudget;
 pub(crate) use route::{RouteQuery, Routed};
@@ -76,7 +79,7 @@
     /// It was refused.
     Refused(RefusalReason),
     /// It failed, or its connection did.
-    Failed,
+    Failed(Fault),
     /// It was given up before it ended.
     Abandoned,
 }
@@ -96,7 +99,7 @@
     pub(crate) slots: u32,
     pub(crate) leaving: bool,
     pub(crate) heard: bool,
-    pub(crate) ejected_until_ms: u64,
+    pub(crate) health: Health,
     pub(crate) in_flight: u32,
     /// Calls that this instance had open there lately.
     pub(crate) recent: InFlightHistory,
@@ -114,7 +117,7 @@
             slots: backend.slots.max(1),
             leaving: false,
             heard: false,
-            ejected_until_ms: 0,
+            health: Health::default(),
             in_flight: 0,
             recent: InFlightHistory::default(),
             report: None,
@@ -125,7 +128,7 @@
     pub(crate) fn state(&self, now_ms: u64) -> BackendState {
         if self.leaving {
             BackendState::Leaving
-        } else if now_ms < self.ejected_until_ms {
+        } else if self.health.is_ejected(now_ms) {
             BackendState::Ejected
         } else if self.heard {
             BackendState::Serving
@@ -363,6 +366,7 @@
                 busy_us,
             } => {
                 backend.heard = true;
+                backend.health.on_success();
                 let zone = backend.zone.clone();
                 let way_us = elapsed_us.saturating_sub(busy_us);
                 self.ways.entry(zone).or_default().record(way_us);
@@ -371,7 +375,8 @@
                     known.busy.record(busy_us);
                 }
             }
-            CallEnd::Refused(_) | CallEnd::Failed | CallEnd::Abandoned => {}
+            CallEnd::Failed(fault) => self.on_bad_answer(now_ms, name, fault),
+            CallEnd::Refused(_) | CallEnd::Abandoned => {}
         }
     }
 }
--- a/crates/core/src/fleet/route.rs
+++ b/crates/core/src/fleet/route.rs
@@ -16,6 +16,8 @@
     pub(crate) model: Option<&'a ModelName>,
     /// Backend servers that the stage has tried; others are better.
     pub(crate) tried: &'a [BackendName],
+    /// Whether the call may be repeated after a failure.
+    pub(crate) idempotent: bool,
 }
 
 /// Outcome of a routing decision.
@@ -48,15 +50,16 @@
                 backend.state(now_ms),
                 BackendState::Serving | BackendState::Unknown
             );
-            takes_work && has_model(backend, query.model)
+            takes_work && backend.is_open(now_ms) && has_model(backend, query.model)
         };
         let able: Vec<usize> = pool.members.iter().copied().filter(can_serve).collect();
-        let untried: Vec<usize> = able
-            .iter()
-            .copied()
-            .filter(|index| !query.tried.contains(&self.backends[*index].name))
-            .collect();
-        if untried.is_empty() { able } else { untried }
+        let untried = prefer(able, |index| {
+            !query.tried.contains(&self.backends[index].name)
+        });
+        if query.idempotent {
+            return untried;
+        }
+        prefer(untried, |index| self.backends[index].health.is_well())
     }
 
     fn take_turn(&mut self, now_ms: u64, query: &RouteQuery<'_>, eligible: &[usize]) -> Routed {
@@ -115,6 +118,16 @@
     }
 }
 
+/// Keeps those that are better, if there are any.
+fn prefer(indices: Vec<usize>, is_better: impl Fn(usize) -> bool) -> Vec<usize> {
+    let better: Vec<usize> = indices
+        .iter()
+        .copied()
+        .filter(|index| is_better(*index))
+        .collect();
+    if better.is_empty() { indices } else { better }
+}
+
 fn none() -> Routed {
     Routed {
         candidates: Vec::new(),
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -9,6 +9,14 @@
     pub routing: Routing,
     /// Whether calls may leave the own availability zone while it has servers.
     pub spill: Spill,
+    /// Whether backend servers that fail are left alone for a while.
+    pub ejection: Ejection,
+    /// Time for which a backend server is ejected first; doubled each time it
+    /// fails again, in ms.
+    pub ejection_ms: u64,
+    /// Most backend servers of a pool that are ejected for failing, in per
+    /// cent; one may always be.
+    pub ejected_percent_max: u32,
     /// Calls of one stage of one request, the first included.
     pub max_attempts: u32,
     /// Retries allowed for each hundred first attempts.
@@ -29,6 +37,9 @@
             subset_size: 16,
             routing: Routing::TwoChoices,
             spill: Spill::ByWait,
+            ejection: Ejection::On,
+            ejection_ms: 1_000,
+            ejected_percent_max: 34,
             max_attempts: 3,
             retry_percent: 10,
             retry_burst: 10,
@@ -65,3 +76,12 @@
     /// The less, the more calls have come and gone since.
     Fading,
 }
+
+/// Whether backend servers that fail are left alone for a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ejection {
+    /// They get calls like the others.
+    Off,
+    /// They get none for a while, then one at a time until one succeeds.
+    On,
+}
