Refuse at once what is not expected to be answered in time

Cause: under three times the load the runners' queues fill with requests that are given up in them. Ruled out: a fixed limit on requests in flight, which would have to be set anew for each pool. Now: a request is taken when the usual time of its stages, the longest spread of one of them and the waits for slots leave room; it may wait at most half its slack. Calls that other instances have sent since their last report are taken to grow as this one's do. Retry-After is the excess wait plus twice the time that the overload has lasted, spread by a quarter. Estimates forget faster (64 samples instead of 512).

--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -1,6 +1,6 @@
 //! The policies that the bench compares.
 
-use savoryvane_core::settings::{Ejection, PolicySettings, Reports, Routing, Spill};
+use savoryvane_core::settings::{Admission, Ejection, PolicySettings, Reports, Routing, Spill};
 
 /// A policy to run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,6 +24,8 @@
     FadingReports,
     /// Ejecting backend servers that fail.
     Ejection,
+    /// Refusing what cannot be answered in time.
+    Admission,
 }
 
 impl Part {
@@ -42,6 +44,7 @@
             Self::Spill => "spill",
             Self::FadingReports => "fading_reports",
             Self::Ejection => "ejection",
+            Self::Admission => "admission",
         }
     }
 }
@@ -61,6 +64,7 @@
     PolicySettings {
         routing: Routing::RoundRobin,
         ejection: Ejection::Off,
+        admission: Admission::Off,
         retry_percent: 1_000,
         retry_burst: 1_000_000,
         ..PolicySettings::default()
@@ -86,5 +90,9 @@
             ejection: Ejection::Off,
             ..settings
         },
+        Part::Admission => PolicySettings {
+            admission: Admission::Off,
+            ..settings
+        },
     }
 }
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -148,6 +148,8 @@
                     &deployment.pools,
                     deployment.servers.iter().map(|server| &server.backend),
                 );
+                let peers = deployment.instances.len() - 1;
+                fleet.set_peers(u32::try_from(peers).unwrap_or(u32::MAX));
                 Instance {
                     fleet,
                     is_alive: true,
--- a/crates/core/src/execution/attempt.rs
+++ b/crates/core/src/execution/attempt.rs
@@ -7,7 +7,7 @@
     call::{CallId, RefusalReason, StageCall, StageEvent},
     cost::{StageUsage, cost_micros},
     decision::{Decision, DecisionKind, DecisionReason},
-    fleet::{CallEnd, Fault, RouteQuery, Routed},
+    fleet::{AdmitQuery, Admitted, CallEnd, Fault, RouteQuery, Routed},
     ids::BackendName,
     objects::StageKind,
 };
@@ -40,9 +40,32 @@
         if turn.now_ms >= self.spec.deadline_at_ms {
             return self.give_up(DecisionReason::DeadlinePassed, turn);
         }
+        let admitted = self.admit(turn);
+        if let Admitted::No {
+            reason,
+            retry_after_ms,
+        } = admitted
+        {
+            return self.refuse(reason, retry_after_ms, turn);
+        }
         self.begin_stage(turn);
     }
 
+    fn admit(&self, turn: &mut Turn<'_>) -> Admitted {
+        let time_left_ms = self.spec.deadline_at_ms.saturating_sub(turn.now_ms);
+        let query = AdmitQuery {
+            pipeline: &self.spec.pipeline,
+            time_left_us: time_left_ms * US_PER_MS,
+        };
+        let admitted = turn.fleet.admit(turn.now_ms, &query);
+        let reason = match admitted {
+            Admitted::Yes => DecisionReason::Fits,
+            Admitted::No { reason, .. } => reason,
+        };
+        turn.act(self.log(DecisionKind::Admission, reason));
+        admitted
+    }
+
     pub(super) fn begin_stage(&mut self, turn: &mut Turn<'_>) {
         self.stage_started_ms = turn.now_ms;
         self.stage_attempts = 0;
@@ -226,7 +249,7 @@
         match self.may_repeat(charge, turn) {
             Ok(()) => self.send(DecisionKind::Retry, turn),
             Err(limit) => {
-                turn.act(self.log_give_up(limit));
+                turn.act(self.log(DecisionKind::GiveUp, limit));
                 self.fail(why, turn);
             }
         }
--- a/crates/core/src/execution/finish.rs
+++ b/crates/core/src/execution/finish.rs
@@ -33,13 +33,14 @@
     }
 
     pub(super) fn give_up(&mut self, reason: DecisionReason, turn: &mut Turn<'_>) {
-        turn.act(self.log_give_up(reason));
+        turn.act(self.log(DecisionKind::GiveUp, reason));
         self.fail(Reason::GivenUp(reason), turn);
     }
 
-    pub(super) fn log_give_up(&self, reason: DecisionReason) -> Action {
+    /// Logs a decision that chooses no backend server.
+    pub(super) fn log(&self, kind: DecisionKind, reason: DecisionReason) -> Action {
         Action::Log(Box::new(Decision {
-            kind: DecisionKind::GiveUp,
+            kind,
             request: self.spec.request.clone(),
             stage: Some(self.stage().name.clone()),
             attempt: None,
@@ -49,12 +50,29 @@
         }))
     }
 
+    /// Refuses the request before anything of it was sent.
+    pub(super) fn refuse(
+        &mut self,
+        reason: DecisionReason,
+        retry_after_ms: u64,
+        turn: &mut Turn<'_>,
+    ) {
+        let completion = Completion {
+            outcome: self.failed_outcome(),
+            reason: Some(Reason::GivenUp(reason)),
+            output: None,
+            retry_after_ms: Some(retry_after_ms),
+            stages: Vec::new(),
+        };
+        self.finish(completion, turn);
+    }
+
     /// Ends the request without an answer, now.
     pub(super) fn fail(&mut self, reason: Reason, turn: &mut Turn<'_>) {
         let outcome = self.failed_outcome();
         let retry_after_ms = outcome
             .is_safe_to_repeat()
-            .then(|| self.retry_after_ms(turn));
+            .then(|| turn.fleet.retry_after_ms(turn.now_ms, 0));
         self.abandon_live(turn);
         if !self.usage.is_empty() {
             self.usage_mut().elapsed_us = self.stage_elapsed_us(turn.now_ms);
@@ -107,8 +125,4 @@
             Outcome::NotRun
         }
     }
-
-    fn retry_after_ms(&self, turn: &Turn<'_>) -> u64 {
-        turn.fleet.settings.default_retry_after_ms
-    }
 }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -15,12 +15,15 @@
     settings::PolicySettings,
 };
 
+mod admission;
 mod health;
 mod in_flight;
 mod retry_budget;
 mod route;
 mod score;
 
+use admission::Overload;
+pub(crate) use admission::{AdmitQuery, Admitted};
 pub(crate) use health::Fault;
 use health::Health;
 use in_flight::InFlightHistory;
@@ -175,6 +178,9 @@
     pools: BTreeMap<PoolName, KnownPool>,
     /// Time beside work of the calls to each availability zone.
     ways: BTreeMap<ZoneName, Quantiles>,
+    /// Other instances that use the same backend servers.
+    peers: u32,
+    overload: Overload,
     pub(crate) retry_budget: RetryBudget,
     pub(crate) costs: CostBook,
 }
@@ -198,6 +204,8 @@
             by_name: HashMap::new(),
             pools: BTreeMap::new(),
             ways: BTreeMap::new(),
+            peers: 0,
+            overload: Overload::default(),
             costs: CostBook::default(),
         }
     }
@@ -270,6 +278,11 @@
         }
     }
 
+    /// Notes how many other instances use the same backend servers.
+    pub fn set_peers(&mut self, peers: u32) {
+        self.peers = peers;
+    }
+
     /// Takes in a load report, which may be old.
     pub fn on_load_report(&mut self, now_ms: u64, report: &LoadReport) {
         let Some(backend) = self.known_mut(&report.server) else {
--- a/crates/core/src/fleet/score.rs
+++ b/crates/core/src/fleet/score.rs
@@ -65,6 +65,19 @@
         own + trust * others.calls + (1.0 - trust) * self.zone_mean_others(now_ms, backend)
     }
 
+    /// Estimates the calls that other instances have sent since the last
+    /// report: as many more, each, as this one has.
+    pub(super) fn unreported(&self, now_ms: u64, backend: &KnownBackend) -> f64 {
+        let Some(report) = &backend.report else {
+            return 0.0;
+        };
+        if now_ms.saturating_sub(report.measured_at_ms) > self.settings.report_max_age_ms {
+            return 0.0;
+        }
+        let grown = f64::from(backend.in_flight) - f64::from(report.own_in_flight);
+        grown * f64::from(self.peers)
+    }
+
     fn recent_others(&self, now_ms: u64, backend: &KnownBackend) -> Option<Others> {
         let report = backend.report.as_ref()?;
         let age_ms = now_ms.saturating_sub(report.measured_at_ms);
--- a/crates/core/src/quantile.rs
+++ b/crates/core/src/quantile.rs
@@ -5,7 +5,7 @@
 /// Buckets; they reach beyond 2^32 µs, more than an hour.
 const BUCKETS: usize = 33 * STEPS_PER_OCTAVE;
 /// Weight at which all samples are halved, so that old ones fade.
-const HALVE_AT: f64 = 512.0;
+const HALVE_AT: f64 = 64.0;
 
 /// A fading histogram with logarithmic buckets, exact to about a fifth.
 #[derive(Clone, Debug)]
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -9,6 +9,11 @@
     pub routing: Routing,
     /// Whether calls may leave the own availability zone while it has servers.
     pub spill: Spill,
+    /// Whether requests that cannot be answered in time are refused.
+    pub admission: Admission,
+    /// Share of a request's slack that it may be expected to wait in queues,
+    /// in per cent.
+    pub wait_percent_of_slack: u32,
     /// Whether backend servers that fail are left alone for a while.
     pub ejection: Ejection,
     /// Time for which a backend server is ejected first; doubled each time it
@@ -37,6 +42,8 @@
             subset_size: 16,
             routing: Routing::TwoChoices,
             spill: Spill::ByWait,
+            admission: Admission::ByForecast,
+            wait_percent_of_slack: 50,
             ejection: Ejection::On,
             ejection_ms: 1_000,
             ejected_percent_max: 34,
@@ -85,3 +92,12 @@
     /// They get none for a while, then one at a time until one succeeds.
     On,
 }
+
+/// Whether requests that cannot be answered in time are refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// Every request is taken.
+    Off,
+    /// Those are refused whose forecast does not leave enough time.
+    ByForecast,
+}
