Repeat overdue calls of idempotent stages elsewhere

Cause: a server that is five times slower than its pool was seen only by calls that had already missed their deadline. Ruled out: learning from busy times, which come with the end of a call. Now: a call is overdue after twice the usual time to a first sign of life, or three times the usual time between tokens (95th percentile of its pool). It then counts against its server, and is raced by a second call that goes on at the token reached; where cost weighs more it is given up instead. Both come out of the retry budget (10% of first calls).

--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -1,6 +1,8 @@
 //! The policies that the bench compares.
 
-use savoryvane_core::settings::{Admission, Ejection, PolicySettings, Reports, Routing, Spill};
+use savoryvane_core::settings::{
+    Admission, Ejection, Hedging, PolicySettings, Reports, Routing, Spill,
+};
 
 /// A policy to run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +28,8 @@
     Ejection,
     /// Refusing what cannot be answered in time.
     Admission,
+    /// Repeating overdue calls elsewhere.
+    Hedging,
 }
 
 impl Part {
@@ -45,6 +49,7 @@
             Self::FadingReports => "fading_reports",
             Self::Ejection => "ejection",
             Self::Admission => "admission",
+            Self::Hedging => "hedging",
         }
     }
 }
@@ -65,6 +70,7 @@
         routing: Routing::RoundRobin,
         ejection: Ejection::Off,
         admission: Admission::Off,
+        hedging: Hedging::Off,
         retry_percent: 1_000,
         retry_burst: 1_000_000,
         ..PolicySettings::default()
@@ -94,5 +100,9 @@
             admission: Admission::Off,
             ..settings
         },
+        Part::Hedging => PolicySettings {
+            hedging: Hedging::Off,
+            ..settings
+        },
     }
 }
--- a/crates/core/src/execution.rs
+++ b/crates/core/src/execution.rs
@@ -21,6 +21,7 @@
 
 mod attempt;
 mod finish;
+mod overdue;
 mod reason;
 mod stream;
 
@@ -256,7 +257,8 @@
     fn take(&mut self, event: Event, turn: &mut Turn<'_>) {
         match event {
             Event::Start if self.state == State::New => self.start(turn),
-            Event::Start | Event::Timer => {}
+            Event::Start => {}
+            Event::Timer => self.timer_at_ms = None,
             Event::NotSent { attempt } => self.on_not_sent(attempt, turn),
             Event::Refused { attempt, reason } => self.on_refused(attempt, reason, turn),
             Event::Answered(answer) => self.on_answer(answer, turn),
--- a/crates/core/src/execution/attempt.rs
+++ b/crates/core/src/execution/attempt.rs
@@ -7,9 +7,9 @@
     call::{CallId, RefusalReason, StageCall, StageEvent},
     cost::{StageUsage, cost_micros},
     decision::{Decision, DecisionKind, DecisionReason},
-    fleet::{AdmitQuery, Admitted, CallEnd, Fault, RouteQuery, Routed},
+    fleet::{AdmitQuery, Admitted, CallEnd, Fault, Progress, RouteQuery, Routed},
     ids::BackendName,
-    objects::StageKind,
+    objects::{Stage, StageKind},
 };
 
 const US_PER_MS: u64 = 1_000;
@@ -23,11 +23,16 @@
     /// Index of the token that this call gives next.
     pub(crate) next_index: u32,
     pub(crate) is_silent: bool,
+    /// Time of its last sign of life, or of its sending, in ms.
+    pub(crate) progress_at_ms: u64,
+    /// Whether a token of it has come.
+    pub(crate) has_begun: bool,
+    pub(crate) is_overdue: bool,
 }
 
 /// Whether a repeat counts against the retry budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Charge {
+pub(super) enum Charge {
     /// The earlier call reached nobody, so that this one adds no load.
     Free,
     /// The earlier call reached a backend server.
@@ -76,16 +81,26 @@
         self.send(DecisionKind::Route, turn);
     }
 
-    /// Chooses a backend server and sends the stage's call there.
-    fn send(&mut self, kind: DecisionKind, turn: &mut Turn<'_>) {
+    /// Tells whether a backend server that has not been tried would take it.
+    pub(super) fn can_go_elsewhere(&self, turn: &Turn<'_>) -> bool {
         let stage = self.stage();
-        let query = RouteQuery {
+        turn.fleet
+            .has_untried(turn.now_ms, &self.route_query(stage))
+    }
+
+    fn route_query<'a>(&'a self, stage: &'a Stage) -> RouteQuery<'a> {
+        RouteQuery {
             pool: &stage.pool,
             model: stage.model.as_ref(),
             tried: &self.tried,
             idempotent: stage.idempotent,
-        };
-        let routed = turn.fleet.route(turn.now_ms, &query);
+        }
+    }
+
+    /// Chooses a backend server and sends the stage's call there.
+    pub(super) fn send(&mut self, kind: DecisionKind, turn: &mut Turn<'_>) {
+        let stage = self.stage();
+        let routed = turn.fleet.route(turn.now_ms, &self.route_query(stage));
         let stage_kind = turn.fleet.pool(&stage.pool).map(|known| known.pool.kind);
         let choice = routed.choice.clone();
         let reason = routed.reason;
@@ -112,6 +127,9 @@
             sent_at_ms: turn.now_ms,
             next_index: self.stream.len(),
             is_silent: false,
+            progress_at_ms: turn.now_ms,
+            has_begun: false,
+            is_overdue: false,
         });
         if !self.tried.contains(&backend) {
             self.tried.push(backend.clone());
@@ -158,7 +176,7 @@
         }))
     }
 
-    fn take_live(&mut self, number: u64) -> Option<Attempt> {
+    pub(super) fn take_live(&mut self, number: u64) -> Option<Attempt> {
         let index = self.live.iter().position(|live| live.number == number)?;
         Some(self.live.remove(index))
     }
@@ -255,7 +273,11 @@
         }
     }
 
-    fn may_repeat(&self, charge: Charge, turn: &mut Turn<'_>) -> Result<(), DecisionReason> {
+    pub(super) fn may_repeat(
+        &self,
+        charge: Charge,
+        turn: &mut Turn<'_>,
+    ) -> Result<(), DecisionReason> {
         if turn.now_ms >= self.spec.deadline_at_ms {
             Err(DecisionReason::DeadlinePassed)
         } else if self.stage_attempts >= turn.fleet.settings.max_attempts {
@@ -297,6 +319,12 @@
             return;
         };
         live.is_silent = false;
+        let elapsed_us = elapsed_us(live.progress_at_ms, turn.now_ms);
+        let progress = live.progress();
+        live.progress_at_ms = turn.now_ms;
+        live.has_begun = true;
+        let pool = &self.spec.pipeline.stages[self.stage_index].pool;
+        turn.fleet.on_progress(pool, progress, elapsed_us);
         if index < live.next_index {
             // A repeat of what this call has already given.
             if self.stream.place(index, &text) == TokenPlace::Broken {
@@ -410,9 +438,15 @@
     }
 
     fn book_used(&mut self, attempt: &Attempt, busy_us: u64, turn: &mut Turn<'_>) {
+        let call_us = elapsed_us(attempt.sent_at_ms, turn.now_ms);
+        if !attempt.has_begun {
+            let pool = &self.stage().pool;
+            turn.fleet.on_progress(pool, Progress::Waiting, call_us);
+        }
         let end = CallEnd::Done {
-            elapsed_us: elapsed_us(attempt.sent_at_ms, turn.now_ms),
+            elapsed_us: call_us,
             busy_us,
+            was_overdue: attempt.is_overdue,
         };
         turn.fleet.on_call_ended(turn.now_ms, &attempt.backend, end);
         self.book(busy_us, false, turn);
@@ -420,7 +454,7 @@
 
     /// Books a call whose answer is not used. A call that did not say how long
     /// it was busy counts as busy since it was sent.
-    fn book_wasted(
+    pub(super) fn book_wasted(
         &mut self,
         attempt: &Attempt,
         busy_us: Option<u64>,
--- a/crates/core/src/execution/finish.rs
+++ b/crates/core/src/execution/finish.rs
@@ -14,8 +14,17 @@
         if turn.now_ms >= self.spec.deadline_at_ms {
             return self.give_up(DecisionReason::DeadlinePassed, turn);
         }
-        let at_ms = self.spec.deadline_at_ms;
-        if self.timer_at_ms != Some(at_ms) {
+        self.check_overdue(turn);
+        if self.state != State::Running {
+            return;
+        }
+        let at_ms = self
+            .next_due_ms(turn)
+            .map_or(self.spec.deadline_at_ms, |due_ms| {
+                due_ms.min(self.spec.deadline_at_ms)
+            });
+        // A timer that comes too early only looks again.
+        if self.timer_at_ms.is_none_or(|set_ms| at_ms < set_ms) {
             self.timer_at_ms = Some(at_ms);
             turn.act(Action::SetTimer { at_ms });
         }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -18,6 +18,7 @@
 mod admission;
 mod health;
 mod in_flight;
+mod pace;
 mod retry_budget;
 mod route;
 mod score;
@@ -27,6 +28,7 @@
 pub(crate) use health::Fault;
 use health::Health;
 use in_flight::InFlightHistory;
+pub(crate) use pace::Progress;
 pub(crate) use retry_budget::RetryBudget;
 pub(crate) use route::{RouteQuery, Routed};
 
@@ -78,7 +80,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CallEnd {
     /// It answered after `elapsed_us`, of which it worked for `busy_us`.
-    Done { elapsed_us: u64, busy_us: u64 },
+    Done {
+        elapsed_us: u64,
+        busy_us: u64,
+        /// Whether it came later than usual.
+        was_overdue: bool,
+    },
     /// It was refused.
     Refused(RefusalReason),
     /// It failed, or its connection did.
@@ -162,8 +169,25 @@
     /// Its backend servers, as indices into the fleet's.
     pub(crate) members: Vec<usize>,
     pub(crate) next_turn: usize,
+    /// Busy time of a call.
     pub(crate) busy: Quantiles,
-    pub(crate) elapsed: Quantiles,
+    /// Time from a call to its first sign of life.
+    pub(crate) first: Quantiles,
+    /// Time between two tokens.
+    pub(crate) gap: Quantiles,
+}
+
+impl KnownPool {
+    fn new(pool: &Pool) -> Self {
+        Self {
+            pool: pool.clone(),
+            members: Vec::new(),
+            next_turn: 0,
+            busy: Quantiles::default(),
+            first: Quantiles::default(),
+            gap: Quantiles::default(),
+        }
+    }
 }
 
 /// Everything that one instance knows of the backend servers.
@@ -223,17 +247,10 @@
             .collect();
         let mut old_pools = std::mem::take(&mut self.pools);
         for pool in pools {
-            let kept = old_pools.remove(&pool.name);
-            let (busy, elapsed) = kept
-                .map(|kept| (kept.busy, kept.elapsed))
-                .unwrap_or_default();
-            let known_pool = KnownPool {
-                pool: pool.clone(),
-                members: Vec::new(),
-                next_turn: 0,
-                busy,
-                elapsed,
-            };
+            let mut known_pool = old_pools
+                .remove(&pool.name)
+                .unwrap_or_else(|| KnownPool::new(pool));
+            known_pool.pool = pool.clone();
             self.pools.insert(pool.name.clone(), known_pool);
         }
         for backend in backends {
@@ -377,14 +394,16 @@
             CallEnd::Done {
                 elapsed_us,
                 busy_us,
+                was_overdue,
             } => {
                 backend.heard = true;
-                backend.health.on_success();
+                if !was_overdue {
+                    backend.health.on_success();
+                }
                 let zone = backend.zone.clone();
                 let way_us = elapsed_us.saturating_sub(busy_us);
                 self.ways.entry(zone).or_default().record(way_us);
                 if let Some(known) = self.pools.get_mut(&pool) {
-                    known.elapsed.record(elapsed_us);
                     known.busy.record(busy_us);
                 }
             }
--- a/crates/core/src/fleet/route.rs
+++ b/crates/core/src/fleet/route.rs
@@ -38,9 +38,27 @@
         }
     }
 
-    /// Returns the members that can take the call: untried ones if there are
-    /// any.
+    /// Tells whether a backend server that has not been tried can take the call.
+    pub(crate) fn has_untried(&self, now_ms: u64, query: &RouteQuery<'_>) -> bool {
+        let is_untried = |index: &usize| !query.tried.contains(&self.backends[*index].name);
+        self.able(now_ms, query).iter().any(is_untried)
+    }
+
+    /// Returns the members that are best for the call as far as their health
+    /// goes: untried ones if there are any.
     fn eligible(&self, now_ms: u64, query: &RouteQuery<'_>) -> Vec<usize> {
+        let able = self.able(now_ms, query);
+        let untried = prefer(able, |index| {
+            !query.tried.contains(&self.backends[index].name)
+        });
+        if query.idempotent {
+            return untried;
+        }
+        prefer(untried, |index| self.backends[index].health.is_well())
+    }
+
+    /// Returns the members that can take the call.
+    fn able(&self, now_ms: u64, query: &RouteQuery<'_>) -> Vec<usize> {
         let Some(pool) = self.pools.get(query.pool) else {
             return Vec::new();
         };
@@ -52,14 +70,7 @@
             );
             takes_work && backend.is_open(now_ms) && has_model(backend, query.model)
         };
-        let able: Vec<usize> = pool.members.iter().copied().filter(can_serve).collect();
-        let untried = prefer(able, |index| {
-            !query.tried.contains(&self.backends[index].name)
-        });
-        if query.idempotent {
-            return untried;
-        }
-        prefer(untried, |index| self.backends[index].health.is_well())
+        pool.members.iter().copied().filter(can_serve).collect()
     }
 
     fn take_turn(&mut self, now_ms: u64, query: &RouteQuery<'_>, eligible: &[usize]) -> Routed {
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -22,9 +22,11 @@
     /// Most backend servers of a pool that are ejected for failing, in per
     /// cent; one may always be.
     pub ejected_percent_max: u32,
+    /// When a second call is sent while the first may still answer.
+    pub hedging: Hedging,
     /// Calls of one stage of one request, the first included.
     pub max_attempts: u32,
-    /// Retries allowed for each hundred first attempts.
+    /// Retries and hedges allowed for each hundred first attempts.
     pub retry_percent: u32,
     /// Retries that may be sent before any traffic has earned them.
     pub retry_burst: u32,
@@ -47,6 +49,7 @@
             ejection: Ejection::On,
             ejection_ms: 1_000,
             ejected_percent_max: 34,
+            hedging: Hedging::Overdue,
             max_attempts: 3,
             retry_percent: 10,
             retry_burst: 10,
@@ -101,3 +104,13 @@
     /// Those are refused whose forecast does not leave enough time.
     ByForecast,
 }
+
+/// When a second call is sent while the first may still answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hedging {
+    /// Never.
+    Off,
+    /// When the first makes no progress for longer than usual. Where cost
+    /// weighs more, the first is given up then.
+    Overdue,
+}
