--- a/crates/server/src/loads.rs
+++ b/crates/server/src/loads.rs
@@ -1,6 +1,6 @@
 //! Reads the load of the backend servers that this instance uses.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use rand::random_range;
 use savoryvane_core::{call::ServingState, ids::BackendName};
@@ -11,12 +11,15 @@
 
 /// Reads at the same time.
 const MAX_READS: usize = 64;
+/// Pools that have a gauge of their own.
+const MAX_LABELLED_POOLS: usize = 64;
 
 /// Reads loads for as long as the instance lives.
 pub(crate) async fn run(shared: Arc<Shared>) {
     let interval_ms = shared.settings.backends.load_interval_ms;
     loop {
         read_all(&shared).await;
+        show_queues(&shared);
         shared.backends.prune();
         shared.meters.upkeep();
         let jittered_ms = random_range(interval_ms * 3 / 4..=interval_ms * 5 / 4);
@@ -53,6 +56,18 @@
     shared.fleet().on_load_report(now_ms, &report);
 }
 
+/// Shows the calls running and waiting in each pool, as last reported.
+fn show_queues(shared: &Shared) {
+    let now_ms = shared.clock.now_ms();
+    let mut queues = BTreeMap::new();
+    for status in shared.fleet().statuses(now_ms) {
+        *queues.entry(status.pool).or_insert(0) += status.reported.unwrap_or(0);
+    }
+    for (pool, calls) in queues.into_iter().take(MAX_LABELLED_POOLS) {
+        metrics::gauge!("savoryvane_pool_queue", "pool" => pool.to_string()).set(f64::from(calls));
+    }
+}
+
 fn used(shared: &Shared) -> Vec<(BackendName, SocketAddr)> {
     let state = shared.configuration.state();
     let used: Vec<_> = shared.fleet().members().cloned().collect();
--- a/crates/server/tests/common/mod.rs
+++ b/crates/server/tests/common/mod.rs
@@ -19,6 +19,7 @@
 use savoryvane_wire::{
     admin::{Confirmation, Plan},
     caller::Answer,
+    platform::{Listed, ListedRole, ListedState},
 };
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
@@ -91,8 +92,15 @@
 
     pub async fn add_instance(&mut self, name: &str) {
         let settings = Settings::parse(&self.settings_text(name)).unwrap();
-        self.instances
-            .push(Instance::start(settings).await.unwrap());
+        let instance = Instance::start(settings).await.unwrap();
+        self.list.put(Listed {
+            name: name.to_owned(),
+            role: ListedRole::Entry,
+            zone: ZONE.into(),
+            addr: instance.addresses().peer,
+            state: ListedState::Live,
+        });
+        self.instances.push(instance);
     }
 
     pub fn caller(&self) -> SocketAddr {
