Drive the configuration follower, confirms and checkpoints in the server

Cause: the server read the stream by a loop of its own, took no state from peers, wrote checkpoints by the system's clock alone and answered 'nothing was appended' to any status, 502 and 504 included, after which the record may be on the log. It now drives the core's follower and confirm; neighbours relay heads and records, and a peer's state is fetched in parts.

Also: a read asks for 20 records, not 256, so that the log's largest records fit an answer; with 256 a run of large records could never have been read.

--- a/crates/core/tests/config_follower.rs
+++ b/crates/core/tests/config_follower.rs
@@ -8,7 +8,7 @@
 };
 use quickcheck::{Gen, QuickCheck};
 use savoryvane_core::{
-    config::{Action, ConfigRecord, Source, State},
+    config::{Action, ConfigRecord, Event, Follower, FollowerSettings, Snapshot, Source, State},
     ids::Offset,
 };
 
@@ -103,6 +103,12 @@
     world.run_for(60_000);
     let polls = world.log.reads;
     assert!(polls <= 2 * 130, "{polls} polls in 60 s by 2 tailers");
+    let next = change(&mut world);
+    world.log.reads = 0;
+    assert!(world.run_until_in_force(next, LIMIT_MS, all).is_some());
+    world.run_for(1_000);
+    let polls = world.log.reads;
+    assert!(polls <= 10, "{polls} polls in 1 s after a change");
 }
 
 #[test]
@@ -233,21 +239,46 @@
         change(&mut world);
     }
     world.run_for(2_000);
-    // It offers its old state whenever anyone asks; a new instance that can
-    // reach the log does not start with it.
-    world.nodes[8].is_cut = false;
-    world.nodes[8].is_off_log = true;
-    world.snapshot_from = Some(8);
-    let new = world.add_node();
-    world.run_for(3_000);
-    let adopted = |action: &Action| matches!(action, Action::Adopted { .. });
-    assert!(!world.nodes[new].actions.iter().any(adopted));
-    // The world checks after each event that no state went back.
-    for node in (0..8).chain([new]) {
-        assert_eq!(world.next_of(node), 7);
+    let old = Snapshot {
+        state: world.nodes[8].follower.state().clone(),
+        age_ms: Some(0),
+    };
+    for node in &mut world.nodes[..8] {
+        let offered = Event::Snapshot(Some(Box::new(old.clone())));
+        node.follower.on_event(world.now_ms, offered);
+        assert_eq!(node.follower.state().next(), Offset(7));
+        assert_eq!(node.follower.ignored().snapshots, 1);
     }
 }
 
+#[test]
+fn a_new_instance_that_reads_the_log_does_not_start_with_an_old_state() {
+    let mut world = world(9, 3, 11);
+    let old = Snapshot {
+        state: world.nodes[8].follower.state().clone(),
+        age_ms: Some(0),
+    };
+    let mut new = Follower::new(FollowerSettings {
+        retention_ms: HOUR_MS,
+        seed: 1,
+    });
+    change(&mut world);
+    let read = Event::Read {
+        first: Offset(0),
+        next: Offset(4),
+        records: Vec::new(),
+    };
+    new.on_event(1_000, read);
+    let offered = Event::Snapshot(Some(Box::new(old)));
+    new.on_event(1_500, offered.clone());
+    assert!(!new.progress(1_500).has_started);
+    // Once the log is silent as well, an old state is better than none.
+    new.on_event(5_000, offered);
+    let progress = new.progress(5_000);
+    assert!(progress.has_started);
+    assert_eq!((progress.next, progress.known_next), (Offset(3), Offset(4)));
+}
+
 #[test]
 fn checkpoints_keep_the_configuration_past_the_retention() {
     let mut world = World::new(9, 60_000, 12);
--- a/crates/server/src/admin.rs
+++ b/crates/server/src/admin.rs
@@ -74,7 +74,7 @@
 impl From<ConfirmError> for Failure {
     fn from(err: ConfirmError) -> Self {
         let (status, next_step) = match err {
-            ConfirmError::NotAPlan(_) | ConfirmError::Invalid(_) => (
+            ConfirmError::Invalid(_) => (
                 StatusCode::UNPROCESSABLE_ENTITY,
                 "make a new plan from the intent",
             ),
@@ -208,14 +208,15 @@
 
 fn status(shared: &Shared) -> Status {
     let phase = shared.phases.current();
+    let progress = shared.configuration.progress(shared.clock.now_ms());
     Status {
         instance: shared.settings.instance.clone(),
         incarnation: shared.incarnation,
         zone: shared.settings.zone.clone(),
         ready: phase == Phase::Serving,
         leaving: phase >= Phase::Leaving,
-        config_next: shared.configuration.state().next(),
-        config_age_ms: shared.configuration.head_age_ms().unwrap_or(u64::MAX),
+        config_next: progress.next,
+        config_age_ms: progress.age_ms.unwrap_or(u64::MAX),
         in_flight: shared.in_flight(),
     }
 }
--- a/crates/server/src/confirm.rs
+++ b/crates/server/src/confirm.rs
@@ -1,45 +1,35 @@
 //! Confirms a plan: appends its change and answers from the record as it was
 //! read back, so that an append whose answer was lost leaves no doubt.
 
-use std::time::Duration;
-
 use bytes::Bytes;
+use http::StatusCode;
 use quick_error::quick_error;
 use savoryvane_core::{
-    change::{Change, Plan},
-    config::{ConfigRecord, HistoryEntry, Verdict, change_id},
+    change::Plan,
+    config::{AppendResult, ConfigRecord, Confirm, ConfirmOutcome, ConfirmStep, Verdict},
     ids::Offset,
 };
 use savoryvane_wire::{config, platform::CONFIG_STREAM};
 use slog::{info, warn};
-use tokio::time::{self, Instant};
+use tokio::time;
 
 use crate::{instance::Shared, platform::PlatformError};
 
-/// Time for a confirm to be answered.
-const TIMEOUT: Duration = Duration::from_secs(5);
-/// Time for a record to be read back before it is appended again; harmless,
-/// since a change is applied once.
-const READ_BACK: Duration = Duration::from_millis(1_500);
-/// Time between two appends that the log refused.
-const PAUSE: Duration = Duration::from_millis(100);
+/// Time for a confirm to be answered, in ms.
+const TIMEOUT_MS: u64 = 5_000;
 
 quick_error! {
     /// Why a plan is not in force.
     #[derive(Debug)]
     pub enum ConfirmError {
-        /// It was altered, or does not fit a record.
-        NotAPlan(reason: String) {
-            display("not a plan of this system: {reason}")
+        /// It was altered, does not fit a record or is not valid.
+        Invalid(verdict: Verdict) {
+            display("{verdict}")
         }
         /// Something that it touches has changed, or it is too old.
         Conflict(verdict: Verdict) {
             display("{verdict}")
         }
-        /// Its result would not be valid.
-        Invalid(verdict: Verdict) {
-            display("{verdict}")
-        }
         /// The log could not be reached; nothing was appended.
         NotAppended(reason: String) {
             display("the log could not be reached, nothing was appended: {reason}")
@@ -59,75 +49,70 @@
 /// open.
 pub(crate) async fn confirm(shared: &Shared, plan: Plan) -> Result<Offset, ConfirmError> {
     let change = plan.change;
-    let payload = payload(&change)?;
     info!(shared.log, "plan confirmed"; "change" => %change.id, "operator" => %change.operator);
-    let deadline = Instant::now() + TIMEOUT;
-    let mut may_be_appended = false;
+    let record = ConfigRecord::Change(change.clone());
+    let mut confirm = Confirm::new(change, shared.clock.now_ms() + TIMEOUT_MS);
+    let mut next = shared.configuration.watch();
+    let mut refusal = String::new();
     loop {
-        if let Some(entry) = decision(shared, &change) {
-            return verdict(entry);
-        }
-        match shared.platform.append(CONFIG_STREAM, payload.clone()).await {
-            Ok(offset) => {
-                may_be_appended = true;
-                read_back(shared, offset, deadline).await;
-            }
-            Err(PlatformError::Unanswered(reason) | PlatformError::Malformed(reason)) => {
-                may_be_appended = true;
-                warn!(shared.log, "append not answered"; "change" => %change.id,
-                    "error" => reason);
-                wait_for_decision(shared, &change).await;
+        next.mark_unchanged();
+        let now_ms = shared.clock.now_ms();
+        match confirm.poll(now_ms, &shared.configuration.state()) {
+            ConfirmStep::Done(outcome) => return answer(outcome, refusal),
+            ConfirmStep::WaitUntil(at_ms) => {
+                let _ = time::timeout_at(shared.clock.instant(at_ms), next.changed()).await;
             }
-            Err(err) if Instant::now() + PAUSE >= deadline && !may_be_appended => {
-                return Err(ConfirmError::NotAppended(err.to_string()));
+            ConfirmStep::Append => {
+                let result = append(shared, &record, &mut refusal).await;
+                confirm.on_append(shared.clock.now_ms(), result);
             }
-            Err(_) => time::sleep(PAUSE).await,
-        }
-        if let Some(entry) = decision(shared, &change) {
-            return verdict(entry);
-        }
-        if Instant::now() >= deadline {
-            return Err(ConfirmError::Unknown);
         }
     }
 }
 
-fn payload(change: &Change) -> Result<Bytes, ConfirmError> {
-    let expected = change_id(change.base, &change.operator, &change.ops);
-    if change.id != expected {
-        let reason = "its identifier does not match its content".to_owned();
-        return Err(ConfirmError::NotAPlan(reason));
+async fn append(shared: &Shared, record: &ConfigRecord, refusal: &mut String) -> AppendResult {
+    let payload = match config::encode(record) {
+        Ok(payload) => Bytes::from(payload),
+        Err(err) => {
+            *refusal = err.to_string();
+            return AppendResult::Refused;
+        }
+    };
+    match shared.platform.append(CONFIG_STREAM, payload).await {
+        Ok(_) => AppendResult::Appended,
+        Err(err) => {
+            warn!(shared.log, "change not appended"; "error" => %err);
+            *refusal = err.to_string();
+            append_result(&err)
+        }
     }
-    config::encode(&ConfigRecord::Change(change.clone()))
-        .map(Bytes::from)
-        .map_err(|err| ConfirmError::NotAPlan(err.to_string()))
-}
-
-fn decision(shared: &Shared, change: &Change) -> Option<HistoryEntry> {
-    shared.configuration.state().decision(&change.id).cloned()
 }
 
-fn verdict(entry: HistoryEntry) -> Result<Offset, ConfirmError> {
-    match entry.verdict {
-        Verdict::InForce => Ok(entry.offset),
-        Verdict::Conflict { .. } | Verdict::TooOld => Err(ConfirmError::Conflict(entry.verdict)),
-        Verdict::Invalid { .. } => Err(ConfirmError::Invalid(entry.verdict)),
+fn append_result(err: &PlatformError) -> AppendResult {
+    match err {
+        PlatformError::NotSent(_) | PlatformError::Trimmed(_) => AppendResult::Refused,
+        PlatformError::Refused(status) if is_certain(*status) => AppendResult::Refused,
+        PlatformError::Refused(_) | PlatformError::Unanswered(_) | PlatformError::Malformed(_) => {
+            AppendResult::Unanswered
+        }
     }
 }
 
-async fn read_back(shared: &Shared, offset: Offset, deadline: Instant) {
-    let mut next = shared.configuration.watch();
-    let _ = time::timeout_at(deadline, next.wait_for(|next| *next > offset)).await;
+/// Tells whether the log itself refused: an answer such as 502 or 504 comes from
+/// something on the way, and the record may be on the log.
+fn is_certain(status: StatusCode) -> bool {
+    status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE
 }
 
-async fn wait_for_decision(shared: &Shared, change: &Change) {
-    let mut next = shared.configuration.watch();
-    let waiting = async {
-        while decision(shared, change).is_none() {
-            if next.changed().await.is_err() {
-                return;
-            }
+fn answer(outcome: ConfirmOutcome, refusal: String) -> Result<Offset, ConfirmError> {
+    Err(match outcome {
+        ConfirmOutcome::InForce { offset } => return Ok(offset),
+        ConfirmOutcome::Conflict { touched, .. } => {
+            ConfirmError::Conflict(Verdict::Conflict { touched })
         }
-    };
-    let _ = time::timeout(READ_BACK, waiting).await;
+        ConfirmOutcome::TooOld => ConfirmError::Conflict(Verdict::TooOld),
+        ConfirmOutcome::Invalid { reasons } => ConfirmError::Invalid(Verdict::Invalid { reasons }),
+        ConfirmOutcome::NotAppended => ConfirmError::NotAppended(refusal),
+        ConfirmOutcome::Undecided => ConfirmError::Unknown,
+    })
 }
--- a/crates/server/src/follower.rs
+++ b/crates/server/src/follower.rs
@@ -1,53 +1,221 @@
-//! Follows the configuration stream of the platform's log.
+//! Drives the follower of the configuration: its clock, its reads of the log
+//! and its checkpoints.
 
 use std::{sync::Arc, time::Duration};
 
-use rand::random_range;
-use savoryvane_core::ids::Offset;
-use savoryvane_wire::platform::{CONFIG_STREAM, Records};
-use slog::{debug, warn};
-use tokio::time;
+use bytes::Bytes;
+use savoryvane_core::{
+    config::{
+        Action, CheckpointPart, ConfigRecord, Content, Duties, Event, Progress, READ_WAIT_MS,
+        Received, TICK_MS,
+    },
+    ids::{InstanceName, Offset},
+    roster::Member,
+    topology::{Duty, ranked},
+};
+use savoryvane_wire::{
+    config,
+    platform::{CONFIG_STREAM, LogRecord, Records},
+};
+use slog::{Logger, debug, info, warn};
+use tokio::{
+    sync::mpsc,
+    task::JoinSet,
+    time::{self, MissedTickBehavior},
+};
 
-use crate::{instance::Shared, phase::Phase, platform::PlatformError};
+use crate::{
+    clock::unix_ms, instance::Shared, phase::Phase, platform::PlatformError, relay, snapshot,
+};
 
-/// Time between two attempts while the log does not answer, in ms.
-const RETRY_MS: u64 = 200;
+/// Instances of a zone that follow the log for the others.
+const TAILERS: usize = 2;
+/// Ticks between two looks at what the other instances say of themselves.
+const LOOK_TICKS: u64 = 5;
 
-/// Reads the stream for as long as the instance lives.
-pub(crate) async fn run(shared: Arc<Shared>) {
-    let mut cursor = Offset::default();
+/// Follows the stream for as long as the instance lives.
+pub(crate) async fn run(shared: Arc<Shared>, mut asked: mpsc::UnboundedReceiver<Action>) {
+    let mut ticks = time::interval(Duration::from_millis(TICK_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut jobs = JoinSet::new();
+    let mut count = 0_u64;
     loop {
-        cursor = cursor.max(shared.configuration.state().next());
-        let wait_ms = shared.platform.wait_ms();
-        match shared.platform.read(CONFIG_STREAM, cursor, wait_ms).await {
-            Ok(records) => cursor = take(&shared, cursor, &records),
-            Err(PlatformError::Trimmed(first)) => {
-                warn!(shared.log, "configuration records are no longer kept";
-                    "expected" => cursor.0, "first" => first.0);
-                cursor = first.max(cursor.next());
+        tokio::select! {
+            _ = ticks.tick() => {
+                if count.is_multiple_of(LOOK_TICKS) {
+                    look_at_others(&shared);
+                }
+                count += 1;
+                apply(&shared, Event::Tick);
             }
-            Err(err) => {
-                metrics::counter!("savoryvane_log_read_errors_total").increment(1);
-                debug!(shared.log, "configuration stream not read"; "error" => %err);
-                pause().await;
+            Some(action) = asked.recv() => {
+                jobs.spawn(perform(Arc::clone(&shared), action));
             }
+            Some(Ok(Some(event))) = jobs.join_next() => apply(&shared, event),
         }
     }
 }
 
-fn take(shared: &Shared, cursor: Offset, records: &Records) -> Offset {
-    let read_next = shared.configuration.apply(&records.records);
-    let cursor = read_next.unwrap_or(cursor);
-    let is_at_head = cursor >= records.next;
-    let is_whole = shared.configuration.state().next() >= records.next;
-    if is_at_head && is_whole {
-        shared.configuration.heard_head();
+/// Gives the follower an event and does what follows from it.
+pub(crate) fn apply(shared: &Shared, event: Event) {
+    let now_ms = shared.clock.now_ms();
+    for action in shared.configuration.on_event(now_ms, event) {
+        act(shared, action);
+    }
+    let progress = shared.configuration.progress(now_ms);
+    if progress.has_started {
         shared.phases.advance(Phase::Serving);
     }
-    cursor
+    note_progress(shared, progress);
+}
+
+fn act(shared: &Shared, action: Action) {
+    match action {
+        Action::Read { .. } | Action::FetchSnapshot | Action::WriteCheckpoint(_) => {
+            shared.configuration.ask(action);
+        }
+        Action::Relay { head, records } => relay::send(shared, head, &records),
+        Action::Decided {
+            offset,
+            id,
+            operator,
+            applied,
+        } => {
+            metrics::counter!("savoryvane_config_changes_total").increment(1);
+            info!(shared.log, "configuration change decided"; "offset" => offset.0,
+                "change" => %id, "operator" => %operator, "result" => ?applied);
+        }
+        Action::Adopted { source, next } => {
+            info!(shared.log, "configuration taken over whole"; "source" => ?source,
+                "next" => next.0);
+        }
+    }
+}
+
+async fn perform(shared: Arc<Shared>, action: Action) -> Option<Event> {
+    match action {
+        Action::Read { from, wait_ms } => Some(read(&shared, from, wait_ms).await),
+        Action::FetchSnapshot => {
+            let snapshot = snapshot::fetch(&shared).await;
+            Some(Event::Snapshot(snapshot.map(Box::new)))
+        }
+        Action::WriteCheckpoint(parts) => {
+            write_and_note(&shared, parts).await;
+            Some(Event::CheckpointWritten)
+        }
+        Action::Relay { .. } | Action::Decided { .. } | Action::Adopted { .. } => None,
+    }
+}
+
+async fn read(shared: &Shared, from: Offset, wait_ms: u64) -> Event {
+    debug_assert_eq!(wait_ms, READ_WAIT_MS);
+    let wait_ms = wait_ms.min(shared.platform.wait_ms());
+    match shared.platform.read(CONFIG_STREAM, from, wait_ms).await {
+        Ok(records) => read_event(&shared.log, records),
+        Err(PlatformError::Trimmed(first)) => {
+            warn!(shared.log, "configuration records are no longer kept";
+                "expected" => from.0, "first" => first.0);
+            Event::Trimmed { first }
+        }
+        Err(err) => {
+            metrics::counter!("savoryvane_log_read_errors_total").increment(1);
+            debug!(shared.log, "configuration stream not read"; "error" => %err);
+            Event::ReadFailed
+        }
+    }
+}
+
+fn read_event(log: &Logger, answer: Records) -> Event {
+    let received = |record| received(log, record);
+    Event::Read {
+        first: answer.first,
+        next: answer.next,
+        records: answer.records.iter().map(received).collect(),
+    }
 }
 
-async fn pause() {
-    let jittered_ms = random_range(RETRY_MS / 2..=RETRY_MS);
-    time::sleep(Duration::from_millis(jittered_ms)).await;
+fn received(log: &Logger, record: &LogRecord) -> Received {
+    Received {
+        offset: record.offset,
+        age_ms: unix_ms().saturating_sub(record.appended_at_ms),
+        content: content(log, record.offset, config::decode_record(record)),
+    }
+}
+
+/// Notes a payload that can't be decoded and passes over it.
+pub(crate) fn content(
+    log: &Logger,
+    offset: Offset,
+    decoded: config::Result<ConfigRecord>,
+) -> Content {
+    match decoded {
+        Ok(record) => Content::Record(record),
+        Err(err) => {
+            warn!(log, "configuration record can't be decoded"; "offset" => offset.0,
+                "error" => %err);
+            Content::Undecodable
+        }
+    }
+}
+
+async fn write_and_note(shared: &Shared, parts: Vec<CheckpointPart>) {
+    let count = parts.len();
+    match write(shared, parts).await {
+        Ok(()) => info!(shared.log, "checkpoint written"; "parts" => count),
+        Err(err) => warn!(shared.log, "checkpoint not written"; "error" => %err),
+    }
+}
+
+async fn write(shared: &Shared, parts: Vec<CheckpointPart>) -> Result<(), PlatformError> {
+    for part in parts {
+        let payload = config::encode(&ConfigRecord::Checkpoint(part))
+            .map_err(|err| PlatformError::Malformed(err.to_string()))?;
+        let payload = Bytes::from(payload);
+        shared.platform.append(CONFIG_STREAM, payload).await?;
+    }
+    Ok(())
+}
+
+fn look_at_others(shared: &Shared) {
+    let (duties, newest) = {
+        let membership = shared.members.membership();
+        let live = membership.listed().iter().filter(|l| !l.is_leaving);
+        let duties = Duties {
+            tails: membership.rank(Duty::ConfigTail) < TAILERS,
+            checkpoint_rank: checkpoint_rank(shared, live.map(|l| &l.instance)),
+        };
+        let members = membership.members(shared.clock.now_ms());
+        let digests = members.filter_map(|(_, member, _)| Member::digest(member));
+        let zones = membership.zones().iter();
+        let newest = digests
+            .map(|digest| digest.config_next)
+            .chain(zones.map(|(_, zone)| zone.digest().config_max))
+            .max();
+        (duties, newest)
+    };
+    apply(shared, Event::Duties(duties));
+    if let Some(newest) = newest {
+        apply(shared, Event::PeerAt(newest));
+    }
+}
+
+/// Ranks this instance among those of all zones: there is one log.
+fn checkpoint_rank<'a>(shared: &'a Shared, live: impl Iterator<Item = &'a InstanceName>) -> u64 {
+    let me = &shared.settings.instance;
+    let others = live.filter(|name| *name != me);
+    let order = ranked(Duty::Checkpoint, others.chain([me]));
+    let rank = order.iter().position(|name| *name == me);
+    rank.map_or(u64::MAX, |rank| rank as u64)
+}
+
+fn note_progress(shared: &Shared, progress: Progress) {
+    let ignored = shared.configuration.ignored();
+    metrics::gauge!("savoryvane_config_next_offset").set(progress.next.0 as f64);
+    if let Some(age_ms) = progress.age_ms {
+        metrics::gauge!("savoryvane_config_age_ms").set(age_ms as f64);
+    }
+    metrics::counter!("savoryvane_config_records_undecodable_total").absolute(ignored.undecodable);
+    metrics::counter!("savoryvane_config_checkpoints_ignored_total").absolute(ignored.checkpoints);
+    metrics::counter!("savoryvane_config_snapshots_ignored_total").absolute(ignored.snapshots);
+    metrics::counter!("savoryvane_config_gaps_total").absolute(ignored.gaps);
 }
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -10,7 +10,12 @@
 };
 
 use arc_swap::ArcSwapOption;
-use savoryvane_core::{fleet::Fleet, ids::Incarnation, settings::PolicySettings};
+use savoryvane_core::{
+    config::{Action, FollowerSettings},
+    fleet::Fleet,
+    ids::Incarnation,
+    settings::PolicySettings,
+};
 use savoryvane_wire::platform::Listing;
 use slog::{Logger, info, warn};
 use tokio::{
@@ -24,7 +29,6 @@
 use crate::{
     admin, caller,
     calls::BackendClient,
-    checkpoints,
     clock::Clock,
     configuration::Configuration,
     error::{Error, Result},
@@ -39,6 +43,7 @@
     platform::PlatformClient,
     refusal::Refusal,
     settings::Settings,
+    snapshot::SnapshotCache,
 };
 
 /// What every task of an instance shares.
@@ -56,6 +61,8 @@
     pub(crate) phases: Arc<Phases>,
     /// The configuration in force.
     pub(crate) configuration: Configuration,
+    /// State that peers ask for.
+    pub(crate) snapshots: SnapshotCache,
     /// The platform's log and list.
     pub(crate) platform: PlatformClient,
     /// Newest list of instances and backend servers.
@@ -157,14 +164,15 @@
             peer: local_addr(&peer)?,
             admin: local_addr(&admin)?,
         };
-        let (shared, linked) = share(settings, addresses.peer);
+        let (shared, inboxes) = share(settings, addresses.peer);
         let shared = Arc::new(shared);
         info!(shared.log, "instance started"; "incarnation" => %shared.incarnation,
             "caller" => %addresses.caller, "peer" => %addresses.peer,
             "admin" => %addresses.admin, "version" => env!("CARGO_PKG_VERSION"));
         let connections = TaskTracker::new();
         let mut background = spawn_all(&shared, &connections, caller, admin);
-        spawn_peering(&mut background, &shared, peer, linked);
+        spawn_peering(&mut background, &shared, peer, inboxes.linked);
+        background.spawn(follower::run(Arc::clone(&shared), inboxes.asked));
         Ok(Self {
             shared,
             addresses,
@@ -225,7 +233,15 @@
     }
 }
 
-fn share(settings: Settings, peer: SocketAddr) -> (Shared, mpsc::UnboundedReceiver<PeerId>) {
+/// What tasks of the instance wait for.
+struct Inboxes {
+    /// Peers to which a gossip stream has been opened.
+    linked: mpsc::UnboundedReceiver<PeerId>,
+    /// What the follower of the configuration wants done.
+    asked: mpsc::UnboundedReceiver<Action>,
+}
+
+fn share(settings: Settings, peer: SocketAddr) -> (Shared, Inboxes) {
     let log = logging::build(&settings);
     let incarnation = Incarnation(rand::random());
     let (members, linked) = Members::new(&settings, incarnation, peer, log.clone());
@@ -235,12 +251,18 @@
         PolicySettings::default(),
         rand::random(),
     )));
+    let follower = FollowerSettings {
+        retention_ms: settings.platform.retention_ms,
+        seed: rand::random(),
+    };
+    let (configuration, asked) = Configuration::new(follower, Arc::clone(&fleet));
     let shared = Shared {
         incarnation,
         members,
         clock: Clock::start(),
         phases: Arc::new(Phases::new()),
-        configuration: Configuration::new(log.clone(), Arc::clone(&fleet)),
+        configuration,
+        snapshots: SnapshotCache::default(),
         platform: PlatformClient::new(settings.platform),
         listing: ArcSwapOption::empty(),
         backends: BackendClient::new(settings.backends, log.clone()),
@@ -251,7 +273,7 @@
         log,
         settings,
     };
-    (shared, linked)
+    (shared, Inboxes { linked, asked })
 }
 
 fn spawn_peering(
@@ -292,8 +314,6 @@
     let mut background = JoinSet::new();
     background.spawn(callers.run(caller, caller::service(Arc::clone(shared))));
     background.spawn(operators.run(admin, admin::service(Arc::clone(shared))));
-    background.spawn(follower::run(Arc::clone(shared)));
-    background.spawn(checkpoints::run(Arc::clone(shared)));
     background.spawn(listing::run(Arc::clone(shared)));
     background.spawn(loads::run(Arc::clone(shared)));
     background
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -4,7 +4,6 @@
 mod admin;
 mod caller;
 mod calls;
-mod checkpoints;
 mod clock;
 mod configuration;
 mod confirm;
@@ -27,9 +26,11 @@
 mod phase;
 mod platform;
 mod refusal;
+mod relay;
 mod runner;
 mod settings;
 mod shared_stream;
+mod snapshot;
 
 pub use crate::{
     error::{Error, Result},
--- a/crates/server/src/peering.rs
+++ b/crates/server/src/peering.rs
@@ -9,6 +9,7 @@
     instance::Shared,
     members,
     peer::{PeerAnswer, PeerHandler, PeerId},
+    relay, snapshot,
 };
 
 /// Hands messages of peers to the parts that they are for.
@@ -21,6 +22,8 @@
     fn on_gossip(&self, from: &PeerId, message: Message) {
         let from = from.instance.clone();
         let event = match message {
+            Message::ConfigHead(head) => return relay::take_head(&self.shared, head),
+            Message::ConfigRecords(relayed) => return relay::take_records(&self.shared, relayed),
             Message::Digests(batch) => Event::Digests { from, batch },
             Message::Zones(zones) => Event::Zones { from, zones },
             Message::Leaving(notice) => Event::Leaving {
@@ -35,7 +38,11 @@
         members::apply(&self.shared, event);
     }
 
-    fn on_request(&self, _from: PeerId, _message: Message, _wait: Duration) -> PeerAnswer {
-        Box::pin(future::ready(Message::Declined(Declined::Unsupported)))
+    fn on_request(&self, _from: PeerId, message: Message, _wait: Duration) -> PeerAnswer {
+        let answer = match message {
+            Message::ConfigSnapshotQuery(query) => snapshot::answer(&self.shared, query),
+            _ => Message::Declined(Declined::Unsupported),
+        };
+        Box::pin(future::ready(answer))
     }
 }
--- a/crates/server/src/platform.rs
+++ b/crates/server/src/platform.rs
@@ -18,8 +18,9 @@
 
 /// Largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 32 << 20;
-/// Records asked for in one read.
-const READ_LIMIT: u32 = 256;
+/// Records asked for in one read: as many of the log's largest, in base64, fit
+/// one answer.
+const READ_LIMIT: u32 = 20;
 /// Idle connections kept to the platform.
 const MAX_IDLE: usize = 4;
 
