Share capacity between workspaces by weight, and keep quotas

Cause: one workspace with twenty-five times its traffic took a seventh of the others' answers. One that is over its share by weight among the active ones may cause less wait in queues, down to a tenth; those within it keep the whole.

--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -1,7 +1,7 @@
 //! The policies that the bench compares.
 
 use savoryvane_core::settings::{
-    Admission, Ejection, Hedging, PolicySettings, Reports, Routing, Spill,
+    Admission, Ejection, Fairness, Hedging, PolicySettings, Reports, Routing, Spill,
 };
 
 /// A policy to run.
@@ -30,6 +30,8 @@
     Admission,
     /// Repeating overdue calls elsewhere.
     Hedging,
+    /// Weighted shares of the workspaces.
+    Fairness,
 }
 
 impl Part {
@@ -50,6 +52,7 @@
             Self::Ejection => "ejection",
             Self::Admission => "admission",
             Self::Hedging => "hedging",
+            Self::Fairness => "fairness",
         }
     }
 }
@@ -71,6 +74,7 @@
         ejection: Ejection::Off,
         admission: Admission::Off,
         hedging: Hedging::Off,
+        fairness: Fairness::Off,
         retry_percent: 1_000,
         retry_burst: 1_000_000,
         ..PolicySettings::default()
@@ -104,5 +108,9 @@
             hedging: Hedging::Off,
             ..settings
         },
+        Part::Fairness => PolicySettings {
+            fairness: Fairness::Off,
+            ..settings
+        },
     }
 }
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -150,6 +150,7 @@
                 );
                 let peers = deployment.instances.len() - 1;
                 fleet.set_peers(u32::try_from(peers).unwrap_or(u32::MAX));
+                fleet.configure_workspaces(deployment.workspaces.iter().map(|w| &w.workspace));
                 Instance {
                     fleet,
                     is_alive: true,
--- a/crates/core/src/decision.rs
+++ b/crates/core/src/decision.rs
@@ -55,8 +55,10 @@
     DeadlinePassed,
     /// The earlier call may have run and may not be repeated.
     NotIdempotent,
-    /// The workspace is over its share.
+    /// The workspace is over its share while others need theirs.
     OverShare,
+    /// The workspace is over its quota.
+    OverQuota,
     /// The caller has gone.
     CallerGone,
 }
@@ -76,6 +78,7 @@
             Self::DeadlinePassed => "deadline_passed",
             Self::NotIdempotent => "not_idempotent",
             Self::OverShare => "over_share",
+            Self::OverQuota => "over_quota",
             Self::CallerGone => "caller_gone",
         }
     }
--- a/crates/core/src/execution/attempt.rs
+++ b/crates/core/src/execution/attempt.rs
@@ -59,6 +59,7 @@
     fn admit(&self, turn: &mut Turn<'_>) -> Admitted {
         let time_left_ms = self.spec.deadline_at_ms.saturating_sub(turn.now_ms);
         let query = AdmitQuery {
+            workspace: &self.spec.workspace,
             pipeline: &self.spec.pipeline,
             time_left_us: time_left_ms * US_PER_MS,
         };
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -22,6 +22,7 @@
 mod retry_budget;
 mod route;
 mod score;
+mod shares;
 
 use admission::Overload;
 pub(crate) use admission::{AdmitQuery, Admitted};
@@ -31,6 +32,7 @@
 pub(crate) use pace::Progress;
 pub(crate) use retry_budget::RetryBudget;
 pub(crate) use route::{RouteQuery, Routed};
+use shares::Shares;
 
 /// State of a backend server as one instance sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -205,6 +207,7 @@
     /// Other instances that use the same backend servers.
     peers: u32,
     overload: Overload,
+    shares: Shares,
     pub(crate) retry_budget: RetryBudget,
     pub(crate) costs: CostBook,
 }
@@ -230,6 +233,7 @@
             ways: BTreeMap::new(),
             peers: 0,
             overload: Overload::default(),
+            shares: Shares::default(),
             costs: CostBook::default(),
         }
     }
--- a/crates/core/src/fleet/admission.rs
+++ b/crates/core/src/fleet/admission.rs
@@ -2,10 +2,10 @@
 
 use rand::RngExt;
 
-use super::{Fleet, KnownPool};
+use super::{Fleet, KnownPool, shares::wait_part};
 use crate::{
     decision::DecisionReason,
-    ids::PoolName,
+    ids::{PoolName, WorkspaceName},
     objects::{Pipeline, Stage},
     settings::Admission,
 };
@@ -34,6 +34,7 @@
 /// A request that asks to be taken.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AdmitQuery<'a> {
+    pub(crate) workspace: &'a WorkspaceName,
     pub(crate) pipeline: &'a Pipeline,
     pub(crate) time_left_us: u64,
 }
@@ -77,14 +78,27 @@
         if self.settings.admission == Admission::Off {
             return Admitted::Yes;
         }
+        if let Err(due_ms) = self.shares.take_quota(now_ms, query.workspace) {
+            return Admitted::No {
+                reason: DecisionReason::OverQuota,
+                retry_after_ms: due_ms,
+            };
+        }
         let forecast = self.forecast(now_ms, &query.pipeline.stages);
         let slack_us = query.time_left_us.saturating_sub(forecast.work_us);
         let most_us = slack_us * u64::from(self.settings.wait_percent_of_slack) / 100;
-        if forecast.work_us <= query.time_left_us && forecast.wait_us <= most_us {
+        let excess = self.shares.excess(now_ms, query.workspace);
+        let part = wait_part(&self.settings, excess);
+        let reason = if forecast.work_us > query.time_left_us || forecast.wait_us > most_us {
+            DecisionReason::CannotFinish
+        } else if forecast.wait_us as f64 > most_us as f64 * part {
+            DecisionReason::OverShare
+        } else {
+            self.shares.on_taken(query.workspace, forecast.work_us);
             return Admitted::Yes;
-        }
+        };
         Admitted::No {
-            reason: DecisionReason::CannotFinish,
+            reason,
             retry_after_ms: self.retry_after_ms(now_ms, forecast.wait_us.saturating_sub(most_us)),
         }
     }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -14,6 +14,8 @@
     /// Share of a request's slack that it may be expected to wait in queues,
     /// in per cent.
     pub wait_percent_of_slack: u32,
+    /// Who is refused first under pressure.
+    pub fairness: Fairness,
     /// Whether backend servers that fail are left alone for a while.
     pub ejection: Ejection,
     /// Time for which a backend server is ejected first; doubled each time it
@@ -46,6 +48,7 @@
             spill: Spill::ByWait,
             admission: Admission::ByForecast,
             wait_percent_of_slack: 50,
+            fairness: Fairness::Weighted,
             ejection: Ejection::On,
             ejection_ms: 1_000,
             ejected_percent_max: 34,
@@ -114,3 +117,12 @@
     /// weighs more, the first is given up then.
     Overdue,
 }
+
+/// Who is refused first under pressure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fairness {
+    /// Whoever comes next.
+    Off,
+    /// Workspaces that have used more than their share, by weight.
+    Weighted,
+}
