--- /dev/null
+++ b/crates/ctl/src/client.rs
@@ -0,0 +1,146 @@
+//! One HTTP exchange with one instance.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{HeaderName, Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use quick_error::quick_error;
+use tokio::{net::TcpStream, task::JoinHandle, time};
+
+use crate::settings::Settings;
+
+/// Largest accepted answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// Media type of every body.
+const JSON: &str = "application/json";
+
+quick_error! {
+    /// Why there is no answer.
+    #[derive(Debug)]
+    pub enum Fault {
+        /// Nothing was sent.
+        NotSent(reason: String) {
+            display("{reason}")
+        }
+        /// The request was sent, its answer did not come.
+        Unanswered(reason: String) {
+            display("{reason}")
+        }
+    }
+}
+
+/// A request to the operators' interface.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) header: Option<(HeaderName, String)>,
+    pub(crate) body: Bytes,
+}
+
+impl Call {
+    pub(crate) fn get(path: impl Into<String>) -> Self {
+        Self {
+            method: Method::GET,
+            path: path.into(),
+            header: None,
+            body: Bytes::new(),
+        }
+    }
+
+    pub(crate) fn post(path: impl Into<String>, body: Vec<u8>) -> Self {
+        Self {
+            method: Method::POST,
+            path: path.into(),
+            header: None,
+            body: body.into(),
+        }
+    }
+}
+
+/// An answer, whatever its status.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) body: Bytes,
+}
+
+/// Sends `call` to `addr` and waits for the whole answer.
+pub(crate) async fn exchange(
+    settings: &Settings,
+    addr: SocketAddr,
+    call: &Call,
+) -> Result<Answer, Fault> {
+    let deadline = time::Instant::now() + settings.timeout();
+    let no_time = || format!("no answer within {} ms", settings.timeout_ms);
+    let stream = match time::timeout_at(deadline, TcpStream::connect(addr)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(err)) => return Err(Fault::NotSent(err.to_string())),
+        Err(_) => return Err(Fault::NotSent(no_time())),
+    };
+    let request = request(settings, addr, call)?;
+    match time::timeout_at(deadline, send(stream, request)).await {
+        Ok(answer) => answer.map_err(Fault::Unanswered),
+        Err(_) => Err(Fault::Unanswered(no_time())),
+    }
+}
+
+fn request(
+    settings: &Settings,
+    addr: SocketAddr,
+    call: &Call,
+) -> Result<Request<Full<Bytes>>, Fault> {
+    let bearer = format!("Bearer {}", settings.credential.as_str());
+    let mut builder = Request::builder()
+        .method(&call.method)
+        .uri(&call.path)
+        .header(header::HOST, addr.to_string())
+        .header(header::AUTHORIZATION, bearer)
+        .header(header::ACCEPT, JSON);
+    if let Some((name, value)) = &call.header {
+        builder = builder.header(name, value);
+    }
+    if !call.body.is_empty() {
+        builder = builder.header(header::CONTENT_TYPE, JSON);
+    }
+    builder
+        .body(Full::new(call.body.clone()))
+        .map_err(|err| Fault::NotSent(err.to_string()))
+}
+
+async fn send(stream: TcpStream, request: Request<Full<Bytes>>) -> Result<Answer, String> {
+    let io = TokioIo::new(stream);
+    let (mut sender, connection) = http1::handshake(io).await.map_err(|err| err.to_string())?;
+    let _driver = Driver(tokio::spawn(async move {
+        // A fault of the connection comes out at the sender.
+        let _ = connection.await;
+    }));
+    let response = sender.send_request(request).await.map_err(describe)?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+    let body = body.collect().await.map_err(|err| err.to_string())?;
+    Ok(Answer {
+        status,
+        body: body.to_bytes(),
+    })
+}
+
+fn describe(err: hyper::Error) -> String {
+    if err.is_incomplete_message() {
+        "the connection was closed before an answer".to_owned()
+    } else {
+        err.to_string()
+    }
+}
+
+/// Ends the connection's task with the exchange, also when it is given up.
+struct Driver(JoinHandle<()>);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,1 +1,22 @@
-//! stub
+//! The operator's command line of savoryvane, as a library: settings, commands,
+//! the controller that runs them and the errors with their exit codes.
+
+mod admin;
+mod client;
+mod command;
+mod confirm;
+mod controller;
+mod costs;
+mod error;
+mod file;
+mod intent;
+mod plan;
+mod report;
+mod settings;
+mod table;
+mod view;
+
+pub use command::{Command, Confirmed, Costs, Grouping, ObjectList, Planned, ReportForm};
+pub use controller::Controller;
+pub use error::{Error, Exit, Result};
+pub use settings::{Credential, Format, Settings};
