Prove configuration on real processes; count ages from before the start

Cause: a process that took its state from a peer said that it was 16 ms old while the log had been away for 2 s: ages were taken from its own clock, which begins at 0 with the process, and stopped there. In the same way a new process took a checkpoint of many hours for a new one, and would have renewed it too late. Times before the start are negative now; nodes of the core's tests have clocks of their own, with which a test fails on the old code.

Also: a follower that is known to be behind asks a peer after 600 ms, not 1 s.

--- a/crates/core/src/config/follower.rs
+++ b/crates/core/src/config/follower.rs
@@ -6,7 +6,8 @@
 
 use crate::{
     config::{
-        Applied, Assembler, Assembly, CheckpointPart, ConfigRecord, Head, State, head::HeadWatch,
+        Applied, Assembler, Assembly, CheckpointPart, ConfigRecord, Head, State,
+        head::{HeadWatch, before},
         schedule::Schedule,
     },
     ids::{ChangeId, Offset, OperatorName},
@@ -23,7 +24,7 @@
 /// Most that is added to [`HEAD_SILENCE_MS`], so that not all read at once.
 const SILENCE_JITTER_MS: u64 = 300;
 /// Time that a head has to be fresher by to be passed on, in ms.
-const HEAD_STEP_MS: u64 = 200;
+const HEAD_STEP_MS: i64 = 200;
 /// First and longest pause after a failed read, in ms.
 const READ_RETRY_MS: (u64, u64) = (100, 1_000);
 /// Pause after a scan that found no checkpoint, in ms.
@@ -31,7 +32,7 @@
 /// Time for a new instance to start from the log before it asks a peer, in ms.
 const START_PATIENCE_MS: u64 = 500;
 /// Time known to be behind after which a peer is asked for its state, in ms.
-const BEHIND_PATIENCE_MS: u64 = 1_000;
+const BEHIND_PATIENCE_MS: u64 = 600;
 /// Time known to be behind after which the log is read, so that records on
 /// their way through other peers can still arrive, in ms.
 const BEHIND_READ_MS: u64 = 200;
@@ -389,7 +390,7 @@
         if state.next() < self.reader.first_kept || state.next() <= self.state.next() {
             return false;
         }
-        let at_ms = now_ms.saturating_sub(record.age_ms);
+        let at_ms = before(now_ms, record.age_ms);
         self.schedule.note_content(at_ms);
         self.schedule
             .note_complete(state.next(), at_ms, &mut self.rng);
@@ -444,7 +445,7 @@
         if let Some(age_ms) = age_ms {
             self.heads.adopt_age(now_ms, age_ms);
         }
-        self.schedule.note_content(now_ms);
+        self.schedule.note_content(before(now_ms, 0));
         self.adopt(state, Source::Peer, actions);
     }
 
@@ -483,7 +484,7 @@
         if matches!(result, Applied::Old | Applied::Gap { .. }) {
             return;
         }
-        let at_ms = now_ms.saturating_sub(record.age_ms);
+        let at_ms = before(now_ms, record.age_ms);
         self.schedule.note_content(at_ms);
         match &record.content {
             Content::Record(ConfigRecord::Change(change)) => actions.push(Action::Decided {
@@ -522,12 +523,9 @@
 
     /// Once it follows the head, a record counts as new when it arrives: so
     /// clocks that disagree can't make every checkpoint look old.
-    fn written_at_ms(&self, now_ms: u64, record: &Received) -> u64 {
-        if self.has_started {
-            now_ms
-        } else {
-            now_ms.saturating_sub(record.age_ms)
-        }
+    fn written_at_ms(&self, now_ms: u64, record: &Received) -> i64 {
+        let age_ms = if self.has_started { 0 } else { record.age_ms };
+        before(now_ms, age_ms)
     }
 
     fn relay(&mut self, now_ms: u64, applied: Vec<Received>, actions: &mut Vec<Action>) {
--- a/crates/core/src/config/head.rs
+++ b/crates/core/src/config/head.rs
@@ -11,11 +11,12 @@
     pub age_ms: u64,
 }
 
-/// A head with the time at which the log said it, by the own clock.
+/// A head with the time at which the log said it, by the own clock; what was
+/// said before that clock began has a negative time.
 #[derive(Clone, Copy, Debug)]
 struct Heard {
     next: Offset,
-    said_at_ms: u64,
+    said_at_ms: i64,
 }
 
 /// Follows the heads that are heard of.
@@ -26,7 +27,7 @@
     known_next: Offset,
     behind_since_ms: Option<u64>,
     /// Last time at which the own state was the newest.
-    current_at_ms: Option<u64>,
+    current_at_ms: Option<i64>,
     relayed: Option<Heard>,
 }
 
@@ -36,7 +37,7 @@
         self.known_next = next;
         self.note(Heard {
             next,
-            said_at_ms: now_ms,
+            said_at_ms: before(now_ms, 0),
         });
     }
 
@@ -45,7 +46,7 @@
         self.hint(head.next);
         self.note(Heard {
             next: head.next,
-            said_at_ms: now_ms.saturating_sub(head.age_ms),
+            said_at_ms: before(now_ms, head.age_ms),
         });
     }
 
@@ -56,7 +57,7 @@
 
     /// Takes over a peer's account of how old its state is.
     pub(crate) fn adopt_age(&mut self, now_ms: u64, age_ms: u64) {
-        let at_ms = now_ms.saturating_sub(age_ms);
+        let at_ms = before(now_ms, age_ms);
         self.current_at_ms = self.current_at_ms.max(Some(at_ms));
     }
 
@@ -88,26 +89,25 @@
 
     /// Returns the time since the log was last heard of, by any way, in ms.
     pub(crate) fn silent_ms(&self, now_ms: u64) -> Option<u64> {
-        self.latest
-            .map(|heard| now_ms.saturating_sub(heard.said_at_ms))
+        self.latest.map(|heard| since(now_ms, heard.said_at_ms))
     }
 
     /// Returns the time since the own state was known to be the newest, in ms.
     pub(crate) fn age_ms(&self, now_ms: u64) -> Option<u64> {
-        self.current_at_ms.map(|at| now_ms.saturating_sub(at))
+        self.current_at_ms.map(|at_ms| since(now_ms, at_ms))
     }
 
     /// Returns the latest head.
     pub(crate) fn head(&self, now_ms: u64) -> Option<Head> {
         self.latest.map(|heard| Head {
             next: heard.next,
-            age_ms: now_ms.saturating_sub(heard.said_at_ms),
+            age_ms: since(now_ms, heard.said_at_ms),
         })
     }
 
     /// Tells whether the latest head is worth passing on: it is at least
     /// `step_ms` fresher than the last one passed on, or higher.
-    pub(crate) fn is_news(&self, step_ms: u64) -> bool {
+    pub(crate) fn is_news(&self, step_ms: i64) -> bool {
         match (self.latest, self.relayed) {
             (None, _) => false,
             (Some(_), None) => true,
@@ -128,3 +128,14 @@
         latest.said_at_ms = latest.said_at_ms.max(heard.said_at_ms);
     }
 }
+
+/// Returns the time `age_ms` before `now_ms`, which may be before the own clock
+/// began.
+pub(crate) fn before(now_ms: u64, age_ms: u64) -> i64 {
+    now_ms.cast_signed().saturating_sub_unsigned(age_ms)
+}
+
+fn since(now_ms: u64, at_ms: i64) -> u64 {
+    let age_ms = now_ms.cast_signed().saturating_sub(at_ms);
+    u64::try_from(age_ms).unwrap_or(0)
+}
--- a/crates/core/src/config/schedule.rs
+++ b/crates/core/src/config/schedule.rs
@@ -23,11 +23,11 @@
 pub(crate) struct Schedule {
     retention_ms: u64,
     /// Newest complete checkpoint: what it covers and when it was written.
-    newest: Option<(Offset, u64)>,
+    newest: Option<(Offset, i64)>,
     /// Since when there are records, or a state, that no checkpoint covers.
-    uncovered_since_ms: Option<u64>,
+    uncovered_since_ms: Option<i64>,
     /// Since when the log has been known to keep no usable checkpoint.
-    lost_since_ms: Option<u64>,
+    lost_since_ms: Option<i64>,
     rank: u64,
     jitter_ms: u64,
     not_before_ms: u64,
@@ -59,12 +59,12 @@
     }
 
     /// Notes that the state holds something written at `at_ms`.
-    pub(crate) fn note_content(&mut self, at_ms: u64) {
+    pub(crate) fn note_content(&mut self, at_ms: i64) {
         self.uncovered_since_ms.get_or_insert(at_ms);
     }
 
     /// Notes a complete checkpoint written at `at_ms`.
-    pub(crate) fn note_complete(&mut self, covers: Offset, at_ms: u64, rng: &mut Pcg64Mcg) {
+    pub(crate) fn note_complete(&mut self, covers: Offset, at_ms: i64, rng: &mut Pcg64Mcg) {
         if self.newest.is_some_and(|(newest, _)| newest > covers) {
             return;
         }
@@ -75,7 +75,7 @@
 
     /// Counts a part that came without its items; all parts together count as
     /// a complete checkpoint. Instances that read the log verify them.
-    pub(crate) fn count_part(&mut self, part: &CheckpointPart, at_ms: u64, rng: &mut Pcg64Mcg) {
+    pub(crate) fn count_part(&mut self, part: &CheckpointPart, at_ms: i64, rng: &mut Pcg64Mcg) {
         let id = (part.covers, part.digest.clone());
         let seen = self.counted.entry(id.clone()).or_default();
         seen.insert(part.index);
@@ -94,7 +94,7 @@
             && now_ms >= self.not_before_ms
             && self
                 .due_ms(now_ms, first_kept)
-                .is_some_and(|due| now_ms >= due);
+                .is_some_and(|due_ms| now_ms.cast_signed() >= due_ms);
         self.is_writing |= is_due;
         is_due
     }
@@ -106,15 +106,15 @@
         self.not_before_ms = now_ms + 2 * self.rank_step_ms();
     }
 
-    fn due_ms(&mut self, now_ms: u64, first_kept: Offset) -> Option<u64> {
+    fn due_ms(&mut self, now_ms: u64, first_kept: Offset) -> Option<i64> {
         let wait_ms = self.rank * self.rank_step_ms() + self.jitter_ms;
-        let renewal_ms = self.retention_ms / RENEWAL_DIVISOR;
+        let renewal_ms = (self.retention_ms / RENEWAL_DIVISOR).cast_signed();
         let base_ms = match self.newest {
             Some((covers, at_ms)) if covers >= first_kept => at_ms + renewal_ms,
             None if first_kept == Offset::default() => self.uncovered_since_ms? + renewal_ms,
-            None | Some(_) => *self.lost_since_ms.get_or_insert(now_ms),
+            None | Some(_) => *self.lost_since_ms.get_or_insert(now_ms.cast_signed()),
         };
-        Some(base_ms + wait_ms)
+        Some(base_ms.saturating_add_unsigned(wait_ms))
     }
 
     fn rank_step_ms(&self) -> u64 {
--- a/crates/core/tests/config_fixtures/world.rs
+++ b/crates/core/tests/config_fixtures/world.rs
@@ -6,8 +6,8 @@
 use rand_pcg::Pcg64Mcg;
 use savoryvane_core::{
     config::{
-        Action, ConfigRecord, Content, Duties, Event, Follower, FollowerSettings, READ_WAIT_MS,
-        Received, Snapshot, TICK_MS,
+        Action, ConfigRecord, Content, Duties, Event, Follower, FollowerSettings, Progress,
+        READ_WAIT_MS, Received, Snapshot, TICK_MS,
     },
     ids::Offset,
 };
@@ -53,6 +53,8 @@
     /// It takes no event at all.
     is_frozen: bool,
     pub actions: Vec<Action>,
+    /// Start of its clock.
+    born_ms: u64,
     next_seen: Offset,
     /// The read that the log has open: its first offset and its end.
     reading: Option<(u64, u64)>,
@@ -113,6 +115,7 @@
             is_off_log: false,
             is_frozen: false,
             actions: Vec::new(),
+            born_ms: self.now_ms,
             next_seen: Offset::default(),
             reading: None,
             backlog: Vec::new(),
@@ -191,6 +194,11 @@
         None
     }
 
+    pub fn progress(&self, node: usize) -> Progress {
+        let node = &self.nodes[node];
+        node.follower.progress(self.now_ms - node.born_ms)
+    }
+
     pub fn next_of(&self, node: usize) -> u64 {
         self.nodes[node].follower.state().next().0
     }
@@ -238,7 +246,8 @@
     }
 
     fn event(&mut self, node: usize, event: Event) {
-        let actions = self.nodes[node].follower.on_event(self.now_ms, event);
+        let state = &mut self.nodes[node];
+        let actions = (state.follower).on_event(self.now_ms - state.born_ms, event);
         let next = self.nodes[node].follower.state().next();
         assert!(next >= self.nodes[node].next_seen, "the state went back");
         self.nodes[node].next_seen = next;
@@ -344,14 +353,14 @@
         let is_reached = |other: &usize| {
             let peer = &self.nodes[*other];
             let is_up = !peer.is_cut && !peer.is_frozen && !self.nodes[node].is_cut;
-            *other != node && is_up && peer.follower.progress(self.now_ms).has_started
+            *other != node && is_up && self.progress(*other).has_started
         };
         let reached = (0..self.nodes.len()).filter(is_reached);
         let best = reached.max_by_key(|other| self.next_of(*other));
-        let peer = &self.nodes[self.snapshot_from.or(best)?].follower;
+        let best = self.snapshot_from.or(best)?;
         Some(Box::new(Snapshot {
-            state: peer.state().clone(),
-            age_ms: peer.progress(self.now_ms).age_ms,
+            state: self.nodes[best].follower.state().clone(),
+            age_ms: self.progress(best).age_ms,
         }))
     }
 }
--- a/crates/core/tests/config_follower.rs
+++ b/crates/core/tests/config_follower.rs
@@ -190,7 +190,7 @@
     world.run_for(10_000);
     let new = world.add_node();
     world.run_for(1_000);
-    let progress = world.nodes[new].follower.progress(world.now_ms);
+    let progress = world.progress(new);
     assert!(progress.has_started);
     assert_eq!(world.next_of(new), 5);
     assert!(progress.age_ms.unwrap() >= 10_000, "{progress:?}");
@@ -206,16 +206,9 @@
     let next = change(&mut world);
     world.run_for(20_000);
     assert_eq!(world.next_of(4), 3);
-    let progress = world.nodes[4].follower.progress(world.now_ms);
+    let progress = world.progress(4);
     assert!(progress.age_ms.unwrap() >= 19_000, "{progress:?}");
-    assert!(
-        world.nodes[5]
-            .follower
-            .progress(world.now_ms)
-            .age_ms
-            .unwrap()
-            < 1_000
-    );
+    assert!(world.progress(5).age_ms.unwrap() < 1_000);
     world.nodes[4].is_cut = false;
     assert!(world.run_until_in_force(next, LIMIT_MS, all).is_some());
 }
--- a/crates/server/tests/common/process.rs
+++ b/crates/server/tests/common/process.rs
@@ -39,6 +39,7 @@
 pub struct Entry {
     child: Child,
     pub caller: SocketAddr,
+    pub peer: SocketAddr,
     pub admin: SocketAddr,
 }
 
@@ -61,14 +62,20 @@
         };
         Self {
             caller: addr("caller="),
+            peer: addr("peer="),
             admin: addr("admin="),
             child,
         }
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Sends a signal to this process, and to no other.
+    pub fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
-        let status = Command::new("kill").args(["-TERM", &id]).status().unwrap();
+        let status = Command::new("kill").args([signal, &id]).status().unwrap();
         assert!(status.success());
     }
 
--- /dev/null
+++ b/crates/server/tests/config_processes.rs
@@ -0,0 +1,342 @@
+//! Configuration on real processes that are frozen, killed and cut off.
+
+mod common;
+#[path = "common/process.rs"]
+#[allow(dead_code, reason = "each test file uses a part of it")]
+mod process;
+
+use std::time::Duration;
+
+use common::{operate, plan, settings_text};
+use http::{Method, StatusCode};
+use process::Entry;
+use savoryvane_standins::{
+    LinkFaults, ListServer, ListSettings, LogFaults, LogServer, LogSettings, Relay, RelaySettings,
+};
+use savoryvane_wire::{
+    admin::{Confirmation, InstanceView, Status},
+    platform::{CONFIG_STREAM, Listed, ListedRole, ListedState},
+};
+use serde_json::{Value, json};
+use tokio::time::{self, Instant};
+
+const ZONES: [&str; 2] = ["hal-gouda", "hal-utrecht"];
+const CONFIRM: &str = "/admin/v1/confirmations";
+const SETTLE: Duration = Duration::from_secs(15);
+/// Time for duties to be taken up.
+const DUTIES: Duration = Duration::from_millis(1_500);
+const LIMIT: Duration = Duration::from_secs(4);
+
+/// A log, a list and processes in two availability zones.
+struct Cluster {
+    log: LogServer,
+    list: ListServer,
+    entries: Vec<Entry>,
+    extra: String,
+}
+
+impl Cluster {
+    async fn start(processes: usize) -> Self {
+        Self::with_retention(processes, 3_600_000).await
+    }
+
+    async fn with_retention(processes: usize, retention_ms: u64) -> Self {
+        let log = LogServer::start(LogSettings {
+            retention_ms,
+            ..LogSettings::default()
+        });
+        let mut cluster = Self {
+            log: log.await.unwrap(),
+            list: ListServer::start(ListSettings::default()).await.unwrap(),
+            entries: Vec::new(),
+            extra: format!("retention_ms: {retention_ms}, "),
+        };
+        for _ in 0..processes {
+            cluster.add().await;
+        }
+        cluster.settle().await;
+        cluster
+    }
+
+    /// Waits until every process knows the others of its zone and those that
+    /// are not to follow the log have stopped to.
+    async fn settle(&self) {
+        let start = Instant::now();
+        for index in 0..self.entries.len() {
+            while !self.knows_its_zone(index).await {
+                assert!(start.elapsed() < SETTLE, "entry-{index} is alone");
+                time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        time::sleep(DUTIES).await;
+    }
+
+    async fn knows_its_zone(&self, index: usize) -> bool {
+        let views = self.get(index, "/admin/v1/instances").await;
+        let views: Vec<InstanceView> = serde_json::from_value(views).unwrap();
+        let zone = ZONES[index % 2];
+        let of_zone = views.iter().filter(|view| view.zone.as_str() == zone);
+        of_zone.filter(|view| view.state == "live").count() == self.in_zone(zone)
+    }
+
+    fn in_zone(&self, zone: &str) -> usize {
+        (0..self.entries.len())
+            .filter(|index| ZONES[index % 2] == zone)
+            .count()
+    }
+
+    async fn add(&mut self) -> usize {
+        let log = self.log.addr();
+        self.add_with_log(log).await
+    }
+
+    async fn add_with_log(&mut self, log: std::net::SocketAddr) -> usize {
+        let index = self.entries.len();
+        let (name, zone) = (format!("entry-{index}"), ZONES[index % 2]);
+        let settings = settings_text(&name, log, self.list.addr(), "")
+            .replace(common::ZONE, zone)
+            .replace("platform: {", &format!("platform: {{{}", self.extra));
+        let started = tokio::task::spawn_blocking(move || Entry::start(&settings));
+        let entry = started.await.unwrap();
+        self.list.put(Listed {
+            name,
+            role: ListedRole::Entry,
+            zone: zone.into(),
+            addr: entry.peer,
+            state: ListedState::Live,
+        });
+        self.entries.push(entry);
+        index
+    }
+
+    async fn get(&self, index: usize, path: &str) -> Value {
+        let admin = self.entries[index].admin;
+        let (status, value) = operate(admin, Method::GET, path, &Value::Null).await;
+        assert_eq!(status, StatusCode::OK, "{value}");
+        value
+    }
+
+    async fn status(&self, index: usize) -> Status {
+        serde_json::from_value(self.get(index, "/admin/v1/status").await).unwrap()
+    }
+
+    /// Confirms a new price at a process and returns the offset that follows.
+    async fn change(&self, index: usize, micros: u64) -> u64 {
+        let admin = self.entries[index].admin;
+        let plan = json!(plan(admin, &price(micros)).await);
+        let (status, body) = operate(admin, Method::POST, CONFIRM, &plan).await;
+        assert_eq!(status, StatusCode::OK, "{body}");
+        let confirmation: Confirmation = serde_json::from_value(body).unwrap();
+        confirmation.offset.0 + 1
+    }
+
+    /// Waits until all of `among` are ready and at `next`, within the limit.
+    async fn wait_in_force(&self, next: u64, among: &[usize]) -> Duration {
+        let start = Instant::now();
+        for index in among {
+            loop {
+                let status = self.status(*index).await;
+                if status.ready && status.config_next.0 >= next {
+                    break;
+                }
+                assert!(start.elapsed() < LIMIT, "entry-{index}: {status:?}");
+                time::sleep(Duration::from_millis(2)).await;
+            }
+        }
+        start.elapsed()
+    }
+
+    async fn wait_all_in_force(&self, next: u64) -> Duration {
+        let all: Vec<_> = (0..self.entries.len()).collect();
+        self.wait_in_force(next, &all).await
+    }
+
+    async fn assert_same_objects(&self, among: &[usize]) {
+        let expected = self.get(among[0], "/admin/v1/objects").await;
+        assert_ne!(expected, json!([]));
+        for index in among {
+            assert_eq!(self.get(*index, "/admin/v1/objects").await, expected);
+        }
+    }
+}
+
+fn price(micros: u64) -> Value {
+    json!({ "pools": [{ "name": "encode", "kind": "encode", "price_micros_per_s": micros }] })
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn processes_have_a_change_in_force_within_4_s_while_some_are_frozen() {
+    let cluster = Cluster::start(8).await;
+    let next = cluster.change(0, 1).await;
+    println!("8 processes: {:?}", cluster.wait_all_in_force(next).await);
+    let zone = [0, 2, 4, 6];
+    // Two of the zone follow the log; in most rounds both are frozen.
+    for awake in zone {
+        let frozen: Vec<_> = zone.into_iter().filter(|index| *index != awake).collect();
+        for index in &frozen {
+            cluster.entries[*index].signal("-STOP");
+        }
+        let next = cluster.change(7, 10 + awake as u64).await;
+        let took = cluster.wait_in_force(next, &[awake, 1, 3, 5, 7]).await;
+        println!("3 of a zone's 4 processes frozen: {took:?}");
+        for index in &frozen {
+            cluster.entries[*index].signal("-CONT");
+        }
+        cluster.wait_all_in_force(next).await;
+        time::sleep(DUTIES).await;
+    }
+    cluster.assert_same_objects(&[0, 1, 2, 3, 4, 5, 6, 7]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_at_two_processes_get_one_winner_and_one_conflict() {
+    let cluster = Cluster::start(4).await;
+    let next = cluster.change(0, 1).await;
+    cluster.wait_all_in_force(next).await;
+    let admins = [cluster.entries[0].admin, cluster.entries[3].admin];
+    let plans = [
+        json!(plan(admins[0], &price(2)).await),
+        json!(plan(admins[1], &price(3)).await),
+    ];
+    let (first, second) = tokio::join!(
+        operate(admins[0], Method::POST, CONFIRM, &plans[0]),
+        operate(admins[1], Method::POST, CONFIRM, &plans[1]),
+    );
+    let mut statuses = [first.0, second.0];
+    statuses.sort();
+    assert_eq!(statuses, [StatusCode::OK, StatusCode::CONFLICT]);
+    cluster.wait_all_in_force(next + 2).await;
+    cluster.assert_same_objects(&[0, 1, 2, 3]).await;
+    let history = cluster.get(0, "/admin/v1/history").await;
+    assert_eq!(cluster.get(2, "/admin/v1/history").await, history);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_append_answer_and_a_killed_process_change_nothing() {
+    let mut cluster = Cluster::start(3).await;
+    cluster.log.set_faults(LogFaults {
+        lose_append_answers: true,
+        ..LogFaults::default()
+    });
+    let next = cluster.change(0, 1).await;
+    drop(cluster.entries.remove(0));
+    cluster.wait_all_in_force(next).await;
+    let history = cluster.get(0, "/admin/v1/history").await;
+    assert_eq!(history.as_array().unwrap().len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_process_starts_from_a_peer_while_the_log_is_down() {
+    let mut cluster = Cluster::start(4).await;
+    let next = cluster.change(0, 1).await;
+    cluster.wait_all_in_force(next).await;
+    cluster.log.set_faults(LogFaults {
+        outage: true,
+        ..LogFaults::default()
+    });
+    time::sleep(Duration::from_secs(2)).await;
+    let new = cluster.add().await;
+    cluster.wait_in_force(next, &[new]).await;
+    cluster.assert_same_objects(&[0, new]).await;
+    let age_ms = cluster.status(new).await.config_age_ms;
+    assert!((1_500..60_000).contains(&age_ms), "{age_ms}");
+    cluster.log.set_faults(LogFaults::default());
+    let next = cluster.change(new, 2).await;
+    cluster.wait_all_in_force(next).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_cut_off_the_log_follows_through_its_peers() {
+    let mut cluster = Cluster::start(4).await;
+    let any = "127.0.0.1:0".parse().unwrap();
+    let relay = Relay::start(RelaySettings {
+        addr: any,
+        to: cluster.log.addr(),
+        control: any,
+    });
+    let relay = relay.await.unwrap();
+    let off_log = cluster.add_with_log(relay.addr()).await;
+    cluster.settle().await;
+    let next = cluster.change(0, 1).await;
+    cluster.wait_all_in_force(next).await;
+    // A cut holds connections open in silence, as a lost route does.
+    relay.set_faults(LinkFaults {
+        cut: true,
+        ..LinkFaults::default()
+    });
+    for micros in 2..5 {
+        let next = cluster.change(1, micros).await;
+        let took = cluster.wait_in_force(next, &[off_log]).await;
+        println!("a process cut off the log: {took:?}");
+    }
+    relay.set_faults(LinkFaults::default());
+    let next = cluster.change(off_log, 9).await;
+    cluster.wait_all_in_force(next).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_held_back_by_the_log_is_told_and_applied_later() {
+    let cluster = Cluster::start(3).await;
+    let next = cluster.change(0, 1).await;
+    cluster.wait_all_in_force(next).await;
+    cluster.log.set_faults(LogFaults {
+        pause_delivery: true,
+        ..LogFaults::default()
+    });
+    let admin = cluster.entries[0].admin;
+    let plan = json!(plan(admin, &price(2)).await);
+    let (status, body) = operate(admin, Method::POST, CONFIRM, &plan).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{body}");
+    assert!(
+        body["error"].as_str().unwrap().contains("not read back"),
+        "{body}"
+    );
+    cluster.log.set_faults(LogFaults::default());
+    // The repeat of the same plan, at another process, finds the first.
+    let other = cluster.entries[2].admin;
+    let (status, body) = operate(other, Method::POST, CONFIRM, &plan).await;
+    assert_eq!(status, StatusCode::OK, "{body}");
+    assert_eq!(body["offset"], json!(next));
+    cluster.wait_all_in_force(next + 1).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_trimmed_past_its_offset_takes_the_state_from_a_peer() {
+    let cluster = Cluster::start(4).await;
+    let next = cluster.change(0, 1).await;
+    cluster.wait_all_in_force(next).await;
+    cluster.entries[3].signal("-STOP");
+    let mut next = next;
+    for micros in 2..6 {
+        next = cluster.change(0, micros).await;
+    }
+    cluster.log.set_faults(LogFaults {
+        trim: true,
+        ..LogFaults::default()
+    });
+    cluster.entries[3].signal("-CONT");
+    cluster.wait_in_force(next, &[3]).await;
+    cluster.assert_same_objects(&[0, 3]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn checkpoints_outlive_the_retention_and_every_process() {
+    let mut cluster = Cluster::with_retention(3, 3_000).await;
+    let mut next = 0;
+    for micros in 1..4 {
+        next = cluster.change(0, micros).await;
+    }
+    cluster.wait_all_in_force(next).await;
+    let expected = cluster.get(0, "/admin/v1/objects").await;
+    time::sleep(Duration::from_secs(7)).await;
+    // All are killed at once: only the log is left.
+    cluster.entries.clear();
+    for _ in 0..2 {
+        cluster.add().await;
+    }
+    cluster.wait_all_in_force(next).await;
+    assert_eq!(cluster.get(1, "/admin/v1/objects").await, expected);
+    let kept = cluster.log.payloads(CONFIG_STREAM);
+    let is_change = |payload: &Vec<u8>| payload.windows(8).any(|x| x == b"\"change\"");
+    assert!(!kept.iter().any(is_change), "the changes have expired");
+}
