--- a/crates/core/src/membership/query.rs
+++ b/crates/core/src/membership/query.rs
@@ -50,6 +50,11 @@
         members.map(move |(name, member)| (name, member, self.roster.state(member, now_ms)))
     }
 
+    /// Tells whether an instance is known in this zone.
+    pub fn is_in_zone(&self, instance: &InstanceName) -> bool {
+        *instance == self.me.instance || self.roster.get(instance).is_some()
+    }
+
     /// Returns the platform's list, of all zones.
     pub fn listed(&self) -> &[ListedInstance] {
         &self.listed
--- a/crates/server/src/controller.rs
+++ b/crates/server/src/controller.rs
@@ -5,6 +5,7 @@
 use savoryvane_core::{
     execution::{Completion, ExecutionSpec},
     ids::{IdempotencyKey, PipelineName, RequestId, WorkspaceName},
+    limiter::Admission,
     objects::{Objective, Pipeline},
     outcome::Outcome,
 };
@@ -18,6 +19,7 @@
     phase::Phase,
     refusal::Refusal,
     runner::{self, Update},
+    sharing,
 };
 
 /// Priority of a call whose workspace asks for attainment.
@@ -74,7 +76,8 @@
 pub(crate) fn admit(shared: &Arc<Shared>, head: Head) -> Result<Admitted, Refusal> {
     let admitted = authenticate(shared, &head)
         .and_then(|(pipeline, objective)| claim(&pipeline).map(|()| (pipeline, objective)))
-        .and_then(|found| shared.enter().map(|guard| (found, guard)));
+        .and_then(|found| shared.enter().map(|guard| (found, guard)))
+        .and_then(|found| check_quota(shared, &head).map(|()| found));
     log_admission(shared, &head, admitted.as_ref().err());
     let ((pipeline, objective), guard) = admitted?;
     let asked_ms = head.deadline_ms.unwrap_or(pipeline.deadline_ms);
@@ -178,6 +181,14 @@
     }
 }
 
+fn check_quota(shared: &Shared, head: &Head) -> Result<(), Refusal> {
+    match sharing::admit(shared, &head.workspace) {
+        Admission::Admitted => Ok(()),
+        Admission::Refused { retry_after_ms } => Err(Refusal::OverQuota(retry_after_ms)),
+        Admission::Unknown => Err(Refusal::Unauthorized),
+    }
+}
+
 fn priority(objective: Objective) -> u8 {
     match objective {
         Objective::Attainment => ATTAINMENT_PRIORITY,
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -30,6 +30,7 @@
 mod runner;
 mod settings;
 mod shared_stream;
+mod sharing;
 mod snapshot;
 
 pub use crate::{
--- a/crates/server/src/members.rs
+++ b/crates/server/src/members.rs
@@ -11,6 +11,7 @@
     ids::{BackendName, Incarnation, InstanceName, Offset},
     membership::{Action, Event, Gossip, Identity, Membership, OwnState, TICK_MS},
     roster::ListedInstance,
+    usage::Usage,
 };
 use savoryvane_wire::{
     peer::Message,
@@ -27,13 +28,18 @@
     peer::{PeerHandle, PeerId},
     phase::Phase,
     settings::Settings,
+    sharing::{self, Sharing},
 };
 
+/// Time between two looks at who divides the quotas, in ms.
+const VIEW_MS: u64 = 1_000;
+
 /// Knowledge of the other instances, and the connections to them.
 #[derive(Debug)]
 pub(crate) struct Members {
     membership: Mutex<Membership>,
     peers: PeerHandle,
+    sharing: Sharing,
 }
 
 impl Members {
@@ -58,9 +64,12 @@
             started_at_s: unix_s(),
         };
         let (peers, linked) = PeerHandle::new(me, log);
+        let (instance, zone) = (settings.instance.clone(), settings.zone.clone());
+        let usage = Usage::new(0, instance, zone, incarnation);
         let members = Self {
             membership: Mutex::new(Membership::new(0, identity)),
             peers,
+            sharing: Sharing::new(usage),
         };
         (members, linked)
     }
@@ -72,6 +81,11 @@
         locked.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the workspace quotas.
+    pub(crate) fn sharing(&self) -> &Sharing {
+        &self.sharing
+    }
+
     /// Returns the way to send requests to peers.
     pub(crate) fn peers(&self) -> &PeerHandle {
         &self.peers
@@ -82,12 +96,16 @@
 pub(crate) async fn run(shared: Arc<Shared>, mut linked: mpsc::UnboundedReceiver<PeerId>) {
     let mut ticks = time::interval(Duration::from_millis(TICK_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut views = time::interval(Duration::from_millis(VIEW_MS));
+    views.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             _ = ticks.tick() => {
                 apply(&shared, Event::Own(own_state(&shared)));
                 apply(&shared, Event::Tick);
+                sharing::tick(&shared);
             }
+            _ = views.tick() => sharing::renew_view(&shared),
             Some(peer) = linked.recv() => apply(&shared, Event::Linked(peer.instance)),
         }
     }
--- a/crates/server/src/peering.rs
+++ b/crates/server/src/peering.rs
@@ -9,7 +9,7 @@
     instance::Shared,
     members,
     peer::{PeerAnswer, PeerHandler, PeerId},
-    relay, snapshot,
+    relay, sharing, snapshot,
 };
 
 /// Hands messages of peers to the parts that they are for.
@@ -38,8 +38,11 @@
         members::apply(&self.shared, event);
     }
 
-    fn on_request(&self, _from: PeerId, message: Message, _wait: Duration) -> PeerAnswer {
+    fn on_request(&self, from: PeerId, message: Message, _wait: Duration) -> PeerAnswer {
         let answer = match message {
+            Message::UsageReport(report) => {
+                return sharing::answer(Arc::clone(&self.shared), from, report);
+            }
             Message::ConfigSnapshotQuery(query) => snapshot::answer(&self.shared, query),
             _ => Message::Declined(Declined::Unsupported),
         };
--- a/crates/server/src/refusal.rs
+++ b/crates/server/src/refusal.rs
@@ -28,6 +28,9 @@
     Overloaded,
     /// The instance has no configuration yet.
     NotReady,
+    /// The workspace is at its quota here; it may come back after this time, in
+    /// ms.
+    OverQuota(u64),
     /// The pipeline may not be repeated, and no claim of its key can be made.
     NoClaim,
 }
@@ -46,6 +49,7 @@
             Self::LargeBody => "large_body".to_owned(),
             Self::Overloaded => "overloaded".to_owned(),
             Self::NotReady => "not_ready".to_owned(),
+            Self::OverQuota(_) => "over_quota".to_owned(),
             Self::NoClaim => "no_claim".to_owned(),
         }
     }
@@ -68,6 +72,7 @@
             Self::BadHeader(_) | Self::BadBody => StatusCode::BAD_REQUEST,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::LargeBody => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::Overloaded | Self::NotReady | Self::NoClaim => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -75,6 +80,7 @@
     /// Returns when to come back, in ms, where that helps.
     pub(crate) fn retry_after_ms(self) -> Option<u64> {
         match self {
+            Self::OverQuota(retry_after_ms) => Some(retry_after_ms),
             Self::Overloaded | Self::NotReady | Self::NoClaim => Some(1_000),
             _ => None,
         }
