--- a/crates/core/src/execution.rs
+++ b/crates/core/src/execution.rs
@@ -79,11 +79,18 @@
         /// Attempt that it was.
         attempt: u64,
     },
-    /// The connection has gone quiet; the call may still be running.
+    /// The connection has been quiet for a while, or for another one; the call
+    /// may still be running.
     Silent {
         /// Attempt that it was.
         attempt: u64,
     },
+    /// The connection is known to be dead, as others to the same backend server
+    /// are, while new ones work; the call may have run.
+    Severed {
+        /// Attempt that it was.
+        attempt: u64,
+    },
     /// A timer that was asked for is due.
     Timer,
     /// The caller has closed its connection.
@@ -264,6 +271,7 @@
             Event::Answered(answer) => self.on_answer(answer, turn),
             Event::Lost { attempt } => self.on_lost(attempt, turn),
             Event::Silent { attempt } => self.on_silent(attempt, turn),
+            Event::Severed { attempt } => self.on_severed(attempt, turn),
             Event::CallerGone => self.on_caller_gone(turn),
         }
     }
--- a/crates/core/src/execution/attempt.rs
+++ b/crates/core/src/execution/attempt.rs
@@ -245,12 +245,11 @@
         let Some(attempt) = self.live.iter_mut().find(|live| live.number == number) else {
             return;
         };
-        if attempt.is_silent {
-            return;
+        // It is told again while it lasts, when a retry may have been earned.
+        if !std::mem::replace(&mut attempt.is_silent, true) {
+            turn.fleet
+                .on_bad_answer(turn.now_ms, &attempt.backend, Fault::Unreachable);
         }
-        attempt.is_silent = true;
-        turn.fleet
-            .on_bad_answer(turn.now_ms, &attempt.backend, Fault::Unreachable);
         if !is_idempotent {
             return;
         }
@@ -260,6 +259,21 @@
         }
     }
 
+    /// Repeats the stage at once. The backend server is well and the repeat is
+    /// no sign of load, so neither is charged; a call that may not be repeated
+    /// is waited for, in case that its answer comes after all.
+    pub(super) fn on_severed(&mut self, number: u64, turn: &mut Turn<'_>) {
+        let is_idempotent = self.stage().idempotent;
+        let Some(attempt) = self.live.iter_mut().find(|live| live.number == number) else {
+            return;
+        };
+        attempt.is_silent = true;
+        let is_alone = self.live.iter().all(|live| live.is_silent);
+        if is_idempotent && is_alone && self.may_repeat(Charge::Free, turn).is_ok() {
+            self.send(DecisionKind::Retry, turn);
+        }
+    }
+
     /// Repeats the stage elsewhere unless another call of it is still running.
     fn try_again(&mut self, why: Reason, charge: Charge, turn: &mut Turn<'_>) {
         if !self.live.is_empty() {
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,6 +1,6 @@
 //! What one instance knows of the backend servers, and how it chooses one.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -110,6 +110,8 @@
     pub(crate) zone: ZoneName,
     pub(crate) slots: u32,
     pub(crate) leaving: bool,
+    /// Whether the platform's list calls it leaving.
+    pub(crate) listed_leaving: bool,
     pub(crate) heard: bool,
     pub(crate) health: Health,
     pub(crate) in_flight: u32,
@@ -128,6 +130,7 @@
             zone: backend.zone.clone(),
             slots: backend.slots.max(1),
             leaving: false,
+            listed_leaving: false,
             heard: false,
             health: Health::default(),
             in_flight: 0,
@@ -138,7 +141,7 @@
     }
 
     pub(crate) fn state(&self, now_ms: u64) -> BackendState {
-        if self.leaving {
+        if self.leaving || self.listed_leaving {
             BackendState::Leaving
         } else if self.health.is_ejected(now_ms) {
             BackendState::Ejected
@@ -328,7 +331,16 @@
         });
     }
 
-    /// Notes that some source (the list, a peer, its own answer) calls a
+    /// Takes over which backend servers the platform's list calls leaving; they
+    /// get nothing new for as long as it does. What one says of itself does not
+    /// undo this: it may not have been told yet.
+    pub fn on_listed_leaving(&mut self, leaving: &HashSet<BackendName>) {
+        for backend in &mut self.backends {
+            backend.listed_leaving = leaving.contains(&backend.name);
+        }
+    }
+
+    /// Notes that some source (a peer, its own answer) calls a
     /// backend server leaving; it gets nothing new from now on. A later load
     /// report of its own that says otherwise takes it back.
     pub fn on_leaving(&mut self, backend: &BackendName) {
--- a/crates/server/src/calls.rs
+++ b/crates/server/src/calls.rs
@@ -1,6 +1,11 @@
 //! Carries one call to a backend server and reads the events of its answer.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use bytes::{Buf, Bytes, BytesMut};
 use http::{Method, Request, StatusCode};
@@ -14,7 +19,7 @@
 use savoryvane_wire::backend::{Cancel, LoadReport, Refusal};
 use slog::{Logger, warn};
 use tokio::{
-    sync::mpsc,
+    sync::{mpsc, watch},
     time::{self, Instant},
 };
 
@@ -26,6 +31,9 @@
 
 /// Largest body of a refusal or report, in bytes.
 const MAX_SMALL_BODY_BYTES: usize = 64 * 1024;
+/// Time for a read of the load to be answered before another connection is
+/// asked, and for the first one to answer after that one has.
+const CANARY_TIMEOUT: Duration = Duration::from_millis(300);
 /// Lines of an answer besides those with tokens.
 const SPARE_LINES: u32 = 16;
 /// Lines of an answer to a call that names no most tokens.
@@ -39,7 +47,12 @@
 pub(crate) struct BackendClient {
     log: Logger,
     settings: Backends,
+    /// Connections that carry calls.
     connections: Arc<Connections>,
+    /// One connection to each backend server that carries reads of its load; if
+    /// it goes silent, so have the others.
+    canaries: Arc<Connections>,
+    severed: Severed,
 }
 
 /// Where a call goes and until when it may be handed over.
@@ -56,15 +69,21 @@
 impl BackendClient {
     /// Creates a client without connections.
     pub(crate) fn new(settings: Backends, log: Logger) -> Self {
-        let connections = Connections::new(ConnectionSettings {
+        let for_calls = ConnectionSettings {
             connect_timeout: Duration::from_millis(settings.connect_timeout_ms),
             max_idle: usize::try_from(settings.idle_connections).unwrap_or(usize::MAX),
             idle_timeout: Duration::from_millis(settings.idle_timeout_ms),
-        });
+        };
+        let for_canaries = ConnectionSettings {
+            max_idle: 1,
+            ..for_calls
+        };
         Self {
             log,
             settings,
-            connections,
+            connections: Connections::new(for_calls),
+            canaries: Connections::new(for_canaries),
+            severed: Severed::default(),
         }
     }
 
@@ -83,6 +102,8 @@
             backend: &to.backend,
             id: &call.id,
             events: &events,
+            severed: self.severed.watch(to.addr),
+            last_frame: None,
         };
         let last = self.exchange(&to, &call, &mut answer).await;
         if let Some(event) = last {
@@ -107,26 +128,43 @@
         let _ = time::timeout(self.small_timeout(), sending).await;
     }
 
-    /// Reads the load of the backend server at `addr`.
+    /// Reads the load of the backend server at `addr`, and finds out on the way
+    /// whether the connections to it have gone silent while new ones work.
     pub(crate) async fn load(&self, addr: SocketAddr) -> Option<LoadReport> {
-        let request = request(Method::GET, addr, "/v1/load", Bytes::new());
-        let reading = async {
-            let Exchange { response, lease } = self.send(addr, request).await.ok()?;
-            if response.status() != StatusCode::OK {
-                return None;
-            }
-            let body = Limited::new(response.into_body(), MAX_SMALL_BODY_BYTES);
-            let body = body.collect().await.ok()?.to_bytes();
-            lease.keep().await;
-            serde_json::from_slice(&body).ok()
+        let began = Instant::now();
+        self.canaries.take_over(addr, &self.connections);
+        let canary = self.ask_load(addr);
+        tokio::pin!(canary);
+        if let Ok(report) = time::timeout(CANARY_TIMEOUT, canary.as_mut()).await {
+            return report;
+        }
+        let fresh = time::timeout(CANARY_TIMEOUT, self.ask_load(addr));
+        let report = tokio::select! {
+            report = canary.as_mut() => return report,
+            report = fresh => report.ok()??,
         };
-        match time::timeout(self.small_timeout(), reading).await {
-            Ok(report) => report,
-            Err(_) => {
-                self.connections.forget(addr);
-                None
-            }
+        // A server that is slow would have answered the first question first.
+        if time::timeout(CANARY_TIMEOUT, canary).await.is_err() {
+            warn!(self.log, "connections have gone silent"; "backend" => %report.server);
+            metrics::counter!("savoryvane_severed_total").increment(1);
+            self.connections.forget(addr);
+            self.severed.tell(addr, began);
         }
+        Some(report)
+    }
+
+    async fn ask_load(&self, addr: SocketAddr) -> Option<LoadReport> {
+        let request = request(Method::GET, addr, "/v1/load", Bytes::new());
+        let not_after = Instant::now() + self.small_timeout();
+        let exchange = self.canaries.send(addr, request, not_after).await.ok()?;
+        let Exchange { response, lease } = exchange;
+        if response.status() != StatusCode::OK {
+            return None;
+        }
+        let body = Limited::new(response.into_body(), MAX_SMALL_BODY_BYTES);
+        let body = body.collect().await.ok()?.to_bytes();
+        lease.keep().await;
+        serde_json::from_slice(&body).ok()
     }
 
     /// Forgets idle connections to a server that went silent on one.
@@ -137,6 +175,7 @@
     /// Closes connections that have been idle for long.
     pub(crate) fn prune(&self) {
         self.connections.prune();
+        self.canaries.prune();
     }
 
     async fn send(
@@ -218,6 +257,31 @@
     }
 }
 
+/// Tells calls in flight when connections to their backend server are found to
+/// have gone silent.
+#[derive(Debug, Default)]
+struct Severed(Mutex<HashMap<SocketAddr, watch::Sender<Option<Instant>>>>);
+
+impl Severed {
+    /// Watches for the times from which on connections to `addr` were silent.
+    fn watch(&self, addr: SocketAddr) -> watch::Receiver<Option<Instant>> {
+        let mut watched = self.lock();
+        watched.retain(|_, sender| sender.receiver_count() > 0);
+        let sender = watched.entry(addr).or_default();
+        sender.subscribe()
+    }
+
+    fn tell(&self, addr: SocketAddr, at: Instant) {
+        if let Some(sender) = self.lock().get(&addr) {
+            sender.send_replace(Some(at));
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, watch::Sender<Option<Instant>>>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// How an answer ended.
 enum Ending {
     /// With its last event and nothing after it.
@@ -237,23 +301,48 @@
     backend: &'a BackendName,
     id: &'a CallId,
     events: &'a mpsc::Sender<Event>,
+    /// When it was last found out that connections to the server were silent.
+    severed: watch::Receiver<Option<Instant>>,
+    /// When the last bytes came.
+    last_frame: Option<Instant>,
 }
 
 impl AnswerReader<'_> {
-    /// Waits for `progress`, and reports once when it does not come for long.
-    async fn watch<T>(&self, progress: impl Future<Output = T>) -> T {
+    /// Waits for `progress`, and reports each time that it does not come for
+    /// long and once when it is known that it will not come.
+    async fn watch<T>(&mut self, progress: impl Future<Output = T>) -> T {
         tokio::pin!(progress);
-        match time::timeout(self.silence, progress.as_mut()).await {
-            Ok(value) => value,
-            Err(_) => {
-                metrics::counter!("savoryvane_silent_connections_total").increment(1);
-                let attempt = self.id.attempt;
-                let _ = self.events.send(Event::Silent { attempt }).await;
-                progress.await
+        let mut silence = time::interval_at(Instant::now() + self.silence, self.silence);
+        let mut is_severed = false;
+        let attempt = self.id.attempt;
+        loop {
+            tokio::select! {
+                biased;
+                value = progress.as_mut() => {
+                    self.last_frame = Some(Instant::now());
+                    return value;
+                }
+                Ok(()) = self.severed.changed(), if !is_severed => {
+                    if self.is_severed() {
+                        is_severed = true;
+                        let _ = self.events.send(Event::Severed { attempt }).await;
+                    }
+                }
+                _ = silence.tick() => {
+                    metrics::counter!("savoryvane_silent_connections_total").increment(1);
+                    let _ = self.events.send(Event::Silent { attempt }).await;
+                }
             }
         }
     }
 
+    /// Tells whether nothing has come since the server's connections were first
+    /// found silent.
+    fn is_severed(&mut self) -> bool {
+        let severed_at = *self.severed.borrow_and_update();
+        severed_at.is_some_and(|at| self.last_frame.is_none_or(|last| last < at))
+    }
+
     async fn read(&mut self, mut body: Incoming) -> Ending {
         let mut buffer = BytesMut::new();
         loop {
--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -153,6 +153,15 @@
             })
     }
 
+    /// Takes over an idle connection to `addr` of another pool, if there is none
+    /// here.
+    pub(crate) fn take_over(&self, addr: SocketAddr, other: &Self) {
+        let has_one = self.lock().contains_key(&addr);
+        if !has_one && let Some(connection) = other.take(addr) {
+            self.put(addr, connection);
+        }
+    }
+
     /// Closes every idle connection to `addr`, after one to it went silent.
     pub(crate) fn forget(&self, addr: SocketAddr) {
         self.lock().remove(&addr);
