Let the caller ask for tickets and look for calls that ran twice

Cause: non-idempotent requests run under a key or a ticket, and the demo and experiments must show that each ran once on all servers together. Ruled out: a look at one server's record (a doubled call may run elsewhere). Before: keys only.

--- a/crates/standins/src/bin/standin/calls.rs
+++ b/crates/standins/src/bin/standin/calls.rs
@@ -1,8 +1,10 @@
 //! The subcommands that play a caller.
 
 use savoryvane_standins::{
-    Ask, Asked, Caller, CallerSettings, Error, LoadSettings, Result, Step, Verdict,
-    client::Version, run_load, usage_table,
+    Ask, Asked, Caller, CallerSettings, Error, LoadSettings, RanCall, Result, Step, Verdict,
+    Warrant, Warrants,
+    client::{self, Version},
+    ran_more_than_once, run_load, usage_table,
 };
 
 use crate::{cli, kinds};
@@ -35,7 +37,11 @@
         duration_ms: flags.duration_ms.unwrap_or(DEFAULT_DURATION_MS),
         streamed_per_mille: flags.streamed_per_mille.unwrap_or(0),
         connections: flags.connections.unwrap_or(DEFAULT_CONNECTIONS),
-        with_keys: flags.with_keys,
+        warrants: match (flags.with_keys, flags.with_tickets) {
+            (true, _) => Warrants::Keys,
+            (false, true) => Warrants::Tickets,
+            (false, false) => Warrants::None,
+        },
         seed: flags.seed.unwrap_or(1),
     })
     .await;
@@ -64,7 +70,11 @@
             request_id: flags.request_id,
             input: serde_json::from_str(&flags.input)?,
             streamed: flags.stream,
-            idempotency_key: flags.key,
+            warrant: match flags.key {
+                Some(key) => Warrant::Key(key),
+                None if flags.ticket => Warrant::Ticket,
+                None => Warrant::None,
+            },
         })
         .await;
     print_asked(&asked)?;
@@ -76,6 +86,24 @@
     }
 }
 
+/// Prints the calls that ran.
+pub(crate) async fn ran(flags: cli::Ran) -> Result<()> {
+    let mut calls: Vec<RanCall> = Vec::new();
+    for addr in flags.at {
+        calls.append(&mut client::get_json(addr, "/v1/ran").await?);
+    }
+    for call in &calls {
+        let state = serde_json::to_string(&call.state)?;
+        let id = &call.id;
+        println!("ran {} {} {} {state}", id.request, id.stage, call.input);
+    }
+    let doubled = ran_more_than_once(&calls);
+    match doubled.first() {
+        None => Ok(()),
+        Some((what, count)) => Err(Error::Argument(format!("{what} ran {count} times"))),
+    }
+}
+
 fn print_asked(asked: &Asked) -> Result<()> {
     let Some(answer) = &asked.answer else {
         return Ok(());
--- a/crates/standins/src/bin/standin/cli.rs
+++ b/crates/standins/src/bin/standin/cli.rs
@@ -124,6 +124,8 @@
             optional --connections count: usize
             /// Sends an idempotency key with each request.
             optional --with-keys
+            /// Gets and sends a ticket with each request.
+            optional --with-tickets
             /// Seed of the inputs and request ids.
             optional --seed seed: u64
             /// Takes `not_run` and `not_started` for good answers.
@@ -152,9 +154,17 @@
             optional --stream
             /// Idempotency key.
             optional --key key: String
+            /// Gets a ticket first.
+            optional --ticket
             /// Uses HTTP/2 with prior knowledge.
             optional --http2
         }
+        /// Prints the calls that ran on backend servers; fails when an input
+        /// ran more than once.
+        cmd ran {
+            /// Backend server; may be repeated.
+            repeated --at addr: SocketAddr
+        }
         /// Sends one HTTP request and prints the answer's body.
         cmd send {
             /// Server to send it to.
--- a/crates/standins/src/bin/standin/run.rs
+++ b/crates/standins/src/bin/standin/run.rs
@@ -38,6 +38,7 @@
         cli::StandinCmd::Relay(flags) => relay(flags).await,
         cli::StandinCmd::Load(flags) => calls::load(flags).await,
         cli::StandinCmd::Ask(flags) => calls::ask(flags).await,
+        cli::StandinCmd::Ran(flags) => calls::ran(flags).await,
         cli::StandinCmd::Send(flags) => send(flags).await,
     }
 }
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, Method, Request, StatusCode, header};
 use http_body_util::Full;
 use savoryvane_core::{objects::StageKind, outcome::Outcome};
-use savoryvane_wire::caller::{self, Answer, AnswerEvent, Submission};
+use savoryvane_wire::caller::{self, Answer, AnswerEvent, Submission, Ticket};
 use serde_json::Value;
 use tokio::{
     sync::Mutex,
@@ -24,6 +24,9 @@
 /// Time beyond the deadline after which a caller gives up.
 const PATIENCE: Duration = Duration::from_secs(5);
 
+/// Path of the tickets.
+const TICKETS_PATH: &str = "/v1/tickets";
+
 /// Type of a streamed answer.
 const NDJSON: &str = "application/x-ndjson";
 
@@ -55,8 +58,20 @@
     pub input: Value,
     /// Whether the answer is to be streamed.
     pub streamed: bool,
-    /// Idempotency key.
-    pub idempotency_key: Option<String>,
+    /// What keeps the request from running twice.
+    pub warrant: Warrant,
+}
+
+/// What keeps a request from running twice.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Warrant {
+    /// Nothing; it is safe to repeat.
+    #[default]
+    None,
+    /// An idempotency key.
+    Key(String),
+    /// A ticket, which the caller asks for first.
+    Ticket,
 }
 
 /// What a caller makes of an answer.
@@ -133,7 +148,28 @@
     }
 
     async fn exchange(&self, ask: &Ask) -> Result<Received> {
-        let request = self.request(ask)?;
+        let mut request = self.request(ask)?;
+        match &ask.warrant {
+            Warrant::None => {}
+            Warrant::Key(key) => put(&mut request, caller::IDEMPOTENCY_KEY, key)?,
+            Warrant::Ticket => put(&mut request, caller::TICKET, &self.ticket().await?)?,
+        }
+        self.send(request).await
+    }
+
+    async fn ticket(&self) -> Result<String> {
+        let mut request = client::request(self.settings.addr, Method::POST, TICKETS_PATH, "")?;
+        self.put_credential(&mut request)?;
+        let received = self.send(request).await?;
+        if received.status != StatusCode::CREATED {
+            let body = String::from_utf8_lossy(&received.body).into_owned();
+            return Err(Error::Status(received.status, body));
+        }
+        let ticket: Ticket = serde_json::from_slice(&received.body)?;
+        Ok(ticket.ticket)
+    }
+
+    async fn send(&self, request: Request<Full<Bytes>>) -> Result<Received> {
         let mut connection = self.connection().await?;
         let response = connection.send(request).await?;
         let (head, body) = response.into_parts();
@@ -174,26 +210,25 @@
         } else {
             "application/json"
         };
-        let bearer = format!("Bearer {}", settings.credential);
+        put(&mut request, header::ACCEPT.as_str(), accept)?;
+        put(
+            &mut request,
+            header::CONTENT_TYPE.as_str(),
+            "application/json",
+        )?;
+        put(&mut request, caller::REQUEST_ID, &ask.request_id)?;
         let deadline_ms = settings.deadline_ms.to_string();
-        let mut fields = vec![
-            (header::ACCEPT.as_str(), accept),
-            (header::CONTENT_TYPE.as_str(), "application/json"),
-            (caller::AUTHORIZATION, bearer.as_str()),
-            (caller::WORKSPACE, settings.workspace.as_str()),
-            (caller::REQUEST_ID, ask.request_id.as_str()),
-            (caller::DEADLINE_MS, deadline_ms.as_str()),
-        ];
-        if let Some(key) = &ask.idempotency_key {
-            fields.push((caller::IDEMPOTENCY_KEY, key));
-        }
-        for (name, value) in fields {
-            let value = value.parse().map_err(http::Error::from)?;
-            request.headers_mut().insert(name_of(name), value);
-        }
+        put(&mut request, caller::DEADLINE_MS, &deadline_ms)?;
+        self.put_credential(&mut request)?;
         Ok(request)
     }
 
+    fn put_credential(&self, request: &mut Request<Full<Bytes>>) -> Result<()> {
+        let bearer = format!("Bearer {}", self.settings.credential);
+        put(request, caller::AUTHORIZATION, &bearer)?;
+        put(request, caller::WORKSPACE, &self.settings.workspace)
+    }
+
     fn check(&self, ask: &Ask, received: &Received) -> Asked {
         let read = if is_stream(&received.headers) {
             read_stream(&received.body)
@@ -252,8 +287,12 @@
     }
 }
 
-fn name_of(name: &str) -> header::HeaderName {
-    header::HeaderName::from_bytes(name.as_bytes()).expect("names of the interface are valid")
+fn put(request: &mut Request<Full<Bytes>>, name: &'static str, value: &str) -> Result<()> {
+    let value = value.parse().map_err(http::Error::from)?;
+    request
+        .headers_mut()
+        .insert(header::HeaderName::from_static(name), value);
+    Ok(())
 }
 
 fn is_stream(headers: &HeaderMap) -> bool {
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -11,11 +11,23 @@
 };
 
 use crate::{
-    caller::{Ask, Asked, Caller, CallerSettings},
+    caller::{Ask, Asked, Caller, CallerSettings, Warrant},
     clock::elapsed_us,
     report::Report,
 };
 
+/// What keeps each request of a load from running twice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Warrants {
+    /// Nothing; they are safe to repeat.
+    #[default]
+    None,
+    /// An idempotency key of its own.
+    Keys,
+    /// A ticket.
+    Tickets,
+}
+
 /// What load to put on.
 #[derive(Clone, Debug)]
 pub struct LoadSettings {
@@ -29,8 +41,8 @@
     pub streamed_per_mille: u32,
     /// Connections to share out the requests over HTTP/2.
     pub connections: usize,
-    /// Whether each request carries an idempotency key of its own.
-    pub with_keys: bool,
+    /// What keeps each request from running twice.
+    pub warrants: Warrants,
     /// Seed of the inputs; it also tells two runs' request ids apart.
     pub seed: u64,
 }
@@ -81,7 +93,11 @@
     Ask {
         input: json!({ "text": request_id, "draw": rng.random::<u32>() }),
         streamed: rng.random_range(0..1000) < settings.streamed_per_mille,
-        idempotency_key: settings.with_keys.then(|| format!("key-{request_id}")),
+        warrant: match settings.warrants {
+            Warrants::None => Warrant::None,
+            Warrants::Keys => Warrant::Key(format!("key-{request_id}")),
+            Warrants::Tickets => Warrant::Ticket,
+        },
         request_id,
     }
 }
--- a/crates/standins/src/ran.rs
+++ b/crates/standins/src/ran.rs
@@ -1,6 +1,6 @@
 //! What really ran, for tests of promises about it.
 
-use std::sync::Mutex;
+use std::{collections::BTreeMap, sync::Mutex};
 
 use savoryvane_core::{call::CallId, objects::StageKind};
 use serde::{Deserialize, Serialize};
@@ -35,6 +35,17 @@
     pub state: RanState,
 }
 
+/// Returns the inputs that ran more than once at the same kind of stage, each
+/// with how often it ran; `calls` may come from several servers.
+pub fn ran_more_than_once(calls: &[RanCall]) -> Vec<(String, usize)> {
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for call in calls {
+        let key = format!("{} {}", call.kind.as_str(), call.input);
+        *counts.entry(key).or_default() += 1;
+    }
+    counts.into_iter().filter(|(_, count)| *count > 1).collect()
+}
+
 /// Record of every call that ran.
 #[derive(Debug, Default)]
 pub(crate) struct Ran(Mutex<Vec<RanCall>>);
--- a/crates/standins/tests/backend.rs
+++ b/crates/standins/tests/backend.rs
@@ -10,7 +10,7 @@
 };
 use savoryvane_standins::{
     BackendFaults, BackendServer, BackendSettings, Mislabel, RanState, Step, WeightServer,
-    WeightSource, WeightStore, client, stage_output, tokens_of,
+    WeightSource, WeightStore, client, ran_more_than_once, stage_output, tokens_of,
 };
 use savoryvane_wire::backend::{
     CacheEvents, Cancel, LoadReport, Order, OrderAction, OrderReply, Refusal,
@@ -222,6 +222,7 @@
     assert_eq!((both.0.len(), both.1.len()), (1, 1));
     let states: Vec<_> = server.ran().iter().map(|ran| ran.state).collect();
     assert_eq!(states, [RanState::Done, RanState::Done]);
+    assert_eq!(ran_more_than_once(&server.ran()).len(), 1);
     server.stop().await;
 }
 
--- a/crates/standins/tests/caller.rs
+++ b/crates/standins/tests/caller.rs
@@ -12,10 +12,10 @@
 };
 use savoryvane_core::{objects::StageKind, outcome::Outcome};
 use savoryvane_standins::{
-    Ask, Asked, Caller, CallerSettings, LoadSettings, Step, Verdict, client::Version,
-    expected_output, run_load, tokens_of,
+    Ask, Asked, Caller, CallerSettings, LoadSettings, Step, Verdict, Warrant, Warrants,
+    client::Version, expected_output, run_load, tokens_of,
 };
-use savoryvane_wire::caller::{Answer, AnswerEvent, OUTCOME};
+use savoryvane_wire::caller::{Answer, AnswerEvent, OUTCOME, TICKET};
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
@@ -99,7 +99,7 @@
         request_id: "r-1".to_owned(),
         input: input(),
         streamed,
-        idempotency_key: None,
+        warrant: Warrant::None,
     };
     caller.ask(&ask).await
 }
@@ -168,11 +168,54 @@
         request_id: "r-1".to_owned(),
         input: input(),
         streamed: false,
-        idempotency_key: None,
+        warrant: Warrant::None,
     };
     assert!(matches!(caller.ask(&ask).await.verdict, Verdict::Wrong(_)));
 }
 
+/// Answers a ticket, then only a request that carries it.
+async fn ticketed(request: Request<Incoming>) -> Result<Response<Full<Bytes>>, http::Error> {
+    if request.uri().path() == "/v1/tickets" {
+        let body = r#"{"ticket":"t-1","valid_ms":1000}"#;
+        return Response::builder().status(201).body(body.into());
+    }
+    let carried = request.headers().get(TICKET).is_some_and(|t| t == "t-1");
+    let outcome = if carried {
+        right_answer()
+    } else {
+        answer(Outcome::NotStarted, None)
+    };
+    Response::builder().body(serde_json::to_vec(&outcome).unwrap().into())
+}
+
+#[tokio::test]
+async fn a_ticket_is_asked_for_and_carried() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                auto::Builder::new(TokioExecutor::new())
+                    .serve_connection(TokioIo::new(stream), service_fn(ticketed))
+                    .await
+            });
+        }
+    });
+    for version in [Version::Http1, Version::Http2] {
+        let caller = Caller::new(settings(addr, version));
+        let mut ask = Ask {
+            request_id: "r-1".to_owned(),
+            input: input(),
+            streamed: false,
+            warrant: Warrant::Ticket,
+        };
+        assert_eq!(caller.ask(&ask).await.verdict, Verdict::Right);
+        ask.warrant = Warrant::None;
+        let refused = Verdict::Refused(Outcome::NotStarted);
+        assert_eq!(caller.ask(&ask).await.verdict, refused);
+    }
+}
+
 #[tokio::test]
 async fn a_load_is_good_only_when_all_is_right_unless_refusals_are_allowed() {
     for (outcome, allowed) in [(Outcome::NotRun, true), (Outcome::Failed, false)] {
@@ -187,7 +230,7 @@
                 duration_ms: 10,
                 streamed_per_mille: 0,
                 connections: 1,
-                with_keys: false,
+                warrants: Warrants::None,
                 seed: 7,
             })
             .await;
