Run requests that may not be run twice under a claim or a ticket

A request comes with an idempotency key, which is claimed on the log, or with a ticket from `POST /v1/tickets`, which the issuing run alone may use and any instance passes on. A repeat joins the run in flight, here or at the instance that holds the claim, or gets the answer from the log; when the holder can't be asked it is told "unknown" at once. The right to send is asked for in the write of the call's first byte, so that a freeze at any point before it is seen. A batch goes out at most every N/200 s with N instances.

Ruled out: asking for the right when the request is handed to the HTTP library (a freeze between that and the write would go unseen); taking a record that is delivered late for one that is missing (it is read again up to 20 times first); waiting for an unreachable holder until the deadline.

A gate that asks but ignores a refusal failed no end-to-end test: the moment between the last check before it and the write was not hit from outside.

Conclusion: non-idempotent requests run at most once within the window.

--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -4,7 +4,10 @@
 use sha2::{Digest, Sha256};
 
 use crate::{
-    ids::{IdempotencyKey, Incarnation, Offset, PipelineName, WorkspaceName},
+    ids::{
+        IdempotencyKey, Incarnation, InstanceName, MAX_NAME_BYTES, Offset, PipelineName,
+        WorkspaceName,
+    },
     outcome::Outcome,
 };
 
@@ -90,6 +93,11 @@
             answer: fits.then(|| answer.to_vec()),
         }
     }
+
+    /// Tells whether there is an answer that is not kept here.
+    pub fn is_answer_missing(&self) -> bool {
+        self.outcome == Outcome::Complete && self.answer.is_none()
+    }
 }
 
 /// One entry of a batch.
@@ -103,6 +111,8 @@
         id: ClaimId,
         /// What the request asks for.
         fingerprint: Fingerprint,
+        /// Instance of the claimant, which has the answer.
+        instance: InstanceName,
     },
     /// Gives a claim up; its claimant has sent no non-idempotent call on it and
     /// never will.
@@ -144,7 +154,8 @@
     pub fn max_encoded_bytes(&self) -> usize {
         const FIXED_BYTES: usize = 64;
         match self {
-            Self::Claim { .. } | Self::Release { .. } => FIXED_BYTES,
+            Self::Claim { .. } => FIXED_BYTES + MAX_NAME_BYTES,
+            Self::Release { .. } => FIXED_BYTES,
             Self::Done { completion, .. } => {
                 FIXED_BYTES + completion.answer.as_ref().map_or(0, Vec::len)
             }
--- a/crates/core/src/claim_batcher.rs
+++ b/crates/core/src/claim_batcher.rs
@@ -52,7 +52,8 @@
     in_flight: Option<Batch>,
     next_at_ms: u64,
     failures: u32,
-    appended_at_ms: u64,
+    recorded_at_ms: u64,
+    has_begun: bool,
 }
 
 impl ClaimBatcher {
@@ -64,7 +65,8 @@
             in_flight: None,
             next_at_ms: 0,
             failures: 0,
-            appended_at_ms: 0,
+            recorded_at_ms: 0,
+            has_begun: false,
         }
     }
 
@@ -98,6 +100,11 @@
         withdrawn.is_some_and(|waiting| !waiting.tried)
     }
 
+    /// Tells whether nothing waits and no append is in flight.
+    pub fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.in_flight.is_none()
+    }
+
     /// Tells whether the log takes no appends, as far as the last ones show.
     pub fn is_log_away(&self) -> bool {
         self.failures >= FAILURES_TO_AWAY
@@ -109,15 +116,16 @@
         if self.in_flight.is_some() {
             return None;
         }
-        if !self.waiting.is_empty() || self.is_log_away() {
+        if !self.waiting.is_empty() || self.is_log_away() || !self.has_begun {
             return Some(self.next_at_ms);
         }
-        let mark_at_ms = self.appended_at_ms + self.limits.mark_interval_ms;
+        let mark_at_ms = self.recorded_at_ms + self.limits.mark_interval_ms;
         Some(mark_at_ms.max(self.next_at_ms))
     }
 
-    /// Takes the batch to append now, if there is one. With nothing to append
-    /// for a while, or while the log is away, it is an empty one.
+    /// Takes the batch to append now, if there is one. At the beginning, with
+    /// nothing to append for a while, and while the log is away, it is an empty
+    /// one: it shows how far the log's clock is, and that the log is back.
     pub fn poll(&mut self, now_ms: u64) -> Option<&Batch> {
         if self.due_at_ms()? > now_ms {
             return None;
@@ -128,6 +136,7 @@
             self.limits.interval_ms
         };
         self.next_at_ms = now_ms + wait_ms;
+        self.has_begun = true;
         let batch = self.take_batch();
         Some(self.in_flight.insert(batch))
     }
@@ -152,7 +161,7 @@
 
     /// Notes that a record was read at `now_ms`, whoever appended it.
     pub fn on_record(&mut self, now_ms: u64) {
-        self.appended_at_ms = now_ms;
+        self.recorded_at_ms = now_ms;
     }
 
     /// Notes how the append in flight ended; of one that is not confirmed the
--- a/crates/core/src/claim_index.rs
+++ b/crates/core/src/claim_index.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     claim::{Batch, ClaimId, Completion, Entry, Fingerprint, KeyHash, Position},
-    ids::Offset,
+    ids::{InstanceName, Offset},
 };
 
 /// Bounds of a [`ClaimIndex`].
@@ -36,10 +36,12 @@
 }
 
 /// The claim that holds a key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Holder {
     /// The claim.
     pub id: ClaimId,
+    /// Instance of its claimant.
+    pub instance: InstanceName,
     /// What its request asks for.
     pub fingerprint: Fingerprint,
     /// Where it stands.
@@ -126,9 +128,13 @@
     fn apply(&mut self, entry: &Entry, position: Position, now_ms: u64) {
         match entry {
             Entry::Claim {
-                id, fingerprint, ..
+                id,
+                fingerprint,
+                instance,
+                ..
             } => self.claim(Holder {
                 id: *id,
+                instance: instance.clone(),
                 fingerprint: *fingerprint,
                 position,
                 claimed_at_ms: now_ms,
@@ -156,7 +162,7 @@
         if let KeyState::Claimed(holder) = &self.state
             && holder.id == id
         {
-            self.state = KeyState::Done(*holder, completion.clone());
+            self.state = KeyState::Done(holder.clone(), completion.clone());
         }
     }
 
--- a/crates/core/src/claimant.rs
+++ b/crates/core/src/claimant.rs
@@ -6,8 +6,8 @@
 use crate::{
     claim::{Batch, ClaimId, Completion, Entry, Fingerprint, KeyHash},
     claim_batcher::{AppendResult, BatchLimits, ClaimBatcher},
-    claim_index::{ClaimIndex, ClaimRecord, IndexLimits, Standing, Verdict},
-    ids::Incarnation,
+    claim_index::{ClaimIndex, ClaimRecord, Holder, IndexLimits, Standing, Verdict},
+    ids::{Incarnation, InstanceName},
     outcome::Outcome,
     progress::{CallKind, Progress, Retraction},
 };
@@ -49,6 +49,8 @@
     Busy,
     /// The claim was not read back in time.
     Deadline,
+    /// The caller has closed its connection.
+    CallerGone,
     /// The claim is too old to be acted on.
     ClaimTooOld,
     /// The instance that holds the key gives no answer.
@@ -69,6 +71,7 @@
             Self::LogAway => "log_away",
             Self::Busy => "claims_busy",
             Self::Deadline => "claim_timeout",
+            Self::CallerGone => "caller_gone",
             Self::ClaimTooOld => "claim_too_old",
             Self::HolderGone => "first_run_unreachable",
             Self::AlreadySent => "already_sent",
@@ -87,14 +90,32 @@
     pub reason: ClaimReason,
 }
 
+/// The run that others under the same key wait for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FirstRun {
+    /// Instance that has it.
+    pub instance: InstanceName,
+    /// Its claim.
+    pub id: ClaimId,
+}
+
+impl FirstRun {
+    fn of(holder: &Holder) -> Self {
+        Self {
+            instance: holder.instance.clone(),
+            id: holder.id,
+        }
+    }
+}
+
 /// What was decided about an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
     /// It holds the key and may run, with a permit for each call.
     Won,
     /// Another claim holds the key: the answer is to be asked for from its
-    /// incarnation. Another decision may follow.
-    Join(ClaimId),
+    /// claimant. Another decision may follow.
+    Join(FirstRun),
     /// The first run ended like this.
     Recorded(Completion),
     /// The key was used for another request.
@@ -164,6 +185,7 @@
 /// that it blocks the caller's repeats only for as long as the log is behind.
 #[derive(Debug)]
 pub struct Claimant {
+    instance: InstanceName,
     incarnation: Incarnation,
     limits: ClaimLimits,
     index: ClaimIndex,
@@ -176,8 +198,9 @@
 
 impl Claimant {
     /// Creates the claimant of one run of an instance.
-    pub fn new(incarnation: Incarnation, limits: ClaimLimits) -> Self {
+    pub fn new(instance: InstanceName, incarnation: Incarnation, limits: ClaimLimits) -> Self {
         Self {
+            instance,
             incarnation,
             limits,
             index: ClaimIndex::new(limits.index),
@@ -216,8 +239,8 @@
             Some(decision) => Some(decision),
             None => self.ask(now_ms, attempt, ask),
         };
-        if let Some(Decision::Join(holder)) = decision {
-            let phase = Phase::Watching { holder };
+        if let Some(Decision::Join(first)) = &decision {
+            let phase = Phase::Watching { holder: first.id };
             self.requests.insert(attempt, Request { ask, phase });
         }
         (attempt, decision)
@@ -232,7 +255,11 @@
             {
                 Some(Decision::Misuse)
             }
-            Standing::Claimed(holder) => Some(Decision::Join(holder.id)),
+            Standing::Claimed(holder) => Some(Decision::Join(FirstRun::of(holder))),
+            // Its instance may still have what was too large for the log.
+            Standing::Done(holder, completion) if completion.is_answer_missing() => {
+                Some(Decision::Join(FirstRun::of(holder)))
+            }
             Standing::Done(_, completion) => Some(Decision::Recorded(completion.clone())),
         }
     }
@@ -254,6 +281,7 @@
             key: ask.key,
             id,
             fingerprint: ask.fingerprint,
+            instance: self.instance.clone(),
         });
         let phase = Phase::Waiting {
             id,
@@ -381,7 +409,7 @@
             },
             Phase::Watching { holder } => match self.look_up(&ask) {
                 None => self.ask(now_ms, attempt, ask),
-                Some(Decision::Join(id)) if id == holder => None,
+                Some(Decision::Join(first)) if first.id == holder => None,
                 changed => changed,
             },
         }?;
@@ -415,9 +443,9 @@
     /// Keeps watching after [`Decision::Join`]; every other decision is final.
     fn note(&mut self, attempt: Attempt, decision: &Decision) {
         match decision {
-            Decision::Join(holder) => {
+            Decision::Join(first) => {
                 if let Some(request) = self.requests.get_mut(&attempt) {
-                    request.phase = Phase::Watching { holder: *holder };
+                    request.phase = Phase::Watching { holder: first.id };
                 }
             }
             Decision::Won => {}
@@ -477,19 +505,32 @@
     /// Ends an attempt whose holder gives no answer: what became of the first
     /// run is not known, unless the log has it.
     pub fn on_holder_gone(&mut self, now_ms: u64, attempt: Attempt) -> Option<Decision> {
+        if let Some(recorded) = self.recorded(attempt) {
+            return Some(recorded);
+        }
         let request = self.requests.get(&attempt)?;
         if !matches!(request.phase, Phase::Watching { .. }) {
             return None;
         }
-        if let Standing::Done(_, completion) = self.index.standing(&request.ask.key) {
-            let completion = completion.clone();
-            self.requests.remove(&attempt);
-            return Some(Decision::Recorded(completion));
-        }
         let ending = self.give_up(now_ms, attempt, ClaimReason::HolderGone)?;
         Some(Decision::Ended(ending))
     }
 
+    /// Ends an attempt that waits for a run which has ended, as far as the log
+    /// has its answer.
+    pub fn recorded(&mut self, attempt: Attempt) -> Option<Decision> {
+        let request = self.requests.get(&attempt)?;
+        let Phase::Watching { .. } = request.phase else {
+            return None;
+        };
+        let Standing::Done(_, completion) = self.index.standing(&request.ask.key) else {
+            return None;
+        };
+        let completion = completion.clone();
+        self.requests.remove(&attempt);
+        Some(Decision::Recorded(completion))
+    }
+
     /// Asks whether a call of the stage with index `stage` may be handed to a
     /// socket now. It has to be asked directly before the write, and the call
     /// counts as sent from here on; a non-idempotent one may be sent once.
--- a/crates/server/src/caller.rs
+++ b/crates/server/src/caller.rs
@@ -15,14 +15,16 @@
     execution::Completion,
     ids::{IdempotencyKey, PipelineName, RequestId, WorkspaceName, is_valid_name},
     outcome::Outcome,
+    ticket::TicketId,
 };
-use savoryvane_wire::caller::{self, Answer, AnswerEvent, Submission};
+use savoryvane_wire::caller::{self, Answer, AnswerEvent, Submission, Ticket};
 use tokio::sync::mpsc;
 use tower::{ServiceBuilder, ServiceExt, load_shed::error::Overloaded, util::BoxCloneSyncService};
 
 use crate::{
     controller::{self, Head},
     credential,
+    exclusive::Warrant,
     http_body::{self, Body, BodyFault, JSON, NDJSON},
     instance::Shared,
     phase::Phase,
@@ -30,6 +32,8 @@
     runner::Update,
 };
 
+/// Path of the tickets.
+const TICKETS_PATH: &str = "/v1/tickets";
 /// Longest request id or idempotency key, in bytes.
 const MAX_TOKEN_BYTES: usize = 128;
 /// Reason of an answer whose request ended without one.
@@ -59,7 +63,7 @@
                 return Ok(answer);
             }
             let id = request_id(request.headers()).unwrap_or_else(|_| new_request_id());
-            let has_key = request.headers().contains_key(caller::IDEMPOTENCY_KEY);
+            let has_key = has_warrant(request.headers());
             match bounded.oneshot(request).await {
                 Ok(answer) => Ok(answer),
                 Err(err) => {
@@ -88,7 +92,7 @@
 
 async fn submit(shared: &Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let arrived_at_ms = shared.clock.now_ms();
-    let has_key = request.headers().contains_key(caller::IDEMPOTENCY_KEY);
+    let has_key = has_warrant(request.headers());
     let id = match request_id(request.headers()) {
         Ok(id) => id,
         Err(refusal) => return refuse(shared, &new_request_id(), has_key, refusal),
@@ -105,6 +109,9 @@
     id: &RequestId,
     arrived_at_ms: u64,
 ) -> Result<Response<Body>, Refusal> {
+    if request.uri().path() == TICKETS_PATH {
+        return issue_ticket(shared, &request);
+    }
     let pipeline = pipeline(request.uri().path()).ok_or(Refusal::NoPath)?;
     if request.method() != Method::POST {
         return Err(Refusal::BadMethod);
@@ -129,15 +136,37 @@
     })
 }
 
+fn issue_ticket(shared: &Shared, request: &Request<Incoming>) -> Result<Response<Body>, Refusal> {
+    if request.method() != Method::POST {
+        return Err(Refusal::BadMethod);
+    }
+    let workspace = workspace(request.headers())?;
+    let credential = credential::presented(request.headers()).ok_or(Refusal::Unauthorized)?;
+    controller::authenticate(shared, &workspace, Some(credential))?;
+    if shared.phases.is_leaving() {
+        return Err(Refusal::NotReady);
+    }
+    let issued = shared.tickets.issue(shared.clock.now_ms(), &workspace);
+    let ticket = Ticket {
+        ticket: issued.ok_or(Refusal::Overloaded)?.to_string(),
+        valid_ms: shared.tickets.valid_ms(),
+    };
+    Ok(http_body::json(StatusCode::CREATED, &ticket))
+}
+
 async fn whole(
     shared: &Shared,
     id: &RequestId,
     mut updates: mpsc::UnboundedReceiver<Update>,
 ) -> Response<Body> {
     while let Some(update) = updates.recv().await {
-        if let Update::Final(completion) = update {
-            let status = refusal::status(&completion);
-            return answer(shared, status, &final_answer(id, *completion));
+        match update {
+            Update::Token { .. } => {}
+            Update::Final(completion) => {
+                let status = refusal::status(&completion);
+                return answer(shared, status, &final_answer(id, *completion));
+            }
+            Update::Given(given) => return answer(shared, refusal::given_status(&given), &given),
         }
     }
     answer(shared, StatusCode::INTERNAL_SERVER_ERROR, &lost(id))
@@ -154,11 +183,13 @@
     let status = match &first {
         Some(Update::Token { .. }) => StatusCode::OK,
         Some(Update::Final(completion)) => refusal::status(completion),
+        Some(Update::Given(given)) => refusal::given_status(given),
         None => StatusCode::INTERNAL_SERVER_ERROR,
     };
     let outcome = match &first {
         Some(Update::Token { .. }) => None,
         Some(Update::Final(completion)) => Some(completion.outcome),
+        Some(Update::Given(given)) => Some(given.outcome),
         None => Some(Outcome::Unknown),
     };
     let body = EventBody {
@@ -203,6 +234,7 @@
             Some(Update::Final(completion)) => {
                 AnswerEvent::Final(final_answer(&self.id, *completion))
             }
+            Some(Update::Given(given)) => AnswerEvent::Final(*given),
             None => AnswerEvent::Final(lost(&self.id)),
         };
         self.is_ended = matches!(event, AnswerEvent::Final(_));
@@ -212,7 +244,8 @@
     }
 }
 
-fn final_answer(id: &RequestId, completion: Completion) -> Answer {
+/// Puts an answer into the form that callers get.
+pub(crate) fn final_answer(id: &RequestId, completion: Completion) -> Answer {
     Answer {
         request_id: id.clone(),
         outcome: completion.outcome,
@@ -296,26 +329,48 @@
     id: &RequestId,
     arrived_at_ms: u64,
 ) -> Result<Head, Refusal> {
-    let workspace = single(headers, caller::WORKSPACE)?
-        .filter(|name| is_valid_name(name))
-        .ok_or(Refusal::BadHeader(caller::WORKSPACE))?;
+    let workspace = workspace(headers)?;
     let credential = credential::presented(headers).ok_or(Refusal::Unauthorized)?;
     let deadline_ms = single(headers, caller::DEADLINE_MS)?
         .map(|text| text.parse().ok().filter(|ms| *ms > 0))
         .map(|ms| ms.ok_or(Refusal::BadHeader(caller::DEADLINE_MS)))
         .transpose()?;
-    let key = token(headers, caller::IDEMPOTENCY_KEY)?.map(IdempotencyKey::new);
     Ok(Head {
         request: id.clone(),
-        workspace: WorkspaceName::new(workspace),
-        credential: credential.to_owned(),
+        workspace,
+        credential: Some(credential.to_owned()),
         pipeline,
         deadline_ms,
-        key,
+        warrant: warrant(headers)?,
         arrived_at_ms,
     })
 }
 
+fn workspace(headers: &HeaderMap) -> Result<WorkspaceName, Refusal> {
+    single(headers, caller::WORKSPACE)?
+        .filter(|name| is_valid_name(name))
+        .map(WorkspaceName::new)
+        .ok_or(Refusal::BadHeader(caller::WORKSPACE))
+}
+
+/// A request is run under a key or a ticket, not both: they know nothing of
+/// each other.
+fn warrant(headers: &HeaderMap) -> Result<Option<Warrant>, Refusal> {
+    let key = token(headers, caller::IDEMPOTENCY_KEY)?.map(IdempotencyKey::new);
+    let ticket = single(headers, caller::TICKET)?
+        .map(|text| TicketId::parse(text).ok_or(Refusal::BadHeader(caller::TICKET)))
+        .transpose()?;
+    match (key, ticket) {
+        (Some(_), Some(_)) => Err(Refusal::BadHeader(caller::TICKET)),
+        (Some(key), None) => Ok(Some(Warrant::Key(key))),
+        (None, ticket) => Ok(ticket.map(Warrant::Ticket)),
+    }
+}
+
+fn has_warrant(headers: &HeaderMap) -> bool {
+    headers.contains_key(caller::IDEMPOTENCY_KEY) || headers.contains_key(caller::TICKET)
+}
+
 fn request_id(headers: &HeaderMap) -> Result<RequestId, Refusal> {
     let given = token(headers, caller::REQUEST_ID)?;
     Ok(given.map_or_else(new_request_id, RequestId::new))
--- a/crates/server/src/calls.rs
+++ b/crates/server/src/calls.rs
@@ -25,6 +25,7 @@
 
 use crate::{
     connections::{ConnectionSettings, Connections, Exchange, SendError},
+    gate::Gate,
     platform::request,
     settings::Backends,
 };
@@ -64,6 +65,8 @@
     pub(crate) addr: SocketAddr,
     /// Time after which the call must not be handed to a socket.
     pub(crate) not_after: Instant,
+    /// What the first byte has to pass, of a run that may not be run twice.
+    pub(crate) gate: Option<Arc<Gate>>,
 }
 
 impl BackendClient {
@@ -204,7 +207,9 @@
             Ok(_) | Err(_) => return Some(Event::NotSent { attempt }),
         };
         let request = request(Method::POST, to.addr, "/v1/run", Bytes::from(body));
-        let sending = self.connections.send(to.addr, request, to.not_after);
+        let sending = self
+            .connections
+            .send_gated(to.addr, request, to.not_after, to.gate.as_ref());
         let exchange = match answer.watch(sending).await {
             Ok(exchange) => exchange,
             Err(SendError::NotSent(reason)) => {
@@ -221,7 +226,11 @@
         let Exchange { response, lease } = exchange;
         let status = response.status();
         if status != StatusCode::OK {
-            return Some(refusal(attempt, response.into_body()).await);
+            let event = refusal(attempt, response.into_body()).await;
+            if let (Event::Refused { .. }, Some(gate)) = (&event, &to.gate) {
+                gate.on_refused();
+            }
+            return Some(event);
         }
         match answer.read(response.into_body()).await {
             Ending::Whole => {
--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -26,6 +26,8 @@
     time::{self, Instant},
 };
 
+use crate::gate::{Gate, GateSlot, GatedStream};
+
 /// Largest head of an answer that is read, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -72,6 +74,7 @@
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    gates: GateSlot,
     driver: AbortHandle,
 }
 
@@ -129,12 +132,50 @@
     /// Returns [`SendError::NotSent`] only when nothing of the request was
     /// handed to a socket.
     pub(crate) async fn send(
+        self: &Arc<Self>,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        not_after: Instant,
+    ) -> Result<Exchange, SendError> {
+        self.send_gated(addr, request, not_after, None).await
+    }
+
+    /// Sends `request` like [`send`](Self::send) if `gate`, which is asked
+    /// directly before the first byte is written, lets it through.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError::NotSent`] only when nothing of the request was
+    /// handed to a socket; with a gate, only when it never opened.
+    pub(crate) async fn send_gated(
+        self: &Arc<Self>,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        not_after: Instant,
+        gate: Option<&Arc<Gate>>,
+    ) -> Result<Exchange, SendError> {
+        let sent = self.try_send(addr, request, not_after, gate).await;
+        match (sent, gate) {
+            // Once shut, a write that is still on its way does not happen.
+            (Err(SendError::Sent(reason)), Some(gate)) if !gate.shut() => {
+                Err(SendError::NotSent(reason))
+            }
+            (Err(SendError::NotSent(reason)), Some(gate)) if gate.shut() => {
+                Err(SendError::Sent(reason))
+            }
+            (sent, _) => sent,
+        }
+    }
+
+    async fn try_send(
         self: &Arc<Self>,
         addr: SocketAddr,
         mut request: Request<Full<Bytes>>,
         not_after: Instant,
+        gate: Option<&Arc<Gate>>,
     ) -> Result<Exchange, SendError> {
         while let Some(connection) = self.take(addr) {
+            connection.gates.set(gate.cloned());
             match self.send_over(addr, connection, request).await {
                 Ok(exchange) => return Ok(exchange),
                 Err(Attempt::Handed(err)) => return Err(err),
@@ -145,6 +186,7 @@
         if Instant::now() >= not_after {
             return Err(SendError::NotSent("too late".to_owned()));
         }
+        connection.gates.set(gate.cloned());
         self.send_over(addr, connection, request)
             .await
             .map_err(|attempt| match attempt {
@@ -213,6 +255,8 @@
         // Without it small writes wait for acknowledgements; it may fail on a
         // socket that is closed already, which the exchange then finds out.
         let _ = stream.set_nodelay(true);
+        let gates = GateSlot::default();
+        let stream = GatedStream::new(stream, gates.clone());
         let (sender, driver) = http1::Builder::new()
             .max_header_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
@@ -224,6 +268,7 @@
         });
         Ok(Connection {
             sender,
+            gates,
             driver: driver.abort_handle(),
         })
     }
--- a/crates/server/src/controller.rs
+++ b/crates/server/src/controller.rs
@@ -4,9 +4,9 @@
 
 use savoryvane_core::{
     execution::{Completion, ExecutionSpec},
-    ids::{IdempotencyKey, PipelineName, RequestId, WorkspaceName},
+    ids::{PipelineName, RequestId, WorkspaceName},
     limiter::Admission,
-    objects::{Objective, Pipeline},
+    objects::{Objective, Pipeline, Workspace},
     outcome::Outcome,
 };
 use serde_json::Value;
@@ -15,6 +15,7 @@
 
 use crate::{
     credential,
+    exclusive::{self, Warrant},
     instance::{InFlight, Shared},
     phase::Phase,
     refusal::Refusal,
@@ -34,14 +35,15 @@
     pub(crate) request: RequestId,
     /// Workspace that the caller names.
     pub(crate) workspace: WorkspaceName,
-    /// Credential that the caller presents.
-    pub(crate) credential: String,
+    /// Credential that the caller presents; none when a peer passes the request
+    /// on, which has checked it.
+    pub(crate) credential: Option<String>,
     /// Pipeline that the caller asks for.
     pub(crate) pipeline: PipelineName,
     /// Time that the caller gives the request, in ms.
     pub(crate) deadline_ms: Option<u64>,
-    /// The caller's idempotency key.
-    pub(crate) key: Option<IdempotencyKey>,
+    /// What it is run under when it may not be run twice.
+    pub(crate) warrant: Option<Warrant>,
     /// Time at which the request arrived, in ms.
     pub(crate) arrived_at_ms: u64,
 }
@@ -74,8 +76,8 @@
 ///
 /// Returns why it is not.
 pub(crate) fn admit(shared: &Arc<Shared>, head: Head) -> Result<Admitted, Refusal> {
-    let admitted = authenticate(shared, &head)
-        .and_then(|(pipeline, objective)| claim(&pipeline).map(|()| (pipeline, objective)))
+    let admitted = find(shared, &head)
+        .and_then(|found| check_warrant(&found.0, &head).map(|()| found))
         .and_then(|found| shared.enter().map(|guard| (found, guard)))
         .and_then(|found| check_quota(shared, &head).map(|()| found));
     log_admission(shared, &head, admitted.as_ref().err());
@@ -104,6 +106,10 @@
         deadline_at_ms,
         guard,
     } = admitted;
+    // Of what may not be run twice, the claim or ticket says what ran before.
+    let has_warrant = head.warrant.is_some();
+    let warrant = head.warrant.filter(|_| !pipeline.is_idempotent());
+    let earlier_may_have_run = has_warrant && warrant.is_none();
     let account = Account {
         shared: Arc::clone(shared),
         request: head.request.clone(),
@@ -121,13 +127,21 @@
         attempt_base: attempt_base(),
         objective,
         priority: priority(objective),
-        earlier_may_have_run: head.key.is_some(),
+        earlier_may_have_run,
         prefix: None,
     };
-    runner::start(shared, spec, account, guard)
+    match warrant {
+        None => runner::start(shared, spec, account, guard),
+        Some(warrant) => exclusive::start(shared, warrant, spec, account, guard),
+    }
 }
 
 impl Account {
+    /// Returns the request that it is for.
+    pub(crate) fn request(&self) -> &RequestId {
+        &self.request
+    }
+
     /// Counts and logs the final answer.
     pub(crate) fn close(&self, completion: &Completion) {
         let now_ms = self.shared.clock.now_ms();
@@ -153,17 +167,32 @@
     }
 }
 
-/// A workspace that does not exist and a wrong credential look alike, and so
-/// do a pipeline that does not exist and one of another workspace.
-fn authenticate(shared: &Shared, head: &Head) -> Result<(Arc<Pipeline>, Objective), Refusal> {
+/// Returns the workspace that a caller proves to belong to. One that does not
+/// exist and a wrong credential look alike.
+///
+/// # Errors
+///
+/// Returns [`Refusal::Unauthorized`] for either.
+pub(crate) fn authenticate(
+    shared: &Shared,
+    workspace: &WorkspaceName,
+    credential: Option<&str>,
+) -> Result<Workspace, Refusal> {
     if shared.phases.current() == Phase::Starting {
         return Err(Refusal::NotReady);
     }
     let state = shared.configuration.state();
-    let workspace = state
-        .workspace(head.workspace.as_str())
-        .filter(|found| credential::matches(&head.credential, &found.credential_sha256))
-        .ok_or(Refusal::Unauthorized)?;
+    let is_known = |found: &&Workspace| {
+        credential.is_none_or(|text| credential::matches(text, &found.credential_sha256))
+    };
+    let found = state.workspace(workspace.as_str()).filter(is_known);
+    found.cloned().ok_or(Refusal::Unauthorized)
+}
+
+/// A pipeline that does not exist and one of another workspace look alike.
+fn find(shared: &Shared, head: &Head) -> Result<(Arc<Pipeline>, Objective), Refusal> {
+    let workspace = authenticate(shared, &head.workspace, head.credential.as_deref())?;
+    let state = shared.configuration.state();
     let is_allowed = workspace.pipelines.contains(&head.pipeline);
     let pipeline = state
         .pipeline(head.pipeline.as_str())
@@ -172,9 +201,9 @@
     Ok((Arc::new(pipeline.clone()), workspace.objective))
 }
 
-/// A pipeline that may not be repeated needs a claim of its key first.
-fn claim(pipeline: &Pipeline) -> Result<(), Refusal> {
-    if pipeline.is_idempotent() {
+/// A pipeline that may not be run twice needs a key to claim or a ticket.
+fn check_warrant(pipeline: &Pipeline, head: &Head) -> Result<(), Refusal> {
+    if pipeline.is_idempotent() || head.warrant.is_some() {
         Ok(())
     } else {
         Err(Refusal::NoClaim)
@@ -182,6 +211,10 @@
 }
 
 fn check_quota(shared: &Shared, head: &Head) -> Result<(), Refusal> {
+    if head.credential.is_none() {
+        // The peer that passes it on has counted it.
+        return Ok(());
+    }
     match sharing::admit(shared, &head.workspace) {
         Admission::Admitted => Ok(()),
         Admission::Refused { retry_after_ms } => Err(Refusal::OverQuota(retry_after_ms)),
@@ -208,7 +241,7 @@
             "request" => %head.request, "workspace" => %head.workspace,
             "pipeline" => %head.pipeline, "choice" => "take"),
         Some(refusal) => {
-            let outcome: Outcome = refusal.outcome(head.key.is_some());
+            let outcome: Outcome = refusal.outcome(head.warrant.is_some());
             metrics::counter!("savoryvane_refused_total", "status" => refusal.status().as_str().to_owned())
                 .increment(1);
             warn!(shared.log, "decision"; "kind" => "admission",
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -27,8 +27,11 @@
 use tokio_util::task::TaskTracker;
 
 use crate::{
-    admin, caller,
+    admin,
+    answers::Answers,
+    caller,
     calls::BackendClient,
+    claims::{self, Claims},
     clock::Clock,
     configuration::Configuration,
     error::{Error, Result},
@@ -44,6 +47,7 @@
     refusal::Refusal,
     settings::Settings,
     snapshot::SnapshotCache,
+    tickets::Tickets,
 };
 
 /// What every task of an instance shares.
@@ -69,6 +73,12 @@
     pub(crate) listing: ArcSwapOption<Listing>,
     /// The other instances.
     pub(crate) members: Members,
+    /// Claims of requests that may not be run twice.
+    pub(crate) claims: Claims,
+    /// Tickets for such requests.
+    pub(crate) tickets: Tickets,
+    /// Answers of such requests.
+    pub(crate) answers: Answers,
     /// Client of the backend servers.
     pub(crate) backends: BackendClient,
     /// Metrics.
@@ -228,6 +238,7 @@
                 warn!(shared.log, "drain timed out"; "in_flight" => shared.in_flight());
             }
         }
+        claims::flush(shared).await;
         self.background.shutdown().await;
         ended
     }
@@ -265,6 +276,9 @@
         snapshots: SnapshotCache::default(),
         platform: PlatformClient::new(settings.platform),
         listing: ArcSwapOption::empty(),
+        claims: Claims::new(&settings, incarnation, log.clone()),
+        tickets: Tickets::new(&settings, incarnation),
+        answers: Answers::default(),
         backends: BackendClient::new(settings.backends, log.clone()),
         meters: Meters::install(),
         tasks: TaskTracker::new(),
@@ -314,6 +328,8 @@
     let mut background = JoinSet::new();
     background.spawn(callers.run(caller, caller::service(Arc::clone(shared))));
     background.spawn(operators.run(admin, admin::service(Arc::clone(shared))));
+    background.spawn(claims::read(Arc::clone(shared)));
+    background.spawn(claims::append(Arc::clone(shared)));
     background.spawn(listing::run(Arc::clone(shared)));
     background.spawn(loads::run(Arc::clone(shared)));
     background
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -2,8 +2,10 @@
 //! the core.
 
 mod admin;
+mod answers;
 mod caller;
 mod calls;
+mod claims;
 mod clock;
 mod configuration;
 mod confirm;
@@ -11,8 +13,10 @@
 mod controller;
 mod credential;
 mod error;
+mod exclusive;
 mod fields;
 mod follower;
+mod gate;
 mod http_body;
 mod instance;
 mod listener;
@@ -27,16 +31,18 @@
 mod platform;
 mod refusal;
 mod relay;
+mod run_right;
 mod runner;
 mod settings;
 mod shared_stream;
 mod sharing;
 mod snapshot;
+mod tickets;
 
 pub use crate::{
     error::{Error, Result},
     instance::{Addresses, Ended, Instance},
     settings::{
-        Backends, Drain, Fault, Limits, Listen, Log, LogForm, LogLevel, Platform, Settings,
+        Backends, Claims, Drain, Fault, Limits, Listen, Log, LogForm, LogLevel, Platform, Settings,
     },
 };
--- a/crates/server/src/members.rs
+++ b/crates/server/src/members.rs
@@ -8,7 +8,7 @@
 
 use savoryvane_core::{
     digest::{Leaver, LeavingNotice, LoadSummary, Readiness},
-    ids::{BackendName, Incarnation, InstanceName, Offset},
+    ids::{BackendName, Incarnation, InstanceName},
     membership::{Action, Event, Gossip, Identity, Membership, OwnState, TICK_MS},
     roster::ListedInstance,
     usage::Usage,
@@ -195,7 +195,7 @@
     OwnState {
         readiness,
         config_next: shared.configuration.state().next(),
-        claims_next: Offset::default(),
+        claims_next: shared.claims.next(),
         load: LoadSummary {
             in_flight: shared.in_flight(),
             ..LoadSummary::default()
--- a/crates/server/src/peering.rs
+++ b/crates/server/src/peering.rs
@@ -6,6 +6,7 @@
 use savoryvane_wire::peer::{Declined, Message};
 
 use crate::{
+    exclusive,
     instance::Shared,
     members,
     peer::{PeerAnswer, PeerHandler, PeerId},
@@ -38,10 +39,19 @@
         members::apply(&self.shared, event);
     }
 
-    fn on_request(&self, from: PeerId, message: Message, _wait: Duration) -> PeerAnswer {
+    fn on_request(&self, from: PeerId, message: Message, wait: Duration) -> PeerAnswer {
+        let shared = Arc::clone(&self.shared);
         let answer = match message {
-            Message::UsageReport(report) => {
-                return sharing::answer(Arc::clone(&self.shared), from, report);
+            Message::UsageReport(report) => return sharing::answer(shared, from, report),
+            Message::AnswerQuery(query) => {
+                return Box::pin(async move {
+                    Message::AnswerState(exclusive::answer_state(&shared, query, wait).await)
+                });
+            }
+            Message::TicketRun(run) => {
+                return Box::pin(async move {
+                    Message::AnswerState(exclusive::run_forwarded(&shared, run).await)
+                });
             }
             Message::ConfigSnapshotQuery(query) => snapshot::answer(&self.shared, query),
             _ => Message::Declined(Declined::Unsupported),
--- a/crates/server/src/refusal.rs
+++ b/crates/server/src/refusal.rs
@@ -4,6 +4,9 @@
 use savoryvane_core::{
     decision::DecisionReason, execution::Completion, execution::Reason, outcome::Outcome,
 };
+use savoryvane_wire::caller::Answer;
+
+use crate::exclusive;
 
 /// Why a request was not run, before any of it was.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -90,9 +93,24 @@
 /// Returns the status of the answer to a request that was run.
 pub(crate) fn status(completion: &Completion) -> StatusCode {
     match completion.outcome {
+        Outcome::Failed if is_late(completion) => StatusCode::GATEWAY_TIMEOUT,
+        outcome => outcome_status(outcome),
+    }
+}
+
+/// Returns the status of an answer that was given without a run of its own.
+pub(crate) fn given_status(answer: &Answer) -> StatusCode {
+    match answer.reason.as_deref() {
+        Some(exclusive::REUSED) => StatusCode::UNPROCESSABLE_ENTITY,
+        Some(exclusive::TICKET_NOT_VALID) => StatusCode::GONE,
+        _ => outcome_status(answer.outcome),
+    }
+}
+
+fn outcome_status(outcome: Outcome) -> StatusCode {
+    match outcome {
         Outcome::Complete => StatusCode::OK,
         Outcome::NotRun | Outcome::NotStarted => StatusCode::SERVICE_UNAVAILABLE,
-        Outcome::Failed if is_late(completion) => StatusCode::GATEWAY_TIMEOUT,
         Outcome::Failed => StatusCode::BAD_GATEWAY,
         Outcome::Unknown => StatusCode::INTERNAL_SERVER_ERROR,
     }
--- a/crates/server/src/runner.rs
+++ b/crates/server/src/runner.rs
@@ -8,6 +8,7 @@
     execution::{Action, Completion, DiscardReason, Event, Execution, ExecutionSpec},
     ids::BackendName,
 };
+use savoryvane_wire::caller::Answer;
 use slog::{info, warn};
 use tokio::{
     sync::mpsc,
@@ -19,6 +20,7 @@
     calls::Destination,
     controller::Account,
     instance::{InFlight, Shared},
+    run_right::RunRight,
 };
 
 /// Events of calls that wait for the state machine.
@@ -36,6 +38,8 @@
     },
     /// The final answer.
     Final(Box<Completion>),
+    /// The final answer, given by another run or instead of one.
+    Given(Box<Answer>),
 }
 
 /// Runs a request in a task of its own, and accounts for it at its end; `guard`
@@ -49,28 +53,43 @@
     guard: InFlight,
 ) -> mpsc::UnboundedReceiver<Update> {
     let (updates, receiver) = mpsc::unbounded_channel();
+    let running = run(shared, spec, account, None, updates);
+    shared.tasks.spawn(async move {
+        running.await;
+        drop(guard);
+    });
+    receiver
+}
+
+/// Runs a request to its end; `right` is what it needs when it may not be run
+/// twice.
+pub(crate) fn run(
+    shared: &Arc<Shared>,
+    spec: ExecutionSpec,
+    account: Account,
+    right: Option<Arc<RunRight>>,
+    updates: mpsc::UnboundedSender<Update>,
+) -> impl Future<Output = ()> + Send + 'static {
     let (events, inbox) = mpsc::channel(EVENT_BUFFER);
     let execution = Execution::new(spec, shared.clock.now_ms());
     let runner = Runner {
         shared: Arc::clone(shared),
         execution,
         account,
+        right,
         calls: HashMap::new(),
         events,
         updates,
         timer: None,
     };
-    shared.tasks.spawn(async move {
-        runner.run(inbox).await;
-        drop(guard);
-    });
-    receiver
+    runner.run(inbox)
 }
 
 struct Runner {
     shared: Arc<Shared>,
     execution: Execution,
     account: Account,
+    right: Option<Arc<RunRight>>,
     /// Calls by attempt.
     calls: HashMap<u64, RunningCall>,
     events: mpsc::Sender<Event>,
@@ -127,9 +146,17 @@
                 let Some(addr) = self.addr(&backend) else {
                     return self.report(Event::NotSent { attempt });
                 };
+                let gate = match &self.right {
+                    None => None,
+                    Some(right) => match right.gate(&call.id.stage) {
+                        None => return self.report(Event::NotSent { attempt }),
+                        gate => gate,
+                    },
+                };
                 let to = Destination {
                     backend,
                     addr,
+                    gate,
                     not_after: self.shared.clock.instant(not_after_ms),
                 };
                 let (shared, events) = (Arc::clone(&self.shared), self.events.clone());
@@ -148,7 +175,10 @@
             Action::SetTimer { at_ms } => self.timer = Some(self.shared.clock.instant(at_ms)),
             Action::Log(decision) => self.log(&decision),
             Action::Discard { id, reason } => self.discard(&id, reason),
-            Action::Finish(completion) => {
+            Action::Finish(mut completion) => {
+                if let Some(right) = &self.right {
+                    right.finish(self.account.request(), &mut completion);
+                }
                 self.account.close(&completion);
                 self.update(Update::Final(completion));
             }
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -20,6 +20,10 @@
 const SHA256: &str = "64 lower-case hex digits";
 /// Longest duration that a setting takes, in ms.
 const MAX_DURATION_MS: u64 = 3_600_000;
+/// Longest time that an idempotency key can be remembered, in ms.
+const MAX_WINDOW_MS: u64 = 86_400_000;
+/// Time that an idempotency key is remembered when nothing is set, in ms.
+const DEFAULT_WINDOW_MS: u64 = 600_000;
 
 /// Everything that an entry instance is told from outside.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -42,6 +46,8 @@
     pub limits: Limits,
     /// How it treats backend servers.
     pub backends: Backends,
+    /// How it runs what may not be run twice.
+    pub claims: Claims,
     /// How it stops.
     pub drain: Drain,
 }
@@ -141,6 +147,17 @@
     pub load_interval_ms: u64,
 }
 
+/// How an instance runs what may not be run twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Claims {
+    /// Time that an idempotency key is remembered after its last use, in ms.
+    pub window_ms: u64,
+    /// Appends to the claim stream a second, of all instances together.
+    pub appends_per_s: u64,
+    /// Time that a ticket can be used, in ms.
+    pub ticket_valid_ms: u64,
+}
+
 /// How an instance stops.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Drain {
@@ -216,6 +233,8 @@
     let log = read_log(fields.section("log"));
     let limits = read_limits(fields.section("limits"));
     let backends = read_backends(fields.section("backends"));
+    let longest_window_ms = longest_window_ms(platform.as_ref(), limits);
+    let claims = read_claims(fields.section("claims"), longest_window_ms);
     let drain = read_drain(fields.section("drain"));
     fields.finish();
     Some(Settings {
@@ -228,6 +247,7 @@
         log,
         limits,
         backends,
+        claims,
         drain,
     })
 }
@@ -331,6 +351,26 @@
     backends
 }
 
+/// A key has to be forgotten before the log forgets its first record.
+fn longest_window_ms(platform: Option<&Platform>, limits: Limits) -> u64 {
+    let retention_ms = platform.map_or(MAX_DURATION_MS, |platform| platform.retention_ms);
+    let spare_ms = 2 * limits.max_deadline_ms;
+    retention_ms
+        .saturating_sub(spare_ms)
+        .clamp(1, MAX_WINDOW_MS)
+}
+
+fn read_claims(mut fields: Fields<'_>, longest_window_ms: u64) -> Claims {
+    let window_ms = DEFAULT_WINDOW_MS.min(longest_window_ms);
+    let claims = Claims {
+        window_ms: fields.number("window_ms", 1..=longest_window_ms, window_ms),
+        appends_per_s: fields.number("appends_per_s", 1..=10_000, 200),
+        ticket_valid_ms: fields.number("ticket_valid_ms", 1_000..=MAX_DURATION_MS, 60_000),
+    };
+    fields.finish();
+    claims
+}
+
 fn read_drain(mut fields: Fields<'_>) -> Drain {
     let drain = Drain {
         grace_ms: fields.number("grace_ms", 0..=MAX_DURATION_MS, 2_000),
--- a/crates/server/tests/common/process.rs
+++ b/crates/server/tests/common/process.rs
@@ -72,6 +72,22 @@
         self.signal("-TERM");
     }
 
+    /// Stops the process where it stands.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets a frozen process go on.
+    pub fn thaw(&self) {
+        self.signal("-CONT");
+    }
+
+    /// Kills the process and waits until it is gone.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
     /// Sends a signal to this process, and to no other.
     pub fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
--- a/crates/wire/src/claims.rs
+++ b/crates/wire/src/claims.rs
@@ -1,9 +1,13 @@
 //! Payload of the claim stream: a version byte and a bincode [`Batch`].
 
+use base64::{Engine, engine::general_purpose::STANDARD};
 use quick_error::quick_error;
 pub use savoryvane_core::claim::{
     Batch, ClaimId, Completion, Entry, Fingerprint, KeyHash, MAX_ANSWER_BYTES,
 };
+use savoryvane_core::ids::is_valid_name;
+
+use crate::platform::LogRecord;
 
 /// Version of the payload that this program reads and writes.
 pub const VERSION: u8 = 1;
@@ -79,15 +83,30 @@
     Ok(batch)
 }
 
+/// Reads the batch of a record as the log returned it.
+///
+/// # Errors
+///
+/// Returns the errors of [`decode`], and [`ClaimsError::Malformed`] for what is
+/// not base64.
+pub fn decode_record(record: &LogRecord) -> Result<Batch> {
+    if record.payload.len() > MAX_PAYLOAD_BYTES * 2 {
+        return Err(ClaimsError::TooLarge);
+    }
+    let payload = STANDARD.decode(&record.payload);
+    decode(&payload.map_err(|_| ClaimsError::Malformed)?)
+}
+
 fn check(batch: &Batch) -> Result<()> {
-    let is_answer_small = |entry: &Entry| match entry {
+    let is_within = |entry: &Entry| match entry {
         Entry::Done { completion, .. } => completion
             .answer
             .as_ref()
             .is_none_or(|answer| answer.len() <= MAX_ANSWER_BYTES),
-        Entry::Claim { .. } | Entry::Release { .. } => true,
+        Entry::Claim { instance, .. } => is_valid_name(instance.as_str()),
+        Entry::Release { .. } => true,
     };
-    if batch.entries.len() <= MAX_ENTRIES && batch.entries.iter().all(is_answer_small) {
+    if batch.entries.len() <= MAX_ENTRIES && batch.entries.iter().all(is_within) {
         Ok(())
     } else {
         Err(ClaimsError::TooLarge)
--- a/crates/wire/tests/claims.rs
+++ b/crates/wire/tests/claims.rs
@@ -32,6 +32,7 @@
             key,
             id,
             fingerprint: Fingerprint(bytes16(g)),
+            instance: "entry-1".into(),
         },
         1 => Entry::Release {
             key,
