Keep a drain or confirm in doubt when its answer is lost or broken

A drain whose answer was lost ended with the words that nothing was changed, and a confirm that was answered 500 was called refused. Both now exit 7 and may be repeated; a 4xx that is not of the interface is decided and exits 1 at once. Found by reading; the added cases of the tests pass.

--- a/crates/ctl/src/admin.rs
+++ b/crates/ctl/src/admin.rs
@@ -109,8 +109,11 @@
             instance: instance.clone(),
         };
         let call = Call::post(DRAIN, json(&drain));
-        let answer = exchange(self.settings, addr, &call).await?;
-        check(addr, &answer)
+        match client::exchange(self.settings, addr, &call).await {
+            Ok(answer) => check(addr, &answer),
+            Err(Fault::NotSent(reason)) => Err(Error::Unreachable(vec![(addr, reason)])),
+            Err(Fault::Unanswered(reason)) => Err(Error::DrainUnknown(addr, reason)),
+        }
     }
 
     /// Asks one address after the other until one answers. For calls that change
@@ -160,7 +163,8 @@
 
 fn decode<T: DeserializeOwned>(addr: SocketAddr, answer: &Answer) -> Result<T> {
     check(addr, answer)?;
-    serde_json::from_slice(&answer.body).map_err(|err| Error::BadAnswer(addr, err.to_string()))
+    serde_json::from_slice(&answer.body)
+        .map_err(|err| Error::BadAnswer(addr, answer.status, err.to_string()))
 }
 
 fn check(addr: SocketAddr, answer: &Answer) -> Result<()> {
@@ -169,6 +173,6 @@
     }
     Err(match serde_json::from_slice::<AdminError>(&answer.body) {
         Ok(body) => Error::Refused(addr, answer.status, body),
-        Err(_) => Error::BadAnswer(addr, format!("status {}", answer.status.as_u16())),
+        Err(err) => Error::BadAnswer(addr, answer.status, err.to_string()),
     })
 }
--- a/crates/ctl/src/bin/savoryvanectl/flags.rs
+++ b/crates/ctl/src/bin/savoryvanectl/flags.rs
@@ -6,9 +6,9 @@
     /// Operates savoryvane: state an intent, see the plan, confirm it.
     ///
     /// Exit codes: 0 done; 1 failed; 2 wrong command line; 3 wrong intent or
-    /// plan; 4 no instance reached; 5 conflict; 6 credential refused; 7 a
-    /// confirm's result is not known, repeat it; 8 accepted, but not yet seen in
-    /// force everywhere; 9 not agreed to.
+    /// plan; 4 no instance reached; 5 conflict; 6 credential refused; 7 not
+    /// known whether it was done, repeat it; 8 accepted, but not yet seen in force
+    /// everywhere; 9 not agreed to.
     cmd savoryvanectl {
         /// Addresses of operator listeners, separated by commas; by default
         /// those in SAVORYVANE_ADMIN. The next is tried when one is unreachable.
--- a/crates/ctl/src/confirm.rs
+++ b/crates/ctl/src/confirm.rs
@@ -2,7 +2,6 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use http::StatusCode;
 use savoryvane_wire::admin::{Confirmation, Plan, Reach};
 use tokio::time::{self, Instant};
 
@@ -58,10 +57,12 @@
 
 async fn attempt(settings: &Settings, addr: SocketAddr, plan: &Plan) -> Attempt {
     match Admin::new(settings).confirm_at(addr, plan).await {
-        Ok(Err(Error::Refused(_, StatusCode::SERVICE_UNAVAILABLE, body))) => {
+        Ok(Err(Error::Refused(_, status, body))) if status.is_server_error() => {
             Attempt::InDoubt(body.error)
         }
-        Ok(Err(Error::BadAnswer(_, reason))) => Attempt::InDoubt(reason),
+        Ok(Err(Error::BadAnswer(_, status, reason))) if !status.is_client_error() => {
+            Attempt::InDoubt(reason)
+        }
         Ok(result) => Attempt::Decided(result),
         Err(Fault::NotSent(reason)) => Attempt::NotSent(reason),
         Err(Fault::Unanswered(reason)) => Attempt::InDoubt(reason),
--- a/crates/ctl/src/controller.rs
+++ b/crates/ctl/src/controller.rs
@@ -205,15 +205,20 @@
 
     async fn drain(&mut self, instance: &InstanceName) -> Result<()> {
         let mut failures = Vec::new();
+        let mut doubt = None;
         for &addr in &self.settings.admins {
             match self.admin().drain(addr, instance).await {
                 Ok(()) => return self.drained(instance),
                 // Another instance answers there.
                 Err(Error::Refused(_, StatusCode::CONFLICT, _)) => {}
                 Err(Error::Unreachable(failure)) => failures.extend(failure),
+                Err(err @ Error::DrainUnknown(..)) => doubt = Some(err),
                 Err(err) => return Err(err),
             }
         }
+        if let Some(err) = doubt {
+            return Err(err);
+        }
         Err(if failures.is_empty() {
             Error::NotFound(instance.clone())
         } else {
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -31,7 +31,7 @@
     Conflict = 5,
     /// The credential was refused.
     Unauthorized = 6,
-    /// A change may be in force or not; the same confirm may be repeated.
+    /// A confirm or drain may have been taken or not; it may be repeated.
     Unknown = 7,
     /// A change is accepted, but not yet seen in force everywhere.
     NotEverywhere = 8,
@@ -85,8 +85,12 @@
             display("refused by {addr} ({}): {}", status.as_u16(), printable(&body.error))
         }
         /// An instance's answer is not one of this interface.
-        BadAnswer(addr: SocketAddr, reason: String) {
-            display("{addr} gave an answer that is not of the operators' interface: {reason}")
+        BadAnswer(addr: SocketAddr, status: StatusCode, reason: String) {
+            display("{addr} gave an answer that is not of the operators' interface (status {}): {reason}", status.as_u16())
+        }
+        /// A drain was sent, but its answer did not come.
+        DrainUnknown(addr: SocketAddr, reason: String) {
+            display("{addr} may be leaving or not: {reason}")
         }
         /// A confirm was sent, but its answer did not come.
         Unknown(id: ChangeId, reason: String) {
@@ -127,7 +131,7 @@
             Self::Unreachable(_) => Exit::Unreachable,
             Self::Refused(_, status, _) => refusal_exit(*status),
             Self::BadAnswer(..) => Exit::Failed,
-            Self::Unknown(..) => Exit::Unknown,
+            Self::Unknown(..) | Self::DrainUnknown(..) => Exit::Unknown,
             Self::NotEverywhere(..) => Exit::NotEverywhere,
             Self::NotFound(_) => Exit::Conflict,
             Self::Declined => Exit::Declined,
@@ -155,6 +159,7 @@
             Self::Unknown(..) => {
                 "run the same confirm again, on any instance: the change takes effect once"
             }
+            Self::DrainUnknown(..) => "look at `savoryvanectl status`; a drain may be repeated",
             Self::NotEverywhere(..) => {
                 "look at `savoryvanectl instances`; an instance that is cut off follows \
                  when it is back, the change is not lost"
--- a/crates/ctl/src/plan.rs
+++ b/crates/ctl/src/plan.rs
@@ -38,9 +38,6 @@
     section(&mut text, "changes", &plan.summary);
     section(&mut text, "moves that would follow", &plan.moves);
     section(&mut text, "warnings", &plan.warnings);
-    if change.ops.is_empty() {
-        text.push_str("Nothing would change.\n");
-    }
     text
 }
 
--- a/crates/ctl/tests/changes.rs
+++ b/crates/ctl/tests/changes.rs
@@ -174,6 +174,11 @@
     assert_eq!(ran.code, 7);
     assert!(ran.err.contains("run the same confirm again"), "{ran:?}");
 
+    let broken = Fake::start(|_, _| error(500, "broken", "none"));
+    assert_eq!(dir.ctl(&[broken.addr], &["confirm", &file]).code, 7);
+    let elsewhere = Fake::start(|_, _| Reply::Json(404, json!("no such page")));
+    assert_eq!(dir.ctl(&[elsewhere.addr], &["confirm", &file]).code, 1);
+
     let ran = dir.ctl(&[dead_addr()], &["confirm", &file]);
     assert_eq!(ran.code, 4);
     assert!(ran.err.contains("nothing was changed"), "{ran:?}");
--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -219,6 +219,10 @@
     assert_eq!(ran.code, 0, "{ran:?}");
     assert_eq!(meant.seen()[0].body, json!({"instance": "entry-2"}));
 
+    let lossy = Fake::start(|_, _| Reply::Cut);
+    let ran = dir.ctl(&[lossy.addr, other.addr], &["drain", "entry-2"]);
+    assert_eq!(ran.code, 7, "{ran:?}");
+
     let ran = dir.ctl(&[other.addr], &["drain", "entry-2"]);
     assert_eq!(ran.code, 5);
     assert!(ran.err.contains("own operator address"), "{ran:?}");
