Elect the placer on the log, one valid claim at a time

Cause: orders to engines need one giver at a time, a fencing number, and a holder that does no harm when it was paused; no instance is set aside.

A claim on the stream `placer` names the offset that it expects to get and is valid only there. Of racing claims one wins, a renewal in between voids them all, and a reader can judge each record by itself, also one that starts in the middle of the stream. Renewals: one append in 10 s for the whole deployment. Orders may be given for 20 s from the start of the last append that was read back; candidates claim after 33 s of silence, by rank and jitter, and only while reads show the stream's head. A new placer waits 4 s before it orders engines that ignore the number.

Ruled out: judging a claim by the last valid record that a reader remembers; readers with different starts came to different verdicts. Counting silence through a log outage; it replaced a holder that could not renew.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod objects;
 pub mod outcome;
 pub mod pace;
+pub mod placer;
 pub mod progress;
 pub mod quantile;
 pub mod quota;
--- /dev/null
+++ b/crates/core/tests/placer_election.rs
@@ -0,0 +1,238 @@
+//! One placer at a time, through races, freezes, lost answers and late appends.
+
+mod placer_world;
+
+use placer_world::{Fate, INSTANCES, Op, World, seeded};
+use savoryvane_core::{
+    ids::{Incarnation, Offset},
+    objects::Fencing,
+    placer::{Election, Event, Heard, Placer, PlacerRecord, PlacerSettings},
+};
+
+const TESTS: u64 = 2_000;
+
+#[test]
+fn no_two_placers_order_unchecked_engines_at_once() {
+    fn law(ops: Vec<Op>) -> Result<(), String> {
+        let mut world = World::new();
+        world.run(5_000);
+        for op in ops {
+            world.apply(op);
+        }
+        world.faults.first().cloned().map_or(Ok(()), Err)
+    }
+    seeded(TESTS).quickcheck(law as fn(_) -> _);
+}
+
+#[test]
+fn after_any_faults_one_placer_stands_and_all_agree() {
+    fn law(ops: Vec<Op>) -> Result<(), String> {
+        let mut world = World::new();
+        for op in ops {
+            match op {
+                // Nobody is left to stand up when all have left.
+                Op::Leave { at } => world.apply(Op::Restart { at }),
+                op => world.apply(op),
+            }
+        }
+        world.calm();
+        let holders: Vec<_> = world.nodes.iter().map(|n| n.placer.holder()).collect();
+        let is_agreed = holders.iter().all(|h| h.is_some() && *h == holders[0]);
+        match (world.placers().len(), is_agreed) {
+            (1, true) => Ok(()),
+            _ => Err(format!("{holders:?}, placers {:?}", world.placers())),
+        }
+    }
+    seeded(TESTS / 4).quickcheck(law as fn(_) -> _);
+}
+
+#[test]
+fn of_racing_claims_one_wins_and_its_lost_answer_does_not_matter() {
+    for fate in [Fate::Appended, Fate::AnswerLost, Fate::DoneTwice] {
+        let mut world = World::new();
+        for at in 0..INSTANCES {
+            world.read(at, usize::MAX);
+        }
+        world.pass(2_900);
+        for at in 0..INSTANCES {
+            world.read(at, usize::MAX);
+        }
+        world.pass(2_600);
+        for at in 0..INSTANCES {
+            world.event(at, Event::Tick);
+        }
+        assert!(world.nodes.iter().filter(|n| n.append.is_some()).count() > 1);
+        for at in 0..INSTANCES {
+            world.append(at, fate);
+        }
+        world.run(1_000);
+        assert_eq!(world.placers().len(), 1, "{fate:?}");
+        assert_eq!(world.faults, Vec::<String>::new());
+    }
+}
+
+#[test]
+fn a_frozen_placer_that_wakes_has_no_permit() {
+    let mut world = World::new();
+    world.run(5_000);
+    let old = world.placers()[0];
+    world.apply(Op::Freeze { at: old });
+    world.run(2 * world.settings.silence_ms());
+    let new = world.placers();
+    assert_eq!(new.len(), 1);
+    assert_ne!(new[0], old);
+
+    world.apply(Op::Thaw { at: old });
+    assert_eq!(world.placers(), new);
+    let (own, other) = (&world.nodes[old].placer, &world.nodes[new[0]].placer);
+    // It has read nothing yet and still takes itself for the placer.
+    assert!(own.own_term() < other.own_term());
+    assert_eq!(own.permit(world.local_ms(old)), None);
+}
+
+#[test]
+fn a_log_outage_replaces_nobody() {
+    let mut world = World::new();
+    world.run(5_000);
+    let placer = world.placers();
+    for _ in 0..50 {
+        world.pass(2_000);
+        for at in 0..INSTANCES {
+            world.append(at, Fate::NeverArrived);
+            world.apply(Op::ReadFails { at });
+            world.event(at, Event::Tick);
+        }
+    }
+    assert_eq!(world.placers(), Vec::<usize>::new());
+    world.run(20_000);
+    assert_eq!(world.placers(), placer);
+}
+
+#[test]
+fn a_placer_that_leaves_is_followed_at_once_and_its_last_order_waited_out() {
+    let mut world = World::new();
+    world.run(6_000);
+    let old = world.placers()[0];
+    world.apply(Op::Leave { at: old });
+    assert_eq!(world.placers(), Vec::<usize>::new());
+    world.run(6_000);
+    let new = world.placers()[0];
+    let permit = world.nodes[new].placer.permit(world.local_ms(new)).unwrap();
+    assert!(permit.allows(world.local_ms(new), Fencing::Checked));
+    assert!(!permit.allows(world.local_ms(new), Fencing::Ignored));
+    world.run(6_000);
+    assert_eq!(world.faults, Vec::<String>::new());
+    let permit = world.nodes[new].placer.permit(world.local_ms(new)).unwrap();
+    assert!(permit.allows(world.local_ms(new), Fencing::Ignored));
+}
+
+#[test]
+fn renewals_take_one_append_in_ten_seconds() {
+    let mut world = World::new();
+    world.run(20_000);
+    let before = world.log.len();
+    world.run(600_000);
+    assert_eq!(world.log.len() - before, 60);
+}
+
+#[test]
+fn a_reader_that_starts_late_judges_claims_alike() {
+    fn claim(expected: u64, incarnation: u64) -> PlacerRecord {
+        PlacerRecord::Claim {
+            expected: Offset(expected),
+            instance: "entry".into(),
+            incarnation: Incarnation(incarnation),
+            seq: 0,
+        }
+    }
+    fn renewal(term: u64, incarnation: u64) -> PlacerRecord {
+        PlacerRecord::Renewal {
+            term: Offset(term),
+            instance: "entry".into(),
+            incarnation: Incarnation(incarnation),
+            seq: 1,
+        }
+    }
+    let records = [
+        claim(0, 1),
+        renewal(0, 1),
+        claim(2, 2),
+        claim(2, 3),
+        renewal(0, 1),
+        renewal(2, 2),
+        renewal(0, 1),
+    ];
+    let fold = |skip: usize| {
+        let mut election = Election::default();
+        let heard: Vec<_> = (0u64..)
+            .zip(&records)
+            .skip(skip)
+            .map(|(offset, record)| election.take(Offset(offset), record))
+            .collect();
+        (election.holder().cloned(), heard)
+    };
+    let (holder, heard) = fold(0);
+    assert_eq!(holder.as_ref().unwrap().term, Offset(2));
+    assert_eq!(heard[3..5], [Heard::Void, Heard::Void]);
+    assert_eq!(heard[6], Heard::Void);
+    for skip in 1..6 {
+        assert_eq!(fold(skip).0, holder, "from {skip} on");
+    }
+}
+
+#[test]
+fn an_engine_that_saw_a_higher_number_stops_the_placer() {
+    let mut world = World::new();
+    world.run(5_000);
+    let at = world.placers()[0];
+    let term = world.nodes[at].placer.own_term().unwrap();
+    world.event(at, Event::Fenced { highest: term.0 });
+    assert_eq!(world.placers(), [at]);
+    world.event(
+        at,
+        Event::Fenced {
+            highest: term.0 + 1,
+        },
+    );
+    assert_eq!(world.placers(), Vec::<usize>::new());
+}
+
+#[test]
+fn trimmed_records_are_passed_over() {
+    let settings = PlacerSettings::default();
+    let mut placer = Placer::new("entry".into(), Incarnation(1), settings, 1);
+    let candidate = savoryvane_core::placer::Standing::Candidate { rank: 0 };
+    placer.on_event(0, Event::Standing(candidate));
+    let first = Offset(500);
+    let actions = placer.on_event(10, Event::Trimmed { first });
+    let read = actions.iter().find_map(|action| match action {
+        savoryvane_core::placer::Action::Read { from, .. } => Some(*from),
+        _ => None,
+    });
+    assert_eq!(read, Some(first));
+}
+
+/// The renewal is read so late that another may have claimed since.
+#[test]
+fn a_renewal_counts_from_its_append_and_not_from_its_reading() {
+    let mut world = World::new();
+    world.run(5_000);
+    let old = world.placers()[0];
+    world.pass(10_000);
+    world.event(old, Event::Tick);
+    world.append(old, Fate::Appended);
+    let others: Vec<_> = (0..INSTANCES).filter(|at| *at != old).collect();
+    for _ in 0..40 {
+        world.pass(1_000);
+        for at in &others {
+            world.read(*at, usize::MAX);
+            world.event(*at, Event::Tick);
+            world.append(*at, Fate::Appended);
+        }
+    }
+    let new = world.placers();
+    assert_eq!(new.len(), 1);
+    world.read(old, 1);
+    assert_eq!(world.placers(), new);
+    assert_eq!(world.faults, Vec::<String>::new());
+}
--- /dev/null
+++ b/crates/core/tests/placer_world/mod.rs
@@ -0,0 +1,289 @@
+//! A few candidates over one log that loses answers and delays appends, with
+//! clocks that drift and instances that freeze.
+#![allow(dead_code)] // each test file uses a part
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use savoryvane_core::{
+    ids::{Incarnation, Offset},
+    objects::Fencing,
+    placer::{Action, Event, Placer, PlacerRecord, PlacerSettings, Received, Standing},
+};
+
+pub const INSTANCES: usize = 3;
+const SEED: u64 = 0x5eed;
+const GEN_SIZE: usize = 120;
+const STEP_MS: u64 = 200;
+const PASSES_MS: [u64; 6] = [100, 400, 2_000, 5_000, 12_000, 40_000];
+/// How many more milliseconds in a thousand the clock of each instance counts.
+const DRIFTS_PER_MILLE: [u64; INSTANCES] = [0, 5, 10];
+
+pub fn seeded(tests: u64) -> QuickCheck {
+    let rng = Gen::from_size_and_seed(GEN_SIZE, SEED);
+    QuickCheck::new().rng(rng).tests(tests).max_tests(tests)
+}
+
+/// What becomes of an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    Appended,
+    AnswerLost,
+    NeverArrived,
+    ArrivesLater,
+    DoneTwice,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum Op {
+    Pass { ms: u64 },
+    Append { at: usize, fate: Fate },
+    Arrive,
+    Read { at: usize, most: usize },
+    ReadFails { at: usize },
+    Freeze { at: usize },
+    Thaw { at: usize },
+    Run { ms: u64 },
+    Restart { at: usize },
+    Leave { at: usize },
+}
+
+impl Arbitrary for Op {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let at = usize::arbitrary(g) % INSTANCES;
+        let ms = *g.choose(&PASSES_MS).unwrap();
+        let fates = [
+            Fate::Appended,
+            Fate::AnswerLost,
+            Fate::NeverArrived,
+            Fate::ArrivesLater,
+            Fate::DoneTwice,
+        ];
+        let fate = *g.choose(&fates).unwrap();
+        let most = usize::arbitrary(g) % 4;
+        match u8::arbitrary(g) % 20 {
+            0..=1 => Self::Pass { ms },
+            2..=4 => Self::Append { at, fate },
+            5 => Self::Arrive,
+            6..=8 => Self::Read { at, most },
+            9 => Self::ReadFails { at },
+            10..=11 => Self::Freeze { at },
+            12..=13 => Self::Thaw { at },
+            14 => Self::Restart { at },
+            15 => Self::Leave { at },
+            _ => Self::Run { ms },
+        }
+    }
+}
+
+pub struct Node {
+    pub placer: Placer,
+    pub incarnation: Incarnation,
+    pub is_frozen: bool,
+    pub read: Option<Offset>,
+    pub append: Option<PlacerRecord>,
+    /// Last time at which engines that ignore the number might be ordered.
+    pub last_allowed_ms: Option<u64>,
+}
+
+pub struct World {
+    pub now_ms: u64,
+    pub settings: PlacerSettings,
+    pub log: Vec<PlacerRecord>,
+    pub late: Vec<PlacerRecord>,
+    pub nodes: Vec<Node>,
+    pub faults: Vec<String>,
+    runs: u64,
+}
+
+impl World {
+    pub fn new() -> Self {
+        let mut world = Self {
+            now_ms: 1_000,
+            settings: PlacerSettings::default(),
+            log: Vec::new(),
+            late: Vec::new(),
+            nodes: Vec::new(),
+            faults: Vec::new(),
+            runs: 0,
+        };
+        for at in 0..INSTANCES {
+            let node = world.new_node(at);
+            world.nodes.push(node);
+        }
+        for at in 0..INSTANCES {
+            world.stand(at);
+        }
+        world
+    }
+
+    fn new_node(&mut self, at: usize) -> Node {
+        self.runs += 1;
+        let incarnation = Incarnation(self.runs);
+        let name = format!("entry-{at}");
+        Node {
+            placer: Placer::new(name.as_str().into(), incarnation, self.settings, self.runs),
+            incarnation,
+            is_frozen: false,
+            read: None,
+            append: None,
+            last_allowed_ms: None,
+        }
+    }
+
+    fn stand(&mut self, at: usize) {
+        let rank = at as u64;
+        self.event(at, Event::Standing(Standing::Candidate { rank }));
+    }
+
+    pub fn local_ms(&self, at: usize) -> u64 {
+        self.now_ms * (1_000 + DRIFTS_PER_MILLE[at]) / 1_000
+    }
+
+    pub fn event(&mut self, at: usize, event: Event) {
+        let now_ms = self.local_ms(at);
+        let node = &mut self.nodes[at];
+        if node.is_frozen {
+            return;
+        }
+        for action in node.placer.on_event(now_ms, event) {
+            match action {
+                Action::Read { from, .. } => node.read = Some(from),
+                Action::Append(record) => node.append = Some(record),
+                Action::Changed(_) => {}
+            }
+        }
+        self.check();
+    }
+
+    pub fn apply(&mut self, op: Op) {
+        match op {
+            Op::Pass { ms } => self.pass(ms),
+            Op::Append { at, fate } => self.append(at, fate),
+            Op::Arrive => {
+                if let Some(record) = self.late.pop() {
+                    self.log.push(record);
+                }
+            }
+            Op::Read { at, most } => self.read(at, most),
+            Op::ReadFails { at } => {
+                if !self.nodes[at].is_frozen && self.nodes[at].read.take().is_some() {
+                    self.event(at, Event::ReadFailed);
+                }
+            }
+            Op::Freeze { at } => self.nodes[at].is_frozen = true,
+            Op::Thaw { at } => self.nodes[at].is_frozen = false,
+            Op::Run { ms } => self.run(ms),
+            Op::Restart { at } => {
+                self.nodes[at] = self.new_node(at);
+                self.stand(at);
+            }
+            Op::Leave { at } => self.event(at, Event::Leave),
+        }
+        self.check();
+    }
+
+    /// Lets time pass in which nothing is answered.
+    pub fn pass(&mut self, ms: u64) {
+        let end_ms = self.now_ms + ms;
+        while self.now_ms < end_ms {
+            self.now_ms = end_ms.min(self.now_ms + STEP_MS);
+            self.check();
+        }
+    }
+
+    /// Lets time pass in which the log works.
+    pub fn run(&mut self, ms: u64) {
+        let end_ms = self.now_ms + ms;
+        while self.now_ms < end_ms {
+            self.now_ms += STEP_MS;
+            for at in 0..INSTANCES {
+                self.append(at, Fate::Appended);
+                self.read(at, usize::MAX);
+                self.event(at, Event::Tick);
+            }
+            self.check();
+        }
+    }
+
+    pub fn append(&mut self, at: usize, fate: Fate) {
+        if self.nodes[at].is_frozen {
+            return;
+        }
+        let Some(record) = self.nodes[at].append.take() else {
+            return;
+        };
+        match fate {
+            Fate::Appended | Fate::AnswerLost => self.log.push(record),
+            Fate::NeverArrived => {}
+            Fate::ArrivesLater => self.late.push(record),
+            Fate::DoneTwice => {
+                self.log.push(record.clone());
+                self.log.push(record);
+            }
+        }
+        self.event(at, Event::AppendEnded);
+    }
+
+    pub fn read(&mut self, at: usize, most: usize) {
+        if self.nodes[at].is_frozen {
+            return;
+        }
+        let Some(from) = self.nodes[at].read.take() else {
+            return;
+        };
+        let next = Offset(self.log.len() as u64);
+        let records = (0u64..).zip(&self.log).skip(from.0 as usize).take(most);
+        let records = records.map(|(offset, record)| Received {
+            offset: Offset(offset),
+            record: Some(record.clone()),
+        });
+        let records = records.collect();
+        self.event(at, Event::Read { next, records });
+    }
+
+    /// No two may order engines that ignore the number within one order's time,
+    /// and no two hold the same fencing number.
+    fn check(&mut self) {
+        let now_ms = self.now_ms;
+        let permits: Vec<_> = (0..INSTANCES)
+            .map(|at| self.nodes[at].placer.permit(self.local_ms(at)))
+            .collect();
+        for (at, permit) in permits.iter().enumerate() {
+            let Some(permit) = permit else { continue };
+            let written = self.log.get(permit.fence as usize);
+            let is_own = written.is_some_and(|record| {
+                matches!(record, PlacerRecord::Claim { .. })
+                    && record.incarnation() == self.nodes[at].incarnation
+            });
+            if !is_own {
+                self.faults.push(format!("{at} orders by {permit:?}"));
+            }
+            if !permit.allows(self.local_ms(at), Fencing::Ignored) {
+                continue;
+            }
+            for other in (0..INSTANCES).filter(|other| *other != at) {
+                let busy_until_ms = self.nodes[other]
+                    .last_allowed_ms
+                    .map(|last_ms| last_ms + self.settings.order_timeout_ms);
+                if busy_until_ms.is_some_and(|until_ms| until_ms > now_ms) {
+                    self.faults
+                        .push(format!("{at} and {other} order at {now_ms}"));
+                }
+            }
+            self.nodes[at].last_allowed_ms = Some(now_ms);
+        }
+    }
+
+    /// Ends every fault and lets the candidates settle.
+    pub fn calm(&mut self) {
+        self.log.append(&mut self.late);
+        for at in 0..INSTANCES {
+            self.nodes[at].is_frozen = false;
+        }
+        self.run(4 * self.settings.silence_ms());
+    }
+
+    pub fn placers(&self) -> Vec<usize> {
+        let is_placer = |at: &usize| self.nodes[*at].placer.permit(self.local_ms(*at)).is_some();
+        (0..INSTANCES).filter(is_placer).collect()
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod claims;
 pub mod config;
 pub mod peer;
+pub mod placer;
 pub mod platform;
--- /dev/null
+++ b/crates/wire/tests/placer.rs
@@ -0,0 +1,64 @@
+//! Payloads of the placer's stream.
+
+use quickcheck::QuickCheck;
+use savoryvane_core::{
+    ids::{Incarnation, Offset},
+    placer::PlacerRecord,
+};
+use savoryvane_wire::placer::{PlacerPayloadError, decode, encode};
+
+fn renewal() -> PlacerRecord {
+    PlacerRecord::Renewal {
+        term: Offset(7),
+        instance: "entry-1".into(),
+        incarnation: Incarnation(9),
+        seq: 3,
+    }
+}
+
+#[test]
+fn placer_records_come_back_as_written() {
+    let claim = PlacerRecord::Claim {
+        expected: Offset(u64::MAX),
+        instance: "entry-1".into(),
+        incarnation: Incarnation(u64::MAX),
+        seq: 0,
+    };
+    let resignation = PlacerRecord::Resignation {
+        term: Offset(7),
+        incarnation: Incarnation(9),
+    };
+    for record in [claim, renewal(), resignation] {
+        assert_eq!(decode(&encode(&record).unwrap()).unwrap(), record);
+    }
+}
+
+#[test]
+fn placer_payloads_of_another_version_or_size_are_refused() {
+    let payload = encode(&renewal()).unwrap();
+    let text = String::from_utf8(payload).unwrap();
+    let newer = text.replacen("\"version\":1", "\"version\":2", 1);
+    assert!(matches!(
+        decode(newer.as_bytes()),
+        Err(PlacerPayloadError::Version(2))
+    ));
+    let long = vec![b' '; 5_000];
+    assert!(matches!(
+        decode(&long),
+        Err(PlacerPayloadError::TooLarge(5_000))
+    ));
+}
+
+#[test]
+fn any_bytes_decode_or_fail_without_a_panic() {
+    fn law(cut: usize, at: usize, byte: u8, noise: Vec<u8>) -> bool {
+        let mut payload = encode(&renewal()).unwrap();
+        let at = at % payload.len();
+        payload[at] = byte;
+        payload.truncate(cut % (payload.len() + 1));
+        let _ = decode(&payload);
+        let _ = decode(&noise);
+        true
+    }
+    QuickCheck::new().quickcheck(law as fn(_, _, _, _) -> _);
+}
