Let peers pass the records that were missed, not whole states

Cause: in a zone that is cut off the log, every instance would fetch the whole state from another zone for every change: some MB each at 13000 workspaces. An instance keeps the last 32 records and gives those first.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -3,22 +3,23 @@
 
 mod checkpoint;
 mod confirm;
+mod event;
 mod follower;
 mod head;
 mod plan;
+mod recent;
 mod record;
 mod rules;
 mod schedule;
 mod state;
 mod store;
+mod verdict;
 
 pub use self::{
     checkpoint::{Assembler, Assembly, CheckpointItem, CheckpointPart, MAX_PART_BYTES, PartFault},
     confirm::{AppendResult, Confirm, ConfirmOutcome, ConfirmStep, READ_BACK_MS},
-    follower::{
-        Action, Content, Duties, Event, Follower, FollowerSettings, HEAD_SILENCE_MS, Ignored,
-        Progress, READ_WAIT_MS, Received, Snapshot, Source, TICK_MS,
-    },
+    event::{Action, Content, Duties, Event, Ignored, Progress, Received, Snapshot, Source},
+    follower::{Follower, FollowerSettings, HEAD_SILENCE_MS, READ_WAIT_MS, TICK_MS},
     head::Head,
     plan::{MAX_CHANGE_BYTES, PlanError, change_id},
     record::ConfigRecord,
@@ -26,7 +27,6 @@
         Fault, MAX_DEADLINE_MS, MAX_PIPELINES_PER_WORKSPACE, MAX_REPLICAS, MAX_SLOTS, MAX_STAGES,
         MAX_WEIGHT, Violation,
     },
-    state::{
-        Applied, HistoryEntry, InvalidReason, MAX_REASONS, REMEMBERED_OFFSETS, State, Verdict,
-    },
+    state::{MAX_REASONS, REMEMBERED_OFFSETS, State},
+    verdict::{Applied, HistoryEntry, InvalidReason, Verdict},
 };
--- a/crates/core/src/config/checkpoint.rs
+++ b/crates/core/src/config/checkpoint.rs
@@ -7,10 +7,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::{
-    config::{
-        plan::to_json,
-        state::{HistoryEntry, State},
-    },
+    config::{plan::to_json, state::State, verdict::HistoryEntry},
     ids::Offset,
     objects::{Object, ObjectKey},
 };
--- a/crates/core/src/config/follower.rs
+++ b/crates/core/src/config/follower.rs
@@ -6,11 +6,13 @@
 
 use crate::{
     config::{
-        Applied, Assembler, Assembly, CheckpointPart, ConfigRecord, Head, State,
+        Action, Applied, Assembler, Assembly, ConfigRecord, Content, Duties, Event, Head, Ignored,
+        Progress, Received, Snapshot, Source, State,
         head::{HeadWatch, before},
+        recent::{Recent, without_items},
         schedule::Schedule,
     },
-    ids::{ChangeId, Offset, OperatorName},
+    ids::Offset,
 };
 
 /// Time between two [`Event::Tick`]s, in ms.
@@ -39,134 +41,6 @@
 /// Pause between two questions to peers, in ms.
 const SNAPSHOT_RETRY_MS: u64 = 500;
 
-/// Content of a record as it arrived.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Content {
-    /// The payload was decoded.
-    Record(ConfigRecord),
-    /// The payload could not be decoded.
-    Undecodable,
-}
-
-/// A record of the stream with its position.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Received {
-    /// Offset of the record.
-    pub offset: Offset,
-    /// Time since its append, in ms.
-    pub age_ms: u64,
-    /// What it carries.
-    pub content: Content,
-}
-
-/// A peer's state.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Snapshot {
-    /// The state.
-    pub state: State,
-    /// Time since the peer knew that it was the newest, in ms.
-    pub age_ms: Option<u64>,
-}
-
-/// What an instance has to do for others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Duties {
-    /// Whether it follows the log for its zone.
-    pub tails: bool,
-    /// Its rank for writing checkpoints, 0 for the first.
-    pub checkpoint_rank: u64,
-}
-
-/// What happens to a follower.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// Time has passed.
-    Tick,
-    /// The duties changed.
-    Duties(Duties),
-    /// Answer to [`Action::Read`].
-    Read {
-        /// Oldest offset that the log keeps.
-        first: Offset,
-        /// Offset that the next append will get.
-        next: Offset,
-        /// Records from the asked offset on.
-        records: Vec<Received>,
-    },
-    /// Answer to [`Action::Read`]: the asked offset is no longer kept.
-    Trimmed {
-        /// Oldest offset that the log keeps.
-        first: Offset,
-    },
-    /// [`Action::Read`] failed.
-    ReadFailed,
-    /// A peer passed on the head, with records or without.
-    Relayed {
-        /// Head of the stream.
-        head: Head,
-        /// Records in order.
-        records: Vec<Received>,
-    },
-    /// Another instance reported its state's next offset.
-    PeerAt(Offset),
-    /// Answer to [`Action::FetchSnapshot`]; `None` when no peer had one.
-    Snapshot(Option<Box<Snapshot>>),
-    /// [`Action::WriteCheckpoint`] ended, whether it failed or not.
-    CheckpointWritten,
-}
-
-/// What a follower wants done.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Read the log and answer with exactly one of the read events.
-    Read {
-        /// First offset wanted.
-        from: Offset,
-        /// Time to wait for a record, in ms.
-        wait_ms: u64,
-    },
-    /// Pass the head, and the records if any, to the neighbours.
-    Relay {
-        /// Head of the stream.
-        head: Head,
-        /// Records in order; parts of checkpoints come without items.
-        records: Vec<Received>,
-    },
-    /// Ask a peer, best the one that reported the highest offset, for its
-    /// state, and answer with [`Event::Snapshot`].
-    FetchSnapshot,
-    /// Append the parts one after another and answer with
-    /// [`Event::CheckpointWritten`].
-    WriteCheckpoint(Vec<CheckpointPart>),
-    /// Log how a change was decided.
-    Decided {
-        /// Offset of its record.
-        offset: Offset,
-        /// Identifier of the change.
-        id: ChangeId,
-        /// Operator who confirmed it.
-        operator: OperatorName,
-        /// What was done.
-        applied: Applied,
-    },
-    /// Log that the state was taken over whole.
-    Adopted {
-        /// Where it came from.
-        source: Source,
-        /// Its next offset.
-        next: Offset,
-    },
-}
-
-/// Where a whole state came from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Source {
-    /// A checkpoint on the log.
-    Checkpoint,
-    /// A peer.
-    Peer,
-}
-
 /// Settings of a follower.
 #[derive(Clone, Copy, Debug)]
 pub struct FollowerSettings {
@@ -176,35 +50,6 @@
     pub seed: u64,
 }
 
-/// What was ignored or missing so far.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Ignored {
-    /// Parts and checkpoints that were wrong or incomplete.
-    pub checkpoints: u64,
-    /// States of peers that were not newer than the own one.
-    pub snapshots: u64,
-    /// Times that records were missing in a delivery.
-    pub gaps: u64,
-    /// Records that could not be decoded.
-    pub undecodable: u64,
-}
-
-/// How far a follower is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Progress {
-    /// Next offset of the own state.
-    pub next: Offset,
-    /// Highest next offset known of.
-    pub known_next: Offset,
-    /// Time since the own state was known to be the newest, in ms; `None`
-    /// before it ever was.
-    pub age_ms: Option<u64>,
-    /// Whether it has a state to serve by.
-    pub has_started: bool,
-    /// Whether neither log nor checkpoint reaches the own state.
-    pub is_cut_off: bool,
-}
-
 /// Follows the configuration stream.
 #[derive(Clone, Debug)]
 pub struct Follower {
@@ -217,6 +62,7 @@
     heads: HeadWatch,
     snapshot: Slot,
     schedule: Schedule,
+    recent: Recent,
     ignored: Ignored,
     silence_limit_ms: u64,
     rng: Pcg64Mcg,
@@ -271,6 +117,7 @@
             heads: HeadWatch::default(),
             snapshot: Slot::default(),
             schedule: Schedule::new(settings.retention_ms, &mut rng),
+            recent: Recent::default(),
             ignored: Ignored::default(),
             silence_limit_ms,
             rng,
@@ -293,6 +140,17 @@
         }
     }
 
+    /// Copies the last records from `from` on, for a peer that missed them;
+    /// none when they are not all kept.
+    pub fn recent(&self, now_ms: u64, from: Offset) -> Vec<Received> {
+        self.recent.copy_from(now_ms, from)
+    }
+
+    /// Returns the latest head of the stream.
+    pub fn head(&self, now_ms: u64) -> Option<Head> {
+        self.heads.head(now_ms)
+    }
+
     /// Returns what was ignored so far.
     pub fn ignored(&self) -> Ignored {
         Ignored {
@@ -461,6 +319,7 @@
 
     fn adopt(&mut self, state: State, source: Source, actions: &mut Vec<Action>) {
         self.state = state;
+        self.recent.clear();
         self.reader.cursor = self.state.next();
         self.reader.is_stuck &= self.state.next() < self.reader.first_kept;
         actions.push(Action::Adopted {
@@ -496,6 +355,7 @@
             Content::Record(ConfigRecord::Checkpoint(_)) => {}
             Content::Undecodable => self.ignored.undecodable += 1,
         }
+        self.recent.push(now_ms, &record);
         applied.push(record);
     }
 
@@ -581,7 +441,8 @@
         let is_behind = behind_ms.is_some_and(|ms| ms >= BEHIND_PATIENCE_MS);
         let is_needed = needs_start || is_behind || self.reader.is_stuck;
         if is_needed && self.snapshot.take(now_ms) {
-            actions.push(Action::FetchSnapshot);
+            let from = self.has_started.then_some(self.state.next());
+            actions.push(Action::AskPeer { from });
         }
     }
 
@@ -595,12 +456,3 @@
         }
     }
 }
-
-/// Leaves out what no receiver of a relay needs: a part of a checkpoint only
-/// takes up its offset in the state.
-fn without_items(mut record: Received) -> Received {
-    if let Content::Record(ConfigRecord::Checkpoint(part)) = &mut record.content {
-        part.items.clear();
-    }
-    record
-}
--- a/crates/core/tests/config_fixtures/world.rs
+++ b/crates/core/tests/config_fixtures/world.rs
@@ -73,8 +73,8 @@
     pub log: Log,
     pub nodes: Vec<Node>,
     pub retention_ms: u64,
-    /// Peer that answers every question for a state, whatever it has.
-    pub snapshot_from: Option<usize>,
+    /// Whole states that were passed between nodes.
+    pub snapshots: u64,
     tasks: BinaryHeap<Reverse<(u64, u64, usize)>>,
     payloads: Vec<Option<Task>>,
     rng: Pcg64Mcg,
@@ -92,7 +92,7 @@
             },
             nodes: Vec::new(),
             retention_ms,
-            snapshot_from: None,
+            snapshots: 0,
             tasks: BinaryHeap::new(),
             payloads: Vec::new(),
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -271,10 +271,7 @@
             Action::Relay { head, records } => {
                 self.send_neighbours(node, &Event::Relayed { head, records });
             }
-            Action::FetchSnapshot => {
-                let snapshot = self.snapshot_for(node);
-                self.after(2 * LINK_MS, node, Task::Event(Event::Snapshot(snapshot)));
-            }
+            Action::AskPeer { from } => self.ask_peer(node, from),
             Action::WriteCheckpoint(parts) => {
                 let parts = parts.into_iter().map(ConfigRecord::Checkpoint).collect();
                 self.after(LINK_MS, node, Task::AppendParts(parts));
@@ -349,18 +346,37 @@
         }
     }
 
-    fn snapshot_for(&self, node: usize) -> Option<Box<Snapshot>> {
+    fn ask_peer(&mut self, node: usize, from: Option<Offset>) {
+        let mut snapshot = None;
+        if let Some(peer) = self.peer_of(node) {
+            let asked = &self.nodes[peer];
+            let now_ms = self.now_ms - asked.born_ms;
+            let recent = |from| asked.follower.recent(now_ms, from);
+            let records = from.map(recent).unwrap_or_default();
+            match asked.follower.head(now_ms) {
+                Some(head) if !records.is_empty() => {
+                    let relayed = Event::Relayed { head, records };
+                    self.after(2 * LINK_MS, node, Task::Event(relayed));
+                }
+                _ => {
+                    self.snapshots += 1;
+                    snapshot = Some(Box::new(Snapshot {
+                        state: asked.follower.state().clone(),
+                        age_ms: self.progress(peer).age_ms,
+                    }));
+                }
+            }
+        }
+        self.after(2 * LINK_MS, node, Task::Event(Event::Snapshot(snapshot)));
+    }
+
+    fn peer_of(&self, node: usize) -> Option<usize> {
         let is_reached = |other: &usize| {
             let peer = &self.nodes[*other];
             let is_up = !peer.is_cut && !peer.is_frozen && !self.nodes[node].is_cut;
             *other != node && is_up && self.progress(*other).has_started
         };
         let reached = (0..self.nodes.len()).filter(is_reached);
-        let best = reached.max_by_key(|other| self.next_of(*other));
-        let best = self.snapshot_from.or(best)?;
-        Some(Box::new(Snapshot {
-            state: self.nodes[best].follower.state().clone(),
-            age_ms: self.progress(best).age_ms,
-        }))
+        reached.max_by_key(|other| self.next_of(*other))
     }
 }
--- a/crates/core/tests/config_follower.rs
+++ b/crates/core/tests/config_follower.rs
@@ -135,6 +135,7 @@
     world.log.faults.hidden_from = Some(3);
     world.nodes[8].is_cut = false;
     assert!(world.run_until_in_force(next, LIMIT_MS, all).is_some());
+    assert_eq!(world.snapshots, 0, "records are enough");
 }
 
 #[test]
@@ -293,6 +294,19 @@
     assert!(written <= 66, "{written} checkpoints");
 }
 
+#[test]
+fn a_new_instance_renews_a_checkpoint_by_the_age_that_it_has() {
+    let mut world = World::new(1, 60_000, 13);
+    change(&mut world);
+    world.run_for(25_000);
+    assert_eq!(world.log.records.len(), 2, "a checkpoint at about 20 s");
+    world.set_frozen(0, true);
+    world.run_for(10_000);
+    world.add_node();
+    world.run_for(8_000);
+    assert_eq!(world.log.records.len(), 3, "and at about 40 s");
+}
+
 fn any_interleaving(seed: u64, steps: Vec<(u8, u8)>) -> bool {
     let mut world = World::new(5, 20_000, seed);
     for (step, node) in steps {
--- a/crates/server/src/configuration.rs
+++ b/crates/server/src/configuration.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwap;
 use savoryvane_core::{
-    config::{Action, Event, Follower, FollowerSettings, Ignored, Progress, State},
+    config::{Action, Event, Follower, FollowerSettings, Head, Ignored, Progress, Received, State},
     fleet::Fleet,
     ids::Offset,
 };
@@ -60,6 +60,15 @@
         self.lock().ignored()
     }
 
+    /// Returns the head of the stream and the last records from `from` on, if
+    /// they are all kept.
+    pub(crate) fn recent(&self, now_ms: u64, from: Offset) -> Option<(Head, Vec<Received>)> {
+        let follower = self.lock();
+        let records = follower.recent(now_ms, from);
+        let head = follower.head(now_ms)?;
+        (!records.is_empty()).then_some((head, records))
+    }
+
     /// Gives the follower an event and publishes the state when it changed.
     pub(crate) fn on_event(&self, now_ms: u64, event: Event) -> Vec<Action> {
         let mut follower = self.lock();
--- a/crates/server/src/follower.rs
+++ b/crates/server/src/follower.rs
@@ -71,7 +71,7 @@
 
 fn act(shared: &Shared, action: Action) {
     match action {
-        Action::Read { .. } | Action::FetchSnapshot | Action::WriteCheckpoint(_) => {
+        Action::Read { .. } | Action::AskPeer { .. } | Action::WriteCheckpoint(_) => {
             shared.configuration.ask(action);
         }
         Action::Relay { head, records } => relay::send(shared, head, &records),
@@ -95,8 +95,8 @@
 async fn perform(shared: Arc<Shared>, action: Action) -> Option<Event> {
     match action {
         Action::Read { from, wait_ms } => Some(read(&shared, from, wait_ms).await),
-        Action::FetchSnapshot => {
-            let snapshot = snapshot::fetch(&shared).await;
+        Action::AskPeer { from } => {
+            let snapshot = snapshot::ask_peers(&shared, from).await;
             Some(Event::Snapshot(snapshot.map(Box::new)))
         }
         Action::WriteCheckpoint(parts) => {
--- a/crates/server/src/peering.rs
+++ b/crates/server/src/peering.rs
@@ -53,6 +53,7 @@
                     Message::AnswerState(exclusive::run_forwarded(&shared, run).await)
                 });
             }
+            Message::ConfigRecordsQuery(query) => snapshot::answer_records(&self.shared, query),
             Message::ConfigSnapshotQuery(query) => snapshot::answer(&self.shared, query),
             _ => Message::Declined(Declined::Unsupported),
         };
--- a/crates/server/src/relay.rs
+++ b/crates/server/src/relay.rs
@@ -44,7 +44,8 @@
     follower::apply(shared, Event::Relayed { head, records });
 }
 
-fn messages(shared: &Shared, head: Head, records: &[Received]) -> Vec<Message> {
+/// Splits what is passed on into messages of bounded size, in order.
+pub(crate) fn messages(shared: &Shared, head: Head, records: &[Received]) -> Vec<Message> {
     let head = to_wire(head);
     if records.is_empty() {
         return vec![Message::ConfigHead(head)];
--- a/crates/server/src/snapshot.rs
+++ b/crates/server/src/snapshot.rs
@@ -1,4 +1,5 @@
-//! Whole states between instances: asked for while the log does not help.
+//! What instances ask each other for while the log does not help: the records
+//! that were missed, or the whole state.
 
 use std::{
     cmp::Reverse,
@@ -13,11 +14,11 @@
 };
 use savoryvane_wire::{
     config,
-    peer::{ConfigSnapshotPart, ConfigSnapshotQuery, Declined, Message},
+    peer::{ConfigRecordsQuery, ConfigSnapshotPart, ConfigSnapshotQuery, Declined, Message},
 };
 use slog::debug;
 
-use crate::instance::Shared;
+use crate::{instance::Shared, relay};
 
 /// Time for one part to arrive.
 const PART_TIMEOUT: Duration = Duration::from_millis(500);
@@ -89,11 +90,22 @@
     }
 }
 
-/// Asks peers for their state, the one first that reported the newest.
-pub(crate) async fn fetch(shared: &Shared) -> Option<Snapshot> {
+/// Answers a peer that asks for the records that it missed.
+pub(crate) fn answer_records(shared: &Shared, query: ConfigRecordsQuery) -> Message {
+    let now_ms = shared.clock.now_ms();
+    let recent = shared.configuration.recent(now_ms, query.from);
+    // One message answers; what does not fit it is asked for again.
+    recent
+        .and_then(|(head, records)| relay::messages(shared, head, &records).into_iter().next())
+        .unwrap_or(Message::Declined(Declined::Absent))
+}
+
+/// Asks peers, the one first that reported the newest offset, for the records
+/// from `from` on, which are taken at once, or else for their state.
+pub(crate) async fn ask_peers(shared: &Shared, from: Option<Offset>) -> Option<Snapshot> {
     for peer in peers(shared) {
-        match fetch_from(shared, &peer).await {
-            Ok(snapshot) => return Some(snapshot),
+        match ask_peer(shared, &peer, from).await {
+            Ok(snapshot) => return snapshot,
             Err(reason) => {
                 debug!(shared.log, "no configuration from a peer"; "peer" => %peer,
                     "reason" => reason);
@@ -103,6 +115,36 @@
     None
 }
 
+async fn ask_peer(
+    shared: &Shared,
+    peer: &InstanceName,
+    from: Option<Offset>,
+) -> Result<Option<Snapshot>, String> {
+    if let Some(from) = from
+        && take_records_of(shared, peer, from).await?
+    {
+        return Ok(None);
+    }
+    fetch_from(shared, peer).await.map(Some)
+}
+
+async fn take_records_of(
+    shared: &Shared,
+    peer: &InstanceName,
+    from: Offset,
+) -> Result<bool, String> {
+    let query = Message::ConfigRecordsQuery(ConfigRecordsQuery { from });
+    let peers = shared.members.peers();
+    match peers.request(peer, None, &query, PART_TIMEOUT).await {
+        Ok(Message::ConfigRecords(records)) => {
+            relay::take_records(shared, records);
+            Ok(true)
+        }
+        Ok(_) => Ok(false),
+        Err(err) => Err(err.to_string()),
+    }
+}
+
 fn peers(shared: &Shared) -> Vec<InstanceName> {
     let membership = shared.members.membership();
     let members = membership.members(shared.clock.now_ms());
--- a/crates/server/tests/config_processes.rs
+++ b/crates/server/tests/config_processes.rs
@@ -160,6 +160,17 @@
     }
 }
 
+/// Starts a path to the log that can be cut.
+async fn relay_to(log: &LogServer) -> Relay {
+    let any = "127.0.0.1:0".parse().unwrap();
+    let relay = Relay::start(RelaySettings {
+        addr: any,
+        to: log.addr(),
+        control: any,
+    });
+    relay.await.unwrap()
+}
+
 fn price(micros: u64) -> Value {
     json!({ "pools": [{ "name": "encode", "kind": "encode", "price_micros_per_s": micros }] })
 }
@@ -248,13 +259,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_process_cut_off_the_log_follows_through_its_peers() {
     let mut cluster = Cluster::start(4).await;
-    let any = "127.0.0.1:0".parse().unwrap();
-    let relay = Relay::start(RelaySettings {
-        addr: any,
-        to: cluster.log.addr(),
-        control: any,
-    });
-    let relay = relay.await.unwrap();
+    let relay = relay_to(&cluster.log).await;
     let off_log = cluster.add_with_log(relay.addr()).await;
     cluster.settle().await;
     let next = cluster.change(0, 1).await;
@@ -274,6 +279,31 @@
     cluster.wait_all_in_force(next).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_cut_off_the_log_follows_through_another_zone() {
+    let mut cluster = Cluster::start(0).await;
+    let relay = relay_to(&cluster.log).await;
+    for index in 0..6 {
+        let log = [relay.addr(), cluster.log.addr()][index % 2];
+        cluster.add_with_log(log).await;
+    }
+    cluster.settle().await;
+    let next = cluster.change(1, 1).await;
+    cluster.wait_all_in_force(next).await;
+    relay.set_faults(LinkFaults {
+        cut: true,
+        ..LinkFaults::default()
+    });
+    for micros in 2..6 {
+        let next = cluster.change(1, micros).await;
+        let took = cluster.wait_in_force(next, &[0, 2, 4]).await;
+        println!("a zone cut off the log: {took:?}");
+    }
+    relay.set_faults(LinkFaults::default());
+    let next = cluster.change(0, 9).await;
+    cluster.wait_all_in_force(next).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_change_held_back_by_the_log_is_told_and_applied_later() {
     let cluster = Cluster::start(3).await;
