Give a request up when its later stages have no time left

Cause: a request whose rest cannot be done in time even if every stage is as fast as its tenth percentile only costs. Ruled out: fixed shares of the deadline for each stage. Calls carry the latest time at which they may be handed over.

--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -1,7 +1,7 @@
 //! The policies that the bench compares.
 
 use savoryvane_core::settings::{
-    Admission, Ejection, Fairness, Hedging, PolicySettings, Reports, Routing, Spill,
+    Admission, Budgets, Ejection, Fairness, Hedging, PolicySettings, Reports, Routing, Spill,
 };
 
 /// A policy to run.
@@ -32,6 +32,8 @@
     Hedging,
     /// Weighted shares of the workspaces.
     Fairness,
+    /// Giving up what its later stages have no time for.
+    Budgets,
 }
 
 impl Part {
@@ -53,6 +55,7 @@
             Self::Admission => "admission",
             Self::Hedging => "hedging",
             Self::Fairness => "fairness",
+            Self::Budgets => "budgets",
         }
     }
 }
@@ -75,6 +78,7 @@
         admission: Admission::Off,
         hedging: Hedging::Off,
         fairness: Fairness::Off,
+        budgets: Budgets::WholeOnly,
         retry_percent: 1_000,
         retry_burst: 1_000_000,
         ..PolicySettings::default()
@@ -112,5 +116,9 @@
             fairness: Fairness::Off,
             ..settings
         },
+        Part::Budgets => PolicySettings {
+            budgets: Budgets::WholeOnly,
+            ..settings
+        },
     }
 }
--- a/crates/core/src/execution/attempt.rs
+++ b/crates/core/src/execution/attempt.rs
@@ -138,7 +138,7 @@
         turn.act(Action::Send {
             backend,
             call: Box::new(self.call(number, kind, turn.now_ms)),
-            not_after_ms: self.spec.deadline_at_ms,
+            not_after_ms: self.latest_ms(self.stage_index, turn),
         });
     }
 
@@ -293,8 +293,8 @@
         charge: Charge,
         turn: &mut Turn<'_>,
     ) -> Result<(), DecisionReason> {
-        if turn.now_ms >= self.spec.deadline_at_ms {
-            Err(DecisionReason::DeadlinePassed)
+        if turn.now_ms >= self.latest_ms(self.stage_index, turn) {
+            Err(DecisionReason::CannotFinish)
         } else if self.stage_attempts >= turn.fleet.settings.max_attempts {
             Err(DecisionReason::AttemptsSpent)
         } else if charge == Charge::Retry && !turn.fleet.retry_budget.try_spend() {
@@ -432,8 +432,8 @@
         }
         self.previous = output;
         self.stage_index += 1;
-        if turn.now_ms >= self.spec.deadline_at_ms {
-            return self.give_up(DecisionReason::DeadlinePassed, turn);
+        if turn.now_ms >= self.latest_ms(self.stage_index, turn) {
+            return self.give_up(DecisionReason::CannotFinish, turn);
         }
         self.begin_stage(turn);
     }
--- a/crates/core/src/execution/finish.rs
+++ b/crates/core/src/execution/finish.rs
@@ -6,6 +6,7 @@
 use crate::{
     decision::{Decision, DecisionKind, DecisionReason},
     outcome::Outcome,
+    settings::Budgets,
 };
 
 impl Execution {
@@ -14,15 +15,17 @@
         if turn.now_ms >= self.spec.deadline_at_ms {
             return self.give_up(DecisionReason::DeadlinePassed, turn);
         }
+        let hopeless_at_ms = self.latest_ms(self.stage_index + 1, turn);
+        if turn.now_ms >= hopeless_at_ms {
+            return self.give_up(DecisionReason::CannotFinish, turn);
+        }
         self.check_overdue(turn);
         if self.state != State::Running {
             return;
         }
         let at_ms = self
             .next_due_ms(turn)
-            .map_or(self.spec.deadline_at_ms, |due_ms| {
-                due_ms.min(self.spec.deadline_at_ms)
-            });
+            .map_or(hopeless_at_ms, |due_ms| due_ms.min(hopeless_at_ms));
         // A timer that comes too early only looks again.
         if self.timer_at_ms.is_none_or(|set_ms| at_ms < set_ms) {
             self.timer_at_ms = Some(at_ms);
@@ -30,6 +33,17 @@
         }
     }
 
+    /// Returns the latest time at which a stage can begin and the request still
+    /// be answered; the deadline for the stage after the last.
+    pub(super) fn latest_ms(&self, stage_index: usize, turn: &Turn<'_>) -> u64 {
+        let later = match turn.fleet.settings.budgets {
+            Budgets::WholeOnly => &[],
+            Budgets::ByStage => &self.spec.pipeline.stages[stage_index..],
+        };
+        let needed_ms = turn.fleet.fastest_ms(later);
+        self.spec.deadline_at_ms.saturating_sub(needed_ms)
+    }
+
     /// The caller has gone. What may take effect runs on, so that a repeat
     /// under the same key gets its answer.
     pub(super) fn on_caller_gone(&mut self, turn: &mut Turn<'_>) {
--- a/crates/core/src/fleet/admission.rs
+++ b/crates/core/src/fleet/admission.rs
@@ -10,6 +10,8 @@
     settings::Admission,
 };
 
+/// Quantile of busy times that no call is expected to beat, in per cent.
+const FAST: u32 = 10;
 /// Quantile of busy times that counts as the usual one, in per cent.
 const USUAL: u32 = 50;
 /// Quantile of busy times that a request must still have time for, in per cent.
@@ -134,6 +136,15 @@
         forecast
     }
 
+    /// Returns the time that stages need when all goes well.
+    pub(crate) fn fastest_ms(&self, stages: &[Stage]) -> u64 {
+        let fastest_us: u64 = stages
+            .iter()
+            .filter_map(|stage| self.pools.get(&stage.pool)?.busy.quantile_us(FAST))
+            .sum();
+        fastest_us / US_PER_MS
+    }
+
     /// Estimates the time that a call waits for a slot of a pool: the calls
     /// beyond the slots of the servers that are open, over the rate at which
     /// those finish calls.
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -14,6 +14,8 @@
     /// Share of a request's slack that it may be expected to wait in queues,
     /// in per cent.
     pub wait_percent_of_slack: u32,
+    /// When a request that has begun is given up.
+    pub budgets: Budgets,
     /// Who is refused first under pressure.
     pub fairness: Fairness,
     /// Whether backend servers that fail are left alone for a while.
@@ -48,6 +50,7 @@
             spill: Spill::ByWait,
             admission: Admission::ByForecast,
             wait_percent_of_slack: 50,
+            budgets: Budgets::ByStage,
             fairness: Fairness::Weighted,
             ejection: Ejection::On,
             ejection_ms: 1_000,
@@ -126,3 +129,12 @@
     /// Workspaces that have used more than their share, by weight.
     Weighted,
 }
+
+/// When a request that has begun is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Budgets {
+    /// At its deadline.
+    WholeOnly,
+    /// As soon as its later stages would not have time, were they fast.
+    ByStage,
+}
