--- a/crates/server/tests/config_processes.rs
+++ b/crates/server/tests/config_processes.rs
@@ -12,6 +12,7 @@
 use process::Entry;
 use savoryvane_standins::{
     LinkFaults, ListServer, ListSettings, LogFaults, LogServer, LogSettings, Relay, RelaySettings,
+    client::{self, Connection, Version},
 };
 use savoryvane_wire::{
     admin::{Confirmation, InstanceView, Status},
@@ -349,6 +350,41 @@
     cluster.assert_same_objects(&[0, 3]).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn hostile_records_change_nothing_and_hold_nobody_up() {
+    let cluster = Cluster::start(3).await;
+    let next = cluster.change(0, 1).await;
+    cluster.wait_all_in_force(next).await;
+    let expected = cluster.get(0, "/admin/v1/objects").await;
+    let mut forged = plan(cluster.entries[0].admin, &price(66)).await.change;
+    forged.operator = "mallory".into();
+    let forged = json!({ "version": 1, "record": { "change": forged } });
+    let hostile = [
+        Vec::new(),
+        vec![0xff; 1_000],
+        vec![b'['; 900_000],
+        br#"{"version":2,"record":{}}"#.to_vec(),
+        br#"{"version":1,"record":{"checkpoint":{"covers":18446744073709551615,"digest":"",
+            "index":4294967295,"count":4294967295,"items":[]}}}"#
+            .to_vec(),
+        forged.to_string().into_bytes(),
+    ];
+    let path = format!("/v1/streams/{CONFIG_STREAM}/records");
+    let next = next + hostile.len() as u64;
+    for payload in hostile {
+        let request = client::request(cluster.log.addr(), Method::POST, &path, payload).unwrap();
+        let opened = Connection::open(cluster.log.addr(), Version::Http1).await;
+        let reply = opened.unwrap().send(request).await.unwrap();
+        assert_eq!(reply.status(), StatusCode::OK);
+    }
+    cluster.wait_all_in_force(next).await;
+    for index in 0..3 {
+        assert_eq!(cluster.get(index, "/admin/v1/objects").await, expected);
+    }
+    let next = cluster.change(2, 2).await;
+    cluster.wait_all_in_force(next).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn checkpoints_outlive_the_retention_and_every_process() {
     let mut cluster = Cluster::with_retention(3, 3_000).await;
