Answer the order to silence connections; count refusals by reason

Cause: silencing over HTTP silenced the connection that carried the order, so its sender waited for its timeout; and a report said how many answers were refused, not why. Ruled out: silencing after a pause (the answer may still be on its way). Before: the test of silenced connections, given its order over HTTP, waited 5 s and failed. Conclusion: that one connection is exempt; reports name reasons.

--- a/crates/standins/src/backend.rs
+++ b/crates/standins/src/backend.rs
@@ -35,7 +35,7 @@
     ran::{Ran, RanCall, RanState},
     server::{Reply, Server},
     slots::{Occupancy, Place, Slots},
-    socket::SocketSwitches,
+    socket::{Exemption, SocketSwitches},
     weights::{WeightSource, WeightStore},
     work::{Step, first_u64, prefix_hash, stage_output, tokens_of},
 };
@@ -248,9 +248,7 @@
             (&Method::GET, "/v1/cache-events") => self.answer_cache_events(&request),
             (&Method::POST, "/v1/orders") => self.answer_order(request).await,
             (&Method::GET, "/v1/ran") => json(StatusCode::OK, &self.ran.all()),
-            (&Method::POST, "/fault") => {
-                body::take_json(request, |faults| self.set_faults(faults)).await
-            }
+            (&Method::POST, "/fault") => self.answer_fault(request).await,
             _ => empty(StatusCode::NOT_FOUND),
         };
         Ok(response)
@@ -452,6 +450,13 @@
         json(status, &reply)
     }
 
+    async fn answer_fault(&self, request: Request<Incoming>) -> Response<Body> {
+        if let Some(exemption) = request.extensions().get::<Exemption>() {
+            exemption.grant();
+        }
+        body::take_json(request, |faults| self.set_faults(faults)).await
+    }
+
     fn answer_cache_events(&self, request: &Request<Incoming>) -> Response<Body> {
         let query = request.uri().query().unwrap_or("from=0");
         let from = query.strip_prefix("from=").and_then(|n| n.parse().ok());
--- a/crates/standins/src/report.rs
+++ b/crates/standins/src/report.rs
@@ -56,6 +56,8 @@
     pub unanswered: u64,
     /// Answers by outcome, for outcomes other than `complete`.
     pub refused: BTreeMap<&'static str, u64>,
+    /// Those answers by outcome and reason.
+    pub reasons: BTreeMap<String, u64>,
     /// Requests by the entry instance that answered.
     pub by_instance: BTreeMap<String, u64>,
     /// Time and cost by stage, in the order of their names.
@@ -82,6 +84,7 @@
             wrong: 0,
             unanswered: 0,
             refused: BTreeMap::new(),
+            reasons: BTreeMap::new(),
             by_instance: BTreeMap::new(),
             stages: BTreeMap::new(),
             examples: Vec::new(),
@@ -94,7 +97,7 @@
         self.sent += 1;
         match &asked.verdict {
             Verdict::Right => self.add_right(asked.latency_us),
-            Verdict::Refused(outcome) => *self.refused.entry(outcome.as_str()).or_default() += 1,
+            Verdict::Refused(outcome) => self.add_refused(*outcome, asked),
             Verdict::Wrong(what) => {
                 self.wrong += 1;
                 self.keep_example(what);
@@ -144,6 +147,13 @@
         self.latency_us.saturating_record(latency_us);
     }
 
+    fn add_refused(&mut self, outcome: Outcome, asked: &Asked) {
+        *self.refused.entry(outcome.as_str()).or_default() += 1;
+        let reason = asked.answer.as_ref().and_then(|a| a.reason.as_deref());
+        let told = format!("{outcome}: {}", reason.unwrap_or("no reason"));
+        *self.reasons.entry(told).or_default() += 1;
+    }
+
     fn add_usage(&mut self, usage: &StageUsage) {
         let totals = self.stages.entry(usage.stage.to_string()).or_default();
         totals.requests += 1;
@@ -168,6 +178,9 @@
         for (outcome, count) in &self.refused {
             writeln!(f, "{outcome:<20}{count:>10}")?;
         }
+        for (told, count) in &self.reasons {
+            writeln!(f, "  {count} x {told}")?;
+        }
         writeln!(f, "wrong               {:>10}", self.wrong)?;
         writeln!(f, "no whole answer     {:>10}", self.unanswered)?;
         let attainment = self.attainment_per_mille();
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -13,7 +13,7 @@
     Result,
     acceptor::{Acceptor, Stopped},
     body::Body,
-    socket::{SocketSwitches, SwitchedSocket},
+    socket::{Exemption, SocketSwitches, SwitchedSocket},
 };
 
 /// Time that a graceful stop waits for open exchanges.
@@ -53,8 +53,14 @@
             // Without it small writes wait for each other; a failure only costs
             // time.
             let _ = stream.set_nodelay(true);
-            let socket = SwitchedSocket::new(stream, Arc::clone(&switches));
-            exchange(socket, handler.clone(), stopped)
+            let exemption = Exemption::default();
+            let socket = SwitchedSocket::new(stream, Arc::clone(&switches), exemption.clone());
+            let handler = handler.clone();
+            let service = move |mut request: Request<Incoming>| {
+                request.extensions_mut().insert(exemption.clone());
+                handler(request)
+            };
+            exchange(socket, service, stopped)
         });
         Ok(Self(acceptor.await?))
     }
--- a/crates/standins/src/socket.rs
+++ b/crates/standins/src/socket.rs
@@ -5,7 +5,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     task::{Context, Poll},
 };
@@ -42,21 +42,40 @@
     stream: TcpStream,
     switches: Arc<SocketSwitches>,
     epoch: u64,
+    exemption: Exemption,
+}
+
+/// Keeps one connection from going silent: the one that carries the order to
+/// silence the others must still answer it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Exemption(Arc<AtomicBool>);
+
+impl Exemption {
+    /// Exempts the connection.
+    pub(crate) fn grant(&self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
 }
 
 impl SwitchedSocket {
     /// Puts `stream` under `switches`.
-    pub(crate) fn new(stream: TcpStream, switches: Arc<SocketSwitches>) -> Self {
+    pub(crate) fn new(
+        stream: TcpStream,
+        switches: Arc<SocketSwitches>,
+        exemption: Exemption,
+    ) -> Self {
         let epoch = switches.epoch.load(Ordering::SeqCst);
         Self {
             stream,
             switches,
             epoch,
+            exemption,
         }
     }
 
     fn is_silent(&self) -> bool {
-        self.switches.epoch.load(Ordering::SeqCst) != self.epoch
+        let is_exempt = self.exemption.0.load(Ordering::SeqCst);
+        !is_exempt && self.switches.epoch.load(Ordering::SeqCst) != self.epoch
     }
 }
 
--- a/crates/standins/tests/backend.rs
+++ b/crates/standins/tests/backend.rs
@@ -456,10 +456,12 @@
     })
     .await;
     let (_connection, body) = hold(server.addr(), &call("r-1", StageKind::Encode)).await;
-    server.set_faults(BackendFaults {
+    let faults = BackendFaults {
         silence_established: true,
         ..BackendFaults::default()
-    });
+    };
+    let set = client::send_json(server.addr(), Method::POST, "/fault", &faults);
+    timeout(Duration::from_secs(5), set).await.unwrap().unwrap();
     assert_eq!(
         events(server.addr(), &call("r-2", StageKind::Encode))
             .await
