--- a/crates/core/src/bucket.rs
+++ b/crates/core/src/bucket.rs
@@ -9,13 +9,16 @@
 const SAFE_DEPTH_MS: u64 = 2_000;
 /// Time of its own rate that a bucket holds, in ms.
 const DEPTH_MS: u64 = 500;
+/// A thousandth of a request.
+const MILLI: u64 = ONE / 1_000;
 /// Least that a bucket holds: three requests, so that those that come before the
 /// first is made up for need not be refused.
 const LEAST_DEPTH: u64 = 3 * ONE;
 /// Time within which a bucket is to be filled again, in ms.
 const FILL_MS: u64 = 2_000;
-/// Least depth of a bucket whose fill is worth a report out of turn.
-const URGENT_DEPTH: u64 = 4 * ONE;
+/// Least depth of a bucket that is filled by a rate rather than made up for, and
+/// whose fill is worth a report out of turn.
+const RATE_DEPTH: u64 = 4 * ONE;
 
 /// Tokens for requests, in thousand-millionths.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,6 +37,11 @@
 }
 
 impl Flow {
+    /// Tells whether a bucket holds enough to speak of a rate.
+    pub fn is_deep(self) -> bool {
+        self.capacity() >= RATE_DEPTH
+    }
+
     /// Returns what a bucket holds at most.
     fn capacity(self) -> u64 {
         let by_safe = self.safe.0.saturating_mul(SAFE_DEPTH_MS);
@@ -70,8 +78,25 @@
 
     /// Tells whether a deep bucket is down to its half.
     pub fn is_low(&self, flow: Flow) -> bool {
-        let capacity = flow.capacity();
-        capacity >= URGENT_DEPTH && self.tokens < capacity / 2
+        flow.is_deep() && self.tokens < flow.capacity() / 2
+    }
+
+    /// Returns what is missing to a full bucket, in thousandths of a request.
+    pub fn missing_milli(&self, flow: Flow) -> u32 {
+        let missing = flow.capacity().saturating_sub(self.tokens) / MILLI;
+        u32::try_from(missing).unwrap_or(u32::MAX)
+    }
+
+    /// Adds thousandths of a request.
+    pub fn add_milli(&mut self, milli: u32) {
+        self.tokens = self.tokens.saturating_add(u64::from(milli) * MILLI);
+    }
+
+    /// Takes up to so many thousandths of a request, and returns how many.
+    pub fn take_milli(&mut self, milli: u32) -> u32 {
+        let taken = u64::from(milli).min(self.tokens / MILLI);
+        self.tokens -= taken * MILLI;
+        taken as u32
     }
 
     /// Returns the rate that would fill the bucket within [`FILL_MS`].
--- a/crates/core/src/limiter.rs
+++ b/crates/core/src/limiter.rs
@@ -9,9 +9,11 @@
     topology::Shard,
 };
 
-/// Most workspaces with a bucket of their own. Above it, those whose bucket is
-/// full are dropped, and a request of a further one is refused.
-const MAX_ACTIVE: usize = 16_384;
+/// Most workspaces of a shard with a bucket of their own; a request of a further
+/// one is refused. One whose bucket is full needs none.
+const MAX_ACTIVE: usize = 4_096;
+/// Least rate that is asked for as a rate.
+const LEAST_RATE: Rate = Rate(1_000_000);
 /// Requests that are asked for, per hundred of those that came.
 const HEADROOM_PERCENT: u64 = 125;
 /// Shortest time until a refused request may come again, in ms.
@@ -34,11 +36,11 @@
 }
 
 /// Quotas and buckets of the workspaces.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Limiter {
     quotas: HashMap<WorkspaceName, WorkspaceKey>,
     rates: HashMap<WorkspaceKey, Rate>,
-    active: HashMap<WorkspaceKey, Active>,
+    active: Vec<HashMap<WorkspaceKey, Active>>,
     has_low: bool,
 }
 
@@ -49,6 +51,17 @@
     wanted: Rate,
 }
 
+impl Default for Limiter {
+    fn default() -> Self {
+        Self {
+            quotas: HashMap::new(),
+            rates: HashMap::new(),
+            active: Shard::all().map(|_| HashMap::new()).collect(),
+            has_low: false,
+        }
+    }
+}
+
 impl Limiter {
     /// Replaces the quotas, in requests a second over the whole deployment.
     pub fn set_quotas<'a>(&mut self, quotas: impl Iterator<Item = (&'a WorkspaceName, u32)>) {
@@ -60,7 +73,9 @@
             self.rates.insert(key, Rate::per_s(per_s));
         }
         let rates = &self.rates;
-        self.active.retain(|key, _| rates.contains_key(key));
+        for active in &mut self.active {
+            active.retain(|key, _| rates.contains_key(key));
+        }
     }
 
     /// Returns the quota of a workspace.
@@ -75,11 +90,12 @@
 
     /// Decides on one request, by the rates that hold now.
     pub fn admit(&mut self, now_ms: u64, key: WorkspaceKey, flow: Flow) -> Admission {
-        if self.active.len() >= MAX_ACTIVE && !self.active.contains_key(&key) {
+        let of_shard = &mut self.active[usize::from(key.shard().0)];
+        if of_shard.len() >= MAX_ACTIVE && !of_shard.contains_key(&key) {
             let retry_after_ms = LONGEST_RETRY_MS;
             return Admission::Refused { retry_after_ms };
         }
-        let active = self.active.entry(key).or_insert_with(|| Active {
+        let active = of_shard.entry(key).or_insert_with(|| Active {
             bucket: Bucket::new(now_ms, flow),
             came: 0,
             wanted: Rate::default(),
@@ -112,32 +128,62 @@
     ) -> Vec<Demand> {
         let rates = &self.rates;
         let mut demands = Vec::new();
-        self.active.retain(|key, active| {
-            if key.shard() != shard {
-                return true;
-            }
+        self.active[usize::from(shard.0)].retain(|key, active| {
             let flow = flow_of(*key, rates.get(key).copied().unwrap_or_default());
             active.bucket.fill(now_ms, flow);
-            let missing = active.bucket.missing(flow);
+            let missing = active.bucket.missing_milli(flow);
             let came = std::mem::take(&mut active.came);
-            if came == 0 && missing == Rate::default() {
+            if came == 0 && missing == 0 {
                 return false;
             }
-            let came = came * 1_000_000 * 1_000 / elapsed_ms.max(1);
-            let smooth = Rate(came * HEADROOM_PERCENT / 100).max(active.wanted.part(1, 2));
-            active.wanted = smooth;
-            demands.push(Demand {
-                key: *key,
-                wanted: smooth.max(missing),
-                held: flow.rate,
-            });
+            demands.push(active.demand(*key, flow, came, missing, elapsed_ms));
             true
         });
         demands
     }
 
+    /// Adds requests that were made up for, in thousandths.
+    pub fn make_up(&mut self, key: WorkspaceKey, milli: u32) {
+        if let Some(active) = self.active[usize::from(key.shard().0)].get_mut(&key) {
+            active.bucket.add_milli(milli);
+        }
+    }
+
     /// Returns how many workspaces are active.
     pub fn active(&self) -> usize {
-        self.active.len()
+        self.active.iter().map(HashMap::len).sum()
+    }
+}
+
+impl Active {
+    fn demand(
+        &mut self,
+        key: WorkspaceKey,
+        flow: Flow,
+        came: u64,
+        missing: u32,
+        elapsed_ms: u64,
+    ) -> Demand {
+        let came = came * 1_000_000 * 1_000 / elapsed_ms.max(1);
+        self.wanted = Rate(came * HEADROOM_PERCENT / 100).max(self.wanted.part(1, 2));
+        let is_rate = flow.is_deep() || self.wanted >= LEAST_RATE.part(2, 1);
+        let held = flow.rate;
+        if is_rate {
+            let wanted = self.wanted.max(self.bucket.missing(flow));
+            let missing = 0;
+            return Demand {
+                key,
+                wanted,
+                held,
+                missing,
+            };
+        }
+        let wanted = Rate::default();
+        Demand {
+            key,
+            wanted,
+            held,
+            missing,
+        }
     }
 }
--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -53,6 +53,10 @@
 /// Part of its safe share that a claimant always keeps.
 const FLOOR_PARTS: u32 = 10;
 
+/// Least floor of a zone. Lending what is less would cost more messages than it
+/// is worth: most workspaces of a large deployment are that small.
+pub const LEAST_ZONE_FLOOR: Rate = Rate(1_000_000);
+
 /// A claimant's part of a quota, as instances of all instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Part {
@@ -62,6 +66,17 @@
     pub cut: u32,
     /// Instances of the whole deployment.
     pub whole: u32,
+    /// What the claimant is.
+    pub level: Level,
+}
+
+/// What a claimant of a quota is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Level {
+    /// An instance, of its zone's home.
+    Instance,
+    /// A zone, of the lead.
+    Zone,
 }
 
 impl Part {
@@ -74,7 +89,11 @@
     pub fn floor(self, quota: Rate) -> Rate {
         let heard = self.members.saturating_sub(self.cut);
         let floor = quota.part(heard, self.whole).part(1, FLOOR_PARTS);
-        floor.plus(quota.part(self.cut.min(self.members), self.whole))
+        let floor = floor.plus(quota.part(self.cut.min(self.members), self.whole));
+        match self.level {
+            Level::Instance => floor,
+            Level::Zone => floor.max(self.safe_share(quota).min(LEAST_ZONE_FLOOR)),
+        }
     }
 }
 
@@ -104,6 +123,9 @@
     pub wanted: Rate,
     /// Highest rate that may still be in use.
     pub held: Rate,
+    /// Requests that are to be made up for at once, in thousandths; asked for
+    /// when requests are too few to speak of a rate.
+    pub missing: u32,
 }
 
 /// Who asks for a part of a shard's quotas.
@@ -138,6 +160,8 @@
     pub key: WorkspaceKey,
     /// Rate that may be used.
     pub rate: Rate,
+    /// Requests made up for, in thousandths.
+    pub made_up: u32,
 }
 
 /// Answer to a [`UsageReport`].
--- a/crates/core/src/split.rs
+++ b/crates/core/src/split.rs
@@ -11,7 +11,10 @@
     hash::Hash,
 };
 
-use crate::quota::{Demand, Grant, Part, Rate, WorkspaceKey};
+use crate::{
+    bucket::{Bucket, Flow},
+    quota::{Demand, Grant, Level, Part, Rate, WorkspaceKey},
+};
 
 /// Part of what nobody wants that is granted on top; the rest is left for new
 /// demand, which would have to wait until it is given back.
@@ -22,9 +25,21 @@
 pub struct Split<C> {
     since_ms: u64,
     lapse_ms: u64,
+    level: Level,
     whole: u32,
     claimants: BTreeMap<C, Claimant>,
     wants: HashMap<WorkspaceKey, Vec<Want<C>>>,
+    pots: HashMap<WorkspaceKey, Pot>,
+}
+
+/// What is held by nobody, saved up to make up for single requests.
+#[derive(Clone, Copy, Debug)]
+struct Pot {
+    bucket: Bucket,
+    rate: Rate,
+    /// Requests asked for since the last look, in thousandths.
+    asked_milli: u64,
+    wanted: Rate,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -55,13 +70,15 @@
     /// Begins to divide. What an earlier home granted is not known, so nobody gets
     /// more than it holds until that has lapsed. A claimant that was not heard of for `lapse_ms` counts
     /// with its safe share.
-    pub fn new(now_ms: u64, lapse_ms: u64) -> Self {
+    pub fn new(now_ms: u64, lapse_ms: u64, level: Level) -> Self {
         Self {
             since_ms: now_ms,
             lapse_ms,
+            level,
             whole: 0,
             claimants: BTreeMap::new(),
             wants: HashMap::new(),
+            pots: HashMap::new(),
         }
     }
 
@@ -95,31 +112,78 @@
         let keys = demands.iter().map(|demand| demand.key).collect();
         let before = std::mem::replace(&mut claimant.keys, keys);
         self.drop_wants(from, &before);
-        let grant = |demand: &Demand| Grant {
-            key: demand.key,
-            rate: self.grant(now_ms, from, demand, divided(demand.key)),
+        let grant = |demand: &Demand| {
+            let divided = divided(demand.key);
+            Grant {
+                key: demand.key,
+                rate: self.grant(now_ms, from, demand, divided),
+                made_up: self.make_up(now_ms, demand, divided),
+            }
         };
         demands.iter().map(grant).collect()
     }
 
-    /// Returns what is wanted of a workspace and what may be held, by all.
-    pub fn wanted_and_held(&self, now_ms: u64, key: WorkspaceKey, quota: Rate) -> (Rate, Rate) {
-        let wants = self.wants.get(&key).map_or(&[][..], Vec::as_slice);
-        let wanted = wants
-            .iter()
-            .fold(Rate::default(), |sum, want| sum.plus(want.wanted));
-        (wanted, self.held(now_ms, key, quota, None))
+    /// Forgets pots that are full, which a new one would be as well.
+    fn forget_full(&mut self, now_ms: u64) {
+        self.pots.retain(|_, pot| {
+            let flow = pot.flow();
+            pot.bucket.fill(now_ms, flow);
+            pot.bucket.missing_milli(flow) > 0 || pot.asked_milli > 0
+        });
+    }
+
+    /// Makes up for single requests out of what nobody holds.
+    fn make_up(&mut self, now_ms: u64, demand: &Demand, divided: Divided) -> u32 {
+        if demand.missing == 0 || now_ms < self.since_ms + self.lapse_ms {
+            return 0;
+        }
+        let Divided { quota, total } = divided;
+        let rate = total.less(self.held(now_ms, demand.key, quota, None));
+        let pot = self.pots.entry(demand.key).or_insert_with(|| Pot {
+            bucket: Bucket::new(now_ms, Flow { rate, safe: rate }),
+            rate,
+            asked_milli: 0,
+            wanted: Rate::default(),
+        });
+        pot.asked_milli += u64::from(demand.missing);
+        // It may have been less at any time since it was filled last.
+        pot.rate = pot.rate.min(rate);
+        pot.bucket.fill(now_ms, pot.flow());
+        pot.rate = rate;
+        pot.bucket.take_milli(demand.missing)
     }
 
-    /// Iterates over the workspaces that anyone wants.
-    pub fn keys(&self) -> impl Iterator<Item = WorkspaceKey> {
-        self.wants.keys().copied()
+    /// Returns the workspaces that anyone wants, each with what is wanted and what
+    /// may be held by all.
+    pub fn demands(&mut self, now_ms: u64, quota: impl Fn(WorkspaceKey) -> Rate) -> Vec<Demand> {
+        self.forget_full(now_ms);
+        let mut wanted: HashMap<WorkspaceKey, Rate> = HashMap::new();
+        for (key, wants) in &self.wants {
+            let sum = wants
+                .iter()
+                .fold(Rate::default(), |sum, w| sum.plus(w.wanted));
+            wanted.insert(*key, sum);
+        }
+        for (key, pot) in &mut self.pots {
+            let entry = wanted.entry(*key).or_default();
+            *entry = entry.plus(pot.take_wanted());
+        }
+        let demand = |(key, wanted)| Demand {
+            key,
+            wanted,
+            held: self.held(now_ms, key, quota(key), None),
+            missing: 0,
+        };
+        wanted.into_iter().map(demand).collect()
     }
 
     fn grant(&mut self, now_ms: u64, from: &C, demand: &Demand, divided: Divided) -> Rate {
         let Divided { quota, total } = divided;
         let part = self.part(from);
         let floor = part.floor(quota);
+        if demand.wanted == Rate::default() && demand.held <= floor {
+            return floor;
+        }
         let others = self.held(now_ms, demand.key, quota, Some(from));
         self.wants.entry(demand.key).or_default().push(Want {
             claimant: from.clone(),
@@ -140,11 +204,7 @@
 
     fn part(&self, claimant: &C) -> Part {
         let known = self.claimants.get(claimant);
-        Part {
-            members: known.map_or(0, |c| c.members),
-            cut: known.map_or(0, |c| c.cut),
-            whole: self.whole,
-        }
+        self.part_of(known.unwrap_or(&Claimant::default()))
     }
 
     fn is_heard(&self, now_ms: u64, claimant: &Claimant) -> bool {
@@ -156,8 +216,7 @@
     /// Adds up what the claimants may hold, `except` one.
     fn held(&self, now_ms: u64, key: WorkspaceKey, quota: Rate, except: Option<&C>) -> Rate {
         let wants = self.wants.get(&key).map_or(&[][..], Vec::as_slice);
-        let (heard, unheard) = self.members(now_ms, except);
-        let mut sum = heard.floor(quota).plus(unheard.safe_share(quota));
+        let mut sum = self.floors(now_ms, quota, except);
         for want in wants.iter().filter(|want| Some(&want.claimant) != except) {
             let Some(claimant) = self.claimants.get(&want.claimant) else {
                 continue;
@@ -170,31 +229,37 @@
         sum
     }
 
-    /// Returns how many claimants were not heard of lately.
+    /// Returns how many instances were not heard of lately.
     pub fn unheard(&self, now_ms: u64) -> u32 {
-        self.members(now_ms, None).1.members
+        let claimants = self.claimants.values();
+        let unheard = claimants.filter(|claimant| !self.is_heard(now_ms, claimant));
+        unheard.map(|claimant| claimant.members).sum()
     }
 
-    /// Adds up the claimants that were heard of and those that were not.
-    fn members(&self, now_ms: u64, except: Option<&C>) -> (Part, Part) {
-        let part = Part {
-            members: 0,
-            cut: 0,
-            whole: self.whole,
-        };
-        let (mut heard, mut unheard) = (part, part);
+    /// Adds up the floors of the claimants that were heard of and the safe shares
+    /// of those that were not, `except` one.
+    fn floors(&self, now_ms: u64, quota: Rate, except: Option<&C>) -> Rate {
+        let mut sum = Rate::default();
         for (name, claimant) in &self.claimants {
             if Some(name) == except {
                 continue;
             }
-            if self.is_heard(now_ms, claimant) {
-                heard.members += claimant.members;
-                heard.cut += claimant.cut;
-            } else {
-                unheard.members += claimant.members;
-            }
+            let part = self.part_of(claimant);
+            sum = sum.plus(match self.is_heard(now_ms, claimant) {
+                true => part.floor(quota),
+                false => part.safe_share(quota),
+            });
+        }
+        sum
+    }
+
+    fn part_of(&self, claimant: &Claimant) -> Part {
+        Part {
+            members: claimant.members,
+            cut: claimant.cut,
+            whole: self.whole,
+            level: self.level,
         }
-        (heard, unheard)
     }
 
     /// Returns the fair rate of one claimant: its floor and a part of what the
@@ -202,10 +267,7 @@
     /// more; otherwise equal parts up to what it wants.
     fn fair(&self, now_ms: u64, from: &C, key: WorkspaceKey, divided: Divided) -> Rate {
         let Divided { quota, total } = divided;
-        let (heard, unheard) = self.members(now_ms, None);
-        let pool = total
-            .less(heard.floor(quota))
-            .less(unheard.safe_share(quota));
+        let pool = total.less(self.floors(now_ms, quota, None));
         let mut extras: Vec<(u64, u32)> = Vec::new();
         let mut mine = (0, 1);
         for want in self.wants.get(&key).map_or(&[][..], Vec::as_slice) {
@@ -237,6 +299,22 @@
     }
 }
 
+impl Pot {
+    /// Returns the rate that is asked for, over the second since the last look.
+    fn take_wanted(&mut self) -> Rate {
+        let asked = Rate(std::mem::take(&mut self.asked_milli) * 1_000);
+        self.wanted = asked.plus(asked.part(1, 4)).max(self.wanted.part(1, 2));
+        self.wanted
+    }
+
+    fn flow(&self) -> Flow {
+        Flow {
+            rate: self.rate,
+            safe: self.rate,
+        }
+    }
+}
+
 /// Divides `pool` by max-min fairness among wants with weights, and returns what
 /// `mine` gets, with its part of what nobody wants and is not left for new demand.
 fn fill(pool: u64, wants: &mut [(u64, u32)], mine: (u64, u32)) -> u64 {
--- a/crates/core/src/usage.rs
+++ b/crates/core/src/usage.rs
@@ -13,7 +13,10 @@
     ids::{Incarnation, InstanceName, WorkspaceName, ZoneName},
     limiter::{Admission, Limiter},
     pace::{Pace, REPORT_MS},
-    quota::{Claimant, Demand, GRANT_MS, Grant, Part, Rate, UsageGrant, UsageReport, WorkspaceKey},
+    quota::{
+        Claimant, Demand, GRANT_MS, Grant, LEAST_ZONE_FLOOR, Level, Part, Rate, UsageGrant,
+        UsageReport, WorkspaceKey,
+    },
     share::Share,
     split::{Divided, Split},
     topology::{SHARDS, Shard},
@@ -257,7 +260,11 @@
         let shard = &mut self.shards[usize::from(grant.shard.0 % SHARDS)];
         match claimant {
             Claimant::Instance => {
-                shard.share.on_grant(now_ms, grant);
+                if shard.share.on_grant(now_ms, grant) {
+                    for grant in grant.grants.iter().filter(|grant| grant.made_up > 0) {
+                        self.limiter.make_up(grant.key, grant.made_up);
+                    }
+                }
             }
             Claimant::Zone(_) => {
                 if let Some(home) = &mut shard.home {
@@ -272,6 +279,7 @@
             members: 1,
             cut: 0,
             whole: self.whole,
+            level: Level::Instance,
         }
     }
 
@@ -280,6 +288,7 @@
             members: self.view.zones.get(&self.zone).copied().unwrap_or(1),
             cut,
             whole: self.whole,
+            level: Level::Zone,
         }
     }
 
@@ -301,7 +310,7 @@
         let home = shard.home.get_or_insert_with(|| HomeUsage {
             term: terms.0,
             pace: Pace::new(now_ms, now_ms),
-            instances: Split::new(now_ms, INSTANCE_LAPSE_MS),
+            instances: Split::new(now_ms, INSTANCE_LAPSE_MS, Level::Instance),
             zone: Share::default(),
             lead: None,
         });
@@ -313,7 +322,7 @@
         }
         let lead = home.lead.get_or_insert_with(|| LeadUsage {
             term: terms.1,
-            zones: Split::new(now_ms, ZONE_LAPSE_MS),
+            zones: Split::new(now_ms, ZONE_LAPSE_MS, Level::Zone),
         });
         let zones = self.view.zones.iter().map(|(zone, n)| (zone.clone(), *n));
         lead.zones.set_claimants(zones, self.whole);
@@ -363,17 +372,14 @@
         let Some(home) = &mut self.shards[index].home else {
             return;
         };
-        let demand = |key: WorkspaceKey| {
-            let quota = self.limiter.quota(key);
-            let (wanted, held) = home.instances.wanted_and_held(now_ms, key, quota);
-            let allowed = home.zone.rate(now_ms, key, quota, part);
-            Demand {
-                key,
-                wanted,
-                held: held.max(allowed),
-            }
-        };
-        let demands: Vec<_> = home.instances.keys().map(demand).collect();
+        let quota = |key| self.limiter.quota(key);
+        let mut demands = home.instances.demands(now_ms, quota);
+        // The floor of a zone is all that it may have of a small quota.
+        demands.retain(|demand| part.safe_share(quota(demand.key)) > LEAST_ZONE_FLOOR);
+        for demand in &mut demands {
+            let allowed = home.zone.rate(now_ms, demand.key, quota(demand.key), part);
+            demand.held = demand.held.max(allowed);
+        }
         home.zone.on_report(now_ms, &demands);
         let claimant = Claimant::Zone(self.zone.clone());
         let report = UsageReport {
--- a/crates/core/tests/members_usage.rs
+++ b/crates/core/tests/members_usage.rs
@@ -4,7 +4,7 @@
 
 use savoryvane_bench::quota_net::QuotaNet;
 use savoryvane_core::{
-    quota::{Demand, Grant, HOLD_MS, Part, Rate, UsageGrant, WorkspaceKey},
+    quota::{Demand, Grant, HOLD_MS, Level, Part, Rate, UsageGrant, WorkspaceKey},
     share::Share,
 };
 
@@ -104,6 +104,7 @@
         members: 1,
         cut: 0,
         whole: 10,
+        level: Level::Instance,
     };
     let grant = |stamp_ms, per_s| UsageGrant {
         shard: key.shard(),
@@ -113,12 +114,14 @@
         grants: vec![Grant {
             key,
             rate: quota(per_s),
+            made_up: 0,
         }],
     };
     let demand = Demand {
         key,
         wanted: quota(50),
         held: quota(1),
+        missing: 0,
     };
     share.on_report(1_000, &[demand]);
     share.on_report(2_000, &[demand]);
@@ -278,6 +281,49 @@
     assert!(rate >= quota(30).part(75, 100), "{rate:?}");
 }
 
+#[test]
+fn a_zone_that_is_cut_off_and_loses_its_home_brings_no_overshoot() {
+    for zone in 0..3 {
+        let mut net = nine();
+        let home = net.home(0, zone);
+        let busy = (0..9).find(|i| i % 3 != zone).unwrap();
+        let inside: Vec<_> = (zone..9).step_by(3).filter(|i| *i != home).collect();
+        drive(&mut net, 100, &[busy], 20, quota(90));
+        net.set_cut(move |a, b| (a % 3 == zone) != (b % 3 == zone));
+        net.kill(home);
+        net.renew_views();
+        let all: Vec<_> = inside.iter().copied().chain([busy]).collect();
+        drive(&mut net, 300, &all, 20, quota(90));
+    }
+}
+
+#[test]
+fn many_instances_that_ask_for_little_each_get_no_more_than_the_quota() {
+    let mut net = QuotaNet::new(3, 30, &[5]);
+    drive(&mut net, SETTLE_STEPS, &[], 0, quota(5));
+    let all: Vec<_> = (0..90).collect();
+    let mut admitted = 0;
+    for _ in 0..60 {
+        admitted += drive(&mut net, 1, &all, 1, quota(5));
+        drive(&mut net, 9, &[], 0, quota(5));
+    }
+    let most = 5 * 60 + 5 * 9 / 2 + 3 * 90 + 3 * 3;
+    assert!(admitted <= most, "{admitted} of at most {most}");
+    assert!(admitted >= 5 * 60, "{admitted}");
+}
+
+#[test]
+fn a_small_workspace_that_floods_gets_its_quota_and_the_stated_burst() {
+    let mut net = QuotaNet::new(3, 30, &[5]);
+    drive(&mut net, SETTLE_STEPS, &[], 0, quota(5));
+    let all: Vec<_> = (0..90).collect();
+    let admitted = drive(&mut net, 600, &all, 1, quota(5));
+    // Three an instance and three a home on top of 60 s and 4.5 s of quota.
+    let most = 5 * 60 + 5 * 9 / 2 + 3 * 90 + 3 * 3;
+    assert!(admitted <= most, "{admitted} of at most {most}");
+    assert!(admitted >= 5 * 60, "{admitted}");
+}
+
 #[test]
 fn small_workspaces_below_their_quota_are_seldom_refused_in_a_zone_of_95() {
     let mut net = QuotaNet::new(1, 95, &[5; 24]);
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -64,6 +64,7 @@
                 key: WorkspaceKey(u64::MAX),
                 wanted: Rate(5),
                 held: Rate(4),
+                missing: 3_000,
             }],
         }),
         Message::Declined(Declined::NotMine),
