--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -1,6 +1,6 @@
 //! Figures against their bounds, one line each.
 
-use std::fmt;
+use std::{cell::OnceCell, fmt};
 
 use savoryvane_core::objects::Objective;
 
@@ -103,26 +103,54 @@
     policy: Policy,
     seed: u64,
 ) -> Vec<Line> {
-    let full = Pair::run(deployment, Scenario::FullLoad, policy, seed);
-    let normal = Pair::run(deployment, Scenario::NormalDay, policy, seed);
+    let runs = Runs {
+        deployment,
+        policy,
+        seed,
+        full: OnceCell::new(),
+        normal: OnceCell::new(),
+    };
     let mut lines = Vec::new();
     for scenario in scenarios {
         match scenario {
-            Scenario::FullLoad => lines.extend(common_lines(&full)),
+            Scenario::FullLoad => lines.extend(common_lines(runs.full())),
             Scenario::NormalDay => {
-                lines.extend(common_lines(&normal));
-                lines.extend(normal_lines(&normal));
+                lines.extend(common_lines(runs.normal()));
+                lines.extend(normal_lines(runs.normal()));
             }
             _ => {
-                let pair = Pair::run(deployment, *scenario, policy, seed);
+                let pair = runs.run(*scenario);
                 lines.extend(common_lines(&pair));
-                lines.extend(scenario_lines(*scenario, &pair, &full, &normal));
+                lines.extend(scenario_lines(*scenario, &pair, &runs));
             }
         }
     }
     lines
 }
 
+/// Runs of a report; those that others are compared with are kept.
+struct Runs<'a> {
+    deployment: &'a Deployment,
+    policy: Policy,
+    seed: u64,
+    full: OnceCell<Pair>,
+    normal: OnceCell<Pair>,
+}
+
+impl Runs<'_> {
+    fn run(&self, scenario: Scenario) -> Pair {
+        Pair::run(self.deployment, scenario, self.policy, self.seed)
+    }
+
+    fn full(&self) -> &Pair {
+        self.full.get_or_init(|| self.run(Scenario::FullLoad))
+    }
+
+    fn normal(&self) -> &Pair {
+        self.normal.get_or_init(|| self.run(Scenario::NormalDay))
+    }
+}
+
 fn common_lines(pair: &Pair) -> Vec<Line> {
     let mut lines = vec![
         pair.line("attainment_pct", Bound::None, Figures::attainment),
@@ -188,12 +216,13 @@
     ]
 }
 
-fn scenario_lines(scenario: Scenario, pair: &Pair, full: &Pair, normal: &Pair) -> Vec<Line> {
+fn scenario_lines(scenario: Scenario, pair: &Pair, runs: &Runs<'_>) -> Vec<Line> {
     let until_us = scenario.fault_until_us();
     let lost_points = |least_us: u64| {
         let lost = |run: &Figures, usual: &Figures| {
             usual.attainment_between(least_us, RUN_US) - run.attainment_between(least_us, RUN_US)
         };
+        let normal = runs.normal();
         Line {
             name: format!("{}/attainment_lost_points", pair.name),
             value: lost(&pair.policy, &normal.policy),
@@ -213,6 +242,7 @@
                 burst.goodput_per_s(FAULT_FROM_US, until_us) * 100.0
                     / full.goodput_per_s(MEASURE_FROM_US, RUN_US)
             };
+            let full = runs.full();
             let goodput = Line {
                 name: format!("{}/goodput_pct_of_full_load", pair.name),
                 value: ratio(&pair.policy, &full.policy),
--- a/crates/core/src/fleet/admission.rs
+++ b/crates/core/src/fleet/admission.rs
@@ -98,7 +98,8 @@
         } else if forecast.wait_us as f64 > most_us as f64 * part {
             DecisionReason::OverShare
         } else {
-            self.shares.on_taken(query.workspace, forecast.work_us);
+            self.shares
+                .on_taken(now_ms, query.workspace, forecast.work_us);
             return Admitted::Yes;
         };
         Admitted::No {
--- a/crates/core/src/fleet/shares.rs
+++ b/crates/core/src/fleet/shares.rs
@@ -1,6 +1,6 @@
 //! Shares of the workspaces: weighted fairness under pressure, and quotas.
 
-use std::collections::BTreeMap;
+use std::collections::{HashMap, VecDeque};
 
 use super::Fleet;
 use crate::{
@@ -11,8 +11,10 @@
 
 /// Time in which what a workspace has used counts half, in ms.
 const HALF_LIFE_MS: f64 = 2_000.0;
-/// Part of all use below which a workspace counts as idle.
-const IDLE_PART: f64 = 0.002;
+/// Half-lives after which the scale of what was used is brought back to one.
+const RESCALE_AFTER: f64 = 400.0;
+/// Time for which a workspace counts as active after a request, in ms.
+const ACTIVE_MS: u64 = 10_000;
 /// Seconds of its quota that a workspace may save up.
 const QUOTA_BURST_S: f64 = 2.0;
 const MS_PER_S: f64 = 1_000.0;
@@ -24,13 +26,15 @@
 #[derive(Clone, Debug)]
 struct Account {
     weight: f64,
-    /// Work of the requests taken, fading, in µs.
-    used_us: f64,
+    /// Work of the requests taken, in µs at the current scale.
+    used: f64,
+    taken_at_ms: u64,
+    is_active: bool,
     /// Requests a second that this instance may take.
     quota_per_s: f64,
     /// Requests that it may take now.
     quota_left: f64,
-    updated_ms: u64,
+    quota_at_ms: u64,
 }
 
 impl Account {
@@ -38,49 +42,53 @@
         let quota_per_s = f64::from(workspace.quota_per_s) / instances;
         Self {
             weight: f64::from(workspace.weight.max(1)),
-            used_us: 0.0,
+            used: 0.0,
+            taken_at_ms: 0,
+            is_active: false,
             quota_per_s,
             quota_left: quota_per_s * QUOTA_BURST_S,
-            updated_ms: 0,
+            quota_at_ms: 0,
         }
     }
 
-    fn bring_up_to(&mut self, now_ms: u64) {
-        let passed_ms = now_ms.saturating_sub(self.updated_ms) as f64;
-        self.updated_ms = self.updated_ms.max(now_ms);
-        self.used_us *= (-passed_ms / HALF_LIFE_MS).exp2();
+    fn refill_quota(&mut self, now_ms: u64) {
+        let passed_ms = now_ms.saturating_sub(self.quota_at_ms) as f64;
+        self.quota_at_ms = self.quota_at_ms.max(now_ms);
         let most = (self.quota_per_s * QUOTA_BURST_S).max(1.0);
         self.quota_left = (self.quota_left + self.quota_per_s * passed_ms / MS_PER_S).min(most);
     }
 }
 
 /// Accounts of all workspaces at one instance.
+///
+/// What was used fades for all alike, so that instead of fading each account,
+/// new work is added at a scale that grows; only the ratios matter.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Shares {
-    accounts: BTreeMap<WorkspaceName, Account>,
+    accounts: HashMap<WorkspaceName, Account>,
+    used: f64,
+    /// Weights of the active workspaces together.
+    active_weight: f64,
+    /// Active workspaces, in the order in which they are looked at again.
+    active: VecDeque<(u64, WorkspaceName)>,
+    /// Time at which the scale is one, in ms.
+    scale_from_ms: u64,
 }
 
 impl Shares {
     /// Returns how many times its share a workspace has used lately, by weight
     /// among those that are active.
     pub(crate) fn excess(&mut self, now_ms: u64, workspace: &WorkspaceName) -> f64 {
-        for account in self.accounts.values_mut() {
-            account.bring_up_to(now_ms);
-        }
+        self.expire(now_ms);
         let Some(own) = self.accounts.get(workspace) else {
             return 1.0;
         };
-        let used_us: f64 = self.accounts.values().map(|account| account.used_us).sum();
-        if used_us <= 0.0 {
+        if self.used <= 0.0 {
             return 0.0;
         }
-        let weights: f64 = self
-            .accounts
-            .iter()
-            .filter(|(name, account)| *name == workspace || account.used_us > IDLE_PART * used_us)
-            .map(|(_, account)| account.weight)
-            .sum();
-        (own.used_us / used_us) / (own.weight / weights)
+        let own_weight = if own.is_active { 0.0 } else { own.weight };
+        let weights = self.active_weight + own_weight;
+        (own.used / self.used) / (own.weight / weights)
     }
 
     /// Takes a request out of a workspace's quota, or tells when one is due.
@@ -88,7 +96,7 @@
         let Some(account) = self.accounts.get_mut(workspace) else {
             return Ok(());
         };
-        account.bring_up_to(now_ms);
+        account.refill_quota(now_ms);
         if account.quota_left >= 1.0 {
             account.quota_left -= 1.0;
             return Ok(());
@@ -98,11 +106,65 @@
         Err(due_ms.min(MS_PER_S * MS_PER_S) as u64 + 1)
     }
 
-    pub(crate) fn on_taken(&mut self, workspace: &WorkspaceName, work_us: u64) {
-        if let Some(account) = self.accounts.get_mut(workspace) {
-            account.used_us += work_us as f64;
+    /// Counts the work of a request that was taken.
+    pub(crate) fn on_taken(&mut self, now_ms: u64, workspace: &WorkspaceName, work_us: u64) {
+        let scale = self.scale(now_ms);
+        let Some(account) = self.accounts.get_mut(workspace) else {
+            return;
+        };
+        let work = work_us as f64 * scale;
+        account.used += work;
+        account.taken_at_ms = now_ms;
+        self.used += work;
+        if !account.is_active {
+            account.is_active = true;
+            self.active_weight += account.weight;
+            self.active
+                .push_back((now_ms + ACTIVE_MS, workspace.clone()));
+        }
+    }
+
+    fn scale(&mut self, now_ms: u64) -> f64 {
+        let half_lives = now_ms.saturating_sub(self.scale_from_ms) as f64 / HALF_LIFE_MS;
+        if half_lives <= RESCALE_AFTER {
+            return half_lives.exp2();
+        }
+        let shrink = (-half_lives).exp2();
+        for account in self.accounts.values_mut() {
+            account.used *= shrink;
+        }
+        self.used *= shrink;
+        self.scale_from_ms = now_ms;
+        1.0
+    }
+
+    /// Takes out the workspaces that have sent nothing for a while.
+    fn expire(&mut self, now_ms: u64) {
+        while self.active.front().is_some_and(|(at, _)| *at <= now_ms) {
+            let Some((_, name)) = self.active.pop_front() else {
+                return;
+            };
+            let Some(account) = self.accounts.get_mut(&name) else {
+                continue;
+            };
+            let until_ms = account.taken_at_ms + ACTIVE_MS;
+            if until_ms > now_ms {
+                self.active.push_back((until_ms, name));
+            } else {
+                account.is_active = false;
+                self.active_weight -= account.weight;
+            }
         }
     }
+
+    /// Adds the accounts up again after they have changed.
+    fn add_up(&mut self) {
+        self.used = self.accounts.values().map(|account| account.used).sum();
+        let active = self.accounts.values().filter(|account| account.is_active);
+        self.active_weight = active.map(|account| account.weight).sum();
+        let accounts = &self.accounts;
+        self.active.retain(|(_, name)| accounts.contains_key(name));
+    }
 }
 
 impl Fleet {
@@ -115,14 +177,18 @@
         let instances = f64::from(self.peers) + 1.0;
         let mut old = std::mem::take(&mut self.shares.accounts);
         for workspace in workspaces {
-            let mut account = Account::new(workspace, instances);
-            if let Some(known) = old.remove(&workspace.name) {
-                account.used_us = known.used_us;
-                account.quota_left = known.quota_left;
-                account.updated_ms = known.updated_ms;
-            }
+            let fresh = Account::new(workspace, instances);
+            let account = match old.remove(&workspace.name) {
+                Some(known) => Account {
+                    weight: fresh.weight,
+                    quota_per_s: fresh.quota_per_s,
+                    ..known
+                },
+                None => fresh,
+            };
             self.shares.accounts.insert(workspace.name.clone(), account);
         }
+        self.shares.add_up();
     }
 
     /// Sets the part of a workspace's quota that this instance may use, as the
