Check settings with the reader that intents use

The instance's settings had a reader of their own, so the same logic stood twice with two wordings. A digest that is wrong is no longer printed in the error, since it may be the credential itself. The tests of the reader and the command line follow the wording and are as strict.

Ruled out: a reader in the core, which has no input.

--- a/crates/check/src/fields.rs
+++ b/crates/check/src/fields.rs
@@ -6,9 +6,13 @@
 
 use crate::{
     node::{Node, join},
-    problem::{Problems, quote},
+    problem::Problems,
 };
 
+/// What a digest may look like.
+const SHA256: &str = "SHA-256 as 64 lower-case hex digits";
+const SHA256_DIGITS: usize = 64;
+
 /// A value of the file together with its path.
 pub struct Item<'a> {
     node: &'a Node,
@@ -95,6 +99,19 @@
         }
     }
 
+    /// Reads a SHA-256 digest in lower-case hex. What is found instead is not
+    /// printed, since it may be what should have been digested.
+    pub fn sha256(self) -> Option<String> {
+        match self.node {
+            Node::Text(text) if is_sha256(text) => Some(text.clone()),
+            node => {
+                let found = node.describe_type();
+                self.problems.note(self.path, found, SHA256.to_owned());
+                None
+            }
+        }
+    }
+
     /// Reads a name as [`is_valid_name`] has it.
     pub fn name(self) -> Option<String> {
         let allowed = format!(
@@ -171,6 +188,12 @@
     }
 }
 
+/// Tells whether `text` is a SHA-256 digest in lower-case hex.
+pub fn is_sha256(text: &str) -> bool {
+    let is_digit = |b: u8| matches!(b, b'0'..=b'9' | b'a'..=b'f');
+    text.len() == SHA256_DIGITS && text.bytes().all(is_digit)
+}
+
 fn text_of(lengths: &RangeInclusive<usize>) -> String {
     format!("text of {} to {} bytes", lengths.start(), lengths.end())
 }
@@ -207,7 +230,7 @@
         if self.has(field) {
             reader(self, field).map(Some)
         } else {
-            self.asked.push(field);
+            self.ask(field);
             Some(None)
         }
     }
@@ -223,6 +246,28 @@
             .map(|value| value.unwrap_or(default))
     }
 
+    /// Reads a whole number, or returns `default` when it is not there or not
+    /// allowed; the latter is noted and refuses the file.
+    pub fn number(&mut self, field: &'static str, range: RangeInclusive<u64>, default: u64) -> u64 {
+        self.or(field, default, |fields, at| fields.u64(at, range))
+            .unwrap_or(default)
+    }
+
+    /// Reads a mapping that may be left out; one that is not there is read as
+    /// empty, so that its required fields are reported.
+    pub fn section<T>(
+        &mut self,
+        field: &'static str,
+        reader: impl FnOnce(&mut Fields<'_>) -> Option<T>,
+    ) -> Option<T> {
+        if self.has(field) {
+            return self.map(field, reader);
+        }
+        self.ask(field);
+        let path = join(&self.path, field);
+        Item::new(&Node::Map(Vec::new()), path, self.problems).map(reader)
+    }
+
     /// Reads a mapping.
     pub fn map<T>(
         &mut self,
@@ -266,6 +311,11 @@
         self.item(field, &text_of(&lengths))?.secret(lengths)
     }
 
+    /// Reads a SHA-256 digest in lower-case hex.
+    pub fn sha256(&mut self, field: &'static str) -> Option<String> {
+        self.item(field, SHA256)?.sha256()
+    }
+
     /// Reads a name.
     pub fn name(&mut self, field: &'static str) -> Option<String> {
         self.item(field, "a name")?.name()
@@ -302,13 +352,19 @@
         self.item(field, "true or false")?.bool()
     }
 
+    fn ask(&mut self, field: &'static str) {
+        if !self.asked.contains(&field) {
+            self.asked.push(field);
+        }
+    }
+
     fn find(&self, field: &str) -> Option<&Node> {
         let entry = self.entries.iter().find(|(key, _)| key == field);
         entry.map(|(_, node)| node)
     }
 
     fn item(&mut self, field: &'static str, allowed: &str) -> Option<Item<'_>> {
-        self.asked.push(field);
+        self.ask(field);
         let path = join(&self.path, field);
         match self.entries.iter().find(|(key, _)| key == field) {
             Some((_, node)) => Some(Item::new(node, path, self.problems)),
@@ -325,12 +381,8 @@
             if self.asked.contains(&key.as_str()) {
                 continue;
             }
-            let found = format!("the unknown field {}", quote(key));
-            let allowed = if self.asked.is_empty() {
-                "no field".to_owned()
-            } else {
-                self.asked.join(", ")
-            };
+            let found = "an unknown field".to_owned();
+            let allowed = format!("one of {}", self.asked.join(", "));
             self.problems.note(join(&self.path, key), found, allowed);
         }
     }
--- a/crates/check/src/limits.rs
+++ b/crates/check/src/limits.rs
@@ -1,5 +1,11 @@
 //! Limits that keep a hostile file from costing time or memory.
 
+use std::{
+    fs::File,
+    io::{self, Read},
+    path::Path,
+};
+
 /// What a file may cost before it is refused.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -19,6 +25,19 @@
 impl Limits {
     /// What each scalar, mapping or list counts beside its text, in bytes.
     pub const NODE_BYTES: usize = 8;
+
+    /// Reads the file at `path`: the whole of it, or of one that is too long
+    /// just enough for [`read`](crate::read) to refuse it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file can't be read.
+    pub fn read_file(&self, path: &Path) -> io::Result<Vec<u8>> {
+        let mut bytes = Vec::new();
+        let most = self.file_bytes as u64 + 1;
+        File::open(path)?.take(most).read_to_end(&mut bytes)?;
+        Ok(bytes)
+    }
 }
 
 impl Default for Limits {
--- a/crates/check/src/node.rs
+++ b/crates/check/src/node.rs
@@ -53,7 +53,7 @@
 /// Parses `text`; `None` means that it can't be read at all.
 pub(crate) fn parse(text: &[u8], limits: &Limits, problems: &mut Problems) -> Option<Node> {
     if text.len() > limits.file_bytes {
-        let found = format!("a file of {} bytes", text.len());
+        let found = "a longer file".to_owned();
         let allowed = format!("at most {} bytes", limits.file_bytes);
         problems.note(String::new(), found, allowed);
         return None;
--- a/crates/check/src/problem.rs
+++ b/crates/check/src/problem.rs
@@ -25,7 +25,7 @@
         if !self.path.is_empty() {
             write!(f, "{}: ", self.path)?;
         }
-        write!(f, "found {}; allowed: {}", self.found, self.allowed)
+        write!(f, "found {}, allowed is {}", self.found, self.allowed)
     }
 }
 
--- a/crates/check/tests/read.rs
+++ b/crates/check/tests/read.rs
@@ -52,13 +52,13 @@
         "listeners:\n- {name: A, port: 0, mode: off}\n- {prot: 1, note: overlong!}\nmore: 1\n";
     let lines = lines(text);
     let starts = [
-        "test.yaml: listeners[0].name: found \"A\"; allowed: 1 to 63 lower-case",
-        "test.yaml: listeners[0].port: found 0; allowed: a whole number from 1 to 65535",
-        "test.yaml: listeners[0].mode: found \"off\"; allowed: plain, tls",
-        "test.yaml: listeners[1].name: found nothing; allowed: a name (required)",
-        "test.yaml: listeners[1].note: found a text of 9 bytes; allowed: text of 4 to 8 bytes",
-        "test.yaml: listeners[1].prot: found the unknown field \"prot\"; allowed: name, port,",
-        "test.yaml: more: found the unknown field \"more\"; allowed: listeners",
+        "test.yaml: listeners[0].name: found \"A\", allowed is 1 to 63 lower-case",
+        "test.yaml: listeners[0].port: found 0, allowed is a whole number from 1 to 65535",
+        "test.yaml: listeners[0].mode: found \"off\", allowed is plain, tls",
+        "test.yaml: listeners[1].name: found nothing, allowed is a name (required)",
+        "test.yaml: listeners[1].note: found a text of 9 bytes, allowed is text of 4 to 8 bytes",
+        "test.yaml: listeners[1].prot: found an unknown field, allowed is one of name, port,",
+        "test.yaml: more: found an unknown field, allowed is one of listeners",
     ];
     assert_eq!(lines.len(), starts.len(), "{lines:#?}");
     for (line, start) in lines.iter().zip(starts) {
@@ -70,15 +70,15 @@
 fn reports_wrong_types() {
     assert_eq!(
         lines("listeners: 5"),
-        ["test.yaml: listeners: found 5; allowed: a list of 1 to 100 items"]
+        ["test.yaml: listeners: found 5, allowed is a list of 1 to 100 items"]
     );
     assert_eq!(
         lines("- 5"),
-        ["test.yaml: found a list of 1; allowed: a mapping of fields"]
+        ["test.yaml: found a list of 1, allowed is a mapping of fields"]
     );
     assert_eq!(
         lines(""),
-        ["test.yaml: listeners: found nothing; allowed: a list (required)"]
+        ["test.yaml: listeners: found nothing, allowed is a list (required)"]
     );
 }
 
@@ -86,7 +86,7 @@
 fn reports_a_duplicate_key() {
     assert_eq!(
         lines("listeners: [{name: a, port: 1, port: 2}]"),
-        ["test.yaml: listeners[0].port: found the field a second time; allowed: each field once"]
+        ["test.yaml: listeners[0].port: found the field a second time, allowed is each field once"]
     );
 }
 
--- a/crates/ctl/src/file.rs
+++ b/crates/ctl/src/file.rs
@@ -11,21 +11,16 @@
 
 /// Reads the file at `path`, which must not be longer than `max_bytes`.
 pub(crate) fn read(path: &Path, max_bytes: u64) -> Result<Vec<u8>> {
-    let bytes = read_up_to(path, max_bytes + 1)?;
-    if bytes.len() as u64 > max_bytes {
-        let err = io::Error::other(format!("longer than {max_bytes} bytes"));
-        return Err(Error::Read(path.to_owned(), err));
-    }
-    Ok(bytes)
-}
-
-/// Reads the first `max_bytes` of the file at `path`.
-pub(crate) fn read_up_to(path: &Path, max_bytes: u64) -> Result<Vec<u8>> {
     let fail = |err| Error::Read(path.to_owned(), err);
     let file = File::open(path).map_err(fail)?;
     let mut bytes = Vec::new();
-    let mut start = file.take(max_bytes);
+    let mut start = file.take(max_bytes + 1);
     start.read_to_end(&mut bytes).map_err(fail)?;
+    if bytes.len() as u64 > max_bytes {
+        return Err(fail(io::Error::other(format!(
+            "longer than {max_bytes} bytes"
+        ))));
+    }
     Ok(bytes)
 }
 
--- a/crates/ctl/src/intent.rs
+++ b/crates/ctl/src/intent.rs
@@ -16,17 +16,13 @@
     },
 };
 
-use crate::{
-    error::{Error, Result},
-    file,
-};
+use crate::error::{Error, Result};
 
 /// Most objects of one kind in an intent.
 const MAX_OBJECTS: usize = 20_000;
 /// Attainment of a workspace that states none.
 const DEFAULT_ATTAINMENT_PER_MILLE: u32 = 950;
 const PER_MILLE: u32 = 1_000;
-const SHA256_HEX_DIGITS: usize = 64;
 
 const KINDS: [(&str, StageKind); 5] = [
     ("encode", StageKind::Encode),
@@ -56,8 +52,9 @@
 /// Fails when the file can't be read, or with every problem in it.
 pub(crate) fn load(path: &Path) -> Result<Intent> {
     let limits = Limits::default();
-    // One byte more, so that the check reports a longer file.
-    let text = file::read_up_to(path, limits.file_bytes as u64 + 1)?;
+    let text = limits
+        .read_file(path)
+        .map_err(|err| Error::Read(path.to_owned(), err))?;
     let name = path.display().to_string();
     savoryvane_check::read(&name, &text, &limits, intent).map_err(Error::Intent)
 }
@@ -160,11 +157,7 @@
 
 fn workspace(fields: &mut Fields<'_>) -> Option<Workspace> {
     let name = fields.name("name");
-    let credential_sha256 = fields.parsed(
-        "credential_sha256",
-        "SHA-256 of the workspace's credential, as 64 lower-case hex digits",
-        sha256_hex,
-    );
+    let credential_sha256 = fields.sha256("credential_sha256");
     let pipelines = fields.list("pipelines", 0..=MAX_PIPELINES_PER_WORKSPACE, |item| {
         item.name().map(PipelineName::new)
     });
@@ -197,9 +190,3 @@
         name: name?,
     })
 }
-
-fn sha256_hex(text: &str) -> Option<String> {
-    let is_digit = |b: u8| matches!(b, b'0'..=b'9' | b'a'..=b'f');
-    let is_digest = text.len() == SHA256_HEX_DIGITS && text.bytes().all(is_digit);
-    is_digest.then(|| text.to_owned())
-}
--- a/crates/ctl/tests/changes.rs
+++ b/crates/ctl/tests/changes.rs
@@ -80,18 +80,18 @@
     assert_eq!((ran.code, fake.seen().len()), (3, 0));
     let parts = [
         "intent.yaml: pools[0].name: found \"Engine\"",
-        "pools[0].kind: found \"chat\"; allowed: encode, retrieve, rerank, generate, call",
+        "pools[0].kind: found \"chat\", allowed is encode, retrieve, rerank, generate, call",
         "pools[0].price_micros_per_s: found -1",
-        "backends[0].addr: found \"engine:80\"; allowed: IP address",
-        "backends[0].slots: found 0; allowed: a whole number from 1 to 4096",
+        "backends[0].addr: found \"engine:80\", allowed is IP address",
+        "backends[0].slots: found 0, allowed is a whole number from 1 to 4096",
         "models[0].min_replicas: found 1001",
         "pipelines[0].deadline_ms: found 600001",
-        "pipelines[0].stages: found a list of 0; allowed: a list of 1 to 16 items",
-        "workspaces[0].credential_sha256",
+        "pipelines[0].stages: found a list of 0, allowed is a list of 1 to 16 items",
+        "workspaces[0].credential_sha256: found a text of 6 bytes, allowed is SHA-256",
         "workspaces[0].quota_per_s: found nothing",
-        "workspaces[0].quota: found the unknown field \"quota\"",
-        "remove[0].kind: found \"zone\"; allowed: pool, backend, model, pipeline, workspace",
-        "pool: found the unknown field \"pool\"",
+        "workspaces[0].quota: found an unknown field, allowed is one of name,",
+        "remove[0].kind: found \"zone\", allowed is pool, backend, model, pipeline, workspace",
+        "pool: found an unknown field, allowed is one of pools, backends",
         "next: correct the intent",
     ];
     assert_eq!(ran.err.lines().count(), parts.len(), "{}", ran.err);
--- a/crates/server/src/error.rs
+++ b/crates/server/src/error.rs
@@ -4,7 +4,7 @@
 
 use quick_error::quick_error;
 
-use crate::settings::Fault;
+use savoryvane_check::Problems;
 
 quick_error! {
     /// Why an entry instance can't start or has to stop.
@@ -16,9 +16,9 @@
             display("{}: can't be read: {}", path.display(), err)
             source(err)
         }
-        /// The settings are not valid; every fault is listed.
-        Settings(path: PathBuf, faults: Vec<Fault>) {
-            display("{}", list_faults(path, faults))
+        /// The settings are not valid; every problem is listed.
+        Settings(problems: Problems) {
+            display("{problems}")
         }
         /// An address can't be listened on.
         Listen(what: &'static str, addr: SocketAddr, err: io::Error) {
@@ -35,11 +35,3 @@
 
 /// Result of an operation of the entry instance.
 pub type Result<T> = std::result::Result<T, Error>;
-
-fn list_faults(path: &std::path::Path, faults: &[Fault]) -> String {
-    let lines: Vec<_> = faults
-        .iter()
-        .map(|fault| format!("{}: {fault}", path.display()))
-        .collect();
-    lines.join("\n")
-}
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -14,7 +14,6 @@
 mod credential;
 mod error;
 mod exclusive;
-mod fields;
 mod follower;
 mod gate;
 mod http_body;
@@ -43,6 +42,6 @@
     error::{Error, Result},
     instance::{Addresses, Ended, Instance},
     settings::{
-        Backends, Claims, Drain, Fault, Limits, Listen, Log, LogForm, LogLevel, Platform, Settings,
+        Backends, Claims, Drain, Limits, Listen, Log, LogForm, LogLevel, Platform, Settings,
     },
 };
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -2,22 +2,20 @@
 
 use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
-use savoryvane_core::ids::{InstanceName, RegionName, ZoneName, is_valid_name};
-use serde_yaml_ng::Value;
+use savoryvane_check::{self as check, Fields, Problems};
+use savoryvane_core::ids::{InstanceName, RegionName, ZoneName};
 
-pub use crate::fields::Fault;
-use crate::{
-    error::{Error, Result},
-    fields::Fields,
-};
+use crate::error::{Error, Result};
 
-/// Largest settings file that is read, in bytes; the time that the YAML parser
-/// takes for deep nesting grows with the square of the size.
-const MAX_FILE_BYTES: u64 = 16 * 1024;
-/// What a name may look like.
-const NAME: &str = "1 to 63 of a-z, 0-9, '-' and '.', beginning and ending with a letter or digit";
-/// What a digest may look like.
-const SHA256: &str = "64 lower-case hex digits";
+/// Largest settings file that is read, in bytes.
+const MAX_FILE_BYTES: usize = 16 * 1024;
+const LOG_FORMS: [(&str, LogForm); 2] = [("json", LogForm::Json), ("terminal", LogForm::Terminal)];
+const LOG_LEVELS: [(&str, LogLevel); 4] = [
+    ("error", LogLevel::Error),
+    ("warn", LogLevel::Warn),
+    ("info", LogLevel::Info),
+    ("debug", LogLevel::Debug),
+];
 /// Longest duration that a setting takes, in ms.
 const MAX_DURATION_MS: u64 = 3_600_000;
 /// Longest time that an idempotency key can be remembered, in ms.
@@ -174,32 +172,22 @@
     /// # Errors
     ///
     /// Returns [`Error::Unreadable`] when there is no such file, and
-    /// [`Error::Settings`] with every fault when something in it is not allowed.
+    /// [`Error::Settings`] with every problem when something in it is not allowed.
     pub fn load(path: &Path) -> Result<Self> {
-        let unreadable = |err| Error::Unreadable(path.to_owned(), err);
-        let size_bytes = fs::metadata(path).map_err(unreadable)?.len();
-        if size_bytes > MAX_FILE_BYTES {
-            let fault = file_fault(format!("{size_bytes} bytes"), "at most 16 KiB");
-            return Err(Error::Settings(path.to_owned(), vec![fault]));
-        }
-        let text = fs::read_to_string(path).map_err(unreadable)?;
-        Self::parse(&text).map_err(|faults| Error::Settings(path.to_owned(), faults))
+        let text = file_limits()
+            .read_file(path)
+            .map_err(|err| Error::Unreadable(path.to_owned(), err))?;
+        let name = path.display().to_string();
+        check::read(&name, &text, &file_limits(), read).map_err(Error::Settings)
     }
 
     /// Checks the settings in `text`.
     ///
     /// # Errors
     ///
-    /// Returns every fault when something in it is not allowed.
-    pub fn parse(text: &str) -> std::result::Result<Self, Vec<Fault>> {
-        let document: Value = serde_yaml_ng::from_str(text)
-            .map_err(|err| vec![file_fault(err.to_string(), "a YAML mapping of fields")])?;
-        let mut faults = Vec::new();
-        let settings = read(Fields::root(document, &mut faults));
-        match settings {
-            Some(settings) if faults.is_empty() => Ok(settings),
-            _ => Err(faults),
-        }
+    /// Returns every problem when something in it is not allowed.
+    pub fn parse(text: &str) -> std::result::Result<Self, Problems> {
+        check::read("settings", text.as_bytes(), &file_limits(), read)
     }
 }
 
@@ -215,28 +203,26 @@
     }
 }
 
-fn file_fault(found: String, allowed: &str) -> Fault {
-    Fault {
-        path: "settings".to_owned(),
-        found,
-        allowed: allowed.to_owned(),
+fn file_limits() -> check::Limits {
+    check::Limits {
+        file_bytes: MAX_FILE_BYTES,
+        ..check::Limits::default()
     }
 }
 
-fn read(mut fields: Fields<'_>) -> Option<Settings> {
-    let instance = fields.required("instance", NAME, |text| name(text).map(InstanceName::new));
-    let zone = fields.required("zone", NAME, |text| name(text).map(ZoneName::new));
-    let region = fields.required("region", NAME, |text| name(text).map(RegionName::new));
-    let listen = read_listen(fields.section("listen"));
-    let platform = read_platform(fields.section("platform"));
-    let credential = read_admin(fields.section("admin"));
-    let log = read_log(fields.section("log"));
-    let limits = read_limits(fields.section("limits"));
-    let backends = read_backends(fields.section("backends"));
-    let longest_window_ms = longest_window_ms(platform.as_ref(), limits);
-    let claims = read_claims(fields.section("claims"), longest_window_ms);
-    let drain = read_drain(fields.section("drain"));
-    fields.finish();
+fn read(fields: &mut Fields<'_>) -> Option<Settings> {
+    let instance = fields.name("instance").map(InstanceName::new);
+    let zone = fields.name("zone").map(ZoneName::new);
+    let region = fields.name("region").map(RegionName::new);
+    let listen = fields.section("listen", read_listen);
+    let platform = fields.section("platform", read_platform);
+    let credential = fields.section("admin", read_admin);
+    let log = fields.section("log", read_log);
+    let limits = fields.section("limits", read_limits);
+    let backends = fields.section("backends", read_backends);
+    let longest_window_ms = longest_window_ms(platform.as_ref(), limits.as_ref());
+    let claims = fields.section("claims", |f| read_claims(f, longest_window_ms));
+    let drain = fields.section("drain", read_drain);
     Some(Settings {
         instance: instance?,
         zone: zone?,
@@ -244,19 +230,18 @@
         listen: listen?,
         platform: platform?,
         admin_credential_sha256: credential?,
-        log,
-        limits,
-        backends,
-        claims,
-        drain,
+        log: log?,
+        limits: limits?,
+        backends: backends?,
+        claims: claims?,
+        drain: drain?,
     })
 }
 
-fn read_listen(mut fields: Fields<'_>) -> Option<Listen> {
+fn read_listen(fields: &mut Fields<'_>) -> Option<Listen> {
     let caller = fields.addr("caller");
     let peer = fields.addr("peer");
     let admin = fields.addr("admin");
-    fields.finish();
     Some(Listen {
         caller: caller?,
         peer: peer?,
@@ -264,13 +249,12 @@
     })
 }
 
-fn read_platform(mut fields: Fields<'_>) -> Option<Platform> {
+fn read_platform(fields: &mut Fields<'_>) -> Option<Platform> {
     let log = fields.addr("log");
     let list = fields.addr("list");
     let retention_ms = fields.number("retention_ms", 1_000..=31_536_000_000, 86_400_000);
     let wait_ms = fields.number("wait_ms", 10..=60_000, 1_000);
     let timeout_ms = fields.number("timeout_ms", 10..=60_000, 1_000);
-    fields.finish();
     Some(Platform {
         log: log?,
         list: list?,
@@ -280,52 +264,45 @@
     })
 }
 
-fn read_admin(mut fields: Fields<'_>) -> Option<String> {
-    let inline = fields.optional("credential_sha256", SHA256, digest);
-    let file = fields.optional(
-        "credential_sha256_file",
-        "a readable file with 64 lower-case hex digits",
-        |path| digest(fs::read_to_string(path).ok()?.trim()),
-    );
-    if inline.is_some() && file.is_some() {
-        fields.fault(
-            "credential_sha256_file",
-            "both ways to give the credential".to_owned(),
-            "either credential_sha256 or credential_sha256_file",
-        );
-    }
-    let missing = inline.is_none() && file.is_none() && !fields.has_fault();
-    if missing {
-        fields.fault("credential_sha256", "nothing".to_owned(), SHA256);
+fn read_admin(fields: &mut Fields<'_>) -> Option<String> {
+    let inline = fields.optional("credential_sha256", Fields::sha256);
+    let file = fields.optional("credential_sha256_file", |fields, at| {
+        let allowed = "a readable file with 64 lower-case hex digits";
+        fields.parsed(at, allowed, digest_in_file)
+    });
+    match (inline?, file?) {
+        (Some(digest), None) | (None, Some(digest)) => Some(digest),
+        (Some(_), Some(_)) => {
+            fields.problem(
+                "credential_sha256_file",
+                "both ways to give the credential",
+                "either credential_sha256 or credential_sha256_file",
+            );
+            None
+        }
+        (None, None) => fields.sha256("credential_sha256"),
     }
-    fields.finish();
-    inline.or(file)
 }
 
-fn read_log(mut fields: Fields<'_>) -> Log {
-    let form = fields.optional("form", "json or terminal", |text| match text {
-        "json" => Some(LogForm::Json),
-        "terminal" => Some(LogForm::Terminal),
-        _ => None,
-    });
-    let level = fields.optional("level", "error, warn, info or debug", |text| match text {
-        "error" => Some(LogLevel::Error),
-        "warn" => Some(LogLevel::Warn),
-        "info" => Some(LogLevel::Info),
-        "debug" => Some(LogLevel::Debug),
-        _ => None,
-    });
+fn digest_in_file(path: &str) -> Option<String> {
+    let text = fs::read_to_string(path).ok()?;
+    let digest = text.trim();
+    check::is_sha256(digest).then(|| digest.to_owned())
+}
+
+fn read_log(fields: &mut Fields<'_>) -> Option<Log> {
+    let form = fields.or("form", LogForm::Json, |f, at| f.choice(at, &LOG_FORMS));
+    let level = fields.or("level", LogLevel::Info, |f, at| f.choice(at, &LOG_LEVELS));
     let buffer_lines = fields.number("buffer_lines", 16..=1_000_000, 8_192);
-    fields.finish();
-    Log {
-        form: form.unwrap_or(LogForm::Json),
-        level: level.unwrap_or(LogLevel::Info),
+    Some(Log {
+        form: form?,
+        level: level?,
         buffer_lines: usize::try_from(buffer_lines).unwrap_or(usize::MAX),
-    }
+    })
 }
 
-fn read_limits(mut fields: Fields<'_>) -> Limits {
-    let limits = Limits {
+fn read_limits(fields: &mut Fields<'_>) -> Option<Limits> {
+    Some(Limits {
         header_bytes: fields.number("header_bytes", 8_192..=1_048_576, 16_384),
         body_bytes: fields.number("body_bytes", 1_024..=67_108_864, 1_048_576),
         header_timeout_ms: fields.number("header_timeout_ms", 10..=60_000, 5_000),
@@ -333,58 +310,41 @@
         max_in_flight: fields.number("max_in_flight", 1..=1_000_000, 2_048),
         max_connections: fields.number("max_connections", 1..=1_000_000, 8_192),
         max_deadline_ms: fields.number("max_deadline_ms", 1..=MAX_DURATION_MS, 120_000),
-    };
-    fields.finish();
-    limits
+    })
 }
 
-fn read_backends(mut fields: Fields<'_>) -> Backends {
-    let backends = Backends {
+fn read_backends(fields: &mut Fields<'_>) -> Option<Backends> {
+    Some(Backends {
         connect_timeout_ms: fields.number("connect_timeout_ms", 1..=60_000, 250),
         idle_connections: fields.number("idle_connections", 0..=1_024, 8),
         idle_timeout_ms: fields.number("idle_timeout_ms", 10..=MAX_DURATION_MS, 10_000),
         silence_ms: fields.number("silence_ms", 10..=60_000, 1_500),
         line_bytes: fields.number("line_bytes", 1_024..=67_108_864, 1_048_576),
         load_interval_ms: fields.number("load_interval_ms", 10..=60_000, 250),
-    };
-    fields.finish();
-    backends
+    })
 }
 
 /// A key has to be forgotten before the log forgets its first record.
-fn longest_window_ms(platform: Option<&Platform>, limits: Limits) -> u64 {
+fn longest_window_ms(platform: Option<&Platform>, limits: Option<&Limits>) -> u64 {
     let retention_ms = platform.map_or(MAX_DURATION_MS, |platform| platform.retention_ms);
-    let spare_ms = 2 * limits.max_deadline_ms;
+    let spare_ms = limits.map_or(0, |limits| 2 * limits.max_deadline_ms);
     retention_ms
         .saturating_sub(spare_ms)
         .clamp(1, MAX_WINDOW_MS)
 }
 
-fn read_claims(mut fields: Fields<'_>, longest_window_ms: u64) -> Claims {
+fn read_claims(fields: &mut Fields<'_>, longest_window_ms: u64) -> Option<Claims> {
     let window_ms = DEFAULT_WINDOW_MS.min(longest_window_ms);
-    let claims = Claims {
+    Some(Claims {
         window_ms: fields.number("window_ms", 1..=longest_window_ms, window_ms),
         appends_per_s: fields.number("appends_per_s", 1..=10_000, 200),
         ticket_valid_ms: fields.number("ticket_valid_ms", 1_000..=MAX_DURATION_MS, 60_000),
-    };
-    fields.finish();
-    claims
+    })
 }
 
-fn read_drain(mut fields: Fields<'_>) -> Drain {
-    let drain = Drain {
+fn read_drain(fields: &mut Fields<'_>) -> Option<Drain> {
+    Some(Drain {
         grace_ms: fields.number("grace_ms", 0..=MAX_DURATION_MS, 2_000),
         timeout_ms: fields.number("timeout_ms", 0..=MAX_DURATION_MS, 130_000),
-    };
-    fields.finish();
-    drain
-}
-
-fn name(text: &str) -> Option<&str> {
-    is_valid_name(text).then_some(text)
-}
-
-fn digest(text: &str) -> Option<String> {
-    let is_hex = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
-    (text.len() == 64 && text.bytes().all(is_hex)).then(|| text.to_owned())
+    })
 }
