Keep a confirm in doubt when only another address refuses the repeat

A confirm whose answer was lost, followed by a wrong credential at the next address, exited 6 as if nothing had been sent. Only a verdict on the change, a conflict or an invalid result, ends the doubt now. Seen failing with the guard taken out: a_confirm_without_any_answer_is_not_called_failed.

The books of the instances are collected in a module of their own, and the JSON report names whose books it holds and whose it lacks. The proofs have rows for the command line.

--- a/crates/ctl/src/admin.rs
+++ b/crates/ctl/src/admin.rs
@@ -40,6 +40,23 @@
 /// What one address said, or why it said nothing.
 pub(crate) type Said<T> = (SocketAddr, Result<T>);
 
+/// Addresses without an answer, each with the reason.
+pub(crate) type Failures = Vec<(SocketAddr, String)>;
+
+/// Parts answers from addresses without one; any other error counts for all.
+pub(crate) fn split<T>(said: Vec<Said<T>>) -> Result<(Vec<(SocketAddr, T)>, Failures)> {
+    let mut answers = Vec::new();
+    let mut failures = Vec::new();
+    for (addr, said) in said {
+        match said {
+            Ok(answer) => answers.push((addr, answer)),
+            Err(Error::Unreachable(failure)) => failures.extend(failure),
+            Err(err) => return Err(err),
+        }
+    }
+    Ok((answers, failures))
+}
+
 impl<'a> Admin<'a> {
     pub(crate) fn new(settings: &'a Settings) -> Self {
         Self { settings }
--- a/crates/ctl/src/confirm.rs
+++ b/crates/ctl/src/confirm.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use http::StatusCode;
 use savoryvane_wire::admin::{Confirmation, Plan, Reach};
 use tokio::time::{self, Instant};
 
@@ -36,7 +37,11 @@
         failures.clear();
         for &addr in &settings.admins {
             match attempt(settings, addr, plan).await {
-                Attempt::Decided(result) => return result,
+                Attempt::Decided(result) if doubt.is_none() || is_verdict(&result) => {
+                    return result;
+                }
+                // It says nothing about the attempt that is in doubt.
+                Attempt::Decided(_) => {}
                 Attempt::NotSent(reason) => failures.push((addr, reason)),
                 Attempt::InDoubt(reason) => doubt = Some(format!("{addr}: {reason}")),
             }
@@ -48,6 +53,18 @@
     })
 }
 
+/// Tells whether `result` says what became of the change itself.
+fn is_verdict(result: &Result<Confirmation>) -> bool {
+    match result {
+        Ok(_) => true,
+        Err(Error::Refused(_, status, _)) => matches!(
+            *status,
+            StatusCode::CONFLICT | StatusCode::UNPROCESSABLE_ENTITY
+        ),
+        Err(_) => false,
+    }
+}
+
 /// What became of one attempt.
 enum Attempt {
     Decided(Result<Confirmation>),
--- a/crates/ctl/src/controller.rs
+++ b/crates/ctl/src/controller.rs
@@ -1,21 +1,18 @@
 //! Carries out commands.
 
-use std::{
-    collections::BTreeSet,
-    io::{BufRead, IsTerminal, Write},
-    net::SocketAddr,
-};
+use std::io::{BufRead, IsTerminal, Write};
 
 use http::StatusCode;
 use savoryvane_core::ids::{InstanceName, Offset};
-use savoryvane_wire::admin::{Confirmation, CostLine, Plan, Reach, Status};
+use savoryvane_wire::admin::{Confirmation, Plan, Reach, Status};
 use serde::Serialize;
 
 use crate::{
-    admin::Admin,
+    admin::{self, Admin},
+    books::{self, Books},
     command::{Command, Confirmed, Costs, ObjectList, Planned, ReportForm},
     confirm,
-    costs::{self, Report},
+    costs::Report,
     error::{Error, Result},
     file, intent, plan, report,
     settings::{Format, Settings},
@@ -69,7 +66,7 @@
     }
 
     async fn status(&mut self) -> Result<()> {
-        let (statuses, failures) = split(self.admin().statuses().await)?;
+        let (statuses, failures) = admin::split(self.admin().statuses().await)?;
         let listed: Vec<&Status> = statuses.iter().map(|(_, status)| status).collect();
         if !listed.is_empty() {
             self.show(&listed, || view::statuses(&statuses))?;
@@ -139,8 +136,12 @@
     }
 
     async fn costs(&mut self, costs: &Costs) -> Result<()> {
-        let booked = self.booked(costs.partial).await?;
-        let report = costs::sum(&booked, costs.grouping);
+        let books = books::collect(self.settings).await?;
+        if !books.unreachable.is_empty() && !costs.partial {
+            return Err(Error::Unreachable(books.unreachable));
+        }
+        self.note_missing(&books)?;
+        let report = Report::sum(&books, costs.grouping);
         let text = self.render_costs(costs, &report);
         match &costs.output {
             None => self.write(&text),
@@ -151,6 +152,22 @@
         }
     }
 
+    fn note_missing(&mut self, books: &Books) -> Result<()> {
+        if !books.unreachable.is_empty() {
+            let addrs = books.unreachable.iter().map(|(addr, _)| addr.to_string());
+            let addrs = addrs.collect::<Vec<_>>().join(", ");
+            self.note(&format!("The report is partial: no answer from {addrs}."))?;
+        }
+        if !books.not_asked.is_empty() {
+            let names = books.not_asked.iter().map(|name| name.as_str());
+            let names = names.collect::<Vec<_>>().join(", ");
+            self.note(&format!(
+                "Not asked, so not in the sums: {names}. Add their addresses to --admin."
+            ))?;
+        }
+        Ok(())
+    }
+
     fn render_costs(&self, costs: &Costs, report: &Report) -> String {
         match (costs.form, self.settings.format) {
             (ReportForm::Csv, _) => report::csv(report),
@@ -159,50 +176,6 @@
         }
     }
 
-    /// Collects what every instance has booked, each of them once.
-    async fn booked(&mut self, is_partial_wanted: bool) -> Result<Vec<CostLine>> {
-        let (statuses, mut failures) = split(self.admin().statuses().await)?;
-        let mut seen = BTreeSet::new();
-        let distinct: Vec<SocketAddr> = statuses
-            .iter()
-            .filter(|(_, status)| seen.insert(status.incarnation))
-            .map(|(addr, _)| *addr)
-            .collect();
-        let (books, missed) = split(self.admin().costs(&distinct).await)?;
-        failures.extend(missed);
-        if !failures.is_empty() {
-            if !is_partial_wanted || books.is_empty() {
-                return Err(Error::Unreachable(failures));
-            }
-            let missing: Vec<_> = failures.iter().map(|(addr, _)| addr.to_string()).collect();
-            let missing = missing.join(", ");
-            self.note(&format!("The report is partial: no answer from {missing}."))?;
-        }
-        self.note_unasked(&statuses).await?;
-        Ok(books.into_iter().flat_map(|(_, lines)| lines).collect())
-    }
-
-    /// Names the instances that were not among the addresses.
-    async fn note_unasked(&mut self, statuses: &[(SocketAddr, Status)]) -> Result<()> {
-        // Without a list the report is still right for those that were asked.
-        let Ok(views) = self.admin().instances().await else {
-            return Ok(());
-        };
-        let is_asked = |name: &InstanceName| statuses.iter().any(|(_, s)| s.instance == *name);
-        let unasked: Vec<_> = views
-            .iter()
-            .filter(|view| !is_asked(&view.name))
-            .map(|view| view.name.as_str())
-            .collect();
-        if unasked.is_empty() {
-            return Ok(());
-        }
-        let names = unasked.join(", ");
-        self.note(&format!(
-            "Not asked, so not in the sums: {names}. Add their addresses to --admin."
-        ))
-    }
-
     async fn drain(&mut self, instance: &InstanceName) -> Result<()> {
         let mut failures = Vec::new();
         let mut doubt = None;
@@ -271,20 +244,3 @@
     text.push('\n');
     text
 }
-
-type Failures = Vec<(SocketAddr, String)>;
-
-/// Parts answers from addresses that can't be reached; any other error counts
-/// for all.
-fn split<T>(said: Vec<crate::admin::Said<T>>) -> Result<(Vec<(SocketAddr, T)>, Failures)> {
-    let mut answers = Vec::new();
-    let mut failures = Vec::new();
-    for (addr, said) in said {
-        match said {
-            Ok(answer) => answers.push((addr, answer)),
-            Err(Error::Unreachable(failure)) => failures.extend(failure),
-            Err(err) => return Err(err),
-        }
-    }
-    Ok((answers, failures))
-}
--- a/crates/ctl/src/costs.rs
+++ b/crates/ctl/src/costs.rs
@@ -1,11 +1,12 @@
 //! Sums of cost lines, with shares and wasted work apart.
 
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr};
 
+use savoryvane_core::ids::InstanceName;
 use savoryvane_wire::admin::CostLine;
 use serde::Serialize;
 
-use crate::command::Grouping;
+use crate::{books::Books, command::Grouping};
 
 /// What was spent, in total or on one group.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
@@ -67,32 +68,50 @@
     pub(crate) lines: Vec<Line>,
     /// Sum of all lines.
     pub(crate) total: Spent,
+    /// Instances whose books were summed.
+    pub(crate) instances: Vec<InstanceName>,
+    /// Addresses whose books are missing.
+    pub(crate) unreachable: Vec<SocketAddr>,
+    /// Known instances that were not asked.
+    pub(crate) not_asked: Vec<InstanceName>,
 }
 
 type Key = (Option<String>, Option<String>, Option<String>);
 
-/// Sums `booked` by `grouping`.
-pub(crate) fn sum(booked: &[CostLine], grouping: Grouping) -> Report {
-    let mut total = Spent::default();
-    let mut groups: BTreeMap<Key, Spent> = BTreeMap::new();
-    for line in booked {
-        total.add(line);
-        groups.entry(key(line, grouping)).or_default().add(line);
+impl Report {
+    /// Sums `books` by `grouping`.
+    pub(crate) fn sum(books: &Books, grouping: Grouping) -> Self {
+        let mut total = Spent::default();
+        let mut groups: BTreeMap<Key, Spent> = BTreeMap::new();
+        for line in &books.lines {
+            total.add(line);
+            groups.entry(key(line, grouping)).or_default().add(line);
+        }
+        let lines = groups
+            .into_iter()
+            .map(|(key, spent)| line(key, spent, total));
+        let mut lines: Vec<Line> = lines.collect();
+        // The sort is stable: lines of the same cost stay in the order of names.
+        lines.sort_by_key(|line| Reverse(line.spent.cost_micros));
+        Self {
+            lines,
+            total,
+            instances: books.instances.clone(),
+            unreachable: books.unreachable.iter().map(|(addr, _)| *addr).collect(),
+            not_asked: books.not_asked.clone(),
+        }
+    }
+}
+
+fn line((workspace, pipeline, stage): Key, spent: Spent, total: Spent) -> Line {
+    Line {
+        workspace,
+        pipeline,
+        stage,
+        spent,
+        share_percent: percent(spent.cost_micros, total.cost_micros),
+        wasted_percent: spent.wasted_percent(),
     }
-    let mut lines: Vec<Line> = groups
-        .into_iter()
-        .map(|((workspace, pipeline, stage), spent)| Line {
-            workspace,
-            pipeline,
-            stage,
-            spent,
-            share_percent: percent(spent.cost_micros, total.cost_micros),
-            wasted_percent: spent.wasted_percent(),
-        })
-        .collect();
-    // The sort is stable: lines of the same cost stay in the order of names.
-    lines.sort_by_key(|line| std::cmp::Reverse(line.spent.cost_micros));
-    Report { lines, total }
 }
 
 fn key(line: &CostLine, grouping: Grouping) -> Key {
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -94,7 +94,7 @@
         }
         /// A confirm was sent, but its answer did not come.
         Unknown(id: ChangeId, reason: String) {
-            display("change {id} may be in force or not: {}", printable(reason))
+            display("change {id} is not known to be in force: {}", printable(reason))
         }
         /// A change is accepted, but was not seen in force everywhere.
         NotEverywhere(id: ChangeId, reach: Reach) {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -2,6 +2,7 @@
 //! the controller that runs them and the errors with their exit codes.
 
 mod admin;
+mod books;
 mod client;
 mod command;
 mod confirm;
--- a/crates/ctl/tests/changes.rs
+++ b/crates/ctl/tests/changes.rs
@@ -174,6 +174,10 @@
     assert_eq!(ran.code, 7);
     assert!(ran.err.contains("run the same confirm again"), "{ran:?}");
 
+    let stranger = Fake::start(|_, _| error(401, "the credential is wrong", "none"));
+    let admins = [lossy.addr, stranger.addr];
+    assert_eq!(dir.ctl(&admins, &["confirm", &file]).code, 7);
+
     let broken = Fake::start(|_, _| error(500, "broken", "none"));
     assert_eq!(dir.ctl(&[broken.addr], &["confirm", &file]).code, 7);
     let elsewhere = Fake::start(|_, _| Reply::Json(404, json!("no such page")));
--- a/crates/ctl/tests/costs.rs
+++ b/crates/ctl/tests/costs.rs
@@ -81,6 +81,7 @@
     assert_eq!(report["total"]["cost_micros"], 10_000_001);
     assert_eq!(report["lines"][0]["cost_micros"], 8_500_000);
     assert_eq!(report["lines"][0]["pipeline"], Value::Null);
+    assert_eq!(report["instances"], json!(["entry-1", "entry-2"]));
 }
 
 #[test]
@@ -133,6 +134,10 @@
         "{ran:?}"
     );
     assert_eq!(dir.ctl(&[dead], &["costs", "--partial"]).code, 4);
+    let ran = dir.ctl(&[one.addr, dead], &["--json", "costs", "--partial"]);
+    let report = ran.json();
+    assert_eq!(report["unreachable"], json!([dead.to_string()]));
+    assert_eq!(report["not_asked"], json!(["entry-2"]));
 }
 
 #[test]
