Split the backend server and log stand-ins into settings, jobs and exchanges

Cause: two files of about 400 and 550 lines held settings, exchanges, the work on calls and a rate limit. Ruled out: new types between them; the split follows the functions.

--- a/crates/standins/src/backend.rs
+++ b/crates/standins/src/backend.rs
@@ -1,7 +1,7 @@
 //! A model engine, pool service or plain service over HTTP.
 
 use std::{
-    collections::{HashMap, hash_map::Entry},
+    collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
@@ -9,35 +9,29 @@
 
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use rand::{RngExt, SeedableRng};
-use rand_pcg::Pcg64;
 use savoryvane_core::{
-    call::{CallId, RefusalReason, ServingState, StageCall, StageEvent},
-    ids::{BackendName, ModelName},
-    objects::{Fencing, StageKind},
+    call::{CallId, RefusalReason, ServingState, StageCall},
+    ids::ModelName,
 };
 use savoryvane_wire::backend::{Cancel, LoadReport, Order, Refusal};
-use sha2::{Digest, Sha256};
 use tokio::{
     sync::{oneshot, watch},
-    time::{self, Instant},
+    time,
 };
 
 use crate::{
     Result,
     backend_faults::BackendFaults,
+    backend_settings::BackendSettings,
     body::{self, Body, empty, json},
     cache::{CacheReporting, PrefixCache},
-    clock::elapsed_us,
     history::History,
     models::Models,
-    outbox::{Closed, Outbox},
-    ran::{Ran, RanCall, RanState},
+    outbox::Outbox,
+    ran::{Ran, RanCall},
     server::{Reply, Server},
     slots::{Occupancy, Place, Slots},
     socket::{Exemption, SocketSwitches},
-    weights::{WeightSource, WeightStore},
-    work::{Step, first_u64, prefix_hash, stage_output, tokens_of},
 };
 
 /// Events that wait for a slow reader before the work waits too.
@@ -52,70 +46,6 @@
 /// How often a stopping server looks whether its calls have ended.
 const DRAIN_CHECK: Duration = Duration::from_millis(10);
 
-/// Settings of a backend server.
-#[derive(Clone, Debug)]
-pub struct BackendSettings {
-    /// Name that it reports.
-    pub name: BackendName,
-    /// Work that it does.
-    pub kind: StageKind,
-    /// Address to listen on.
-    pub addr: SocketAddr,
-    /// Calls that it works on at the same time.
-    pub slots: u32,
-    /// Calls that may wait for a slot.
-    pub queue_limit: usize,
-    /// Seed of service times and of random faults.
-    pub seed: u64,
-    /// Mean time of a call before its first token or its answer, in µs.
-    pub service_us: u64,
-    /// Time between two tokens of a call that runs alone, in µs.
-    pub token_us: u64,
-    /// Growth of the time between tokens when all slots are busy, per mille.
-    pub batch_slowdown_per_mille: u32,
-    /// Age of the load that it reports, in ms.
-    pub load_lag_ms: u64,
-    /// Prefixes that its cache holds.
-    pub cache_prefixes: usize,
-    /// Age that a cache event has when it is first reported, in ms.
-    pub cache_lag_ms: u64,
-    /// Share of cache events that are never reported, per mille.
-    pub cache_lost_per_mille: u32,
-    /// Whether it checks fencing numbers of orders.
-    pub fencing: Fencing,
-    /// Models loaded at the start.
-    pub models: Vec<ModelName>,
-    /// Size of every model, in MB.
-    pub model_mb: u64,
-    /// Where models are loaded from.
-    pub weights: WeightSource,
-}
-
-impl BackendSettings {
-    /// Returns settings of a quick server for `kind`.
-    pub fn new(name: impl Into<BackendName>, kind: StageKind) -> Self {
-        Self {
-            name: name.into(),
-            kind,
-            addr: SocketAddr::from(([127, 0, 0, 1], 0)),
-            slots: 8,
-            queue_limit: 32,
-            seed: 1,
-            service_us: 2000,
-            token_us: 500,
-            batch_slowdown_per_mille: 500,
-            load_lag_ms: 200,
-            cache_prefixes: 64,
-            cache_lag_ms: 500,
-            cache_lost_per_mille: 20,
-            fencing: Fencing::default(),
-            models: Vec::new(),
-            model_mb: 1000,
-            weights: WeightSource::Local(Arc::new(WeightStore::new(0))),
-        }
-    }
-}
-
 /// A backend server as it runs in this process.
 #[derive(Debug)]
 pub struct BackendServer {
@@ -171,15 +101,16 @@
     }
 }
 
+/// What the exchanges and the jobs of one server share.
 #[derive(Debug)]
-struct State {
-    settings: BackendSettings,
+pub(crate) struct State {
+    pub(crate) settings: BackendSettings,
     switches: Arc<SocketSwitches>,
-    faults: watch::Sender<BackendFaults>,
-    slots: Slots,
+    pub(crate) faults: watch::Sender<BackendFaults>,
+    pub(crate) slots: Slots,
     models: Arc<Models>,
-    cache: PrefixCache,
-    ran: Ran,
+    pub(crate) cache: PrefixCache,
+    pub(crate) ran: Ran,
     open: Mutex<HashMap<CallId, Vec<oneshot::Sender<()>>>>,
     load: Mutex<History<Load>>,
 }
@@ -191,13 +122,6 @@
     models: Vec<ModelName>,
 }
 
-/// How a call that was worked on ended.
-enum Ending {
-    Done,
-    Failed,
-    Cancelled,
-}
-
 impl State {
     fn new(settings: BackendSettings) -> Self {
         let models = Models::new(
@@ -294,138 +218,6 @@
         place.map_err(|_| RefusalReason::Full)
     }
 
-    async fn serve(
-        self: Arc<Self>,
-        call: StageCall,
-        mut place: Place,
-        mut cancelled: oneshot::Receiver<()>,
-        mut outbox: Outbox,
-    ) {
-        let deadline = Instant::now() + Duration::from_millis(call.deadline_ms);
-        let slot = tokio::select! {
-            biased;
-            _ = &mut cancelled => None,
-            () = outbox.closed() => None,
-            () = time::sleep_until(deadline) => None,
-            slot = place.slot() => Some(slot),
-        };
-        drop(place);
-        if slot.is_some() {
-            self.note_load();
-            self.run(&call, &mut cancelled, &mut outbox).await;
-        }
-        drop(slot);
-        drop(cancelled);
-        self.forget_ended(&call.id);
-        self.note_load();
-    }
-
-    /// Drops the cancel switches of ended calls; the same call may have been
-    /// sent twice and still run once more.
-    fn forget_ended(&self, id: &CallId) {
-        let mut open = self.open();
-        if let Entry::Occupied(mut entry) = open.entry(id.clone()) {
-            entry.get_mut().retain(|cancel| !cancel.is_closed());
-            if entry.get().is_empty() {
-                entry.remove();
-            }
-        }
-    }
-
-    async fn run(
-        &self,
-        call: &StageCall,
-        cancelled: &mut oneshot::Receiver<()>,
-        outbox: &mut Outbox,
-    ) {
-        let index = self.ran.begin(RanCall {
-            id: call.id.clone(),
-            kind: call.kind,
-            input: call.input.clone(),
-            resume_from: call.resume_from,
-            state: RanState::Running,
-        });
-        let ending = tokio::select! {
-            biased;
-            _ = cancelled => Ending::Cancelled,
-            ending = self.work(call, outbox) => ending,
-        };
-        let state = match ending {
-            Ending::Done => RanState::Done,
-            Ending::Failed => RanState::Failed,
-            Ending::Cancelled => RanState::Cancelled,
-        };
-        self.ran.end(index, state);
-    }
-
-    async fn work(&self, call: &StageCall, outbox: &mut Outbox) -> Ending {
-        let started = Instant::now();
-        let mut rng = Pcg64::seed_from_u64(self.call_seed(&call.id));
-        let fails = rng.random_range(0..1000) < self.faults.borrow().fail_per_mille;
-        let worked = tokio::select! {
-            () = outbox.closed() => return Ending::Cancelled,
-            () = time::sleep(self.service_time(call, &mut rng)) => {
-                if fails { Ok(()) } else { self.send_tokens(call, outbox).await }
-            }
-        };
-        if worked.is_err() {
-            return Ending::Cancelled;
-        }
-        let busy_us = elapsed_us(started);
-        let last = if fails {
-            failure(call, busy_us)
-        } else {
-            completion(call, busy_us)
-        };
-        // The work is done, whether or not its answer still finds a reader.
-        let _ = outbox.send(last).await;
-        let _ = outbox.flush().await;
-        if fails { Ending::Failed } else { Ending::Done }
-    }
-
-    async fn send_tokens(
-        &self,
-        call: &StageCall,
-        outbox: &mut Outbox,
-    ) -> std::result::Result<(), Closed> {
-        if call.kind != StageKind::Generate {
-            return Ok(());
-        }
-        let tokens = tokens_of(step(call), &call.input, &call.previous);
-        for (index, text) in (0..).zip(tokens).skip(call.resume_from as usize) {
-            tokio::select! {
-                () = outbox.closed() => return Err(Closed),
-                () = time::sleep(self.token_time()) => {}
-            }
-            let id = call.id.clone();
-            outbox.send(StageEvent::Token { id, index, text }).await?;
-        }
-        Ok(())
-    }
-
-    fn service_time(&self, call: &StageCall, rng: &mut Pcg64) -> Duration {
-        let mut mean_us = self.settings.service_us;
-        if call.kind == StageKind::Generate && self.cache.touch(prefix_hash(&call.input)) {
-            mean_us /= 2;
-        }
-        // Between half and one and a half of the mean.
-        let drawn_us = mean_us * rng.random_range(500..1500) / 1000;
-        self.slowed(Duration::from_micros(drawn_us))
-    }
-
-    fn token_time(&self) -> Duration {
-        let running = u64::from(self.slots.occupancy().running);
-        let slots = u64::from(self.settings.slots.max(1));
-        let growth = u64::from(self.settings.batch_slowdown_per_mille) * running / slots;
-        self.slowed(Duration::from_micros(
-            self.settings.token_us * (1000 + growth) / 1000,
-        ))
-    }
-
-    fn slowed(&self, time: Duration) -> Duration {
-        time * self.faults.borrow().slow_per_mille / 1000
-    }
-
     async fn answer_cancel(&self, request: Request<Incoming>) -> Response<Body> {
         let Ok(cancel) = body::read_json::<Cancel, _>(request.into_body()).await else {
             return empty(StatusCode::BAD_REQUEST);
@@ -481,7 +273,8 @@
         }
     }
 
-    fn note_load(&self) {
+    /// Notes the load as it is now, for reports that lag.
+    pub(crate) fn note_load(&self) {
         let state = if self.faults.borrow().leaving {
             ServingState::Leaving
         } else {
@@ -496,47 +289,10 @@
         history.set(load);
     }
 
-    fn open(&self) -> MutexGuard<'_, HashMap<CallId, Vec<oneshot::Sender<()>>>> {
+    /// Locks the cancel switches of open calls.
+    pub(crate) fn open(&self) -> MutexGuard<'_, HashMap<CallId, Vec<oneshot::Sender<()>>>> {
         self.open.lock().expect("no holder of the lock panics")
     }
-
-    fn call_seed(&self, id: &CallId) -> u64 {
-        let digest = Sha256::new()
-            .chain_update(self.settings.seed.to_be_bytes())
-            .chain_update(id.request.as_str())
-            .chain_update(id.stage.as_str())
-            .chain_update(id.attempt.to_be_bytes())
-            .finalize();
-        first_u64(&digest)
-    }
-}
-
-fn step(call: &StageCall) -> Step {
-    Step {
-        kind: call.kind,
-        max_tokens: call.max_tokens,
-    }
-}
-
-fn failure(call: &StageCall, busy_us: u64) -> StageEvent {
-    StageEvent::Error {
-        id: call.id.clone(),
-        message: "failed by a fault".to_owned(),
-        busy_us,
-    }
-}
-
-fn completion(call: &StageCall, busy_us: u64) -> StageEvent {
-    let tokens = match call.kind {
-        StageKind::Generate => tokens_of(step(call), &call.input, &call.previous).len(),
-        _ => 0,
-    };
-    StageEvent::Done {
-        id: call.id.clone(),
-        output: stage_output(step(call), &call.input, &call.previous),
-        tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
-        busy_us,
-    }
 }
 
 fn refuse(reason: RefusalReason) -> Response<Body> {
--- a/crates/standins/src/log_server.rs
+++ b/crates/standins/src/log_server.rs
@@ -11,7 +11,6 @@
 use hyper::body::Incoming;
 use savoryvane_core::ids::Offset;
 use savoryvane_wire::platform::{Appended, LogRecord, Records, Trimmed};
-use serde::{Deserialize, Serialize};
 use tokio::{
     sync::watch,
     time::{self, Instant},
@@ -19,9 +18,11 @@
 
 use crate::{
     Error, Result,
+    append_limit::AppendLimit,
     body::{self, Body, empty, json},
     clock::{elapsed_ms, unix_now_ms},
     log::{BeforeFirst, Delivery, Kept, Retention, Slice, Streams},
+    log_settings::{LogFaults, LogSettings},
     server::{HangUp, Reply, Server},
 };
 
@@ -34,53 +35,6 @@
 /// How often a waiting read looks for delayed records.
 const DELAYED_CHECK: Duration = Duration::from_millis(10);
 
-/// Settings of the log.
-#[derive(Clone, Debug)]
-pub struct LogSettings {
-    /// Address to listen on.
-    pub addr: SocketAddr,
-    /// Age up to which a record is kept, in ms.
-    pub retention_ms: u64,
-    /// Records that a stream keeps at most.
-    pub retention_records: usize,
-    /// Appends accepted in a second over all streams.
-    pub appends_per_s: u32,
-    /// Largest payload, in bytes.
-    pub max_payload_bytes: usize,
-}
-
-impl Default for LogSettings {
-    fn default() -> Self {
-        Self {
-            addr: SocketAddr::from(([127, 0, 0, 1], 0)),
-            retention_ms: 3_600_000,
-            retention_records: 100_000,
-            appends_per_s: 400,
-            max_payload_bytes: 1024 * 1024,
-        }
-    }
-}
-
-/// Faults of the log; `POST /fault` replaces them all.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct LogFaults {
-    /// Answers 503 to everything.
-    pub outage: bool,
-    /// Waits before each exchange, in ms.
-    pub slow_ms: u64,
-    /// Holds each exchange until the fault is lifted; it is carried out then.
-    pub hang: bool,
-    /// Appends take effect, and the connection closes without an answer.
-    pub lose_append_answers: bool,
-    /// Delivers records only this long after their append, in ms.
-    pub delivery_delay_ms: u64,
-    /// Delivers no record that was appended since the fault was set.
-    pub pause_delivery: bool,
-    /// Drops every kept record, once.
-    pub trim: bool,
-}
-
 /// The log as it runs in this process.
 #[derive(Debug)]
 pub struct LogServer {
@@ -341,39 +295,6 @@
     }
 }
 
-/// Token bucket of one second's appends.
-#[derive(Debug)]
-struct AppendLimit {
-    per_s: u64,
-    milli_tokens: u64,
-    refilled_at_ms: u64,
-}
-
-impl AppendLimit {
-    fn new(per_s: u32) -> Self {
-        let per_s = u64::from(per_s);
-        Self {
-            per_s,
-            milli_tokens: per_s * 1000,
-            refilled_at_ms: 0,
-        }
-    }
-
-    fn admit(&mut self, now_ms: u64) -> bool {
-        let elapsed_ms = now_ms.saturating_sub(self.refilled_at_ms);
-        self.refilled_at_ms = now_ms;
-        let refilled = self
-            .milli_tokens
-            .saturating_add(elapsed_ms.saturating_mul(self.per_s));
-        self.milli_tokens = refilled.min(self.per_s * 1000);
-        let admitted = self.milli_tokens >= 1000;
-        if admitted {
-            self.milli_tokens -= 1000;
-        }
-        admitted
-    }
-}
-
 fn to_records(slice: Slice) -> Records {
     Records {
         first: Offset(slice.first),
