Read the platform's list less often the longer it is, and tell each other

Cause: at 2,270 entries the list is 217 KB (95.6 bytes an entry, R² 1.000), read twice a second by every instance: 434 KB/s against 26 KB/s. Now the time between two reads grows with the list, 16 ms an entry and at least 0.5 s: 36 s at the full size, 6 KB/s. The instances of a zone read at different times, at the full size one of 95 each 0.4 s, and tell each other at once which backend servers it says are leaving. Ruled out: two readers a zone that pass the list on (a further duty to hand over for the same bytes), conditional reads (the platform's list does not offer them). Also counts the bytes of requests and gossip on their connection: 63 bytes a request and 9 a gossip message above the frames, 68 bytes/s when idle.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -15,6 +15,11 @@
 /// Least time between two accounts of an instance, in ms.
 pub const LEAST_PERIOD_MS: u64 = 1_000;
 
+/// Least time between two reads of the platform's list, in ms.
+const LEAST_LIST_INTERVAL_MS: u64 = 500;
+/// Time between two reads for each entry, in ms: about 6 KB/s at 96 bytes each.
+const LIST_MS_PER_ENTRY: u64 = 16;
+
 /// Returns the time between two accounts of an instance in a zone of `members`,
 /// in ms. It grows with the zone, so that what a neighbour receives does not.
 pub fn period_ms(members: usize) -> u64 {
@@ -22,6 +27,13 @@
     members * LEAST_PERIOD_MS / FULL_PACE_MEMBERS
 }
 
+/// Returns the time between two reads of the platform's list by one instance, in
+/// ms. It grows with the list, so that what an instance reads in a second does
+/// not; the instances of a zone read at different times and tell each other.
+pub fn list_interval_ms(entries: usize) -> u64 {
+    LEAST_LIST_INTERVAL_MS.max(entries as u64 * LIST_MS_PER_ENTRY)
+}
+
 /// Returns the age from which an instance counts as silent, in ms.
 pub fn silence_ms(members: usize) -> u64 {
     3 * period_ms(members) + 2 * LEAST_PERIOD_MS
--- a/crates/core/tests/members_gossip.rs
+++ b/crates/core/tests/members_gossip.rs
@@ -6,7 +6,7 @@
     digest::{AgedDigest, DigestBatch, Leaver, LeavingNotice, LoadSummary, Readiness},
     ids::{InstanceName, Offset},
     membership::{Action, Event, OwnState},
-    roster::{EXPIRY_MS, MemberState, silence_ms},
+    roster::{EXPIRY_MS, MemberState, list_interval_ms, silence_ms},
 };
 
 const READY: OwnState = OwnState {
@@ -90,6 +90,15 @@
     }
 }
 
+#[test]
+fn reading_the_list_takes_a_bounded_part_of_a_second_whatever_its_size() {
+    for entries in [0, 31, 60, 570, 2_270, 20_000] {
+        let per_s = entries as u64 * 1_000 / list_interval_ms(entries);
+        assert!(per_s <= 63, "{per_s} entries a second of {entries}");
+    }
+    assert!(list_interval_ms(60) <= 1_000);
+}
+
 #[test]
 fn an_account_past_its_expiry_brings_nobody_back() {
     let mut net = started(15, 1, 9);
--- /dev/null
+++ b/crates/server/examples/peer_bytes.rs
@@ -0,0 +1,179 @@
+//! Counts the bytes that requests and gossip between two instances take on their
+//! TCP connection, frames of `h2` included; run by `scripts/capacity`.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use savoryvane_core::{
+    digest::Leaver,
+    ids::{Incarnation, InstanceName},
+    membership::Contact,
+    quota::{Claimant, UsageGrant, UsageReport},
+    topology::Shard,
+};
+use savoryvane_server::peer::{PeerAnswer, PeerHandle, PeerHandler, PeerId, PeerServer};
+use savoryvane_wire::peer::{LeavingNotice, Message, encode};
+use slog::{Discard, Logger, o};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    time,
+};
+
+const SIZES: [u64; 4] = [50, 100, 200, 400];
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+struct Answers;
+
+impl PeerHandler for Answers {
+    fn on_gossip(&self, _from: &PeerId, _message: Message) {}
+
+    fn on_request(&self, _from: PeerId, _message: Message, _wait: Duration) -> PeerAnswer {
+        Box::pin(std::future::ready(grant()))
+    }
+}
+
+fn report() -> Message {
+    Message::UsageReport(UsageReport {
+        shard: Shard(1),
+        claimant: Claimant::Instance,
+        stamp_ms: 1_000_000,
+        cut: 0,
+        demands: Vec::new(),
+    })
+}
+
+fn grant() -> Message {
+    Message::UsageGrant(UsageGrant {
+        shard: Shard(1),
+        stamp_ms: 1_000_000,
+        term: u64::MAX,
+        age_ms: 0,
+        grants: Vec::new(),
+    })
+}
+
+fn notice() -> Message {
+    Message::Leaving(LeavingNotice {
+        leaver: Leaver::Backend("runner-0001".into()),
+        age_ms: 0,
+    })
+}
+
+fn frame_bytes(message: &Message) -> u64 {
+    encode(message).map_or(0, |frame| frame.len() as u64)
+}
+
+async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, count: Arc<AtomicU64>) {
+    let mut buffer = [0; 16_384];
+    while let Ok(read @ 1..) = from.read(&mut buffer).await {
+        count.fetch_add(read as u64, Ordering::Relaxed);
+        if to.write_all(&buffer[..read]).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn counting_proxy(to: SocketAddr, count: Arc<AtomicU64>) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let addr = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((client, _)) = listener.accept().await {
+            let Ok(server) = TcpStream::connect(to).await else {
+                return;
+            };
+            let (from_client, to_client) = client.into_split();
+            let (from_server, to_server) = server.into_split();
+            tokio::spawn(pump(from_client, to_server, Arc::clone(&count)));
+            tokio::spawn(pump(from_server, to_client, Arc::clone(&count)));
+        }
+    });
+    Ok(addr)
+}
+
+fn id(name: &str) -> PeerId {
+    PeerId {
+        instance: InstanceName::new(name),
+        incarnation: Incarnation(u64::MAX),
+    }
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> std::io::Result<()> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let addr = listener.local_addr()?;
+    let log = Logger::root(Discard, o!());
+    let server = PeerServer {
+        me: id("entry-002"),
+        handler: Arc::new(Answers),
+        log: log.clone(),
+    };
+    tokio::spawn(server.run(listener));
+    let count = Arc::new(AtomicU64::new(0));
+    let proxy = counting_proxy(addr, Arc::clone(&count)).await?;
+    let (peers, mut linked) = PeerHandle::new(id("entry-001"), log);
+    let contact = Contact {
+        instance: "entry-002".into(),
+        addr: proxy,
+    };
+    peers.set_addrs([contact.clone()]);
+    peers.keep(&[contact]);
+    linked.recv().await;
+
+    println!("\nBytes on the connection of two instances\n");
+    println!("| measure | number | bytes | of them frames | for each |");
+    println!("|---|---|---|---|---|");
+    for size in SIZES {
+        let before = count.load(Ordering::Relaxed);
+        for _ in 0..size {
+            let to = "entry-002".into();
+            let _ = peers.request(&to, None, &report(), TIMEOUT).await;
+        }
+        time::sleep(Duration::from_millis(50)).await;
+        let frames = size * (frame_bytes(&report()) + frame_bytes(&grant()));
+        print(
+            "requests and answers",
+            size,
+            count.load(Ordering::Relaxed) - before,
+            frames,
+        );
+    }
+    for size in SIZES {
+        let before = count.load(Ordering::Relaxed);
+        for _ in 0..size {
+            peers.send(&"entry-002".into(), notice());
+            time::sleep(Duration::from_millis(2)).await;
+        }
+        time::sleep(Duration::from_millis(50)).await;
+        let frames = size * frame_bytes(&notice());
+        print(
+            "gossip messages",
+            size,
+            count.load(Ordering::Relaxed) - before,
+            frames,
+        );
+    }
+    let before = count.load(Ordering::Relaxed);
+    time::sleep(Duration::from_secs(10)).await;
+    print(
+        "idle seconds",
+        10,
+        count.load(Ordering::Relaxed) - before,
+        0,
+    );
+    Ok(())
+}
+
+fn print(measure: &str, number: u64, bytes: u64, frames: u64) {
+    let each = bytes.saturating_sub(frames) as f64 / number as f64;
+    println!("| {measure} | {number} | {bytes} | {frames} | {each:.1} above frames |");
+}
--- a/crates/server/src/listing.rs
+++ b/crates/server/src/listing.rs
@@ -3,24 +3,25 @@
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use rand::random_range;
-use savoryvane_core::ids::BackendName;
+use savoryvane_core::{ids::BackendName, roster::list_interval_ms};
 use savoryvane_wire::platform::{ListedRole, ListedState, Listing};
 use slog::debug;
 use tokio::time;
 
 use crate::{instance::Shared, members};
 
-/// Time between two reads of the list, in ms.
-const INTERVAL_MS: u64 = 500;
-
 /// Reads the list for as long as the instance lives.
 pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut interval_ms = list_interval_ms(0);
     loop {
         match shared.platform.listing().await {
-            Ok(listing) => take(&shared, listing),
+            Ok(listing) => {
+                interval_ms = list_interval_ms(listing.entries.len());
+                take(&shared, listing);
+            }
             Err(err) => debug!(shared.log, "list of instances not read"; "error" => %err),
         }
-        let jittered_ms = random_range(INTERVAL_MS * 3 / 4..=INTERVAL_MS * 5 / 4);
+        let jittered_ms = random_range(interval_ms * 3 / 4..=interval_ms * 5 / 4);
         time::sleep(Duration::from_millis(jittered_ms)).await;
     }
 }
@@ -33,6 +34,10 @@
         .map(|entry| BackendName::new(&entry.name))
         .collect();
     shared.fleet().on_listed_leaving(&leaving);
+    // The others may read the list much later.
+    for backend in &leaving {
+        members::tell_backend_leaving(shared, backend);
+    }
     members::take_list(shared, &listing);
     shared.listing.store(Some(Arc::new(listing)));
 }
