Refuse plans without a configuration and warn of an old one

Cause: an instance that had not read the configuration planned against an empty one: everything seemed to be created, and the confirm was a conflict. It waits 1 s for the start now and then refuses. A plan made from a state that is older than 4 s says so.

Without the change the new test gets 200 and a plan that creates the pool.

--- a/crates/server/src/admin.rs
+++ b/crates/server/src/admin.rs
@@ -1,10 +1,11 @@
 //! The operators' interface, on a listener and with a credential of its own.
 
-use std::{convert::Infallible, sync::Arc};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use savoryvane_core::{
+    config::Progress,
     ids::{Offset, OperatorName},
     objects::Object,
     roster::ListedInstance,
@@ -15,6 +16,7 @@
 };
 use serde::de::DeserializeOwned;
 use slog::{info, warn};
+use tokio::time;
 use tower::util::BoxCloneSyncService;
 
 use crate::{
@@ -29,6 +31,12 @@
 /// Media type of metrics.
 const METRICS_TYPE: &str = "text/plain; version=0.0.4";
 
+/// Age of the own state from which a plan carries a warning, in ms.
+const OLD_STATE_MS: u64 = 4_000;
+
+/// Time that a plan waits for an instance that has just started.
+const START_WAIT: Duration = Duration::from_secs(1);
+
 /// An answer or an error with its status.
 type Reply = Result<Response<Body>, Failure>;
 
@@ -161,9 +169,20 @@
             )
         })?;
     let intent: Intent = body(shared, request).await?;
+    // One that has just started reads the configuration at this moment.
+    let _ = time::timeout(START_WAIT, shared.phases.reached(Phase::Serving)).await;
+    let progress = shared.configuration.progress(shared.clock.now_ms());
+    if !progress.has_started {
+        return Err(Failure::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "this instance has no configuration yet, so it can't tell what would change",
+            "ask another instance, or again when this one is ready",
+        ));
+    }
     let plan = shared.configuration.state().plan(&intent, &operator);
     match plan {
-        Ok(plan) => {
+        Ok(mut plan) => {
+            plan.warnings.extend(age_warning(progress));
             info!(shared.log, "plan made"; "change" => %plan.change.id, "operator" => %operator,
                 "base" => plan.change.base.0, "steps" => plan.change.ops.len());
             ok(&plan)
@@ -179,6 +198,18 @@
     }
 }
 
+/// Warns when the plan was made from a state that may be old.
+fn age_warning(progress: Progress) -> Option<String> {
+    match progress.age_ms {
+        Some(age_ms) if age_ms <= OLD_STATE_MS => None,
+        Some(age_ms) => Some(format!(
+            "this instance last knew {} s ago that its configuration is the newest",
+            age_ms / 1_000
+        )),
+        None => Some("this instance never knew its configuration to be the newest".to_owned()),
+    }
+}
+
 async fn confirm(shared: &Shared, request: Request<Incoming>) -> Reply {
     let plan: Plan = body(shared, request).await?;
     let id = plan.change.id.clone();
--- a/crates/server/src/follower.rs
+++ b/crates/server/src/follower.rs
@@ -6,8 +6,7 @@
 use bytes::Bytes;
 use savoryvane_core::{
     config::{
-        Action, CheckpointPart, ConfigRecord, Content, Duties, Event, Progress, READ_WAIT_MS,
-        Received, TICK_MS,
+        Action, CheckpointPart, ConfigRecord, Content, Duties, Event, Progress, Received, TICK_MS,
     },
     ids::{InstanceName, Offset},
     roster::Member,
@@ -108,7 +107,6 @@
 }
 
 async fn read(shared: &Shared, from: Offset, wait_ms: u64) -> Event {
-    debug_assert_eq!(wait_ms, READ_WAIT_MS);
     let wait_ms = wait_ms.min(shared.platform.wait_ms());
     match shared.platform.read(CONFIG_STREAM, from, wait_ms).await {
         Ok(records) => read_event(&shared.log, records),
--- a/crates/server/tests/config_processes.rs
+++ b/crates/server/tests/config_processes.rs
@@ -252,11 +252,30 @@
     cluster.assert_same_objects(&[0, new]).await;
     let age_ms = cluster.status(new).await.config_age_ms;
     assert!((1_500..60_000).contains(&age_ms), "{age_ms}");
+    time::sleep(Duration::from_secs(2)).await;
+    let plan = plan(cluster.entries[new].admin, &price(2)).await;
+    assert!(plan.warnings.iter().any(|x| x.contains("s ago")));
     cluster.log.set_faults(LogFaults::default());
     let next = cluster.change(new, 2).await;
     cluster.wait_all_in_force(next).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_without_configuration_makes_no_plan() {
+    let mut cluster = Cluster::start(0).await;
+    cluster.log.set_faults(LogFaults {
+        outage: true,
+        ..LogFaults::default()
+    });
+    cluster.add().await;
+    let admin = cluster.entries[0].admin;
+    let (status, body) = operate(admin, Method::POST, "/admin/v1/plans", &price(1)).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{body}");
+    cluster.log.set_faults(LogFaults::default());
+    cluster.wait_in_force(0, &[0]).await;
+    cluster.change(0, 1).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_process_cut_off_the_log_follows_through_its_peers() {
     let mut cluster = Cluster::start(4).await;
