--- a/crates/server/tests/at_most_once.rs
+++ b/crates/server/tests/at_most_once.rs
@@ -62,18 +62,19 @@
             deployment,
             entries: Vec::new(),
         };
-        pair.add("entry-1", None).await;
+        pair.add("entry-1", ZONE, None).await;
         confirm(pair.entries[0].admin, &pair.deployment.intent()).await;
-        pair.add("entry-2", None).await;
+        pair.add("entry-2", ZONE, None).await;
         pair.wait_linked().await;
         pair
     }
 
     /// Adds an instance, which reaches the log at `log` if that is given.
-    async fn add(&mut self, name: &str, log: Option<SocketAddr>) {
+    async fn add(&mut self, name: &str, zone: &str, log: Option<SocketAddr>) {
         let (own, list) = (self.deployment.log.addr(), self.deployment.list.addr());
         let extra = &self.deployment.extra_settings;
         let settings = settings_text(name, log.unwrap_or(own), list, extra);
+        let settings = settings.replace(&format!("zone: {ZONE}"), &format!("zone: {zone}"));
         let entry = tokio::task::spawn_blocking(move || Entry::start(&settings))
             .await
             .unwrap();
@@ -82,14 +83,18 @@
             probe.await.status() == StatusCode::OK
         };
         eventually(ready).await;
+        self.list(name, zone, entry.peer);
+        self.entries.push(entry);
+    }
+
+    fn list(&self, name: &str, zone: &str, addr: SocketAddr) {
         self.deployment.list.put(Listed {
             name: name.to_owned(),
             role: ListedRole::Entry,
-            zone: ZONE.into(),
-            addr: entry.peer,
+            zone: zone.into(),
+            addr,
             state: ListedState::Live,
         });
-        self.entries.push(entry);
     }
 
     /// Waits until a claim can be made at each instance and the second one
@@ -422,7 +427,7 @@
 async fn an_instance_cut_from_the_log_refuses_keys_and_runs_its_tickets() {
     let mut pair = Pair::start("").await;
     let to_log = relay(pair.deployment.log.addr()).await;
-    pair.add("entry-3", Some(to_log.addr())).await;
+    pair.add("entry-3", ZONE, Some(to_log.addr())).await;
     let linked = async || {
         let ticket = pair.ticket(0).await;
         let asked = pair.ask(2, &json!(ticket), &[(TICKET, &ticket)]).await;
@@ -467,6 +472,49 @@
     assert_eq!(pair.ran(&input), 1);
 }
 
+/// Instances of other zones are reached by their listed address.
+#[tokio::test]
+async fn zones_cut_from_each_other_run_nothing_twice() {
+    let mut pair = Pair::start("").await;
+    let to_first = relay(pair.entries[0].peer).await;
+    pair.list("entry-1", ZONE, to_first.addr());
+    pair.add("entry-3", "hal-gouda", None).await;
+    eventually(async || {
+        let ticket = pair.ticket(0).await;
+        let asked = pair.ask(2, &json!(ticket), &[(TICKET, &ticket)]).await;
+        asked.1.outcome == Outcome::Complete
+    })
+    .await;
+    to_first.set_faults(LinkFaults {
+        cut: true,
+        ..LinkFaults::default()
+    });
+
+    // Each zone goes on with keys, and has what ended elsewhere from the log.
+    let input = json!("ended");
+    let first = pair.ask(0, &input, &[(KEY, "ended")]).await.1;
+    assert_eq!(first.outcome, Outcome::Complete);
+    let repeat = pair.ask(2, &input, &[(KEY, "ended")]).await.1;
+    assert_eq!(repeat.output, first.output, "{repeat:?}");
+    let other = pair.ask(2, &json!("other"), &[(KEY, "other")]).await.1;
+    assert_eq!(other.outcome, Outcome::Complete, "{other:?}");
+    // What runs elsewhere is unknown here, and a ticket of there is not run.
+    let (key, input) = ([(KEY, "parted")], json!("parted"));
+    let ticket = pair.ticket(0).await;
+    pair.slow_down();
+    pair.send_off(0, &input, &key);
+    eventually(async || pair.ran(&input) == 1).await;
+    let started = Instant::now();
+    let (headers, unused) = ([(TICKET, ticket.as_str())], json!("foreign"));
+    let (parted, foreign) = tokio::join!(pair.ask(2, &input, &key), pair.ask(2, &unused, &headers));
+    assert_eq!(parted.1.outcome, Outcome::Unknown, "{parted:?}");
+    let outcome = foreign.1.outcome;
+    let is_run = !matches!(outcome, Outcome::NotStarted | Outcome::Unknown);
+    assert!(!is_run, "{foreign:?}");
+    assert!(started.elapsed() < 2 * AT_ONCE);
+    assert_eq!((pair.ran(&input), pair.ran(&unused)), (1, 0));
+}
+
 async fn relay(to: SocketAddr) -> Relay {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let settings = RelaySettings {
