--- a/crates/check/src/fields.rs
+++ b/crates/check/src/fields.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, ops::RangeInclusive};
 
-use savoryvane_core::ids::{MAX_NAME_BYTES, is_valid_name};
+use savoryvane_core::ids::{MAX_NAME_BYTES, is_sha256, is_valid_name};
 
 use crate::{
     node::{Node, join},
@@ -11,7 +11,6 @@
 
 /// What a digest may look like.
 const SHA256: &str = "SHA-256 as 64 lower-case hex digits";
-const SHA256_DIGITS: usize = 64;
 
 /// A value of the file together with its path.
 pub struct Item<'a> {
@@ -188,12 +187,6 @@
     }
 }
 
-/// Tells whether `text` is a SHA-256 digest in lower-case hex.
-pub fn is_sha256(text: &str) -> bool {
-    let is_digit = |b: u8| matches!(b, b'0'..=b'9' | b'a'..=b'f');
-    text.len() == SHA256_DIGITS && text.bytes().all(is_digit)
-}
-
 fn text_of(lengths: &RangeInclusive<usize>) -> String {
     format!("text of {} to {} bytes", lengths.start(), lengths.end())
 }
--- a/crates/check/src/lib.rs
+++ b/crates/check/src/lib.rs
@@ -45,7 +45,7 @@
 mod node;
 mod problem;
 
-pub use fields::{Fields, Item, is_sha256};
+pub use fields::{Fields, Item};
 pub use limits::Limits;
 pub use problem::{Problem, Problems};
 
--- a/crates/core/src/config/rules.rs
+++ b/crates/core/src/config/rules.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     config::store::Store,
-    ids::{ModelName, PipelineName, PoolName, StageName, is_valid_name},
+    ids::{ModelName, PipelineName, PoolName, StageName, is_sha256, is_valid_name},
     objects::{Backend, Model, ObjectKey, ObjectKind, Pipeline, Pool, Stage, StageKind, Workspace},
 };
 
@@ -24,7 +24,6 @@
 /// Most pipelines that a workspace can use.
 pub const MAX_PIPELINES_PER_WORKSPACE: usize = 256;
 
-const CREDENTIAL_HEX_DIGITS: usize = 64;
 const PER_MILLE: u32 = 1_000;
 
 quick_error! {
@@ -291,7 +290,7 @@
         MAX_PIPELINES_PER_WORKSPACE as u64,
         found,
     );
-    if !is_credential_digest(&workspace.credential_sha256) {
+    if !is_sha256(&workspace.credential_sha256) {
         found.push(Fault::BadCredential);
     }
     let mut names = BTreeSet::new();
@@ -304,8 +303,3 @@
         }
     }
 }
-
-fn is_credential_digest(text: &str) -> bool {
-    let is_digit = |b: &u8| matches!(b, b'0'..=b'9' | b'a'..=b'f');
-    text.len() == CREDENTIAL_HEX_DIGITS && text.as_bytes().iter().all(is_digit)
-}
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -7,6 +7,9 @@
 /// Longest accepted name, in bytes.
 pub const MAX_NAME_BYTES: usize = 63;
 
+/// Length of a SHA-256 digest in hex.
+const SHA256_HEX_DIGITS: usize = 64;
+
 macro_rules! names {
     ($($(#[$doc:meta])* $name:ident;)+) => {$(
         $(#[$doc])*
@@ -87,6 +90,12 @@
         && bytes.iter().all(inner)
 }
 
+/// Tells whether `text` is a SHA-256 digest in lower-case hex.
+pub fn is_sha256(text: &str) -> bool {
+    let is_digit = |b: u8| matches!(b, b'0'..=b'9' | b'a'..=b'f');
+    text.len() == SHA256_HEX_DIGITS && text.bytes().all(is_digit)
+}
+
 /// Position of a record in a stream of the platform's log.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -3,7 +3,7 @@
 use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
 use savoryvane_check::{self as check, Fields, Problems};
-use savoryvane_core::ids::{InstanceName, RegionName, ZoneName};
+use savoryvane_core::ids::{InstanceName, RegionName, ZoneName, is_sha256};
 
 use crate::error::{Error, Result};
 
@@ -287,7 +287,7 @@
 fn digest_in_file(path: &str) -> Option<String> {
     let text = fs::read_to_string(path).ok()?;
     let digest = text.trim();
-    check::is_sha256(digest).then(|| digest.to_owned())
+    is_sha256(digest).then(|| digest.to_owned())
 }
 
 fn read_log(fields: &mut Fields<'_>) -> Option<Log> {
