Tell a slow stage from a slow server, and eject what cannot be connected to

Cause: when a whole stage slows down every call is overdue, and each instance ejected a server of it and repeated calls that were slow anywhere. A connect that fails was tried three times a request, up to 0.9 s to a refusal. Ruled out: raising the cap on ejections or patience for all pools. Now nothing is ejected or repeated for slowness while more than half of a pool is unwell; one failed connect ejects; a call that was not sent counts as no attempt while there is an untried server. A call not sent past its time does not count against its server.

--- a/crates/bench/src/world/requests.rs
+++ b/crates/bench/src/world/requests.rs
@@ -159,7 +159,7 @@
             workspace: running.arrival.workspace,
             outcome,
             is_attained,
-            is_refused: matches!(outcome, Some(Outcome::NotRun | Outcome::NotStarted)),
+            is_refused: outcome == Some(Outcome::NotRun) && running.sent == 0,
             is_return: running.arrival.is_return,
             needs_lm: needs_lm(&running.arrival),
         });
--- a/crates/core/src/execution/attempt.rs
+++ b/crates/core/src/execution/attempt.rs
@@ -191,12 +191,17 @@
         };
         self.handed_over -= 1;
         self.take_back_effect();
-        turn.fleet.on_call_ended(
-            turn.now_ms,
-            &attempt.backend,
-            CallEnd::Failed(Fault::Unreachable),
-        );
+        // Past its time the call was not sent for a reason of this instance.
+        let end = if turn.now_ms >= self.latest_ms(self.stage_index, turn) {
+            CallEnd::Abandoned
+        } else {
+            CallEnd::Failed(Fault::Unreachable)
+        };
+        turn.fleet.on_call_ended(turn.now_ms, &attempt.backend, end);
         let why = Reason::GivenUp(DecisionReason::NoBackend);
+        if self.can_go_elsewhere(turn) {
+            self.stage_attempts -= 1;
+        }
         self.try_again(why, Charge::Free, turn);
     }
 
@@ -229,7 +234,7 @@
         let Some(attempt) = self.take_live(number) else {
             return;
         };
-        self.book_wasted(&attempt, None, CallEnd::Failed(Fault::Unreachable), turn);
+        self.book_wasted(&attempt, None, CallEnd::Failed(Fault::Silent), turn);
         let stage = self.stage().name.clone();
         self.after_failure(Reason::Lost { stage }, turn);
     }
@@ -251,7 +256,7 @@
         // It is told again while it lasts, when a retry may have been earned.
         if !std::mem::replace(&mut attempt.is_silent, true) {
             turn.fleet
-                .on_bad_answer(turn.now_ms, &attempt.backend, Fault::Unreachable);
+                .on_bad_answer(turn.now_ms, &attempt.backend, Fault::Silent);
         }
         if !is_idempotent {
             return;
--- a/crates/core/src/execution/overdue.rs
+++ b/crates/core/src/execution/overdue.rs
@@ -45,10 +45,14 @@
     }
 
     fn on_overdue(&mut self, number: u64, turn: &mut Turn<'_>) {
+        let is_stage_unwell = turn.fleet.is_stage_unwell(&self.stage().pool);
         let Some(attempt) = self.live.iter_mut().find(|live| live.number == number) else {
             return;
         };
         attempt.is_overdue = true;
+        if is_stage_unwell {
+            return;
+        }
         turn.fleet
             .on_bad_answer(turn.now_ms, &attempt.backend, Fault::Failing);
         let is_alone = self.live.iter().all(|live| live.is_overdue);
--- a/crates/core/src/fleet/health.rs
+++ b/crates/core/src/fleet/health.rs
@@ -2,7 +2,7 @@
 
 use super::{Fleet, KnownBackend};
 use crate::{
-    ids::BackendName,
+    ids::{BackendName, PoolName},
     settings::{Ejection, PolicySettings},
 };
 
@@ -16,7 +16,9 @@
 pub(crate) enum Fault {
     /// It answers, but not well.
     Failing,
-    /// It cannot be reached from here.
+    /// Its connection broke or has gone quiet.
+    Silent,
+    /// No connection to it can be opened.
     Unreachable,
 }
 
@@ -82,18 +84,34 @@
         if settings.ejection == Ejection::Off {
             return;
         }
-        let has_room = fault == Fault::Unreachable || self.may_eject_one_more(now_ms, name);
+        let has_room = fault != Fault::Failing || self.may_eject_one_more(now_ms, name);
         let Some(backend) = self.known_mut(name) else {
             return;
         };
         let health = &mut backend.health;
         health.failures += 1;
-        let is_outlier = health.failures >= FAILURES_TO_EJECT || health.is_on_trial(now_ms);
+        let is_outlier = fault == Fault::Unreachable
+            || health.failures >= FAILURES_TO_EJECT
+            || health.is_on_trial(now_ms);
         if is_outlier && has_room && !health.is_ejected(now_ms) {
             health.eject(now_ms, fault, &settings);
         }
     }
 
+    /// Tells whether so many of a pool's servers are unwell that the stage is
+    /// slow and not one of them.
+    pub(crate) fn is_stage_unwell(&self, name: &PoolName) -> bool {
+        let Some(pool) = self.pools.get(name) else {
+            return false;
+        };
+        let unwell = pool
+            .members
+            .iter()
+            .filter(|index| !self.backends[**index].health.is_well())
+            .count();
+        unwell * 2 > pool.members.len()
+    }
+
     fn may_eject_one_more(&self, now_ms: u64, name: &BackendName) -> bool {
         let pool = self
             .known(name)
