--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -1,8 +1,8 @@
 //! The policies that the bench compares.
 
 use savoryvane_core::settings::{
-    Admission, Affinity, Budgets, Ejection, Fairness, Hedging, PolicySettings, Priorities, Reports,
-    Routing, Spill,
+    Admission, Affinity, Budgets, Ejection, Fairness, Hedging, PolicySettings, Reports, Routing,
+    Spill,
 };
 
 /// A policy to run.
@@ -37,8 +37,6 @@
     Budgets,
     /// Preferring engines that may have a prefix cached.
     Affinity,
-    /// Asking for repeats to be done first.
-    Priorities,
 }
 
 impl Part {
@@ -62,7 +60,6 @@
             Self::Fairness => "fairness",
             Self::Budgets => "budgets",
             Self::Affinity => "affinity",
-            Self::Priorities => "priorities",
         }
     }
 }
@@ -87,7 +84,6 @@
         fairness: Fairness::Off,
         budgets: Budgets::WholeOnly,
         affinity: Affinity::Off,
-        priorities: Priorities::AsAsked,
         retry_percent: 1_000,
         retry_burst: 1_000_000,
         ..PolicySettings::default()
@@ -133,9 +129,5 @@
             affinity: Affinity::Off,
             ..settings
         },
-        Part::Priorities => PolicySettings {
-            priorities: Priorities::AsAsked,
-            ..settings
-        },
     }
 }
--- a/crates/core/src/execution/attempt.rs
+++ b/crates/core/src/execution/attempt.rs
@@ -10,12 +10,9 @@
     fleet::{AdmitQuery, Admitted, CallEnd, Fault, Progress, RouteQuery, Routed},
     ids::BackendName,
     objects::{Stage, StageKind},
-    settings::{PolicySettings, Priorities},
 };
 
 const US_PER_MS: u64 = 1_000;
-/// Priorities of calls within one priority of requests.
-const PRIORITY_STEPS: u8 = 2;
 
 /// A call that may still answer.
 #[derive(Clone, Debug)]
@@ -143,18 +140,12 @@
         }
         turn.act(Action::Send {
             backend,
-            call: Box::new(self.call(number, kind, turn.now_ms, &turn.fleet.settings)),
+            call: Box::new(self.call(number, kind, turn.now_ms)),
             not_after_ms: self.latest_ms(self.stage_index, turn),
         });
     }
 
-    fn call(
-        &self,
-        number: u64,
-        kind: StageKind,
-        now_ms: u64,
-        settings: &PolicySettings,
-    ) -> StageCall {
+    fn call(&self, number: u64, kind: StageKind, now_ms: u64) -> StageCall {
         let stage = self.stage();
         StageCall {
             id: self.call_id(number),
@@ -164,23 +155,11 @@
             previous: self.previous.clone(),
             max_tokens: stage.max_tokens,
             resume_from: self.stream.len(),
-            priority: self.priority(settings),
+            priority: self.spec.priority,
             deadline_ms: self.spec.deadline_at_ms.saturating_sub(now_ms),
         }
     }
 
-    fn priority(&self, settings: &PolicySettings) -> u8 {
-        let is_repeat = self.stage_attempts > 1;
-        match settings.priorities {
-            Priorities::AsAsked => self.spec.priority,
-            Priorities::RepeatsFirst => self
-                .spec
-                .priority
-                .saturating_mul(PRIORITY_STEPS)
-                .saturating_add(u8::from(is_repeat)),
-        }
-    }
-
     pub(super) fn call_id(&self, number: u64) -> CallId {
         CallId {
             request: self.spec.request.clone(),
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -34,8 +34,6 @@
     pub ejected_percent_max: u32,
     /// When a second call is sent while the first may still answer.
     pub hedging: Hedging,
-    /// Which calls the engines are asked to do first.
-    pub priorities: Priorities,
     /// Calls of one stage of one request, the first included.
     pub max_attempts: u32,
     /// Retries and hedges allowed for each hundred first attempts.
@@ -72,7 +70,6 @@
             ejection_ms: 1_000,
             ejected_percent_max: 34,
             hedging: Hedging::Overdue,
-            priorities: Priorities::RepeatsFirst,
             max_attempts: 3,
             retry_percent: 10,
             retry_burst: 10,
@@ -183,13 +180,3 @@
     /// By a bounded bonus, so that load goes first.
     Bounded,
 }
-
-/// Which calls the engines are asked to do first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Priorities {
-    /// As their requests say.
-    AsAsked,
-    /// Among those, repeats and later stages: they have less time left, and
-    /// work is lost with them.
-    RepeatsFirst,
-}
