Ask the next instance when one has no configuration yet

Instances that have just started refuse plans with 503 now; with several addresses the command stopped there. Plans and lists go on to the next address. Seen failing without it: an_instance_without_a_configuration_is_passed_over.

--- a/crates/core/src/bucket.rs
+++ b/crates/core/src/bucket.rs
@@ -99,7 +99,7 @@
         taken as u32
     }
 
-    /// Returns the rate that would fill the bucket within [`FILL_MS`].
+    /// Returns the rate that would fill the bucket within `FILL_MS`.
     pub fn missing(&self, flow: Flow) -> Rate {
         Rate(
             flow.capacity()
--- a/crates/core/src/config/verdict.rs
+++ b/crates/core/src/config/verdict.rs
@@ -97,7 +97,7 @@
     Ok(())
 }
 
-/// What [`State::apply`] did with a record.
+/// What [`State::apply`](crate::config::State::apply) did with a record.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Applied {
     /// The change is in force.
--- a/crates/core/src/usage.rs
+++ b/crates/core/src/usage.rs
@@ -1,7 +1,7 @@
 //! Sharing of workspace quotas among the instances.
 //!
 //! Each instance reports the demand for its active workspaces to the home of
-//! their shard in its zone every [`REPORT_MS`](crate::pace::REPORT_MS), and the home of a shard reports
+//! their shard in its zone every [`REPORT_MS`], and the home of a shard reports
 //! the zone's demand to the home in the shard's lead zone. Answers are grants
 //! that lapse. See [`share`](crate::share) and [`split`](crate::split) for what
 //! a claimant may use and what a home may grant.
@@ -181,7 +181,7 @@
     }
 
     /// Returns the reports that are due. Shards take turns within
-    /// [`REPORT_MS`](crate::pace::REPORT_MS).
+    /// [`REPORT_MS`].
     pub fn tick(&mut self, now_ms: u64) -> Vec<Outgoing> {
         let mut outgoing = Vec::new();
         for index in 0..self.shards.len() {
--- a/crates/ctl/src/admin.rs
+++ b/crates/ctl/src/admin.rs
@@ -133,17 +133,25 @@
         }
     }
 
-    /// Asks one address after the other until one answers. For calls that change
+    /// Asks one address after the other until one can answer. For calls that change
     /// nothing.
     async fn any<T: DeserializeOwned>(self, call: &Call) -> Result<T> {
         let mut failures = Vec::new();
+        let mut unavailable = None;
         for &addr in &self.settings.admins {
             match client::exchange(self.settings, addr, call).await {
+                // It may have started just now; another one may know.
+                Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE => {
+                    unavailable = Some((addr, answer));
+                }
                 Ok(answer) => return decode(addr, &answer),
                 Err(fault) => failures.push((addr, fault.to_string())),
             }
         }
-        Err(Error::Unreachable(failures))
+        match unavailable {
+            Some((addr, answer)) => decode(addr, &answer),
+            None => Err(Error::Unreachable(failures)),
+        }
     }
 
     /// Asks all addresses at the same time; answers come in their order.
--- a/crates/ctl/tests/changes.rs
+++ b/crates/ctl/tests/changes.rs
@@ -148,6 +148,19 @@
     );
 }
 
+#[test]
+fn an_instance_without_a_configuration_is_passed_over() {
+    let dir = Dir::new();
+    let file = dir.file("intent.yaml", "");
+    let new = Fake::start(|_, _| error(503, "no configuration yet", "ask another one"));
+    let old = Fake::start(|_, _| Reply::Json(200, plan()));
+    let ran = dir.ctl(&[new.addr, old.addr], &["plan", "-f", &file]);
+    assert_eq!((ran.code, new.seen().len()), (0, 1), "{ran:?}");
+    let ran = dir.ctl(&[new.addr, dead_addr()], &["plan", "-f", &file]);
+    assert_eq!(ran.code, 1);
+    assert!(ran.err.contains("next: ask another one"), "{ran:?}");
+}
+
 #[test]
 fn a_confirm_whose_answer_is_lost_is_sent_again_as_the_same_change() {
     let dir = Dir::new();
