Split the claims' decisions and the exclusive path by their jobs

Cause: `claimant` and `exclusive` had grown past one job each; `begin` returned a tuple and a forwarded run's refusal was text.

The types of what is asked and decided stand in `claim_decision`; the path of a request that may not be run twice is split in claim, ticket and what peers ask for. A ticket of another run is refused by a typed refusal.

Ruled out: a change of behaviour; no test changed but for the type that `begin` returns.

Conclusion: the same rules in smaller modules.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod change;
 pub mod claim;
 pub mod claim_batcher;
+pub mod claim_decision;
 pub mod claim_index;
 pub mod claimant;
 pub mod config;
--- a/crates/core/tests/claims_rules.rs
+++ b/crates/core/tests/claims_rules.rs
@@ -5,8 +5,8 @@
     claim_batcher::{AppendResult, BatchLimits, ClaimBatcher, interval_ms},
     claim_index::{ClaimIndex, ClaimRecord, IndexLimits, Standing, Verdict},
     claimant::{
-        Attempt, ClaimLimits, ClaimReason, ClaimRequest, Claimant, Decision, Ending, FirstRun,
-        Permit, Step,
+        Attempt, Begun, ClaimLimits, ClaimReason, ClaimRequest, Claimant, Decision, Ending,
+        FirstRun, Permit, Step,
     },
     ids::{IdempotencyKey, Incarnation, InstanceName, Offset, WorkspaceName},
     outcome::Outcome,
@@ -329,7 +329,7 @@
 }
 
 fn begin(now_ms: u64, claimant: &mut Claimant, deadline_ms: u64) -> Attempt {
-    let (attempt, decision) = claimant.begin(now_ms, ask(deadline_ms));
+    let Begun { attempt, decision } = claimant.begin(now_ms, ask(deadline_ms));
     assert_eq!(decision, None);
     attempt
 }
@@ -404,7 +404,10 @@
     );
     assert_eq!(a.finish(3_000, of_a, Outcome::Failed, b""), Outcome::NotRun);
     log.read(3_000, &mut b);
-    let (of_b, decision) = b.begin(3_000, ask(4_000));
+    let Begun {
+        attempt: of_b,
+        decision,
+    } = b.begin(3_000, ask(4_000));
     assert!(matches!(decision, Some(Decision::Join(_))));
     log.settle(3_000, &mut a);
     // The release lets the waiting attempt ask again by itself.
@@ -492,12 +495,12 @@
     log.settle(60, &mut a);
     log.read(60, &mut b);
     let recorded = Decision::Recorded(Completion::new(Outcome::Complete, b"held"));
-    assert_eq!(b.begin(70, ask(1_000)).1, Some(recorded));
+    assert_eq!(b.begin(70, ask(1_000)).decision, Some(recorded));
     let other = ClaimRequest {
         fingerprint: Fingerprint([3; 16]),
         ..ask(1_000)
     };
-    assert_eq!(b.begin(70, other).1, Some(Decision::Misuse));
+    assert_eq!(b.begin(70, other).decision, Some(Decision::Misuse));
 }
 
 #[test]
@@ -507,7 +510,7 @@
     win(0, &mut log, &mut a, 1_000);
     drop(a);
     log.read(5, &mut b);
-    let (attempt, decision) = b.begin(10, ask(1_000));
+    let Begun { attempt, decision } = b.begin(10, ask(1_000));
     assert_eq!(decision, Some(Decision::Join(first_run())));
     let unknown = ended(Outcome::Unknown, ClaimReason::HolderGone);
     assert_eq!(b.on_holder_gone(10, attempt), Some(unknown));
@@ -531,7 +534,7 @@
             decision: decision.clone()
         }]
     );
-    assert_eq!(a.begin(6, ask(1_000)).1, Some(decision));
+    assert_eq!(a.begin(6, ask(1_000)).decision, Some(decision));
 }
 
 #[test]
@@ -544,10 +547,10 @@
         a.on_append_result(AppendResult::NotConfirmed);
     }
     let away = ended(Outcome::NotStarted, ClaimReason::LogAway);
-    assert_eq!(a.begin(160, ask(1_000)).1, Some(away));
+    assert_eq!(a.begin(160, ask(1_000)).decision, Some(away));
     log.settle(300, &mut a);
     assert_eq!(
-        a.begin(301, ask(1_000)).1,
+        a.begin(301, ask(1_000)).decision,
         Some(Decision::Join(first_run()))
     );
 }
--- a/crates/core/tests/claims_world/mod.rs
+++ b/crates/core/tests/claims_world/mod.rs
@@ -7,7 +7,7 @@
     claim::{Batch, Fingerprint, KeyHash},
     claim_batcher::{AppendResult, BatchLimits},
     claim_index::{ClaimRecord, IndexLimits},
-    claimant::{Attempt, ClaimLimits, ClaimRequest, Claimant, Decision, Permit, Step},
+    claimant::{Attempt, Begun, ClaimLimits, ClaimRequest, Claimant, Decision, Permit, Step},
     ids::{Incarnation, InstanceName, Offset},
     outcome::Outcome,
     progress::{CallKind, Retraction},
@@ -300,7 +300,7 @@
             deadline_ms: now + allowed_ms,
         };
         let instance = &mut self.instances[at];
-        let (attempt, decision) = instance.claimant.begin(now, ask);
+        let Begun { attempt, decision } = instance.claimant.begin(now, ask);
         instance.pending.insert(attempt, key);
         if let Some(decision) = decision {
             self.take(at, vec![Step { attempt, decision }]);
--- a/crates/server/src/claims.rs
+++ b/crates/server/src/claims.rs
@@ -13,7 +13,8 @@
     claim_batcher::{AppendResult, BatchLimits, interval_ms},
     claim_index::{ClaimRecord, IndexLimits},
     claimant::{
-        Attempt, ClaimLimits, ClaimReason, ClaimRequest, Claimant, Decision, Ending, Permit, Step,
+        Attempt, Begun, ClaimLimits, ClaimReason, ClaimRequest, Claimant, Decision, Ending, Permit,
+        Step,
     },
     ids::{Incarnation, Offset},
     outcome::Outcome,
@@ -67,6 +68,15 @@
     }
 }
 
+/// An attempt that has begun, and what is decided about it as it is.
+#[derive(Debug)]
+pub(crate) struct Claiming {
+    /// The attempt.
+    pub(crate) attempt: Attempt,
+    /// Decisions; the first one may be there already.
+    pub(crate) decisions: mpsc::UnboundedReceiver<Decision>,
+}
+
 /// The claims of this instance.
 #[derive(Debug)]
 pub(crate) struct Claims {
@@ -107,22 +117,21 @@
         }
     }
 
-    /// Begins an attempt and returns what is decided about it, as it is.
-    pub(crate) fn begin(
-        &self,
-        now_ms: u64,
-        ask: ClaimRequest,
-    ) -> (Attempt, mpsc::UnboundedReceiver<Decision>) {
+    /// Begins an attempt.
+    pub(crate) fn begin(&self, now_ms: u64, ask: ClaimRequest) -> Claiming {
         let (sender, receiver) = mpsc::unbounded_channel();
         let mut state = self.lock();
-        let (attempt, decision) = state.claimant.begin(now_ms, ask);
+        let Begun { attempt, decision } = state.claimant.begin(now_ms, ask);
         if let Some(decision) = decision {
             let _ = sender.send(decision);
         }
         state.attempts.insert(attempt, sender);
         drop(state);
         self.changed.notify_one();
-        (attempt, receiver)
+        Claiming {
+            attempt,
+            decisions: receiver,
+        }
     }
 
     /// Asks whether a call may be handed to a socket now.
--- a/crates/server/src/exclusive.rs
+++ b/crates/server/src/exclusive.rs
@@ -1,29 +1,27 @@
 //! Runs a request that may not be run twice: under a claim of its idempotency
 //! key, or under a ticket.
 
-use std::{pin::Pin, sync::Arc, time::Duration};
+mod claimed;
+mod serving;
+mod ticketed;
+
+use std::sync::Arc;
 
 use savoryvane_core::{
-    claim::{self, Fingerprint, KeyHash},
-    claimant::{Attempt, ClaimReason, ClaimRequest, Decision, Ending, FirstRun},
+    claim::{self, Fingerprint},
     execution::{Completion, ExecutionSpec},
     ids::{IdempotencyKey, RequestId},
     outcome::Outcome,
-    ticket::{Redemption, TicketId},
-};
-use savoryvane_wire::{
-    caller::{Answer, Submission},
-    peer::{AnswerQuery, AnswerState, Message, TicketRun},
+    ticket::TicketId,
 };
+use savoryvane_wire::caller::Answer;
 use slog::info;
-use tokio::{
-    sync::mpsc,
-    time::{self, Instant},
-};
+use tokio::{sync::mpsc, time::Instant};
 
+pub(crate) use self::serving::{answer_state, run_forwarded};
 use crate::{
-    answers::{AnswerKey, Found},
-    controller::{self, Account, Admitted, Head},
+    answers::AnswerKey,
+    controller::Account,
     instance::{InFlight, Shared},
     run_right::{Hold, RunRight},
     runner::{self, Update},
@@ -33,8 +31,6 @@
 pub(crate) const REUSED: &str = "key_reused";
 /// Reason of an answer to a ticket that can't be used.
 pub(crate) const TICKET_NOT_VALID: &str = "ticket_not_valid";
-const TICKET_ISSUER_GONE: &str = "ticket_issuer_gone";
-const TICKET_ISSUER_SILENT: &str = "ticket_issuer_silent";
 const ANSWER_NOT_KEPT: &str = "answer_not_kept";
 /// Time after which a request that started nothing may come back, in ms.
 const RETRY_AFTER_MS: u64 = 1_000;
@@ -63,23 +59,6 @@
     Answer(Box<Answer>),
 }
 
-/// What another instance knows of the first run.
-enum Fetched {
-    Answer(Box<Answer>),
-    /// It lives, and has no run under the key.
-    Absent,
-    Gone,
-}
-
-/// What a request that waits for its claim is told next.
-enum Wake {
-    Decided(Option<Decision>),
-    Fetched(Fetched),
-    Ended(ClaimReason),
-}
-
-type Fetch = Pin<Box<dyn Future<Output = Fetched> + Send>>;
-
 /// Takes a request in a task of its own and returns what happens to it.
 pub(crate) fn start(
     shared: &Arc<Shared>,
@@ -140,111 +119,12 @@
             "request" => %self.spec.request, "choice" => choice, "reason" => reason);
     }
 
-    async fn claim(&self, key: IdempotencyKey, updates: &mpsc::UnboundedSender<Update>) -> Way {
-        let claims = &self.shared.claims;
-        let hash = KeyHash::of(&self.spec.workspace, &key);
-        let ask = ClaimRequest {
-            key: hash,
-            fingerprint: self.fingerprint,
-            deadline_ms: self.spec.deadline_at_ms,
-        };
-        let (attempt, mut decisions) = claims.begin(self.now_ms(), ask);
-        let mut fetch: Option<Fetch> = None;
-        loop {
-            let wake = tokio::select! {
-                biased;
-                decision = decisions.recv() => Wake::Decided(decision),
-                fetched = pending_or(&mut fetch) => Wake::Fetched(fetched),
-                () = time::sleep_until(self.deadline) => Wake::Ended(ClaimReason::Deadline),
-                () = updates.closed() => Wake::Ended(ClaimReason::CallerGone),
-            };
-            let decision = match wake {
-                Wake::Decided(Some(decision)) => decision,
-                Wake::Decided(None) => return self.end_attempt(attempt, ClaimReason::NotHolder),
-                Wake::Ended(reason) => return self.end_attempt(attempt, reason),
-                Wake::Fetched(Fetched::Answer(answer)) => {
-                    self.end_attempt(attempt, ClaimReason::NothingSent);
-                    return Way::Answer(self.own(*answer));
-                }
-                Wake::Fetched(fetched) => {
-                    fetch = None;
-                    let known = match fetched {
-                        Fetched::Gone => claims.holder_gone(self.now_ms(), attempt),
-                        Fetched::Answer(_) | Fetched::Absent => claims.recorded(attempt),
-                    };
-                    match known {
-                        Some(decision) => decision,
-                        None => continue,
-                    }
-                }
-            };
-            match decision {
-                Decision::Won => return self.win(Hold::Claim(attempt), AnswerKey::Key(hash)),
-                Decision::Join(first) => fetch = Some(self.fetch(first, key.clone(), hash)),
-                decision => {
-                    claims.forget(attempt);
-                    return Way::Answer(self.decided(decision));
-                }
-            }
-        }
-    }
-
     fn win(&self, hold: Hold, key: AnswerKey) -> Way {
         let (pipeline, deadline_at_ms) = (self.spec.pipeline.clone(), self.spec.deadline_at_ms);
         let right = RunRight::new(&self.shared, hold, key, pipeline, deadline_at_ms);
         Way::Run(Arc::new(right))
     }
 
-    fn end_attempt(&self, attempt: Attempt, reason: ClaimReason) -> Way {
-        let ending = self.shared.claims.give_up(self.now_ms(), attempt, reason);
-        let outcome = ending.map_or(Outcome::NotStarted, |ending| ending.outcome);
-        Way::Answer(self.answer(outcome, reason.as_str()))
-    }
-
-    /// Asks the instance that has the first run for its answer.
-    fn fetch(&self, first: FirstRun, key: IdempotencyKey, hash: KeyHash) -> Fetch {
-        let (shared, deadline) = (Arc::clone(&self.shared), self.deadline);
-        let workspace = self.spec.workspace.clone();
-        Box::pin(async move {
-            if first.id.incarnation == shared.incarnation {
-                return match shared.answers.wait(&AnswerKey::Key(hash), deadline).await {
-                    Found::Ended(body) => parsed(&body),
-                    Found::Absent | Found::InFlight => Fetched::Absent,
-                };
-            }
-            let left = deadline.saturating_duration_since(Instant::now());
-            let query = Message::AnswerQuery(AnswerQuery {
-                workspace,
-                key,
-                wait_ms: left.as_millis() as u64,
-            });
-            let incarnation = Some(first.id.incarnation);
-            let peers = shared.members.peers();
-            match peers
-                .request(&first.instance, incarnation, &query, left)
-                .await
-            {
-                Ok(Message::AnswerState(AnswerState::Answered(body))) => parsed(&body),
-                Ok(Message::AnswerState(AnswerState::Absent | AnswerState::InFlight)) => {
-                    Fetched::Absent
-                }
-                Ok(_) | Err(_) => Fetched::Gone,
-            }
-        })
-    }
-
-    /// Answers from a final decision.
-    fn decided(&self, decision: Decision) -> Box<Answer> {
-        match decision {
-            Decision::Recorded(completion) => self.recorded(&completion),
-            Decision::Misuse => self.answer(Outcome::NotStarted, REUSED),
-            Decision::Ended(Ending { outcome, reason }) => self.answer(outcome, reason.as_str()),
-            Decision::Won | Decision::Join(_) => {
-                self.answer(Outcome::NotStarted, ClaimReason::NotHolder.as_str())
-            }
-        }
-    }
-
     /// Gives the answer of a run that has ended. Without its body a complete
     /// run can't be told as complete.
     fn recorded(&self, completion: &claim::Completion) -> Box<Answer> {
@@ -258,70 +138,6 @@
         }
     }
 
-    async fn redeem(&self, id: TicketId) -> Way {
-        let workspace = &self.spec.workspace;
-        let redemption = {
-            let mut book = self.shared.tickets.book();
-            book.redeem(self.now_ms(), &id, workspace, self.fingerprint)
-        };
-        let key = AnswerKey::Ticket(id.clone());
-        let answer = match redemption {
-            Redemption::Run => return self.win(Hold::Ticket(id), key),
-            Redemption::Join | Redemption::Recorded(_) => {
-                match (
-                    self.shared.answers.wait(&key, self.deadline).await,
-                    redemption,
-                ) {
-                    (Found::Ended(body), _) => match parsed(&body) {
-                        Fetched::Answer(answer) => self.own(*answer),
-                        _ => self.answer(Outcome::Unknown, ANSWER_NOT_KEPT),
-                    },
-                    (_, Redemption::Recorded(completion)) => self.recorded(&completion),
-                    // The run that was waited for has sent nothing.
-                    (Found::Absent, _) => {
-                        self.answer(Outcome::NotStarted, ClaimReason::NothingSent.as_str())
-                    }
-                    (Found::InFlight, _) => {
-                        self.answer(Outcome::Unknown, ClaimReason::Deadline.as_str())
-                    }
-                }
-            }
-            Redemption::Forward => self.forward(id).await,
-            Redemption::Misuse => self.answer(Outcome::NotStarted, REUSED),
-            Redemption::NotValid => self.answer(Outcome::NotStarted, TICKET_NOT_VALID),
-        };
-        Way::Answer(answer)
-    }
-
-    /// Passes the request on to the instance that issued its ticket.
-    async fn forward(&self, id: TicketId) -> Box<Answer> {
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        let submission = Submission {
-            input: self.spec.input.clone(),
-        };
-        let run = Message::TicketRun(TicketRun {
-            ticket: id.to_string(),
-            workspace: self.spec.workspace.clone(),
-            pipeline: self.spec.pipeline.name.clone(),
-            request: self.spec.request.clone(),
-            deadline_ms: left.as_millis() as u64,
-            body: serde_json::to_vec(&submission).unwrap_or_default(),
-        });
-        let peers = self.shared.members.peers();
-        let incarnation = Some(id.incarnation);
-        match peers.request(&id.instance, incarnation, &run, left).await {
-            Ok(Message::AnswerState(AnswerState::Answered(body))) => match parsed(&body) {
-                Fetched::Answer(answer) => self.own(*answer),
-                _ => self.answer(Outcome::Unknown, TICKET_ISSUER_SILENT),
-            },
-            Ok(_) => self.answer(Outcome::Unknown, TICKET_ISSUER_SILENT),
-            Err(err) if err.is_nothing_done() => {
-                self.answer(Outcome::NotStarted, TICKET_ISSUER_GONE)
-            }
-            Err(_) => self.answer(Outcome::Unknown, TICKET_ISSUER_SILENT),
-        }
-    }
-
     /// Makes an answer that another request got this one's.
     fn own(&self, answer: Answer) -> Box<Answer> {
         Box::new(Answer {
@@ -340,7 +156,7 @@
 }
 
 fn plain_answer(request: &RequestId, outcome: Outcome, reason: &str) -> Answer {
-    let is_final = matches!(reason, REUSED | TICKET_NOT_VALID | TICKET_ISSUER_GONE);
+    let is_final = matches!(reason, REUSED | TICKET_NOT_VALID | ticketed::ISSUER_GONE);
     Answer {
         request_id: request.clone(),
         outcome,
@@ -351,13 +167,6 @@
     }
 }
 
-fn parsed(body: &[u8]) -> Fetched {
-    match serde_json::from_slice(body) {
-        Ok(answer) => Fetched::Answer(Box::new(answer)),
-        Err(_) => Fetched::Absent,
-    }
-}
-
 /// What is accounted for a request that was answered without a run of its own.
 fn completion_of(answer: &Answer) -> Completion {
     Completion {
@@ -368,69 +177,3 @@
         stages: Vec::new(),
     }
 }
-
-async fn pending_or(fetch: &mut Option<Fetch>) -> Fetched {
-    match fetch {
-        Some(fetch) => fetch.await,
-        None => std::future::pending().await,
-    }
-}
-
-/// Answers a peer that asks for the answer under a key.
-pub(crate) async fn answer_state(
-    shared: &Shared,
-    query: AnswerQuery,
-    wait: Duration,
-) -> AnswerState {
-    let key = AnswerKey::Key(KeyHash::of(&query.workspace, &query.key));
-    let wait = wait.min(Duration::from_millis(query.wait_ms));
-    match shared.answers.wait(&key, Instant::now() + wait).await {
-        Found::Ended(body) => AnswerState::Answered(body.to_vec()),
-        Found::InFlight => AnswerState::InFlight,
-        Found::Absent => AnswerState::Absent,
-    }
-}
-
-/// Runs a request that a peer passes on with a ticket of this instance.
-pub(crate) async fn run_forwarded(shared: &Arc<Shared>, run: TicketRun) -> AnswerState {
-    let request = run.request.clone();
-    let answer = match forwarded(shared, run) {
-        Ok(updates) => final_of(updates, &request).await,
-        Err(reason) => plain_answer(&request, Outcome::NotStarted, &reason),
-    };
-    AnswerState::Answered(serde_json::to_vec(&answer).unwrap_or_default())
-}
-
-fn forwarded(
-    shared: &Arc<Shared>,
-    run: TicketRun,
-) -> Result<mpsc::UnboundedReceiver<Update>, String> {
-    let id = TicketId::parse(&run.ticket).ok_or(TICKET_NOT_VALID)?;
-    // One that isn't ours would go on from instance to instance.
-    if id.incarnation != shared.incarnation {
-        return Err(TICKET_NOT_VALID.to_owned());
-    }
-    let body: Submission = serde_json::from_slice(&run.body).map_err(|_| "bad_body")?;
-    let head = Head {
-        request: run.request,
-        workspace: run.workspace,
-        credential: None,
-        pipeline: run.pipeline,
-        deadline_ms: Some(run.deadline_ms.max(1)),
-        warrant: Some(Warrant::Ticket(id)),
-        arrived_at_ms: shared.clock.now_ms(),
-    };
-    let admitted: Admitted = controller::admit(shared, head).map_err(|refusal| refusal.code())?;
-    Ok(controller::execute(shared, admitted, body.input))
-}
-
-async fn final_of(mut updates: mpsc::UnboundedReceiver<Update>, request: &RequestId) -> Answer {
-    while let Some(update) = updates.recv().await {
-        match update {
-            Update::Token { .. } => {}
-            Update::Final(completion) => return crate::caller::final_answer(request, *completion),
-            Update::Given(answer) => return *answer,
-        }
-    }
-    plain_answer(request, Outcome::Unknown, TICKET_ISSUER_SILENT)
-}
--- a/crates/server/src/refusal.rs
+++ b/crates/server/src/refusal.rs
@@ -36,6 +36,8 @@
     OverQuota(u64),
     /// The pipeline may not be repeated, and no claim of its key can be made.
     NoClaim,
+    /// The ticket was not issued by this run of the instance.
+    TicketNotValid,
 }
 
 impl Refusal {
@@ -54,13 +56,14 @@
             Self::NotReady => "not_ready".to_owned(),
             Self::OverQuota(_) => "over_quota".to_owned(),
             Self::NoClaim => "no_claim".to_owned(),
+            Self::TicketNotValid => exclusive::TICKET_NOT_VALID.to_owned(),
         }
     }
 
     /// Returns the outcome that the caller is told.
     pub(crate) fn outcome(self, has_key: bool) -> Outcome {
         match self {
-            Self::NoClaim => Outcome::NotStarted,
+            Self::NoClaim | Self::TicketNotValid => Outcome::NotStarted,
             _ if has_key => Outcome::NotStarted,
             _ => Outcome::NotRun,
         }
@@ -75,6 +78,7 @@
             Self::BadHeader(_) | Self::BadBody => StatusCode::BAD_REQUEST,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::LargeBody => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::TicketNotValid => StatusCode::GONE,
             Self::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::Overloaded | Self::NotReady | Self::NoClaim => StatusCode::SERVICE_UNAVAILABLE,
         }
