--- /dev/null
+++ b/crates/wire/src/peer/limits.rs
@@ -0,0 +1,88 @@
+//! Limits that a well-formed message has to keep.
+
+use savoryvane_core::{
+    digest::{DigestBatch, Leaver, ZoneDigest},
+    ids::MAX_NAME_BYTES,
+    quota::Claimant,
+    topology::SHARDS,
+};
+
+use super::{AnswerState, MAX_ENTRIES, MAX_KEY_BYTES, MAX_PAYLOAD_BYTES, Message, TicketRun};
+
+pub(super) fn is_within_limits(message: &Message) -> bool {
+    match message {
+        Message::Hello(hello) => is_short(hello.instance.as_str()),
+        Message::Digests(batch) => are_digests_bounded(batch),
+        Message::Leaving(notice) => is_short(leaver_name(&notice.leaver)),
+        Message::Zones(zones) => zones.len() <= MAX_ENTRIES && zones.iter().all(is_zone_bounded),
+        Message::UsageReport(report) => {
+            report.shard.0 < SHARDS
+                && report.demands.len() <= MAX_ENTRIES
+                && is_claimant_bounded(&report.claimant)
+        }
+        Message::UsageGrant(grant) => grant.shard.0 < SHARDS && grant.grants.len() <= MAX_ENTRIES,
+        Message::ConfigRecords(records) => records.records.len() <= MAX_ENTRIES,
+        Message::ConfigSnapshotPart(part) => part.payload.len() <= MAX_PAYLOAD_BYTES,
+        Message::AnswerQuery(query) => {
+            is_short(query.workspace.as_str()) && is_key(query.key.as_str())
+        }
+        Message::AnswerState(AnswerState::Answered(body)) => body.len() <= MAX_PAYLOAD_BYTES,
+        Message::TicketRun(run) => is_run_bounded(run),
+        Message::ClaimAppend(append) => append.claims.len() <= MAX_ENTRIES,
+        Message::AnswerState(_)
+        | Message::ConfigHead(_)
+        | Message::ConfigRecordsQuery(_)
+        | Message::ConfigSnapshotQuery(_)
+        | Message::ClaimAppended(_)
+        | Message::Declined(_) => true,
+    }
+}
+
+fn is_short(name: &str) -> bool {
+    name.len() <= MAX_NAME_BYTES
+}
+
+fn is_key(key: &str) -> bool {
+    key.len() <= MAX_KEY_BYTES
+}
+
+fn leaver_name(leaver: &Leaver) -> &str {
+    match leaver {
+        Leaver::Instance { instance, .. } => instance.as_str(),
+        Leaver::Backend(backend) => backend.as_str(),
+    }
+}
+
+fn are_digests_bounded(batch: &DigestBatch) -> bool {
+    is_short(batch.zone.as_str())
+        && batch.entries.len() <= MAX_ENTRIES
+        && batch
+            .entries
+            .iter()
+            .all(|entry| is_short(entry.digest.instance.as_str()))
+}
+
+fn is_zone_bounded(digest: &ZoneDigest) -> bool {
+    is_short(digest.zone.as_str())
+        && is_short(digest.region.as_str())
+        && digest.leaving.len() <= MAX_ENTRIES
+        && digest
+            .leaving
+            .iter()
+            .all(|entry| is_short(entry.backend.as_str()))
+}
+
+fn is_claimant_bounded(claimant: &Claimant) -> bool {
+    match claimant {
+        Claimant::Instance => true,
+        Claimant::Zone(zone) => is_short(zone.as_str()),
+    }
+}
+
+fn is_run_bounded(run: &TicketRun) -> bool {
+    is_key(&run.ticket)
+        && is_short(run.workspace.as_str())
+        && is_short(run.pipeline.as_str())
+        && is_key(run.request.as_str())
+        && run.body.len() <= MAX_PAYLOAD_BYTES
+}
