Split the search for users of changed objects; show a state that is cut off

Cause: one function of 45 lines found who refers to what, and only its first half was tested: with the search for users of pipelines off, a pipeline that workspaces use could be removed and no test failed. The new test fails with any of the three searches off. An instance that neither the log nor a checkpoint leads on says so in a metric.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -19,7 +19,7 @@
     checkpoint::{Assembler, Assembly, CheckpointItem, CheckpointPart, MAX_PART_BYTES, PartFault},
     confirm::{AppendResult, Confirm, ConfirmOutcome, ConfirmStep, READ_BACK_MS},
     event::{Action, Content, Duties, Event, Ignored, Progress, Received, Snapshot, Source},
-    follower::{Follower, FollowerSettings, HEAD_SILENCE_MS, READ_WAIT_MS, TICK_MS},
+    follower::{Follower, FollowerSettings, READ_WAIT_MS, TICK_MS},
     head::Head,
     plan::{MAX_CHANGE_BYTES, PlanError, change_id},
     record::ConfigRecord,
--- a/crates/core/src/config/follower.rs
+++ b/crates/core/src/config/follower.rs
@@ -21,7 +21,7 @@
 pub const READ_WAIT_MS: u64 = 500;
 /// Time without the stream's head after which an instance reads the log itself,
 /// in ms.
-pub const HEAD_SILENCE_MS: u64 = 1_500;
+const HEAD_SILENCE_MS: u64 = 1_500;
 
 /// Most that is added to [`HEAD_SILENCE_MS`], so that not all read at once.
 const SILENCE_JITTER_MS: u64 = 300;
--- a/crates/core/src/config/rules.rs
+++ b/crates/core/src/config/rules.rs
@@ -104,55 +104,68 @@
     found
 }
 
+/// Touched objects by kind, to look up who refers to them.
+struct Touched<'a>(&'a BTreeSet<ObjectKey>);
+
+impl Touched<'_> {
+    fn any(&self, kind: ObjectKind) -> bool {
+        self.0.iter().any(|key| key.kind == kind)
+    }
+
+    fn has(&self, kind: ObjectKind, name: &str) -> bool {
+        self.0.contains(&key(kind, name))
+    }
+
+    fn has_stage(&self, stage: &Stage) -> bool {
+        let model = stage.model.as_ref();
+        self.has(ObjectKind::Pool, stage.pool.as_str())
+            || model.is_some_and(|name| self.has(ObjectKind::Model, name.as_str()))
+    }
+}
+
+fn key(kind: ObjectKind, name: &str) -> ObjectKey {
+    ObjectKey {
+        kind,
+        name: name.to_owned(),
+    }
+}
+
 fn affected(store: &Store, touched: &BTreeSet<ObjectKey>) -> BTreeSet<ObjectKey> {
-    let has = |kind, name: &str| {
-        touched.contains(&ObjectKey {
-            kind,
-            name: name.to_owned(),
-        })
-    };
-    let any = |kind| touched.iter().any(|key| key.kind == kind);
     let mut keys = touched.clone();
-    let mut add = |kind, name: &str| {
-        keys.insert(ObjectKey {
-            kind,
-            name: name.to_owned(),
-        })
-    };
-    if any(ObjectKind::Pool) {
-        for backend in store.backends.values() {
-            if has(ObjectKind::Pool, backend.pool.as_str()) {
-                add(ObjectKind::Backend, backend.name.as_str());
-            }
-        }
-        for model in store.models.values() {
-            if has(ObjectKind::Pool, model.pool.as_str()) {
-                add(ObjectKind::Model, model.name.as_str());
-            }
-        }
+    let touched = Touched(touched);
+    if touched.any(ObjectKind::Pool) {
+        keys.extend(users_of_pools(store, &touched));
     }
-    if any(ObjectKind::Pool) || any(ObjectKind::Model) {
-        let refers = |stage: &Stage| {
-            has(ObjectKind::Pool, stage.pool.as_str())
-                || (stage.model.as_ref()).is_some_and(|x| has(ObjectKind::Model, x.as_str()))
-        };
-        for pipeline in store.pipelines.values() {
-            if pipeline.stages.iter().any(refers) {
-                add(ObjectKind::Pipeline, pipeline.name.as_str());
-            }
-        }
+    if touched.any(ObjectKind::Pool) || touched.any(ObjectKind::Model) {
+        keys.extend(users_in_stages(store, &touched));
     }
-    if any(ObjectKind::Pipeline) {
-        let refers = |name: &PipelineName| has(ObjectKind::Pipeline, name.as_str());
-        for workspace in store.workspaces.values() {
-            if workspace.pipelines.iter().any(refers) {
-                add(ObjectKind::Workspace, workspace.name.as_str());
-            }
-        }
+    if touched.any(ObjectKind::Pipeline) {
+        keys.extend(users_of_pipelines(store, &touched));
     }
     keys
 }
 
+fn users_of_pools(store: &Store, touched: &Touched<'_>) -> impl Iterator<Item = ObjectKey> {
+    let uses = |pool: &PoolName| touched.has(ObjectKind::Pool, pool.as_str());
+    let backends = store.backends.values().filter(move |x| uses(&x.pool));
+    let models = store.models.values().filter(move |x| uses(&x.pool));
+    let backends = backends.map(|x| key(ObjectKind::Backend, x.name.as_str()));
+    backends.chain(models.map(|x| key(ObjectKind::Model, x.name.as_str())))
+}
+
+fn users_in_stages(store: &Store, touched: &Touched<'_>) -> impl Iterator<Item = ObjectKey> {
+    let uses = |x: &Pipeline| x.stages.iter().any(|stage| touched.has_stage(stage));
+    let pipelines = store.pipelines.values().filter(move |x| uses(x));
+    pipelines.map(|x| key(ObjectKind::Pipeline, x.name.as_str()))
+}
+
+fn users_of_pipelines(store: &Store, touched: &Touched<'_>) -> impl Iterator<Item = ObjectKey> {
+    let is_touched = |name: &PipelineName| touched.has(ObjectKind::Pipeline, name.as_str());
+    let uses = move |x: &Workspace| x.pipelines.iter().any(is_touched);
+    let workspaces = store.workspaces.values().filter(move |x| uses(x));
+    workspaces.map(|x| key(ObjectKind::Workspace, x.name.as_str()))
+}
+
 fn faults(store: &Store, key: &ObjectKey) -> Vec<Fault> {
     let name = key.name.as_str();
     let mut found = Vec::new();
--- a/crates/core/tests/config_state.rs
+++ b/crates/core/tests/config_state.rs
@@ -11,7 +11,7 @@
         PartFault, PlanError, REMEMBERED_OFFSETS, State, Verdict, Violation,
     },
     ids::Offset,
-    objects::{Object, ObjectKind},
+    objects::{Object, ObjectKind, StageKind},
 };
 
 #[test]
@@ -88,6 +88,41 @@
     assert_eq!(state.objects().collect::<Vec<_>>(), before);
 }
 
+#[test]
+fn what_others_refer_to_can_not_be_removed_or_made_unfit() {
+    let mut state = State::new();
+    let mut intent = small_intent();
+    intent.pools.push(pool("other", 1));
+    intent.pipelines[0].stages[0].model = Some("chat".into());
+    let plan = state.plan(&intent, &operator()).unwrap();
+    apply_next(&mut state, &ConfigRecord::Change(plan.change));
+    let mut encoders = pool("llm", 1);
+    encoders.kind = StageKind::Encode;
+    let cases = [
+        (
+            ChangeOp::Delete(key(ObjectKind::Pipeline, "quote")),
+            key(ObjectKind::Workspace, "signs"),
+        ),
+        (
+            ChangeOp::Put(Object::Model(model("chat", "other"))),
+            key(ObjectKind::Pipeline, "quote"),
+        ),
+        (
+            ChangeOp::Put(Object::Pool(encoders)),
+            key(ObjectKind::Model, "chat"),
+        ),
+    ];
+    for (op, unfit) in cases {
+        let record = ConfigRecord::Change(change(state.next().0, vec![op]));
+        let Applied::Invalid { reasons } = apply_next(&mut state, &record) else {
+            panic!("{record:?}")
+        };
+        let is_told =
+            |reason: &InvalidReason| matches!(reason, InvalidReason::Rule(x) if x.key == unfit);
+        assert!(reasons.iter().any(is_told), "{reasons:?}");
+    }
+}
+
 #[test]
 fn forged_records_leave_no_trace_but_their_offset() {
     let mut state = small_state();
--- a/crates/server/src/follower.rs
+++ b/crates/server/src/follower.rs
@@ -209,6 +209,7 @@
 fn note_progress(shared: &Shared, progress: Progress) {
     let ignored = shared.configuration.ignored();
     metrics::gauge!("savoryvane_config_next_offset").set(progress.next.0 as f64);
+    metrics::gauge!("savoryvane_config_cut_off").set(f64::from(u8::from(progress.is_cut_off)));
     if let Some(age_ms) = progress.age_ms {
         metrics::gauge!("savoryvane_config_age_ms").set(age_ms as f64);
     }
