--- a/crates/server/src/listener.rs
+++ b/crates/server/src/listener.rs
@@ -21,7 +21,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore},
-    time,
+    time::{self, Instant},
 };
 use tokio_util::task::TaskTracker;
 use tower::{Service, ServiceExt};
@@ -38,6 +38,9 @@
 const MAX_STREAMS: u32 = 256;
 /// Time to wait after the system refused to accept, in ms.
 const ACCEPT_PAUSE_MS: u64 = 50;
+/// Time for the first request of a connection that was made just before the
+/// instance began to drain; closing it would lose that request.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
 /// Answer to a caller whose first head did not arrive in time.
 const TOO_SLOW: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
@@ -83,7 +86,9 @@
         let room = usize::try_from(self.limits.max_connections).unwrap_or(Semaphore::MAX_PERMITS);
         let room = Arc::new(Semaphore::new(room));
         loop {
+            // A connection that is made already is taken before the end.
             let accepted = tokio::select! {
+                biased;
                 accepted = listener.accept() => accepted,
                 () = self.phases.reached(Phase::Draining) => return,
             };
@@ -157,7 +162,9 @@
         let first_head = time::sleep(self.limits.header_timeout());
         tokio::pin!(first_head);
         let mut awaits_first = true;
-        let mut is_draining = false;
+        let shutdown = time::sleep(Duration::ZERO);
+        tokio::pin!(shutdown);
+        let (mut is_draining, mut is_shut_down) = (false, false);
         loop {
             tokio::select! {
                 ended = connection.as_mut() => {
@@ -176,6 +183,15 @@
                 }
                 () = self.phases.reached(Phase::Draining), if !is_draining => {
                     is_draining = true;
+                    let wait = if began.load(Ordering::Relaxed) {
+                        Duration::ZERO
+                    } else {
+                        FIRST_REQUEST_WAIT
+                    };
+                    shutdown.as_mut().reset(Instant::now() + wait);
+                }
+                () = &mut shutdown, if is_draining && !is_shut_down => {
+                    is_shut_down = true;
                     connection.as_mut().graceful_shutdown();
                 }
             }
--- a/crates/server/tests/leaving.rs
+++ b/crates/server/tests/leaving.rs
@@ -2,7 +2,14 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use common::{Deployment, KINDS, ZONE, expected, read_answer, read_body, submit};
 use http::StatusCode;
@@ -34,6 +41,26 @@
     spare_calls
 }
 
+/// Sends streamed requests one after another; each must be complete.
+async fn keep_asking(addr: SocketAddr, asker: u32, is_over: Arc<AtomicBool>) {
+    for number in 0.. {
+        if is_over.load(Ordering::Relaxed) {
+            return;
+        }
+        let input = json!({ "asker": asker, "number": number });
+        let accept = [("accept", "application/x-ndjson")];
+        let reply = submit(addr, "quote", &input, &accept).await;
+        let body = read_body(reply).await;
+        let last = body.split(|b| *b == b'\n').rfind(|x| !x.is_empty());
+        let last = serde_json::from_slice(last.unwrap()).unwrap();
+        let AnswerEvent::Final(answer) = last else {
+            panic!("no final answer: {last:?}");
+        };
+        assert_eq!(answer.outcome, Outcome::Complete, "{answer:?}");
+        assert_eq!(answer.output, Some(expected(&input)));
+    }
+}
+
 #[tokio::test]
 async fn leaving_backend_gets_no_new_work_after_two_seconds() {
     let deployment = Deployment::start().await;
@@ -85,22 +112,9 @@
         });
     }
     let addr = deployment.caller();
-    let asks: Vec<_> = (0..12)
-        .map(|number| {
-            tokio::spawn(async move {
-                let input = json!({ "number": number });
-                let accept = [("accept", "application/x-ndjson")];
-                let reply = submit(addr, "quote", &input, &accept).await;
-                let body = read_body(reply).await;
-                let last = body.split(|b| *b == b'\n').rfind(|x| !x.is_empty());
-                let last = serde_json::from_slice(last.unwrap()).unwrap();
-                let AnswerEvent::Final(answer) = last else {
-                    panic!("no final answer: {last:?}");
-                };
-                assert_eq!(answer.outcome, Outcome::Complete, "{answer:?}");
-                assert_eq!(answer.output, Some(expected(&input)));
-            })
-        })
+    let is_over = Arc::new(AtomicBool::new(false));
+    let askers: Vec<_> = (0..6)
+        .map(|asker| tokio::spawn(keep_asking(addr, asker, Arc::clone(&is_over))))
         .collect();
     time::sleep(Duration::from_millis(150)).await;
 
@@ -109,8 +123,9 @@
         deployment.backends.remove(index).stop().await;
     }
 
-    for ask in asks {
-        ask.await.unwrap();
+    is_over.store(true, Ordering::Relaxed);
+    for asker in askers {
+        asker.await.unwrap();
     }
     let input = json!("afterwards");
     let (status, answer) = read_answer(submit(addr, "quote", &input, &[]).await).await;
--- a/crates/server/tests/mixing.rs
+++ b/crates/server/tests/mixing.rs
@@ -167,8 +167,10 @@
 
 #[tokio::test]
 async fn garbage_in_answers_is_refused_and_bounded() {
-    for garbage_bytes in [10, 4 << 20] {
+    for (garbage_bytes, kind) in [(10, "malformed"), (4 << 20, "oversized")] {
         let deployment = Deployment::start().await;
+        let name = format!("savoryvane_bad_answers_total{{kind=\"{kind}\"}}");
+        let before = counter(&deployment, &name).await;
         fault_first(
             &deployment,
             &BackendFaults {
@@ -178,6 +180,8 @@
         );
         let outcomes = ask_many(&deployment).await;
         assert!(outcomes["complete"] > 0, "{outcomes:?}");
+        let after = counter(&deployment, &name).await;
+        assert!(after > before, "{kind}: nothing was refused");
     }
 }
 
--- a/crates/server/tests/shutdown.rs
+++ b/crates/server/tests/shutdown.rs
@@ -12,10 +12,13 @@
 use http_body_util::BodyExt;
 use process::Entry;
 use savoryvane_core::outcome::Outcome;
-use savoryvane_standins::{BackendFaults, client::Version};
+use savoryvane_standins::{
+    BackendFaults,
+    client::{self, Connection, Version},
+};
 use savoryvane_wire::caller::AnswerEvent;
 use serde_json::json;
-use tokio::time;
+use tokio::{net::TcpStream, time};
 
 /// Factor on the service times that keeps a request running for a while.
 const SLOW_PER_MILLE: u32 = 20_000;
@@ -173,3 +176,23 @@
     let (code, _) = ended(entry).await;
     assert_eq!(code, Some(0));
 }
+
+#[tokio::test]
+async fn first_request_of_a_connection_made_before_the_drain_is_served() {
+    let (_deployment, entry) = start("drain: {grace_ms: 100, timeout_ms: 10000}").await;
+    let mut connection = Connection::open(entry.caller, Version::Http1)
+        .await
+        .unwrap();
+    entry.terminate();
+    while TcpStream::connect(entry.caller).await.is_ok() {
+        time::sleep(Duration::from_millis(5)).await;
+    }
+
+    let ready = client::request(entry.caller, Method::GET, "/live", "").unwrap();
+    let reply = connection.send(ready).await.unwrap();
+
+    assert_eq!(reply.status(), StatusCode::OK);
+    assert_eq!(reply.headers()["connection"], "close");
+    let (code, log) = ended(entry).await;
+    assert_eq!(code, Some(0), "{log}");
+}
