Keep the offset after the last one from leading back to the first

Cause: Offset::next added one without a bound; a record at the highest offset would panic a debug build and take a release build back to offset 0, where old configuration would be read again. Found by reading. Ruled out: refusing such a record at the decoder; each stream has its own. Conclusion: a log that numbers wildly can't make a reader start over.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -104,10 +104,11 @@
 pub struct Offset(pub u64);
 
 impl Offset {
-    /// Returns the offset that follows this one.
+    /// Returns the offset that follows this one; the last one follows itself, so
+    /// that no record takes a reader back to the beginning.
     #[must_use]
     pub fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 }
 
