Decide which engine holds which model, and preview the moves

Cause: models have configured replicas and sizes, and nothing loaded them; an operator's plan told only "at least N engines".

Each site (pool and zone) is decided by itself from configured replicas and smoothed demand. A replica is added when demand was over 75% of the model's slots for as long as the load takes (at least 15 s), is spare when it would stay under 40% without it for 120 s or twice the load, and goes only when its place is needed; the last replica in use never goes. Two loads at a time over all zones. The reconciler is level-triggered: it reads reports, never older than an order's answer, and repeats until they match. A new term first tells engines that check fencing numbers the new one by an order that changes nothing. The preview follows the same steps on the planned configuration.

Ruled out: unloading spare replicas at once (they cost nothing while nobody needs the place, and come back under noise); believing reports measured before an order's answer (an unload was repeated, and a dropped replica counted).

Each guard was switched off in turn and a test failed: no holds and smoothing, move cost not weighed, last replica may go, no load budget, old reports believed, preview without removals.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod objects;
 pub mod outcome;
 pub mod pace;
+pub mod placement;
 pub mod placer;
 pub mod progress;
 pub mod quantile;
