Place models from the server, with orders that bear the fencing number

Cause: the decisions of placement and the election stood in the core only; no instance took part, ordered engines or showed an operator the moves of a plan.

Each instance takes part in the election (the four first by rank follow the stream); the placer reads every engine's report each second and sends what the reconciler orders. The permit is asked for again directly before each order, and no order is handed to a socket after it ends. The first order of a term to an engine that checks numbers and holds a model is to load what it holds. Plans list the engines of their moves; `/admin/v1/placer` tells who the placer is.

Ruled out: telling an engine that reports nothing the number by an unload; its report may be older than its last load, and the order would drop it.

Seen failing first with a guard switched off: engines not told the number (the core's and the end-to-end test: 200 where 409 is due), reports not read after an answer, overdue loads not decided anew, a stuck engine asked again. Of the end to end tests the one for engines that ignore the number, and the interleavings of several placers over both kinds, were not seen failing first.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -18,6 +18,7 @@
 mod admission;
 mod health;
 mod in_flight;
+mod observed;
 mod pace;
 mod prefixes;
 mod refusals;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -26,6 +26,6 @@
     layout::Layout,
     observed::OrderResult,
     preview::{PlannedMove, preview},
-    reconciler::{Order, Reconciler, Round},
+    reconciler::{Order, OrderKind, Reconciler, Round},
     settings::PlacementSettings,
 };
--- a/crates/core/src/placement/layout.rs
+++ b/crates/core/src/placement/layout.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Names the backend servers that take orders.
+    pub fn engines(&self) -> impl Iterator<Item = &'a BackendName> {
+        self.backends.keys().copied()
+    }
+
     pub(crate) fn pool(&self, name: &PoolName) -> Option<&'a Pool> {
         self.pools.get(name).copied()
     }
--- a/crates/core/src/placement/observed.rs
+++ b/crates/core/src/placement/observed.rs
@@ -6,7 +6,7 @@
     call::{LoadReport, ServingState},
     ids::ModelName,
     objects::Backend,
-    placement::{MoveKind, PlacementSettings, engine::Engine},
+    placement::{OrderKind, PlacementSettings, engine::Engine},
 };
 
 /// What became of an order.
@@ -18,13 +18,28 @@
         models: Vec<ModelName>,
     },
     /// The engine has seen a higher fencing number.
-    Fenced,
+    Fenced {
+        /// Number that it has seen.
+        highest_fence: u64,
+    },
     /// It was not sent.
     NotSent,
     /// It may have taken effect.
     Unanswered,
 }
 
+impl OrderResult {
+    /// Returns the name used in logs and metrics.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Applied { .. } => "applied",
+            Self::Fenced { .. } => "fenced",
+            Self::NotSent => "not_sent",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Loading {
     ordered_at_ms: u64,
@@ -104,17 +119,17 @@
     pub(crate) fn take_result(
         &mut self,
         now_ms: u64,
-        kind: MoveKind,
+        kind: OrderKind,
         model: &ModelName,
         result: &OrderResult,
     ) {
         self.has_order = false;
         match result {
             OrderResult::Applied { models } => self.take_models(now_ms, models),
-            OrderResult::NotSent | OrderResult::Fenced => {
+            OrderResult::NotSent | OrderResult::Fenced { .. } => {
                 self.loading.remove(model);
             }
-            OrderResult::Unanswered if kind == MoveKind::Load => {
+            OrderResult::Unanswered if kind == OrderKind::Load => {
                 // It is asked again unless the engine soon shows the model.
                 if let Some(loading) = self.loading.get_mut(model) {
                     loading.due_ms = loading.due_ms.min(now_ms);
--- a/crates/core/src/placement/reconciler.rs
+++ b/crates/core/src/placement/reconciler.rs
@@ -18,6 +18,25 @@
     placer::Permit,
 };
 
+/// What an engine is ordered to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum OrderKind {
+    /// Load a model.
+    Load,
+    /// Drop a model.
+    Unload,
+}
+
+impl OrderKind {
+    /// Returns the name used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Load => "load",
+            Self::Unload => "unload",
+        }
+    }
+}
+
 /// An order to one engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Order {
@@ -28,7 +47,7 @@
     /// Whether it checks the number.
     pub fencing: Fencing,
     /// What it is ordered to do.
-    pub kind: MoveKind,
+    pub kind: OrderKind,
     /// Model that it is about.
     pub model: ModelName,
 }
@@ -173,10 +192,14 @@
     }
 
     /// Tells whether an engine that checks fencing numbers knows this one; an
-    /// older placer's order might still get through to it otherwise.
+    /// older placer's order might still get through to it otherwise. One that
+    /// holds nothing has nothing to lose, and no order is sure to change nothing
+    /// there: its report may be older than its last load.
     fn is_fenced(&self, backend: &Backend, layout: &Layout<'_>, permit: &Permit) -> bool {
+        let observed = &self.engines[&backend.name];
         fencing(backend, layout) == Fencing::Ignored
-            || self.engines[&backend.name].fence == Some(permit.fence)
+            || observed.fence == Some(permit.fence)
+            || observed.models().is_empty()
     }
 
     fn is_unsure(&self, now_ms: u64, site: &Site, layout: &Layout<'_>) -> bool {
@@ -201,14 +224,7 @@
             if is_fenced || !is_seen || observed.has_order {
                 continue;
             }
-            let held = observed.models().first();
-            let any = || {
-                layout
-                    .models_of(&backend.pool)
-                    .map(|model| &model.name)
-                    .next()
-            };
-            let Some(model) = held.or_else(any).cloned() else {
+            let Some(model) = observed.models().first().cloned() else {
                 continue;
             };
             let step = Step {
@@ -302,6 +318,13 @@
         let Some(observed) = self.engines.get_mut(&backend.name) else {
             return;
         };
+        let kind = match step.kind {
+            MoveKind::Load => OrderKind::Load,
+            MoveKind::Unload => OrderKind::Unload,
+            // It is held already.
+            MoveKind::Fence => OrderKind::Load,
+            MoveKind::Unplaced => return,
+        };
         if observed.has_order {
             return;
         }
@@ -315,7 +338,7 @@
             fence: permit.fence,
             backend: backend.name.clone(),
             fencing: fencing(backend, layout),
-            kind: step.kind,
+            kind,
             model: step.model.clone(),
         });
     }
--- a/crates/server/src/admin.rs
+++ b/crates/server/src/admin.rs
@@ -26,6 +26,7 @@
     instance::Shared,
     members,
     phase::Phase,
+    placement,
 };
 
 /// Media type of metrics.
@@ -131,6 +132,7 @@
         ("GET", "/admin/v1/history") => ok(&history(shared)),
         ("GET", "/admin/v1/instances") => ok(&instances(shared)),
         ("GET", "/admin/v1/backends") => ok(&backends(shared)),
+        ("GET", "/admin/v1/placer") => ok(&shared.candidacy.view(shared.clock.now_ms())),
         ("GET", "/admin/v1/costs") => ok(&shared.fleet().costs().lines().collect::<Vec<_>>()),
         _ => Err(Failure::new(
             StatusCode::NOT_FOUND,
@@ -179,9 +181,10 @@
             "ask another instance, or again when this one is ready",
         ));
     }
-    let plan = shared.configuration.state().plan(&intent, &operator);
-    match plan {
+    let state = shared.configuration.state();
+    match state.plan(&intent, &operator) {
         Ok(mut plan) => {
+            placement::add_moves(shared, &state, &mut plan);
             plan.warnings.extend(age_warning(progress));
             info!(shared.log, "plan made"; "change" => %plan.change.id, "operator" => %operator,
                 "base" => plan.change.base.0, "steps" => plan.change.ops.len());
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -43,6 +43,8 @@
     peer::{PeerId, PeerServer},
     peering::Peering,
     phase::{Phase, Phases},
+    placement::{self, Placement},
+    placer::{self, Candidacy},
     platform::PlatformClient,
     refusal::Refusal,
     settings::Settings,
@@ -81,6 +83,10 @@
     pub(crate) answers: Answers,
     /// Client of the backend servers.
     pub(crate) backends: BackendClient,
+    /// Part in the election of the placer.
+    pub(crate) candidacy: Candidacy,
+    /// Placement of models.
+    pub(crate) placement: Placement,
     /// Metrics.
     pub(crate) meters: Meters,
     /// Tasks of requests; all have ended when it stops.
@@ -280,6 +286,12 @@
         tickets: Tickets::new(&settings, incarnation),
         answers: Answers::default(),
         backends: BackendClient::new(settings.backends, log.clone()),
+        candidacy: Candidacy::new(
+            settings.instance.clone(),
+            incarnation,
+            settings.placement.election(),
+        ),
+        placement: Placement::new(&settings),
         meters: Meters::install(),
         tasks: TaskTracker::new(),
         fleet,
@@ -332,6 +344,8 @@
     background.spawn(claims::append(Arc::clone(shared)));
     background.spawn(listing::run(Arc::clone(shared)));
     background.spawn(loads::run(Arc::clone(shared)));
+    background.spawn(placer::run(Arc::clone(shared)));
+    background.spawn(placement::run(Arc::clone(shared)));
     background
 }
 
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -24,9 +24,13 @@
 mod logging;
 mod members;
 mod meters;
+mod orders;
 pub mod peer;
 mod peering;
 mod phase;
+mod placement;
+mod placement_settings;
+mod placer;
 mod platform;
 mod refusal;
 mod relay;
@@ -41,6 +45,7 @@
 pub use crate::{
     error::{Error, Result},
     instance::{Addresses, Ended, Instance},
+    placement_settings::Placement,
     settings::{
         Backends, Claims, Drain, Limits, Listen, Log, LogForm, LogLevel, Platform, Settings,
     },
--- /dev/null
+++ b/crates/server/src/placer.rs
@@ -0,0 +1,198 @@
+//! Takes part in the election of the placer: follows its stream, stands up when
+//! it is this instance's turn and renews while it holds the term.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use savoryvane_core::{
+    ids::{Incarnation, InstanceName, Offset},
+    placer::{
+        Action, Event, Holder, Permit, Placer, PlacerRecord, PlacerSettings, Received, Standing,
+        TICK_MS,
+    },
+    topology::{Duty, ranked},
+};
+use savoryvane_wire::{
+    placer::{self, PlacerView},
+    platform::{LogRecord, PLACER_STREAM},
+};
+use slog::{Logger, debug, info, warn};
+use tokio::{
+    task::JoinSet,
+    time::{self, MissedTickBehavior},
+};
+
+use crate::{instance::Shared, phase::Phase, platform::PlatformError};
+
+/// Instances that follow the stream, to bound its readers.
+const FOLLOWERS: u64 = 4;
+/// Ticks between two looks at the own rank.
+const LOOK_TICKS: u64 = 10;
+/// Pause after a read that failed, in ms.
+const READ_PAUSE_MS: u64 = 500;
+
+/// This instance's part in the election.
+#[derive(Debug)]
+pub(crate) struct Candidacy {
+    placer: Mutex<Placer>,
+}
+
+impl Candidacy {
+    /// Creates the part of a run of an instance.
+    pub(crate) fn new(
+        instance: InstanceName,
+        incarnation: Incarnation,
+        settings: PlacerSettings,
+    ) -> Self {
+        let placer = Placer::new(instance, incarnation, settings, rand::random());
+        Self {
+            placer: Mutex::new(placer),
+        }
+    }
+
+    /// Returns the leave to give orders; to be asked directly before each.
+    pub(crate) fn permit(&self, now_ms: u64) -> Option<Permit> {
+        self.lock().permit(now_ms)
+    }
+
+    /// Returns what operators see of the election.
+    pub(crate) fn view(&self, now_ms: u64) -> PlacerView {
+        let placer = self.lock();
+        let holder = placer.holder();
+        PlacerView {
+            instance: holder.map(|holder| holder.instance.clone()),
+            term: holder.map(|holder| holder.term),
+            gives_orders: placer.permit(now_ms).is_some(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Placer> {
+        self.placer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Takes part for as long as the instance lives.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut ticks = time::interval(Duration::from_millis(TICK_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut jobs = JoinSet::new();
+    let mut count = 0_u64;
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {
+                if count.is_multiple_of(LOOK_TICKS) {
+                    apply(&shared, &mut jobs, Event::Standing(standing(&shared)));
+                }
+                count += 1;
+                let event = match shared.phases.current() >= Phase::Leaving {
+                    true => Event::Leave,
+                    false => Event::Tick,
+                };
+                apply(&shared, &mut jobs, event);
+            }
+            Some(Ok(event)) = jobs.join_next() => apply(&shared, &mut jobs, event),
+        }
+    }
+}
+
+/// Notes that an engine has seen a higher fencing number than the own.
+pub(crate) fn note_fenced(shared: &Shared, highest: u64) {
+    warn!(shared.log, "an engine has seen a newer placer's order"; "highest_fence" => highest);
+    let now_ms = shared.clock.now_ms();
+    let fenced = Event::Fenced { highest };
+    // What follows is asked for again at the next tick.
+    let _ = shared.candidacy.lock().on_event(now_ms, fenced);
+}
+
+fn apply(shared: &Arc<Shared>, jobs: &mut JoinSet<Event>, event: Event) {
+    let now_ms = shared.clock.now_ms();
+    let actions = shared.candidacy.lock().on_event(now_ms, event);
+    for action in actions {
+        match action {
+            Action::Read { from, wait_ms } => {
+                let shared = Arc::clone(shared);
+                jobs.spawn(async move { read(&shared, from, wait_ms).await });
+            }
+            Action::Append(record) => {
+                let shared = Arc::clone(shared);
+                jobs.spawn(async move { append(&shared, &record).await });
+            }
+            Action::Changed(holder) => note_holder(shared, holder),
+        }
+    }
+}
+
+fn note_holder(shared: &Shared, holder: Option<Holder>) {
+    let is_here = holder
+        .as_ref()
+        .is_some_and(|holder| holder.incarnation == shared.incarnation);
+    metrics::gauge!("savoryvane_placer_is_here").set(f64::from(u8::from(is_here)));
+    match holder {
+        Some(holder) => {
+            metrics::gauge!("savoryvane_placer_term").set(holder.term.0 as f64);
+            info!(shared.log, "placer elected"; "placer" => %holder.instance,
+                "incarnation" => %holder.incarnation, "fence" => holder.term.0);
+        }
+        None => info!(shared.log, "placer has left"),
+    }
+}
+
+async fn read(shared: &Shared, from: Offset, wait_ms: u64) -> Event {
+    let wait_ms = wait_ms.min(shared.platform.wait_ms());
+    match shared.platform.read(PLACER_STREAM, from, wait_ms).await {
+        Ok(answer) => Event::Read {
+            next: answer.next,
+            records: answer
+                .records
+                .iter()
+                .map(|record| received(&shared.log, record))
+                .collect(),
+        },
+        Err(PlatformError::Trimmed(first)) => Event::Trimmed { first },
+        Err(err) => {
+            debug!(shared.log, "placer stream not read"; "error" => %err);
+            time::sleep(Duration::from_millis(READ_PAUSE_MS)).await;
+            Event::ReadFailed
+        }
+    }
+}
+
+fn received(log: &Logger, record: &LogRecord) -> Received {
+    let decoded = placer::decode_record(record);
+    if let Err(err) = &decoded {
+        warn!(log, "placer record can't be decoded"; "offset" => record.offset.0,
+            "error" => %err);
+    }
+    Received {
+        offset: record.offset,
+        record: decoded.ok(),
+    }
+}
+
+async fn append(shared: &Shared, record: &PlacerRecord) -> Event {
+    if let Ok(payload) = placer::encode(record) {
+        let payload = Bytes::from(payload);
+        if let Err(err) = shared.platform.append(PLACER_STREAM, payload).await {
+            // Whether it took effect shows when the stream is read.
+            debug!(shared.log, "placer record not confirmed"; "error" => %err);
+        }
+    }
+    Event::AppendEnded
+}
+
+/// Ranks this instance among those of all zones: there is one placer.
+fn standing(shared: &Shared) -> Standing {
+    let me = &shared.settings.instance;
+    let membership = shared.members.membership();
+    let live = membership.listed().iter().filter(|x| !x.is_leaving);
+    let others = live.map(|x| &x.instance).filter(|name| *name != me);
+    let order = ranked(Duty::Placer, others.chain([me]));
+    let rank = order.iter().position(|name| *name == me);
+    match rank.map(|rank| rank as u64) {
+        Some(rank) if rank < FOLLOWERS => Standing::Candidate { rank },
+        Some(_) | None => Standing::Bystander,
+    }
+}
--- a/crates/server/src/runner.rs
+++ b/crates/server/src/runner.rs
@@ -154,6 +154,9 @@
                         gate => gate,
                     },
                 };
+                if let Some(model) = &call.model {
+                    self.shared.placement.note_call(model);
+                }
                 let to = Destination {
                     backend,
                     addr,
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -5,7 +5,10 @@
 use savoryvane_check::{self as check, Fields, Problems};
 use savoryvane_core::ids::{InstanceName, RegionName, ZoneName, is_sha256};
 
-use crate::error::{Error, Result};
+use crate::{
+    error::{Error, Result},
+    placement_settings::{self, Placement},
+};
 
 /// Largest settings file that is read, in bytes.
 const MAX_FILE_BYTES: usize = 16 * 1024;
@@ -48,6 +51,8 @@
     pub claims: Claims,
     /// How it stops.
     pub drain: Drain,
+    /// How models are placed.
+    pub placement: Placement,
 }
 
 /// Addresses that an instance listens on; port 0 takes any free one.
@@ -223,6 +228,7 @@
     let longest_window_ms = longest_window_ms(platform.as_ref(), limits.as_ref());
     let claims = fields.section("claims", |f| read_claims(f, longest_window_ms));
     let drain = fields.section("drain", read_drain);
+    let placement = fields.section("placement", placement_settings::read);
     Some(Settings {
         instance: instance?,
         zone: zone?,
@@ -235,6 +241,7 @@
         backends: backends?,
         claims: claims?,
         drain: drain?,
+        placement: placement?,
     })
 }
 
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -11,6 +11,7 @@
 //! - `GET /admin/v1/history`; answers 200 with [`HistoryEntry`]s, newest first.
 //! - `GET /admin/v1/instances`; answers 200 with [`InstanceView`]s.
 //! - `GET /admin/v1/backends`; answers 200 with [`BackendView`]s.
+//! - `GET /admin/v1/placer`; answers 200 [`PlacerView`](crate::placer::PlacerView).
 //! - `GET /admin/v1/costs`; answers 200 with [`CostLine`]s.
 //! - `POST /admin/v1/drain`, body [`Drain`]; answers 202.
 
--- a/crates/wire/src/placer.rs
+++ b/crates/wire/src/placer.rs
@@ -2,7 +2,10 @@
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use quick_error::quick_error;
-use savoryvane_core::placer::PlacerRecord;
+use savoryvane_core::{
+    ids::{InstanceName, Offset},
+    placer::PlacerRecord,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::platform::LogRecord;
@@ -42,6 +45,17 @@
 /// Result of encoding or decoding.
 pub type Result<T> = std::result::Result<T, PlacerPayloadError>;
 
+/// The placer as an instance has read it; answer to `GET /admin/v1/placer`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacerView {
+    /// Instance that is the placer.
+    pub instance: Option<InstanceName>,
+    /// Fencing number of its orders.
+    pub term: Option<Offset>,
+    /// Whether the instance that answers gives orders now.
+    pub gives_orders: bool,
+}
+
 #[derive(Serialize)]
 struct PayloadRef<'a> {
     version: u32,
