--- a/crates/bench/src/figures.rs
+++ b/crates/bench/src/figures.rs
@@ -65,6 +65,8 @@
     pub is_attained: bool,
     /// Whether nothing of it was sent to a backend server.
     pub is_refused: bool,
+    /// Whether that was for its workspace's share.
+    pub is_over_share: bool,
     /// Whether it came back after a refusal.
     pub is_return: bool,
     /// Whether it needs a language model runner.
@@ -82,6 +84,8 @@
     pub lm_by_second: Vec<Share>,
     /// Requests refused before anything was sent.
     pub refused: Share,
+    /// Those among them that a share was the reason for.
+    pub refused_over_share: u64,
     /// The same by workspace.
     pub refused_by_workspace: Vec<Share>,
     /// Time to a refusal, in µs.
@@ -111,6 +115,7 @@
             by_second: vec![Share::default(); (RUN_US / SECOND_US) as usize],
             lm_by_second: vec![Share::default(); (RUN_US / SECOND_US) as usize],
             refused: Share::default(),
+            refused_over_share: 0,
             refused_by_workspace: vec![Share::default(); workspaces],
             refusal_us: histogram(),
             answer_us: histogram(),
@@ -141,6 +146,7 @@
             self.lm_by_second[second].add(ending.is_attained);
         }
         self.refused.add(ending.is_refused);
+        self.refused_over_share += u64::from(ending.is_over_share);
         self.refused_by_workspace[ending.workspace].add(ending.is_refused);
         if ending.is_refused {
             self.refusal_us.saturating_record(ending.elapsed_us);
@@ -202,6 +208,18 @@
             .map_or(0.0, |last| (last + 1) as f64)
     }
 
+    /// Returns the requests refused for their workspace's share, in per cent of
+    /// all.
+    pub fn over_share_percent(&self) -> f64 {
+        self.refused_over_share as f64 * 100.0 / self.refused.all.max(1) as f64
+    }
+
+    /// Returns what the instances booked in per cent of what was spent.
+    pub fn booked_percent(&self) -> f64 {
+        let total: f64 = self.costs.values().map(|cost| cost.total_micros).sum();
+        self.booked_micros as f64 * 100.0 / total.max(1.0)
+    }
+
     /// Returns calls beyond the first of each stage, in per cent of those.
     pub fn retry_percent(&self) -> f64 {
         (self.calls - self.first_calls) as f64 * 100.0 / self.first_calls.max(1) as f64
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -160,6 +160,9 @@
         pair.line("refused_at_once_pct", Bound::None, |figures| {
             figures.refused.percent_or_zero()
         }),
+        pair.line("refused_over_share_pct", Bound::None, |figures| {
+            figures.over_share_percent()
+        }),
         pair.line("refusal_p99_ms", Bound::AtMost(0.0), |figures| {
             figures.refusal_us.value_at_quantile(0.99) as f64 / 1e3
         }),
@@ -174,6 +177,7 @@
         pair.line("wasted_cost_pct", Bound::None, |figures| {
             figures.wasted_percent()
         }),
+        pair.line("booked_pct_of_spent", Bound::None, Figures::booked_percent),
         pair.line("answer_p50_ms", Bound::None, |figures| {
             figures.answer_us.value_at_quantile(0.5) as f64 / 1e3
         }),
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -115,6 +115,7 @@
     /// Busy time by server and attempt.
     spent: Vec<(usize, u64, u64)>,
     is_attained: bool,
+    is_over_share: bool,
     is_over: bool,
 }
 
--- a/crates/bench/src/world/requests.rs
+++ b/crates/bench/src/world/requests.rs
@@ -5,7 +5,8 @@
 use rand::RngExt;
 use savoryvane_core::{
     call::StageCall,
-    execution::{Action, Completion, DiscardReason, Event, Execution, ExecutionSpec},
+    decision::DecisionReason,
+    execution::{Action, Completion, DiscardReason, Event, Execution, ExecutionSpec, Reason},
     ids::BackendName,
     objects::StageKind,
     outcome::Outcome,
@@ -49,6 +50,7 @@
             unused: HashSet::new(),
             spent: Vec::new(),
             is_attained: false,
+            is_over_share: false,
             is_over: false,
         });
         self.hand_in(number, Event::Start);
@@ -143,6 +145,10 @@
         let allowed_us = running.arrival.pipeline.deadline_ms * US_PER_MS
             - 2 * self.deployment.client_one_way_us;
         let is_attained = completion.outcome == Outcome::Complete && elapsed_us <= allowed_us;
+        let over_share = Reason::GivenUp(DecisionReason::OverShare);
+        if completion.reason == Some(over_share) {
+            self.requests[request].is_over_share = true;
+        }
         self.end(request, Some(completion.outcome), is_attained);
         self.come_back(request, completion);
     }
@@ -160,6 +166,7 @@
             outcome,
             is_attained,
             is_refused: outcome == Some(Outcome::NotRun) && running.sent == 0,
+            is_over_share: running.is_over_share,
             is_return: running.arrival.is_return,
             needs_lm: needs_lm(&running.arrival),
         });
--- a/crates/core/src/execution.rs
+++ b/crates/core/src/execution.rs
@@ -19,10 +19,13 @@
     outcome::Outcome,
 };
 
+mod answer;
 mod attempt;
+mod booking;
 mod finish;
 mod overdue;
 mod reason;
+mod repeat;
 mod stream;
 
 use attempt::Attempt;
--- a/crates/core/src/execution/overdue.rs
+++ b/crates/core/src/execution/overdue.rs
@@ -1,6 +1,6 @@
 //! Calls that make no progress for longer than usual.
 
-use super::{Action, Execution, Turn, attempt::Attempt};
+use super::{Action, Execution, Turn, attempt::Attempt, repeat::Charge};
 use crate::{
     decision::DecisionKind,
     fleet::{CallEnd, Fault, Progress},
@@ -60,7 +60,7 @@
             && self.stage().idempotent
             && is_alone
             && self.can_go_elsewhere(turn)
-            && self.may_repeat(super::attempt::Charge::Retry, turn).is_ok();
+            && self.may_repeat(Charge::Retry, turn).is_ok();
         if !may_hedge {
             return;
         }
