Refuse for a share only well beyond it

Ruled out: no refusals for shares below full use, since use is what it protects. A workspace may now cause the whole wait up to 1.5 times its share, and the least part from 2.85 times on.

--- a/crates/core/src/fleet/shares.rs
+++ b/crates/core/src/fleet/shares.rs
@@ -18,6 +18,10 @@
 /// Seconds of its quota that a workspace may save up.
 const QUOTA_BURST_S: f64 = 2.0;
 const MS_PER_S: f64 = 1_000.0;
+/// Times its share up to which a workspace may cause the whole wait.
+const WHOLE_WAIT_TO: f64 = 1.5;
+/// Times its share from which it may cause none, but for the part below.
+const NO_WAIT_AT: f64 = 3.0;
 /// Part of the usual wait that is left to any workspace, so that a short wait
 /// refuses nobody.
 const LEAST_WAIT_PART: f64 = 0.1;
@@ -205,7 +209,9 @@
 pub(crate) fn wait_part(settings: &PolicySettings, excess: f64) -> f64 {
     match settings.fairness {
         Fairness::Off => 1.0,
-        Fairness::Weighted if excess <= 1.0 => 1.0,
-        Fairness::Weighted => (2.0 - excess).max(LEAST_WAIT_PART),
+        Fairness::Weighted => {
+            let part = (NO_WAIT_AT - excess) / (NO_WAIT_AT - WHOLE_WAIT_TO);
+            part.clamp(LEAST_WAIT_PART, 1.0)
+        }
     }
 }
