Measure overuse by what it takes of the others' shares

Now: what counts is the part of the others' shares that a workspace uses; the whole wait up to a quarter, the least part from two fifths on, with a half-life of 4 s instead of 2 s, as a few requests a second are a noisy measure.

--- a/crates/core/src/fleet/admission.rs
+++ b/crates/core/src/fleet/admission.rs
@@ -91,8 +91,8 @@
         let wait_percent = self.settings.wait_percent_of_slack.of(query.objective);
         let slack_us = query.time_left_us.saturating_sub(forecast.work_us);
         let most_us = slack_us * u64::from(wait_percent) / 100;
-        let excess = self.shares.excess(now_ms, query.workspace);
-        let part = wait_part(&self.settings, excess);
+        let overuse = self.shares.overuse(now_ms, query.workspace);
+        let part = wait_part(&self.settings, overuse);
         let reason = if forecast.work_us > query.time_left_us || forecast.wait_us > most_us {
             DecisionReason::CannotFinish
         } else if forecast.wait_us as f64 > most_us as f64 * part {
--- a/crates/core/src/fleet/shares.rs
+++ b/crates/core/src/fleet/shares.rs
@@ -10,7 +10,7 @@
 };
 
 /// Time in which what a workspace has used counts half, in ms.
-const HALF_LIFE_MS: f64 = 2_000.0;
+const HALF_LIFE_MS: f64 = 4_000.0;
 /// Half-lives after which the scale of what was used is brought back to one.
 const RESCALE_AFTER: f64 = 400.0;
 /// Time for which a workspace counts as active after a request, in ms.
@@ -18,10 +18,12 @@
 /// Seconds of its quota that a workspace may save up.
 const QUOTA_BURST_S: f64 = 2.0;
 const MS_PER_S: f64 = 1_000.0;
-/// Times its share up to which a workspace may cause the whole wait.
-const WHOLE_WAIT_TO: f64 = 1.5;
-/// Times its share from which it may cause none, but for the part below.
-const NO_WAIT_AT: f64 = 3.0;
+/// Part of the others' shares that a workspace may use and still cause the whole
+/// wait.
+const TOLERATED_OVERUSE: f64 = 0.25;
+/// Part of the others' shares from which it may cause none, but for the part
+/// below.
+const FULL_OVERUSE: f64 = 0.4;
 /// Part of the usual wait that is left to any workspace, so that a short wait
 /// refuses nobody.
 const LEAST_WAIT_PART: f64 = 0.1;
@@ -80,19 +82,20 @@
 }
 
 impl Shares {
-    /// Returns how many times its share a workspace has used lately, by weight
-    /// among those that are active.
-    pub(crate) fn excess(&mut self, now_ms: u64, workspace: &WorkspaceName) -> f64 {
+    /// Returns how much of the others' shares a workspace has used lately, from
+    /// none (0) to all (1); shares go by weight among those that are active.
+    pub(crate) fn overuse(&mut self, now_ms: u64, workspace: &WorkspaceName) -> f64 {
         self.expire(now_ms);
         let Some(own) = self.accounts.get(workspace) else {
-            return 1.0;
+            return 0.0;
         };
-        if self.used <= 0.0 {
+        let own_weight = if own.is_active { 0.0 } else { own.weight };
+        let share = own.weight / (self.active_weight + own_weight);
+        if self.used <= 0.0 || share >= 1.0 {
             return 0.0;
         }
-        let own_weight = if own.is_active { 0.0 } else { own.weight };
-        let weights = self.active_weight + own_weight;
-        (own.used / self.used) / (own.weight / weights)
+        let used = own.used / self.used;
+        ((used - share) / (1.0 - share)).max(0.0)
     }
 
     /// Takes a request out of a workspace's quota, or tells when one is due.
@@ -205,12 +208,12 @@
 }
 
 /// Returns the part of the usual wait in queues that a workspace may cause when
-/// it has used `excess` times its share.
-pub(crate) fn wait_part(settings: &PolicySettings, excess: f64) -> f64 {
+/// it has used so much of the others' shares.
+pub(crate) fn wait_part(settings: &PolicySettings, overuse: f64) -> f64 {
     match settings.fairness {
         Fairness::Off => 1.0,
         Fairness::Weighted => {
-            let part = (NO_WAIT_AT - excess) / (NO_WAIT_AT - WHOLE_WAIT_TO);
+            let part = (FULL_OVERUSE - overuse) / (FULL_OVERUSE - TOLERATED_OVERUSE);
             part.clamp(LEAST_WAIT_PART, 1.0)
         }
     }
