Resume cut streams as long as they make progress

Cause: a connection cut in the middle of a stream counted as a silent server, for whose ejection there is no cap, so two cut streams each took both engines away (119 of 120 requests failed, 111 with no_backend). Since calls go to an ejected server where there is no better one, that is 107 of 120, all with "connection lost": each resume still took a retry out of the budget, and 16 tokens in pieces of 5 need four calls where three attempts are allowed. Ruled out: the resumption itself, which began at the right token.

A call that gave an eighth of the stage's tokens or more before it was cut is resumed free of charge and does not count against the attempts; there can be eight such calls a stage at most. One that gave less counts as before. A server that cuts streams that have begun answers, but not well, so its ejection falls under the cap (a third of the pool, one at least); one cut before its first sign of life counts as silent as before.

--- a/crates/core/src/execution/attempt.rs
+++ b/crates/core/src/execution/attempt.rs
@@ -18,6 +18,8 @@
     pub(crate) number: u64,
     pub(crate) backend: BackendName,
     pub(crate) sent_at_ms: u64,
+    /// Index of the token that this call was to give first.
+    pub(crate) first_index: u32,
     /// Index of the token that this call gives next.
     pub(crate) next_index: u32,
     pub(crate) is_silent: bool,
@@ -119,6 +121,7 @@
             number,
             backend: backend.clone(),
             sent_at_ms: turn.now_ms,
+            first_index: self.stream.len(),
             next_index: self.stream.len(),
             is_silent: false,
             progress_at_ms: turn.now_ms,
--- a/crates/core/src/execution/repeat.rs
+++ b/crates/core/src/execution/repeat.rs
@@ -1,16 +1,21 @@
 //! Calls that did not answer: whether and how the stage is repeated.
 
-use super::{Execution, Reason, Turn};
+use super::{Attempt, Execution, Reason, Turn};
 use crate::{
     call::RefusalReason,
     decision::{DecisionKind, DecisionReason},
     fleet::{CallEnd, Fault},
 };
 
+/// Times that a stage is resumed beside its attempts, at most: each has given
+/// this part of its tokens.
+const MOST_RESUMES: u32 = 8;
+
 /// Whether a repeat counts against the retry budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Charge {
-    /// The earlier call reached nobody, so that this one adds no load.
+    /// The earlier call was not worked on, or this one goes on where it ended, so
+    /// that no work is done again.
     Free,
     /// The earlier call reached a backend server.
     Retry,
@@ -82,9 +87,25 @@
         let Some(attempt) = self.take_live(number) else {
             return;
         };
-        self.book_wasted(&attempt, None, CallEnd::Failed(Fault::Silent), turn);
+        let fault = match attempt.has_begun {
+            true => Fault::Failing,
+            false => Fault::Silent,
+        };
+        self.book_wasted(&attempt, None, CallEnd::Failed(fault), turn);
         let stage = self.stage().name.clone();
-        self.after_failure(Reason::Lost { stage }, turn);
+        let why = Reason::Lost { stage };
+        if self.stage().idempotent && self.is_worth_resuming(&attempt) {
+            self.stage_attempts -= 1;
+            return self.try_again(why, Charge::Free, turn);
+        }
+        self.after_failure(why, turn);
+    }
+
+    /// Tells whether a call that was cut off has brought the stage so far that
+    /// to go on from there is no repeat. There can only be a few such calls.
+    fn is_worth_resuming(&self, attempt: &Attempt) -> bool {
+        let gained = attempt.next_index - attempt.first_index;
+        gained >= (self.stage().max_tokens / MOST_RESUMES).max(1)
     }
 
     /// A stage that may not be repeated ends here: its call may have run.
