Repeat a load whose order was not answered after 5 s, not at once

Cause: an engine that reports its load and answers no order got its load anew with every second round, and a decision line each time: 30 in a minute.

The load counts as under way for 5 s before it is decided anew. In the test 5 to 12 loads are ordered in a minute; it was seen failing first with 30. Lost orders and answers are still made up for within a minute (the test of these).

--- a/crates/core/src/placement/observed.rs
+++ b/crates/core/src/placement/observed.rs
@@ -9,6 +9,9 @@
     placement::{OrderKind, PlacementSettings, engine::Engine},
 };
 
+/// Time after which a load whose order was not answered is ordered again, in ms.
+const REPEAT_MS: u64 = 5_000;
+
 /// What became of an order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OrderResult {
@@ -132,7 +135,7 @@
             OrderResult::Unanswered if kind == OrderKind::Load => {
                 // It is asked again unless the engine soon shows the model.
                 if let Some(loading) = self.loading.get_mut(model) {
-                    loading.due_ms = loading.due_ms.min(now_ms);
+                    loading.due_ms = loading.due_ms.min(now_ms + REPEAT_MS);
                     loading.is_taken = false;
                 }
             }
--- a/crates/core/tests/placement_moves.rs
+++ b/crates/core/tests/placement_moves.rs
@@ -88,6 +88,16 @@
     }
 }
 
+#[test]
+fn an_engine_that_answers_no_order_is_not_asked_each_second() {
+    let objects = Objects::new(Fencing::Ignored, 1, &[("chat", 1_000, 1)]);
+    let mut world = World::new(objects, PlacementSettings::default());
+    world.engines.lost_orders = u32::MAX;
+    world.run(MINUTE_MS, idle);
+    let loads = world.kinds(MoveKind::Load).len();
+    assert!((5..=12).contains(&loads), "{loads} loads ordered");
+}
+
 #[test]
 fn demand_that_shifts_takes_its_engines_along() {
     let objects = Objects::new(
