Keep the workspaces' shares in the running instance

Found by reading what the server calls of the core. Before: with the call left out the new test fails after 20 floods of 400 requests, nothing is refused for the share. Conclusion: shares hold in the product.

--- a/crates/server/src/sharing.rs
+++ b/crates/server/src/sharing.rs
@@ -177,6 +177,7 @@
     // The rate that the instances have shared out is the one limit; the fleet's
     // own count of the quota must not be a second one.
     let mut fleet = shared.fleet();
+    fleet.configure_workspaces(state.workspaces());
     for workspace in state.workspaces() {
         fleet.set_quota(&workspace.name, f64::from(workspace.quota_per_s));
     }
--- /dev/null
+++ b/crates/server/tests/shares.rs
@@ -0,0 +1,72 @@
+//! What the policy keeps for each workspace is in force in a running instance,
+//! not only in the core.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use common::{Deployment, credential, read_answer, submit};
+use savoryvane_core::{decision::DecisionReason, outcome::Outcome};
+use savoryvane_standins::BackendFaults;
+use savoryvane_wire::caller::Answer;
+use serde_json::{Value, json};
+
+/// Requests that the flood sends at once; the engines have 16 slots.
+const FLOOD: usize = 400;
+/// Floods after which one request at least was refused for the share.
+const MAX_WAVES: usize = 20;
+
+/// Sends one request of `workspace` through pipeline `quote`.
+async fn ask_as(addr: SocketAddr, workspace: &'static str, input: Value) -> Answer {
+    let authorization = format!("Bearer {}", credential(workspace));
+    let headers = [
+        ("x-workspace", workspace),
+        ("authorization", authorization.as_str()),
+    ];
+    read_answer(submit(addr, "quote", &input, &headers).await)
+        .await
+        .1
+}
+
+fn is_over_share(answer: &Answer) -> bool {
+    let reason = answer.reason.as_deref();
+    reason.is_some_and(|reason| reason.contains(DecisionReason::OverShare.as_str()))
+}
+
+#[tokio::test]
+async fn a_flooding_workspace_is_refused_for_its_share_and_another_is_not() {
+    let deployment = Deployment::start().await;
+    let mut intent = deployment.intent();
+    intent["workspaces"][1]["pipelines"] = json!(["quote"]);
+    deployment.confirm(&intent).await;
+    let addr = deployment.caller();
+    // Every engine has served both, so that the instance knows how long calls take.
+    for number in 0..8 {
+        for workspace in ["vakwerk", "taalghar"] {
+            let answer = ask_as(addr, workspace, json!({ "warm": number })).await;
+            assert_eq!(answer.outcome, Outcome::Complete, "{answer:?}");
+        }
+    }
+    for backend in &deployment.backends {
+        backend.set_faults(BackendFaults {
+            slow_per_mille: 10_000,
+            ..BackendFaults::default()
+        });
+    }
+
+    let mut is_refused_for_share = false;
+    for _ in 0..MAX_WAVES {
+        let flood: Vec<_> = (0..FLOOD)
+            .map(|number| tokio::spawn(ask_as(addr, "vakwerk", json!({ "flood": number }))))
+            .collect();
+        let other = ask_as(addr, "taalghar", json!("in between")).await;
+        assert!(!is_over_share(&other), "{other:?}");
+        for answer in flood {
+            is_refused_for_share |= is_over_share(&answer.await.unwrap());
+        }
+        if is_refused_for_share {
+            return;
+        }
+    }
+    panic!("nothing was refused for the share");
+}
