Encode the payloads of both JSON streams with one codec

Cause: the configuration and the placer's stream each had the whole of a versioned JSON payload to themselves: envelope, size check, version check, base64 and error type, line for line.

Ruled out: one public record type for both streams (each stream has records and limits of its own); keeping two error types round one codec (their variants are the same). ConfigPayloadError and PlacerPayloadError are names for the one error now. Its messages no longer repeat the limit and the own version, which are constants of the stream.

Conclusion: bytes on the log are as before; wire::payload is the only place to change the envelope.

--- a/crates/wire/src/config.rs
+++ b/crates/wire/src/config.rs
@@ -1,78 +1,35 @@
 //! Payloads of the configuration stream: JSON with a version.
 
-use base64::{Engine, engine::general_purpose::STANDARD};
-use quick_error::quick_error;
 use savoryvane_core::config::ConfigRecord;
-use serde::{Deserialize, Serialize};
 
-use crate::platform::LogRecord;
+use crate::{
+    payload::{Format, PayloadError},
+    platform::LogRecord,
+};
+
+pub use crate::payload::Result;
 
 /// Version that this program writes, and the only one that it reads.
 pub const CONFIG_VERSION: u32 = 1;
 /// Largest payload, in bytes.
 pub const MAX_CONFIG_PAYLOAD_BYTES: usize = 257 * 1024;
 
-quick_error! {
-    /// Why a payload can't be encoded or decoded.
-    #[derive(Debug)]
-    pub enum ConfigPayloadError {
-        /// The payload is larger than allowed.
-        TooLarge(bytes: usize) {
-            display("payload of {} bytes, at most {} are allowed", bytes, MAX_CONFIG_PAYLOAD_BYTES)
-        }
-        /// The payload is not base64.
-        Base64(err: base64::DecodeError) {
-            display("payload is not base64: {}", err)
-            source(err)
-            from()
-        }
-        /// The payload is not the JSON of a record.
-        Json(err: serde_json::Error) {
-            display("payload is not a configuration record: {}", err)
-            source(err)
-            from()
-        }
-        /// The payload has a version that this program does not read.
-        Version(found: u32) {
-            display("payload of version {}, this program reads {}", found, CONFIG_VERSION)
-        }
-    }
-}
-
-/// Result of encoding or decoding.
-pub type Result<T> = std::result::Result<T, ConfigPayloadError>;
-
-#[derive(Serialize)]
-struct PayloadRef<'a> {
-    version: u32,
-    record: &'a ConfigRecord,
-}
-
-#[derive(Deserialize)]
-struct Version {
-    version: u32,
-}
+/// Why a payload of the stream can't be encoded or decoded.
+pub type ConfigPayloadError = PayloadError;
 
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct Payload {
-    #[serde(rename = "version")]
-    _version: u32,
-    record: ConfigRecord,
-}
+const FORMAT: Format = Format {
+    version: CONFIG_VERSION,
+    max_bytes: MAX_CONFIG_PAYLOAD_BYTES,
+};
 
 /// Encodes a record as the bytes to append.
 ///
 /// # Errors
 ///
-/// Returns `TooLarge` when the record does not fit a payload.
+/// Returns `TooLarge` when the record does not fit a payload, and `Json` when
+/// it has no JSON form.
 pub fn encode(record: &ConfigRecord) -> Result<Vec<u8>> {
-    let payload = serde_json::to_vec(&PayloadRef {
-        version: CONFIG_VERSION,
-        record,
-    })?;
-    check_size(payload.len())?;
-    Ok(payload)
+    FORMAT.encode(record)
 }
 
 /// Decodes the bytes of a payload.
@@ -82,13 +39,7 @@
 /// Returns an error when the payload is too large, of another version or not
 /// the JSON of a record.
 pub fn decode(payload: &[u8]) -> Result<ConfigRecord> {
-    check_size(payload.len())?;
-    let Version { version } = serde_json::from_slice(payload)?;
-    if version != CONFIG_VERSION {
-        return Err(ConfigPayloadError::Version(version));
-    }
-    let Payload { record, .. } = serde_json::from_slice(payload)?;
-    Ok(record)
+    FORMAT.decode(payload)
 }
 
 /// Decodes the payload of a record as the log returned it.
@@ -97,14 +48,5 @@
 ///
 /// Returns the errors of [`decode`], and `Base64` when the payload is not that.
 pub fn decode_record(record: &LogRecord) -> Result<ConfigRecord> {
-    let encoded = record.payload.as_bytes();
-    check_size(encoded.len() / 4 * 3)?;
-    decode(&STANDARD.decode(encoded)?)
-}
-
-fn check_size(bytes: usize) -> Result<()> {
-    if bytes > MAX_CONFIG_PAYLOAD_BYTES {
-        return Err(ConfigPayloadError::TooLarge(bytes));
-    }
-    Ok(())
+    FORMAT.decode_record(record)
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod claims;
 pub mod config;
+pub mod payload;
 pub mod peer;
 pub mod placer;
 pub mod platform;
