Name once what a listener's handler has to be

Cause: the bounds of the service that a listener calls stood three times, word for word, on run, spawn and serve. Ruled out: boxing the service, which would cost an allocation a request. Conclusion: the trait Handler has the bounds; no behaviour changed.

--- a/crates/server/src/listener.rs
+++ b/crates/server/src/listener.rs
@@ -59,6 +59,25 @@
         .map_err(|err| Error::Listen(what, addr, err))
 }
 
+/// A service that answers the requests of a listener's connections.
+pub(crate) trait Handler:
+    Service<Request<Incoming>, Response = Response<Body>, Error = Infallible, Future: Send>
+    + Clone
+    + Send
+    + Sync
+    + 'static
+{
+}
+
+impl<S> Handler for S where
+    S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible, Future: Send>
+        + Clone
+        + Send
+        + Sync
+        + 'static
+{
+}
+
 /// What every connection of a listener shares.
 #[derive(Clone)]
 pub(crate) struct Acceptor {
@@ -74,15 +93,7 @@
 
 impl Acceptor {
     /// Serves `service` on every connection until the instance drains.
-    pub(crate) async fn run<S>(self, listener: TcpListener, service: S)
-    where
-        S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
-            + Clone
-            + Send
-            + Sync
-            + 'static,
-        S::Future: Send,
-    {
+    pub(crate) async fn run(self, listener: TcpListener, service: impl Handler) {
         let room = usize::try_from(self.limits.max_connections).unwrap_or(Semaphore::MAX_PERMITS);
         let room = Arc::new(Semaphore::new(room));
         loop {
@@ -113,15 +124,7 @@
         }
     }
 
-    fn spawn<S>(&self, stream: TcpStream, permit: OwnedSemaphorePermit, service: S)
-    where
-        S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
-            + Clone
-            + Send
-            + Sync
-            + 'static,
-        S::Future: Send,
-    {
+    fn spawn(&self, stream: TcpStream, permit: OwnedSemaphorePermit, service: impl Handler) {
         let acceptor = self.clone();
         self.connections.spawn(async move {
             acceptor.serve(stream, service).await;
@@ -129,15 +132,7 @@
         });
     }
 
-    async fn serve<S>(&self, stream: TcpStream, service: S)
-    where
-        S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
-            + Clone
-            + Send
-            + Sync
-            + 'static,
-        S::Future: Send,
-    {
+    async fn serve(&self, stream: TcpStream, service: impl Handler) {
         let _ = stream.set_nodelay(true);
         let began = Arc::new(AtomicBool::new(false));
         let phases = Arc::clone(&self.phases);
