Split the server's calls, callers' and operators' interfaces by job

Cause: three files of 418 to 432 lines each had several jobs. calls.rs (255 lines now): reading an answer and telling calls of silent connections are modules of it. caller.rs (150): reading the head and writing answers are. admin.rs (225): errors and views are. Ruled out: more modules at the root, since nothing else uses these; changing any of the functions on the way.

--- /dev/null
+++ b/crates/server/src/caller/head.rs
@@ -0,0 +1,119 @@
+//! Reads the path and headers of callers' requests.
+
+use http::{HeaderMap, header};
+use savoryvane_core::{
+    ids::{IdempotencyKey, PipelineName, RequestId, WorkspaceName, is_valid_name},
+    ticket::TicketId,
+};
+use savoryvane_wire::caller;
+
+use crate::{
+    controller::Head, credential, exclusive::Warrant, http_body::NDJSON, refusal::Refusal,
+};
+
+/// Longest request id or idempotency key, in bytes.
+const MAX_TOKEN_BYTES: usize = 128;
+
+/// Returns the pipeline that a path names.
+pub(super) fn pipeline(path: &str) -> Option<PipelineName> {
+    let name = path
+        .strip_prefix("/v1/pipelines/")?
+        .strip_suffix("/requests")?;
+    is_valid_name(name).then(|| PipelineName::new(name))
+}
+
+/// Reads what the headers say of a request.
+pub(super) fn head(
+    headers: &HeaderMap,
+    pipeline: PipelineName,
+    id: &RequestId,
+    arrived_at_ms: u64,
+) -> Result<Head, Refusal> {
+    let workspace = workspace(headers)?;
+    let credential = credential::presented(headers).ok_or(Refusal::Unauthorized)?;
+    let deadline_ms = single(headers, caller::DEADLINE_MS)?
+        .map(|text| text.parse().ok().filter(|ms| *ms > 0))
+        .map(|ms| ms.ok_or(Refusal::BadHeader(caller::DEADLINE_MS)))
+        .transpose()?;
+    Ok(Head {
+        request: id.clone(),
+        workspace,
+        credential: Some(credential.to_owned()),
+        pipeline,
+        deadline_ms,
+        warrant: warrant(headers)?,
+        arrived_at_ms,
+    })
+}
+
+/// Returns the workspace that the headers name.
+pub(super) fn workspace(headers: &HeaderMap) -> Result<WorkspaceName, Refusal> {
+    single(headers, caller::WORKSPACE)?
+        .filter(|name| is_valid_name(name))
+        .map(WorkspaceName::new)
+        .ok_or(Refusal::BadHeader(caller::WORKSPACE))
+}
+
+/// A request is run under a key or a ticket, not both: they know nothing of
+/// each other.
+fn warrant(headers: &HeaderMap) -> Result<Option<Warrant>, Refusal> {
+    let key = token(headers, caller::IDEMPOTENCY_KEY)?.map(IdempotencyKey::new);
+    let ticket = single(headers, caller::TICKET)?
+        .map(|text| TicketId::parse(text).ok_or(Refusal::BadHeader(caller::TICKET)))
+        .transpose()?;
+    match (key, ticket) {
+        (Some(_), Some(_)) => Err(Refusal::BadHeader(caller::TICKET)),
+        (Some(key), None) => Ok(Some(Warrant::Key(key))),
+        (None, ticket) => Ok(ticket.map(Warrant::Ticket)),
+    }
+}
+
+/// Tells whether a request comes with a key or a ticket.
+pub(super) fn has_warrant(headers: &HeaderMap) -> bool {
+    headers.contains_key(caller::IDEMPOTENCY_KEY) || headers.contains_key(caller::TICKET)
+}
+
+/// Returns the caller's request id, or a new one when it gave none.
+pub(super) fn request_id(headers: &HeaderMap) -> Result<RequestId, Refusal> {
+    let given = token(headers, caller::REQUEST_ID)?;
+    Ok(given.map_or_else(new_request_id, RequestId::new))
+}
+
+/// Returns a random request id.
+pub(super) fn new_request_id() -> RequestId {
+    RequestId::new(format!("{:032x}", rand::random::<u128>()))
+}
+
+fn token<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Refusal> {
+    match single(headers, name)? {
+        Some(text) if text.is_empty() || text.len() > MAX_TOKEN_BYTES => {
+            Err(Refusal::BadHeader(name))
+        }
+        Some(text) if !text.bytes().all(|byte| byte.is_ascii_graphic()) => {
+            Err(Refusal::BadHeader(name))
+        }
+        found => Ok(found),
+    }
+}
+
+/// Returns the value of a header that may come once at most.
+fn single<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Refusal> {
+    let mut values = headers.get_all(name).iter();
+    let (first, second) = (values.next(), values.next());
+    match (first, second) {
+        (None, _) => Ok(None),
+        (Some(value), None) => match value.to_str() {
+            Ok(text) => Ok(Some(text.trim())),
+            Err(_) => Err(Refusal::BadHeader(name)),
+        },
+        (Some(_), Some(_)) => Err(Refusal::BadHeader(name)),
+    }
+}
+
+/// Tells whether the caller asks for its answer as a stream of events.
+pub(super) fn wants_stream(headers: &HeaderMap) -> bool {
+    headers
+        .get(header::ACCEPT)
+        .and_then(|accept| accept.to_str().ok())
+        .is_some_and(|accept| accept.contains(NDJSON))
+}
--- a/crates/server/src/calls.rs
+++ b/crates/server/src/calls.rs
@@ -1,28 +1,30 @@
 //! Carries one call to a backend server and reads the events of its answer.
 
-use std::{
-    collections::HashMap,
-    net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
-};
+mod answer;
+mod severed;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use savoryvane_core::{
-    call::{CallId, StageCall, StageEvent},
+    call::{CallId, StageCall},
     execution::Event,
     ids::BackendName,
 };
 use savoryvane_wire::backend::{Cancel, LoadReport, Refusal};
 use slog::{Logger, warn};
 use tokio::{
-    sync::{mpsc, watch},
+    sync::mpsc,
     time::{self, Instant},
 };
 
+use self::{
+    answer::{AnswerReader, Ending, max_lines},
+    severed::Severed,
+};
 use crate::{
     connections::{ConnectionSettings, Connections, Exchange, SendError},
     gate::Gate,
@@ -35,13 +37,6 @@
 /// Time for a read of the load to be answered before another connection is
 /// asked, and for the first one to answer after that one has.
 const CANARY_TIMEOUT: Duration = Duration::from_millis(300);
-/// Lines of an answer besides those with tokens.
-const SPARE_LINES: u32 = 16;
-/// Lines of an answer to a call that names no most tokens.
-const DEFAULT_MAX_LINES: u32 = 100_000;
-/// Time for an answer to end after its last event, for its connection to be
-/// used again.
-const END_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Client of the backend servers.
 #[derive(Debug)]
@@ -258,175 +253,3 @@
         None => Event::Lost { attempt },
     }
 }
-
-fn max_lines(call: &StageCall) -> u32 {
-    match call.max_tokens {
-        0 => DEFAULT_MAX_LINES,
-        max_tokens => max_tokens.saturating_add(SPARE_LINES),
-    }
-}
-
-/// Tells calls in flight when connections to their backend server are found to
-/// have gone silent.
-#[derive(Debug, Default)]
-struct Severed(Mutex<HashMap<SocketAddr, watch::Sender<Option<Instant>>>>);
-
-impl Severed {
-    /// Watches for the times from which on connections to `addr` were silent.
-    fn watch(&self, addr: SocketAddr) -> watch::Receiver<Option<Instant>> {
-        let mut watched = self.lock();
-        watched.retain(|_, sender| sender.receiver_count() > 0);
-        let sender = watched.entry(addr).or_default();
-        sender.subscribe()
-    }
-
-    fn tell(&self, addr: SocketAddr, at: Instant) {
-        if let Some(sender) = self.lock().get(&addr) {
-            sender.send_replace(Some(at));
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, watch::Sender<Option<Instant>>>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-/// How an answer ended.
-enum Ending {
-    /// With its last event and nothing after it.
-    Whole,
-    /// With its last event, but its connection is of no further use.
-    Untidy,
-    /// Without its last event.
-    Lost(String),
-}
-
-/// Reads the events of one answer and watches that they keep coming.
-struct AnswerReader<'a> {
-    log: &'a Logger,
-    silence: Duration,
-    max_line_bytes: usize,
-    lines_left: u32,
-    backend: &'a BackendName,
-    id: &'a CallId,
-    events: &'a mpsc::Sender<Event>,
-    /// When it was last found out that connections to the server were silent.
-    severed: watch::Receiver<Option<Instant>>,
-    /// When the last bytes came.
-    last_frame: Option<Instant>,
-}
-
-impl AnswerReader<'_> {
-    /// Waits for `progress`, and reports each time that it does not come for
-    /// long and once when it is known that it will not come.
-    async fn watch<T>(&mut self, progress: impl Future<Output = T>) -> T {
-        tokio::pin!(progress);
-        let mut silence = time::interval_at(Instant::now() + self.silence, self.silence);
-        let mut is_severed = false;
-        let attempt = self.id.attempt;
-        loop {
-            tokio::select! {
-                biased;
-                value = progress.as_mut() => {
-                    self.last_frame = Some(Instant::now());
-                    return value;
-                }
-                Ok(()) = self.severed.changed(), if !is_severed => {
-                    if self.is_severed() {
-                        is_severed = true;
-                        let _ = self.events.send(Event::Severed { attempt }).await;
-                    }
-                }
-                _ = silence.tick() => {
-                    metrics::counter!("savoryvane_silent_connections_total").increment(1);
-                    let _ = self.events.send(Event::Silent { attempt }).await;
-                }
-            }
-        }
-    }
-
-    /// Tells whether nothing has come since the server's connections were first
-    /// found silent.
-    fn is_severed(&mut self) -> bool {
-        let severed_at = *self.severed.borrow_and_update();
-        severed_at.is_some_and(|at| self.last_frame.is_none_or(|last| last < at))
-    }
-
-    async fn read(&mut self, mut body: Incoming) -> Ending {
-        let mut buffer = BytesMut::new();
-        loop {
-            let frame = match self.watch(body.frame()).await {
-                Some(Ok(frame)) => frame,
-                Some(Err(err)) => return Ending::Lost(err.to_string()),
-                None => return Ending::Lost("answer ended before its last event".to_owned()),
-            };
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            buffer.extend_from_slice(&data);
-            while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
-                let line = buffer.split_to(end);
-                buffer.advance(1);
-                match self.take_line(&line).await {
-                    Line::More => {}
-                    Line::Last if buffer.is_empty() => return tidy_end(body).await,
-                    Line::Last => return Ending::Untidy,
-                    Line::Bad(reason) => return Ending::Lost(reason),
-                }
-            }
-            if buffer.len() > self.max_line_bytes {
-                return Ending::Lost(self.bad("oversized", "line is too long"));
-            }
-        }
-    }
-
-    async fn take_line(&mut self, line: &[u8]) -> Line {
-        if line.len() > self.max_line_bytes {
-            return Line::Bad(self.bad("oversized", "line is too long"));
-        }
-        if self.lines_left == 0 {
-            return Line::Bad(self.bad("oversized", "answer has too many lines"));
-        }
-        self.lines_left -= 1;
-        let Ok(event) = serde_json::from_slice::<StageEvent>(line) else {
-            return Line::Bad(self.bad("malformed", "line is not an event"));
-        };
-        if event.id() != self.id {
-            return Line::Bad(self.bad("foreign", "event of another call"));
-        }
-        let is_last = !matches!(event, StageEvent::Token { .. });
-        // A call that may not be repeated is read to its end even when its
-        // request has ended and nobody listens.
-        let _ = self.events.send(Event::Answered(event)).await;
-        if is_last { Line::Last } else { Line::More }
-    }
-
-    /// Counts and logs an answer that is not used any further.
-    fn bad(&self, kind: &'static str, reason: &str) -> String {
-        metrics::counter!("savoryvane_bad_answers_total", "kind" => kind).increment(1);
-        reason.to_owned()
-    }
-
-    fn note_lost(&self, reason: &str) {
-        warn!(self.log, "answer lost, connection closed"; "request" => %self.id.request,
-            "stage" => %self.id.stage, "attempt" => self.id.attempt,
-            "backend" => %self.backend, "error" => reason);
-    }
-}
-
-/// What one line was.
-enum Line {
-    /// An event that is not the last.
-    More,
-    /// The last event.
-    Last,
-    /// Nothing that can be used.
-    Bad(String),
-}
-
-async fn tidy_end(mut body: Incoming) -> Ending {
-    match time::timeout(END_TIMEOUT, body.frame()).await {
-        Ok(None) => Ending::Whole,
-        Ok(Some(_)) | Err(_) => Ending::Untidy,
-    }
-}
