Split quotas and the configuration's follower by job

Now the home of a shard answers in usage::home, with a function for each kind of claimant, and the follower's place in the log is config::reader. Ruled out: taking the record handling out of the follower, whose parts all need the state, the schedule and the heads.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -7,6 +7,7 @@
 mod follower;
 mod head;
 mod plan;
+mod reader;
 mod recent;
 mod record;
 mod rules;
--- a/crates/core/src/config/follower.rs
+++ b/crates/core/src/config/follower.rs
@@ -9,6 +9,7 @@
         Action, Applied, Assembler, Assembly, ConfigRecord, Content, Duties, Event, Head, Ignored,
         Progress, Received, Snapshot, Source, State,
         head::{HeadWatch, before},
+        reader::{READ_RETRY_MS, Reader, Slot},
         recent::{Recent, without_items},
         schedule::Schedule,
     },
@@ -27,10 +28,6 @@
 const SILENCE_JITTER_MS: u64 = 300;
 /// Time that a head has to be fresher by to be passed on, in ms.
 const HEAD_STEP_MS: i64 = 200;
-/// First and longest pause after a failed read, in ms.
-const READ_RETRY_MS: (u64, u64) = (100, 1_000);
-/// Pause after a scan that found no checkpoint, in ms.
-const RESCAN_MS: u64 = 500;
 /// Time for a new instance to start from the log before it asks a peer, in ms.
 const START_PATIENCE_MS: u64 = 500;
 /// Time known to be behind after which a peer is asked for its state, in ms.
@@ -68,37 +65,6 @@
     rng: Pcg64Mcg,
 }
 
-/// One exchange at a time, with a pause before the next one.
-#[derive(Clone, Copy, Debug, Default)]
-struct Slot {
-    is_busy: bool,
-    not_before_ms: u64,
-}
-
-impl Slot {
-    fn take(&mut self, now_ms: u64) -> bool {
-        let is_free = !self.is_busy && now_ms >= self.not_before_ms;
-        self.is_busy |= is_free;
-        is_free
-    }
-
-    fn release(&mut self, not_before_ms: u64) {
-        self.is_busy = false;
-        self.not_before_ms = not_before_ms;
-    }
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-struct Reader {
-    slot: Slot,
-    /// Offset to read next; above the state's while a checkpoint is looked for.
-    cursor: Offset,
-    first_kept: Offset,
-    failures: u32,
-    /// Whether all that the log keeps was read and nothing led on.
-    is_stuck: bool,
-}
-
 impl Follower {
     /// Creates a follower that knows nothing.
     pub fn new(settings: FollowerSettings) -> Self {
@@ -172,7 +138,7 @@
                 records,
             } => self.on_read(now_ms, first, next, records, &mut actions),
             Event::Trimmed { first } => self.on_trimmed(now_ms, first),
-            Event::ReadFailed => self.on_read_failed(now_ms),
+            Event::ReadFailed => self.reader.on_failure(now_ms, &mut self.rng),
             Event::Relayed { head, records } => {
                 self.heads.hear_peer(now_ms, head);
                 self.on_relayed(now_ms, records, &mut actions);
@@ -202,9 +168,7 @@
         records: Vec<Received>,
         actions: &mut Vec<Action>,
     ) {
-        self.reader.slot.release(now_ms);
-        self.reader.failures = 0;
-        self.reader.first_kept = self.reader.first_kept.max(first);
+        self.reader.on_answer(now_ms, first);
         let mut applied = Vec::new();
         for record in records {
             if record.offset <= self.state.next() {
@@ -219,23 +183,10 @@
             }
         }
         self.heads.hear_log(now_ms, next);
-        self.finish_read(now_ms, next);
+        self.has_started |= self.reader.finish(now_ms, self.state.next(), next);
         self.relay(now_ms, applied, actions);
     }
 
-    fn finish_read(&mut self, now_ms: u64, next: Offset) {
-        let own_next = self.state.next();
-        if own_next >= self.reader.first_kept {
-            self.reader.cursor = own_next;
-            self.reader.is_stuck = false;
-            self.has_started |= own_next >= next;
-        } else if self.reader.cursor >= next {
-            self.reader.is_stuck = true;
-            self.reader.cursor = self.reader.first_kept;
-            self.reader.slot.release(now_ms + RESCAN_MS);
-        }
-    }
-
     /// Looks for a checkpoint in a record that the own state does not reach.
     fn scan(&mut self, now_ms: u64, record: Received, actions: &mut Vec<Action>) -> bool {
         self.reader.cursor = record.offset.next();
@@ -257,20 +208,10 @@
     }
 
     fn on_trimmed(&mut self, now_ms: u64, first: Offset) {
-        self.reader.slot.release(now_ms);
-        self.reader.failures = 0;
-        self.reader.first_kept = self.reader.first_kept.max(first);
+        self.reader.on_answer(now_ms, first);
         self.reader.cursor = self.reader.first_kept.max(self.state.next());
     }
 
-    fn on_read_failed(&mut self, now_ms: u64) {
-        let (first_ms, longest_ms) = READ_RETRY_MS;
-        let pause_ms = (first_ms << self.reader.failures.min(8)).min(longest_ms);
-        let jitter_ms = self.rng.random_range(0..=pause_ms / 2);
-        self.reader.failures += 1;
-        self.reader.slot.release(now_ms + pause_ms / 2 + jitter_ms);
-    }
-
     fn on_relayed(&mut self, now_ms: u64, records: Vec<Received>, actions: &mut Vec<Action>) {
         let mut applied = Vec::new();
         for record in records {
--- a/crates/core/src/usage.rs
+++ b/crates/core/src/usage.rs
@@ -6,63 +6,21 @@
 //! that lapse. See [`share`](crate::share) and [`split`](crate::split) for what
 //! a claimant may use and what a home may grant.
 
-use std::collections::BTreeMap;
+mod exchange;
+mod home;
 
+pub use self::exchange::{NotHome, Outgoing, QuotaView, Target};
+use self::home::{HomeUsage, LeadUsage};
 use crate::{
     bucket::Flow,
     ids::{Incarnation, InstanceName, WorkspaceName, ZoneName},
     limiter::{Admission, Limiter},
     pace::{Pace, REPORT_MS},
-    quota::{
-        Claimant, Demand, GRANT_MS, Grant, LEAST_ZONE_FLOOR, Level, Part, Rate, UsageGrant,
-        UsageReport, WorkspaceKey,
-    },
+    quota::{Claimant, LEAST_ZONE_FLOOR, Level, Part, Rate, UsageGrant, UsageReport, WorkspaceKey},
     share::Share,
-    split::{Divided, Split},
     topology::{SHARDS, Shard},
 };
 
-/// Time after which a zone's home counts an instance with its safe share, in ms.
-const INSTANCE_LAPSE_MS: u64 = GRANT_MS;
-/// Time after which the lead counts a zone with its safe share, in ms; what the
-/// zone's home granted holds on for [`GRANT_MS`] after its own grant.
-const ZONE_LAPSE_MS: u64 = 2 * GRANT_MS;
-
-/// Who the instances are, as far as quotas go.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct QuotaView {
-    /// Instances of this zone, listed or heard of, this one included.
-    pub members: Vec<InstanceName>,
-    /// Number of instances of each zone, this one included.
-    pub zones: BTreeMap<ZoneName, u32>,
-    /// Home of each shard in this zone.
-    pub homes: Vec<InstanceName>,
-    /// Lead zone of each shard.
-    pub leads: Vec<ZoneName>,
-}
-
-/// Whom a report goes to.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Target {
-    /// An instance of this zone.
-    Home(InstanceName),
-    /// The shard's home in another zone.
-    Lead(ZoneName),
-}
-
-/// A report to send as a request; its answer goes to [`Usage::on_grant`].
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Outgoing {
-    /// Whom it goes to.
-    pub to: Target,
-    /// The report.
-    pub report: UsageReport,
-}
-
-/// This instance is not the home of a report's shard; that one is.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct NotHome(pub InstanceName);
-
 /// Quotas as one instance uses and divides them.
 #[derive(Debug)]
 pub struct Usage {
@@ -84,21 +42,6 @@
     home: Option<HomeUsage>,
 }
 
-#[derive(Debug)]
-struct HomeUsage {
-    term: u64,
-    pace: Pace,
-    instances: Split<InstanceName>,
-    zone: Share,
-    lead: Option<LeadUsage>,
-}
-
-#[derive(Debug)]
-struct LeadUsage {
-    term: u64,
-    zones: Split<ZoneName>,
-}
-
 impl Usage {
     /// Creates the quotas of an instance that has just started.
     pub fn new(now_ms: u64, me: InstanceName, zone: ZoneName, incarnation: Incarnation) -> Self {
@@ -215,52 +158,20 @@
             return Err(not_home());
         };
         let quota = |key| self.limiter.quota(key);
-        let (term, age_ms, grants, is_settled) = match &report.claimant {
-            Claimant::Instance => {
-                if report.term != Some(home.term) {
-                    home.instances.on_join(now_ms, from);
-                }
-                let zone = &home.zone;
-                let divided = |key| Divided {
-                    quota: quota(key),
-                    total: zone.rate(now_ms, key, quota(key), part),
-                };
-                let grants = home
-                    .instances
-                    .on_report(now_ms, from, 0, &report.demands, divided);
-                let is_short = |(grant, demand): (&Grant, &Demand)| grant.rate < demand.wanted;
-                if grants.iter().zip(&report.demands).any(is_short) {
-                    home.pace.urge();
-                }
-                let age_ms = home.zone.age_ms(now_ms).unwrap_or(0);
-                let is_settled =
-                    home.zone.is_granted(now_ms) && home.instances.is_settled(now_ms, from);
-                (home.term, age_ms, grants, is_settled)
-            }
+        let answer = match &report.claimant {
+            Claimant::Instance => home.answer_instance(now_ms, from, report, part, quota),
             Claimant::Zone(zone) => {
-                let Some(lead) = &mut home.lead else {
-                    return Err(not_home());
-                };
-                if report.term != Some(lead.term) {
-                    lead.zones.on_join(now_ms, zone);
-                }
-                let divided = |key| Divided {
-                    quota: quota(key),
-                    total: quota(key),
-                };
-                let grants =
-                    lead.zones
-                        .on_report(now_ms, zone, report.cut, &report.demands, divided);
-                (lead.term, 0, grants, lead.zones.is_settled(now_ms, zone))
+                let lead = home.lead.as_mut().ok_or_else(not_home)?;
+                lead.answer_zone(now_ms, zone, report, quota)
             }
         };
         Ok(UsageGrant {
             shard: report.shard,
             stamp_ms: report.stamp_ms,
-            term,
-            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
-            grants,
-            is_settled,
+            term: answer.term,
+            age_ms: u32::try_from(answer.age_ms).unwrap_or(u32::MAX),
+            grants: answer.grants,
+            is_settled: answer.is_settled,
         })
     }
 
@@ -316,23 +227,18 @@
             shard.home = None;
             return;
         }
-        let home = shard.home.get_or_insert_with(|| HomeUsage {
-            term: terms.0,
-            pace: Pace::new(now_ms, now_ms),
-            instances: Split::new(now_ms, INSTANCE_LAPSE_MS, Level::Instance),
-            zone: Share::default(),
-            lead: None,
-        });
+        let home = shard
+            .home
+            .get_or_insert_with(|| HomeUsage::new(now_ms, terms.0));
         let members = self.view.members.iter().map(|name| (name.clone(), 1));
         home.instances.set_claimants(members, self.whole);
         if !is_lead {
             home.lead = None;
             return;
         }
-        let lead = home.lead.get_or_insert_with(|| LeadUsage {
-            term: terms.1,
-            zones: Split::new(now_ms, ZONE_LAPSE_MS, Level::Zone),
-        });
+        let lead = home
+            .lead
+            .get_or_insert_with(|| LeadUsage::new(now_ms, terms.1));
         let zones = self.view.zones.iter().map(|(zone, n)| (zone.clone(), *n));
         lead.zones.set_claimants(zones, self.whole);
     }
