--- a/crates/core/tests/claims_world/mod.rs
+++ b/crates/core/tests/claims_world/mod.rs
@@ -1,5 +1,8 @@
 //! A few instances over one log that loses answers, delays appends and trims.
 
+#[path = "../fate/mod.rs"]
+mod fate;
+
 use std::collections::HashMap;
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -13,6 +16,8 @@
     progress::{CallKind, Retraction},
 };
 
+pub use fate::Fate;
+
 pub const WINDOW_MS: u64 = 10_000;
 pub const INSTANCES: usize = 3;
 const SEED: u64 = 0x5eed;
@@ -43,16 +48,6 @@
     }
 }
 
-/// What becomes of an append.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fate {
-    Appended,
-    AnswerLost,
-    NeverArrived,
-    ArrivesLater,
-    DoneTwice,
-}
-
 /// One thing that happens; small numbers choose among what there is.
 #[derive(Clone, Copy, Debug)]
 pub enum Op {
--- /dev/null
+++ b/crates/core/tests/fate/mod.rs
@@ -0,0 +1,11 @@
+//! Faults of the log that the worlds of claims and of the placer share.
+
+/// What becomes of an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    Appended,
+    AnswerLost,
+    NeverArrived,
+    ArrivesLater,
+    DoneTwice,
+}
--- a/crates/core/tests/placer_world/mod.rs
+++ b/crates/core/tests/placer_world/mod.rs
@@ -2,6 +2,9 @@
 //! clocks that drift and instances that freeze.
 #![allow(dead_code)] // each test file uses a part
 
+#[path = "../fate/mod.rs"]
+mod fate;
+
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use savoryvane_core::{
     ids::{Incarnation, Offset},
@@ -9,6 +12,8 @@
     placer::{Action, Event, Placer, PlacerRecord, PlacerSettings, Received, Standing},
 };
 
+pub use fate::Fate;
+
 pub const INSTANCES: usize = 3;
 const SEED: u64 = 0x5eed;
 const GEN_SIZE: usize = 120;
@@ -22,16 +27,6 @@
     QuickCheck::new().rng(rng).tests(tests).max_tests(tests)
 }
 
-/// What becomes of an append.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fate {
-    Appended,
-    AnswerLost,
-    NeverArrived,
-    ArrivesLater,
-    DoneTwice,
-}
-
 #[derive(Clone, Copy, Debug)]
 pub enum Op {
     Pass { ms: u64 },
--- a/crates/server/tests/common/mod.rs
+++ b/crates/server/tests/common/mod.rs
@@ -46,6 +46,19 @@
     pub extra_settings: String,
 }
 
+/// Starts two backend servers for each stage.
+pub async fn start_backends() -> Vec<BackendServer> {
+    let mut backends = Vec::new();
+    for (name, kind) in KINDS {
+        for index in 0..2 {
+            let mut settings = BackendSettings::new(format!("{name}-{index}").as_str(), kind);
+            settings.models = vec!["chat".into()];
+            backends.push(BackendServer::start(settings).await.unwrap());
+        }
+    }
+    backends
+}
+
 impl Deployment {
     /// Starts two backend servers for each stage and one instance, and puts
     /// the pipelines `quote` and `hold` of workspace `vakwerk` in force.
@@ -64,14 +77,7 @@
     pub async fn without_instances(extra_settings: &str) -> Self {
         let log = LogServer::start(LogSettings::default()).await.unwrap();
         let list = ListServer::start(ListSettings::default()).await.unwrap();
-        let mut backends = Vec::new();
-        for (name, kind) in KINDS {
-            for index in 0..2 {
-                let mut settings = BackendSettings::new(format!("{name}-{index}").as_str(), kind);
-                settings.models = vec!["chat".into()];
-                backends.push(BackendServer::start(settings).await.unwrap());
-            }
-        }
+        let backends = start_backends().await;
         Self {
             log,
             list,
--- a/crates/server/tests/members_processes.rs
+++ b/crates/server/tests/members_processes.rs
@@ -9,12 +9,11 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use common::{KINDS, confirm, credential, intent, operate, send, sha256, submit};
+use common::{KINDS, confirm, credential, intent, operate, send, sha256, start_backends, submit};
 use http::{Method, StatusCode};
 use process::Entry;
 use savoryvane_standins::{
-    BackendServer, BackendSettings, ListServer, ListSettings, LogServer, LogSettings,
-    client::Version,
+    BackendServer, ListServer, ListSettings, LogServer, LogSettings, client::Version,
 };
 use savoryvane_wire::{
     admin::{InstanceView, Reach},
@@ -35,14 +34,7 @@
 
 impl Nine {
     async fn start() -> Self {
-        let mut backends = Vec::new();
-        for (name, kind) in KINDS {
-            for index in 0..2 {
-                let mut settings = BackendSettings::new(format!("{name}-{index}").as_str(), kind);
-                settings.models = vec!["chat".into()];
-                backends.push(BackendServer::start(settings).await.unwrap());
-            }
-        }
+        let backends = start_backends().await;
         let mut nine = Self {
             log: LogServer::start(LogSettings::default()).await.unwrap(),
             list: ListServer::start(ListSettings::default()).await.unwrap(),
