Say when writing a checkpoint and running a load panic

Cause: two public functions that may panic had no section on it. Ruled out: errors in place of the panics, which are broken invariants. Conclusion: comments only.

--- a/crates/core/src/config/checkpoint.rs
+++ b/crates/core/src/config/checkpoint.rs
@@ -65,6 +65,10 @@
 impl State {
     /// Writes the state as the parts of a checkpoint, each at most
     /// [`MAX_PART_BYTES`] long.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there are 2^32 parts or more, which no log could keep.
     pub fn checkpoint(&self) -> Vec<CheckpointPart> {
         let mut groups = vec![Vec::new()];
         let mut bytes = PART_FRAME_BYTES;
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -49,6 +49,10 @@
 
 /// Sends requests at the rate for the time, whether or not earlier ones have
 /// been answered, and reports on all of them.
+///
+/// # Panics
+///
+/// Panics when the task of a request panicked.
 pub async fn run_load(settings: LoadSettings) -> Report {
     let callers: Vec<_> = (0..settings.connections.max(1))
         .map(|_| Arc::new(Caller::new(settings.caller.clone())))
