Leave models alone that no configuration has named

Cause: the placer unloaded, after 120 s, whatever an engine held that was not configured. No operator has stated that intent and no plan shows the move, since it would come with or without the change. Ruled out: a switch for it, which would be off everywhere; dropping such a model when a configured one needs its place stays, plans show that. Before: two engines with a model loaded by hand lose it (the new test fails, 0 of 2 replicas left). After: 2 of 2; the tests of placement and placer pass. Conclusion: nothing moves that nobody confirmed. A model that was removed while the placer changed stays until its place is needed.

--- a/crates/core/src/placement/layout.rs
+++ b/crates/core/src/placement/layout.rs
@@ -83,9 +83,12 @@
         self.models.get(name).copied()
     }
 
+    pub(crate) fn models(&self) -> impl Iterator<Item = &'a Model> {
+        self.models.values().copied()
+    }
+
     pub(crate) fn models_of(&self, pool: &PoolName) -> impl Iterator<Item = &'a Model> {
-        let models = self.models.values().copied();
-        models.filter(move |model| model.pool == *pool)
+        self.models().filter(move |model| model.pool == *pool)
     }
 
     /// Tells whether a model belongs into a pool.
--- a/crates/core/src/placement/reconciler.rs
+++ b/crates/core/src/placement/reconciler.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     call::LoadReport,
-    ids::{BackendName, ModelName},
+    ids::{BackendName, ModelName, PoolName},
     objects::{Backend, Fencing},
     placement::{
         MoveKind, OrderResult, PlacementDecision, PlacementReason, PlacementSettings,
@@ -74,6 +74,9 @@
     demand: Demand,
     holds: Holds,
     unplaced: BTreeSet<(Site, ModelName)>,
+    /// Models that have been configured for a pool. What never was is left
+    /// alone: no operator has confirmed that it goes.
+    configured: BTreeSet<(PoolName, ModelName)>,
 }
 
 impl Reconciler {
@@ -87,6 +90,7 @@
             demand: Demand::default(),
             holds: Holds::default(),
             unplaced: BTreeSet::new(),
+            configured: BTreeSet::new(),
         }
     }
 
@@ -147,6 +151,9 @@
     fn take_layout(&mut self, now_ms: u64, layout: &Layout<'_>, permit: &Permit) {
         self.engines
             .retain(|name, _| layout.backend(name).is_some());
+        let models = layout.models();
+        self.configured
+            .extend(models.map(|model| (model.pool.clone(), model.name.clone())));
         for backend in layout.backends() {
             let entry = self.engines.entry(backend.name.clone());
             entry.or_insert_with(|| Observed::new(now_ms));
@@ -251,7 +258,11 @@
             let Some(observed) = self.engines.get_mut(&engine.backend) else {
                 continue;
             };
-            let is_foreign = |model: &ModelName| !layout.has_model(&site.pool, model);
+            let configured = &self.configured;
+            let is_foreign = |model: &ModelName| {
+                !layout.has_model(&site.pool, model)
+                    && configured.contains(&(site.pool.clone(), model.clone()))
+            };
             let foreign = observed.foreign(now_ms, hold_ms, is_foreign);
             if let Some(model) = foreign.into_iter().next() {
                 let step = Step {
--- a/crates/core/tests/placement_moves.rs
+++ b/crates/core/tests/placement_moves.rs
@@ -287,6 +287,18 @@
     assert_eq!(world.engines.replicas("draft"), 1);
 }
 
+#[test]
+fn a_model_that_was_never_configured_is_left_alone() {
+    let objects = Objects::new(Fencing::Checked, 2, &[("chat", 1_000, 1)]);
+    let mut world = World::new(objects, PlacementSettings::default());
+    for engine in &mut world.engines.engines {
+        engine.models.insert("by-hand".into());
+    }
+    world.run(10 * MINUTE_MS, idle);
+    assert_eq!(world.engines.replicas("chat"), 1);
+    assert_eq!(world.engines.replicas("by-hand"), 2);
+}
+
 #[test]
 fn the_preview_lists_the_moves_that_then_happen() {
     let before = Objects::new(Fencing::Checked, 4, &[("chat", 2_000, 2), ("old", 500, 1)]);
