--- a/crates/core/src/config/follower.rs
+++ b/crates/core/src/config/follower.rs
@@ -29,9 +29,9 @@
 /// Time that a head has to be fresher by to be passed on, in ms.
 const HEAD_STEP_MS: i64 = 200;
 /// Time for a new instance to start from the log before it asks a peer, in ms.
-const START_PATIENCE_MS: u64 = 500;
+const START_TIMEOUT_MS: u64 = 500;
 /// Time known to be behind after which a peer is asked for its state, in ms.
-const BEHIND_PATIENCE_MS: u64 = 600;
+const BEHIND_ASK_MS: u64 = 600;
 /// Time known to be behind after which the log is read, so that records on
 /// their way through other peers can still arrive, in ms.
 const BEHIND_READ_MS: u64 = 200;
@@ -376,10 +376,10 @@
     }
 
     fn ask_peer(&mut self, now_ms: u64, created_ms: u64, actions: &mut Vec<Action>) {
-        let is_late = now_ms.saturating_sub(created_ms) >= START_PATIENCE_MS;
+        let is_late = now_ms.saturating_sub(created_ms) >= START_TIMEOUT_MS;
         let needs_start = !self.has_started && (is_late || self.reader.failures > 0);
         let behind_ms = self.heads.behind_ms(now_ms);
-        let is_behind = behind_ms.is_some_and(|ms| ms >= BEHIND_PATIENCE_MS);
+        let is_behind = behind_ms.is_some_and(|ms| ms >= BEHIND_ASK_MS);
         let is_needed = needs_start || is_behind || self.reader.is_stuck;
         if is_needed && self.snapshot.take(now_ms) {
             let from = self.has_started.then_some(self.state.next());
--- a/crates/core/src/split.rs
+++ b/crates/core/src/split.rs
@@ -32,13 +32,13 @@
     whole: u32,
     claimants: BTreeMap<C, Claimant>,
     wants: HashMap<WorkspaceKey, Vec<Want<C>>>,
-    pots: HashMap<WorkspaceKey, Pot>,
+    reserves: HashMap<WorkspaceKey, Reserve>,
     earlier: HashMap<WorkspaceKey, Vec<Earlier<C>>>,
 }
 
 /// What is held by nobody, saved up to make up for single requests.
 #[derive(Clone, Copy, Debug)]
-struct Pot {
+struct Reserve {
     bucket: Bucket,
     rate: Rate,
     /// Requests asked for since the last look, in thousandths.
@@ -92,7 +92,7 @@
             whole: 0,
             claimants: BTreeMap::new(),
             wants: HashMap::new(),
-            pots: HashMap::new(),
+            reserves: HashMap::new(),
             earlier: HashMap::new(),
         }
     }
@@ -172,12 +172,12 @@
         demands.iter().map(grant).collect()
     }
 
-    /// Forgets pots that are full, which a new one would be as well.
+    /// Forgets reserves that are full, which a new one would be as well.
     fn forget_full(&mut self, now_ms: u64) {
-        self.pots.retain(|_, pot| {
-            let flow = pot.flow();
-            pot.bucket.fill(now_ms, flow);
-            pot.bucket.missing_milli(flow) > 0 || pot.asked_milli > 0
+        self.reserves.retain(|_, reserve| {
+            let flow = reserve.flow();
+            reserve.bucket.fill(now_ms, flow);
+            reserve.bucket.missing_milli(flow) > 0 || reserve.asked_milli > 0
         });
     }
 
@@ -188,18 +188,18 @@
         }
         let Divided { quota, total } = divided;
         let rate = total.less(self.held(now_ms, demand.key, quota, None));
-        let pot = self.pots.entry(demand.key).or_insert_with(|| Pot {
+        let reserve = self.reserves.entry(demand.key).or_insert_with(|| Reserve {
             bucket: Bucket::new(now_ms, Flow { rate, safe: rate }),
             rate,
             asked_milli: 0,
             wanted: Rate::default(),
         });
-        pot.asked_milli += u64::from(demand.missing);
+        reserve.asked_milli += u64::from(demand.missing);
         // It may have been less at any time since it was filled last.
-        pot.rate = pot.rate.min(rate);
-        pot.bucket.fill(now_ms, pot.flow());
-        pot.rate = rate;
-        pot.bucket.take_milli(demand.missing)
+        reserve.rate = reserve.rate.min(rate);
+        reserve.bucket.fill(now_ms, reserve.flow());
+        reserve.rate = rate;
+        reserve.bucket.take_milli(demand.missing)
     }
 
     /// Returns the workspaces that anyone wants, each with what is wanted and what
@@ -213,9 +213,9 @@
                 .fold(Rate::default(), |sum, w| sum.plus(w.wanted));
             wanted.insert(*key, sum);
         }
-        for (key, pot) in &mut self.pots {
+        for (key, reserve) in &mut self.reserves {
             let entry = wanted.entry(*key).or_default();
-            *entry = entry.plus(pot.take_wanted());
+            *entry = entry.plus(reserve.take_wanted());
         }
         let demand = |(key, wanted)| Demand {
             key,
@@ -389,7 +389,7 @@
     }
 }
 
-impl Pot {
+impl Reserve {
     /// Returns the rate that is asked for, over the second since the last look.
     fn take_wanted(&mut self) -> Rate {
         let asked = Rate(std::mem::take(&mut self.asked_milli) * 1_000);
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -22,7 +22,7 @@
 };
 
 /// Time beyond the deadline after which a caller gives up.
-const PATIENCE: Duration = Duration::from_secs(5);
+const GRACE: Duration = Duration::from_secs(5);
 
 /// Path of the tickets.
 const TICKETS_PATH: &str = "/v1/tickets";
@@ -133,8 +133,8 @@
     /// Sends one request and checks its answer.
     pub async fn ask(&self, ask: &Ask) -> Asked {
         let started = Instant::now();
-        let patience = Duration::from_millis(self.settings.deadline_ms) + PATIENCE;
-        let received = match time::timeout(patience, self.exchange(ask)).await {
+        let timeout = Duration::from_millis(self.settings.deadline_ms) + GRACE;
+        let received = match time::timeout(timeout, self.exchange(ask)).await {
             Ok(received) => received,
             Err(_) => Err(Error::Io(std::io::ErrorKind::TimedOut.into())),
         };
