Let checked unloads take effect in the placers' random orders

Cause: engines_end_as_wanted_whatever_the_placers_do passed with its guard off. In a scratch copy of the source, reports no longer took models away from what the placer believes an engine to hold; the test still passed, because no placer there ever had an unload checked and not sent. It has steps for that now, for a placer whose number the engines were told, and 120 cases in place of 60.

Before: passes with the guard off. After: fails with it off on the shortest case, one unload to an engine that ignores numbers ("[2, 0]" replicas of the [2, 1] wanted), passes with it on (400 cases in a trial).

Ruled out: a first form let a placer unload before its number was told to the engines, and found a stale unload taken after that. That is the test's doing: a placer orders an engine that checks numbers only once it knows the number.

Not shown here: with engines taken as told the number at once, the test passes, also with 400 cases. engines_that_check_refuse_a_woken_placer shows that part.

--- a/crates/core/tests/placer_orders.rs
+++ b/crates/core/tests/placer_orders.rs
@@ -109,6 +109,25 @@
             .all(|(found, least)| found >= least)
     }
 
+    /// Checks an unload that the placer `at` may have decided on under an
+    /// earlier configuration.
+    fn check_unload(&mut self, at: usize, engine: usize, model: usize) {
+        if self.world.nodes[at].is_frozen {
+            return;
+        }
+        let permit = self.world.nodes[at].placer.permit(self.world.local_ms(at));
+        // None is decided on before the engines were told the term's number.
+        if let Some(permit) = permit.filter(|permit| permit.fence == self.newest_fence) {
+            self.checked[at].push(Order {
+                fence: permit.fence,
+                backend: self.engines.engines[engine].name.as_str().into(),
+                fencing: self.objects.pools[0].fencing,
+                kind: OrderKind::Unload,
+                model: MODELS[model].0.into(),
+            });
+        }
+    }
+
     /// Freezes the placer with an unload of each replica checked and not sent,
     /// until another one has stood up and settled; then wakes it.
     fn wake_old_placer_with_unloads(&mut self) {
@@ -163,15 +182,26 @@
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Placer(Op),
-    Check { at: usize },
-    Send { at: usize },
-    Run { ms: u64 },
+    Check {
+        at: usize,
+    },
+    CheckUnload {
+        at: usize,
+        engine: usize,
+        model: usize,
+    },
+    Send {
+        at: usize,
+    },
+    Run {
+        ms: u64,
+    },
 }
 
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Self {
         let at = usize::arbitrary(g) % INSTANCES;
-        match u8::arbitrary(g) % 8 {
+        match u8::arbitrary(g) % 10 {
             0..=2 => match Op::arbitrary(g) {
                 // Nobody would be left to place.
                 Op::Leave { at } => Self::Placer(Op::Restart { at }),
@@ -179,6 +209,11 @@
             },
             3..=4 => Self::Check { at },
             5..=6 => Self::Send { at },
+            7..=8 => Self::CheckUnload {
+                at,
+                engine: usize::arbitrary(g) % ENGINES,
+                model: usize::arbitrary(g) % MODELS.len(),
+            },
             _ => Self::Run {
                 ms: 1_000 * (1 + u64::arbitrary(g) % 40),
             },
@@ -193,6 +228,7 @@
         match step {
             Step::Placer(op) => joint.apply(op),
             Step::Check { at } => joint.check(at),
+            Step::CheckUnload { at, engine, model } => joint.check_unload(at, engine, model),
             Step::Send { at } => joint.send(at),
             Step::Run { ms } => joint.run(ms),
         }
@@ -218,5 +254,5 @@
         };
         after_any_order_of_events(fencing, steps)
     }
-    seeded(60).quickcheck(law as fn(_, _) -> _);
+    seeded(120).quickcheck(law as fn(_, _) -> _);
 }
