Read the engines' cache events and send prompts to cached prefixes

Ruled out: reading the events over the connection that watches for silence (a read in flight would take the place of the canary), and keeping the hash in the stand-ins: it belongs to the protocol, so wire has it and both use it. Before: with the prefix left out 0 of 10 prompts went to the engine that has it. A first form of the test passed without the prefix as well, since idle engines are chosen in one order; it asks for the other engine now. Conclusion: affinity holds in the product.

--- a/crates/server/src/calls.rs
+++ b/crates/server/src/calls.rs
@@ -14,7 +14,8 @@
     execution::Event,
     ids::BackendName,
 };
-use savoryvane_wire::backend::{Cancel, LoadReport, Refusal};
+use savoryvane_wire::backend::{CacheEvents, Cancel, LoadReport, Refusal};
+use serde::de::DeserializeOwned;
 use slog::{Logger, warn};
 use tokio::{
     sync::mpsc,
@@ -34,6 +35,8 @@
 
 /// Largest body of a refusal or report, in bytes.
 const MAX_SMALL_BODY_BYTES: usize = 64 * 1024;
+/// Largest body of cache events, in bytes.
+const MAX_EVENTS_BODY_BYTES: usize = 1024 * 1024;
 /// Time for a read of the load to be answered before another connection is
 /// asked, and for the first one to answer after that one has.
 const CANARY_TIMEOUT: Duration = Duration::from_millis(300);
@@ -155,14 +158,18 @@
         let request = request(Method::GET, addr, "/v1/load", Bytes::new());
         let not_after = Instant::now() + self.small_timeout();
         let exchange = self.canaries.send(addr, request, not_after).await.ok()?;
-        let Exchange { response, lease } = exchange;
-        if response.status() != StatusCode::OK {
-            return None;
-        }
-        let body = Limited::new(response.into_body(), MAX_SMALL_BODY_BYTES);
-        let body = body.collect().await.ok()?.to_bytes();
-        lease.keep().await;
-        serde_json::from_slice(&body).ok()
+        read_json(exchange, MAX_SMALL_BODY_BYTES).await
+    }
+
+    /// Reads the cache events of the engine at `addr` from a sequence number on.
+    pub(crate) async fn cache_events(&self, addr: SocketAddr, from: u64) -> Option<CacheEvents> {
+        let path = format!("/v1/cache-events?from={from}");
+        let request = request(Method::GET, addr, &path, Bytes::new());
+        let asking = async {
+            let exchange = self.send(addr, request).await.ok()?;
+            read_json(exchange, MAX_EVENTS_BODY_BYTES).await
+        };
+        time::timeout(self.small_timeout(), asking).await.ok()?
     }
 
     /// Forgets idle connections to a server that went silent on one.
@@ -253,3 +260,15 @@
         None => Event::Lost { attempt },
     }
 }
+
+/// Reads a whole answer in JSON and gives its connection back.
+async fn read_json<T: DeserializeOwned>(exchange: Exchange, max_bytes: usize) -> Option<T> {
+    let Exchange { response, lease } = exchange;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let body = Limited::new(response.into_body(), max_bytes);
+    let body = body.collect().await.ok()?.to_bytes();
+    lease.keep().await;
+    serde_json::from_slice(&body).ok()
+}
--- a/crates/server/src/controller.rs
+++ b/crates/server/src/controller.rs
@@ -9,6 +9,7 @@
     objects::{Objective, Pipeline, Workspace},
     outcome::Outcome,
 };
+use savoryvane_wire::backend::prefix_hash;
 use serde_json::Value;
 use slog::{info, warn};
 use tokio::sync::mpsc;
@@ -118,6 +119,7 @@
         arrived_at_ms: head.arrived_at_ms,
         deadline_at_ms,
     };
+    let prefix = Some(prefix_hash(&input));
     let spec = ExecutionSpec {
         request: head.request,
         workspace: head.workspace,
@@ -128,7 +130,7 @@
         objective,
         priority: priority(objective),
         earlier_may_have_run,
-        prefix: None,
+        prefix,
     };
     match warrant {
         None => runner::start(shared, spec, account, guard),
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -46,6 +46,7 @@
     placement::{self, Placement},
     placer::{self, Candidacy},
     platform::PlatformClient,
+    prefixes,
     refusal::Refusal,
     settings::Settings,
     snapshot::SnapshotCache,
@@ -344,6 +345,7 @@
     background.spawn(claims::append(Arc::clone(shared)));
     background.spawn(listing::run(Arc::clone(shared)));
     background.spawn(loads::run(Arc::clone(shared)));
+    background.spawn(prefixes::run(Arc::clone(shared)));
     background.spawn(placer::run(Arc::clone(shared)));
     background.spawn(placement::run(Arc::clone(shared)));
     background
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -32,6 +32,7 @@
 mod placement_settings;
 mod placer;
 mod platform;
+mod prefixes;
 mod refusal;
 mod relay;
 mod run_right;
--- a/crates/server/tests/shares.rs
+++ b/crates/server/tests/shares.rs
@@ -1,13 +1,13 @@
-//! What the policy keeps for each workspace is in force in a running instance,
-//! not only in the core.
+//! What the policy keeps for each workspace and each prompt is in force in a
+//! running instance, not only in the core.
 
 mod common;
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
-use common::{Deployment, credential, read_answer, submit};
+use common::{Deployment, credential, read_answer, read_body, send, submit};
 use savoryvane_core::{decision::DecisionReason, outcome::Outcome};
-use savoryvane_standins::BackendFaults;
+use savoryvane_standins::{BackendFaults, client::Version};
 use savoryvane_wire::caller::Answer;
 use serde_json::{Value, json};
 
@@ -70,3 +70,46 @@
     }
     panic!("nothing was refused for the share");
 }
+
+/// Has an engine cache the prefix of `input` by a call of its own.
+async fn warm(engine: SocketAddr, input: &Value) {
+    let call = json!({
+        "request": "warm", "stage": "generate", "attempt": 1, "kind": "generate", "model": "chat",
+        "input": input, "previous": null, "max_tokens": 1, "deadline_ms": 5_000,
+    });
+    let post = http::Method::POST;
+    let reply = send(
+        Version::Http1,
+        engine,
+        post,
+        "/v1/run",
+        &call.to_string(),
+        &[],
+    )
+    .await;
+    assert_eq!(reply.status(), http::StatusCode::OK);
+    read_body(reply).await;
+}
+
+#[tokio::test]
+async fn prompts_with_a_cached_prefix_go_to_the_engine_that_has_it() {
+    let deployment = Deployment::start().await;
+    let addr = deployment.caller();
+    let engines = &deployment.backends[6..];
+    let first = ask_as(addr, "vakwerk", json!("no prefix")).await;
+    assert_eq!(first.outcome, Outcome::Complete, "{first:?}");
+    // The prefix goes to the engine that is not chosen when both are idle.
+    let other = usize::from(!engines[0].ran().is_empty());
+    warm(engines[other].addr(), &json!({ "prefix": "rules" })).await;
+    // The events come half a second late and are read once a second.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let before = engines[other].ran().len();
+
+    for number in 0..10 {
+        let input = json!({ "prefix": "rules", "ask": number });
+        let answer = ask_as(addr, "vakwerk", input).await;
+        assert_eq!(answer.outcome, Outcome::Complete, "{answer:?}");
+    }
+
+    assert_eq!(engines[other].ran().len(), before + 10);
+}
--- a/crates/standins/src/job.rs
+++ b/crates/standins/src/job.rs
@@ -20,7 +20,7 @@
     outbox::{Closed, Outbox},
     ran::{RanCall, RanState},
     slots::Place,
-    work::{Step, first_u64, prefix_hash, stage_output, tokens_of},
+    work::{Step, first_u64, stage_output, tokens_of},
 };
 
 /// How a call that was worked on ended.
@@ -144,7 +144,11 @@
 
     fn service_time(&self, call: &StageCall, rng: &mut Pcg64) -> Duration {
         let mut mean_us = self.settings.service_us;
-        if call.kind == StageKind::Generate && self.cache.touch(prefix_hash(&call.input)) {
+        if call.kind == StageKind::Generate
+            && self
+                .cache
+                .touch(savoryvane_wire::backend::prefix_hash(&call.input))
+        {
             mean_us /= 2;
         }
         // Between half and one and a half of the mean.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -61,5 +61,6 @@
 pub use ran::{RanCall, RanState, ran_more_than_once};
 pub use relay::{Relay, RelaySettings};
 pub use report::{Report, StageTotals, usage_table};
+pub use savoryvane_wire::backend::prefix_hash;
 pub use weights::{WeightServer, WeightSource, WeightStore};
-pub use work::{Step, expected_output, prefix_hash, stage_output, tokens_of};
+pub use work::{Step, expected_output, stage_output, tokens_of};
--- a/crates/standins/src/work.rs
+++ b/crates/standins/src/work.rs
@@ -96,14 +96,6 @@
         .collect()
 }
 
-/// Returns the hash of the prompt prefix that `input` shares with others: of
-/// its field `prefix` when it has one, else of the whole.
-pub fn prefix_hash(input: &Value) -> u64 {
-    let prefix = input.get("prefix").unwrap_or(input);
-    let digest = Sha256::digest(prefix.to_string().as_bytes());
-    first_u64(&digest)
-}
-
 /// Returns the first eight bytes of a digest as a number.
 pub(crate) fn first_u64(digest: &[u8]) -> u64 {
     let mut bytes = [0; 8];
--- a/crates/wire/src/backend.rs
+++ b/crates/wire/src/backend.rs
@@ -14,6 +14,7 @@
 };
 use savoryvane_core::ids::ModelName;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 
 /// Body of a refusal; the call has not run.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -78,6 +79,16 @@
     pub cached: bool,
 }
 
+/// Returns the hash by which cache events name the prompt prefix that `input`
+/// shares with others: the first eight bytes, big end first, of the SHA-256 of
+/// the JSON of its field `prefix`, or of the whole input without one.
+pub fn prefix_hash(input: &serde_json::Value) -> u64 {
+    let prefix = input.get("prefix").unwrap_or(input);
+    let digest = Sha256::digest(prefix.to_string().as_bytes());
+    let first = digest.iter().take(size_of::<u64>());
+    first.fold(0, |hash, byte| hash << u8::BITS | u64::from(*byte))
+}
+
 /// Cache events from a sequence number on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CacheEvents {
