--- a/crates/server/tests/at_most_once.rs
+++ b/crates/server/tests/at_most_once.rs
@@ -238,6 +238,33 @@
     assert_eq!((pair.ran(&input), pair.ran(&json!("another"))), (1, 0));
 }
 
+/// A key belongs to its workspace: another one gets neither its answer nor its
+/// refusal.
+#[tokio::test]
+async fn the_same_key_in_another_workspace_is_another_key() {
+    let pair = Pair::start("").await;
+    let input = json!("room on sunday");
+    let first = pair.ask(0, &input, &[(KEY, "shared")]).await.1;
+    let bearer = format!("Bearer {}", credential("taalghar"));
+    let headers = [
+        (KEY, "shared"),
+        ("x-workspace", "taalghar"),
+        ("authorization", &*bearer),
+    ];
+
+    let (status, second) = pair.ask(1, &input, &headers).await;
+    let (other_status, other) = pair.ask(1, &json!("another"), &headers).await;
+
+    assert_eq!(first.outcome, Outcome::Complete);
+    assert_eq!(
+        (status, second.outcome),
+        (StatusCode::OK, Outcome::Complete)
+    );
+    assert_eq!(pair.ran(&input), 2);
+    assert_eq!(other_status, StatusCode::UNPROCESSABLE_ENTITY);
+    assert_eq!(other.outcome, Outcome::NotStarted);
+}
+
 /// The claim is on the log and the instance dies before it can read it back.
 #[tokio::test]
 async fn killed_before_sending_is_unknown_at_once_and_never_run() {
