--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -64,7 +64,7 @@
     zone: ZoneName,
     pub(crate) settings: PolicySettings,
     rng: Pcg64Mcg,
-    backends: Vec<KnownBackend>,
+    pub(crate) backends: Vec<KnownBackend>,
     by_name: HashMap<BackendName, usize>,
     pools: BTreeMap<PoolName, KnownPool>,
     /// Time beside work of the calls to each availability zone.
--- a/crates/core/src/fleet/retry_budget.rs
+++ b/crates/core/src/fleet/retry_budget.rs
@@ -16,9 +16,15 @@
 
 impl RetryBudget {
     pub(crate) fn new(settings: &PolicySettings) -> Self {
-        let cap = u64::from(settings.retry_burst) * PERCENT;
+        Self::with(settings.retry_percent, settings.retry_burst)
+    }
+
+    /// Creates a full budget that earns `percent` hundredths with each first
+    /// attempt and saves up at most `burst` retries.
+    pub(crate) fn with(percent: u32, burst: u32) -> Self {
+        let cap = u64::from(burst) * PERCENT;
         Self {
-            earn: u64::from(settings.retry_percent),
+            earn: u64::from(percent),
             cap,
             saved: cap,
         }
--- a/crates/core/src/fleet/route.rs
+++ b/crates/core/src/fleet/route.rs
@@ -51,7 +51,7 @@
 
     /// Returns the members that are best for the call as far as their health
     /// goes: untried ones that have not refused lately, if there are any.
-    fn eligible(&self, now_ms: u64, query: &RouteQuery<'_>) -> Vec<usize> {
+    pub(crate) fn eligible(&self, now_ms: u64, query: &RouteQuery<'_>) -> Vec<usize> {
         let mut able = self.able(now_ms, query);
         if able.is_empty() && query.idempotent {
             able = self.last_resorts(now_ms, query);
--- a/crates/core/src/fleet/score.rs
+++ b/crates/core/src/fleet/score.rs
@@ -62,7 +62,7 @@
     ///
     /// A report of others' calls fades as its age reaches the time in which
     /// calls are replaced by new ones; what is left is the mean of its zone.
-    pub(super) fn load(&self, now_ms: u64, backend: &KnownBackend) -> f64 {
+    pub(crate) fn load(&self, now_ms: u64, backend: &KnownBackend) -> f64 {
         let own = f64::from(backend.in_flight);
         let Some(others) = self.recent_others(now_ms, backend) else {
             return own + self.zone_mean_others(now_ms, backend);
--- /dev/null
+++ b/crates/core/src/forwarding.rs
@@ -0,0 +1,19 @@
+//! Requests that are forwarded to a backend server as their caller sent them:
+//! which route takes them, which server, and what happens after a failure.
+
+mod budget;
+mod directory;
+mod objects;
+mod placement;
+mod steps;
+mod table;
+
+pub use budget::{BudgetSettings, RepeatBudgets};
+pub use directory::{Directory, ServerEntry, ServerState};
+pub use objects::{
+    Batching, CallerLimits, Engine, Route, RouteKind, RouteStage, RoutingConfig, Service, Target,
+    WorkspaceKeys,
+};
+pub use placement::{Chosen, Placement, Prompt, PromptPart};
+pub use steps::{AttemptEnd, Giving, NextStep, Repeats, next_step};
+pub use table::{Matched, RouteTable, Unroutable};
--- /dev/null
+++ b/crates/core/src/forwarding/placement.rs
@@ -0,0 +1,217 @@
+//! Chooses the backend server of a forwarded request.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    decision::DecisionReason,
+    fleet::{CallEnd, Fault, Fleet, RouteQuery, Routed},
+    ids::{BackendName, PoolName, ZoneName},
+    objects::Objective,
+};
+
+/// Prompt tokens that an engine reads in a ms where nothing is cached; from
+/// the engines' sheets, which say 57.
+const TOKENS_PER_MS: f64 = 57.0;
+/// What a byte of results from another zone weighs, in µs of engine time: 1.5 MB
+/// as much as reading 8,500 tokens anew, since links between zones are dear.
+const FAR_BYTE_US: f64 = 0.1;
+/// What one request more at an engine than at the others weighs, in µs: each
+/// slows the tokens of all others there and has a prompt that goes first.
+const REQUEST_US: f64 = 20_000.0;
+
+/// One part of a prompt that other prompts may share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Hash of its text.
+    pub hash: u64,
+    /// Its length in tokens.
+    pub tokens: u32,
+}
+
+/// A prompt as routing sees it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Tokens to read.
+    pub input_tokens: u32,
+    /// Most tokens to generate.
+    pub max_output_tokens: u32,
+    /// Parts in their order; the last one is that of the session.
+    pub parts: Vec<PromptPart>,
+}
+
+impl Prompt {
+    /// Returns the hash of the session's part.
+    pub fn session(&self) -> Option<u64> {
+        self.parts.last().map(|part| part.hash)
+    }
+
+    /// Returns the tokens that an engine which served the session has cached.
+    pub fn shared_tokens(&self) -> u32 {
+        self.parts.iter().map(|part| part.tokens).sum()
+    }
+}
+
+/// What the choice of a server goes by.
+#[derive(Clone, Debug)]
+pub struct Placement<'a> {
+    /// Service that the request goes to.
+    pub service: &'a PoolName,
+    /// Servers that were tried already.
+    pub tried: &'a [BackendName],
+    /// Whether the request may run more than once.
+    pub is_repeatable: bool,
+    /// Its prompt, for an engine.
+    pub prompt: Option<&'a Prompt>,
+    /// Results that it needs, by the availability zone where they are, in bytes.
+    pub inputs: &'a [(ZoneName, u64)],
+}
+
+/// A server and why it was chosen.
+#[derive(Clone, Debug)]
+pub struct Chosen {
+    /// The server, unless there is none.
+    pub server: Option<BackendName>,
+    /// Why.
+    pub reason: DecisionReason,
+    /// Servers that were considered.
+    pub considered: usize,
+}
+
+impl Fleet {
+    /// Chooses the server of a forwarded request.
+    pub fn choose(&mut self, now_ms: u64, placement: &Placement<'_>) -> Chosen {
+        let query = RouteQuery {
+            pool: placement.service,
+            model: None,
+            tried: placement.tried,
+            prefix: None,
+            idempotent: placement.is_repeatable,
+            objective: Objective::Attainment,
+        };
+        match placement.prompt {
+            Some(prompt) if prompt.session().is_some() => {
+                self.choose_engine(now_ms, &query, prompt, placement.inputs)
+            }
+            _ => chosen(self.route(now_ms, &query)),
+        }
+    }
+
+    /// Chooses the engine with the least expected work: sessions have a home
+    /// by rendezvous hash, where their parts are cached; an engine elsewhere
+    /// reads them anew, and results from other zones have to be fetched.
+    fn choose_engine(
+        &mut self,
+        now_ms: u64,
+        query: &RouteQuery<'_>,
+        prompt: &Prompt,
+        inputs: &[(ZoneName, u64)],
+    ) -> Chosen {
+        let eligible = self.eligible(now_ms, query);
+        let session = prompt.session().unwrap_or_default();
+        let home = eligible
+            .iter()
+            .copied()
+            .max_by_key(|index| rendezvous(&self.backends[*index].name, session));
+        let score_us = |index: usize| {
+            let backend = &self.backends[index];
+            let far_bytes: u64 = inputs
+                .iter()
+                .filter(|(zone, _)| *zone != backend.zone)
+                .map(|(_, bytes)| *bytes)
+                .sum();
+            let anew_us = if Some(index) == home {
+                0.0
+            } else {
+                f64::from(prompt.shared_tokens()) / TOKENS_PER_MS * 1_000.0
+            };
+            let load_us = self.load(now_ms, backend) * REQUEST_US;
+            anew_us + far_bytes as f64 * FAR_BYTE_US + load_us
+        };
+        let best = eligible
+            .iter()
+            .copied()
+            .min_by(|a, b| score_us(*a).total_cmp(&score_us(*b)));
+        Chosen {
+            server: best.map(|index| self.backends[index].name.clone()),
+            reason: match best {
+                None => DecisionReason::NoBackend,
+                Some(_) if best == home => DecisionReason::Only,
+                Some(_) => DecisionReason::LeastLoad,
+            },
+            considered: eligible.len(),
+        }
+    }
+
+    /// Returns the availability zone of a session's home among the servers of
+    /// `service` that take work.
+    pub fn home_zone(&self, now_ms: u64, service: &PoolName, prompt: &Prompt) -> Option<ZoneName> {
+        let query = RouteQuery {
+            pool: service,
+            model: None,
+            tried: &[],
+            prefix: None,
+            idempotent: true,
+            objective: Objective::Attainment,
+        };
+        let session = prompt.session()?;
+        self.eligible(now_ms, &query)
+            .into_iter()
+            .map(|index| &self.backends[index])
+            .max_by_key(|backend| rendezvous(&backend.name, session))
+            .map(|backend| backend.zone.clone())
+    }
+
+    /// Notes that a request was sent to `server`.
+    pub fn on_forwarded(&mut self, now_ms: u64, server: &BackendName) {
+        self.on_call_sent(now_ms, server);
+    }
+
+    /// Notes a whole answer after `elapsed_us`.
+    pub fn on_answered(&mut self, now_ms: u64, server: &BackendName, elapsed_us: u64) {
+        let end = CallEnd::Done {
+            elapsed_us,
+            busy_us: elapsed_us,
+            was_overdue: false,
+        };
+        self.on_call_ended(now_ms, server, end);
+    }
+
+    /// Notes that `server` had no room for a request.
+    pub fn on_full(&mut self, now_ms: u64, server: &BackendName) {
+        let end = CallEnd::Refused(crate::call::RefusalReason::Full);
+        self.on_call_ended(now_ms, server, end);
+    }
+
+    /// Notes that `server` answered badly.
+    pub fn on_failing(&mut self, now_ms: u64, server: &BackendName) {
+        self.on_call_ended(now_ms, server, CallEnd::Failed(Fault::Failing));
+    }
+
+    /// Notes that the connection to `server` broke or went silent.
+    pub fn on_silent(&mut self, now_ms: u64, server: &BackendName) {
+        self.on_call_ended(now_ms, server, CallEnd::Failed(Fault::Silent));
+    }
+
+    /// Notes that no connection to `server` could be made.
+    pub fn on_unreachable(&mut self, now_ms: u64, server: &BackendName) {
+        self.on_call_ended(now_ms, server, CallEnd::Failed(Fault::Unreachable));
+    }
+
+    /// Notes that a request to `server` was given up.
+    pub fn on_abandoned(&mut self, now_ms: u64, server: &BackendName) {
+        self.on_call_ended(now_ms, server, CallEnd::Abandoned);
+    }
+}
+
+fn chosen(routed: Routed) -> Chosen {
+    Chosen {
+        server: routed.choice,
+        reason: routed.reason,
+        considered: routed.candidates.len(),
+    }
+}
+
+/// Ranks a server for a session; the highest is its home.
+fn rendezvous(server: &BackendName, session: u64) -> u64 {
+    xxh3_64_with_seed(server.as_str().as_bytes(), session)
+}
--- /dev/null
+++ b/crates/core/src/forwarding/steps.rs
@@ -0,0 +1,68 @@
+//! What follows a send of a forwarded request: an answer or one more send.
+
+/// How one send ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// Nothing of the request was handed to a socket.
+    NotSent,
+    /// The server says that it did not run the request.
+    NotRun,
+    /// The server ran it and answered with a failure of its own.
+    Failed,
+    /// The answer was lost, broken or not that of the request.
+    Lost,
+}
+
+/// Whether a request may be sent again after it may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeats {
+    /// It may.
+    Allowed,
+    /// It may not.
+    Never,
+}
+
+/// What the caller is told when nothing more is tried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Giving {
+    /// That it was not run and when to come back.
+    Refusal,
+    /// The failure that the server answered with.
+    ServersFailure,
+    /// That it has no answer, and nothing about whether it ran.
+    NoAnswer,
+}
+
+/// What follows a send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NextStep {
+    /// It is sent to another server.
+    SendAgain,
+    /// The caller gets an answer.
+    Give(Giving),
+}
+
+/// Decides what follows the end of a send.
+///
+/// `may_have_run` tells whether any send, this one included, may have run;
+/// `has_room` whether another server, its attempts and the time allow one more
+/// send. A send that never left does not use up an attempt; for all others
+/// `spend` takes one repeat out of the budget and tells whether there was one.
+pub fn next_step(
+    end: AttemptEnd,
+    repeats: Repeats,
+    may_have_run: bool,
+    has_room: bool,
+    spend: impl FnOnce() -> bool,
+) -> NextStep {
+    let is_harmless = matches!(end, AttemptEnd::NotSent | AttemptEnd::NotRun);
+    let is_allowed = repeats == Repeats::Allowed || (is_harmless && !may_have_run);
+    if is_allowed && has_room && (end == AttemptEnd::NotSent || spend()) {
+        return NextStep::SendAgain;
+    }
+    NextStep::Give(match end {
+        AttemptEnd::Failed => Giving::ServersFailure,
+        AttemptEnd::NotSent | AttemptEnd::NotRun if !may_have_run => Giving::Refusal,
+        _ => Giving::NoAnswer,
+    })
+}
--- /dev/null
+++ b/crates/core/src/stages/batch.rs
@@ -0,0 +1,130 @@
+//! Chooses which waiting pieces go to which idle servers.
+//!
+//! A call costs the same time for one piece as for many, so pieces fill the
+//! calls that are opened before another server is taken. There is no timer: a
+//! batch fills while all servers are busy, and is sent at once when one is not.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::{
+    request::{PieceAt, Request},
+    service::{StageService, Waiting},
+    work::RequestKey,
+};
+use crate::ids::{BackendName, ZoneName};
+
+/// Size of a result from which it matters in which availability zone it is made,
+/// in bytes: those below cost less on the way than a wait for a near server.
+const LARGE_RESULT_BYTES: u64 = 100_000;
+
+/// Pieces for one server.
+#[derive(Debug)]
+pub(super) struct Batch {
+    pub(super) server: BackendName,
+    pub(super) pieces: Vec<Waiting>,
+}
+
+/// Distributes what waits for `service` over its idle servers, and takes it out
+/// of the queue.
+pub(super) fn fill(
+    now_ms: u64,
+    service: &mut StageService,
+    requests: &mut HashMap<RequestKey, Request>,
+) -> Vec<Batch> {
+    let mut idle: Vec<BackendName> = service
+        .servers
+        .iter()
+        .filter(|(_, server)| server.is_idle(now_ms))
+        .map(|(name, _)| name.clone())
+        .collect();
+    if idle.is_empty() || service.waiting.is_empty() {
+        return Vec::new();
+    }
+    let mut waiting = std::mem::take(&mut service.waiting);
+    waiting.sort_by_cached_key(|piece| order(now_ms, service.usual_ms, piece, requests));
+    let mut open: BTreeMap<BackendName, Vec<Waiting>> = BTreeMap::new();
+    for piece in waiting {
+        let Some(request) = requests.get_mut(&piece.key) else {
+            continue;
+        };
+        let bytes = piece.bytes;
+        let wanted = (bytes >= LARGE_RESULT_BYTES)
+            .then(|| request.zone.clone())
+            .flatten();
+        match place(service, &mut idle, &open, wanted.as_ref(), bytes) {
+            Some(name) => {
+                if let Some(server) = service.servers.get_mut(&name) {
+                    server.room_used += bytes;
+                    if bytes >= LARGE_RESULT_BYTES {
+                        request.zone = Some(server.zone.clone());
+                    }
+                }
+                open.entry(name).or_default().push(piece);
+            }
+            None => service.waiting.push(piece),
+        }
+    }
+    open.into_iter()
+        .map(|(server, pieces)| Batch { server, pieces })
+        .collect()
+}
+
+/// Orders the pieces of a queue: those that can still make their goal by the
+/// latest time at which they have to begin, then the others by their deadline.
+fn order(
+    now_ms: u64,
+    usual_ms: f64,
+    piece: &Waiting,
+    requests: &HashMap<RequestKey, Request>,
+) -> (bool, u64, RequestKey, PieceAt) {
+    let Some(request) = requests.get(&piece.key) else {
+        return (true, u64::MAX, piece.key.clone(), piece.at);
+    };
+    let needed_ms = usual_ms as u64 + request.rest_ms[piece.at.stage];
+    let is_late = now_ms + needed_ms / 2 > request.goal_at_ms;
+    let due_ms = if is_late {
+        request.deadline_at_ms
+    } else {
+        request.goal_at_ms.saturating_sub(needed_ms)
+    };
+    (is_late, due_ms, piece.key.clone(), piece.at)
+}
+
+/// Chooses a server for a piece: a call that is being filled in the wanted
+/// zone, an idle server there, then the same anywhere.
+fn place(
+    service: &StageService,
+    idle: &mut Vec<BackendName>,
+    open: &BTreeMap<BackendName, Vec<Waiting>>,
+    wanted: Option<&ZoneName>,
+    bytes: u64,
+) -> Option<BackendName> {
+    let has_room = |name: &BackendName| {
+        let server = &service.servers[name];
+        server.room_used + bytes <= service.batching.room_bytes
+            && open
+                .get(name)
+                .is_none_or(|pieces| pieces.len() < service.batching.batch_pieces)
+    };
+    let is_wanted =
+        |name: &BackendName| wanted.is_none_or(|zone| service.servers[name].zone == *zone);
+    let filling = |is_right: &dyn Fn(&BackendName) -> bool| {
+        open.keys()
+            .find(|name| is_right(name) && has_room(name))
+            .cloned()
+    };
+    let fresh = |idle: &mut Vec<BackendName>, is_right: &dyn Fn(&BackendName) -> bool| {
+        let index = idle
+            .iter()
+            .enumerate()
+            .filter(|(_, name)| is_right(name) && has_room(name))
+            .min_by_key(|(_, name)| service.servers[*name].room_used)
+            .map(|(index, _)| index)?;
+        Some(idle.swap_remove(index))
+    };
+    let anywhere = |_: &BackendName| true;
+    filling(&is_wanted)
+        .or_else(|| fresh(idle, &is_wanted))
+        .or_else(|| filling(&anywhere))
+        .or_else(|| fresh(idle, &anywhere))
+}
--- /dev/null
+++ b/crates/core/src/stages/choice.rs
@@ -0,0 +1,165 @@
+//! Chooses the instance that schedules the pieces of this one.
+//!
+//! Every instance goes through the same list and takes the first one that it
+//! reaches. Nothing depends on all taking the same one: two schedulers that
+//! share the servers for a while send smaller calls and meet full queues.
+
+use crate::ids::InstanceName;
+
+/// Time for which an instance that was not reached is passed over, in ms: one
+/// that is reached again is asked at the next look.
+const FIRST_PAUSE_MS: u64 = 500;
+/// Doublings of that time while it stays away.
+const MOST_DOUBLINGS: u32 = 3;
+/// Questions without an answer after which an instance counts as not reached.
+const MISSES: u32 = 2;
+/// Classes of processors: instances with half of the strongest one's share or
+/// more come first.
+const STRONG: f64 = 0.5;
+
+/// An instance that can schedule, as the store lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// Its name.
+    pub instance: InstanceName,
+    /// Position of its record in the store: who came earlier goes first, so
+    /// that an instance that joins or returns takes nothing over.
+    pub position: u64,
+    /// Part of a core that it has.
+    pub cores: f64,
+}
+
+/// How far an instance is reached.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Reach {
+    /// It answers, or has not been asked.
+    #[default]
+    Reached,
+    /// It left this many questions unanswered.
+    Missed(u32),
+    /// It is passed over.
+    Away {
+        /// Failures in a row.
+        failures: u32,
+        /// Time of the next question, in ms.
+        ask_at_ms: u64,
+    },
+    /// It says that it does not schedule for others.
+    Declining {
+        /// Time of the next question, in ms.
+        ask_at_ms: u64,
+    },
+}
+
+/// The list of candidates, and who is reached.
+#[derive(Debug, Default)]
+pub struct SchedulerChoice {
+    candidates: Vec<(Candidate, Reach)>,
+}
+
+impl SchedulerChoice {
+    /// Takes over the list of instances; what is known of those that stay is
+    /// kept.
+    pub fn set_candidates(&mut self, candidates: Vec<Candidate>) {
+        let strongest = candidates
+            .iter()
+            .fold(0.0, |most: f64, c| most.max(c.cores));
+        let mut before = std::mem::take(&mut self.candidates);
+        let mut known = |candidate: &Candidate| {
+            let index = before.iter().position(|(old, _)| {
+                old.instance == candidate.instance && old.position == candidate.position
+            })?;
+            Some(before.swap_remove(index).1)
+        };
+        let mut listed: Vec<(Candidate, Reach)> = candidates
+            .into_iter()
+            .map(|candidate| {
+                let reach = known(&candidate).unwrap_or_default();
+                (candidate, reach)
+            })
+            .collect();
+        listed.sort_by_key(|(candidate, _)| {
+            let is_weak = candidate.cores < strongest * STRONG;
+            (is_weak, candidate.position)
+        });
+        self.candidates = listed;
+    }
+
+    /// Returns the instance to schedule at: the first that is reached.
+    pub fn current(&self) -> Option<&InstanceName> {
+        self.candidates
+            .iter()
+            .find(|(_, reach)| matches!(reach, Reach::Reached | Reach::Missed(_)))
+            .map(|(candidate, _)| &candidate.instance)
+    }
+
+    /// Returns the instances to ask whether they are there: the current one,
+    /// and those before it whose time has come.
+    pub fn to_ask(&self, now_ms: u64) -> Vec<InstanceName> {
+        let mut asked = Vec::new();
+        for (candidate, reach) in &self.candidates {
+            match reach {
+                Reach::Reached | Reach::Missed(_) => {
+                    asked.push(candidate.instance.clone());
+                    break;
+                }
+                Reach::Away { ask_at_ms, .. } | Reach::Declining { ask_at_ms } => {
+                    if *ask_at_ms <= now_ms {
+                        asked.push(candidate.instance.clone());
+                    }
+                }
+            }
+        }
+        asked
+    }
+
+    /// Tells whether an instance is not reached.
+    pub fn is_away(&self, instance: &InstanceName) -> bool {
+        let mut candidates = self.candidates.iter();
+        candidates.any(|(c, reach)| c.instance == *instance && matches!(reach, Reach::Away { .. }))
+    }
+
+    /// Notes that an instance answered that it schedules for others.
+    pub fn on_answer(&mut self, instance: &InstanceName) {
+        self.set(instance, |_| Reach::Reached);
+    }
+
+    /// Notes that an instance does not schedule for others now.
+    pub fn on_declined(&mut self, now_ms: u64, instance: &InstanceName) {
+        let ask_at_ms = now_ms + FIRST_PAUSE_MS;
+        self.set(instance, |_| Reach::Declining { ask_at_ms });
+    }
+
+    /// Notes that an instance left a question unanswered.
+    pub fn on_miss(&mut self, now_ms: u64, instance: &InstanceName) {
+        self.set(instance, |reach| match reach {
+            Reach::Reached => Reach::Missed(1),
+            Reach::Missed(misses) if misses + 1 < MISSES => Reach::Missed(misses + 1),
+            other => away(now_ms, other),
+        });
+    }
+
+    /// Notes that an instance could not be reached at all.
+    pub fn on_unreachable(&mut self, now_ms: u64, instance: &InstanceName) {
+        self.set(instance, |reach| away(now_ms, reach));
+    }
+
+    fn set(&mut self, instance: &InstanceName, change: impl FnOnce(Reach) -> Reach) {
+        let mut candidates = self.candidates.iter_mut();
+        if let Some((_, reach)) = candidates.find(|(c, _)| c.instance == *instance) {
+            *reach = change(*reach);
+        }
+    }
+}
+
+fn away(now_ms: u64, reach: Reach) -> Reach {
+    let failures = match reach {
+        Reach::Away { failures, .. } => failures + 1,
+        _ => 0,
+    };
+    let pause_ms = FIRST_PAUSE_MS << failures.min(MOST_DOUBLINGS);
+    Reach::Away {
+        failures,
+        ask_at_ms: now_ms + pause_ms,
+    }
+}
--- /dev/null
+++ b/crates/core/src/stages/request.rs
@@ -0,0 +1,201 @@
+//! The stages of one request: what is done, what can be done next.
+
+use super::{CallId, Submission, work::ResultRef};
+use crate::ids::{BackendName, ZoneName};
+
+/// Where one piece stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Piece {
+    /// Results that it needs are missing.
+    Blocked,
+    /// It waits for a backend server.
+    Waiting,
+    /// It is part of a call.
+    Running(CallId),
+    /// Its result is kept by a server.
+    Done {
+        /// The server.
+        server: BackendName,
+        /// The result.
+        result: ResultRef,
+    },
+    /// Its result was there and is not needed any more.
+    Freed,
+}
+
+/// Names one piece of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(super) struct PieceAt {
+    pub(super) stage: usize,
+    pub(super) piece: u32,
+}
+
+/// One request and how far its stages are.
+#[derive(Debug)]
+pub(super) struct Request {
+    pub(super) submission: Submission,
+    /// Time by which its answer should begin, in ms.
+    pub(super) goal_at_ms: u64,
+    /// Time at which its caller gives up, in ms.
+    pub(super) deadline_at_ms: u64,
+    /// Time that follows each stage until the answer begins, in ms.
+    pub(super) rest_ms: Vec<u64>,
+    /// Pieces of each stage.
+    pub(super) pieces: Vec<Vec<Piece>>,
+    /// Zone in which its results are collected.
+    pub(super) zone: Option<ZoneName>,
+    /// Pieces that were sent again after a failure.
+    pub(super) repeats: u32,
+    /// Whether whoever submitted it was told how it ended.
+    pub(super) is_finished: bool,
+}
+
+impl Request {
+    pub(super) fn new(now_ms: u64, submission: Submission, rest_ms: Vec<u64>) -> Self {
+        let pieces = submission
+            .stages
+            .iter()
+            .map(|stage| vec![Piece::Blocked; stage.pieces as usize])
+            .collect();
+        Self {
+            goal_at_ms: now_ms + submission.goal_left_ms,
+            deadline_at_ms: now_ms + submission.deadline_left_ms,
+            zone: submission.home_zone.clone(),
+            rest_ms,
+            pieces,
+            submission,
+            repeats: 0,
+            is_finished: false,
+        }
+    }
+
+    /// Makes pieces wait whose results are all there, and names them.
+    pub(super) fn unblock(&mut self) -> Vec<PieceAt> {
+        let mut ready = Vec::new();
+        for stage in 0..self.pieces.len() {
+            let after = &self.submission.stages[stage].after;
+            if !after.iter().all(|needed| self.is_stage_done(*needed)) {
+                continue;
+            }
+            for (piece, state) in self.pieces[stage].iter_mut().enumerate() {
+                if *state == Piece::Blocked {
+                    *state = Piece::Waiting;
+                    let piece = piece as u32;
+                    ready.push(PieceAt { stage, piece });
+                }
+            }
+        }
+        ready
+    }
+
+    pub(super) fn is_stage_done(&self, stage: usize) -> bool {
+        let pieces = self.pieces.get(stage);
+        pieces.is_none_or(|pieces| {
+            pieces
+                .iter()
+                .all(|piece| matches!(piece, Piece::Done { .. } | Piece::Freed))
+        })
+    }
+
+    pub(super) fn is_done(&self) -> bool {
+        (0..self.pieces.len()).all(|stage| self.is_stage_done(stage))
+    }
+
+    /// Returns the pieces of each stage that are not done.
+    pub(super) fn unfinished(&self, stage: usize) -> usize {
+        self.pieces[stage]
+            .iter()
+            .filter(|piece| !matches!(piece, Piece::Done { .. } | Piece::Freed))
+            .count()
+    }
+
+    pub(super) fn piece_mut(&mut self, at: PieceAt) -> Option<&mut Piece> {
+        self.pieces.get_mut(at.stage)?.get_mut(at.piece as usize)
+    }
+
+    pub(super) fn piece(&self, at: PieceAt) -> Option<&Piece> {
+        self.pieces.get(at.stage)?.get(at.piece as usize)
+    }
+
+    /// Returns the results that a stage needs, by stage and piece.
+    pub(super) fn inputs(&self, stage: usize) -> Vec<String> {
+        let after = &self.submission.stages[stage].after;
+        let results = after.iter().flat_map(|needed| self.results(*needed));
+        results.map(|result| result.handle.clone()).collect()
+    }
+
+    fn results(&self, stage: usize) -> impl Iterator<Item = &ResultRef> {
+        let pieces = self.pieces.get(stage).into_iter().flatten();
+        pieces.filter_map(|piece| match piece {
+            Piece::Done { result, .. } => Some(result),
+            _ => None,
+        })
+    }
+
+    /// Returns the results that no other stage uses.
+    pub(super) fn final_results(&self) -> Vec<ResultRef> {
+        (0..self.pieces.len())
+            .filter(|stage| self.is_final(*stage))
+            .flat_map(|stage| self.results(stage).cloned())
+            .collect()
+    }
+
+    fn is_final(&self, stage: usize) -> bool {
+        let mut stages = self.submission.stages.iter();
+        !stages.any(|other| other.pieces > 0 && other.after.contains(&stage))
+    }
+
+    /// Takes out the results that are not needed any more: those whose users
+    /// are all done, or everything when `all` is set.
+    pub(super) fn take_unneeded(&mut self, all: bool) -> Vec<(BackendName, ResultRef)> {
+        let mut taken = Vec::new();
+        for stage in 0..self.pieces.len() {
+            let is_used_up = !self.is_final(stage) && self.users_done(stage);
+            if !all && !is_used_up {
+                continue;
+            }
+            for piece in &mut self.pieces[stage] {
+                if let Piece::Done { .. } = piece
+                    && let Piece::Done { server, result } = std::mem::replace(piece, Piece::Freed)
+                {
+                    taken.push((server, result));
+                }
+            }
+        }
+        taken
+    }
+
+    fn users_done(&self, stage: usize) -> bool {
+        let stages = self.submission.stages.iter().enumerate();
+        stages
+            .filter(|(_, other)| other.after.contains(&stage))
+            .all(|(index, _)| self.is_stage_done(index))
+    }
+
+    /// Makes the results that a stage needs be produced again, where their
+    /// servers are not known any more or, if those all are, altogether.
+    pub(super) fn redo_inputs(&mut self, stage: usize, is_known: impl Fn(&BackendName) -> bool) {
+        let after = self.submission.stages[stage].after.clone();
+        let mut lost = Vec::new();
+        let mut all = Vec::new();
+        for needed in after {
+            for (piece, state) in self.pieces[needed].iter().enumerate() {
+                if let Piece::Done { server, .. } = state {
+                    let at = PieceAt {
+                        stage: needed,
+                        piece: piece as u32,
+                    };
+                    all.push(at);
+                    if !is_known(server) {
+                        lost.push(at);
+                    }
+                }
+            }
+        }
+        for at in if lost.is_empty() { all } else { lost } {
+            if let Some(state) = self.piece_mut(at) {
+                *state = Piece::Blocked;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/stages/server.rs
@@ -0,0 +1,87 @@
+//! One backend server that takes pieces.
+
+use std::net::SocketAddr;
+
+use crate::ids::ZoneName;
+
+/// Time for which a server that had no room is left alone, in ms: less than
+/// half of a call, after which it has room again.
+const FULL_PAUSE_MS: u64 = 100;
+/// Time for which a server that can't be reached is left alone first, in ms.
+const FIRST_EJECTION_MS: u64 = 500;
+/// Doublings of that time while it stays away.
+const MOST_DOUBLINGS: u32 = 3;
+/// How much a new measure of a server's speed counts.
+const SLOWNESS_WEIGHT: f64 = 0.5;
+/// Slowness from which a server gets pieces only to see whether it is well
+/// again: others finish two calls while it finishes one.
+const SLOW: f64 = 2.0;
+/// Time between two calls of a slow server, in ms.
+const SLOW_PAUSE_MS: u64 = 3_000;
+
+/// What is known of one server.
+#[derive(Clone, Debug)]
+pub(super) struct Server {
+    pub(super) zone: ZoneName,
+    pub(super) addr: SocketAddr,
+    pub(super) is_leaving: bool,
+    /// Calls of this scheduler that it has.
+    pub(super) calls: u32,
+    /// Memory that results take there, in bytes.
+    pub(super) room_used: u64,
+    /// Time until which it gets nothing, in ms.
+    paused_until_ms: u64,
+    /// Failures since its last good answer.
+    failures: u32,
+    /// Time that its calls take, as a multiple of what is usual.
+    pub(super) slowness: f64,
+}
+
+impl Server {
+    pub(super) fn new(zone: ZoneName, addr: SocketAddr) -> Self {
+        Self {
+            zone,
+            addr,
+            is_leaving: false,
+            calls: 0,
+            room_used: 0,
+            paused_until_ms: 0,
+            failures: 0,
+            slowness: 1.0,
+        }
+    }
+
+    /// Tells whether it takes work at all.
+    pub(super) fn is_open(&self, now_ms: u64) -> bool {
+        !self.is_leaving && now_ms >= self.paused_until_ms
+    }
+
+    /// Tells whether it can begin a call at once.
+    pub(super) fn is_idle(&self, now_ms: u64) -> bool {
+        self.is_open(now_ms) && self.calls == 0
+    }
+
+    /// Returns when it is to be looked at again, if it is paused, in ms.
+    pub(super) fn paused_until_ms(&self, now_ms: u64) -> Option<u64> {
+        (!self.is_leaving && self.paused_until_ms > now_ms).then_some(self.paused_until_ms)
+    }
+
+    pub(super) fn on_answer(&mut self, now_ms: u64, elapsed_ms: f64, expected_ms: f64) {
+        self.failures = 0;
+        let measured = elapsed_ms / expected_ms.max(1.0);
+        self.slowness += SLOWNESS_WEIGHT * (measured - self.slowness);
+        if self.slowness >= SLOW {
+            self.paused_until_ms = now_ms + SLOW_PAUSE_MS;
+        }
+    }
+
+    pub(super) fn on_full(&mut self, now_ms: u64) {
+        self.paused_until_ms = self.paused_until_ms.max(now_ms + FULL_PAUSE_MS);
+    }
+
+    pub(super) fn on_failure(&mut self, now_ms: u64) {
+        let pause_ms = FIRST_EJECTION_MS << self.failures.min(MOST_DOUBLINGS);
+        self.failures += 1;
+        self.paused_until_ms = now_ms + pause_ms;
+    }
+}
--- /dev/null
+++ b/crates/core/src/stages/service.rs
@@ -0,0 +1,72 @@
+//! One service that takes pieces: its servers and what waits for them.
+
+use std::collections::BTreeMap;
+
+use super::{request::PieceAt, server::Server, work::RequestKey};
+use crate::{forwarding::Batching, ids::BackendName};
+
+/// How much a new measure counts for the usual time of a stage.
+const USUAL_WEIGHT: f64 = 0.1;
+
+/// A piece that waits for a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Waiting {
+    pub(super) key: RequestKey,
+    pub(super) at: PieceAt,
+    /// Time at which it became ready, in ms.
+    pub(super) since_ms: u64,
+    /// Size of its result, in bytes.
+    pub(super) bytes: u64,
+}
+
+/// One service and its servers.
+#[derive(Debug)]
+pub(super) struct StageService {
+    pub(super) batching: Batching,
+    pub(super) servers: BTreeMap<BackendName, Server>,
+    pub(super) waiting: Vec<Waiting>,
+    /// Pieces of taken requests that are not done, waiting for this stage or an
+    /// earlier one.
+    pub(super) committed: usize,
+    /// Usual time from a piece being ready to its result, in ms.
+    pub(super) usual_ms: f64,
+}
+
+impl StageService {
+    pub(super) fn new(batching: Batching) -> Self {
+        Self {
+            batching,
+            servers: BTreeMap::new(),
+            waiting: Vec::new(),
+            committed: 0,
+            usual_ms: batching.duration_ms(batching.batch_pieces / 2),
+        }
+    }
+
+    pub(super) fn on_piece_done(&mut self, elapsed_ms: f64) {
+        self.usual_ms += USUAL_WEIGHT * (elapsed_ms - self.usual_ms);
+    }
+
+    /// Returns the pieces that its servers finish in a ms with full batches.
+    pub(super) fn rate_per_ms(&self, now_ms: u64) -> f64 {
+        let full = self.batching.batch_pieces;
+        let each = full as f64 / self.batching.duration_ms(full);
+        let open = self
+            .servers
+            .values()
+            .filter(|server| server.is_open(now_ms));
+        open.map(|server| each / server.slowness.max(1.0)).sum()
+    }
+
+    /// Returns the servers that take work.
+    pub(super) fn open_servers(&self, now_ms: u64) -> usize {
+        let servers = self.servers.values();
+        servers.filter(|server| server.is_open(now_ms)).count()
+    }
+
+    /// Returns the servers that could begin a call at once.
+    pub(super) fn idle_servers(&self, now_ms: u64) -> usize {
+        let servers = self.servers.values();
+        servers.filter(|server| server.is_idle(now_ms)).count()
+    }
+}
--- a/crates/server/src/bin/savoryvane/app.rs
+++ b/crates/server/src/bin/savoryvane/app.rs
@@ -6,11 +6,11 @@
     process::ExitCode,
 };
 
-use savoryvane_server::{Ended, Error, Instance, Settings};
+use savoryvane_server::{Ended, Error, Gateway, GatewaySettings, Instance, Settings};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::{
-    config::{self, Mode},
+    config::{self, Kind, Mode},
     flags::Savoryvane,
 };
 
@@ -36,14 +36,16 @@
     };
     match config::mode(flags) {
         Ok(Mode::Version) => print(concat!("savoryvane ", env!("CARGO_PKG_VERSION"))),
-        Ok(Mode::Check(file)) => check(&file),
-        Ok(Mode::Serve(file)) => serve(&file),
+        Ok(Mode::Check(file, Kind::Entry)) => check(Settings::load(&file)),
+        Ok(Mode::Check(file, Kind::Gateway)) => check(GatewaySettings::load(&file)),
+        Ok(Mode::Serve(file, Kind::Entry)) => serve(&file),
+        Ok(Mode::Serve(file, Kind::Gateway)) => serve_gateway(&file),
         Err(reason) => usage(reason),
     }
 }
 
-fn check(file: &Path) -> ExitCode {
-    match Settings::load(file) {
+fn check<S>(settings: Result<S, Error>) -> ExitCode {
+    match settings {
         Ok(_) => print("settings are valid"),
         Err(err) => fail(&err),
     }
@@ -87,6 +89,51 @@
     }
 }
 
+/// Everything of a forwarding instance runs on one thread: it has a part of a
+/// core, and each further thread costs memory.
+fn serve_gateway(file: &Path) -> ExitCode {
+    let settings = match GatewaySettings::load(file) {
+        Ok(settings) => settings,
+        Err(err) => return fail(&err),
+    };
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(err) => return fail(&Error::System("runtime", err)),
+    };
+    match runtime.block_on(forward_until_stopped(file, settings)) {
+        Ok(code) => ExitCode::from(code),
+        Err(err) => fail(&err),
+    }
+}
+
+async fn forward_until_stopped(file: &Path, settings: GatewaySettings) -> Result<u8, Error> {
+    let mut signals = Signals::new().map_err(|err| Error::System("signals", err))?;
+    let mut reload = signal(SignalKind::hangup()).map_err(|err| Error::System("signals", err))?;
+    let gateway = Gateway::start(settings).await?;
+    loop {
+        tokio::select! {
+            () = signals.next() => break,
+            _ = reload.recv() => gateway.on_reload(GatewaySettings::load(file)),
+        }
+    }
+    let leaving = gateway.leave();
+    tokio::pin!(leaving);
+    loop {
+        tokio::select! {
+            ended = &mut leaving => return Ok(match ended {
+                Ended::Drained => EXIT_OK,
+                Ended::TimedOut => EXIT_DRAIN_TIMEOUT,
+            }),
+            () = signals.next() => return Ok(EXIT_SECOND_SIGNAL),
+            // It listens on what it was started with until its end.
+            _ = reload.recv() => {}
+        }
+    }
+}
+
 /// Signals that ask the process to stop.
 struct Signals {
     terminate: Signal,
--- a/crates/server/src/bin/savoryvane/config.rs
+++ b/crates/server/src/bin/savoryvane/config.rs
@@ -10,9 +10,18 @@
     /// Print the version.
     Version,
     /// Check the settings in a file.
-    Check(PathBuf),
+    Check(PathBuf, Kind),
     /// Serve with the settings in a file.
-    Serve(PathBuf),
+    Serve(PathBuf, Kind),
+}
+
+/// Kind of instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// It runs pipelines.
+    Entry,
+    /// It forwards requests.
+    Gateway,
 }
 
 /// Turns the flags into a mode.
@@ -21,17 +30,18 @@
 ///
 /// Returns what is wrong with the command line.
 pub(crate) fn mode(flags: Savoryvane) -> Result<Mode, &'static str> {
-    match flags {
-        Savoryvane { version: true, .. } => Ok(Mode::Version),
-        Savoryvane { config: None, .. } => Err("flag `--config FILE` is missing"),
-        Savoryvane {
-            config: Some(file),
-            check,
-            ..
-        } => Ok(if check {
-            Mode::Check(file)
-        } else {
-            Mode::Serve(file)
-        }),
+    if flags.version {
+        return Ok(Mode::Version);
     }
+    let (file, kind) = match (flags.config, flags.gateway) {
+        (Some(file), None) => (file, Kind::Entry),
+        (None, Some(file)) => (file, Kind::Gateway),
+        (Some(_), Some(_)) => return Err("flags `--config` and `--gateway` exclude each other"),
+        (None, None) => return Err("flag `--config FILE` or `--gateway FILE` is missing"),
+    };
+    Ok(if flags.check {
+        Mode::Check(file, kind)
+    } else {
+        Mode::Serve(file, kind)
+    })
 }
--- a/crates/server/src/caller/answer.rs
+++ b/crates/server/src/caller/answer.rs
@@ -1,7 +1,7 @@
 //! Answers to callers: whole, as a stream of events, or a refusal.
 
 use std::{
-    convert::Infallible,
+    io,
     pin::Pin,
     task::{Context, Poll},
 };
@@ -87,12 +87,12 @@
 
 impl hyper::body::Body for EventBody {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = io::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         if self.is_ended {
             return Poll::Ready(None);
         }
--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     body::Incoming,
     client::conn::http1::{self, SendRequest},
@@ -57,6 +57,16 @@
     pub(crate) idle_timeout: Duration,
 }
 
+/// Which kept connections a request may be sent over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reuse {
+    /// Any that is open.
+    Any,
+    /// One that was used this short a time ago: a request that can't be repeated
+    /// is lost with a connection that its server closes at this moment.
+    Within(Duration),
+}
+
 /// Connections to any number of addresses.
 #[derive(Debug)]
 pub(crate) struct Connections {
@@ -68,6 +78,7 @@
 struct Idle {
     connection: Connection,
     since: Instant,
+    until: Instant,
 }
 
 /// One connection; closed when dropped.
@@ -104,13 +115,19 @@
 impl Lease {
     /// Gives the connection back for reuse, after the whole answer was read.
     pub(crate) async fn keep(self) {
+        self.keep_for(Duration::MAX).await;
+    }
+
+    /// Gives the connection back like [`keep`](Self::keep), to be reused only
+    /// within `limit`, after which the other end closes it.
+    pub(crate) async fn keep_for(self, limit: Duration) {
         let Self {
             pool,
             addr,
             mut connection,
         } = self;
         if connection.sender.ready().await.is_ok() {
-            pool.put(addr, connection);
+            pool.put(addr, connection, limit);
         }
     }
 }
@@ -140,6 +157,23 @@
         self.send_gated(addr, request, not_after, None).await
     }
 
+    /// Sends `request` like [`send`](Self::send), over kept connections only as
+    /// `reuse` allows.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError::NotSent`] only when nothing of the request was
+    /// handed to a socket.
+    pub(crate) async fn send_reusing(
+        self: &Arc<Self>,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        not_after: Instant,
+        reuse: Reuse,
+    ) -> Result<Exchange, SendError> {
+        self.try_send(addr, request, not_after, None, reuse).await
+    }
+
     /// Sends `request` like [`send`](Self::send) if `gate`, which is asked
     /// directly before the first byte is written, lets it through.
     ///
@@ -154,7 +188,9 @@
         not_after: Instant,
         gate: Option<&Arc<Gate>>,
     ) -> Result<Exchange, SendError> {
-        let sent = self.try_send(addr, request, not_after, gate).await;
+        let sent = self
+            .try_send(addr, request, not_after, gate, Reuse::Any)
+            .await;
         match (sent, gate) {
             // Once shut, a write that is still on its way does not happen.
             (Err(SendError::Sent(reason)), Some(gate)) if !gate.shut() => {
@@ -173,8 +209,9 @@
         mut request: Request<Full<Bytes>>,
         not_after: Instant,
         gate: Option<&Arc<Gate>>,
+        reuse: Reuse,
     ) -> Result<Exchange, SendError> {
-        while let Some(connection) = self.take(addr) {
+        while let Some(connection) = self.take(addr, reuse) {
             connection.gates.set(gate.cloned());
             match self.send_over(addr, connection, request).await {
                 Ok(exchange) => return Ok(exchange),
@@ -199,8 +236,8 @@
     /// here.
     pub(crate) fn take_over(&self, addr: SocketAddr, other: &Self) {
         let has_one = self.lock().contains_key(&addr);
-        if !has_one && let Some(connection) = other.take(addr) {
-            self.put(addr, connection);
+        if !has_one && let Some(connection) = other.take(addr, Reuse::Any) {
+            self.put(addr, connection, Duration::MAX);
         }
     }
 
@@ -211,15 +248,47 @@
 
     /// Closes idle connections that are older than the idle timeout.
     pub(crate) fn prune(&self) {
-        let oldest = self.settings.idle_timeout;
+        let now = Instant::now();
         self.lock().retain(|_, idle| {
-            idle.retain(|idle| {
-                idle.since.elapsed() < oldest && !idle.connection.sender.is_closed()
-            });
+            idle.retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
             !idle.is_empty()
         });
     }
 
+    /// Sends `request` and reads its whole answer of at most `max_bytes`, within
+    /// `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError::NotSent`] only when nothing of the request was
+    /// handed to a socket.
+    pub(crate) async fn exchange(
+        self: &Arc<Self>,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+        max_bytes: usize,
+    ) -> Result<Response<Bytes>, SendError> {
+        let not_after = Instant::now() + timeout;
+        let whole = async {
+            let Exchange { response, lease } = self.send(addr, request, not_after).await?;
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, max_bytes)
+                .collect()
+                .await
+                .map_err(|err| SendError::Sent(err.to_string()))?;
+            lease.keep().await;
+            Ok(Response::from_parts(head, body.to_bytes()))
+        };
+        match time::timeout(timeout, whole).await {
+            Ok(result) => result,
+            Err(_) => {
+                self.forget(addr);
+                Err(SendError::Sent("timeout".to_owned()))
+            }
+        }
+    }
+
     async fn send_over(
         self: &Arc<Self>,
         addr: SocketAddr,
@@ -273,24 +342,38 @@
         })
     }
 
-    fn take(&self, addr: SocketAddr) -> Option<Connection> {
+    fn take(&self, addr: SocketAddr, reuse: Reuse) -> Option<Connection> {
+        let now = Instant::now();
         let mut all = self.lock();
         let idle = all.get_mut(&addr)?;
-        while let Some(Idle { connection, since }) = idle.pop() {
-            if since.elapsed() < self.settings.idle_timeout && connection.sender.is_ready() {
-                return Some(connection);
+        while let Some(newest) = idle.pop() {
+            let is_recent = match reuse {
+                Reuse::Any => true,
+                Reuse::Within(age) => now.duration_since(newest.since) <= age,
+            };
+            if !is_recent {
+                // The ones before it were used longer ago.
+                idle.push(newest);
+                return None;
+            }
+            if now < newest.until && newest.connection.sender.is_ready() {
+                return Some(newest.connection);
             }
         }
         all.remove(&addr);
         None
     }
 
-    fn put(&self, addr: SocketAddr, connection: Connection) {
+    fn put(&self, addr: SocketAddr, connection: Connection, limit: Duration) {
         let mut all = self.lock();
         let idle = all.entry(addr).or_default();
         if idle.len() < self.settings.max_idle {
             let since = Instant::now();
-            idle.push(Idle { connection, since });
+            idle.push(Idle {
+                connection,
+                since,
+                until: since + limit.min(self.settings.idle_timeout),
+            });
         }
     }
 
--- /dev/null
+++ b/crates/server/src/gateway.rs
@@ -0,0 +1,20 @@
+//! An instance that forwards callers' requests to backend servers as they are,
+//! by routes that the operator keeps in the platform's store.
+
+mod answers;
+mod dispatch;
+mod follow;
+mod forward;
+mod ingress;
+mod instance;
+mod knowledge;
+mod members;
+mod peering;
+mod relay;
+mod request;
+mod settings;
+mod stages;
+mod store;
+
+pub use instance::Gateway;
+pub use settings::{GatewayDrain, GatewayListen, GatewaySettings};
--- /dev/null
+++ b/crates/server/src/gateway/dispatch.rs
@@ -0,0 +1,304 @@
+//! Puts sockets and timers round the scheduler of stages: calls backend servers
+//! with pieces, and tells whoever submitted a request how its stages ended.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use savoryvane_core::{
+    ids::BackendName,
+    stages::{
+        CallEnd, RequestKey, StageAction, StageCall, StageOutcome, StageScheduler, Submission,
+    },
+};
+use savoryvane_platform::{answer, stages};
+use slog::{Logger, info, warn};
+use tokio::{
+    sync::{Notify, oneshot},
+    time::{self, Instant},
+};
+
+use super::knowledge::Knowledge;
+use crate::{
+    clock::Clock,
+    connections::{Connections, SendError},
+    platform::request,
+};
+
+/// Largest answer to a call, in bytes: some hundred results with their names.
+const MAX_ANSWER_BYTES: usize = 256 << 10;
+/// Time for a call that frees results to be answered.
+const FREE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which results are gathered before a server is told to free them.
+const FREE_DELAY: Duration = Duration::from_millis(40);
+/// Longest time between two looks at the scheduler.
+const LONGEST_SLEEP: Duration = Duration::from_secs(1);
+
+/// The scheduler of stages of this instance.
+#[derive(Debug)]
+pub(super) struct Dispatch {
+    log: Logger,
+    clock: Clock,
+    knowledge: Arc<Knowledge>,
+    servers: Arc<Connections>,
+    scheduler: Mutex<StageScheduler>,
+    waiters: Mutex<HashMap<RequestKey, oneshot::Sender<StageOutcome>>>,
+    unneeded: Mutex<HashMap<BackendName, (SocketAddr, Vec<String>)>>,
+    /// Told when the scheduler has to be looked at earlier.
+    changed: Notify,
+}
+
+/// Gives up the stages of a request when it is dropped before their end.
+struct Submitted<'a> {
+    dispatch: &'a Dispatch,
+    key: &'a RequestKey,
+    has_ended: bool,
+}
+
+impl Drop for Submitted<'_> {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.dispatch.cancel(self.key);
+        }
+    }
+}
+
+impl Dispatch {
+    pub(super) fn new(
+        clock: Clock,
+        knowledge: Arc<Knowledge>,
+        servers: Arc<Connections>,
+        log: Logger,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            log,
+            clock,
+            knowledge,
+            servers,
+            scheduler: Mutex::default(),
+            waiters: Mutex::default(),
+            unneeded: Mutex::default(),
+            changed: Notify::new(),
+        })
+    }
+
+    /// Runs the stages of a request; dropping the future gives them up.
+    pub(super) async fn run(self: &Arc<Self>, submission: Submission) -> StageOutcome {
+        let key = submission.key.clone();
+        let (sender, receiver) = oneshot::channel();
+        self.waiters().insert(key.clone(), sender);
+        let mut submitted = Submitted {
+            dispatch: self,
+            key: &key,
+            has_ended: false,
+        };
+        self.scheduler().submit(self.clock.now_ms(), submission);
+        self.carry_out();
+        let outcome = receiver.await;
+        submitted.has_ended = true;
+        outcome.unwrap_or(StageOutcome::Refused {
+            reason: savoryvane_core::stages::Refusal::Failed,
+            retry_after_ms: 0,
+            forecast_ms: 0,
+        })
+    }
+
+    /// Notes that the results of a request are not needed any more.
+    pub(super) fn release(self: &Arc<Self>, key: &RequestKey) {
+        self.scheduler().release(key);
+        self.carry_out();
+    }
+
+    fn cancel(&self, key: &RequestKey) {
+        self.waiters().remove(key);
+        self.scheduler().cancel(key);
+        self.changed.notify_one();
+    }
+
+    /// Carries out what the scheduler asks for.
+    fn carry_out(self: &Arc<Self>) {
+        let actions = self.scheduler().poll(self.clock.now_ms());
+        for action in actions {
+            match action {
+                StageAction::Call(call) => {
+                    let dispatch = Arc::clone(self);
+                    tokio::spawn(async move { dispatch.call(call).await });
+                }
+                StageAction::Free {
+                    server,
+                    addr,
+                    handles,
+                } => self.free_soon(server, addr, handles),
+                StageAction::Finish { key, outcome } => {
+                    let waiter = self.waiters().remove(&key);
+                    // Whoever waited may have gone at this moment.
+                    let _ = waiter.map(|waiter| waiter.send(outcome));
+                }
+            }
+        }
+        self.changed.notify_one();
+    }
+
+    async fn call(self: Arc<Self>, call: StageCall) {
+        let began = Instant::now();
+        let end = self.exchange(&call).await;
+        let elapsed_ms = began.elapsed().as_millis() as u64;
+        metrics::counter!("savoryvane_stage_calls_ended_total", "end" => end.as_str()).increment(1);
+        metrics::histogram!("savoryvane_stage_call_seconds").record(began.elapsed());
+        match &end {
+            CallEnd::Answered(_) => {
+                info!(self.log, "pieces called"; "call" => call.id.0, "server" => %call.server,
+                    "pieces" => call.items.len(), "elapsed_ms" => elapsed_ms);
+            }
+            end => {
+                warn!(self.log, "pieces not called"; "call" => call.id.0,
+                    "server" => %call.server, "pieces" => call.items.len(),
+                    "elapsed_ms" => elapsed_ms, "end" => end.as_str());
+            }
+        }
+        if end == CallEnd::Misdirected {
+            self.knowledge.on_leaving(&call.server);
+        }
+        self.scheduler()
+            .on_call_ended(self.clock.now_ms(), call.id, &end);
+        self.carry_out();
+    }
+
+    async fn exchange(&self, call: &StageCall) -> CallEnd {
+        let body = match stages::encode_run(&call.items) {
+            Ok(body) => body,
+            Err(err) => {
+                warn!(self.log, "pieces not encoded"; "error" => %err);
+                return CallEnd::Unreachable;
+            }
+        };
+        let timeout = Duration::from_millis(call.timeout_ms);
+        let answer = self
+            .post(&call.server, call.addr, stages::RUN_PATH, body, timeout)
+            .await;
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(SendError::NotSent(_)) => return CallEnd::Unreachable,
+            Err(SendError::Sent(_)) => return CallEnd::Lost,
+        };
+        let status = answer.status();
+        if stages::is_misdirected(status) {
+            return CallEnd::Misdirected;
+        }
+        if answer::decode(status, answer.headers()).is_not_run {
+            return CallEnd::Full;
+        }
+        match stages::decode_run(answer.body()) {
+            Ok(items) if status == StatusCode::OK && items.len() == call.items.len() => {
+                CallEnd::Answered(items)
+            }
+            Ok(_) => CallEnd::Lost,
+            Err(err) => {
+                warn!(self.log, "answer to pieces not understood"; "call" => call.id.0,
+                    "server" => %call.server, "status" => status.as_u16(), "error" => %err);
+                CallEnd::Lost
+            }
+        }
+    }
+
+    async fn post(
+        &self,
+        server: &BackendName,
+        addr: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<http::Response<Bytes>, SendError> {
+        let mut request = request(Method::POST, addr, path, body.into());
+        request.headers_mut().extend(stages::headers(server));
+        self.servers
+            .exchange(addr, request, timeout, MAX_ANSWER_BYTES)
+            .await
+    }
+
+    /// Tells a server soon that results are not needed any more, together with
+    /// those that come until then.
+    fn free_soon(self: &Arc<Self>, server: BackendName, addr: SocketAddr, handles: Vec<String>) {
+        {
+            let mut unneeded = self.unneeded.lock().unwrap_or_else(PoisonError::into_inner);
+            if let Some((_, gathered)) = unneeded.get_mut(&server) {
+                gathered.extend(handles);
+                return;
+            }
+            unneeded.insert(server.clone(), (addr, handles));
+        }
+        let dispatch = Arc::clone(self);
+        tokio::spawn(async move {
+            time::sleep(FREE_DELAY).await;
+            dispatch.free(&server).await;
+        });
+    }
+
+    async fn free(&self, server: &BackendName) {
+        let gathered = {
+            let mut unneeded = self.unneeded.lock().unwrap_or_else(PoisonError::into_inner);
+            unneeded.remove(server)
+        };
+        let Some((addr, handles)) = gathered else {
+            return;
+        };
+        let body = match stages::encode_free(&handles) {
+            Ok(body) => body,
+            Err(err) => {
+                warn!(self.log, "results not freed"; "error" => %err);
+                return;
+            }
+        };
+        let freed = self
+            .post(server, addr, stages::FREE_PATH, body, FREE_TIMEOUT)
+            .await;
+        if let Err(err) = freed {
+            // The server drops them by itself a little later.
+            warn!(self.log, "results not freed"; "server" => %server, "results" => handles.len(),
+                "error" => %err);
+        }
+    }
+
+    fn scheduler(&self) -> MutexGuard<'_, StageScheduler> {
+        self.scheduler
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn waiters(&self) -> MutexGuard<'_, HashMap<RequestKey, oneshot::Sender<StageOutcome>>> {
+        self.waiters.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Looks at the scheduler whenever its time has come.
+pub(super) async fn run(dispatch: Arc<Dispatch>) {
+    loop {
+        let now_ms = dispatch.clock.now_ms();
+        let due = dispatch.scheduler().next_poll_ms(now_ms);
+        let latest = Instant::now() + LONGEST_SLEEP;
+        let wake = due.map_or(latest, |due_ms| dispatch.clock.instant(due_ms).min(latest));
+        tokio::select! {
+            () = time::sleep_until(wake) => dispatch.carry_out(),
+            () = dispatch.changed.notified() => {}
+        }
+    }
+}
+
+/// Keeps the scheduler's view of servers up to date.
+pub(super) async fn configure(dispatch: Arc<Dispatch>) {
+    loop {
+        if let Some(table) = dispatch.knowledge.table() {
+            let directory = dispatch.knowledge.directory();
+            dispatch
+                .scheduler()
+                .configure(table.config(), directory.entries());
+        }
+        dispatch.carry_out();
+        dispatch.knowledge.changed().await;
+    }
+}
--- /dev/null
+++ b/crates/server/src/gateway/forward.rs
@@ -0,0 +1,494 @@
+//! Forwards a request: from its head to its final answer.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use savoryvane_core::{
+    forwarding::{AttemptEnd, Giving, NextStep, Placement, Repeats, ServerState, next_step},
+    ids::{BackendName, RequestId, ZoneName},
+    stages::{StageOutcome, StageWork, Submission},
+};
+use savoryvane_platform::{
+    answer::{self, AnswerHead},
+    request::{self, RequestHead},
+};
+use slog::{Logger, info, warn};
+use tokio::time::{self, Instant};
+
+use super::{
+    answers::{self, Why},
+    knowledge::Knowledge,
+    relay,
+    request::{CallerRequest, host, service},
+    stages::{Held, Stages},
+};
+use crate::{
+    clock::Clock,
+    connections::{Connections, Exchange, Lease, Reuse, SendError},
+    http_body::{self, Body},
+};
+
+/// Time for a caller's body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time that a caller waits who does not say how long.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+/// Largest answer that is gathered before it is passed on, in bytes: one that
+/// breaks off may still be replaced by that of another server.
+const GATHERED_BYTES: usize = 1 << 20;
+/// Servers that a request is handed to without any of them being reached.
+const MOST_UNREACHED: usize = 4;
+/// Age of a kept connection up to which a request that may not be repeated goes
+/// over it; servers close idle connections at any moment.
+const FRESH_CONNECTION: Duration = Duration::from_millis(500);
+/// Part of a server's own limit within which a kept connection is used.
+const KEEP_ALIVE_SPARE: Duration = Duration::from_millis(700);
+/// Tokens of a prompt that an engine reads in a ms, by the engines' sheets.
+const TOKENS_PER_MS: u64 = 57;
+/// Time of a generation until its first event beside its prompt, in ms: what
+/// the engines' sheets say, the way, and a chunk of another prompt.
+const FIRST_EVENT_MS: u64 = 60;
+
+/// What forwarding a request needs.
+#[derive(Debug)]
+pub(super) struct Forwarder {
+    pub(super) log: Logger,
+    pub(super) clock: Clock,
+    pub(super) knowledge: Arc<Knowledge>,
+    pub(super) servers: Arc<Connections>,
+    pub(super) stages: Arc<Stages>,
+}
+
+/// Results of a request's stages.
+#[derive(Debug, Default)]
+pub(super) struct Inputs {
+    pub(super) handles: Vec<String>,
+    /// Where they are, in bytes.
+    pub(super) by_zone: Vec<(ZoneName, u64)>,
+    /// Lets them go when dropped.
+    pub(super) held: Option<Held>,
+}
+
+/// How one send ended.
+pub(super) enum Sent {
+    /// With a whole answer.
+    Whole(Response<Bytes>),
+    /// With a stream of events that has begun.
+    Stream(Stream),
+    /// Without an answer to give, but for a failure of the server's own.
+    Ended(AttemptEnd, Option<Response<Bytes>>),
+}
+
+/// A stream of events that has begun.
+pub(super) struct Stream {
+    pub(super) response: Response<Incoming>,
+    pub(super) lease: Lease,
+    pub(super) server: InFlight,
+}
+
+/// Counts a request as in flight at a server until its end is known.
+pub(super) struct InFlight {
+    forwarder: Arc<Forwarder>,
+    pub(super) server: BackendName,
+    began: Instant,
+    has_ended: bool,
+}
+
+/// What a request in flight says of its server at its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ServerEnd {
+    Answered,
+    Full,
+    Failing,
+    Silent,
+    Unreachable,
+}
+
+impl InFlight {
+    pub(super) fn end(mut self, end: ServerEnd) {
+        self.has_ended = true;
+        let now_ms = self.forwarder.clock.now_ms();
+        let mut fleet = self.forwarder.knowledge.fleet();
+        match end {
+            ServerEnd::Answered => {
+                let elapsed_us = self.began.elapsed().as_micros() as u64;
+                fleet.on_answered(now_ms, &self.server, elapsed_us);
+            }
+            ServerEnd::Full => fleet.on_full(now_ms, &self.server),
+            ServerEnd::Failing => fleet.on_failing(now_ms, &self.server),
+            ServerEnd::Silent => fleet.on_silent(now_ms, &self.server),
+            ServerEnd::Unreachable => fleet.on_unreachable(now_ms, &self.server),
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            let now_ms = self.forwarder.clock.now_ms();
+            let mut fleet = self.forwarder.knowledge.fleet();
+            fleet.on_abandoned(now_ms, &self.server);
+        }
+    }
+}
+
+impl Forwarder {
+    /// Answers a request of a caller.
+    pub(super) async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let arrived = Instant::now();
+        let head = request::decode(request.headers());
+        let id = head.id.clone();
+        match self.run(request, head, arrived).await {
+            Ok(response) => response,
+            Err(why) => {
+                self.log_own(id.as_ref(), why, arrived);
+                answers::own(id.as_ref(), why)
+            }
+        }
+    }
+
+    async fn run(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+        head: RequestHead,
+        arrived: Instant,
+    ) -> Result<Response<Body>, Why> {
+        let caller = self.take(request, head, arrived).await?;
+        let inputs = self.run_stages(&caller).await?;
+        self.send(caller, inputs).await
+    }
+
+    /// Finds the route of a request and reads its body.
+    async fn take(
+        &self,
+        request: Request<Incoming>,
+        head: RequestHead,
+        arrived: Instant,
+    ) -> Result<CallerRequest, Why> {
+        let table = self.knowledge.table().ok_or(Why::Starting)?;
+        let matched = table.find(host(&request), request.uri().path(), head.key.as_deref())?;
+        let service = service(&matched.route, &head).ok_or(Why::NoServer)?;
+        let limits = table.config().limits;
+        let (parts, body) = request.into_parts();
+        let body = http_body::read(body, limits.body_bytes, BODY_TIMEOUT).await?;
+        let callers = head
+            .deadline_ms
+            .map_or(DEFAULT_DEADLINE, Duration::from_millis);
+        let routes = Duration::from_millis(matched.route.timeout_ms);
+        Ok(CallerRequest {
+            id: head.id.clone().unwrap_or_else(|| RequestId::new("none")),
+            head,
+            method: parts.method,
+            path: parts
+                .uri
+                .path_and_query()
+                .cloned()
+                .unwrap_or_else(|| http::uri::PathAndQuery::from_static("/")),
+            headers: parts.headers,
+            body,
+            matched,
+            service,
+            arrived,
+            deadline: arrived + callers.min(routes),
+        })
+    }
+
+    /// Has the stages run that come before a request.
+    pub(super) async fn run_stages(&self, caller: &CallerRequest) -> Result<Inputs, Why> {
+        let route = caller.route();
+        let stages: Vec<StageWork> = route
+            .stages
+            .iter()
+            .enumerate()
+            .map(|(index, stage)| StageWork {
+                service: stage.service.clone(),
+                after: stage.after.clone(),
+                pieces: caller.head.pieces.get(index).copied().unwrap_or(0),
+                result_bytes: stage.result_bytes,
+            })
+            .collect();
+        if stages.iter().all(|stage| stage.pieces == 0) {
+            return Ok(Inputs::default());
+        }
+        let elapsed_ms = caller.elapsed_ms();
+        let submission = Submission {
+            key: self.stages.next_key(),
+            request: caller.id.clone(),
+            stages,
+            piece_key: caller.head.piece_key.clone(),
+            goal_left_ms: route.goal_ms.saturating_sub(elapsed_ms),
+            deadline_left_ms: caller.left().as_millis() as u64,
+            rest_ms: rest_ms(caller),
+            priority: caller.matched.priority,
+            home_zone: caller.prompt().and_then(|prompt| {
+                let now_ms = self.clock.now_ms();
+                self.knowledge
+                    .fleet()
+                    .home_zone(now_ms, &caller.service, prompt)
+            }),
+        };
+        let ended = self.stages.run(submission).await;
+        match ended.outcome {
+            StageOutcome::Ready(results) => {
+                let mut by_zone: BTreeMap<ZoneName, u64> = BTreeMap::new();
+                for result in &results {
+                    *by_zone.entry(result.zone.clone()).or_default() += result.bytes;
+                }
+                Ok(Inputs {
+                    handles: results.into_iter().map(|result| result.handle).collect(),
+                    by_zone: by_zone.into_iter().collect(),
+                    held: ended.held,
+                })
+            }
+            StageOutcome::Refused {
+                reason,
+                retry_after_ms,
+                forecast_ms,
+            } => {
+                info!(self.log, "stages refused"; "request" => %caller.id,
+                    "route" => &route.name, "reason" => reason.as_str(),
+                    "forecast_ms" => forecast_ms, "goal_ms" => route.goal_ms,
+                    "rest_ms" => rest_ms(caller), "elapsed_ms" => elapsed_ms);
+                Err(Why::Stages(reason, retry_after_ms))
+            }
+        }
+    }
+
+    /// Sends a request to servers until there is an answer to give.
+    async fn send(
+        self: &Arc<Self>,
+        caller: CallerRequest,
+        inputs: Inputs,
+    ) -> Result<Response<Body>, Why> {
+        self.knowledge.budgets().on_request(&caller.service);
+        let mut tried: Vec<BackendName> = Vec::new();
+        let mut sends = 0;
+        let mut may_have_run = false;
+        loop {
+            let Some(server) = self.choose(&caller, &inputs, &tried) else {
+                return Err(if may_have_run {
+                    Why::Lost
+                } else {
+                    Why::NoServer
+                });
+            };
+            tried.push(server.clone());
+            let sent = self.send_once(&caller, &inputs, &server, None);
+            let Ok(sent) = time::timeout_at(caller.deadline, sent).await else {
+                return Err(Why::Overdue);
+            };
+            let (end, failure) = match sent {
+                Sent::Whole(response) => {
+                    self.log_answered(&caller, &server, response.status(), sends + 1);
+                    return Ok(response.map(http_body::full));
+                }
+                Sent::Stream(stream) => {
+                    return Ok(relay::start(
+                        Arc::clone(self),
+                        caller,
+                        inputs,
+                        stream,
+                        tried,
+                    ));
+                }
+                Sent::Ended(end, failure) => (end, failure),
+            };
+            may_have_run |= matches!(end, AttemptEnd::Failed | AttemptEnd::Lost);
+            sends += u32::from(end != AttemptEnd::NotSent);
+            let has_room = sends < caller.route().max_servers
+                && tried.len() < MOST_UNREACHED
+                && !caller.left().is_zero();
+            let spend = || self.knowledge.budgets().try_spend(&caller.service);
+            let next = next_step(end, caller.repeats(), may_have_run, has_room, spend);
+            info!(self.log, "send ended"; "request" => %caller.id, "server" => %server,
+                "end" => ?end, "next" => ?next, "sends" => sends,
+                "elapsed_ms" => caller.elapsed_ms());
+            match (next, failure) {
+                (NextStep::SendAgain, _) => {}
+                (NextStep::Give(Giving::Refusal), _) => return Err(Why::NoServer),
+                (NextStep::Give(Giving::ServersFailure), Some(response)) => {
+                    self.log_answered(&caller, &server, response.status(), sends);
+                    return Ok(response.map(http_body::full));
+                }
+                (NextStep::Give(_), _) => return Err(Why::Lost),
+            }
+        }
+    }
+
+    /// Chooses the server of the next send.
+    pub(super) fn choose(
+        &self,
+        caller: &CallerRequest,
+        inputs: &Inputs,
+        tried: &[BackendName],
+    ) -> Option<BackendName> {
+        let placement = Placement {
+            service: &caller.service,
+            tried,
+            is_repeatable: caller.repeats() == Repeats::Allowed,
+            prompt: caller.prompt(),
+            inputs: &inputs.by_zone,
+        };
+        let chosen = self
+            .knowledge
+            .fleet()
+            .choose(self.clock.now_ms(), &placement);
+        let server = chosen.server.filter(|server| !tried.contains(server));
+        info!(self.log, "server chosen"; "request" => %caller.id, "service" => %caller.service,
+            "server" => server.as_ref().map(ToString::to_string),
+            "reason" => chosen.reason.as_str(), "considered" => chosen.considered,
+            "version" => self.knowledge.version(), "elapsed_ms" => caller.elapsed_ms());
+        server
+    }
+
+    /// Sends a request to one server and waits for its answer, or for the head
+    /// of a stream.
+    pub(super) async fn send_once(
+        self: &Arc<Self>,
+        caller: &CallerRequest,
+        inputs: &Inputs,
+        server: &BackendName,
+        last_event: Option<&str>,
+    ) -> Sent {
+        let entry = self.knowledge.directory().entry(server).cloned();
+        let Some(entry) = entry.filter(|entry| entry.state == ServerState::Ready) else {
+            return Sent::Ended(AttemptEnd::NotSent, None);
+        };
+        let now_ms = self.clock.now_ms();
+        self.knowledge.fleet().on_forwarded(now_ms, server);
+        let in_flight = InFlight {
+            forwarder: Arc::clone(self),
+            server: server.clone(),
+            began: Instant::now(),
+            has_ended: false,
+        };
+        let reuse = match caller.repeats() {
+            Repeats::Allowed => Reuse::Any,
+            Repeats::Never => Reuse::Within(FRESH_CONNECTION),
+        };
+        let request = caller.to_server(server, &inputs.handles, last_event);
+        let sent = self
+            .servers
+            .send_reusing(entry.addr, request, caller.deadline, reuse)
+            .await;
+        match sent {
+            Ok(exchange) => self.read_answer(caller, exchange, in_flight).await,
+            Err(SendError::NotSent(reason)) => {
+                warn!(self.log, "server not reached"; "request" => %caller.id,
+                    "server" => %server, "error" => reason);
+                in_flight.end(ServerEnd::Unreachable);
+                Sent::Ended(AttemptEnd::NotSent, None)
+            }
+            Err(SendError::Sent(reason)) => {
+                warn!(self.log, "answer lost"; "request" => %caller.id,
+                    "server" => %server, "error" => reason);
+                in_flight.end(ServerEnd::Silent);
+                Sent::Ended(AttemptEnd::Lost, None)
+            }
+        }
+    }
+
+    async fn read_answer(
+        &self,
+        caller: &CallerRequest,
+        exchange: Exchange,
+        in_flight: InFlight,
+    ) -> Sent {
+        let Exchange { response, lease } = exchange;
+        let status = response.status();
+        let head = answer::decode(status, response.headers());
+        if let Some(fault) = fault(caller, status, &head) {
+            warn!(self.log, "answer not used"; "request" => %caller.id,
+                "server" => %in_flight.server, "status" => status.as_u16(), "fault" => fault);
+            in_flight.end(ServerEnd::Failing);
+            return Sent::Ended(AttemptEnd::Lost, None);
+        }
+        if status.is_success() && head.has_events {
+            return Sent::Stream(Stream {
+                response,
+                lease,
+                server: in_flight,
+            });
+        }
+        let (mut parts, body) = response.into_parts();
+        let body = match Limited::new(body, GATHERED_BYTES).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(err) => {
+                warn!(self.log, "answer broke off"; "request" => %caller.id,
+                    "server" => %in_flight.server, "error" => %err);
+                in_flight.end(ServerEnd::Silent);
+                return Sent::Ended(AttemptEnd::Lost, None);
+            }
+        };
+        keep(lease, &head);
+        if head.is_misdirected {
+            self.knowledge.on_leaving(&in_flight.server);
+        }
+        parts.headers = answer::forward(&parts.headers);
+        let response = Response::from_parts(parts, body);
+        if head.is_not_run {
+            in_flight.end(ServerEnd::Full);
+            return Sent::Ended(AttemptEnd::NotRun, None);
+        }
+        in_flight.end(ServerEnd::Answered);
+        if status.is_success() || status.is_client_error() {
+            return Sent::Whole(response);
+        }
+        Sent::Ended(AttemptEnd::Failed, Some(response))
+    }
+
+    fn log_answered(
+        &self,
+        caller: &CallerRequest,
+        server: &BackendName,
+        status: StatusCode,
+        sends: u32,
+    ) {
+        info!(self.log, "request answered"; "request" => %caller.id,
+            "route" => &caller.route().name, "server" => %server, "status" => status.as_u16(),
+            "sends" => sends, "elapsed_ms" => caller.elapsed_ms());
+        metrics::counter!("savoryvane_forwarded_total", "outcome" => "answered").increment(1);
+        metrics::histogram!("savoryvane_forwarded_seconds").record(caller.arrived.elapsed());
+    }
+
+    fn log_own(&self, id: Option<&RequestId>, why: Why, arrived: Instant) {
+        info!(self.log, "request refused"; "request" => id.map(ToString::to_string),
+            "reason" => why.as_str(), "version" => self.knowledge.version(),
+            "elapsed_ms" => arrived.elapsed().as_millis() as u64);
+        metrics::counter!("savoryvane_forwarded_total", "outcome" => why.as_str()).increment(1);
+    }
+}
+
+/// Gives a connection back after its answer was read.
+pub(super) fn keep(lease: Lease, head: &AnswerHead) {
+    let limit = head
+        .keep_alive_s
+        .map_or(Duration::MAX, Duration::from_secs)
+        .saturating_sub(KEEP_ALIVE_SPARE);
+    tokio::spawn(async move { lease.keep_for(limit).await });
+}
+
+/// Returns what is wrong with the head of an answer.
+fn fault(caller: &CallerRequest, status: StatusCode, head: &AnswerHead) -> Option<&'static str> {
+    if head.id.as_ref().is_some_and(|id| *id != caller.id) {
+        return Some("it answers another request");
+    }
+    if !status.is_success() {
+        return None;
+    }
+    if !head.is_signed {
+        return Some("it is not signed");
+    }
+    head.is_encoded.then_some("it is encoded")
+}
+
+/// Estimates the time from the end of a request's stages to its first event.
+fn rest_ms(caller: &CallerRequest) -> u64 {
+    let tokens = caller.prompt().map_or(0, |prompt| {
+        let own = prompt.input_tokens.saturating_sub(prompt.shared_tokens());
+        u64::from(own)
+    });
+    FIRST_EVENT_MS + tokens / TOKENS_PER_MS
+}
--- /dev/null
+++ b/crates/server/src/gateway/instance.rs
@@ -0,0 +1,292 @@
+//! One running instance that forwards requests: its parts, its tasks, its end.
+
+use std::{io, sync::Arc, time::Duration};
+
+use savoryvane_core::ids::Incarnation;
+use slog::{Logger, info, warn};
+use tokio::{
+    net::TcpListener,
+    task::JoinSet,
+    time::{self, Instant},
+};
+use tokio_util::task::TaskTracker;
+
+use super::{
+    dispatch::{self, Dispatch},
+    follow::{self, Freshness},
+    forward::Forwarder,
+    ingress::{self, Service},
+    knowledge::Knowledge,
+    members::{self, Members},
+    peering::Peering,
+    settings::GatewaySettings,
+    stages::Stages,
+    store::StoreClient,
+};
+use crate::{
+    clock::Clock,
+    connections::{ConnectionSettings, Connections},
+    error::Result,
+    instance::Ended,
+    listener::{self, Acceptor},
+    logging,
+    meters::Meters,
+    peer::{PeerHandle, PeerServer},
+    phase::{Phase, Phases},
+};
+
+/// Time for a connection to a backend server to be made: they answer within
+/// some ms, and one that does not is replaced by another.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Idle connections that are kept to one backend server.
+const MAX_IDLE: usize = 4;
+/// Time after which an idle connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time between two looks for idle connections to close.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(2);
+
+/// One running instance that forwards requests.
+#[derive(Debug)]
+pub struct Gateway {
+    log: Logger,
+    settings: GatewaySettings,
+    phases: Arc<Phases>,
+    connections: TaskTracker,
+    /// Tasks that run for as long as the instance; aborted when dropped.
+    background: JoinSet<()>,
+}
+
+/// Listeners of an instance.
+struct Listeners {
+    caller: TcpListener,
+    ready: TcpListener,
+    peer: TcpListener,
+    admin: TcpListener,
+}
+
+impl Listeners {
+    async fn bind(settings: &GatewaySettings) -> Result<Self> {
+        let listen = settings.listen;
+        Ok(Self {
+            caller: listener::bind("callers", listen.caller).await?,
+            ready: listener::bind("readiness", listen.ready).await?,
+            peer: listener::bind("peers", listen.peer).await?,
+            admin: listener::bind("metrics", listen.admin).await?,
+        })
+    }
+}
+
+impl Gateway {
+    /// Starts an instance; it is ready once it knows routes and servers.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`crate::Error::Listen`] when an address can't be listened on.
+    pub async fn start(settings: GatewaySettings) -> Result<Self> {
+        let listeners = Listeners::bind(&settings).await?;
+        let (instance, zone) = (&settings.instance, &settings.zone);
+        let log = logging::build_to(io::stdout(), &settings.log, instance, zone);
+        let incarnation = Incarnation(rand::random());
+        info!(log, "instance started"; "incarnation" => %incarnation,
+            "version" => env!("CARGO_PKG_VERSION"), "store" => %settings.store,
+            "seeds" => settings.seeds.len(), "cores" => settings.cores);
+        let phases = Arc::new(Phases::new());
+        let connections = TaskTracker::new();
+        let parts = Parts::new(&settings, incarnation, &phases, log.clone());
+        let background = parts.spawn(listeners, &connections);
+        Ok(Self {
+            log,
+            settings,
+            phases,
+            connections,
+            background,
+        })
+    }
+
+    /// Returns the settings that it was started with.
+    pub fn settings(&self) -> &GatewaySettings {
+        &self.settings
+    }
+
+    /// Notes that the settings file has changed. What an instance listens on and
+    /// talks to stays as it was started.
+    pub fn on_reload(&self, settings: Result<GatewaySettings>) {
+        match settings {
+            Ok(settings) => {
+                let has_changed = settings != self.settings;
+                info!(self.log, "settings read again"; "changed" => has_changed);
+            }
+            Err(err) => warn!(self.log, "settings not read again"; "error" => %err),
+        }
+    }
+
+    /// Leaves: says that it is not ready, goes on for the grace time, then
+    /// accepts nothing new and finishes every request in flight.
+    pub async fn leave(mut self) -> Ended {
+        let drain = self.settings.drain;
+        info!(self.log, "leaving"; "connections" => self.connections.len());
+        self.phases.advance(Phase::Leaving);
+        time::sleep(Duration::from_millis(drain.grace_ms)).await;
+        self.phases.advance(Phase::Draining);
+        info!(self.log, "draining"; "connections" => self.connections.len());
+        let deadline = Instant::now() + Duration::from_millis(drain.timeout_ms);
+        self.connections.close();
+        let ended = match time::timeout_at(deadline, self.connections.wait()).await {
+            Ok(()) => Ended::Drained,
+            Err(_) => Ended::TimedOut,
+        };
+        info!(self.log, "stopped"; "end" => ?ended, "connections" => self.connections.len());
+        self.background.shutdown().await;
+        ended
+    }
+}
+
+/// The parts of an instance, each with what it needs of the others.
+struct Parts {
+    log: Logger,
+    phases: Arc<Phases>,
+    store: StoreClient,
+    freshness: Arc<Freshness>,
+    knowledge: Arc<Knowledge>,
+    members: Arc<Members>,
+    servers: Arc<Connections>,
+    dispatch: Arc<Dispatch>,
+    forwarder: Arc<Forwarder>,
+    peer_server: PeerServer<Peering>,
+}
+
+impl Parts {
+    fn new(
+        settings: &GatewaySettings,
+        incarnation: Incarnation,
+        phases: &Arc<Phases>,
+        log: Logger,
+    ) -> Self {
+        let clock = Clock::start();
+        let knowledge = Arc::new(Knowledge::new(settings, log.clone()));
+        let servers = Connections::new(ConnectionSettings {
+            connect_timeout: CONNECT_TIMEOUT,
+            max_idle: MAX_IDLE,
+            idle_timeout: IDLE_TIMEOUT,
+        });
+        let me = members::peer_id(settings, incarnation);
+        let (peers, _linked) = PeerHandle::new(me.clone(), log.clone());
+        let members = Members::new(settings, incarnation, clock, peers, log.clone());
+        let members = Arc::new(members);
+        let dispatch = Dispatch::new(
+            clock,
+            Arc::clone(&knowledge),
+            Arc::clone(&servers),
+            log.clone(),
+        );
+        let stages = Stages::new(
+            settings.instance.clone(),
+            incarnation,
+            Arc::clone(&members),
+            Arc::clone(&dispatch),
+            log.clone(),
+        );
+        let forwarder = Arc::new(Forwarder {
+            log: log.clone(),
+            clock,
+            knowledge: Arc::clone(&knowledge),
+            servers: Arc::clone(&servers),
+            stages,
+        });
+        let handler = Arc::new(Peering {
+            members: Arc::clone(&members),
+            knowledge: Arc::clone(&knowledge),
+            dispatch: Arc::clone(&dispatch),
+            phases: Arc::clone(phases),
+        });
+        Self {
+            phases: Arc::clone(phases),
+            store: StoreClient::new(settings.store),
+            freshness: Arc::new(Freshness::new(clock)),
+            knowledge,
+            members,
+            servers,
+            dispatch,
+            forwarder,
+            peer_server: PeerServer {
+                me,
+                handler,
+                log: log.clone(),
+            },
+            log,
+        }
+    }
+
+    fn spawn(self, listeners: Listeners, connections: &TaskTracker) -> JoinSet<()> {
+        let mut tasks = JoinSet::new();
+        let callers = ingress::callers(Arc::clone(&self.forwarder));
+        let draining = self.acceptor(Arc::clone(&self.phases), connections.clone());
+        tasks.spawn(draining.run(listeners.caller, callers));
+        // The platform and collectors can ask until the very end.
+        let ready = ingress::ready(Arc::clone(&self.phases));
+        self.spawn_lasting(&mut tasks, listeners.ready, ready);
+        let metrics = ingress::metrics(Arc::new(Meters::install()));
+        self.spawn_lasting(&mut tasks, listeners.admin, metrics);
+        tasks.spawn(self.peer_server.run(listeners.peer));
+        let (store, knowledge) = (self.store, self.knowledge);
+        tasks.spawn(follow::configuration(
+            store.clone(),
+            Arc::clone(&knowledge),
+            Arc::clone(&self.freshness),
+            self.log.clone(),
+        ));
+        tasks.spawn(follow::servers(
+            store.clone(),
+            Arc::clone(&knowledge),
+            Arc::clone(&self.freshness),
+            self.log.clone(),
+        ));
+        let instances = follow::instances(store, Arc::clone(&self.members), self.log.clone());
+        tasks.spawn(instances);
+        tasks.spawn(members::watch_scheduler(
+            Arc::clone(&self.members),
+            Arc::clone(&knowledge),
+            Arc::clone(&self.phases),
+        ));
+        tasks.spawn(members::catch_up(
+            self.members,
+            Arc::clone(&knowledge),
+            self.freshness,
+        ));
+        tasks.spawn(dispatch::run(Arc::clone(&self.dispatch)));
+        tasks.spawn(dispatch::configure(self.dispatch));
+        tasks.spawn(become_ready(knowledge, self.phases, self.log));
+        tasks.spawn(upkeep(self.servers));
+        tasks
+    }
+
+    fn acceptor(&self, phases: Arc<Phases>, connections: TaskTracker) -> Acceptor {
+        Acceptor {
+            log: self.log.clone(),
+            limits: ingress::LIMITS,
+            phases,
+            connections,
+        }
+    }
+
+    fn spawn_lasting(&self, tasks: &mut JoinSet<()>, listener: TcpListener, service: Service) {
+        let acceptor = self.acceptor(Arc::new(Phases::new()), TaskTracker::new());
+        tasks.spawn(acceptor.run(listener, service));
+    }
+}
+
+/// Says that the instance takes requests once it knows routes and servers.
+async fn become_ready(knowledge: Arc<Knowledge>, phases: Arc<Phases>, log: Logger) {
+    while knowledge.table().is_none() || knowledge.directory().entries().next().is_none() {
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    phases.advance(Phase::Serving);
+    info!(log, "ready"; "version" => knowledge.version());
+}
+
+async fn upkeep(servers: Arc<Connections>) {
+    loop {
+        time::sleep(UPKEEP_INTERVAL).await;
+        servers.prune();
+    }
+}
--- /dev/null
+++ b/crates/server/src/gateway/knowledge.rs
@@ -0,0 +1,171 @@
+//! What an instance knows of routes and backend servers.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwapOption;
+use savoryvane_core::{
+    fleet::Fleet,
+    forwarding::{Directory, RepeatBudgets, RouteTable, RoutingConfig, ServerEntry},
+    ids::BackendName,
+    settings::PolicySettings,
+};
+use slog::{Logger, info};
+use tokio::sync::Notify;
+
+use super::settings::GatewaySettings;
+
+/// Servers of a service and availability zone that one instance uses: all, so
+/// that every instance finds the same home for a session.
+const ALL_SERVERS: usize = 4_096;
+/// Repeats of calls that were answered late; requests are forwarded once.
+const EJECTED_PERCENT_MAX: u32 = 50;
+
+/// What an instance knows of routes and backend servers.
+#[derive(Debug)]
+pub(super) struct Knowledge {
+    log: Logger,
+    table: ArcSwapOption<RouteTable>,
+    directory: Mutex<Directory>,
+    fleet: Mutex<Fleet>,
+    budgets: Mutex<RepeatBudgets>,
+    /// Told after every change of routes or servers.
+    changed: Notify,
+}
+
+impl Knowledge {
+    pub(super) fn new(settings: &GatewaySettings, log: Logger) -> Self {
+        let policy = PolicySettings {
+            subset_size: ALL_SERVERS,
+            ejected_percent_max: EJECTED_PERCENT_MAX,
+            ..PolicySettings::default()
+        };
+        let fleet = Fleet::new(
+            settings.instance.clone(),
+            settings.zone.clone(),
+            policy,
+            rand::random(),
+        );
+        Self {
+            log,
+            table: ArcSwapOption::empty(),
+            directory: Mutex::default(),
+            fleet: Mutex::new(fleet),
+            budgets: Mutex::new(RepeatBudgets::new(settings.repeats)),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Returns the routes, once they are known.
+    pub(super) fn table(&self) -> Option<Arc<RouteTable>> {
+        self.table.load_full()
+    }
+
+    /// Returns the version of the routes, 0 before any is known.
+    pub(super) fn version(&self) -> u64 {
+        self.table
+            .load()
+            .as_ref()
+            .map_or(0, |table| table.version())
+    }
+
+    /// Locks the backend servers, for a few steps without waiting.
+    pub(super) fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks the register of servers, for a few steps without waiting.
+    pub(super) fn directory(&self) -> MutexGuard<'_, Directory> {
+        self.directory
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks the budgets of repeats, for a few steps without waiting.
+    pub(super) fn budgets(&self) -> MutexGuard<'_, RepeatBudgets> {
+        self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits for the next change of routes or servers.
+    pub(super) async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Puts `config` in force, unless a later version is.
+    pub(super) fn apply_config(&self, config: RoutingConfig, source: &'static str) {
+        let before = self.version();
+        if config.version <= before && before > 0 {
+            return;
+        }
+        info!(self.log, "configuration in force"; "version" => config.version,
+            "before" => before, "routes" => config.routes.len(), "source" => source);
+        metrics::gauge!("savoryvane_routing_version").set(config.version as f64);
+        let table = RouteTable::new(Arc::new(config));
+        self.table.store(Some(Arc::new(table)));
+        self.configure_fleet();
+    }
+
+    /// Applies records of the register of servers up to `position`.
+    pub(super) fn apply_servers(
+        &self,
+        records: Vec<(BackendName, Option<ServerEntry>)>,
+        position: u64,
+    ) {
+        let mut has_changed = false;
+        {
+            let mut directory = self.directory();
+            for (id, entry) in records {
+                let state = entry.as_ref().map(|entry| entry.state);
+                if directory.apply(&id, entry) {
+                    has_changed = true;
+                    info!(self.log, "server changed"; "server" => %id, "position" => position,
+                        "state" => state.map_or("gone".to_owned(), |state| format!("{state:?}")));
+                }
+            }
+            directory.advance(position);
+        }
+        if has_changed {
+            self.configure_fleet();
+        }
+    }
+
+    /// Replaces the register of servers by a whole listing.
+    pub(super) fn replace_servers(
+        &self,
+        listing: Vec<ServerEntry>,
+        position: u64,
+        source: &'static str,
+    ) {
+        let count = listing.len();
+        if self.directory().replace(listing, position) {
+            info!(self.log, "servers listed"; "servers" => count, "position" => position,
+                "source" => source);
+            self.configure_fleet();
+        }
+    }
+
+    /// Notes that a server says that it is leaving or that it is gone.
+    pub(super) fn on_leaving(&self, id: &BackendName) {
+        if self.directory().on_leaving(id) {
+            info!(self.log, "server changed"; "server" => %id, "state" => "leaving",
+                "source" => "its answer");
+            self.configure_fleet();
+        }
+    }
+
+    fn configure_fleet(&self) {
+        let Some(table) = self.table() else {
+            return;
+        };
+        let (pools, backends, leaving) = {
+            let directory = self.directory();
+            let (pools, backends) = directory.for_fleet(table.config());
+            (pools, backends, directory.leaving())
+        };
+        let mut fleet = self.fleet();
+        fleet.configure(&pools, &backends);
+        fleet.on_listed_leaving(&leaving);
+        drop(fleet);
+        self.changed.notify_waiters();
+        self.changed.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/server/src/gateway/members.rs
@@ -0,0 +1,376 @@
+//! The other instances: who they are, who schedules stages, and what they know
+//! while the store is away.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use savoryvane_core::{
+    ids::{Incarnation, InstanceName},
+    membership::Contact,
+    stages::{Candidate, SchedulerChoice},
+};
+use savoryvane_platform::store::{self, InstanceRecord, Record};
+use savoryvane_wire::peer::{
+    ListedPeer, Message, RoutingQuery, RoutingState, SchedulerQuery, SchedulerState,
+};
+use slog::{Logger, info, warn};
+use tokio::{
+    sync::watch,
+    time::{self, MissedTickBehavior},
+};
+
+use super::{knowledge::Knowledge, settings::GatewaySettings, store::StoreClient};
+use crate::{
+    clock::Clock,
+    peer::{PeerError, PeerHandle, PeerId},
+    phase::{Phase, Phases},
+};
+
+/// Time between two questions to the instance that schedules: with two misses
+/// it is given up within a second.
+const ASK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for such a question to be answered.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time between two looks at whether the own knowledge is old.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(400);
+/// Time for a peer to tell what it knows.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(800);
+/// Peers that are asked at the same time for what they know.
+const CATCH_UP_PEERS: usize = 2;
+
+/// The other instances, as this one knows them.
+#[derive(Debug)]
+pub(super) struct Members {
+    me: InstanceName,
+    own_record: InstanceRecord,
+    seeds: Vec<SocketAddr>,
+    clock: Clock,
+    log: Logger,
+    peers: PeerHandle,
+    listed: Mutex<Vec<ListedPeer>>,
+    choice: Mutex<SchedulerChoice>,
+    /// Told when an instance was found not to be reached.
+    lost: watch::Sender<()>,
+}
+
+impl Members {
+    pub(super) fn new(
+        settings: &GatewaySettings,
+        incarnation: Incarnation,
+        clock: Clock,
+        peers: PeerHandle,
+        log: Logger,
+    ) -> Self {
+        Self {
+            me: settings.instance.clone(),
+            own_record: InstanceRecord {
+                addr: settings.listen.peer,
+                zone: settings.zone.to_string(),
+                incarnation: incarnation.0,
+                cores: settings.cores,
+            },
+            seeds: settings.seeds.clone(),
+            clock,
+            log,
+            peers,
+            listed: Mutex::default(),
+            choice: Mutex::default(),
+            lost: watch::Sender::new(()),
+        }
+    }
+
+    /// Returns the sender of messages to other instances.
+    pub(super) fn peers(&self) -> &PeerHandle {
+        &self.peers
+    }
+
+    /// Returns the instance that schedules for this one.
+    pub(super) fn scheduler(&self) -> Option<InstanceName> {
+        self.choice().current().cloned()
+    }
+
+    /// Tells whether `instance` is this one.
+    pub(super) fn is_me(&self, instance: &InstanceName) -> bool {
+        *instance == self.me
+    }
+
+    /// Writes this instance into the list in the store.
+    pub(super) async fn write_self(&self, store: &StoreClient) -> super::store::Result<()> {
+        store
+            .write_instance(self.me.as_str(), &self.own_record)
+            .await
+    }
+
+    /// Takes in records of the list; all of them when `is_whole`.
+    pub(super) fn apply(&self, records: Vec<Record>, is_whole: bool) {
+        if records.is_empty() && !is_whole {
+            return;
+        }
+        let mut listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
+        if is_whole {
+            listed.clear();
+        }
+        for record in records {
+            let instance = InstanceName::new(&record.key);
+            listed.retain(|peer| peer.instance != instance);
+            let Some(value) = &record.value else { continue };
+            match store::decode_instance(value) {
+                Ok(decoded) => listed.push(ListedPeer {
+                    instance,
+                    addr: decoded.addr,
+                    position: record.offset,
+                    cores: decoded.cores,
+                }),
+                Err(err) => {
+                    warn!(self.log, "instance not understood"; "peer" => &record.key,
+                        "error" => %err);
+                }
+            }
+        }
+        let snapshot = listed.clone();
+        drop(listed);
+        self.take_list(&snapshot);
+    }
+
+    /// Takes over a list that a peer had, unless this instance has its own.
+    fn adopt(&self, list: Vec<ListedPeer>) {
+        let mut listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
+        if !listed.is_empty() || list.is_empty() {
+            return;
+        }
+        listed.clone_from(&list);
+        drop(listed);
+        self.take_list(&list);
+    }
+
+    fn take_list(&self, list: &[ListedPeer]) {
+        info!(self.log, "instances listed"; "instances" => list.len());
+        let others = list.iter().filter(|peer| peer.instance != self.me);
+        self.peers.set_addrs(others.map(|peer| Contact {
+            instance: peer.instance.clone(),
+            addr: peer.addr,
+        }));
+        let candidates = list.iter().map(|peer| Candidate {
+            instance: peer.instance.clone(),
+            position: peer.position,
+            cores: peer.cores,
+        });
+        self.choice().set_candidates(candidates.collect());
+    }
+
+    /// Returns the instances that are listed.
+    pub(super) fn listed(&self) -> Vec<ListedPeer> {
+        let listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
+        listed.clone()
+    }
+
+    /// Notes that the instance that schedules could not be reached or gave no
+    /// answer, so that another one is asked.
+    pub(super) fn on_scheduler_lost(&self, instance: &InstanceName, err: &PeerError) {
+        warn!(self.log, "scheduler lost"; "scheduler" => %instance, "error" => %err);
+        self.choice().on_unreachable(self.clock.now_ms(), instance);
+        self.lost.send_replace(());
+    }
+
+    /// Waits until `instance` is found not to be reached.
+    pub(super) async fn lost(&self, instance: &InstanceName) {
+        let mut lost = self.lost.subscribe();
+        while !self.choice().is_away(instance) {
+            // The sender lives as long as `self`.
+            let _ = lost.changed().await;
+        }
+    }
+
+    /// Notes that an instance does not schedule for others.
+    pub(super) fn on_scheduler_declined(&self, instance: &InstanceName) {
+        self.choice().on_declined(self.clock.now_ms(), instance);
+    }
+
+    fn choice(&self) -> MutexGuard<'_, SchedulerChoice> {
+        self.choice.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Asks the instance that schedules, and those that went before it, whether
+/// they are there.
+pub(super) async fn watch_scheduler(
+    members: Arc<Members>,
+    knowledge: Arc<Knowledge>,
+    phases: Arc<Phases>,
+) {
+    let mut ticks = time::interval(ASK_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut current = None;
+    loop {
+        ticks.tick().await;
+        let asked = members.choice().to_ask(members.clock.now_ms());
+        for instance in asked {
+            if members.is_me(&instance) {
+                if phases.is_leaving() {
+                    members.on_scheduler_declined(&instance);
+                } else {
+                    members.choice().on_answer(&instance);
+                }
+                continue;
+            }
+            tokio::spawn(ask(Arc::clone(&members), instance, knowledge.version()));
+        }
+        let now = members.scheduler();
+        if now != current {
+            info!(members.log, "scheduler chosen";
+                "scheduler" => now.as_ref().map(ToString::to_string),
+                "before" => current.as_ref().map(|name: &InstanceName| name.to_string()));
+            current = now;
+        }
+    }
+}
+
+async fn ask(members: Arc<Members>, instance: InstanceName, version: u64) {
+    let question = Message::SchedulerQuery(SchedulerQuery { version });
+    let answer = members
+        .peers
+        .request(&instance, None, &question, ASK_TIMEOUT)
+        .await;
+    let now_ms = members.clock.now_ms();
+    let mut choice = members.choice();
+    match answer {
+        Ok(Message::SchedulerState(SchedulerState { is_taking, .. })) => {
+            if is_taking {
+                choice.on_answer(&instance);
+            } else {
+                choice.on_declined(now_ms, &instance);
+            }
+        }
+        Ok(_) => choice.on_declined(now_ms, &instance),
+        Err(err) if err.is_nothing_done() => choice.on_unreachable(now_ms, &instance),
+        Err(_) => choice.on_miss(now_ms, &instance),
+    }
+    drop(choice);
+    members.lost.send_replace(());
+}
+
+/// Asks other instances for routes and servers while the store does not give
+/// them.
+pub(super) async fn catch_up(
+    members: Arc<Members>,
+    knowledge: Arc<Knowledge>,
+    freshness: Arc<super::follow::Freshness>,
+) {
+    loop {
+        time::sleep(CATCH_UP_INTERVAL).await;
+        if freshness.is_fresh() {
+            continue;
+        }
+        let question = RoutingQuery {
+            version: knowledge.version(),
+            position: knowledge.directory().position(),
+        };
+        let contacts = members.contacts();
+        let asked = contacts.into_iter().map(|contact| {
+            let (members, knowledge) = (Arc::clone(&members), Arc::clone(&knowledge));
+            tokio::spawn(learn(members, knowledge, contact, question))
+        });
+        for task in asked.collect::<Vec<_>>() {
+            // A task that panicked has said so; the next round asks again.
+            let _ = task.await;
+        }
+    }
+}
+
+async fn learn(
+    members: Arc<Members>,
+    knowledge: Arc<Knowledge>,
+    contact: Contact,
+    question: RoutingQuery,
+) {
+    let message = Message::RoutingQuery(question);
+    let answer = members
+        .peers
+        .request_at(&contact, &message, CATCH_UP_TIMEOUT)
+        .await;
+    let Ok(Message::RoutingState(state)) = answer else {
+        return;
+    };
+    let RoutingState {
+        config,
+        position,
+        servers,
+        instances,
+    } = state;
+    members.adopt(instances);
+    if let Some(config) = config {
+        knowledge.apply_config(config, "peer");
+    }
+    if let Some(servers) = servers {
+        knowledge.replace_servers(servers, position, "peer");
+    }
+}
+
+impl Members {
+    /// Chooses instances to ask: listed ones, or the first contacts of the
+    /// settings while none is listed.
+    fn contacts(&self) -> Vec<Contact> {
+        let listed = self.listed();
+        let mut contacts: Vec<Contact> = listed
+            .into_iter()
+            .filter(|peer| peer.instance != self.me)
+            .map(|peer| Contact {
+                instance: peer.instance,
+                addr: peer.addr,
+            })
+            .collect();
+        if contacts.is_empty() {
+            let others = self
+                .seeds
+                .iter()
+                .filter(|addr| **addr != self.own_record.addr);
+            contacts.extend(others.map(|addr| Contact {
+                instance: InstanceName::new(addr.to_string()),
+                addr: *addr,
+            }));
+        }
+        while contacts.len() > CATCH_UP_PEERS {
+            contacts.swap_remove(rand::random_range(0..contacts.len()));
+        }
+        contacts
+    }
+}
+
+/// Tells a peer what this instance knows beyond it.
+pub(super) fn routing_state(
+    members: &Members,
+    knowledge: &Knowledge,
+    question: RoutingQuery,
+) -> RoutingState {
+    let table = knowledge.table();
+    let config = table
+        .filter(|table| table.version() > question.version)
+        .map(|table| (**table.config()).clone());
+    let directory = knowledge.directory();
+    let is_ahead = directory.position() > question.position;
+    RoutingState {
+        config,
+        position: directory.position(),
+        servers: is_ahead.then(|| directory.entries().cloned().collect()),
+        instances: members.listed(),
+    }
+}
+
+/// Tells whether this instance schedules for others.
+pub(super) fn scheduler_state(knowledge: &Knowledge, phases: &Phases) -> SchedulerState {
+    SchedulerState {
+        is_taking: phases.current() == Phase::Serving,
+        version: knowledge.version(),
+    }
+}
+
+/// Returns who this instance is to its peers.
+pub(super) fn peer_id(settings: &GatewaySettings, incarnation: Incarnation) -> PeerId {
+    PeerId {
+        instance: settings.instance.clone(),
+        incarnation,
+    }
+}
--- /dev/null
+++ b/crates/server/src/gateway/relay.rs
@@ -0,0 +1,301 @@
+//! Passes a stream of events on as it comes.
+//!
+//! A stream that may go on elsewhere is passed on event by event: what a server
+//! broke off in the middle of one is dropped, and the next server goes on after
+//! the last whole event. Any other stream that breaks off ends the caller's
+//! connection, so that it can't be taken for a whole one.
+
+use std::{io, sync::Arc};
+
+use bytes::{Bytes, BytesMut};
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::{Frame, Incoming};
+use savoryvane_core::ids::BackendName;
+use savoryvane_platform::answer;
+use slog::{info, warn};
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+use tokio::{sync::mpsc, time};
+
+use super::{
+    forward::{Forwarder, InFlight, Inputs, Sent, ServerEnd, Stream, keep},
+    request::CallerRequest,
+};
+use crate::{connections::Lease, http_body::Body};
+
+/// Frames that wait for a slow caller.
+const WAITING_FRAMES: usize = 16;
+/// Most bytes of one event that are gathered.
+const MOST_EVENT_BYTES: usize = 1 << 20;
+
+/// Starts to pass a stream on, and returns the answer that carries it.
+pub(super) fn start(
+    forwarder: Arc<Forwarder>,
+    caller: CallerRequest,
+    inputs: Inputs,
+    stream: Stream,
+    tried: Vec<BackendName>,
+) -> Response<Body> {
+    let (sender, frames) = mpsc::channel(WAITING_FRAMES);
+    let (mut parts, body) = stream.response.into_parts();
+    let head = answer::decode(parts.status, &parts.headers);
+    parts.headers = answer::forward(&parts.headers);
+    parts.headers.remove(http::header::CONTENT_LENGTH);
+    let events = Events::new(caller.is_resumable());
+    let relay = Relay {
+        forwarder,
+        caller,
+        inputs,
+        tried,
+        events,
+        sender,
+        source: Source {
+            body,
+            lease: Some(stream.lease),
+            server: Some(stream.server),
+            head,
+        },
+    };
+    tokio::spawn(relay.run());
+    Response::from_parts(parts, Frames(frames).boxed_unsync())
+}
+
+/// Body of the answer: frames as the relay passes them.
+struct Frames(mpsc::Receiver<Result<Bytes, io::Error>>);
+
+impl hyper::body::Body for Frames {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        self.0
+            .poll_recv(cx)
+            .map(|bytes| bytes.map(|bytes| bytes.map(Frame::data)))
+    }
+}
+
+/// Where events come from.
+struct Source {
+    body: Incoming,
+    lease: Option<Lease>,
+    server: Option<InFlight>,
+    head: answer::AnswerHead,
+}
+
+struct Relay {
+    forwarder: Arc<Forwarder>,
+    caller: CallerRequest,
+    inputs: Inputs,
+    tried: Vec<BackendName>,
+    events: Events,
+    sender: mpsc::Sender<Result<Bytes, io::Error>>,
+    source: Source,
+}
+
+/// Why a stream does not go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stop {
+    /// It is whole.
+    Whole,
+    /// Its caller has gone.
+    CallerGone,
+    /// Its time is over.
+    Overdue,
+    /// It broke off.
+    Broken,
+}
+
+impl Relay {
+    async fn run(mut self) {
+        let stop = loop {
+            let stop = self.pass_on().await;
+            if stop != Stop::Broken || !self.resume().await {
+                break stop;
+            }
+        };
+        info!(self.forwarder.log, "stream ended"; "request" => %self.caller.id,
+            "route" => &self.caller.route().name, "end" => ?stop,
+            "servers" => self.tried.len(), "events" => self.events.count,
+            "elapsed_ms" => self.caller.elapsed_ms());
+        metrics::counter!("savoryvane_streams_total", "end" => match stop {
+            Stop::Whole => "whole",
+            Stop::CallerGone => "caller_gone",
+            Stop::Overdue => "overdue",
+            Stop::Broken => "broken",
+        })
+        .increment(1);
+        match stop {
+            Stop::Whole => {
+                if let Some(lease) = self.source.lease.take() {
+                    keep(lease, &self.source.head);
+                }
+            }
+            Stop::CallerGone => {}
+            Stop::Overdue | Stop::Broken => {
+                let broken = io::Error::new(io::ErrorKind::ConnectionAborted, "stream broke off");
+                // The caller may have gone meanwhile.
+                let _ = self.sender.send(Err(broken)).await;
+            }
+        }
+    }
+
+    /// Passes events on until they end.
+    async fn pass_on(&mut self) -> Stop {
+        loop {
+            let frame = tokio::select! {
+                biased;
+                () = self.sender.closed() => return Stop::CallerGone,
+                frame = self.source.body.frame() => frame,
+                () = time::sleep_until(self.caller.deadline) => return Stop::Overdue,
+            };
+            let bytes = match frame {
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                Some(Err(err)) => {
+                    warn!(self.forwarder.log, "stream broke off"; "request" => %self.caller.id,
+                        "events" => self.events.count, "error" => %err);
+                    self.end(ServerEnd::Silent);
+                    return Stop::Broken;
+                }
+                None => {
+                    self.end(ServerEnd::Answered);
+                    let rest = self.events.take_rest();
+                    return self
+                        .give(rest)
+                        .await
+                        .map_or(Stop::CallerGone, |()| Stop::Whole);
+                }
+            };
+            // The engine has read its inputs once it answers with events.
+            self.inputs.held = None;
+            let whole = self.events.push(bytes);
+            if self.give(whole).await.is_none() {
+                return Stop::CallerGone;
+            }
+        }
+    }
+
+    async fn give(&self, bytes: Bytes) -> Option<()> {
+        if bytes.is_empty() {
+            return Some(());
+        }
+        self.sender.send(Ok(bytes)).await.ok()
+    }
+
+    fn end(&mut self, end: ServerEnd) {
+        if let Some(server) = self.source.server.take() {
+            server.end(end);
+        }
+    }
+
+    /// Has another server go on after the last whole event.
+    async fn resume(&mut self) -> bool {
+        self.source.lease = None;
+        let caller = &self.caller;
+        let is_allowed = caller.is_resumable()
+            && (self.tried.len() as u32) < caller.route().max_servers
+            && !caller.left().is_zero()
+            && self
+                .forwarder
+                .knowledge
+                .budgets()
+                .try_spend(&caller.service);
+        if !is_allowed {
+            return false;
+        }
+        self.events.drop_rest();
+        if self.inputs.held.is_none() && !self.inputs.handles.is_empty() {
+            match self.forwarder.run_stages(caller).await {
+                Ok(inputs) => self.inputs = inputs,
+                Err(_) => return false,
+            }
+        }
+        let Some(server) = self.forwarder.choose(caller, &self.inputs, &self.tried) else {
+            return false;
+        };
+        self.tried.push(server.clone());
+        let last = self.events.last_id.clone();
+        let sent = self
+            .forwarder
+            .send_once(caller, &self.inputs, &server, last.as_deref());
+        let Ok(Sent::Stream(stream)) = time::timeout_at(caller.deadline, sent).await else {
+            return false;
+        };
+        info!(self.forwarder.log, "stream resumed"; "request" => %caller.id,
+            "server" => %server, "last_event" => last);
+        let (parts, body) = stream.response.into_parts();
+        self.source = Source {
+            body,
+            lease: Some(stream.lease),
+            server: Some(stream.server),
+            head: answer::decode(parts.status, &parts.headers),
+        };
+        true
+    }
+}
+
+/// Takes a stream apart into events where that matters.
+struct Events {
+    /// Whether only whole events are passed on.
+    are_gathered: bool,
+    buffer: BytesMut,
+    count: u64,
+    last_id: Option<String>,
+}
+
+impl Events {
+    fn new(are_gathered: bool) -> Self {
+        Self {
+            are_gathered,
+            buffer: BytesMut::new(),
+            count: 0,
+            last_id: None,
+        }
+    }
+
+    /// Adds bytes, and returns what can be passed on.
+    fn push(&mut self, bytes: Bytes) -> Bytes {
+        if !self.are_gathered {
+            self.count += 1;
+            return bytes;
+        }
+        self.buffer.extend_from_slice(&bytes);
+        let Some(end) = last_end(&self.buffer) else {
+            if self.buffer.len() > MOST_EVENT_BYTES {
+                self.are_gathered = false;
+                return self.buffer.split().freeze();
+            }
+            return Bytes::new();
+        };
+        let whole = self.buffer.split_to(end).freeze();
+        for line in whole.split(|byte| *byte == b'\n') {
+            if let Some(id) = line.strip_prefix(b"id:") {
+                let id = String::from_utf8_lossy(id).trim().to_owned();
+                self.last_id = Some(id);
+                self.count += 1;
+            }
+        }
+        whole
+    }
+
+    /// Returns what is left when the stream has ended well.
+    fn take_rest(&mut self) -> Bytes {
+        self.buffer.split().freeze()
+    }
+
+    fn drop_rest(&mut self) {
+        self.buffer.clear();
+    }
+}
+
+/// Returns the end of the last whole event.
+fn last_end(buffer: &[u8]) -> Option<usize> {
+    let double = buffer.windows(2).rposition(|pair| pair == b"\n\n");
+    let crossed = buffer.windows(4).rposition(|four| four == b"\r\n\r\n");
+    double.map(|at| at + 2).max(crossed.map(|at| at + 4))
+}
--- /dev/null
+++ b/crates/server/src/gateway/request.rs
@@ -0,0 +1,115 @@
+//! One request of a caller on its way through the instance.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Uri, header, uri::PathAndQuery};
+use http_body_util::Full;
+use savoryvane_core::{
+    forwarding::{Matched, Prompt, Repeats, Route, RouteKind},
+    ids::{BackendName, PoolName, RequestId},
+};
+use savoryvane_platform::request::{self, Forwarded, RequestHead};
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A request as its caller sent it, and what it was matched with.
+#[derive(Debug)]
+pub(super) struct CallerRequest {
+    pub(super) id: RequestId,
+    pub(super) head: RequestHead,
+    pub(super) method: Method,
+    pub(super) path: PathAndQuery,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) matched: Matched,
+    /// Service that it goes to.
+    pub(super) service: PoolName,
+    pub(super) arrived: Instant,
+    /// Time at which it has its final answer.
+    pub(super) deadline: Instant,
+}
+
+impl CallerRequest {
+    pub(super) fn route(&self) -> &Route {
+        &self.matched.route
+    }
+
+    /// Tells whether it may be sent again after it may have run.
+    pub(super) fn repeats(&self) -> Repeats {
+        if self.route().is_repeatable() {
+            Repeats::Allowed
+        } else {
+            Repeats::Never
+        }
+    }
+
+    /// Tells whether its stream may go on at another server.
+    pub(super) fn is_resumable(&self) -> bool {
+        self.route().kind == RouteKind::Stream && self.route().is_resumable
+    }
+
+    /// Returns its prompt, where its route has some.
+    pub(super) fn prompt(&self) -> Option<&Prompt> {
+        let has_prompts = self.route().has_prompts;
+        self.head.prompt.as_ref().filter(|_| has_prompts)
+    }
+
+    pub(super) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    pub(super) fn elapsed_ms(&self) -> u64 {
+        self.arrived.elapsed().as_millis() as u64
+    }
+
+    /// Builds the request to `server`.
+    pub(super) fn to_server(
+        &self,
+        server: &BackendName,
+        inputs: &[String],
+        last_event: Option<&str>,
+    ) -> Request<Full<Bytes>> {
+        let forwarded = Forwarded {
+            left_ms: self.left().as_millis() as u64,
+            server,
+            workspace: self.matched.workspace.as_ref(),
+            inputs,
+            last_event,
+        };
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = Uri::from(self.path.clone());
+        *request.headers_mut() = request::forward(&self.headers, &forwarded);
+        request
+    }
+}
+
+/// Chooses the service of a request among those that share its route: always
+/// the same one for a session, so that its prompts stay cached.
+pub(super) fn service(route: &Route, head: &RequestHead) -> Option<PoolName> {
+    let total: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
+    let session = head.prompt.as_ref().and_then(Prompt::session);
+    let id = head.id.as_ref().map_or("", RequestId::as_str);
+    let hash = session.unwrap_or_else(|| xxh3_64(id.as_bytes()));
+    let mut at = xxh3_64(&hash.to_le_bytes()) % total.max(1);
+    for target in &route.targets {
+        let weight = u64::from(target.weight);
+        if at < weight {
+            return Some(target.service.clone());
+        }
+        at -= weight;
+    }
+    route.targets.first().map(|target| target.service.clone())
+}
+
+/// Returns the host that a request names.
+pub(super) fn host<B>(request: &Request<B>) -> &str {
+    let header = request.headers().get(header::HOST);
+    request
+        .uri()
+        .authority()
+        .map(http::uri::Authority::as_str)
+        .or_else(|| header.and_then(|value| value.to_str().ok()))
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/server/src/gateway/settings.rs
@@ -0,0 +1,148 @@
+//! Settings of an instance that forwards requests, read from one YAML file.
+
+use std::{net::SocketAddr, path::Path};
+
+use savoryvane_check::{self as check, Fields, Problems};
+use savoryvane_core::{
+    forwarding::BudgetSettings,
+    ids::{InstanceName, RegionName, ZoneName},
+};
+
+use crate::{
+    error::{Error, Result},
+    settings::{Log, file_limits, read_log},
+};
+
+/// Most instances that are named as first contacts.
+const MOST_SEEDS: usize = 64;
+/// Longest duration that a setting takes, in ms.
+const MAX_DURATION_MS: u64 = 600_000;
+
+/// Everything that a forwarding instance is told from outside.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// Name of the instance.
+    pub instance: InstanceName,
+    /// Availability zone that it stands in.
+    pub zone: ZoneName,
+    /// Region of that zone.
+    pub region: RegionName,
+    /// Addresses that it listens on.
+    pub listen: GatewayListen,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Instances to ask for their state while the store is away.
+    pub seeds: Vec<SocketAddr>,
+    /// Part of a core that it has.
+    pub cores: f64,
+    /// Most repeats that all instances together may send.
+    pub repeats: BudgetSettings,
+    /// How it logs.
+    pub log: Log,
+    /// How it stops.
+    pub drain: GatewayDrain,
+}
+
+/// Addresses that a forwarding instance listens on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GatewayListen {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For the platform's question whether it takes requests.
+    pub ready: SocketAddr,
+    /// For other instances.
+    pub peer: SocketAddr,
+    /// For metrics.
+    pub admin: SocketAddr,
+}
+
+/// How a forwarding instance stops.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GatewayDrain {
+    /// Time for which it still takes connections after it has said that it is
+    /// not ready, in ms.
+    pub grace_ms: u64,
+    /// Time for requests in flight to finish after that, in ms.
+    pub timeout_ms: u64,
+}
+
+impl GatewaySettings {
+    /// Reads and checks the settings in the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Unreadable`] when there is no such file, and
+    /// [`Error::Settings`] with every problem when something in it is not allowed.
+    pub fn load(path: &Path) -> Result<Self> {
+        let text = file_limits()
+            .read_file(path)
+            .map_err(|err| Error::Unreadable(path.to_owned(), err))?;
+        let name = path.display().to_string();
+        check::read(&name, &text, &file_limits(), read).map_err(Error::Settings)
+    }
+
+    /// Checks the settings in `text`.
+    ///
+    /// # Errors
+    ///
+    /// Returns every problem when something in it is not allowed.
+    pub fn parse(text: &str) -> std::result::Result<Self, Problems> {
+        check::read("settings", text.as_bytes(), &file_limits(), read)
+    }
+}
+
+fn read(fields: &mut Fields<'_>) -> Option<GatewaySettings> {
+    let instance = fields.name("instance").map(InstanceName::new);
+    let zone = fields.name("zone").map(ZoneName::new);
+    let region = fields.name("region").map(RegionName::new);
+    let listen = fields.section("listen", read_listen);
+    let store = fields.addr("store");
+    let seeds = fields.list("seeds", 0..=MOST_SEEDS, |item| item.addr());
+    let cores = fields.f64("cores", 0.01..=1_024.0);
+    let repeats = fields.section("repeats", read_repeats);
+    let log = fields.section("log", read_log);
+    let drain = fields.section("drain", read_drain);
+    Some(GatewaySettings {
+        instance: instance?,
+        zone: zone?,
+        region: region?,
+        listen: listen?,
+        store: store?,
+        seeds: seeds?,
+        cores: cores?,
+        repeats: repeats?,
+        log: log?,
+        drain: drain?,
+    })
+}
+
+fn read_listen(fields: &mut Fields<'_>) -> Option<GatewayListen> {
+    let caller = fields.addr("caller");
+    let ready = fields.addr("ready");
+    let peer = fields.addr("peer");
+    let admin = fields.addr("admin");
+    Some(GatewayListen {
+        caller: caller?,
+        ready: ready?,
+        peer: peer?,
+        admin: admin?,
+    })
+}
+
+fn read_repeats(fields: &mut Fields<'_>) -> Option<BudgetSettings> {
+    let ratio = fields.f64("ratio", 0.0..=1.0);
+    let slack = fields.f64("slack", 0.0..=1_000_000.0);
+    let instances = fields.u32("instances", 1..=100_000);
+    Some(BudgetSettings {
+        ratio: ratio?,
+        slack: slack?,
+        instances: instances?,
+    })
+}
+
+fn read_drain(fields: &mut Fields<'_>) -> Option<GatewayDrain> {
+    Some(GatewayDrain {
+        grace_ms: fields.number("grace_ms", 0..=MAX_DURATION_MS, 2_500),
+        timeout_ms: fields.number("timeout_ms", 0..=MAX_DURATION_MS, 5_000),
+    })
+}
--- /dev/null
+++ b/crates/server/src/gateway/store.rs
@@ -0,0 +1,120 @@
+//! Client of the platform's store.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::StatusCode;
+use quick_error::quick_error;
+use savoryvane_platform::store::{self, Call, InstanceRecord, Page, Read, Record, Topic};
+
+use crate::{
+    connections::{ConnectionSettings, Connections, SendError},
+    platform::request,
+};
+
+/// Time for a call to be answered beyond what it waits by itself: the store
+/// answers in 4 ms, and slowed down sixty times in 240.
+const TIMEOUT: Duration = Duration::from_millis(800);
+/// Time for a connection to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Largest answer that is read, in bytes: a page of the store is at most 1 MB,
+/// in base64.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+/// Connections that are kept.
+const MAX_IDLE: usize = 2;
+/// Time after which a kept connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+quick_error! {
+    /// Why a call of the store has no answer.
+    #[derive(Debug)]
+    pub enum StoreError {
+        /// It was not reached, or its answer was lost.
+        Unanswered(err: SendError) {
+            from()
+            display("no answer: {err}")
+        }
+        /// It refused, or its answer makes no sense.
+        Refused(err: savoryvane_platform::Error) {
+            from()
+            display("{err}")
+        }
+    }
+}
+
+/// Result of a call of the store.
+pub(super) type Result<T> = std::result::Result<T, StoreError>;
+
+/// Calls the store over connections of its own.
+#[derive(Clone, Debug)]
+pub(super) struct StoreClient {
+    addr: SocketAddr,
+    connections: Arc<Connections>,
+}
+
+impl StoreClient {
+    pub(super) fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            connections: Connections::new(ConnectionSettings {
+                connect_timeout: CONNECT_TIMEOUT,
+                max_idle: MAX_IDLE,
+                idle_timeout: IDLE_TIMEOUT,
+            }),
+        }
+    }
+
+    /// Reads `topic` from the offset `from` on, waiting up to `wait` for a
+    /// record.
+    pub(super) async fn read(&self, topic: Topic, from: u64, wait: Duration) -> Result<Read> {
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        let call = store::read(topic, from, wait_ms);
+        let (status, body) = self.call(call, wait + TIMEOUT).await?;
+        Ok(store::decode_read(from, status, &body)?)
+    }
+
+    /// Reads the newest record of each key of `topic`, and the offset from
+    /// which later ones are to be read.
+    pub(super) async fn newest(&self, topic: Topic) -> Result<(Vec<Record>, u64)> {
+        let mut records: Vec<Record> = Vec::new();
+        let mut first_end = None;
+        loop {
+            let after = records.last().map(|record| record.key.clone());
+            let call = store::newest(topic, after.as_deref());
+            let (status, body) = self.call(call, TIMEOUT).await?;
+            let Page {
+                records: page,
+                has_more,
+                end,
+            } = store::decode_newest(status, &body)?;
+            // Pages are taken one after the other: what changed meanwhile is
+            // read again from the end that the first one gave.
+            let first_end = *first_end.get_or_insert(end);
+            let is_last = !has_more || page.is_empty();
+            records.extend(page);
+            if is_last {
+                return Ok((records, first_end));
+            }
+        }
+    }
+
+    /// Writes what the instance `name` says of itself.
+    pub(super) async fn write_instance(&self, name: &str, record: &InstanceRecord) -> Result<()> {
+        let call = store::write_instance(name, record)?;
+        let (status, _) = self.call(call, TIMEOUT).await?;
+        Ok(store::decode_write(status)?)
+    }
+
+    async fn call(&self, call: Call, timeout: Duration) -> Result<(StatusCode, Bytes)> {
+        let request = request(call.method, self.addr, &call.path, call.body);
+        let answer = self
+            .connections
+            .exchange(self.addr, request, timeout, MAX_ANSWER_BYTES)
+            .await;
+        metrics::counter!("savoryvane_store_calls_total",
+            "outcome" => if answer.is_ok() { "answered" } else { "lost" })
+        .increment(1);
+        let answer = answer?;
+        Ok((answer.status(), answer.into_body()))
+    }
+}
--- a/crates/server/src/http_body.rs
+++ b/crates/server/src/http_body.rs
@@ -1,6 +1,6 @@
 //! Bodies of HTTP messages: bounded reads and answers in JSON.
 
-use std::{convert::Infallible, time::Duration};
+use std::{io, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
@@ -9,8 +9,9 @@
 use serde::Serialize;
 use tokio::time;
 
-/// Body of every answer of this instance.
-pub(crate) type Body = UnsyncBoxBody<Bytes, Infallible>;
+/// Body of every answer of this instance; one that breaks off ends its
+/// connection, so that it can't be taken for a whole one.
+pub(crate) type Body = UnsyncBoxBody<Bytes, io::Error>;
 
 /// Media type of JSON.
 pub(crate) const JSON: &str = "application/json";
@@ -46,7 +47,9 @@
 
 /// Wraps bytes as a body.
 pub(crate) fn full(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into()).boxed_unsync()
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
 
 /// Builds an answer with `value` as JSON.
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -16,6 +16,7 @@
 mod exclusive;
 mod follower;
 mod gate;
+mod gateway;
 mod http_body;
 mod instance;
 mod listener;
@@ -45,6 +46,7 @@
 
 pub use crate::{
     error::{Error, Result},
+    gateway::{Gateway, GatewayDrain, GatewayListen, GatewaySettings},
     instance::{Addresses, Ended, Instance},
     placement_settings::Placement,
     settings::{
--- a/crates/server/src/logging.rs
+++ b/crates/server/src/logging.rs
@@ -3,6 +3,7 @@
 
 use std::{io, sync::mpsc, thread, time::Duration};
 
+use savoryvane_core::ids::{InstanceName, ZoneName};
 use slog::{Drain, Level, LevelFilter, Logger, Never, OwnedKVList, Record, o};
 use slog_async::AsyncCore;
 
@@ -13,22 +14,28 @@
 
 /// Builds the logger that `settings` asks for; it writes to standard error.
 pub(crate) fn build(settings: &Settings) -> Logger {
-    let fields = o!(
-        "instance" => settings.instance.to_string(),
-        "zone" => settings.zone.to_string(),
-    );
-    let buffer = match settings.log.form {
-        LogForm::Json => {
-            let drain = slog_json::Json::default(io::stderr());
-            Buffer::new(&settings.log, drain.ignore_res())
-        }
+    let (instance, zone) = (&settings.instance, &settings.zone);
+    build_to(io::stderr(), &settings.log, instance, zone)
+}
+
+/// Builds a logger that writes to `out`, with the name and zone of the instance
+/// on each line.
+pub(crate) fn build_to(
+    out: impl io::Write + Send + 'static,
+    log: &Log,
+    instance: &InstanceName,
+    zone: &ZoneName,
+) -> Logger {
+    let fields = o!("instance" => instance.to_string(), "zone" => zone.to_string());
+    let buffer = match log.form {
+        LogForm::Json => Buffer::new(log, slog_json::Json::default(out).ignore_res()),
         LogForm::Terminal => {
-            let decorator = slog_term::PlainDecorator::new(io::stderr());
+            let decorator = slog_term::PlainDecorator::new(out);
             let drain = slog_term::FullFormat::new(decorator).build();
-            Buffer::new(&settings.log, drain.ignore_res())
+            Buffer::new(log, drain.ignore_res())
         }
     };
-    let drain = LevelFilter::new(buffer, level(settings.log.level));
+    let drain = LevelFilter::new(buffer, level(log.level));
     Logger::root(drain.fuse(), fields)
 }
 
--- a/crates/server/src/peer/handle.rs
+++ b/crates/server/src/peer/handle.rs
@@ -152,6 +152,23 @@
         link.request(incarnation, message, deadline).await
     }
 
+    /// Sends a request to whatever instance answers at the address of `contact`,
+    /// over a connection of its own, and waits at most `timeout` for the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError::is_nothing_done`] tells whether the peer may have acted.
+    pub async fn request_at(
+        &self,
+        contact: &Contact,
+        message: &Message,
+        timeout: Duration,
+    ) -> Result<Message> {
+        let deadline = Instant::now() + timeout;
+        let link = Link::to_any(self.shared.me.clone(), contact.addr);
+        link.request(None, message, deadline).await
+    }
+
     fn table(&self) -> std::sync::MutexGuard<'_, Table> {
         // Nothing panics while it holds the lock, so its contents are whole.
         let locked = self.shared.table.lock();
--- a/crates/server/src/peer/link.rs
+++ b/crates/server/src/peer/link.rs
@@ -52,7 +52,8 @@
 #[derive(Debug)]
 pub(crate) struct Link {
     me: PeerId,
-    peer: InstanceName,
+    /// Whom it is for; none takes any instance at the address.
+    peer: Option<InstanceName>,
     addr: SocketAddr,
     state: Mutex<State>,
 }
@@ -83,7 +84,17 @@
     pub(crate) fn new(me: PeerId, peer: InstanceName, addr: SocketAddr) -> Self {
         Self {
             me,
-            peer,
+            peer: Some(peer),
+            addr,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Creates a link to whatever instance answers at `addr`.
+    pub(crate) fn to_any(me: PeerId, addr: SocketAddr) -> Self {
+        Self {
+            me,
+            peer: None,
             addr,
             state: Mutex::default(),
         }
@@ -152,8 +163,10 @@
         let mut builder = Request::post(format!("http://{}{path}", self.addr))
             .header(FROM, self.me.instance.as_str())
             .header(FROM_INCARNATION, self.me.incarnation.to_string())
-            .header(TO, self.peer.as_str())
             .header(WAIT_MS, wait.as_millis().to_string());
+        if let Some(peer) = &self.peer {
+            builder = builder.header(TO, peer.as_str());
+        }
         if let Some(incarnation) = incarnation {
             builder = builder.header(TO_INCARNATION, incarnation.to_string());
         }
--- a/crates/server/src/peer/server.rs
+++ b/crates/server/src/peer/server.rs
@@ -1,6 +1,11 @@
 //! Serving peers: gossip streams and requests on the listener for instances.
 
-use std::{future::Future, pin::Pin, sync::Arc, time::Duration};
+use std::{
+    future::{Future, poll_fn},
+    pin::Pin,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use h2::{
@@ -193,7 +198,15 @@
             }
         };
         let answer = match message {
-            Some(message) => self.handler.on_request(from, message, wait).await,
+            Some(message) => {
+                let answer = self.handler.on_request(from, message, wait);
+                // A sender that resets the stream has given up waiting, and what
+                // is done for it ends with the answer that is dropped here.
+                tokio::select! {
+                    answer = answer => answer,
+                    _ = poll_fn(|cx| respond.poll_reset(cx)) => return Ok(()),
+                }
+            }
             None => Message::Declined(Declined::Unsupported),
         };
         let Ok(frame) = encode(&answer) else {
--- a/crates/server/src/platform.rs
+++ b/crates/server/src/platform.rs
@@ -4,15 +4,14 @@
 
 use bytes::Bytes;
 use http::{Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use quick_error::quick_error;
 use savoryvane_core::ids::Offset;
 use savoryvane_wire::platform::{Appended, Listing, Records, Trimmed};
 use serde::de::DeserializeOwned;
-use tokio::time::{self, Instant};
 
 use crate::{
-    connections::{ConnectionSettings, Connections, Exchange, SendError},
+    connections::{ConnectionSettings, Connections, SendError},
     settings::Platform,
 };
 
@@ -157,25 +156,11 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
-        let not_after = Instant::now() + timeout;
-        let whole = async {
-            let Exchange { response, lease } =
-                self.connections.send(addr, request, not_after).await?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
-                .collect()
-                .await
-                .map_err(|err| PlatformError::Unanswered(err.to_string()))?;
-            lease.keep().await;
-            Ok((status, body.to_bytes()))
-        };
-        match time::timeout(timeout, whole).await {
-            Ok(result) => result,
-            Err(_) => {
-                self.connections.forget(addr);
-                Err(PlatformError::Unanswered("timeout".to_owned()))
-            }
-        }
+        let connections = &self.connections;
+        let answer = connections
+            .exchange(addr, request, timeout, MAX_ANSWER_BYTES)
+            .await?;
+        Ok((answer.status(), answer.into_body()))
     }
 }
 
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -208,7 +208,7 @@
     }
 }
 
-fn file_limits() -> check::Limits {
+pub(crate) fn file_limits() -> check::Limits {
     check::Limits {
         file_bytes: MAX_FILE_BYTES,
         ..check::Limits::default()
@@ -297,7 +297,7 @@
     is_sha256(digest).then(|| digest.to_owned())
 }
 
-fn read_log(fields: &mut Fields<'_>) -> Option<Log> {
+pub(crate) fn read_log(fields: &mut Fields<'_>) -> Option<Log> {
     let form = fields.or("form", LogForm::Json, |f, at| f.choice(at, &LOG_FORMS));
     let level = fields.or("level", LogLevel::Info, |f, at| f.choice(at, &LOG_LEVELS));
     let buffer_lines = fields.number("buffer_lines", 16..=1_000_000, 8_192);
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -14,12 +14,14 @@
 
 use bincode::config::{Configuration, Limit, LittleEndian, Varint};
 use quick_error::quick_error;
+use savoryvane_core::forwarding::{RoutingConfig, ServerEntry};
 use savoryvane_core::ids::{
     IdempotencyKey, Incarnation, InstanceName, Offset, PipelineName, RequestId, WorkspaceName,
 };
 pub use savoryvane_core::{
     digest::{AgedDigest, Digest, DigestBatch, Leaver, LeavingBackend, LeavingNotice, ZoneDigest},
     quota::{Claimant, Demand, Grant, Rate, UsageGrant, UsageReport, WorkspaceKey},
+    stages::{RequestKey, StageOutcome, Submission},
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -204,10 +206,65 @@
     pub offset: Offset,
 }
 
+/// Asks whether the receiver schedules stages for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SchedulerQuery {
+    /// Version of the routing configuration that the sender has.
+    pub version: u64,
+}
+
+/// Answer to that question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SchedulerState {
+    /// Whether it does.
+    pub is_taking: bool,
+    /// Version of the routing configuration that it has.
+    pub version: u64,
+}
+
+/// Asks for what the receiver knows of routes and servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoutingQuery {
+    /// Version of the routing configuration that the sender has.
+    pub version: u64,
+    /// Position in the register of servers that the sender has.
+    pub position: u64,
+}
+
+/// An entry instance as the store lists it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ListedPeer {
+    /// Its name.
+    pub instance: InstanceName,
+    /// Address for other instances.
+    pub addr: std::net::SocketAddr,
+    /// Position of its record.
+    pub position: u64,
+    /// Part of a core that it has.
+    pub cores: f64,
+}
+
+/// What the receiver of a question knows beyond the sender.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RoutingState {
+    /// The routing configuration, if it is a later version.
+    pub config: Option<RoutingConfig>,
+    /// Position in the register of servers.
+    pub position: u64,
+    /// The servers, if the position is a later one.
+    pub servers: Option<Vec<ServerEntry>>,
+    /// The instances that are listed.
+    pub instances: Vec<ListedPeer>,
+}
+
+/// Says that a message was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Taken;
+
 macro_rules! messages {
     ($($(#[$doc:meta])* $number:literal $variant:ident($body:ty),)+) => {
         /// A message between instances.
-        #[derive(Clone, Debug, PartialEq, Eq)]
+        #[derive(Clone, Debug, PartialEq)]
         pub enum Message {
             $($(#[$doc])* $variant($body),)+
         }
@@ -271,6 +328,22 @@
     16 ClaimAppended(ClaimAppended),
     /// The receiver does not serve this request now.
     17 Declined(Declined),
+    /// Stages of a request to schedule; a request.
+    18 StageSubmission(Submission),
+    /// Answer to that request, once they have ended.
+    19 StageOutcome(StageOutcome),
+    /// Results of a request that are not needed any more; a request.
+    20 StageRelease(RequestKey),
+    /// Answer to a request that needs no other.
+    21 Taken(Taken),
+    /// Asks who schedules; a request.
+    22 SchedulerQuery(SchedulerQuery),
+    /// Answer to that request.
+    23 SchedulerState(SchedulerState),
+    /// Asks for routes and servers; a request.
+    24 RoutingQuery(RoutingQuery),
+    /// Answer to that request.
+    25 RoutingState(RoutingState),
 }
 
 /// Why a request gets no other answer.
--- a/crates/wire/src/peer/limits.rs
+++ b/crates/wire/src/peer/limits.rs
@@ -7,7 +7,10 @@
     topology::SHARDS,
 };
 
-use super::{AnswerState, MAX_ENTRIES, MAX_KEY_BYTES, MAX_PAYLOAD_BYTES, Message, TicketRun};
+use super::{
+    AnswerState, MAX_ENTRIES, MAX_KEY_BYTES, MAX_PAYLOAD_BYTES, Message, RoutingState,
+    StageOutcome, Submission, TicketRun,
+};
 
 pub(super) fn is_within_limits(message: &Message) -> bool {
     match message {
@@ -28,12 +31,21 @@
         }
         Message::AnswerState(AnswerState::Answered(body)) => body.len() <= MAX_PAYLOAD_BYTES,
         Message::TicketRun(run) => is_run_bounded(run),
+        Message::StageSubmission(submission) => is_submission_bounded(submission),
+        Message::StageRelease(key) => is_short(key.instance.as_str()),
+        Message::StageOutcome(StageOutcome::Ready(results)) => results.len() <= MAX_ENTRIES,
+        Message::RoutingState(state) => is_routing_bounded(state),
         Message::ClaimAppend(append) => append.claims.len() <= MAX_ENTRIES,
         Message::AnswerState(_)
         | Message::ConfigHead(_)
         | Message::ConfigRecordsQuery(_)
         | Message::ConfigSnapshotQuery(_)
         | Message::ClaimAppended(_)
+        | Message::StageOutcome(_)
+        | Message::Taken(_)
+        | Message::SchedulerQuery(_)
+        | Message::SchedulerState(_)
+        | Message::RoutingQuery(_)
         | Message::Declined(_) => true,
     }
 }
@@ -86,3 +98,24 @@
         && is_key(run.request.as_str())
         && run.body.len() <= MAX_PAYLOAD_BYTES
 }
+
+fn is_submission_bounded(submission: &Submission) -> bool {
+    let pieces: u64 = submission
+        .stages
+        .iter()
+        .map(|stage| u64::from(stage.pieces))
+        .sum();
+    let are_after_known = submission.stages.iter().enumerate().all(|(index, stage)| {
+        stage.after.iter().all(|needed| *needed < index) && is_short(stage.service.as_str())
+    });
+    is_short(submission.key.instance.as_str())
+        && is_key(submission.request.as_str())
+        && is_key(&submission.piece_key)
+        && pieces <= MAX_ENTRIES as u64
+        && are_after_known
+}
+
+fn is_routing_bounded(state: &RoutingState) -> bool {
+    let servers = state.servers.as_ref().map_or(0, Vec::len);
+    servers <= MAX_ENTRIES && state.instances.len() <= MAX_ENTRIES
+}
