--- a/crates/core/src/stages/request.rs
+++ b/crates/core/src/stages/request.rs
@@ -73,8 +73,7 @@
     pub(super) fn unblock(&mut self) -> Vec<PieceAt> {
         let mut ready = Vec::new();
         for stage in 0..self.pieces.len() {
-            let after = &self.submission.stages[stage].after;
-            if !after.iter().all(|needed| self.is_stage_done(*needed)) {
+            if !self.has_inputs(stage) {
                 continue;
             }
             for (piece, state) in self.pieces[stage].iter_mut().enumerate() {
@@ -88,6 +87,12 @@
         ready
     }
 
+    /// Tells whether all results are there that a stage needs.
+    pub(super) fn has_inputs(&self, stage: usize) -> bool {
+        let mut after = self.submission.stages[stage].after.iter();
+        after.all(|needed| self.is_stage_done(*needed))
+    }
+
     pub(super) fn is_stage_done(&self, stage: usize) -> bool {
         let pieces = self.pieces.get(stage);
         pieces.is_none_or(|pieces| {
@@ -202,8 +207,7 @@
             again.extend(needed.filter(|needed| self.piece(*needed) == Some(&Piece::Freed)));
         }
         for stage in 0..self.pieces.len() {
-            let after = self.submission.stages[stage].after.clone();
-            if after.iter().all(|needed| self.is_stage_done(*needed)) {
+            if self.has_inputs(stage) {
                 continue;
             }
             for piece in &mut self.pieces[stage] {
--- a/crates/core/src/stages/scheduler.rs
+++ b/crates/core/src/stages/scheduler.rs
@@ -426,19 +426,24 @@
         let Some(request) = self.requests.get_mut(&waiting.key) else {
             return;
         };
-        let Some(piece) = request.piece_mut(waiting.at) else {
-            return;
-        };
-        if *piece != Piece::Running(id) {
+        if request.piece(waiting.at) != Some(&Piece::Running(id)) {
             return;
         }
-        *piece = Piece::Waiting;
+        // Its inputs may have been lost while it was on its way.
+        let has_inputs = request.has_inputs(waiting.at.stage);
+        if let Some(piece) = request.piece_mut(waiting.at) {
+            *piece = if has_inputs {
+                Piece::Waiting
+            } else {
+                Piece::Blocked
+            };
+        }
         request.repeats += u32::from(may_have_run);
         if request.repeats > MOST_REPEATS {
             return self.refuse(now_ms, &waiting.key, Refusal::Failed);
         }
         let stage = &request.submission.stages[waiting.at.stage];
-        if let Some(service) = self.services.get_mut(&stage.service) {
+        if has_inputs && let Some(service) = self.services.get_mut(&stage.service) {
             service.waiting.push(waiting.clone());
         }
     }
--- a/crates/core/tests/stages_scheduler.rs
+++ b/crates/core/tests/stages_scheduler.rs
@@ -3,6 +3,8 @@
 
 mod stages_world;
 
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use savoryvane_core::{
     ids::BackendName,
     stages::{Refusal, StageOutcome},
@@ -198,3 +200,26 @@
     assert_eq!(world.scheduler.load(), (0, 0, 0));
     assert!(world.results.is_empty(), "{:?}", world.results);
 }
+
+/// Calls fail in every way while servers forget their results: each request
+/// ends, and no piece is ever made of half of its inputs.
+#[test]
+fn whatever_fails_no_piece_is_made_of_half_of_its_inputs() {
+    for seed in 0..60 {
+        let mut world = chain();
+        world.rng = Pcg64Mcg::seed_from_u64(seed);
+        world.bad_percent = 20;
+        for number in 1..=8 {
+            world.submit(World::submission(number, three_stages(), 5_000));
+        }
+        let servers = ["a-near", "a-far", "b-near", "b-far", "c-near", "c-far"];
+        while world.now_ms < 7_000 {
+            let until_ms = world.now_ms + world.rng.random_range(20..300);
+            world.run(until_ms);
+            let server = servers[world.rng.random_range(0..servers.len())];
+            world.lose_results(server);
+        }
+        assert_eq!(world.faults, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(world.outcomes.len(), 8, "seed {seed}");
+    }
+}
--- a/crates/core/tests/stages_world/mod.rs
+++ b/crates/core/tests/stages_world/mod.rs
@@ -4,6 +4,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use savoryvane_core::{
     forwarding::{Batching, RoutingConfig, ServerEntry, ServerState, Service},
     ids::{BackendName, Incarnation, InstanceName, PoolName, RequestId, ZoneName},
@@ -50,6 +52,9 @@
     pub silent: BTreeSet<BackendName>,
     /// Servers whose calls take this many times as long.
     pub slow: BTreeMap<BackendName, u64>,
+    /// Out of a hundred calls, those that end in each of some bad ways.
+    pub bad_percent: u32,
+    pub rng: Pcg64Mcg,
     /// Time between a request to free results and their end, in ms.
     pub free_lag_ms: u64,
     submissions: BTreeMap<String, Submission>,
@@ -118,6 +123,8 @@
             no_room: 0,
             silent: BTreeSet::new(),
             slow: BTreeMap::new(),
+            bad_percent: 0,
+            rng: Pcg64Mcg::seed_from_u64(1),
             free_lag_ms: 3,
             submissions: BTreeMap::new(),
             at_work: Vec::new(),
@@ -201,6 +208,14 @@
             if self.silent.contains(&call.server) {
                 let end = CallEnd::Lost;
                 self.scheduler.on_call_ended(now_ms, call.id, &end);
+            } else if self.is_bad() {
+                let end = match self.rng.random_range(0..4) {
+                    0 => CallEnd::Full,
+                    1 => CallEnd::Unreachable,
+                    2 => CallEnd::Answered(vec![ItemEnd::Failed; call.items.len()]),
+                    _ => CallEnd::Lost,
+                };
+                self.scheduler.on_call_ended(now_ms, call.id, &end);
             } else {
                 let items = call.items.iter().zip(had_room);
                 let ends = items.map(|(item, had_room)| self.make(&call, item, had_room));
@@ -212,6 +227,10 @@
         }
     }
 
+    fn is_bad(&mut self) -> bool {
+        self.rng.random_range(0..100) < self.bad_percent
+    }
+
     fn end_frees(&mut self) {
         let now_ms = self.now_ms;
         let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.freeing)
