Make pieces in the zone of what they fetch where there is time to wait

Cause: 60 MB/s of results crossed zones, since a piece went to any idle server; each piece fetches the results of all pieces before it, so 60 KB ones cost more than the 1.5 MB ones.

--- a/crates/core/src/stages/batch.rs
+++ b/crates/core/src/stages/batch.rs
@@ -13,9 +13,10 @@
 };
 use crate::ids::{BackendName, ZoneName};
 
-/// Size of a result from which it matters in which availability zone it is made,
-/// in bytes: those below cost less on the way than a wait for a near server.
-const LARGE_RESULT_BYTES: u64 = 100_000;
+/// Bytes that have to be fetched for a piece from which it matters in which
+/// availability zone it is made: at the platform's price of links, 100 KB cost
+/// as much as a hundredth of a request of the least worth.
+const MANY_BYTES: u64 = 100_000;
 
 /// Pieces for one server.
 #[derive(Debug)]
@@ -43,19 +44,24 @@
     let mut waiting = std::mem::take(&mut service.waiting);
     waiting.sort_by_cached_key(|piece| order(now_ms, service.usual_ms, piece, requests));
     let mut open: BTreeMap<BackendName, Vec<Waiting>> = BTreeMap::new();
+    let half = service.batching.batch_pieces / 2;
+    let call_ms = service.batching.duration_ms(half) as u64;
     for piece in waiting {
         let Some(request) = requests.get_mut(&piece.key) else {
             continue;
         };
-        let bytes = piece.bytes;
-        let wanted = (bytes >= LARGE_RESULT_BYTES)
-            .then(|| request.zone.clone())
-            .flatten();
-        match place(service, &mut idle, &open, wanted.as_ref(), bytes) {
+        let is_far_dear = request.fetched_bytes(piece.at.stage) >= MANY_BYTES;
+        let due_ms = due_ms(service.usual_ms, request, piece.at);
+        let wanted = Wanted {
+            zone: request.zone.as_ref().filter(|_| is_far_dear),
+            can_wait: due_ms > now_ms + call_ms,
+            bytes: piece.bytes,
+        };
+        match place(now_ms, service, &mut idle, &open, &wanted) {
             Some(name) => {
                 if let Some(server) = service.servers.get_mut(&name) {
-                    server.room_used += bytes;
-                    if bytes >= LARGE_RESULT_BYTES {
+                    server.room_used += piece.bytes;
+                    if is_far_dear {
                         request.zone = Some(server.zone.clone());
                     }
                 }
@@ -69,6 +75,13 @@
         .collect()
 }
 
+/// Returns the latest time at which a piece has to begin for its request to
+/// make its goal, in ms.
+fn due_ms(usual_ms: f64, request: &Request, at: PieceAt) -> u64 {
+    let needed_ms = usual_ms as u64 + request.rest_ms[at.stage];
+    request.goal_at_ms.saturating_sub(needed_ms)
+}
+
 /// Orders the pieces of a queue: those that can still make their goal by the
 /// latest time at which they have to begin, then the others by their deadline.
 fn order(
@@ -85,29 +98,42 @@
     let due_ms = if is_late {
         request.deadline_at_ms
     } else {
-        request.goal_at_ms.saturating_sub(needed_ms)
+        due_ms(usual_ms, request, piece.at)
     };
     (is_late, due_ms, piece.key.clone(), piece.at)
 }
 
+/// What a piece asks of its server.
+struct Wanted<'a> {
+    /// Availability zone where what it needs or who needs it is.
+    zone: Option<&'a ZoneName>,
+    /// Whether it has the time to wait for a server there.
+    can_wait: bool,
+    /// Size of its result, in bytes.
+    bytes: u64,
+}
+
 /// Chooses a server for a piece: a call that is being filled in the wanted
-/// zone, an idle server there, then the same anywhere.
+/// zone, an idle server there, then the same anywhere, unless it can wait for
+/// one in the wanted zone.
 fn place(
+    now_ms: u64,
     service: &StageService,
     idle: &mut Vec<BackendName>,
     open: &BTreeMap<BackendName, Vec<Waiting>>,
-    wanted: Option<&ZoneName>,
-    bytes: u64,
+    wanted: &Wanted<'_>,
 ) -> Option<BackendName> {
     let has_room = |name: &BackendName| {
         let server = &service.servers[name];
-        server.room_used + bytes <= service.batching.room_bytes
+        server.room_used + wanted.bytes <= service.batching.room_bytes
             && open
                 .get(name)
                 .is_none_or(|pieces| pieces.len() < service.batching.batch_pieces)
     };
-    let is_wanted =
-        |name: &BackendName| wanted.is_none_or(|zone| service.servers[name].zone == *zone);
+    let is_wanted = |name: &BackendName| {
+        let zone = &service.servers[name].zone;
+        wanted.zone.is_none_or(|wanted| wanted == zone)
+    };
     let filling = |is_right: &dyn Fn(&BackendName) -> bool| {
         open.keys()
             .find(|name| is_right(name) && has_room(name))
@@ -122,9 +148,16 @@
             .map(|(index, _)| index)?;
         Some(idle.swap_remove(index))
     };
+    if let Some(name) = filling(&is_wanted).or_else(|| fresh(idle, &is_wanted)) {
+        return Some(name);
+    }
+    let mut servers = service.servers.values();
+    let has_wanted = wanted
+        .zone
+        .is_some_and(|zone| servers.any(|server| server.is_open(now_ms) && server.zone == *zone));
+    if wanted.can_wait && has_wanted {
+        return None;
+    }
     let anywhere = |_: &BackendName| true;
-    filling(&is_wanted)
-        .or_else(|| fresh(idle, &is_wanted))
-        .or_else(|| filling(&anywhere))
-        .or_else(|| fresh(idle, &anywhere))
+    filling(&anywhere).or_else(|| fresh(idle, &anywhere))
 }
--- a/crates/core/src/stages/request.rs
+++ b/crates/core/src/stages/request.rs
@@ -93,6 +93,17 @@
         after.all(|needed| self.is_stage_done(*needed))
     }
 
+    /// Returns what a piece of a stage and those that need its result fetch, in
+    /// bytes: each piece fetches the results of all pieces before it.
+    pub(super) fn fetched_bytes(&self, stage: usize) -> u64 {
+        let stages = &self.submission.stages;
+        let size = |stage: usize| u64::from(stages[stage].pieces) * stages[stage].result_bytes;
+        let inputs: u64 = stages[stage].after.iter().map(|needed| size(*needed)).sum();
+        let users = stages.iter().filter(|other| other.after.contains(&stage));
+        let users: u64 = users.map(|other| u64::from(other.pieces)).sum();
+        inputs + stages[stage].result_bytes * users.max(1)
+    }
+
     pub(super) fn is_stage_done(&self, stage: usize) -> bool {
         let pieces = self.pieces.get(stage);
         pieces.is_none_or(|pieces| {
