--- a/crates/core/src/forwarding/steps.rs
+++ b/crates/core/src/forwarding/steps.rs
@@ -5,6 +5,8 @@
 pub enum AttemptEnd {
     /// Nothing of the request was handed to a socket.
     NotSent,
+    /// Another server has the address, and did not run the request.
+    Misdirected,
     /// The server says that it did not run the request.
     NotRun,
     /// The server ran it and answered with a failure of its own.
@@ -33,6 +35,14 @@
     NoAnswer,
 }
 
+impl AttemptEnd {
+    /// Tells whether the send uses up one of the servers that a request may be
+    /// sent to: not when it never reached the server that was meant.
+    pub fn counts(self) -> bool {
+        !matches!(self, Self::NotSent | Self::Misdirected)
+    }
+}
+
 /// What follows a send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextStep {
@@ -46,8 +56,8 @@
 ///
 /// `may_have_run` tells whether any send, this one included, may have run;
 /// `has_room` whether another server, its attempts and the time allow one more
-/// send. A send that never left does not use up an attempt; for all others
-/// `spend` takes one repeat out of the budget and tells whether there was one.
+/// send. For all but those that never left, `spend` takes one repeat out of the
+/// budget and tells whether there was one.
 pub fn next_step(
     end: AttemptEnd,
     repeats: Repeats,
@@ -55,14 +65,17 @@
     has_room: bool,
     spend: impl FnOnce() -> bool,
 ) -> NextStep {
-    let is_harmless = matches!(end, AttemptEnd::NotSent | AttemptEnd::NotRun);
+    let is_harmless = matches!(
+        end,
+        AttemptEnd::NotSent | AttemptEnd::Misdirected | AttemptEnd::NotRun
+    );
     let is_allowed = repeats == Repeats::Allowed || (is_harmless && !may_have_run);
     if is_allowed && has_room && (end == AttemptEnd::NotSent || spend()) {
         return NextStep::SendAgain;
     }
     NextStep::Give(match end {
         AttemptEnd::Failed => Giving::ServersFailure,
-        AttemptEnd::NotSent | AttemptEnd::NotRun if !may_have_run => Giving::Refusal,
+        _ if is_harmless && !may_have_run => Giving::Refusal,
         _ => Giving::NoAnswer,
     })
 }
--- a/crates/core/src/stages/batch.rs
+++ b/crates/core/src/stages/batch.rs
@@ -25,6 +25,23 @@
     pub(super) pieces: Vec<Waiting>,
 }
 
+/// Returns the requests of which a piece waits that can't make its goal even if
+/// it is done in half of the usual time.
+pub(super) fn late(
+    now_ms: u64,
+    service: &StageService,
+    requests: &HashMap<RequestKey, Request>,
+) -> Vec<RequestKey> {
+    let is_late = |piece: &&Waiting| {
+        requests.get(&piece.key).is_some_and(|request| {
+            let needed_ms = service.usual_ms as u64 + request.rest_ms[piece.at.stage];
+            !request.is_late && now_ms + needed_ms / 2 > request.goal_at_ms
+        })
+    };
+    let late = service.waiting.iter().filter(is_late);
+    late.map(|piece| piece.key.clone()).collect()
+}
+
 /// Distributes what waits for `service` over its idle servers, and takes it out
 /// of the queue.
 pub(super) fn fill(
@@ -42,7 +59,7 @@
         return Vec::new();
     }
     let mut waiting = std::mem::take(&mut service.waiting);
-    waiting.sort_by_cached_key(|piece| order(now_ms, service.usual_ms, piece, requests));
+    waiting.sort_by_cached_key(|piece| order(service.usual_ms, piece, requests));
     let mut open: BTreeMap<BackendName, Vec<Waiting>> = BTreeMap::new();
     let half = service.batching.batch_pieces / 2;
     let call_ms = service.batching.duration_ms(half) as u64;
@@ -85,7 +102,6 @@
 /// Orders the pieces of a queue: those that can still make their goal by the
 /// latest time at which they have to begin, then the others by their deadline.
 fn order(
-    now_ms: u64,
     usual_ms: f64,
     piece: &Waiting,
     requests: &HashMap<RequestKey, Request>,
@@ -93,14 +109,12 @@
     let Some(request) = requests.get(&piece.key) else {
         return (true, u64::MAX, piece.key.clone(), piece.at);
     };
-    let needed_ms = usual_ms as u64 + request.rest_ms[piece.at.stage];
-    let is_late = now_ms + needed_ms / 2 > request.goal_at_ms;
-    let due_ms = if is_late {
+    let due_ms = if request.is_late {
         request.deadline_at_ms
     } else {
         due_ms(usual_ms, request, piece.at)
     };
-    (is_late, due_ms, piece.key.clone(), piece.at)
+    (request.is_late, due_ms, piece.key.clone(), piece.at)
 }
 
 /// What a piece asks of its server.
@@ -125,7 +139,7 @@
 ) -> Option<BackendName> {
     let has_room = |name: &BackendName| {
         let server = &service.servers[name];
-        server.room_used + wanted.bytes <= service.batching.room_bytes
+        server.room_used + wanted.bytes <= service.usable_room_bytes()
             && open
                 .get(name)
                 .is_none_or(|pieces| pieces.len() < service.batching.batch_pieces)
--- a/crates/core/src/stages/request.rs
+++ b/crates/core/src/stages/request.rs
@@ -46,6 +46,9 @@
     pub(super) zone: Option<ZoneName>,
     /// Pieces that were sent again after a failure.
     pub(super) repeats: u32,
+    /// Whether it can't make its goal any more; it is done with what the others
+    /// leave, and nobody waits for it.
+    pub(super) is_late: bool,
     /// Whether whoever submitted it was told how it ended.
     pub(super) is_finished: bool,
 }
@@ -65,6 +68,7 @@
             pieces,
             submission,
             repeats: 0,
+            is_late: false,
             is_finished: false,
         }
     }
--- a/crates/core/src/stages/scheduler.rs
+++ b/crates/core/src/stages/scheduler.rs
@@ -27,6 +27,9 @@
 const OVERDUE_SPARE_MS: f64 = 150.0;
 /// Time of a call after which its connection is given up, in ms.
 const CALL_TIMEOUT_MS: u64 = 3_000;
+/// Time between two looks at pieces that wait for a server in their zone while
+/// others are idle, in ms.
+const WAIT_STEP_MS: u64 = 20;
 /// Time to come back after when a service has no server, in ms.
 const NO_SERVER_RETRY_AFTER_MS: u64 = 500;
 /// Time after which the results of a request that nobody releases are dropped
@@ -264,6 +267,12 @@
         self.repeat_overdue(now_ms);
         let names: Vec<PoolName> = self.services.keys().cloned().collect();
         for name in names {
+            let Some(service) = self.services.get(&name) else {
+                continue;
+            };
+            for key in batch::late(now_ms, service, &self.requests) {
+                self.give_up_goal(&key);
+            }
             let Some(service) = self.services.get_mut(&name) else {
                 continue;
             };
@@ -276,6 +285,11 @@
 
     /// Returns the time at which it has to be polled even if nothing happens.
     pub fn next_poll_ms(&self, now_ms: u64) -> Option<u64> {
+        let waited_for = self
+            .services
+            .values()
+            .filter(|service| !service.waiting.is_empty() && service.idle_servers(now_ms) > 0)
+            .map(|_| now_ms + WAIT_STEP_MS);
         let paused = self
             .services
             .values()
@@ -288,7 +302,8 @@
             .filter(|call| !call.is_overdue)
             .map(|call| call.overdue_at_ms());
         let deadlines = self.requests.values().map(|request| request.drop_at_ms());
-        paused.chain(overdue).chain(deadlines).min()
+        let due = paused.chain(overdue).chain(deadlines);
+        due.chain(waited_for).min()
     }
 
     /// Returns what is waiting and at work: requests, pieces and calls.
@@ -297,6 +312,16 @@
         (self.requests.len(), waiting.sum(), self.calls.len())
     }
 
+    /// Notes that a request can't make its goal.
+    fn give_up_goal(&mut self, key: &RequestKey) {
+        if let Some(request) = self.requests.get_mut(key)
+            && !request.is_late
+        {
+            request.is_late = true;
+            uncommit(&mut self.services, request);
+        }
+    }
+
     fn start_call(&mut self, now_ms: u64, name: &PoolName, batch: Batch) {
         self.last_call += 1;
         let id = CallId(self.last_call);
@@ -382,8 +407,12 @@
                 };
             }
         }
+        let is_late = self
+            .requests
+            .get(&waiting.key)
+            .is_some_and(|request| request.is_late);
         if let Some(service) = self.services.get_mut(&call.service) {
-            service.committed = service.committed.saturating_sub(1);
+            service.committed = service.committed.saturating_sub(usize::from(!is_late));
             service.on_piece_done(now_ms.saturating_sub(waiting.since_ms) as f64);
             service
                 .waiting
@@ -473,7 +502,9 @@
         for (stage, (before, after)) in before.into_iter().zip(after).enumerate() {
             let name = &request.submission.stages[stage].service;
             if let Some(service) = self.services.get_mut(name) {
-                service.committed += after.saturating_sub(before);
+                if !request.is_late {
+                    service.committed += after.saturating_sub(before);
+                }
                 service.waiting.retain(|other| {
                     other.key != waiting.key || request.piece(other.at) == Some(&Piece::Waiting)
                 });
@@ -506,13 +537,11 @@
         let Some(mut request) = self.requests.remove(key) else {
             return;
         };
-        for stage in 0..request.pieces.len() {
-            let unfinished = request.unfinished(stage);
-            let name = &request.submission.stages[stage].service;
-            if let Some(service) = self.services.get_mut(name) {
-                service.committed = service.committed.saturating_sub(unfinished);
-                service.waiting.retain(|waiting| waiting.key != *key);
-            }
+        if !request.is_late {
+            uncommit(&mut self.services, &request);
+        }
+        for service in self.services.values_mut() {
+            service.waiting.retain(|waiting| waiting.key != *key);
         }
         let unneeded = request.take_unneeded(true);
         self.free_results(unneeded);
@@ -623,6 +652,16 @@
     }
 }
 
+/// Takes the pieces of a request that are not done out of what is committed.
+fn uncommit(services: &mut BTreeMap<PoolName, StageService>, request: &Request) {
+    for (stage, unfinished) in request.unfinished_by_stage().into_iter().enumerate() {
+        let name = &request.submission.stages[stage].service;
+        if let Some(service) = services.get_mut(name) {
+            service.committed = service.committed.saturating_sub(unfinished);
+        }
+    }
+}
+
 fn call_item(now_ms: u64, request: &Request, at: PieceAt) -> CallItem {
     let inputs = request.inputs(at.stage);
     let has_key = request.submission.stages[at.stage].after.is_empty();
--- a/crates/core/src/stages/service.rs
+++ b/crates/core/src/stages/service.rs
@@ -8,6 +8,10 @@
 /// How much a new measure counts for the usual time of a stage.
 const USUAL_WEIGHT: f64 = 0.1;
 
+/// Part of a server's memory that is used, in per cent: the sizes of results are
+/// known only roughly, and a piece without room is a call in vain.
+const USABLE_ROOM_PERCENT: u64 = 85;
+
 /// A piece that waits for a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Waiting {
@@ -25,8 +29,8 @@
     pub(super) batching: Batching,
     pub(super) servers: BTreeMap<BackendName, Server>,
     pub(super) waiting: Vec<Waiting>,
-    /// Pieces of taken requests that are not done, waiting for this stage or an
-    /// earlier one.
+    /// Pieces that are not done of requests that can make their goal, waiting for
+    /// this stage or an earlier one.
     pub(super) committed: usize,
     /// Pieces that are part of a call.
     pub(super) running: usize,
@@ -50,6 +54,11 @@
         self.usual_ms += USUAL_WEIGHT * (elapsed_ms - self.usual_ms);
     }
 
+    /// Returns the memory of one server that is given away, in bytes.
+    pub(super) fn usable_room_bytes(&self) -> u64 {
+        self.batching.room_bytes * USABLE_ROOM_PERCENT / 100
+    }
+
     /// Returns the pieces that its servers finish in a ms with full batches.
     pub(super) fn rate_per_ms(&self, now_ms: u64) -> f64 {
         let full = self.batching.batch_pieces;
--- a/crates/server/src/gateway/dispatch.rs
+++ b/crates/server/src/gateway/dispatch.rs
@@ -13,7 +13,8 @@
 use savoryvane_core::{
     ids::BackendName,
     stages::{
-        CallEnd, RequestKey, StageAction, StageCall, StageOutcome, StageScheduler, Submission,
+        CallEnd, ItemEnd, RequestKey, StageAction, StageCall, StageOutcome, StageScheduler,
+        Submission,
     },
 };
 use savoryvane_platform::{answer, stages};
@@ -150,17 +151,7 @@
         let elapsed_ms = began.elapsed().as_millis() as u64;
         metrics::counter!("savoryvane_stage_calls_ended_total", "end" => end.as_str()).increment(1);
         metrics::histogram!("savoryvane_stage_call_seconds").record(began.elapsed());
-        match &end {
-            CallEnd::Answered(_) => {
-                info!(self.log, "pieces called"; "call" => call.id.0, "server" => %call.server,
-                    "pieces" => call.items.len(), "elapsed_ms" => elapsed_ms);
-            }
-            end => {
-                warn!(self.log, "pieces not called"; "call" => call.id.0,
-                    "server" => %call.server, "pieces" => call.items.len(),
-                    "elapsed_ms" => elapsed_ms, "end" => end.as_str());
-            }
-        }
+        self.log_call(&call, &end, elapsed_ms);
         if end == CallEnd::Misdirected {
             self.knowledge.on_leaving(&call.server);
         }
@@ -169,6 +160,22 @@
         self.carry_out();
     }
 
+    fn log_call(&self, call: &StageCall, end: &CallEnd, elapsed_ms: u64) {
+        let CallEnd::Answered(items) = end else {
+            warn!(self.log, "pieces not called"; "call" => call.id.0,
+                "service" => %call.service, "server" => %call.server,
+                "pieces" => call.items.len(), "elapsed_ms" => elapsed_ms, "end" => end.as_str());
+            return;
+        };
+        let count = |end: &ItemEnd| items.iter().filter(|item| *item == end).count();
+        let done = items.iter().filter(|item| matches!(item, ItemEnd::Done(_)));
+        info!(self.log, "pieces called"; "call" => call.id.0, "service" => %call.service,
+            "server" => %call.server, "pieces" => items.len(), "done" => done.count(),
+            "late" => count(&ItemEnd::Late), "input_gone" => count(&ItemEnd::InputGone),
+            "no_room" => count(&ItemEnd::NoRoom), "failed" => count(&ItemEnd::Failed),
+            "elapsed_ms" => elapsed_ms);
+    }
+
     async fn exchange(&self, call: &StageCall) -> CallEnd {
         let body = match stages::encode_run(&call.items) {
             Ok(body) => body,
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -296,7 +296,7 @@
                 Sent::Ended(end, failure) => (end, failure),
             };
             may_have_run |= matches!(end, AttemptEnd::Failed | AttemptEnd::Lost);
-            sends += u32::from(end != AttemptEnd::NotSent);
+            sends += u32::from(end.counts());
             let has_room = sends < caller.route().max_servers
                 && tried.len() < MOST_UNREACHED
                 && !caller.left().is_zero();
@@ -430,7 +430,12 @@
         let response = Response::from_parts(parts, body);
         if head.is_not_run {
             in_flight.end(ServerEnd::Full);
-            return Sent::Ended(AttemptEnd::NotRun, None);
+            let end = if head.is_misdirected {
+                AttemptEnd::Misdirected
+            } else {
+                AttemptEnd::NotRun
+            };
+            return Sent::Ended(end, None);
         }
         in_flight.end(ServerEnd::Answered);
         if status.is_success() || status.is_client_error() {
