Read the store in one place, and take callers who come back only where there is room

Change: the instance that schedules tells the others what has changed, by revision; they read the store themselves only when what it tells is older than 1.4 s. A caller with less time than is usual on its route, while refusals go on, counts as having waited; its stages are done with what the others leave. Retry-After grows with a burst.

--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -5,15 +5,17 @@
 mod directory;
 mod objects;
 mod placement;
+mod returning;
 mod steps;
 mod table;
 
 pub use budget::{BudgetSettings, RepeatBudgets};
-pub use directory::{Directory, ServerEntry, ServerState};
+pub use directory::{Directory, DirectoryUpdate, ServerEntry, ServerState};
 pub use objects::{
     Batching, CallerLimits, Engine, Route, RouteKind, RouteStage, RoutingConfig, Service, Target,
     WorkspaceKeys,
 };
 pub use placement::{Chosen, Placement, Prompt, PromptPart};
+pub use returning::UsualDeadlines;
 pub use steps::{AttemptEnd, Giving, NextStep, Repeats, next_step};
 pub use table::{Matched, RouteTable, Unroutable};
--- a/crates/core/src/forwarding/directory.rs
+++ b/crates/core/src/forwarding/directory.rs
@@ -1,7 +1,7 @@
 //! The backend servers that have registered themselves.
 
 use std::{
-    collections::{BTreeMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashSet, VecDeque},
     net::SocketAddr,
 };
 
@@ -42,12 +42,23 @@
     pub state: ServerState,
 }
 
+/// What a directory tells one that has an earlier revision of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DirectoryUpdate {
+    /// All its servers.
+    Whole(Vec<ServerEntry>),
+    /// Those that changed: what they say of themselves, or none once gone.
+    Changes(Vec<(BackendName, Option<ServerEntry>)>),
+}
+
 /// The servers that are registered, by their identifiers.
 #[derive(Debug, Default)]
 pub struct Directory {
     entries: BTreeMap<BackendName, ServerEntry>,
-    /// Position in the register up to which its records are applied.
-    position: u64,
+    /// Number of changes that were made to it.
+    revision: u64,
+    /// Servers that changed lately, with the revisions that they led to.
+    changes: VecDeque<(u64, BackendName)>,
     /// Servers that have left; an entry that was already on its way does not
     /// bring them back.
     left: HashSet<BackendName>,
@@ -55,11 +66,18 @@
 
 /// Most servers that are remembered as having left.
 const MOST_LEFT: usize = 4_096;
+/// Changes that are remembered, so that others can be told them alone.
+const MOST_CHANGES: usize = 1_024;
 
 impl Directory {
-    /// Returns the position up to which the register is applied.
-    pub fn position(&self) -> u64 {
-        self.position
+    /// Returns the number of changes that were made to it.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Tells whether it has no server.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
     }
 
     /// Iterates over the servers in the order of their identifiers.
@@ -75,49 +93,97 @@
     /// Applies one record of the register: what a server says of itself, or
     /// none once it is gone. Returns whether anything changed.
     pub fn apply(&mut self, id: &BackendName, entry: Option<ServerEntry>) -> bool {
-        let Some(mut entry) = entry else {
-            return self.entries.remove(id).is_some();
+        let has_changed = match entry {
+            None => self.entries.remove(id).is_some(),
+            Some(entry) => self.put(id, entry),
         };
+        if has_changed {
+            self.note_change(id);
+        }
+        has_changed
+    }
+
+    fn put(&mut self, id: &BackendName, mut entry: ServerEntry) -> bool {
         if self.left.contains(id) {
             entry.state = ServerState::Leaving;
         }
         if entry.state == ServerState::Leaving && self.left.len() < MOST_LEFT {
             self.left.insert(id.clone());
         }
-        let changed = self.entries.get(id) != Some(&entry);
+        if self.entries.get(id) == Some(&entry) {
+            return false;
+        }
         self.entries.insert(id.clone(), entry);
-        changed
+        true
+    }
+
+    fn note_change(&mut self, id: &BackendName) {
+        self.revision += 1;
+        self.changes.push_back((self.revision, id.clone()));
+        if self.changes.len() > MOST_CHANGES {
+            self.changes.pop_front();
+        }
     }
 
     /// Notes that a server says in an answer that it is leaving.
     pub fn on_leaving(&mut self, id: &BackendName) -> bool {
-        let Some(entry) = self.entries.get_mut(id) else {
+        let Some(mut entry) = self.entries.get(id).cloned() else {
             return false;
         };
-        let changed = entry.state != ServerState::Leaving;
         entry.state = ServerState::Leaving;
-        self.left.insert(id.clone());
-        changed
-    }
-
-    /// Notes that the register is applied up to `position`.
-    pub fn advance(&mut self, position: u64) {
-        self.position = self.position.max(position);
+        self.apply(id, Some(entry))
     }
 
-    /// Replaces all entries by a whole listing that is good up to `position`.
-    /// Returns whether anything changed.
-    pub fn replace(&mut self, listing: Vec<ServerEntry>, position: u64) -> bool {
-        let kept: HashSet<BackendName> = listing.iter().map(|entry| entry.id.clone()).collect();
-        let before = self.entries.len();
-        self.entries.retain(|id, _| kept.contains(id));
-        let mut changed = self.entries.len() != before;
+    /// Replaces all entries by a whole listing. Returns whether anything
+    /// changed.
+    pub fn replace(&mut self, listing: Vec<ServerEntry>) -> bool {
+        let listed: HashSet<&BackendName> = listing.iter().map(|entry| &entry.id).collect();
+        let gone = self.entries.keys().filter(|id| !listed.contains(id));
+        let gone: Vec<BackendName> = gone.cloned().collect();
+        let before = self.revision;
+        for id in gone {
+            self.apply(&id, None);
+        }
         for entry in listing {
             let id = entry.id.clone();
-            changed |= self.apply(&id, Some(entry));
+            self.apply(&id, Some(entry));
         }
-        self.position = self.position.max(position);
-        changed
+        self.revision != before
+    }
+
+    /// Takes over what another instance tells of its directory. Returns whether
+    /// anything changed.
+    pub fn update(&mut self, update: DirectoryUpdate) -> bool {
+        match update {
+            DirectoryUpdate::Whole(listing) => self.replace(listing),
+            DirectoryUpdate::Changes(changes) => {
+                let before = self.revision;
+                for (id, entry) in changes {
+                    self.apply(&id, entry);
+                }
+                self.revision != before
+            }
+        }
+    }
+
+    /// Returns what has changed since the revision `since`, or everything when
+    /// that is unknown or too long ago.
+    pub fn update_since(&self, since: Option<u64>) -> DirectoryUpdate {
+        let oldest = self.changes.front().map_or(self.revision, |(at, _)| at - 1);
+        let since = since.filter(|since| (oldest..=self.revision).contains(since));
+        let Some(since) = since else {
+            return DirectoryUpdate::Whole(self.entries.values().cloned().collect());
+        };
+        let changed: BTreeSet<&BackendName> = self
+            .changes
+            .iter()
+            .filter(|(at, _)| *at > since)
+            .map(|(_, id)| id)
+            .collect();
+        let changes = changed
+            .into_iter()
+            .map(|id| (id.clone(), self.entries.get(id).cloned()));
+        DirectoryUpdate::Changes(changes.collect())
     }
 
     /// Returns the pools and backend servers that the fleet is to know. Pools
--- a/crates/core/src/stages/admission.rs
+++ b/crates/core/src/stages/admission.rs
@@ -7,7 +7,12 @@
 
 use std::collections::BTreeMap;
 
-use super::{Submission, service::StageService};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{
+    Submission,
+    service::{StageService, Taken},
+};
 use crate::ids::PoolName;
 
 /// Part of the time to its goal that a request may be expected to need, in per
@@ -20,6 +25,23 @@
 /// call of a stage, after which its queue has changed.
 const SHORTEST_RETRY_AFTER_MS: u64 = 250;
 
+/// Longest such time, in ms: callers wait at most a third of what they have left,
+/// which is 6 to 20 s.
+const LONGEST_RETRY_AFTER_MS: u64 = 3_000;
+/// Time without a refusal after which one counts as over, in ms.
+const RECENT_MS: u64 = 4_000;
+/// Time by which the deadline of a caller who comes back is shorter than usual
+/// at least, in ms: the shortest that one is asked to wait.
+const LEAST_MISSING_MS: u64 = 150;
+/// What a piece that was taken late counts beside one that goes before a new one:
+/// it fills what is left of a call, which takes longer by its own time alone.
+const LATE_WEIGHT: f64 = 0.25;
+/// Part of the time to the goal of a new request within which the stages of one
+/// who comes back have to be done, in per cent. With all the time to its
+/// deadline, late work went on for ten seconds after a burst, and on a calm day
+/// of 75 instances 40 in 100 were late instead of 15.
+const LATE_USABLE_PERCENT: u64 = 60;
+
 /// How long the stages of a request are expected to take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Forecast {
@@ -31,10 +53,21 @@
 
 /// Estimates when the stages of `submission` would be done, after all that was
 /// taken before it.
-pub(super) fn forecast(
+pub(super) fn forecast_all(
     now_ms: u64,
     submission: &Submission,
     services: &BTreeMap<PoolName, StageService>,
+) -> Forecast {
+    forecast(now_ms, submission, services, 1.0)
+}
+
+/// Estimates when the stages of `submission` would be done, where pieces that
+/// were taken late count by `late_weight`.
+fn forecast(
+    now_ms: u64,
+    submission: &Submission,
+    services: &BTreeMap<PoolName, StageService>,
+    late_weight: f64,
 ) -> Forecast {
     let mut ends_ms: Vec<f64> = Vec::with_capacity(submission.stages.len());
     let mut has_gap = false;
@@ -64,7 +97,7 @@
         // until the first does.
         let is_begun = service.running > 0 || !service.waiting.is_empty();
         let idle_ms = if is_begun { 0.0 } else { ready_ms };
-        let backlog_ms = idle_ms + (service.committed + pieces) as f64 / rate;
+        let backlog_ms = idle_ms + (service.committed.ahead(late_weight) + pieces as f64) / rate;
         let begin_ms = ready_ms + turn_ms(now_ms, service, ready_ms);
         let own_ms = service
             .batching
@@ -90,16 +123,80 @@
     service.batching.duration_ms(half) / (open + 1) as f64
 }
 
-/// Tells whether a request with this forecast would be answered in time.
-pub(super) fn is_in_time(submission: &Submission, forecast: Forecast) -> bool {
+/// What has been refused lately.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Refusals {
+    began_ms: u64,
+    last_ms: Option<u64>,
+}
+
+impl Refusals {
+    /// Notes a refusal.
+    fn note(&mut self, now_ms: u64) {
+        if !self.are_recent(now_ms) {
+            self.began_ms = now_ms;
+        }
+        self.last_ms = Some(now_ms);
+    }
+
+    fn are_recent(&self, now_ms: u64) -> bool {
+        self.last_ms
+            .is_some_and(|last_ms| now_ms.saturating_sub(last_ms) <= RECENT_MS)
+    }
+
+    /// Returns how long refusals have gone on, in ms.
+    fn lasted_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.began_ms)
+    }
+}
+
+/// Decides whether the stages of a request are begun, and how. One who comes
+/// back after a refusal has lost its goal and is taken where its deadline leaves
+/// enough room.
+pub(super) fn admit(
+    now_ms: u64,
+    submission: &Submission,
+    services: &BTreeMap<PoolName, StageService>,
+    refusals: &Refusals,
+) -> Option<Taken> {
     let rank = usize::from(submission.priority).min(USABLE_PERCENT.len() - 1);
-    let usable_ms = submission.goal_left_ms * USABLE_PERCENT[rank] / 100;
-    !forecast.has_gap && forecast.stages_ms + submission.rest_ms <= usable_ms
+    let is_returning = submission.missing_ms >= LEAST_MISSING_MS && refusals.are_recent(now_ms);
+    let waited_ms = if is_returning {
+        submission.missing_ms
+    } else {
+        0
+    };
+    let goal_ms = submission.goal_left_ms.saturating_sub(waited_ms);
+    let in_time = forecast(now_ms, submission, services, LATE_WEIGHT);
+    if in_time.has_gap {
+        return None;
+    }
+    let needed_ms = in_time.stages_ms + submission.rest_ms;
+    if needed_ms <= goal_ms * USABLE_PERCENT[rank] / 100 {
+        return Some(Taken::InTime);
+    }
+    let late = forecast_all(now_ms, submission, services);
+    let needed_ms = late.stages_ms + submission.rest_ms;
+    let has_room = needed_ms <= submission.goal_left_ms * LATE_USABLE_PERCENT / 100
+        && needed_ms <= submission.deadline_left_ms;
+    (is_returning && has_room).then_some(Taken::Late)
 }
 
-/// Estimates when a request that is refused now would be in time.
-pub(super) fn retry_after_ms(submission: &Submission, forecast: Forecast) -> u64 {
+/// Estimates when a request that is refused now would be taken: when the queue
+/// has gone down, and a burst that has lasted a while is over, which is expected
+/// to last half as long again. It differs from request to request, so that the
+/// callers do not come back together.
+pub(super) fn retry_after_ms(
+    now_ms: u64,
+    submission: &Submission,
+    forecast: Forecast,
+    refusals: &mut Refusals,
+) -> u64 {
+    refusals.note(now_ms);
     let needed_ms = forecast.stages_ms + submission.rest_ms;
     let excess_ms = needed_ms.saturating_sub(submission.goal_left_ms);
-    excess_ms.max(SHORTEST_RETRY_AFTER_MS)
+    let usual_ms = SHORTEST_RETRY_AFTER_MS + excess_ms + refusals.lasted_ms(now_ms) / 2;
+    let usual_ms = usual_ms.min(LONGEST_RETRY_AFTER_MS);
+    let spread_ms = xxh3_64(submission.request.as_str().as_bytes()) % (usual_ms / 2);
+    usual_ms - usual_ms / 4 + spread_ms
 }
--- a/crates/core/src/stages/request.rs
+++ b/crates/core/src/stages/request.rs
@@ -1,6 +1,6 @@
 //! The stages of one request: what is done, what can be done next.
 
-use super::{CallId, Submission, work::ResultRef};
+use super::{CallId, Submission, service::Taken, work::ResultRef};
 use crate::ids::{BackendName, ZoneName};
 
 /// Where one piece stands.
@@ -46,6 +46,8 @@
     pub(super) zone: Option<ZoneName>,
     /// Pieces that were sent again after a failure.
     pub(super) repeats: u32,
+    /// How it was taken.
+    pub(super) taken: Taken,
     /// Whether it can't make its goal any more; it is done with what the others
     /// leave, and nobody waits for it.
     pub(super) is_late: bool,
@@ -54,7 +56,12 @@
 }
 
 impl Request {
-    pub(super) fn new(now_ms: u64, submission: Submission, rest_ms: Vec<u64>) -> Self {
+    pub(super) fn new(
+        now_ms: u64,
+        submission: Submission,
+        rest_ms: Vec<u64>,
+        taken: Taken,
+    ) -> Self {
         let pieces = submission
             .stages
             .iter()
@@ -68,7 +75,8 @@
             pieces,
             submission,
             repeats: 0,
-            is_late: false,
+            taken,
+            is_late: taken == Taken::Late,
             is_finished: false,
         }
     }
--- a/crates/core/src/stages/scheduler.rs
+++ b/crates/core/src/stages/scheduler.rs
@@ -3,12 +3,12 @@
 use std::collections::{BTreeMap, HashMap};
 
 use super::{
-    admission,
+    admission::{self, Refusals},
     batch::{self, Batch},
     kept::{Kept, KeptResults},
     request::{Piece, PieceAt, Request},
     server::Server,
-    service::{StageService, Waiting},
+    service::{StageService, Taken, Waiting},
     work::{
         CallId, CallItem, ItemInput, Refusal, RequestKey, ResultRef, StageAction, StageCall,
         StageOutcome, Submission,
@@ -100,6 +100,7 @@
     calls: HashMap<CallId, RunningCall>,
     kept: KeptResults,
     last_call: u64,
+    refusals: Refusals,
     actions: Vec<StageAction>,
 }
 
@@ -147,32 +148,21 @@
     /// Takes a request's stages, or refuses them where they would not be done in
     /// time; how they end is told by an action.
     pub fn submit(&mut self, now_ms: u64, submission: Submission) {
-        let forecast = admission::forecast(now_ms, &submission, &self.services);
-        if !admission::is_in_time(&submission, forecast) {
-            let (reason, retry_after_ms) = if forecast.has_gap {
-                (Refusal::NoServer, NO_SERVER_RETRY_AFTER_MS)
-            } else {
-                let retry_after_ms = admission::retry_after_ms(&submission, forecast);
-                (Refusal::TooBusy, retry_after_ms)
-            };
-            self.actions.push(StageAction::Finish {
-                key: submission.key,
-                outcome: StageOutcome::Refused {
-                    reason,
-                    retry_after_ms,
-                    forecast_ms: forecast.stages_ms,
-                },
-            });
+        let Some(taken) = admission::admit(now_ms, &submission, &self.services, &self.refusals)
+        else {
+            let outcome = self.refusal(now_ms, &submission, Refusal::TooBusy);
+            let key = submission.key;
+            self.actions.push(StageAction::Finish { key, outcome });
             return;
-        }
+        };
         let key = submission.key.clone();
         let rest_ms = self.rest_ms(&submission);
         for stage in &submission.stages {
             if let Some(service) = self.services.get_mut(&stage.service) {
-                service.committed += stage.pieces as usize;
+                service.committed.add(taken, stage.pieces as usize);
             }
         }
-        let request = Request::new(now_ms, submission, rest_ms);
+        let request = Request::new(now_ms, submission, rest_ms, taken);
         self.requests.insert(key.clone(), request);
         self.advance(now_ms, &key);
     }
@@ -399,7 +389,9 @@
             self.free(&call.service, &call.server, vec![handle.clone()]);
             return;
         };
+        let mut taken = Taken::InTime;
         if let Some(request) = self.requests.get_mut(&waiting.key) {
+            taken = request.taken;
             let bytes = request.submission.stages[waiting.at.stage].result_bytes;
             if let Some(piece) = request.piece_mut(waiting.at) {
                 *piece = Piece::Done {
@@ -413,7 +405,7 @@
             }
         }
         if let Some(service) = self.services.get_mut(&call.service) {
-            service.committed = service.committed.saturating_sub(1);
+            service.committed.remove(taken, 1);
             service.on_piece_done(now_ms.saturating_sub(waiting.since_ms) as f64);
             service
                 .waiting
@@ -516,7 +508,8 @@
         for (stage, (before, after)) in before.into_iter().zip(after).enumerate() {
             let name = &request.submission.stages[stage].service;
             if let Some(service) = self.services.get_mut(name) {
-                service.committed += after.saturating_sub(before);
+                let again = after.saturating_sub(before);
+                service.committed.add(request.taken, again);
                 service.waiting.retain(|other| {
                     other.key != waiting.key || request.piece(other.at) == Some(&Piece::Waiting)
                 });
@@ -531,12 +524,8 @@
             return;
         };
         if !request.is_finished {
-            let forecast = admission::forecast(now_ms, &request.submission, &self.services);
-            let outcome = StageOutcome::Refused {
-                reason,
-                retry_after_ms: admission::retry_after_ms(&request.submission, forecast),
-                forecast_ms: forecast.stages_ms,
-            };
+            let submission = request.submission.clone();
+            let outcome = self.refusal(now_ms, &submission, reason);
             self.actions.push(StageAction::Finish {
                 key: key.clone(),
                 outcome,
@@ -545,6 +534,22 @@
         self.remove(key);
     }
 
+    fn refusal(&mut self, now_ms: u64, submission: &Submission, reason: Refusal) -> StageOutcome {
+        let forecast = admission::forecast_all(now_ms, submission, &self.services);
+        let (reason, retry_after_ms) = if forecast.has_gap {
+            (Refusal::NoServer, NO_SERVER_RETRY_AFTER_MS)
+        } else {
+            let refusals = &mut self.refusals;
+            let after_ms = admission::retry_after_ms(now_ms, submission, forecast, refusals);
+            (reason, after_ms)
+        };
+        StageOutcome::Refused {
+            reason,
+            retry_after_ms,
+            forecast_ms: forecast.stages_ms,
+        }
+    }
+
     fn remove(&mut self, key: &RequestKey) {
         let Some(mut request) = self.requests.remove(key) else {
             return;
@@ -671,7 +676,7 @@
     for (stage, unfinished) in request.unfinished_by_stage().into_iter().enumerate() {
         let name = &request.submission.stages[stage].service;
         if let Some(service) = services.get_mut(name) {
-            service.committed = service.committed.saturating_sub(unfinished);
+            service.committed.remove(request.taken, unfinished);
         }
     }
 }
--- a/crates/core/src/stages/service.rs
+++ b/crates/core/src/stages/service.rs
@@ -12,6 +12,46 @@
 /// known only roughly, and a piece without room is a call in vain.
 const USABLE_ROOM_PERCENT: u64 = 85;
 
+/// How a request was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Taken {
+    /// It was to be in time.
+    InTime,
+    /// Its goal was lost already; it is done with what the others leave.
+    Late,
+}
+
+/// Pieces of taken requests that are not done.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Committed {
+    in_time: usize,
+    late: usize,
+}
+
+impl Committed {
+    fn of(&mut self, taken: Taken) -> &mut usize {
+        match taken {
+            Taken::InTime => &mut self.in_time,
+            Taken::Late => &mut self.late,
+        }
+    }
+
+    pub(super) fn add(&mut self, taken: Taken, pieces: usize) {
+        *self.of(taken) += pieces;
+    }
+
+    pub(super) fn remove(&mut self, taken: Taken, pieces: usize) {
+        let count = self.of(taken);
+        *count = count.saturating_sub(pieces);
+    }
+
+    /// Returns the pieces that go before a new one, those that were taken late
+    /// by `late_weight` each.
+    pub(super) fn ahead(&self, late_weight: f64) -> f64 {
+        self.in_time as f64 + self.late as f64 * late_weight
+    }
+}
+
 /// A piece that waits for a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Waiting {
@@ -30,8 +70,8 @@
     pub(super) servers: BTreeMap<BackendName, Server>,
     pub(super) waiting: Vec<Waiting>,
     /// Pieces of taken requests that are not done, waiting for this stage or an
-    /// earlier one. Those that are late count: they fill what is left of calls.
-    pub(super) committed: usize,
+    /// earlier one.
+    pub(super) committed: Committed,
     /// Pieces that are part of a call.
     pub(super) running: usize,
     /// Usual time from a piece being ready to its result, in ms.
@@ -44,7 +84,7 @@
             batching,
             servers: BTreeMap::new(),
             waiting: Vec::new(),
-            committed: 0,
+            committed: Committed::default(),
             running: 0,
             usual_ms: batching.duration_ms(batching.batch_pieces / 2),
         }
--- a/crates/core/src/stages/work.rs
+++ b/crates/core/src/stages/work.rs
@@ -45,6 +45,9 @@
     pub goal_left_ms: u64,
     /// Time left until its caller gives up, in ms.
     pub deadline_left_ms: u64,
+    /// Time by which its deadline is shorter than is usual, in ms: its caller may
+    /// have waited that long already, after a refusal.
+    pub missing_ms: u64,
     /// Time that the request itself needs after its stages, in ms.
     pub rest_ms: u64,
     /// Its rank, 0 being the most urgent.
--- a/crates/core/tests/stages_world/mod.rs
+++ b/crates/core/tests/stages_world/mod.rs
@@ -155,6 +155,7 @@
             piece_key: format!("k{number}"),
             goal_left_ms: goal_ms,
             deadline_left_ms: 6_000,
+            missing_ms: 0,
             rest_ms: 100,
             priority: 0,
             home_zone: None,
--- a/crates/server/src/gateway.rs
+++ b/crates/server/src/gateway.rs
@@ -5,6 +5,7 @@
 mod dispatch;
 mod follow;
 mod forward;
+mod freshness;
 mod ingress;
 mod instance;
 mod knowledge;
--- a/crates/server/src/gateway/follow.rs
+++ b/crates/server/src/gateway/follow.rs
@@ -1,15 +1,12 @@
 //! Follows the store: the configuration, the register of servers, and the list
 //! of our own instances.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
-use savoryvane_core::{forwarding::ServerEntry, ids::BackendName};
+use savoryvane_core::{
+    forwarding::{DirectoryUpdate, ServerEntry},
+    ids::BackendName,
+};
 use savoryvane_platform::{
     configuration, servers,
     store::{CONFIGURATION_KEY, Read, Record, Topic},
@@ -18,22 +15,29 @@
 use tokio::time::{self, Instant};
 
 use super::{
+    freshness::Freshness,
     knowledge::Knowledge,
     members::Members,
     store::{Result, StoreClient, StoreError},
 };
-use crate::clock::Clock;
 
-/// Time that one read of the configuration waits for a change: long enough that
-/// a calm day costs few calls, short enough that a connection that went silent
-/// is noticed within the time in which a change has to be in force.
+/// Time that one read of the configuration waits for a change where nobody else
+/// tells it: short enough that a connection that went silent is noticed within
+/// the time in which a change has to be in force.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_000);
+/// The same while the instance that schedules tells changes: calls of the store
+/// are dear, and this one only stands by.
+const RELAYED_CONFIGURATION_WAIT: Duration = Duration::from_secs(15);
+/// Time between two looks at whether it still does.
+const RELAYED_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two reads of the register of servers. Servers write there every
 /// 1.2 s, so that a waiting read would be answered at once all the time; a
 /// leaving server has to be left alone after 2 s.
 const SERVERS_INTERVAL: Duration = Duration::from_millis(800);
 /// Time between two reads of the list of instances.
 const INSTANCES_INTERVAL: Duration = Duration::from_secs(5);
+/// The same while the instance that schedules tells changes.
+const RELAYED_INSTANCES_INTERVAL: Duration = Duration::from_secs(30);
 /// The same in the first seconds, in which all instances start.
 const FIRST_INSTANCES_INTERVAL: Duration = Duration::from_secs(1);
 /// Reads of the list of instances in those first seconds.
@@ -47,41 +51,6 @@
 /// entries that are still missing then are gone.
 const RETURN_GRACE: Duration = Duration::from_millis(2_000);
 
-/// Age from which what the store said last counts as old, in ms: a few reads
-/// have failed by then.
-const FRESH_MS: u64 = 2_000;
-
-/// When the store last told the configuration and the servers.
-#[derive(Debug)]
-pub(super) struct Freshness {
-    clock: Clock,
-    configuration_ms: AtomicU64,
-    servers_ms: AtomicU64,
-}
-
-impl Freshness {
-    pub(super) fn new(clock: Clock) -> Self {
-        Self {
-            clock,
-            configuration_ms: AtomicU64::new(0),
-            servers_ms: AtomicU64::new(0),
-        }
-    }
-
-    /// Tells whether both were told a short time ago.
-    pub(super) fn is_fresh(&self) -> bool {
-        let now_ms = self.clock.now_ms();
-        [&self.configuration_ms, &self.servers_ms].iter().all(|at| {
-            let at_ms = at.load(Ordering::Relaxed);
-            at_ms > 0 && now_ms.saturating_sub(at_ms) <= FRESH_MS
-        })
-    }
-
-    fn note(&self, at: &AtomicU64) {
-        at.store(self.clock.now_ms().max(1), Ordering::Relaxed);
-    }
-}
-
 /// A topic that is followed, and how its calls go.
 struct Topical {
     topic: Topic,
@@ -161,13 +130,21 @@
 ) {
     let mut topical = Topical::new(Topic::Operator, "configuration", log.clone());
     loop {
-        let read = topical.read(&store, CONFIGURATION_WAIT).await;
+        let is_relayed = topical.next.is_some() && freshness.is_relayed();
+        let read = if is_relayed {
+            tokio::select! {
+                read = topical.read(&store, RELAYED_CONFIGURATION_WAIT) => read,
+                () = freshness.until_not_relayed() => continue,
+            }
+        } else {
+            topical.read(&store, CONFIGURATION_WAIT).await
+        };
         topical.on_read(&read.as_ref().map(drop));
         let Ok((records, _)) = read else {
             topical.pause().await;
             continue;
         };
-        freshness.note(&freshness.configuration_ms);
+        freshness.on_configuration(0);
         let newest = records
             .iter()
             .rev()
@@ -193,6 +170,13 @@
     let mut keeps_until: Option<Instant> = None;
     loop {
         let began = Instant::now();
+        if freshness.is_relayed() {
+            // What was read before is older than what is told now.
+            topical.next = None;
+            keeps_until = None;
+            time::sleep(RELAYED_INTERVAL).await;
+            continue;
+        }
         if keeps_until.is_some_and(|until| until <= began) {
             keeps_until = None;
             topical.next = None;
@@ -205,18 +189,18 @@
             topical.pause().await;
             continue;
         };
-        freshness.note(&freshness.servers_ms);
-        let position = topical.next.unwrap_or_default();
+        freshness.on_servers(0);
         let mut records: Vec<_> = records
             .iter()
             .map(|record| (BackendName::new(&record.key), entry(&log, record)))
             .collect();
         if is_whole && keeps_until.is_none() {
             let listing = records.into_iter().filter_map(|(_, entry)| entry);
-            knowledge.replace_servers(listing.collect(), position, "store");
+            let listing = DirectoryUpdate::Whole(listing.collect());
+            knowledge.update_servers(listing, "store");
         } else {
             records.retain(|(_, entry)| keeps_until.is_none() || entry.is_some());
-            knowledge.apply_servers(records, position);
+            knowledge.apply_servers(records);
         }
         time::sleep_until(began + SERVERS_INTERVAL).await;
     }
@@ -234,7 +218,12 @@
 }
 
 /// Writes this instance into the list of instances, and follows the list.
-pub(super) async fn instances(store: StoreClient, members: Arc<Members>, log: Logger) {
+pub(super) async fn instances(
+    store: StoreClient,
+    members: Arc<Members>,
+    freshness: Arc<Freshness>,
+    log: Logger,
+) {
     let mut topical = Topical::new(Topic::Instances, "instances", log.clone());
     let mut is_written = false;
     let mut reads = 0;
@@ -261,6 +250,8 @@
         reads += 1;
         let interval = if reads <= FIRST_INSTANCES_READS {
             FIRST_INSTANCES_INTERVAL
+        } else if freshness.is_relayed() {
+            RELAYED_INSTANCES_INTERVAL
         } else {
             INSTANCES_INTERVAL
         };
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -220,6 +220,10 @@
             piece_key: caller.head.piece_key.clone(),
             goal_left_ms: route.goal_ms.saturating_sub(elapsed_ms),
             deadline_left_ms: caller.left().as_millis() as u64,
+            missing_ms: caller.head.deadline_ms.map_or(0, |deadline_ms| {
+                let now_ms = self.clock.now_ms();
+                self.knowledge.missing_ms(now_ms, &route.name, deadline_ms)
+            }),
             rest_ms: rest_ms(caller),
             priority: caller.matched.priority,
             home_zone: caller.prompt().and_then(|prompt| {
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -13,11 +13,12 @@
 
 use super::{
     dispatch::{self, Dispatch},
-    follow::{self, Freshness},
+    follow,
     forward::Forwarder,
+    freshness::Freshness,
     ingress::{self, Service},
     knowledge::Knowledge,
-    members::{self, Members},
+    members::{self, CatchUp, Members},
     peering::Peering,
     settings::GatewaySettings,
     stages::Stages,
@@ -149,6 +150,7 @@
     freshness: Arc<Freshness>,
     knowledge: Arc<Knowledge>,
     members: Arc<Members>,
+    catch_up: Arc<CatchUp>,
     servers: Arc<Connections>,
     dispatch: Arc<Dispatch>,
     forwarder: Arc<Forwarder>,
@@ -173,6 +175,12 @@
         let (peers, _linked) = PeerHandle::new(me.clone(), log.clone());
         let members = Members::new(settings, incarnation, clock, peers, log.clone());
         let members = Arc::new(members);
+        let freshness = Arc::new(Freshness::new(clock));
+        let catch_up = Arc::new(CatchUp::new(
+            Arc::clone(&knowledge),
+            Arc::clone(&freshness),
+            incarnation,
+        ));
         let dispatch = Dispatch::new(
             clock,
             Arc::clone(&knowledge),
@@ -195,16 +203,17 @@
         });
         let handler = Arc::new(Peering {
             members: Arc::clone(&members),
-            knowledge: Arc::clone(&knowledge),
+            catch_up: Arc::clone(&catch_up),
             dispatch: Arc::clone(&dispatch),
             phases: Arc::clone(phases),
         });
         Self {
             phases: Arc::clone(phases),
             store: StoreClient::new(settings.store),
-            freshness: Arc::new(Freshness::new(clock)),
+            freshness,
             knowledge,
             members,
+            catch_up,
             servers,
             dispatch,
             forwarder,
@@ -241,18 +250,18 @@
             Arc::clone(&self.freshness),
             self.log.clone(),
         ));
-        let instances = follow::instances(store, Arc::clone(&self.members), self.log.clone());
-        tasks.spawn(instances);
+        tasks.spawn(follow::instances(
+            store,
+            Arc::clone(&self.members),
+            self.freshness,
+            self.log.clone(),
+        ));
         tasks.spawn(members::watch_scheduler(
             Arc::clone(&self.members),
-            Arc::clone(&knowledge),
+            Arc::clone(&self.catch_up),
             Arc::clone(&self.phases),
         ));
-        tasks.spawn(members::catch_up(
-            self.members,
-            Arc::clone(&knowledge),
-            self.freshness,
-        ));
+        tasks.spawn(members::catch_up(self.members, self.catch_up));
         tasks.spawn(dispatch::run(Arc::clone(&self.dispatch)));
         tasks.spawn(dispatch::configure(self.dispatch));
         tasks.spawn(become_ready(knowledge, self.phases, self.log));
@@ -277,7 +286,7 @@
 
 /// Says that the instance takes requests once it knows routes and servers.
 async fn become_ready(knowledge: Arc<Knowledge>, phases: Arc<Phases>, log: Logger) {
-    while knowledge.table().is_none() || knowledge.directory().entries().next().is_none() {
+    while knowledge.table().is_none() || knowledge.directory().is_empty() {
         time::sleep(Duration::from_millis(20)).await;
     }
     phases.advance(Phase::Serving);
--- a/crates/server/src/gateway/knowledge.rs
+++ b/crates/server/src/gateway/knowledge.rs
@@ -5,7 +5,10 @@
 use arc_swap::ArcSwapOption;
 use savoryvane_core::{
     fleet::Fleet,
-    forwarding::{Directory, RepeatBudgets, RouteTable, RoutingConfig, ServerEntry},
+    forwarding::{
+        Directory, DirectoryUpdate, RepeatBudgets, RouteTable, RoutingConfig, ServerEntry,
+        UsualDeadlines,
+    },
     ids::BackendName,
     settings::PolicySettings,
 };
@@ -28,6 +31,7 @@
     directory: Mutex<Directory>,
     fleet: Mutex<Fleet>,
     budgets: Mutex<RepeatBudgets>,
+    deadlines: Mutex<UsualDeadlines>,
     /// Told after every change of routes or servers.
     changed: Notify,
 }
@@ -51,6 +55,7 @@
             directory: Mutex::default(),
             fleet: Mutex::new(fleet),
             budgets: Mutex::new(RepeatBudgets::new(settings.repeats)),
+            deadlines: Mutex::default(),
             changed: Notify::new(),
         }
     }
@@ -85,6 +90,16 @@
         self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes in the deadline of a request and returns how much longer callers of
+    /// its route usually give, in ms.
+    pub(super) fn missing_ms(&self, now_ms: u64, route: &str, deadline_ms: u64) -> u64 {
+        let mut deadlines = self
+            .deadlines
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        deadlines.missing_ms(now_ms, route, deadline_ms)
+    }
+
     /// Waits for the next change of routes or servers.
     pub(super) async fn changed(&self) {
         self.changed.notified().await;
@@ -104,12 +119,8 @@
         self.configure_fleet();
     }
 
-    /// Applies records of the register of servers up to `position`.
-    pub(super) fn apply_servers(
-        &self,
-        records: Vec<(BackendName, Option<ServerEntry>)>,
-        position: u64,
-    ) {
+    /// Applies records of the register of servers.
+    pub(super) fn apply_servers(&self, records: Vec<(BackendName, Option<ServerEntry>)>) {
         let mut has_changed = false;
         {
             let mut directory = self.directory();
@@ -117,28 +128,29 @@
                 let state = entry.as_ref().map(|entry| entry.state);
                 if directory.apply(&id, entry) {
                     has_changed = true;
-                    info!(self.log, "server changed"; "server" => %id, "position" => position,
+                    info!(self.log, "server changed"; "server" => %id, "source" => "store",
                         "state" => state.map_or("gone".to_owned(), |state| format!("{state:?}")));
                 }
             }
-            directory.advance(position);
         }
         if has_changed {
             self.configure_fleet();
         }
     }
 
-    /// Replaces the register of servers by a whole listing.
-    pub(super) fn replace_servers(
-        &self,
-        listing: Vec<ServerEntry>,
-        position: u64,
-        source: &'static str,
-    ) {
-        let count = listing.len();
-        if self.directory().replace(listing, position) {
-            info!(self.log, "servers listed"; "servers" => count, "position" => position,
-                "source" => source);
+    /// Takes over the register of servers from the store or a peer.
+    pub(super) fn update_servers(&self, update: DirectoryUpdate, source: &'static str) {
+        let (count, is_whole) = match &update {
+            DirectoryUpdate::Whole(listing) => (listing.len(), true),
+            DirectoryUpdate::Changes(changes) => (changes.len(), false),
+        };
+        let mut directory = self.directory();
+        let has_changed = directory.update(update);
+        let revision = directory.revision();
+        drop(directory);
+        if has_changed {
+            info!(self.log, "servers changed"; "servers" => count, "whole" => is_whole,
+                "revision" => revision, "source" => source);
             self.configure_fleet();
         }
     }
--- a/crates/server/src/gateway/members.rs
+++ b/crates/server/src/gateway/members.rs
@@ -14,7 +14,7 @@
 };
 use savoryvane_platform::store::{self, InstanceRecord, Record};
 use savoryvane_wire::peer::{
-    ListedPeer, Message, RoutingQuery, RoutingState, SchedulerQuery, SchedulerState,
+    KnownState, ListedPeer, Message, RoutingQuery, RoutingState, SchedulerQuery, SchedulerState,
 };
 use slog::{Logger, info, warn};
 use tokio::{
@@ -22,11 +22,15 @@
     time::{self, MissedTickBehavior},
 };
 
-use super::{knowledge::Knowledge, settings::GatewaySettings, store::StoreClient};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{
+    freshness::Freshness, knowledge::Knowledge, settings::GatewaySettings, store::StoreClient,
+};
 use crate::{
     clock::Clock,
     peer::{PeerError, PeerHandle, PeerId},
-    phase::{Phase, Phases},
+    phase::Phases,
 };
 
 /// Time between two questions to the instance that schedules: with two misses
@@ -134,15 +138,30 @@
         self.take_list(&snapshot);
     }
 
-    /// Takes over a list that a peer had, unless this instance has its own.
+    /// Adds the instances that a peer lists and this one does not know.
     fn adopt(&self, list: Vec<ListedPeer>) {
         let mut listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
-        if !listed.is_empty() || list.is_empty() {
-            return;
+        let before = listed.len();
+        for peer in list {
+            if !listed.iter().any(|known| known.instance == peer.instance) {
+                listed.push(peer);
+            }
         }
-        listed.clone_from(&list);
+        let has_changed = listed.len() != before;
+        let snapshot = listed.clone();
         drop(listed);
-        self.take_list(&list);
+        if has_changed {
+            self.take_list(&snapshot);
+        }
+    }
+
+    /// Returns a hash of the names of the instances that are listed.
+    fn list_hash(&self) -> u64 {
+        let listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
+        let names = listed
+            .iter()
+            .map(|peer| xxh3_64(peer.instance.as_str().as_bytes()));
+        names.fold(0, |sum, hash| sum ^ hash)
     }
 
     fn take_list(&self, list: &[ListedPeer]) {
@@ -196,7 +215,7 @@
 /// they are there.
 pub(super) async fn watch_scheduler(
     members: Arc<Members>,
-    knowledge: Arc<Knowledge>,
+    catch_up: Arc<CatchUp>,
     phases: Arc<Phases>,
 ) {
     let mut ticks = time::interval(ASK_INTERVAL);
@@ -214,7 +233,7 @@
                 }
                 continue;
             }
-            tokio::spawn(ask(Arc::clone(&members), instance, knowledge.version()));
+            tokio::spawn(ask(Arc::clone(&members), instance, Arc::clone(&catch_up)));
         }
         let now = members.scheduler();
         if now != current {
@@ -226,50 +245,156 @@
     }
 }
 
-async fn ask(members: Arc<Members>, instance: InstanceName, version: u64) {
-    let question = Message::SchedulerQuery(SchedulerQuery { version });
+async fn ask(members: Arc<Members>, instance: InstanceName, catch_up: Arc<CatchUp>) {
+    let question = Message::SchedulerQuery(SchedulerQuery);
     let answer = members
         .peers
         .request(&instance, None, &question, ASK_TIMEOUT)
         .await;
     let now_ms = members.clock.now_ms();
-    let mut choice = members.choice();
-    match answer {
-        Ok(Message::SchedulerState(SchedulerState { is_taking, .. })) => {
-            if is_taking {
+    let state = {
+        let mut choice = members.choice();
+        match answer {
+            Ok(Message::SchedulerState(state)) if state.is_taking => {
                 choice.on_answer(&instance);
-            } else {
+                Some(state)
+            }
+            Ok(_) => {
                 choice.on_declined(now_ms, &instance);
+                None
+            }
+            Err(err) => {
+                if err.is_nothing_done() {
+                    choice.on_unreachable(now_ms, &instance);
+                } else {
+                    choice.on_miss(now_ms, &instance);
+                }
+                None
             }
         }
-        Ok(_) => choice.on_declined(now_ms, &instance),
-        Err(err) if err.is_nothing_done() => choice.on_unreachable(now_ms, &instance),
-        Err(_) => choice.on_miss(now_ms, &instance),
-    }
-    drop(choice);
+    };
     members.lost.send_replace(());
+    if let Some(SchedulerState { known, .. }) = state {
+        catch_up.follow(&members, &instance, known).await;
+    }
 }
 
-/// Asks other instances for routes and servers while the store does not give
-/// them.
-pub(super) async fn catch_up(
-    members: Arc<Members>,
+/// Learns routes and servers from other instances.
+#[derive(Debug)]
+pub(super) struct CatchUp {
     knowledge: Arc<Knowledge>,
-    freshness: Arc<super::follow::Freshness>,
-) {
+    freshness: Arc<Freshness>,
+    incarnation: Incarnation,
+    /// The run whose directory was taken over last, and its revision.
+    source: Mutex<Option<(Incarnation, u64)>>,
+}
+
+impl CatchUp {
+    pub(super) fn new(
+        knowledge: Arc<Knowledge>,
+        freshness: Arc<Freshness>,
+        incarnation: Incarnation,
+    ) -> Self {
+        Self {
+            knowledge,
+            freshness,
+            incarnation,
+            source: Mutex::default(),
+        }
+    }
+
+    /// Returns how far the knowledge of this instance goes.
+    pub(super) fn known(&self, members: &Members) -> KnownState {
+        KnownState {
+            version: self.knowledge.version(),
+            version_age_ms: self.freshness.configuration_age_ms(),
+            incarnation: self.incarnation,
+            revision: self.knowledge.directory().revision(),
+            servers_age_ms: self.freshness.servers_age_ms(),
+            instances: members.list_hash(),
+        }
+    }
+
+    /// Takes over what the instance that schedules knows, if that is fresh.
+    async fn follow(&self, members: &Members, instance: &InstanceName, theirs: KnownState) {
+        let ours = self.known(members);
+        let has_all = self.source() == Some((theirs.incarnation, theirs.revision))
+            && ours.version >= theirs.version
+            && ours.instances == theirs.instances;
+        if has_all {
+            return self.note(theirs);
+        }
+        let question = Message::RoutingQuery(self.question(theirs.incarnation));
+        let answer = members
+            .peers
+            .request(instance, None, &question, CATCH_UP_TIMEOUT)
+            .await;
+        if let Ok(Message::RoutingState(state)) = answer {
+            self.take(members, state);
+        }
+    }
+
+    fn question(&self, of: Incarnation) -> RoutingQuery {
+        let source = self.source().filter(|(incarnation, _)| *incarnation == of);
+        RoutingQuery {
+            version: self.knowledge.version(),
+            revision: source.map(|(_, revision)| revision),
+        }
+    }
+
+    /// Takes over what a peer knows, as far as it is newer.
+    fn take(&self, members: &Members, state: RoutingState) {
+        let theirs = state.known;
+        members.adopt(state.instances);
+        if let Some(config) = state.config {
+            self.knowledge.apply_config(config, "peer");
+        }
+        if theirs.servers_age_ms <= self.freshness.servers_age_ms() {
+            self.knowledge.update_servers(state.servers, "peer");
+            *self.source.lock().unwrap_or_else(PoisonError::into_inner) =
+                Some((theirs.incarnation, theirs.revision));
+        }
+        self.note(theirs);
+    }
+
+    /// Notes that this instance knows all that a peer knows.
+    fn note(&self, theirs: KnownState) {
+        self.freshness.on_configuration(theirs.version_age_ms);
+        self.freshness.on_servers(theirs.servers_age_ms);
+        let age_ms = theirs.version_age_ms.max(theirs.servers_age_ms);
+        self.freshness.on_relayed(age_ms);
+    }
+
+    fn source(&self) -> Option<(Incarnation, u64)> {
+        *self.source.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells a peer what this instance knows beyond it.
+    pub(super) fn answer(&self, members: &Members, question: RoutingQuery) -> RoutingState {
+        let table = self.knowledge.table();
+        let config = table
+            .filter(|table| table.version() > question.version)
+            .map(|table| (**table.config()).clone());
+        RoutingState {
+            known: self.known(members),
+            config,
+            servers: self.knowledge.directory().update_since(question.revision),
+            instances: members.listed(),
+        }
+    }
+}
+
+/// Asks other instances for routes and servers while the store does not give
+/// them, and the instance that schedules does not either.
+pub(super) async fn catch_up(members: Arc<Members>, catch_up: Arc<CatchUp>) {
     loop {
         time::sleep(CATCH_UP_INTERVAL).await;
-        if freshness.is_fresh() {
+        if catch_up.freshness.is_fresh() {
             continue;
         }
-        let question = RoutingQuery {
-            version: knowledge.version(),
-            position: knowledge.directory().position(),
-        };
-        let contacts = members.contacts();
-        let asked = contacts.into_iter().map(|contact| {
-            let (members, knowledge) = (Arc::clone(&members), Arc::clone(&knowledge));
-            tokio::spawn(learn(members, knowledge, contact, question))
+        let asked = members.contacts().into_iter().map(|contact| {
+            let (members, catch_up) = (Arc::clone(&members), Arc::clone(&catch_up));
+            tokio::spawn(async move { learn(&members, &catch_up, &contact).await })
         });
         for task in asked.collect::<Vec<_>>() {
             // A task that panicked has said so; the next round asks again.
@@ -278,32 +403,19 @@
     }
 }
 
-async fn learn(
-    members: Arc<Members>,
-    knowledge: Arc<Knowledge>,
-    contact: Contact,
-    question: RoutingQuery,
-) {
-    let message = Message::RoutingQuery(question);
+async fn learn(members: &Members, catch_up: &CatchUp, contact: &Contact) {
+    let question = Message::RoutingQuery(RoutingQuery {
+        version: catch_up.knowledge.version(),
+        revision: None,
+    });
     let answer = members
         .peers
-        .request_at(&contact, &message, CATCH_UP_TIMEOUT)
+        .request_at(contact, &question, CATCH_UP_TIMEOUT)
         .await;
-    let Ok(Message::RoutingState(state)) = answer else {
-        return;
-    };
-    let RoutingState {
-        config,
-        position,
-        servers,
-        instances,
-    } = state;
-    members.adopt(instances);
-    if let Some(config) = config {
-        knowledge.apply_config(config, "peer");
-    }
-    if let Some(servers) = servers {
-        knowledge.replace_servers(servers, position, "peer");
+    if let Ok(Message::RoutingState(state)) = answer
+        && state.known.servers_age_ms < catch_up.freshness.servers_age_ms()
+    {
+        catch_up.take(members, state);
     }
 }
 
@@ -337,34 +449,6 @@
     }
 }
 
-/// Tells a peer what this instance knows beyond it.
-pub(super) fn routing_state(
-    members: &Members,
-    knowledge: &Knowledge,
-    question: RoutingQuery,
-) -> RoutingState {
-    let table = knowledge.table();
-    let config = table
-        .filter(|table| table.version() > question.version)
-        .map(|table| (**table.config()).clone());
-    let directory = knowledge.directory();
-    let is_ahead = directory.position() > question.position;
-    RoutingState {
-        config,
-        position: directory.position(),
-        servers: is_ahead.then(|| directory.entries().cloned().collect()),
-        instances: members.listed(),
-    }
-}
-
-/// Tells whether this instance schedules for others.
-pub(super) fn scheduler_state(knowledge: &Knowledge, phases: &Phases) -> SchedulerState {
-    SchedulerState {
-        is_taking: phases.current() == Phase::Serving,
-        version: knowledge.version(),
-    }
-}
-
 /// Returns who this instance is to its peers.
 pub(super) fn peer_id(settings: &GatewaySettings, incarnation: Incarnation) -> PeerId {
     PeerId {
--- a/crates/server/src/gateway/peering.rs
+++ b/crates/server/src/gateway/peering.rs
@@ -2,12 +2,11 @@
 
 use std::{future, sync::Arc, time::Duration};
 
-use savoryvane_wire::peer::{Declined, Message, Taken};
+use savoryvane_wire::peer::{Declined, Message, SchedulerState, Taken};
 
 use super::{
     dispatch::Dispatch,
-    knowledge::Knowledge,
-    members::{self, Members},
+    members::{CatchUp, Members},
 };
 use crate::{
     peer::{PeerAnswer, PeerHandler, PeerId},
@@ -17,7 +16,7 @@
 /// Hands messages of peers to the parts that they are for.
 pub(super) struct Peering {
     pub(super) members: Arc<Members>,
-    pub(super) knowledge: Arc<Knowledge>,
+    pub(super) catch_up: Arc<CatchUp>,
     pub(super) dispatch: Arc<Dispatch>,
     pub(super) phases: Arc<Phases>,
 }
@@ -42,13 +41,12 @@
                 self.dispatch.release(&key);
                 Message::Taken(Taken)
             }
-            Message::SchedulerQuery(_) => {
-                let state = members::scheduler_state(&self.knowledge, &self.phases);
-                Message::SchedulerState(state)
-            }
+            Message::SchedulerQuery(_) => Message::SchedulerState(SchedulerState {
+                is_taking: self.phases.current() == Phase::Serving,
+                known: self.catch_up.known(&self.members),
+            }),
             Message::RoutingQuery(question) => {
-                let state = members::routing_state(&self.members, &self.knowledge, question);
-                Message::RoutingState(state)
+                Message::RoutingState(self.catch_up.answer(&self.members, question))
             }
             _ => Message::Declined(Declined::Unsupported),
         };
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -14,7 +14,7 @@
 
 use bincode::config::{Configuration, Limit, LittleEndian, Varint};
 use quick_error::quick_error;
-use savoryvane_core::forwarding::{RoutingConfig, ServerEntry};
+use savoryvane_core::forwarding::{DirectoryUpdate, RoutingConfig};
 use savoryvane_core::ids::{
     IdempotencyKey, Incarnation, InstanceName, Offset, PipelineName, RequestId, WorkspaceName,
 };
@@ -206,20 +206,34 @@
     pub offset: Offset,
 }
 
-/// Asks whether the receiver schedules stages for others.
+/// Asks whether the receiver schedules stages for others, and what it knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SchedulerQuery {
-    /// Version of the routing configuration that the sender has.
-    pub version: u64,
-}
+pub struct SchedulerQuery;
 
 /// Answer to that question.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SchedulerState {
     /// Whether it does.
     pub is_taking: bool,
-    /// Version of the routing configuration that it has.
+    /// What it knows.
+    pub known: KnownState,
+}
+
+/// How far an instance's knowledge of routes and servers goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownState {
+    /// Version of its routing configuration.
     pub version: u64,
+    /// Time since the store told it, or one that the store told, in ms.
+    pub version_age_ms: u64,
+    /// Its run, which numbers its revisions.
+    pub incarnation: Incarnation,
+    /// Revision of its directory of servers.
+    pub revision: u64,
+    /// Time since the store told it, or one that the store told, in ms.
+    pub servers_age_ms: u64,
+    /// Hash of the list of instances.
+    pub instances: u64,
 }
 
 /// Asks for what the receiver knows of routes and servers.
@@ -227,8 +241,8 @@
 pub struct RoutingQuery {
     /// Version of the routing configuration that the sender has.
     pub version: u64,
-    /// Position in the register of servers that the sender has.
-    pub position: u64,
+    /// Revision of the receiver's directory that the sender has.
+    pub revision: Option<u64>,
 }
 
 /// An entry instance as the store lists it.
@@ -245,12 +259,12 @@
 /// What the receiver of a question knows beyond the sender.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RoutingState {
+    /// How far its knowledge goes.
+    pub known: KnownState,
     /// The routing configuration, if it is a later version.
     pub config: Option<RoutingConfig>,
-    /// Position in the register of servers.
-    pub position: u64,
-    /// The servers, if the position is a later one.
-    pub servers: Option<Vec<ServerEntry>>,
+    /// The servers.
+    pub servers: DirectoryUpdate,
     /// The instances that are listed.
     pub instances: Vec<ListedPeer>,
 }
--- a/crates/wire/src/peer/limits.rs
+++ b/crates/wire/src/peer/limits.rs
@@ -2,6 +2,7 @@
 
 use savoryvane_core::{
     digest::{DigestBatch, Leaver, ZoneDigest},
+    forwarding::DirectoryUpdate,
     ids::MAX_NAME_BYTES,
     quota::Claimant,
     topology::SHARDS,
@@ -116,6 +117,9 @@
 }
 
 fn is_routing_bounded(state: &RoutingState) -> bool {
-    let servers = state.servers.as_ref().map_or(0, Vec::len);
+    let servers = match &state.servers {
+        DirectoryUpdate::Whole(listing) => listing.len(),
+        DirectoryUpdate::Changes(changes) => changes.len(),
+    };
     servers <= MAX_ENTRIES && state.instances.len() <= MAX_ENTRIES
 }
