--- a/crates/core/src/stages.rs
+++ b/crates/core/src/stages.rs
@@ -7,8 +7,10 @@
 
 mod admission;
 mod batch;
+mod calls;
 mod choice;
 mod kept;
+mod progress;
 mod request;
 mod scheduler;
 mod server;
--- /dev/null
+++ b/crates/core/src/stages/calls.rs
@@ -0,0 +1,267 @@
+//! Calls with pieces: their beginning, their end, and what is sent again.
+
+use super::{
+    batch::Batch,
+    request::{Piece, PieceAt, Request},
+    scheduler::{CallEnd, ItemEnd, StageScheduler},
+    server::Server,
+    service::{Taken, Waiting},
+    work::{CallId, CallItem, ItemInput, Refusal, ResultRef, StageAction, StageCall},
+};
+use crate::ids::{BackendName, PoolName};
+
+/// Times that pieces of one request are sent again before it is given up.
+pub(super) const MOST_REPEATS: u32 = 24;
+/// Time of a call, as a multiple of what is usual, after which its pieces are
+/// sent elsewhere: servers that turned slow take five times as long.
+const OVERDUE: f64 = 2.0;
+/// Time on top of that for the way and a call that is at work, in ms.
+const OVERDUE_SPARE_MS: f64 = 150.0;
+/// Time of a call after which its connection is given up, in ms.
+const CALL_TIMEOUT_MS: u64 = 3_000;
+
+/// A call that has not ended.
+#[derive(Debug)]
+pub(super) struct RunningCall {
+    pub(super) service: PoolName,
+    pub(super) server: BackendName,
+    pub(super) pieces: Vec<Waiting>,
+    pub(super) began_at_ms: u64,
+    pub(super) expected_ms: f64,
+    /// Whether its pieces are sent elsewhere too.
+    pub(super) is_overdue: bool,
+}
+
+impl StageScheduler {
+    /// Notes the end of a call.
+    pub fn on_call_ended(&mut self, now_ms: u64, id: CallId, end: &CallEnd) {
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        let elapsed_ms = now_ms.saturating_sub(call.began_at_ms) as f64;
+        if let Some(service) = self.services.get_mut(&call.service) {
+            service.running = service.running.saturating_sub(call.pieces.len());
+        }
+        if let Some(server) = self.server_mut(&call) {
+            server.calls = server.calls.saturating_sub(1);
+            match end {
+                CallEnd::Answered(_) => server.on_answer(now_ms, elapsed_ms, call.expected_ms),
+                CallEnd::Full => server.on_full(now_ms),
+                CallEnd::Misdirected => server.is_leaving = true,
+                CallEnd::Unreachable | CallEnd::Lost => server.on_failure(now_ms),
+            }
+        }
+        match end {
+            CallEnd::Answered(items) => {
+                for (index, waiting) in call.pieces.iter().enumerate() {
+                    let item = items.get(index).unwrap_or(&ItemEnd::Failed);
+                    self.on_item_ended(now_ms, id, &call, waiting, item);
+                }
+            }
+            CallEnd::Full | CallEnd::Misdirected | CallEnd::Unreachable => {
+                for waiting in &call.pieces {
+                    self.release_room(&call, waiting);
+                    self.wait_again(now_ms, id, waiting, false);
+                }
+            }
+            CallEnd::Lost => {
+                for waiting in &call.pieces {
+                    self.release_room(&call, waiting);
+                    self.wait_again(now_ms, id, waiting, true);
+                }
+            }
+        }
+    }
+
+    pub(super) fn start_call(&mut self, now_ms: u64, name: &PoolName, batch: Batch) {
+        self.last_call += 1;
+        let id = CallId(self.last_call);
+        let items = batch.pieces.iter().filter_map(|waiting| {
+            let request = self.requests.get_mut(&waiting.key)?;
+            *request.piece_mut(waiting.at)? = Piece::Running(id);
+            Some(call_item(now_ms, request, waiting.at))
+        });
+        let items: Vec<CallItem> = items.collect();
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        let expected_ms = service.batching.duration_ms(items.len());
+        let Some(server) = service.servers.get_mut(&batch.server) else {
+            return;
+        };
+        server.calls += 1;
+        service.running += items.len();
+        self.actions.push(StageAction::Call(StageCall {
+            id,
+            service: name.clone(),
+            server: batch.server.clone(),
+            addr: server.addr,
+            items,
+            timeout_ms: CALL_TIMEOUT_MS,
+        }));
+        let call = RunningCall {
+            service: name.clone(),
+            server: batch.server,
+            pieces: batch.pieces,
+            began_at_ms: now_ms,
+            expected_ms,
+            is_overdue: false,
+        };
+        self.calls.insert(id, call);
+    }
+
+    pub(super) fn on_item_ended(
+        &mut self,
+        now_ms: u64,
+        id: CallId,
+        call: &RunningCall,
+        waiting: &Waiting,
+        end: &ItemEnd,
+    ) {
+        let ItemEnd::Done(handle) = end else {
+            self.release_room(call, waiting);
+            match end {
+                ItemEnd::Late => self.refuse(now_ms, &waiting.key, Refusal::TooLate),
+                ItemEnd::InputGone => self.redo_inputs(now_ms, id, waiting),
+                ItemEnd::NoRoom => {
+                    if let Some(server) = self.server_mut(call) {
+                        server.on_no_room(now_ms);
+                    }
+                    self.wait_again(now_ms, id, waiting, false);
+                }
+                ItemEnd::Failed | ItemEnd::Done(_) => self.wait_again(now_ms, id, waiting, true),
+            }
+            return;
+        };
+        self.keep(now_ms, call, handle, waiting.bytes);
+        let zone = self.server_mut(call).map(|server| server.zone.clone());
+        let is_wanted = self
+            .requests
+            .get(&waiting.key)
+            .and_then(|request| request.piece(waiting.at))
+            .is_some_and(|piece| matches!(piece, Piece::Running(_) | Piece::Waiting));
+        let (Some(zone), true) = (zone, is_wanted) else {
+            // Its request is gone or has this result from elsewhere.
+            self.free(&call.service, &call.server, vec![handle.clone()]);
+            return;
+        };
+        let mut taken = Taken::InTime;
+        if let Some(request) = self.requests.get_mut(&waiting.key) {
+            taken = request.taken;
+            let bytes = request.submission.stages[waiting.at.stage].result_bytes;
+            if let Some(piece) = request.piece_mut(waiting.at) {
+                *piece = Piece::Done {
+                    server: call.server.clone(),
+                    result: ResultRef {
+                        handle: handle.clone(),
+                        zone,
+                        bytes,
+                    },
+                };
+            }
+        }
+        if let Some(service) = self.services.get_mut(&call.service) {
+            service.committed.remove(taken, 1);
+            service.on_piece_done(now_ms.saturating_sub(waiting.since_ms) as f64);
+            service
+                .waiting
+                .retain(|other| other.key != waiting.key || other.at != waiting.at);
+        }
+        self.advance(now_ms, &waiting.key);
+    }
+
+    /// Makes a piece wait for a server again; `may_have_run` tells whether a
+    /// server may have produced it, so that this is a repeat.
+    pub(super) fn wait_again(
+        &mut self,
+        now_ms: u64,
+        id: CallId,
+        waiting: &Waiting,
+        may_have_run: bool,
+    ) {
+        let Some(request) = self.requests.get_mut(&waiting.key) else {
+            return;
+        };
+        if request.piece(waiting.at) != Some(&Piece::Running(id)) {
+            return;
+        }
+        // Its inputs may have been lost while it was on its way.
+        let has_inputs = request.has_inputs(waiting.at.stage);
+        if let Some(piece) = request.piece_mut(waiting.at) {
+            *piece = if has_inputs {
+                Piece::Waiting
+            } else {
+                Piece::Blocked
+            };
+        }
+        request.repeats += u32::from(may_have_run);
+        if request.repeats > MOST_REPEATS {
+            return self.refuse(now_ms, &waiting.key, Refusal::Failed);
+        }
+        let stage = &request.submission.stages[waiting.at.stage];
+        if has_inputs && let Some(service) = self.services.get_mut(&stage.service) {
+            service.waiting.push(waiting.clone());
+        }
+    }
+
+    /// Sends the pieces of calls elsewhere that take much longer than usual.
+    pub(super) fn repeat_overdue(&mut self, now_ms: u64) {
+        let overdue: Vec<CallId> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| !call.is_overdue && call.overdue_at_ms() <= now_ms)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in overdue {
+            let Some(call) = self.calls.get_mut(&id) else {
+                continue;
+            };
+            call.is_overdue = true;
+            let pieces = call.pieces.clone();
+            let (service, server) = (call.service.clone(), call.server.clone());
+            let elapsed_ms = now_ms.saturating_sub(call.began_at_ms) as f64;
+            let expected_ms = call.expected_ms;
+            if let Some(service) = self.services.get_mut(&service)
+                && let Some(server) = service.servers.get_mut(&server)
+            {
+                server.on_answer(now_ms, elapsed_ms, expected_ms);
+            }
+            for waiting in &pieces {
+                self.wait_again(now_ms, id, waiting, true);
+            }
+        }
+    }
+
+    pub(super) fn server_mut(&mut self, call: &RunningCall) -> Option<&mut Server> {
+        let service = self.services.get_mut(&call.service)?;
+        service.servers.get_mut(&call.server)
+    }
+
+    pub(super) fn release_room(&mut self, call: &RunningCall, waiting: &Waiting) {
+        if let Some(server) = self.server_mut(call) {
+            server.room_used = server.room_used.saturating_sub(waiting.bytes);
+        }
+    }
+}
+
+impl RunningCall {
+    pub(super) fn overdue_at_ms(&self) -> u64 {
+        self.began_at_ms + (self.expected_ms * OVERDUE + OVERDUE_SPARE_MS) as u64
+    }
+}
+
+fn call_item(now_ms: u64, request: &Request, at: PieceAt) -> CallItem {
+    let inputs = request.inputs(at.stage);
+    let has_key = request.submission.stages[at.stage].after.is_empty();
+    CallItem {
+        request: request.submission.request.clone(),
+        stage: at.stage,
+        piece: at.piece,
+        left_ms: request.deadline_at_ms.saturating_sub(now_ms),
+        input: if has_key {
+            ItemInput::Key(request.submission.piece_key.clone())
+        } else {
+            ItemInput::Results(inputs)
+        },
+    }
+}
--- a/crates/core/src/stages/kept.rs
+++ b/crates/core/src/stages/kept.rs
@@ -1,8 +1,13 @@
 //! The results that servers keep, for the memory that they take there.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
-use crate::ids::BackendName;
+use super::{
+    calls::RunningCall,
+    scheduler::StageScheduler,
+    work::{ResultRef, StageAction},
+};
+use crate::ids::{BackendName, PoolName};
 
 /// One result that a server keeps.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -46,3 +51,76 @@
         dropped
     }
 }
+
+impl StageScheduler {
+    /// Notes that a server has freed results, or drops them by itself soon.
+    pub fn on_freed(&mut self, server: &BackendName, handles: &[String]) {
+        let bytes = handles.iter().map(|handle| self.kept.remove(handle)).sum();
+        self.give_room_back(server, bytes);
+    }
+
+    /// Notes that servers have dropped results whose time was over.
+    pub(super) fn drop_old_results(&mut self, now_ms: u64) {
+        for dropped in self.kept.take_dropped(now_ms) {
+            self.give_room_back(&dropped.server, dropped.bytes);
+        }
+    }
+
+    pub(super) fn give_room_back(&mut self, server: &BackendName, bytes: u64) {
+        let mut services = self.services.values_mut();
+        if let Some(server) = services.find_map(|service| service.servers.get_mut(server)) {
+            server.room_used = server.room_used.saturating_sub(bytes);
+        }
+    }
+
+    pub(super) fn keep(&mut self, now_ms: u64, call: &RunningCall, handle: &str, bytes: u64) {
+        let ttl_ms = self
+            .services
+            .get(&call.service)
+            .map_or(0, |service| service.batching.result_ttl_ms);
+        let kept = Kept {
+            server: call.server.clone(),
+            bytes,
+            dropped_at_ms: now_ms + ttl_ms,
+        };
+        self.kept.insert(handle, kept);
+    }
+
+    pub(super) fn free_results(&mut self, results: Vec<(BackendName, ResultRef)>) {
+        let mut by_server: BTreeMap<BackendName, Vec<String>> = BTreeMap::new();
+        for (name, result) in results {
+            by_server.entry(name).or_default().push(result.handle);
+        }
+        for (name, handles) in by_server {
+            let service = self
+                .services
+                .iter()
+                .find(|(_, service)| service.servers.contains_key(&name))
+                .map(|(service, _)| service.clone());
+            match service {
+                Some(service) => self.free(&service, &name, handles),
+                // Its results are gone with it.
+                None => {
+                    for handle in &handles {
+                        self.kept.remove(handle);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn free(&mut self, service: &PoolName, server: &BackendName, handles: Vec<String>) {
+        let addr = self
+            .services
+            .get(service)
+            .and_then(|service| service.servers.get(server))
+            .map(|server| server.addr);
+        if let Some(addr) = addr {
+            self.actions.push(StageAction::Free {
+                server: server.clone(),
+                addr,
+                handles,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/stages/progress.rs
@@ -0,0 +1,196 @@
+//! How the stages of requests go on, from one to the next and to their end.
+
+use std::collections::BTreeMap;
+
+use super::{
+    admission,
+    calls::MOST_REPEATS,
+    request::{Piece, Request},
+    scheduler::StageScheduler,
+    service::{StageService, Waiting},
+    work::{CallId, Refusal, RequestKey, StageAction, StageOutcome, Submission},
+};
+use crate::ids::{BackendName, PoolName};
+
+/// Time to come back after when a service has no server, in ms.
+const NO_SERVER_RETRY_AFTER_MS: u64 = 500;
+/// Time after which the results of a request that nobody releases are dropped
+/// from the books, in ms; servers drop them by themselves.
+const BOOK_SPARE_MS: u64 = 1_000;
+
+impl StageScheduler {
+    /// Returns the time that follows each stage until the answer begins.
+    pub(super) fn rest_ms(&self, submission: &Submission) -> Vec<u64> {
+        let mut rest_ms = vec![submission.rest_ms; submission.stages.len()];
+        for (index, stage) in submission.stages.iter().enumerate().rev() {
+            if stage.pieces == 0 {
+                continue;
+            }
+            let usual_ms = self
+                .services
+                .get(&stage.service)
+                .map_or(0, |service| service.usual_ms as u64);
+            let with_own_ms = rest_ms[index] + usual_ms;
+            for needed in &stage.after {
+                if let Some(rest) = rest_ms.get_mut(*needed) {
+                    *rest = (*rest).max(with_own_ms);
+                }
+            }
+        }
+        rest_ms
+    }
+
+    /// Notes that a request can't make its goal.
+    pub(super) fn give_up_goal(&mut self, key: &RequestKey) {
+        if let Some(request) = self.requests.get_mut(key) {
+            request.is_late = true;
+        }
+    }
+
+    /// Makes pieces wait whose results are there, frees what is used up and
+    /// tells whoever submitted the request once all is done.
+    pub(super) fn advance(&mut self, now_ms: u64, key: &RequestKey) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        let unneeded = request.take_unneeded(false);
+        for at in request.unblock() {
+            let stage = &request.submission.stages[at.stage];
+            if let Some(service) = self.services.get_mut(&stage.service) {
+                service.waiting.push(Waiting {
+                    key: key.clone(),
+                    at,
+                    since_ms: now_ms,
+                    bytes: stage.result_bytes,
+                });
+            }
+        }
+        if request.is_done() && !request.is_finished {
+            request.is_finished = true;
+            self.actions.push(StageAction::Finish {
+                key: key.clone(),
+                outcome: StageOutcome::Ready(request.final_results()),
+            });
+        }
+        self.free_results(unneeded);
+    }
+
+    pub(super) fn redo_inputs(&mut self, now_ms: u64, id: CallId, waiting: &Waiting) {
+        let Some(request) = self.requests.get_mut(&waiting.key) else {
+            return;
+        };
+        if request.piece(waiting.at) != Some(&Piece::Running(id)) {
+            return;
+        }
+        request.repeats += 1;
+        if request.repeats > MOST_REPEATS {
+            return self.refuse(now_ms, &waiting.key, Refusal::Failed);
+        }
+        let services = &self.services;
+        let is_known = |server: &BackendName| {
+            let mut all = services.values();
+            all.any(|service| service.servers.contains_key(server))
+        };
+        let before = request.unfinished_by_stage();
+        if let Some(piece) = request.piece_mut(waiting.at) {
+            *piece = Piece::Blocked;
+        }
+        request.redo_inputs(waiting.at.stage, is_known);
+        let after = request.unfinished_by_stage();
+        for (stage, (before, after)) in before.into_iter().zip(after).enumerate() {
+            let name = &request.submission.stages[stage].service;
+            if let Some(service) = self.services.get_mut(name) {
+                let again = after.saturating_sub(before);
+                service.committed.add(request.taken, again);
+                service.waiting.retain(|other| {
+                    other.key != waiting.key || request.piece(other.at) == Some(&Piece::Waiting)
+                });
+            }
+        }
+        self.advance(now_ms, &waiting.key);
+    }
+
+    /// Ends a request that can't be finished.
+    pub(super) fn refuse(&mut self, now_ms: u64, key: &RequestKey, reason: Refusal) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        if !request.is_finished {
+            let submission = request.submission.clone();
+            let outcome = self.refusal(now_ms, &submission, reason);
+            self.actions.push(StageAction::Finish {
+                key: key.clone(),
+                outcome,
+            });
+        }
+        self.remove(key);
+    }
+
+    pub(super) fn refusal(
+        &mut self,
+        now_ms: u64,
+        submission: &Submission,
+        reason: Refusal,
+    ) -> StageOutcome {
+        let forecast = admission::forecast_all(now_ms, submission, &self.services);
+        let (reason, retry_after_ms) = if forecast.has_gap {
+            (Refusal::NoServer, NO_SERVER_RETRY_AFTER_MS)
+        } else {
+            let refusals = &mut self.refusals;
+            let after_ms = admission::retry_after_ms(now_ms, submission, forecast, refusals);
+            (reason, after_ms)
+        };
+        StageOutcome::Refused {
+            reason,
+            retry_after_ms,
+            forecast_ms: forecast.stages_ms,
+        }
+    }
+
+    pub(super) fn remove(&mut self, key: &RequestKey) {
+        let Some(mut request) = self.requests.remove(key) else {
+            return;
+        };
+        uncommit(&mut self.services, &request);
+        for service in self.services.values_mut() {
+            service.waiting.retain(|waiting| waiting.key != *key);
+        }
+        let unneeded = request.take_unneeded(true);
+        self.free_results(unneeded);
+    }
+
+    /// Ends requests whose callers have given up or that can't be answered
+    /// before they do.
+    pub(super) fn drop_expired(&mut self, now_ms: u64) {
+        let expired: Vec<RequestKey> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.drop_at_ms() <= now_ms)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in expired {
+            self.refuse(now_ms, &key, Refusal::TooLate);
+        }
+    }
+}
+
+impl Request {
+    /// Returns the time at which it is of no use to go on, in ms.
+    pub(super) fn drop_at_ms(&self) -> u64 {
+        if self.is_finished {
+            self.deadline_at_ms + BOOK_SPARE_MS
+        } else {
+            self.deadline_at_ms
+        }
+    }
+}
+
+/// Takes the pieces of a request that are not done out of what is committed.
+fn uncommit(services: &mut BTreeMap<PoolName, StageService>, request: &Request) {
+    for (stage, unfinished) in request.unfinished_by_stage().into_iter().enumerate() {
+        let name = &request.submission.stages[stage].service;
+        if let Some(service) = services.get_mut(name) {
+            service.committed.remove(request.taken, unfinished);
+        }
+    }
+}
--- a/crates/server/src/gateway.rs
+++ b/crates/server/src/gateway.rs
@@ -2,6 +2,8 @@
 //! by routes that the operator keeps in the platform's store.
 
 mod answers;
+mod attempt;
+mod catch_up;
 mod dispatch;
 mod follow;
 mod forward;
--- a/crates/server/src/gateway/answers.rs
+++ b/crates/server/src/gateway/answers.rs
@@ -32,8 +32,6 @@
     Stages(Refusal, u64),
     /// No server takes it now, and none has run it.
     NoServer,
-    /// Its time was over before it was sent anywhere.
-    TooLate,
     /// Its answer was lost; it may have run.
     Lost,
     /// Its time was over while a server had it; it may have run.
@@ -52,7 +50,7 @@
             Self::BadBody => "bad_body",
             Self::Stages(refusal, _) => refusal.as_str(),
             Self::NoServer => "no_server",
-            Self::TooLate => "too_late",
+
             Self::Lost => "answer_lost",
             Self::Overdue => "overdue",
         }
@@ -67,9 +65,7 @@
             Self::LargeBody => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::BadBody => StatusCode::BAD_REQUEST,
-            Self::Starting | Self::Stages(..) | Self::NoServer | Self::TooLate => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Starting | Self::Stages(..) | Self::NoServer => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::Overdue => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -79,7 +75,7 @@
         match self {
             Self::Starting => Some(STARTING_RETRY_AFTER_MS),
             Self::Stages(_, retry_after_ms) => Some(retry_after_ms),
-            Self::NoServer | Self::TooLate => Some(NO_SERVER_RETRY_AFTER_MS),
+            Self::NoServer => Some(NO_SERVER_RETRY_AFTER_MS),
             _ => None,
         }
     }
--- /dev/null
+++ b/crates/server/src/gateway/catch_up.rs
@@ -0,0 +1,166 @@
+//! Learns routes and servers from other instances: from the one that schedules
+//! all the time, from any while the store does not give them.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use savoryvane_core::{
+    ids::{Incarnation, InstanceName},
+    membership::Contact,
+};
+use savoryvane_wire::peer::{KnownState, Message, RoutingQuery, RoutingState};
+use tokio::time;
+
+use super::{freshness::Freshness, knowledge::Knowledge, members::Members};
+
+/// Time between two looks at whether the own knowledge is old.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(400);
+/// Time for a peer to tell what it knows.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Learns routes and servers from other instances.
+#[derive(Debug)]
+pub(super) struct CatchUp {
+    knowledge: Arc<Knowledge>,
+    freshness: Arc<Freshness>,
+    incarnation: Incarnation,
+    /// The run whose directory was taken over last, and its revision.
+    source: Mutex<Option<(Incarnation, u64)>>,
+}
+
+impl CatchUp {
+    pub(super) fn new(
+        knowledge: Arc<Knowledge>,
+        freshness: Arc<Freshness>,
+        incarnation: Incarnation,
+    ) -> Self {
+        Self {
+            knowledge,
+            freshness,
+            incarnation,
+            source: Mutex::default(),
+        }
+    }
+
+    /// Returns how far the knowledge of this instance goes.
+    pub(super) fn known(&self, members: &Members) -> KnownState {
+        KnownState {
+            version: self.knowledge.version(),
+            version_age_ms: self.freshness.configuration_age_ms(),
+            incarnation: self.incarnation,
+            revision: self.knowledge.directory().revision(),
+            servers_age_ms: self.freshness.servers_age_ms(),
+            instances: members.list_hash(),
+        }
+    }
+
+    /// Takes over what the instance that schedules knows, if that is fresh.
+    pub(super) async fn follow(
+        &self,
+        members: &Members,
+        instance: &InstanceName,
+        theirs: KnownState,
+    ) {
+        let ours = self.known(members);
+        let has_all = self.source() == Some((theirs.incarnation, theirs.revision))
+            && ours.version >= theirs.version
+            && ours.instances == theirs.instances;
+        if has_all {
+            return self.note(theirs);
+        }
+        let question = Message::RoutingQuery(self.question(theirs.incarnation));
+        let answer = members
+            .peers()
+            .request(instance, None, &question, CATCH_UP_TIMEOUT)
+            .await;
+        if let Ok(Message::RoutingState(state)) = answer {
+            self.take(members, state);
+        }
+    }
+
+    fn question(&self, of: Incarnation) -> RoutingQuery {
+        let source = self.source().filter(|(incarnation, _)| *incarnation == of);
+        RoutingQuery {
+            version: self.knowledge.version(),
+            revision: source.map(|(_, revision)| revision),
+        }
+    }
+
+    /// Takes over what a peer knows, as far as it is newer.
+    fn take(&self, members: &Members, state: RoutingState) {
+        let theirs = state.known;
+        members.adopt(state.instances);
+        if let Some(config) = state.config {
+            self.knowledge.apply_config(config, "peer");
+        }
+        if theirs.servers_age_ms <= self.freshness.servers_age_ms() {
+            self.knowledge.update_servers(state.servers, "peer");
+            *self.source.lock().unwrap_or_else(PoisonError::into_inner) =
+                Some((theirs.incarnation, theirs.revision));
+        }
+        self.note(theirs);
+    }
+
+    /// Notes that this instance knows all that a peer knows.
+    fn note(&self, theirs: KnownState) {
+        self.freshness.on_configuration(theirs.version_age_ms);
+        self.freshness.on_servers(theirs.servers_age_ms);
+        let age_ms = theirs.version_age_ms.max(theirs.servers_age_ms);
+        self.freshness.on_relayed(age_ms);
+    }
+
+    fn source(&self) -> Option<(Incarnation, u64)> {
+        *self.source.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells a peer what this instance knows beyond it.
+    pub(super) fn answer(&self, members: &Members, question: RoutingQuery) -> RoutingState {
+        let table = self.knowledge.table();
+        let config = table
+            .filter(|table| table.version() > question.version)
+            .map(|table| (**table.config()).clone());
+        RoutingState {
+            known: self.known(members),
+            config,
+            servers: self.knowledge.directory().update_since(question.revision),
+            instances: members.listed(),
+        }
+    }
+}
+
+/// Asks other instances for routes and servers while the store does not give
+/// them, and the instance that schedules does not either.
+pub(super) async fn run(members: Arc<Members>, catch_up: Arc<CatchUp>) {
+    loop {
+        time::sleep(CATCH_UP_INTERVAL).await;
+        if catch_up.freshness.is_fresh() {
+            continue;
+        }
+        let asked = members.contacts().into_iter().map(|contact| {
+            let (members, catch_up) = (Arc::clone(&members), Arc::clone(&catch_up));
+            tokio::spawn(async move { learn(&members, &catch_up, &contact).await })
+        });
+        for task in asked.collect::<Vec<_>>() {
+            // A task that panicked has said so; the next round asks again.
+            let _ = task.await;
+        }
+    }
+}
+
+async fn learn(members: &Members, catch_up: &CatchUp, contact: &Contact) {
+    let question = Message::RoutingQuery(RoutingQuery {
+        version: catch_up.knowledge.version(),
+        revision: None,
+    });
+    let answer = members
+        .peers()
+        .request_at(contact, &question, CATCH_UP_TIMEOUT)
+        .await;
+    if let Ok(Message::RoutingState(state)) = answer
+        && state.known.servers_age_ms < catch_up.freshness.servers_age_ms()
+    {
+        catch_up.take(members, state);
+    }
+}
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -2,24 +2,20 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use savoryvane_core::{
-    forwarding::{AttemptEnd, Giving, NextStep, Placement, Repeats, ServerState, next_step},
+    forwarding::{AttemptEnd, Giving, NextStep, Placement, Repeats, next_step},
     ids::{BackendName, RequestId, ZoneName},
     stages::{StageOutcome, StageWork, Submission},
 };
-use savoryvane_platform::{
-    answer::{self, AnswerHead},
-    request::{self, RequestHead},
-};
-use slog::{Logger, info, warn};
+use savoryvane_platform::request::{self, RequestHead};
+use slog::{Logger, info};
 use tokio::time::{self, Instant};
 
 use super::{
     answers::{self, Why},
+    attempt::Sent,
     knowledge::Knowledge,
     relay,
     request::{CallerRequest, host, service},
@@ -27,7 +23,7 @@
 };
 use crate::{
     clock::Clock,
-    connections::{Connections, Exchange, Lease, Reuse, SendError},
+    connections::Connections,
     http_body::{self, Body},
 };
 
@@ -35,16 +31,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time that a caller waits who does not say how long.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
-/// Largest answer that is gathered before it is passed on, in bytes: one that
-/// breaks off may still be replaced by that of another server.
-const GATHERED_BYTES: usize = 1 << 20;
 /// Servers that a request is handed to without any of them being reached.
 const MOST_UNREACHED: usize = 4;
-/// Age of a kept connection up to which a request that may not be repeated goes
-/// over it; servers close idle connections at any moment.
-const FRESH_CONNECTION: Duration = Duration::from_millis(500);
-/// Part of a server's own limit within which a kept connection is used.
-const KEEP_ALIVE_SPARE: Duration = Duration::from_millis(700);
 /// Tokens of a prompt that an engine reads in a ms, by the engines' sheets.
 const TOKENS_PER_MS: u64 = 57;
 /// Time of a generation until its first event beside its prompt, in ms: what
@@ -71,69 +59,6 @@
     pub(super) held: Option<Held>,
 }
 
-/// How one send ended.
-pub(super) enum Sent {
-    /// With a whole answer.
-    Whole(Response<Bytes>),
-    /// With a stream of events that has begun.
-    Stream(Stream),
-    /// Without an answer to give, but for a failure of the server's own.
-    Ended(AttemptEnd, Option<Response<Bytes>>),
-}
-
-/// A stream of events that has begun.
-pub(super) struct Stream {
-    pub(super) response: Response<Incoming>,
-    pub(super) lease: Lease,
-    pub(super) server: InFlight,
-}
-
-/// Counts a request as in flight at a server until its end is known.
-pub(super) struct InFlight {
-    forwarder: Arc<Forwarder>,
-    pub(super) server: BackendName,
-    began: Instant,
-    has_ended: bool,
-}
-
-/// What a request in flight says of its server at its end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ServerEnd {
-    Answered,
-    Full,
-    Failing,
-    Silent,
-    Unreachable,
-}
-
-impl InFlight {
-    pub(super) fn end(mut self, end: ServerEnd) {
-        self.has_ended = true;
-        let now_ms = self.forwarder.clock.now_ms();
-        let mut fleet = self.forwarder.knowledge.fleet();
-        match end {
-            ServerEnd::Answered => {
-                let elapsed_us = self.began.elapsed().as_micros() as u64;
-                fleet.on_answered(now_ms, &self.server, elapsed_us);
-            }
-            ServerEnd::Full => fleet.on_full(now_ms, &self.server),
-            ServerEnd::Failing => fleet.on_failing(now_ms, &self.server),
-            ServerEnd::Silent => fleet.on_silent(now_ms, &self.server),
-            ServerEnd::Unreachable => fleet.on_unreachable(now_ms, &self.server),
-        }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        if !self.has_ended {
-            let now_ms = self.forwarder.clock.now_ms();
-            let mut fleet = self.forwarder.knowledge.fleet();
-            fleet.on_abandoned(now_ms, &self.server);
-        }
-    }
-}
-
 impl Forwarder {
     /// Answers a request of a caller.
     pub(super) async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
@@ -347,107 +272,6 @@
         server
     }
 
-    /// Sends a request to one server and waits for its answer, or for the head
-    /// of a stream.
-    pub(super) async fn send_once(
-        self: &Arc<Self>,
-        caller: &CallerRequest,
-        inputs: &Inputs,
-        server: &BackendName,
-        last_event: Option<&str>,
-    ) -> Sent {
-        let entry = self.knowledge.directory().entry(server).cloned();
-        let Some(entry) = entry.filter(|entry| entry.state == ServerState::Ready) else {
-            return Sent::Ended(AttemptEnd::NotSent, None);
-        };
-        let now_ms = self.clock.now_ms();
-        self.knowledge.fleet().on_forwarded(now_ms, server);
-        let in_flight = InFlight {
-            forwarder: Arc::clone(self),
-            server: server.clone(),
-            began: Instant::now(),
-            has_ended: false,
-        };
-        let reuse = match caller.repeats() {
-            Repeats::Allowed => Reuse::Any,
-            Repeats::Never => Reuse::Within(FRESH_CONNECTION),
-        };
-        let request = caller.to_server(server, &inputs.handles, last_event);
-        let sent = self
-            .servers
-            .send_reusing(entry.addr, request, caller.deadline, reuse)
-            .await;
-        match sent {
-            Ok(exchange) => self.read_answer(caller, exchange, in_flight).await,
-            Err(SendError::NotSent(reason)) => {
-                warn!(self.log, "server not reached"; "request" => %caller.id,
-                    "server" => %server, "error" => reason);
-                in_flight.end(ServerEnd::Unreachable);
-                Sent::Ended(AttemptEnd::NotSent, None)
-            }
-            Err(SendError::Sent(reason)) => {
-                warn!(self.log, "answer lost"; "request" => %caller.id,
-                    "server" => %server, "error" => reason);
-                in_flight.end(ServerEnd::Silent);
-                Sent::Ended(AttemptEnd::Lost, None)
-            }
-        }
-    }
-
-    async fn read_answer(
-        &self,
-        caller: &CallerRequest,
-        exchange: Exchange,
-        in_flight: InFlight,
-    ) -> Sent {
-        let Exchange { response, lease } = exchange;
-        let status = response.status();
-        let head = answer::decode(status, response.headers());
-        if let Some(fault) = fault(caller, status, &head) {
-            warn!(self.log, "answer not used"; "request" => %caller.id,
-                "server" => %in_flight.server, "status" => status.as_u16(), "fault" => fault);
-            in_flight.end(ServerEnd::Failing);
-            return Sent::Ended(AttemptEnd::Lost, None);
-        }
-        if status.is_success() && head.has_events {
-            return Sent::Stream(Stream {
-                response,
-                lease,
-                server: in_flight,
-            });
-        }
-        let (mut parts, body) = response.into_parts();
-        let body = match Limited::new(body, GATHERED_BYTES).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(err) => {
-                warn!(self.log, "answer broke off"; "request" => %caller.id,
-                    "server" => %in_flight.server, "error" => %err);
-                in_flight.end(ServerEnd::Silent);
-                return Sent::Ended(AttemptEnd::Lost, None);
-            }
-        };
-        keep(lease, &head);
-        if head.is_misdirected {
-            self.knowledge.on_leaving(&in_flight.server);
-        }
-        parts.headers = answer::forward(&parts.headers);
-        let response = Response::from_parts(parts, body);
-        if head.is_not_run {
-            in_flight.end(ServerEnd::Full);
-            let end = if head.is_misdirected {
-                AttemptEnd::Misdirected
-            } else {
-                AttemptEnd::NotRun
-            };
-            return Sent::Ended(end, None);
-        }
-        in_flight.end(ServerEnd::Answered);
-        if status.is_success() || status.is_client_error() {
-            return Sent::Whole(response);
-        }
-        Sent::Ended(AttemptEnd::Failed, Some(response))
-    }
-
     fn log_answered(
         &self,
         caller: &CallerRequest,
@@ -470,29 +294,6 @@
     }
 }
 
-/// Gives a connection back after its answer was read.
-pub(super) fn keep(lease: Lease, head: &AnswerHead) {
-    let limit = head
-        .keep_alive_s
-        .map_or(Duration::MAX, Duration::from_secs)
-        .saturating_sub(KEEP_ALIVE_SPARE);
-    tokio::spawn(async move { lease.keep_for(limit).await });
-}
-
-/// Returns what is wrong with the head of an answer.
-fn fault(caller: &CallerRequest, status: StatusCode, head: &AnswerHead) -> Option<&'static str> {
-    if head.id.as_ref().is_some_and(|id| *id != caller.id) {
-        return Some("it answers another request");
-    }
-    if !status.is_success() {
-        return None;
-    }
-    if !head.is_signed {
-        return Some("it is not signed");
-    }
-    head.is_encoded.then_some("it is encoded")
-}
-
 /// Estimates the time from the end of a request's stages to its first event.
 fn rest_ms(caller: &CallerRequest) -> u64 {
     let tokens = caller.prompt().map_or(0, |prompt| {
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -12,13 +12,14 @@
 use tokio_util::task::TaskTracker;
 
 use super::{
+    catch_up::{self, CatchUp},
     dispatch::{self, Dispatch},
     follow,
     forward::Forwarder,
     freshness::Freshness,
     ingress::{self, Service},
     knowledge::Knowledge,
-    members::{self, CatchUp, Members},
+    members::{self, Members},
     peering::Peering,
     settings::GatewaySettings,
     stages::Stages,
@@ -261,7 +262,7 @@
             Arc::clone(&self.catch_up),
             Arc::clone(&self.phases),
         ));
-        tasks.spawn(members::catch_up(self.members, self.catch_up));
+        tasks.spawn(catch_up::run(self.members, self.catch_up));
         tasks.spawn(dispatch::run(Arc::clone(&self.dispatch)));
         tasks.spawn(dispatch::configure(self.dispatch));
         tasks.spawn(become_ready(knowledge, self.phases, self.log));
--- a/crates/server/src/gateway/members.rs
+++ b/crates/server/src/gateway/members.rs
@@ -13,9 +13,7 @@
     stages::{Candidate, SchedulerChoice},
 };
 use savoryvane_platform::store::{self, InstanceRecord, Record};
-use savoryvane_wire::peer::{
-    KnownState, ListedPeer, Message, RoutingQuery, RoutingState, SchedulerQuery, SchedulerState,
-};
+use savoryvane_wire::peer::{ListedPeer, Message, SchedulerQuery, SchedulerState};
 use slog::{Logger, info, warn};
 use tokio::{
     sync::watch,
@@ -24,9 +22,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{
-    freshness::Freshness, knowledge::Knowledge, settings::GatewaySettings, store::StoreClient,
-};
+use super::{catch_up::CatchUp, settings::GatewaySettings, store::StoreClient};
 use crate::{
     clock::Clock,
     peer::{PeerError, PeerHandle, PeerId},
@@ -38,10 +34,6 @@
 const ASK_INTERVAL: Duration = Duration::from_millis(250);
 /// Time for such a question to be answered.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time between two looks at whether the own knowledge is old.
-const CATCH_UP_INTERVAL: Duration = Duration::from_millis(400);
-/// Time for a peer to tell what it knows.
-const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(800);
 /// Peers that are asked at the same time for what they know.
 const CATCH_UP_PEERS: usize = 2;
 
@@ -139,7 +131,7 @@
     }
 
     /// Adds the instances that a peer lists and this one does not know.
-    fn adopt(&self, list: Vec<ListedPeer>) {
+    pub(super) fn adopt(&self, list: Vec<ListedPeer>) {
         let mut listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
         let before = listed.len();
         for peer in list {
@@ -156,7 +148,7 @@
     }
 
     /// Returns a hash of the names of the instances that are listed.
-    fn list_hash(&self) -> u64 {
+    pub(super) fn list_hash(&self) -> u64 {
         let listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
         let names = listed
             .iter()
@@ -279,150 +271,10 @@
     }
 }
 
-/// Learns routes and servers from other instances.
-#[derive(Debug)]
-pub(super) struct CatchUp {
-    knowledge: Arc<Knowledge>,
-    freshness: Arc<Freshness>,
-    incarnation: Incarnation,
-    /// The run whose directory was taken over last, and its revision.
-    source: Mutex<Option<(Incarnation, u64)>>,
-}
-
-impl CatchUp {
-    pub(super) fn new(
-        knowledge: Arc<Knowledge>,
-        freshness: Arc<Freshness>,
-        incarnation: Incarnation,
-    ) -> Self {
-        Self {
-            knowledge,
-            freshness,
-            incarnation,
-            source: Mutex::default(),
-        }
-    }
-
-    /// Returns how far the knowledge of this instance goes.
-    pub(super) fn known(&self, members: &Members) -> KnownState {
-        KnownState {
-            version: self.knowledge.version(),
-            version_age_ms: self.freshness.configuration_age_ms(),
-            incarnation: self.incarnation,
-            revision: self.knowledge.directory().revision(),
-            servers_age_ms: self.freshness.servers_age_ms(),
-            instances: members.list_hash(),
-        }
-    }
-
-    /// Takes over what the instance that schedules knows, if that is fresh.
-    async fn follow(&self, members: &Members, instance: &InstanceName, theirs: KnownState) {
-        let ours = self.known(members);
-        let has_all = self.source() == Some((theirs.incarnation, theirs.revision))
-            && ours.version >= theirs.version
-            && ours.instances == theirs.instances;
-        if has_all {
-            return self.note(theirs);
-        }
-        let question = Message::RoutingQuery(self.question(theirs.incarnation));
-        let answer = members
-            .peers
-            .request(instance, None, &question, CATCH_UP_TIMEOUT)
-            .await;
-        if let Ok(Message::RoutingState(state)) = answer {
-            self.take(members, state);
-        }
-    }
-
-    fn question(&self, of: Incarnation) -> RoutingQuery {
-        let source = self.source().filter(|(incarnation, _)| *incarnation == of);
-        RoutingQuery {
-            version: self.knowledge.version(),
-            revision: source.map(|(_, revision)| revision),
-        }
-    }
-
-    /// Takes over what a peer knows, as far as it is newer.
-    fn take(&self, members: &Members, state: RoutingState) {
-        let theirs = state.known;
-        members.adopt(state.instances);
-        if let Some(config) = state.config {
-            self.knowledge.apply_config(config, "peer");
-        }
-        if theirs.servers_age_ms <= self.freshness.servers_age_ms() {
-            self.knowledge.update_servers(state.servers, "peer");
-            *self.source.lock().unwrap_or_else(PoisonError::into_inner) =
-                Some((theirs.incarnation, theirs.revision));
-        }
-        self.note(theirs);
-    }
-
-    /// Notes that this instance knows all that a peer knows.
-    fn note(&self, theirs: KnownState) {
-        self.freshness.on_configuration(theirs.version_age_ms);
-        self.freshness.on_servers(theirs.servers_age_ms);
-        let age_ms = theirs.version_age_ms.max(theirs.servers_age_ms);
-        self.freshness.on_relayed(age_ms);
-    }
-
-    fn source(&self) -> Option<(Incarnation, u64)> {
-        *self.source.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Tells a peer what this instance knows beyond it.
-    pub(super) fn answer(&self, members: &Members, question: RoutingQuery) -> RoutingState {
-        let table = self.knowledge.table();
-        let config = table
-            .filter(|table| table.version() > question.version)
-            .map(|table| (**table.config()).clone());
-        RoutingState {
-            known: self.known(members),
-            config,
-            servers: self.knowledge.directory().update_since(question.revision),
-            instances: members.listed(),
-        }
-    }
-}
-
-/// Asks other instances for routes and servers while the store does not give
-/// them, and the instance that schedules does not either.
-pub(super) async fn catch_up(members: Arc<Members>, catch_up: Arc<CatchUp>) {
-    loop {
-        time::sleep(CATCH_UP_INTERVAL).await;
-        if catch_up.freshness.is_fresh() {
-            continue;
-        }
-        let asked = members.contacts().into_iter().map(|contact| {
-            let (members, catch_up) = (Arc::clone(&members), Arc::clone(&catch_up));
-            tokio::spawn(async move { learn(&members, &catch_up, &contact).await })
-        });
-        for task in asked.collect::<Vec<_>>() {
-            // A task that panicked has said so; the next round asks again.
-            let _ = task.await;
-        }
-    }
-}
-
-async fn learn(members: &Members, catch_up: &CatchUp, contact: &Contact) {
-    let question = Message::RoutingQuery(RoutingQuery {
-        version: catch_up.knowledge.version(),
-        revision: None,
-    });
-    let answer = members
-        .peers
-        .request_at(contact, &question, CATCH_UP_TIMEOUT)
-        .await;
-    if let Ok(Message::RoutingState(state)) = answer
-        && state.known.servers_age_ms < catch_up.freshness.servers_age_ms()
-    {
-        catch_up.take(members, state);
-    }
-}
-
 impl Members {
     /// Chooses instances to ask: listed ones, or the first contacts of the
     /// settings while none is listed.
-    fn contacts(&self) -> Vec<Contact> {
+    pub(super) fn contacts(&self) -> Vec<Contact> {
         let listed = self.listed();
         let mut contacts: Vec<Contact> = listed
             .into_iter()
--- a/crates/server/src/gateway/peering.rs
+++ b/crates/server/src/gateway/peering.rs
@@ -4,10 +4,7 @@
 
 use savoryvane_wire::peer::{Declined, Message, SchedulerState, Taken};
 
-use super::{
-    dispatch::Dispatch,
-    members::{CatchUp, Members},
-};
+use super::{catch_up::CatchUp, dispatch::Dispatch, members::Members};
 use crate::{
     peer::{PeerAnswer, PeerHandler, PeerId},
     phase::{Phase, Phases},
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -5,7 +5,12 @@
 //! the last whole event. Any other stream that breaks off ends the caller's
 //! connection, so that it can't be taken for a whole one.
 
-use std::{io, sync::Arc};
+use std::{
+    io,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+};
 
 use bytes::{Bytes, BytesMut};
 use http::Response;
@@ -14,14 +19,11 @@
 use savoryvane_core::ids::BackendName;
 use savoryvane_platform::answer;
 use slog::{info, warn};
-use std::{
-    pin::Pin,
-    task::{Context, Poll},
-};
 use tokio::{sync::mpsc, time};
 
 use super::{
-    forward::{Forwarder, InFlight, Inputs, Sent, ServerEnd, Stream, keep},
+    attempt::{InFlight, Sent, ServerEnd, Stream, keep},
+    forward::{Forwarder, Inputs},
     request::CallerRequest,
 };
 use crate::{connections::Lease, http_body::Body};
