Prove forwarding and acting together with stand-ins of the platform

Found on the way: a call of 10 ms counted as slow because of the way there and back; 20 ms of a call say nothing of its server.

--- a/crates/core/src/stages/server.rs
+++ b/crates/core/src/stages/server.rs
@@ -15,6 +15,9 @@
 const FIRST_EJECTION_MS: u64 = 500;
 /// Doublings of that time while it stays away.
 const MOST_DOUBLINGS: u32 = 3;
+/// Time of a call beside its work that says nothing of the server's speed, in ms:
+/// the way there and back, and a turn of either process.
+const WAY_MS: f64 = 20.0;
 /// How much a new measure of a server's speed counts.
 const SLOWNESS_WEIGHT: f64 = 0.5;
 /// Slowness from which a server gets pieces only to see whether it is well
@@ -76,7 +79,7 @@
 
     pub(super) fn on_answer(&mut self, now_ms: u64, elapsed_ms: f64, expected_ms: f64) {
         self.failures = 0;
-        let measured = elapsed_ms / expected_ms.max(1.0);
+        let measured = (elapsed_ms - WAY_MS).max(0.0) / expected_ms.max(1.0);
         self.slowness += SLOWNESS_WEIGHT * (measured - self.slowness);
         if self.slowness >= SLOW {
             self.paused_until_ms = now_ms + SLOW_PAUSE_MS;
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -21,7 +21,7 @@
     knowledge::Knowledge,
     members::{self, Members},
     peering::Peering,
-    settings::GatewaySettings,
+    settings::{GatewayListen, GatewaySettings},
     stages::Stages,
     store::StoreClient,
 };
@@ -29,7 +29,7 @@
     clock::Clock,
     connections::{ConnectionSettings, Connections},
     error::Result,
-    instance::Ended,
+    instance::{Ended, local_addr},
     listener::{self, Acceptor},
     logging,
     meters::Meters,
@@ -76,6 +76,16 @@
             admin: listener::bind("metrics", listen.admin).await?,
         })
     }
+
+    /// Returns the addresses that were taken, where any free port was asked for.
+    fn addresses(&self) -> Result<GatewayListen> {
+        Ok(GatewayListen {
+            caller: local_addr(&self.caller)?,
+            ready: local_addr(&self.ready)?,
+            peer: local_addr(&self.peer)?,
+            admin: local_addr(&self.admin)?,
+        })
+    }
 }
 
 impl Gateway {
@@ -84,8 +94,9 @@
     /// # Errors
     ///
     /// Returns [`crate::Error::Listen`] when an address can't be listened on.
-    pub async fn start(settings: GatewaySettings) -> Result<Self> {
+    pub async fn start(mut settings: GatewaySettings) -> Result<Self> {
         let listeners = Listeners::bind(&settings).await?;
+        settings.listen = listeners.addresses()?;
         let (instance, zone) = (&settings.instance, &settings.zone);
         let log = logging::build_to(io::stdout(), &settings.log, instance, zone);
         let incarnation = Incarnation(rand::random());
@@ -105,7 +116,8 @@
         })
     }
 
-    /// Returns the settings that it was started with.
+    /// Returns the settings that it was started with, and the addresses that it
+    /// has taken.
     pub fn settings(&self) -> &GatewaySettings {
         &self.settings
     }
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -351,7 +351,12 @@
     background
 }
 
-fn local_addr(listener: &TcpListener) -> Result<SocketAddr> {
+/// Returns the address that a listener has taken.
+///
+/// # Errors
+///
+/// Returns [`Error::System`] when the system does not tell it.
+pub(crate) fn local_addr(listener: &TcpListener) -> Result<SocketAddr> {
     listener
         .local_addr()
         .map_err(|err| Error::System("address of a listener", err))
--- /dev/null
+++ b/crates/server/tests/gateway_together.rs
@@ -0,0 +1,154 @@
+//! Instances that act together: stages scheduled by one for all, and what they
+//! learn from each other while the store is away.
+
+mod gateway_world;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use gateway_world::{World, ask, get, request, route, until, until_ready};
+use http::StatusCode;
+use http_body_util::Full;
+use savoryvane_platform_standin::{Behaviour, Fault, ServerStandIn};
+use savoryvane_server::Gateway;
+use serde_json::json;
+use tokio::time;
+
+/// A route whose requests have two stages before they go to an engine.
+async fn staged() -> (World, ServerStandIn, ServerStandIn, ServerStandIn) {
+    let mut world = World::new().await;
+    let pieces = json!({ "Slots": 1, "Queue": 2, "Batch": 10, "CallMs": 10.0, "ItemMs": 1.0,
+        "RoomMb": 20.0, "HandleS": 4.0, "LinkMbps": 1_000 });
+    for name in ["archive", "invoices"] {
+        world.services.push(
+            json!({ "Name": name, "HealthPath": "/healthz", "MaxConns": 100,
+            "Pieces": pieces }),
+        );
+    }
+    let mut draft = route("draft", "stream", "desk");
+    draft["Stages"] = json!([
+        { "Service": "archive", "After": [], "SizeBytes": 8_000 },
+        { "Service": "invoices", "After": [0], "SizeBytes": 6_000 },
+    ]);
+    world.routes = vec![draft, route("lookup", "idempotent", "desk")];
+    world.configure();
+    let engine = world.server("i-1", "desk").await;
+    engine.set(Behaviour::Streams(3));
+    let archive = world.server("i-a", "archive").await;
+    let invoices = world.server("i-b", "invoices").await;
+    (world, engine, archive, invoices)
+}
+
+async fn draft(instance: &Gateway, id: &str, pieces: &str) -> gateway_world::Whole {
+    let asked = request("POST", "/draft/a", id)
+        .header("pieces", pieces)
+        .header("piece-key", "k1")
+        .body(Full::new(Bytes::from("x")))
+        .unwrap();
+    ask(instance, asked).await
+}
+
+#[tokio::test]
+async fn stages_run_before_a_request_and_their_results_are_freed() {
+    let (world, engine, archive, invoices) = staged().await;
+    let instance = world.instance("entry-1").await;
+    until_ready(&instance).await;
+    let answer = draft(&instance, "r1", "1,3").await;
+    assert_eq!(answer.status, StatusCode::OK);
+    let first: serde_json::Value = serde_json::from_slice(&archive.piece_calls()[0].body).unwrap();
+    assert_eq!(first["Items"][0]["Key"], "k1");
+    let call = &invoices.piece_calls()[0];
+    assert_eq!(call.header("expect-instance"), Some("i-b"));
+    let second: serde_json::Value = serde_json::from_slice(&call.body).unwrap();
+    assert_eq!(second["Items"].as_array().unwrap().len(), 3);
+    for item in second["Items"].as_array().unwrap() {
+        assert_eq!(item["Inputs"], json!(["i-a/1"]));
+        assert_eq!(item["Id"], "r1");
+    }
+    let ran = engine.ran();
+    assert_eq!(ran[0].header("inputs"), Some("i-b/1,i-b/2,i-b/3"));
+    let freed = || async { !archive.free_calls().is_empty() && !invoices.free_calls().is_empty() };
+    until("results are freed", freed).await;
+}
+
+#[tokio::test]
+async fn one_instance_schedules_for_all_and_another_takes_over() {
+    let (world, _engine, archive, _invoices) = staged().await;
+    let names = ["entry-1", "entry-2", "entry-3"];
+    let mut instances = Vec::new();
+    for name in names {
+        let instance = world.instance(name).await;
+        until_ready(&instance).await;
+        instances.push(instance);
+    }
+    // All know the list after its first reads.
+    time::sleep(Duration::from_millis(2_500)).await;
+    let calls = archive.piece_calls().len();
+    let mut requests = tokio::task::JoinSet::new();
+    for number in 0..30 {
+        let addr = instances[number % 3].settings().listen.caller;
+        requests.spawn(async move {
+            let asked = request("POST", "/draft/a", &format!("r{number}"))
+                .header("pieces", "1,1")
+                .header("piece-key", "k1")
+                .body(Full::new(Bytes::from("x")))
+                .unwrap();
+            gateway_world::send(addr, asked)
+                .await
+                .map(|answer| answer.status())
+        });
+    }
+    let answers = requests.join_all().await;
+    assert!(
+        answers.iter().all(|status| *status == Ok(StatusCode::OK)),
+        "{answers:?}"
+    );
+    let shared = archive.piece_calls().len() - calls;
+    assert!(shared <= 15, "30 requests took {shared} calls");
+    // Two of the three go, the scheduler among them or not.
+    instances.truncate(1);
+    let answer = draft(&instances[0], "s1", "1,1").await;
+    assert_eq!(answer.status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn an_instance_that_starts_without_the_store_learns_from_its_seeds() {
+    let (world, _engine, _archive, _invoices) = staged().await;
+    let first = world.instance("entry-1").await;
+    until_ready(&first).await;
+    for fault in [Fault::Silent, Fault::Busy] {
+        world.store.set_fault(fault);
+        let peer = first.settings().listen.peer;
+        let second = world.instance_with("entry-2", &[peer]).await;
+        until_ready(&second).await;
+        let answer = get(&second, "/lookup/a", "r1").await;
+        assert_eq!(answer.status, StatusCode::OK, "{fault:?}");
+        world.store.set_fault(Fault::None);
+    }
+}
+
+#[tokio::test]
+async fn the_store_is_asked_by_one_instance_and_changes_reach_all() {
+    let (mut world, _engine, _archive, _invoices) = staged().await;
+    let mut instances = Vec::new();
+    for number in 1..=4 {
+        instances.push(world.instance(&format!("entry-{number}")).await);
+    }
+    for instance in &instances {
+        until_ready(instance).await;
+    }
+    time::sleep(Duration::from_secs(4)).await;
+    let before = world.store.calls();
+    time::sleep(Duration::from_secs(3)).await;
+    let calls = world.store.calls() - before;
+    assert!(calls <= 20, "{calls} calls in 3 s by 4 instances");
+    world.routes.push(route("added", "idempotent", "desk"));
+    world.configure();
+    let late = world.server("i-9", "desk").await;
+    late.set(Behaviour::Good);
+    time::sleep(Duration::from_millis(1_600)).await;
+    for instance in &instances {
+        let answer = get(instance, "/added/a", "r1").await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+}
--- /dev/null
+++ b/crates/server/tests/gateway_world/mod.rs
@@ -0,0 +1,191 @@
+//! Forwarding instances in front of stand-ins for the platform.
+
+#![allow(dead_code)]
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use savoryvane_platform_standin::{ServerStandIn, StoreStandIn};
+use savoryvane_server::{Gateway, GatewaySettings};
+use serde_json::{Value, json};
+use tokio::{net::TcpStream, time};
+
+pub const HOST: &str = "sign.example";
+pub const KEY: &str = "key-of-one";
+
+/// A store with a configuration, and servers of some services.
+pub struct World {
+    pub store: StoreStandIn,
+    pub version: u64,
+    pub routes: Vec<Value>,
+    pub services: Vec<Value>,
+}
+
+/// Describes a route to the service `service`.
+pub fn route(name: &str, kind: &str, service: &str) -> Value {
+    json!({
+        "Name": name, "Host": HOST, "PathPrefix": format!("/{name}/"), "RouteKind": kind,
+        "TimeoutMs": 2_000, "GoalMs": 500, "Priority": 0, "Service": service, "Attempts": 2,
+        "Public": false, "Sticky": false, "Resumable": false,
+    })
+}
+
+impl World {
+    pub async fn new() -> Self {
+        Self {
+            store: StoreStandIn::start().await,
+            version: 0,
+            routes: Vec::new(),
+            services: vec![json!({ "Name": "desk", "HealthPath": "/healthz", "MaxConns": 100 })],
+        }
+    }
+
+    /// Writes the configuration as its next version.
+    pub fn configure(&mut self) {
+        self.version += 3;
+        let config = json!({
+            "Version": self.version, "Routes": self.routes, "Services": self.services,
+            "Tenants": [{ "Name": "one", "ApiKeys": [KEY] }],
+            "Limits": { "MaxHeaderBytes": 16_384, "MaxBodyBytes": 1_000_000,
+                "HeaderTimeoutMs": 5_000, "IdleTimeoutMs": 10_000 },
+        });
+        self.store.put("keyed.op", "config", &config.to_string());
+    }
+
+    /// Starts a server and registers it for `service`.
+    pub async fn server(&self, id: &str, service: &str) -> ServerStandIn {
+        let server = ServerStandIn::start(id).await;
+        self.register(&server, service, "ready");
+        server
+    }
+
+    pub fn register(&self, server: &ServerStandIn, service: &str, state: &str) {
+        let entry = server.entry(service, "hal-utrecht", state);
+        self.store.put("keyed.servers", &server.id, &entry);
+    }
+
+    pub async fn instance(&self, name: &str) -> Gateway {
+        self.instance_with(name, &[]).await
+    }
+
+    /// Starts an instance that knows `seeds`.
+    pub async fn instance_with(&self, name: &str, seeds: &[SocketAddr]) -> Gateway {
+        let seeds: Vec<String> = seeds.iter().map(|addr| format!("\"{addr}\"")).collect();
+        let text = format!(
+            "instance: {name}\nzone: hal-utrecht\nregion: nl-midden\n\
+             listen:\n  caller: 127.0.0.1:0\n  ready: 127.0.0.1:0\n  peer: 127.0.0.1:0\n  \
+             admin: 127.0.0.1:0\nstore: {}\nseeds: [{}]\ncores: 0.25\n\
+             repeats:\n  ratio: 0.2\n  slack: 100\n  instances: 4\n\
+             log:\n  level: error\ndrain:\n  grace_ms: 100\n  timeout_ms: 2000\n",
+            self.store.addr,
+            seeds.join(",")
+        );
+        let settings = GatewaySettings::parse(&text).expect("settings");
+        Gateway::start(settings).await.expect("an instance")
+    }
+}
+
+/// Tells whether an instance says that it takes requests.
+pub async fn is_ready(instance: &Gateway) -> bool {
+    let request = Request::get("/savoryvane/readyz")
+        .header("host", "platform")
+        .body(Full::default())
+        .unwrap();
+    let answer = send(instance.settings().listen.ready, request).await;
+    answer.is_ok_and(|answer| answer.status() == StatusCode::OK)
+}
+
+pub async fn until_ready(instance: &Gateway) {
+    until("the instance is ready", || is_ready(instance)).await;
+}
+
+/// Waits until `holds` returns true, for some seconds at most.
+pub async fn until<F: Future<Output = bool>>(what: &str, mut holds: impl FnMut() -> F) {
+    for _ in 0..400 {
+        if holds().await {
+            return;
+        }
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("not in time: {what}");
+}
+
+/// Builds a request of a caller with the key of the workspace `one`.
+pub fn request(method: &str, path: &str, id: &str) -> http::request::Builder {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", HOST)
+        .header("request-id", id)
+        .header("deadline-ms", "2000")
+        .header("x-api-key", KEY)
+}
+
+/// Sends a request over a connection of its own.
+pub async fn send(
+    addr: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, String> {
+    let stream = TcpStream::connect(addr)
+        .await
+        .map_err(|err| err.to_string())?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|err| err.to_string())?;
+    tokio::spawn(connection);
+    sender
+        .send_request(request)
+        .await
+        .map_err(|err| err.to_string())
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Whole {
+    pub status: StatusCode,
+    pub headers: http::HeaderMap,
+    pub body: Result<Bytes, String>,
+}
+
+impl Whole {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
+    pub fn text(&self) -> String {
+        let body = self.body.as_ref().expect("a whole body");
+        String::from_utf8_lossy(body).into_owned()
+    }
+}
+
+/// Sends a request to an instance and reads its whole answer.
+pub async fn ask(instance: &Gateway, request: Request<Full<Bytes>>) -> Whole {
+    let answer = send(instance.settings().listen.caller, request)
+        .await
+        .expect("an answer");
+    let (parts, body) = answer.into_parts();
+    let body = body.collect().await;
+    Whole {
+        status: parts.status,
+        headers: parts.headers,
+        body: body
+            .map(http_body_util::Collected::to_bytes)
+            .map_err(|err| err.to_string()),
+    }
+}
+
+/// Sends a plain request without a body.
+pub async fn get(instance: &Gateway, path: &str, id: &str) -> Whole {
+    let request = request("GET", path, id).body(Full::default()).unwrap();
+    ask(instance, request).await
+}
+
+/// Sends a request with a body.
+pub async fn post(instance: &Gateway, path: &str, id: &str, body: &str) -> Whole {
+    let body = Full::new(Bytes::from(body.to_owned()));
+    ask(instance, request("POST", path, id).body(body).unwrap()).await
+}
