--- a/crates/core/src/stages/choice.rs
+++ b/crates/core/src/stages/choice.rs
@@ -11,10 +11,11 @@
 use crate::ids::InstanceName;
 
 /// Time for which an instance that was not reached is passed over, in ms: one
-/// that is reached again is asked at the next look.
-const FIRST_PAUSE_MS: u64 = 500;
+/// look. After all were restarted at once, those that waited 4 s before they
+/// asked again scheduled beside the others, and each call took twice its time.
+const FIRST_PAUSE_MS: u64 = 250;
 /// Doublings of that time while it stays away.
-const MOST_DOUBLINGS: u32 = 3;
+const MOST_DOUBLINGS: u32 = 2;
 /// Questions without an answer after which an instance counts as not reached.
 const MISSES: u32 = 2;
 /// Classes of processors: instances with half of the strongest one's share or
--- /dev/null
+++ b/crates/core/tests/stages_choice.rs
@@ -0,0 +1,91 @@
+//! Which instance schedules: all agree, and return to the same one soon.
+
+use savoryvane_core::{
+    ids::InstanceName,
+    stages::{Candidate, SchedulerChoice},
+};
+
+fn candidates(names: &[&str]) -> Vec<Candidate> {
+    names
+        .iter()
+        .map(|name| Candidate {
+            instance: InstanceName::new(name),
+            cores: 0.25,
+        })
+        .collect()
+}
+
+const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+fn choice() -> SchedulerChoice {
+    let mut choice = SchedulerChoice::default();
+    choice.set_candidates(candidates(&NAMES));
+    choice
+}
+
+#[test]
+fn all_choose_the_same_whatever_order_they_learnt_the_names_in() {
+    let mut other = SchedulerChoice::default();
+    other.set_candidates(candidates(&["e", "c", "a", "d", "b"]));
+    assert_eq!(choice().current(), other.current());
+}
+
+#[test]
+fn strong_instances_go_first() {
+    let mut choice = SchedulerChoice::default();
+    let mut listed = candidates(&NAMES);
+    for candidate in &mut listed[..4] {
+        candidate.cores = 0.12;
+    }
+    listed[4].cores = 0.5;
+    choice.set_candidates(listed);
+    assert_eq!(choice.current(), Some(&InstanceName::new("e")));
+}
+
+#[test]
+fn one_that_misses_a_question_is_kept_and_one_that_misses_two_is_not() {
+    let mut choice = choice();
+    let first = choice.current().cloned().unwrap();
+    choice.on_miss(0, &first);
+    assert_eq!(choice.current(), Some(&first));
+    choice.on_miss(250, &first);
+    assert_ne!(choice.current(), Some(&first));
+    assert!(choice.is_away(&first));
+}
+
+/// An instance that was not reached for a while is asked again at least once a
+/// second, and is the one again as soon as it answers.
+#[test]
+fn one_that_was_away_is_asked_again_within_a_second() {
+    let mut choice = choice();
+    let first = choice.current().cloned().unwrap();
+    let mut now_ms = 0;
+    for _ in 0..40 {
+        choice.on_unreachable(now_ms, &first);
+        let asked_at = (now_ms..=now_ms + 1_000)
+            .step_by(50)
+            .find(|at_ms| choice.to_ask(*at_ms).contains(&first));
+        now_ms = asked_at.expect("it is asked again within a second");
+    }
+    choice.on_answer(&first);
+    assert_eq!(choice.current(), Some(&first));
+}
+
+#[test]
+fn one_that_declines_is_passed_over_until_it_answers() {
+    let mut choice = choice();
+    let first = choice.current().cloned().unwrap();
+    choice.on_declined(0, &first);
+    assert_ne!(choice.current(), Some(&first));
+    assert!(!choice.is_away(&first), "what it has begun it finishes");
+    assert!(choice.to_ask(1_000).contains(&first));
+}
+
+#[test]
+fn what_is_known_of_an_instance_outlasts_a_new_list() {
+    let mut choice = choice();
+    let first = choice.current().cloned().unwrap();
+    choice.on_unreachable(0, &first);
+    choice.set_candidates(candidates(&["a", "b", "c", "d", "e", "f"]));
+    assert!(choice.is_away(&first));
+}
--- a/crates/server/src/peer/link.rs
+++ b/crates/server/src/peer/link.rs
@@ -34,8 +34,9 @@
 const PING_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Pause after a first failure to connect; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause after a failure to connect.
-const LONGEST_PAUSE: Duration = Duration::from_millis(3_200);
+/// Longest pause after a failure to connect: one that is back is found within
+/// the second in which requests that wait for it can still be in time.
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 /// Flow-control window of a stream and of a connection, in bytes.
 pub(crate) const WINDOW_BYTES: u32 = 2 * MAX_FRAME_BYTES as u32;
 
