Probe servers that could not be reached instead of trying them with pieces

Ruled out: the role of the scheduler, which moved within a second. Change: connect every 300 ms, use at once. Test: servers_that_were_cut_off_get_pieces_soon_after_they_are_back (fails without).

--- a/crates/core/src/stages/calls.rs
+++ b/crates/core/src/stages/calls.rs
@@ -48,7 +48,12 @@
                 CallEnd::Answered(_) => server.on_answer(now_ms, elapsed_ms, call.expected_ms),
                 CallEnd::Full => server.on_full(now_ms),
                 CallEnd::Misdirected => server.is_leaving = true,
-                CallEnd::Unreachable | CallEnd::Lost => server.on_failure(now_ms),
+                CallEnd::Unreachable | CallEnd::Lost => {
+                    server.on_failure(now_ms);
+                    let addr = server.addr;
+                    let server = call.server.clone();
+                    self.actions.push(StageAction::Probe { server, addr });
+                }
             }
         }
         match end {
@@ -73,6 +78,14 @@
         }
     }
 
+    /// Notes that a connection to a server could be made.
+    pub fn on_reachable(&mut self, server: &BackendName) {
+        let mut services = self.services.values_mut();
+        if let Some(server) = services.find_map(|service| service.servers.get_mut(server)) {
+            server.on_reachable();
+        }
+    }
+
     pub(super) fn start_call(&mut self, now_ms: u64, name: &PoolName, batch: Batch) {
         self.last_call += 1;
         let id = CallId(self.last_call);
--- a/crates/core/src/stages/server.rs
+++ b/crates/core/src/stages/server.rs
@@ -11,10 +11,9 @@
 /// ms: half of the time after which servers drop them, since they were there
 /// before.
 const OTHERS_ROOM_MS: u64 = 2_000;
-/// Time for which a server that can't be reached is left alone first, in ms.
-const FIRST_EJECTION_MS: u64 = 500;
-/// Doublings of that time while it stays away.
-const MOST_DOUBLINGS: u32 = 3;
+/// Time for which a server that can't be reached is left alone at most, in ms: it
+/// is probed meanwhile, and gets pieces again once a connection can be made.
+const EJECTION_MS: u64 = 5_000;
 /// Time of a call beside its work that says nothing of the server's speed, in ms:
 /// the way there and back, and a turn of either process.
 const WAY_MS: f64 = 20.0;
@@ -41,8 +40,6 @@
     room_limit: Option<(u64, u64)>,
     /// Time until which it gets nothing, in ms.
     paused_until_ms: u64,
-    /// Failures since its last good answer.
-    failures: u32,
     /// Time that its calls take, as a multiple of what is usual.
     pub(super) slowness: f64,
 }
@@ -57,7 +54,6 @@
             room_used: 0,
             room_limit: None,
             paused_until_ms: 0,
-            failures: 0,
             slowness: 1.0,
         }
     }
@@ -78,7 +74,6 @@
     }
 
     pub(super) fn on_answer(&mut self, now_ms: u64, elapsed_ms: f64, expected_ms: f64) {
-        self.failures = 0;
         let measured = (elapsed_ms - WAY_MS).max(0.0) / expected_ms.max(1.0);
         self.slowness += SLOWNESS_WEIGHT * (measured - self.slowness);
         if self.slowness >= SLOW {
@@ -105,9 +100,13 @@
         self.paused_until_ms = self.paused_until_ms.max(now_ms + FULL_PAUSE_MS);
     }
 
+    /// Notes that it can't be reached; it is to be probed.
     pub(super) fn on_failure(&mut self, now_ms: u64) {
-        let pause_ms = FIRST_EJECTION_MS << self.failures.min(MOST_DOUBLINGS);
-        self.failures += 1;
-        self.paused_until_ms = now_ms + pause_ms;
+        self.paused_until_ms = now_ms + EJECTION_MS;
+    }
+
+    /// Notes that a connection to it could be made.
+    pub(super) fn on_reachable(&mut self) {
+        self.paused_until_ms = 0;
     }
 }
--- a/crates/core/src/stages/work.rs
+++ b/crates/core/src/stages/work.rs
@@ -167,6 +167,13 @@
         /// The results.
         handles: Vec<String>,
     },
+    /// Try to connect to a backend server until it can be reached.
+    Probe {
+        /// The server.
+        server: BackendName,
+        /// Its address.
+        addr: SocketAddr,
+    },
     /// Tell whoever submitted a request how its stages ended.
     Finish {
         /// The request.
--- a/crates/core/tests/stages_scheduler.rs
+++ b/crates/core/tests/stages_scheduler.rs
@@ -223,3 +223,43 @@
         assert_eq!(world.outcomes.len(), 8, "seed {seed}");
     }
 }
+
+/// Servers that were cut off for a while work again soon after they are reached.
+#[test]
+fn servers_that_were_cut_off_get_pieces_soon_after_they_are_back() {
+    let mut world = chain();
+    for name in ["a-far", "b-far", "c-far"] {
+        world.cut_off.insert(BackendName::new(name));
+    }
+    let mut number = 0;
+    let mut load = |world: &mut World, until_ms: u64| {
+        while world.now_ms < until_ms {
+            number += 1;
+            let mut submission = World::submission(number, three_stages(), 3_000);
+            submission.home_zone = None;
+            world.submit(submission);
+            let next_ms = world.now_ms + 60;
+            world.run(next_ms);
+        }
+    };
+    load(&mut world, 6_000);
+    assert!(
+        world
+            .calls
+            .iter()
+            .all(|(_, call)| call.server.as_str().ends_with("near"))
+    );
+    world.cut_off.clear();
+    let healed_ms = world.now_ms;
+    load(&mut world, healed_ms + 1_000);
+    let mut back = world
+        .calls
+        .iter()
+        .filter(|(_, call)| call.server.as_str() == "a-far");
+    let first_ms = back.next().expect("it works again within a second").0;
+    assert!(
+        first_ms - healed_ms <= 600,
+        "after {} ms",
+        first_ms - healed_ms
+    );
+}
--- a/crates/core/tests/stages_world/mod.rs
+++ b/crates/core/tests/stages_world/mod.rs
@@ -60,6 +60,10 @@
     submissions: BTreeMap<String, Submission>,
     at_work: Vec<AtWork>,
     freeing: Vec<(u64, BackendName, Vec<String>)>,
+    /// Servers that are probed, and when.
+    probing: Vec<(u64, BackendName)>,
+    /// Servers to which no connection can be made.
+    pub cut_off: BTreeSet<BackendName>,
     next_handle: u64,
 }
 
@@ -129,6 +133,8 @@
             submissions: BTreeMap::new(),
             at_work: Vec::new(),
             freeing: Vec::new(),
+            probing: Vec::new(),
+            cut_off: BTreeSet::new(),
             next_handle: 0,
         };
         world.configure();
@@ -192,6 +198,7 @@
             self.now_ms += 1;
             self.end_calls();
             self.end_frees();
+            self.end_probes();
             let due = self.scheduler.next_poll_ms(self.now_ms);
             if due.is_some_and(|due_ms| due_ms <= self.now_ms) {
                 self.carry_out();
@@ -228,6 +235,22 @@
         }
     }
 
+    fn end_probes(&mut self) {
+        let now_ms = self.now_ms;
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.probing)
+            .into_iter()
+            .partition(|(at_ms, _)| *at_ms <= now_ms);
+        self.probing = later;
+        for (_, server) in due {
+            if self.cut_off.contains(&server) {
+                self.probing.push((now_ms + 300, server));
+            } else {
+                self.scheduler.on_reachable(&server);
+                self.carry_out();
+            }
+        }
+    }
+
     fn is_bad(&mut self) -> bool {
         self.rng.random_range(0..100) < self.bad_percent
     }
@@ -257,6 +280,10 @@
                     let at_ms = self.now_ms + self.free_lag_ms;
                     self.freeing.push((at_ms, server, handles));
                 }
+                StageAction::Probe { server, .. } => {
+                    let at_ms = self.now_ms + 300;
+                    self.probing.push((at_ms, server));
+                }
                 StageAction::Finish { key, outcome } => {
                     self.outcomes.push((self.now_ms, key, outcome));
                 }
@@ -265,6 +292,11 @@
     }
 
     fn take_call(&mut self, call: StageCall) {
+        if self.cut_off.contains(&call.server) {
+            let end = CallEnd::Unreachable;
+            self.scheduler.on_call_ended(self.now_ms, call.id, &end);
+            return self.carry_out();
+        }
         self.calls.push((self.now_ms, call.clone()));
         let batching = self
             .config
--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -232,6 +232,18 @@
             })
     }
 
+    /// Tries to connect to `addr`, and keeps the connection; tells whether one
+    /// could be made.
+    pub(crate) async fn warm(&self, addr: SocketAddr) -> bool {
+        match self.connect(addr).await {
+            Ok(connection) => {
+                self.put(addr, connection, Duration::MAX);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
     /// Takes over an idle connection to `addr` of another pool, if there is none
     /// here.
     pub(crate) fn take_over(&self, addr: SocketAddr, other: &Self) {
--- a/crates/server/src/gateway/dispatch.rs
+++ b/crates/server/src/gateway/dispatch.rs
@@ -37,6 +37,11 @@
 const FREE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which results are gathered before a server is told to free them.
 const FREE_DELAY: Duration = Duration::from_millis(20);
+/// Time between two attempts to connect to a server that could not be reached.
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// Attempts before pieces are tried again, by which time one that is not
+/// registered any more is gone.
+const PROBES: u32 = 15;
 /// Longest time between two looks at the scheduler.
 const LONGEST_SLEEP: Duration = Duration::from_secs(1);
 
@@ -135,6 +140,10 @@
                     addr,
                     handles,
                 } => self.free_soon(server, addr, handles),
+                StageAction::Probe { server, addr } => {
+                    let dispatch = Arc::clone(self);
+                    tokio::spawn(async move { dispatch.probe(&server, addr).await });
+                }
                 StageAction::Finish { key, outcome } => {
                     let waiter = self.waiters().remove(&key);
                     // Whoever waited may have gone at this moment.
@@ -145,6 +154,19 @@
         self.changed.notify_one();
     }
 
+    /// Tries to connect to a server that could not be reached, so that no piece
+    /// has to find out when it is back.
+    async fn probe(self: Arc<Self>, server: &BackendName, addr: SocketAddr) {
+        for _ in 0..PROBES {
+            time::sleep(PROBE_INTERVAL).await;
+            if self.servers.warm(addr).await {
+                info!(self.log, "server reached again"; "server" => %server);
+                self.scheduler().on_reachable(server);
+                return self.carry_out();
+            }
+        }
+    }
+
     async fn call(self: Arc<Self>, call: StageCall) {
         let began = Instant::now();
         let end = self.exchange(&call).await;
