--- a/crates/ctl/src/bin/savoryvanectl/app.rs
+++ b/crates/ctl/src/bin/savoryvanectl/app.rs
@@ -10,7 +10,7 @@
 use savoryvane_core::ids::{InstanceName, OperatorName, is_valid_name};
 use savoryvane_ctl::{
     Command, Confirmed, Controller, Costs, Credential, Error, Exit, Format, Grouping, ObjectList,
-    Planned, ReportForm, Result, Settings,
+    Planned, ReportForm, Result, Settings, explain,
 };
 use serde_json::json;
 
@@ -52,6 +52,13 @@
 }
 
 fn execute(flags: Savoryvanectl, format: Format) -> Result<()> {
+    if let SavoryvanectlCmd::Explain(explained) = &flags.subcommand {
+        return explain(
+            &explained.request,
+            io::stdin().lock(),
+            &mut io::stdout().lock(),
+        );
+    }
     let command = command(&flags.subcommand)?;
     let settings = settings(&flags, format)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -107,7 +114,10 @@
 
 fn command(flags: &SavoryvanectlCmd) -> Result<Command> {
     Ok(match flags {
-        SavoryvanectlCmd::Help(_) | SavoryvanectlCmd::Status(_) => Command::Status,
+        // The first two are done with before a command is made of them.
+        SavoryvanectlCmd::Help(_) | SavoryvanectlCmd::Explain(_) | SavoryvanectlCmd::Status(_) => {
+            Command::Status
+        }
         SavoryvanectlCmd::Instances(_) => Command::Instances,
         SavoryvanectlCmd::Backends(_) => Command::Backends,
         SavoryvanectlCmd::Workspaces(_) => Command::Objects(ObjectList::Workspaces),
--- a/crates/ctl/src/bin/savoryvanectl/flags.rs
+++ b/crates/ctl/src/bin/savoryvanectl/flags.rs
@@ -69,6 +69,12 @@
             /// Reports also when an instance can't be reached.
             optional --partial
         }
+        /// Explains a request from the log lines of all instances, which it reads
+        /// from standard input; it needs no instance and no credential.
+        cmd explain {
+            /// Identifier of the request.
+            required request: String
+        }
         /// Asks an instance to leave gracefully.
         cmd drain {
             /// Name of the instance.
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -64,6 +64,10 @@
             display("standard input or output: {err}")
             source(err)
         }
+        /// No log line names a request.
+        NoSuchRequest(request: String) {
+            display("no log line names the request {}", printable(request))
+        }
         /// A credential file has no credential.
         Credential(path: PathBuf) {
             display("{}: the first line is not a credential of printable ASCII characters", path.display())
@@ -124,9 +128,11 @@
     pub fn exit(&self) -> Exit {
         match self {
             Self::Usage(_) => Exit::Usage,
-            Self::Read(..) | Self::Write(..) | Self::Terminal(_) | Self::Credential(_) => {
-                Exit::Failed
-            }
+            Self::Read(..)
+            | Self::Write(..)
+            | Self::Terminal(_)
+            | Self::Credential(_)
+            | Self::NoSuchRequest(_) => Exit::Failed,
             Self::Intent(_) | Self::NotAPlan(..) => Exit::Invalid,
             Self::Unreachable(_) => Exit::Unreachable,
             Self::Refused(_, status, _) => refusal_exit(*status),
@@ -145,6 +151,7 @@
             Self::Read(..) => "check the path, the permissions and the size",
             Self::Write(..) => "check the directory and its permissions",
             Self::Terminal(_) => "check where input comes from and output goes to",
+            Self::NoSuchRequest(_) => "give the lines of all instances from that time",
             Self::Credential(_) => "put the operators' credential on the file's first line",
             Self::Intent(_) => "correct the intent and plan again; nothing was sent",
             Self::NotAPlan(..) => "make the plan again with `savoryvanectl plan -f INTENT -o PLAN`",
--- a/crates/server/src/gateway/dispatch.rs
+++ b/crates/server/src/gateway/dispatch.rs
@@ -11,10 +11,10 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use savoryvane_core::{
-    ids::BackendName,
+    ids::{BackendName, RequestId},
     stages::{
-        CallEnd, ItemEnd, RequestKey, StageAction, StageCall, StageOutcome, StageScheduler,
-        Submission,
+        CallEnd, ItemEnd, Refusal, RequestKey, StageAction, StageCall, StageOutcome,
+        StageScheduler, Submission,
     },
 };
 use savoryvane_platform::{answer, stages};
@@ -95,7 +95,8 @@
 
     /// Runs the stages of a request; dropping the future gives them up.
     pub(super) async fn run(self: &Arc<Self>, submission: Submission) -> StageOutcome {
-        let key = submission.key.clone();
+        let began = Instant::now();
+        let (key, request) = (submission.key.clone(), submission.request.clone());
         let (sender, receiver) = oneshot::channel();
         self.waiters().insert(key.clone(), sender);
         let mut submitted = Submitted {
@@ -107,11 +108,35 @@
         self.carry_out();
         let outcome = receiver.await;
         submitted.has_ended = true;
-        outcome.unwrap_or(StageOutcome::Refused {
-            reason: savoryvane_core::stages::Refusal::Failed,
+        let outcome = outcome.unwrap_or(StageOutcome::Refused {
+            reason: Refusal::Failed,
             retry_after_ms: 0,
             forecast_ms: 0,
-        })
+        });
+        self.log_outcome(&key, &request, &outcome, began);
+        outcome
+    }
+
+    fn log_outcome(
+        &self,
+        key: &RequestKey,
+        request: &RequestId,
+        outcome: &StageOutcome,
+        began: Instant,
+    ) {
+        let (requests, waiting, calls) = self.scheduler().load();
+        let (ended, retry_after_ms, forecast_ms) = match outcome {
+            StageOutcome::Ready(_) => ("ready", None, None),
+            StageOutcome::Refused {
+                reason,
+                retry_after_ms,
+                forecast_ms,
+            } => (reason.as_str(), Some(*retry_after_ms), Some(*forecast_ms)),
+        };
+        info!(self.log, "stages ended"; "request" => %request, "from" => %key.instance,
+            "end" => ended, "retry_after_ms" => retry_after_ms, "forecast_ms" => forecast_ms,
+            "requests" => requests, "pieces_waiting" => waiting, "calls" => calls,
+            "elapsed_ms" => began.elapsed().as_millis() as u64);
     }
 
     /// Notes that the results of a request are not needed any more.
