--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -50,7 +50,7 @@
     for text in logs.lines() {
         lines.extend(parse(&text?));
     }
-    lines.sort_by(|a, b| a.at.cmp(&b.at));
+    lines.sort_by(|a, b| a.order().cmp(b.order()));
     let is_own = |line: &&Line| line.fields.get("request").and_then(Value::as_str) == Some(request);
     let own: Vec<&Line> = lines.iter().filter(is_own).collect();
     let (Some(first), Some(last)) = (own.first(), own.last()) else {
@@ -65,11 +65,15 @@
             .iter()
             .filter(|line| line.instance == instance && BELIEFS.contains(&line.message.as_str()));
         let (before, after): (Vec<&Line>, Vec<&Line>) =
-            beliefs.partition(|line| line.at < first.at);
+            beliefs.partition(|line| line.order() < first.order());
         shown.extend(before.iter().rev().take(BELIEFS_BEFORE));
-        shown.extend(after.into_iter().filter(|line| line.at <= last.at));
+        shown.extend(
+            after
+                .into_iter()
+                .filter(|line| line.order() <= last.order()),
+        );
     }
-    shown.sort_by(|a, b| a.at.cmp(&b.at));
+    shown.sort_by(|a, b| a.order().cmp(b.order()));
     for line in shown {
         writeln!(out, "{}", line.render())?;
     }
@@ -93,6 +97,12 @@
 }
 
 impl Line {
+    /// Returns its time in a form whose text has the same order, with or
+    /// without a fraction of a second.
+    fn order(&self) -> &str {
+        self.at.trim_end_matches('Z')
+    }
+
     fn render(&self) -> String {
         let shown = self
             .fields
--- /dev/null
+++ b/crates/ctl/tests/explain.rs
@@ -0,0 +1,78 @@
+//! `savoryvanectl explain`, as an operator runs it, on lines of a played day; the
+//! operators' page shows what it prints.
+
+use std::{
+    fs,
+    io::Write,
+    path::PathBuf,
+    process::{Command, Output, Stdio},
+};
+
+/// The requests that the page explains, with the lines of their day.
+const WALKS: [(&str, &str); 3] = [
+    ("burst", "b9be3820a9282112"),
+    ("answer_lost", "a1283417b017f6ee"),
+    ("cut_off", "2680628b7c465751"),
+];
+
+fn manifest(path: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join(path)
+}
+
+fn explain(request: &str, logs: &[u8]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_savoryvanectl"))
+        .args(["explain", request])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program");
+    let mut input = child.stdin.take().expect("its input");
+    input.write_all(logs).expect("lines");
+    drop(input);
+    child.wait_with_output().expect("its end")
+}
+
+#[test]
+fn the_page_shows_what_the_command_prints() {
+    let page = fs::read_to_string(manifest("../../docs/OPERATIONS.md")).unwrap();
+    for (name, request) in WALKS {
+        let logs = fs::read(manifest(&format!("tests/explain_logs/{name}.jsonl"))).unwrap();
+        let output = explain(request, &logs);
+        assert!(output.status.success());
+        let printed = String::from_utf8(output.stdout).unwrap();
+        assert!(printed.lines().count() > 3, "{name}: {printed}");
+        assert!(
+            page.contains(printed.trim_end()),
+            "{name} is not on the page:\n{printed}"
+        );
+    }
+}
+
+#[test]
+fn lines_of_other_requests_and_of_collectors_are_passed_over() {
+    let logs = br#"not a line of a log
+collector-7 {"msg":"request refused","ts":"2026-01-01T00:00:02Z","instance":"a","request":"r1","reason":"no_route"}
+{"msg":"request answered","ts":"2026-01-01T00:00:01Z","instance":"a","request":"r2"}
+{"msg":"server chosen","ts":"2026-01-01T00:00:01Z","instance":"b","request":"r1","server":"i-1"}
+{"msg":"store lost","ts":"2026-01-01T00:00:01.5Z","instance":"a","topic":"servers"}
+{"msg":"store lost","ts":"2026-01-01T00:00:01.5Z","instance":"c","topic":"servers"}
+"#;
+    let output = explain("r1", logs);
+    let printed = String::from_utf8(output.stdout).unwrap();
+    let expected = "2026-01-01T00:00:01Z  b  server chosen  server=i-1\n\
+        2026-01-01T00:00:01.5Z  a  store lost  topic=servers\n\
+        2026-01-01T00:00:02Z  a  request refused  reason=no_route\n";
+    assert_eq!(printed, expected);
+}
+
+#[test]
+fn a_request_that_no_line_names_is_told_so() {
+    let output = explain("r9", b"");
+    assert_eq!(output.status.code(), Some(1));
+    let errors = String::from_utf8(output.stderr).unwrap();
+    assert!(
+        errors.contains("no log line names the request r9"),
+        "{errors}"
+    );
+}
