Hand stages over to the next scheduler with what is done of them

The one that left went on with what it had for up to 4 s beside the next one; each call took twice its time (635 ms of 300), servers counted as slow, and up to 146 requests a second were refused with the servers half idle. Ruled out: the servers themselves (full batches before and after), room. Change: a scheduler that is replaced begins no more calls and hands each request over with its results; whoever is told of the next one asks it at once.

--- a/crates/bench/src/bin/stage-ways.rs
+++ b/crates/bench/src/bin/stage-ways.rs
@@ -146,6 +146,7 @@
         rest_ms: REST_MS,
         priority: 0,
         home_zone: None,
+        done: Vec::new(),
     }
 }
 
@@ -212,7 +213,9 @@
                         match outcome {
                             StageOutcome::Ready(_) if took_ms <= GOAL_MS => got.in_time += 1,
                             StageOutcome::Ready(_) => got.late += 1,
-                            StageOutcome::Refused { .. } => got.refused += 1,
+                            StageOutcome::Refused { .. } | StageOutcome::Moved { .. } => {
+                                got.refused += 1;
+                            }
                         }
                         releases.push_back((now_ms + READ_MS, at, key));
                     }
--- a/crates/core/src/stages.rs
+++ b/crates/core/src/stages.rs
@@ -9,6 +9,7 @@
 mod batch;
 mod calls;
 mod choice;
+mod handover;
 mod kept;
 mod progress;
 mod request;
@@ -20,6 +21,6 @@
 pub use choice::{Candidate, SchedulerChoice};
 pub use scheduler::{CallEnd, ItemEnd, StageScheduler};
 pub use work::{
-    CallId, CallItem, ItemInput, Refusal, RequestKey, ResultRef, StageAction, StageCall,
+    CallId, CallItem, DonePiece, ItemInput, Refusal, RequestKey, ResultRef, StageAction, StageCall,
     StageOutcome, StageWork, Submission,
 };
--- a/crates/core/src/stages/calls.rs
+++ b/crates/core/src/stages/calls.rs
@@ -212,7 +212,8 @@
             return self.refuse(now_ms, &waiting.key, Refusal::Failed);
         }
         let stage = &request.submission.stages[waiting.at.stage];
-        if has_inputs && let Some(service) = self.services.get_mut(&stage.service) {
+        let waits = has_inputs && !request.is_moving;
+        if waits && let Some(service) = self.services.get_mut(&stage.service) {
             service.waiting.push(waiting.clone());
         }
     }
--- /dev/null
+++ b/crates/core/src/stages/handover.rs
@@ -0,0 +1,50 @@
+//! Hands requests over to another scheduler, with what is done of them.
+//!
+//! Two schedulers that share the servers make each call take twice its time, so
+//! one that is replaced begins no more calls.
+
+use super::{
+    progress::uncommit,
+    scheduler::StageScheduler,
+    work::{RequestKey, StageAction, StageOutcome},
+};
+use crate::ids::InstanceName;
+
+impl StageScheduler {
+    /// Hands every request that is not finished over to the scheduler `to`, as
+    /// soon as none of its pieces is at work.
+    pub fn hand_over(&mut self, to: Option<&InstanceName>) {
+        self.successor = to.cloned();
+        for service in self.services.values_mut() {
+            service.waiting.clear();
+        }
+        for request in self.requests.values_mut() {
+            request.is_moving = !request.is_finished;
+        }
+        self.move_idle();
+    }
+
+    /// Hands over the requests that are to be and have no piece at work.
+    pub(super) fn move_idle(&mut self) {
+        let idle: Vec<RequestKey> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| {
+                request.is_moving && !request.is_finished && !request.is_running()
+            })
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in idle {
+            let Some(request) = self.requests.remove(&key) else {
+                continue;
+            };
+            uncommit(&mut self.services, &request);
+            // Their servers keep the results for the one that takes over.
+            let outcome = StageOutcome::Moved {
+                done: request.done(),
+                to: self.successor.clone(),
+            };
+            self.actions.push(StageAction::Finish { key, outcome });
+        }
+    }
+}
--- a/crates/core/src/stages/kept.rs
+++ b/crates/core/src/stages/kept.rs
@@ -5,7 +5,7 @@
 use super::{
     calls::RunningCall,
     scheduler::StageScheduler,
-    work::{ResultRef, StageAction},
+    work::{ResultRef, StageAction, Submission},
 };
 use crate::ids::{BackendName, PoolName};
 
@@ -59,6 +59,27 @@
         self.give_room_back(server, bytes);
     }
 
+    /// Notes the results that another scheduler has had made.
+    pub(super) fn keep_handed_over(&mut self, now_ms: u64, submission: &Submission) {
+        let kept = submission.done.iter().filter_map(|done| done.kept.as_ref());
+        for (name, result) in kept {
+            let mut services = self.services.values_mut();
+            let Some((server, ttl_ms)) = services.find_map(|service| {
+                let ttl_ms = service.batching.result_ttl_ms;
+                Some((service.servers.get_mut(name)?, ttl_ms))
+            }) else {
+                continue;
+            };
+            server.room_used += result.bytes;
+            let kept = Kept {
+                server: name.clone(),
+                bytes: result.bytes,
+                dropped_at_ms: now_ms + ttl_ms,
+            };
+            self.kept.insert(&result.handle, kept);
+        }
+    }
+
     /// Notes that servers have dropped results whose time was over.
     pub(super) fn drop_old_results(&mut self, now_ms: u64) {
         for dropped in self.kept.take_dropped(now_ms) {
--- a/crates/core/src/stages/progress.rs
+++ b/crates/core/src/stages/progress.rs
@@ -54,7 +54,12 @@
             return;
         };
         let unneeded = request.take_unneeded(false);
-        for at in request.unblock() {
+        let ready = if request.is_moving {
+            Vec::new()
+        } else {
+            request.unblock()
+        };
+        for at in ready {
             let stage = &request.submission.stages[at.stage];
             if let Some(service) = self.services.get_mut(&stage.service) {
                 service.waiting.push(Waiting {
@@ -186,7 +191,7 @@
 }
 
 /// Takes the pieces of a request that are not done out of what is committed.
-fn uncommit(services: &mut BTreeMap<PoolName, StageService>, request: &Request) {
+pub(super) fn uncommit(services: &mut BTreeMap<PoolName, StageService>, request: &Request) {
     for (stage, unfinished) in request.unfinished_by_stage().into_iter().enumerate() {
         let name = &request.submission.stages[stage].service;
         if let Some(service) = services.get_mut(name) {
--- a/crates/core/src/stages/request.rs
+++ b/crates/core/src/stages/request.rs
@@ -1,6 +1,10 @@
 //! The stages of one request: what is done, what can be done next.
 
-use super::{CallId, Submission, service::Taken, work::ResultRef};
+use super::{
+    CallId, Submission,
+    service::Taken,
+    work::{DonePiece, ResultRef},
+};
 use crate::ids::{BackendName, ZoneName};
 
 /// Where one piece stands.
@@ -51,6 +55,8 @@
     /// Whether it can't make its goal any more; it is done with what the others
     /// leave, and nobody waits for it.
     pub(super) is_late: bool,
+    /// Whether it is handed over as soon as none of its pieces is at work.
+    pub(super) is_moving: bool,
     /// Whether whoever submitted it was told how it ended.
     pub(super) is_finished: bool,
 }
@@ -62,11 +68,24 @@
         rest_ms: Vec<u64>,
         taken: Taken,
     ) -> Self {
-        let pieces = submission
+        let mut pieces: Vec<Vec<Piece>> = submission
             .stages
             .iter()
             .map(|stage| vec![Piece::Blocked; stage.pieces as usize])
             .collect();
+        for done in &submission.done {
+            let stage = pieces.get_mut(done.stage);
+            let piece = stage.and_then(|stage| stage.get_mut(done.piece as usize));
+            if let Some(piece) = piece {
+                *piece = match &done.kept {
+                    Some((server, result)) => Piece::Done {
+                        server: server.clone(),
+                        result: result.clone(),
+                    },
+                    None => Piece::Freed,
+                };
+            }
+        }
         Self {
             goal_at_ms: now_ms + submission.goal_left_ms,
             deadline_at_ms: now_ms + submission.deadline_left_ms,
@@ -76,6 +95,7 @@
             submission,
             repeats: 0,
             taken,
+            is_moving: false,
             is_late: taken == Taken::Late,
             is_finished: false,
         }
@@ -200,6 +220,29 @@
             .all(|(index, _)| self.is_stage_done(index))
     }
 
+    /// Tells whether any of its pieces is at work.
+    pub(super) fn is_running(&self) -> bool {
+        let mut pieces = self.pieces.iter().flatten();
+        pieces.any(|piece| matches!(piece, Piece::Running(_)))
+    }
+
+    /// Returns the pieces that are done.
+    pub(super) fn done(&self) -> Vec<DonePiece> {
+        let mut done = Vec::new();
+        for (stage, pieces) in self.pieces.iter().enumerate() {
+            for (piece, state) in pieces.iter().enumerate() {
+                let kept = match state {
+                    Piece::Done { server, result } => Some((server.clone(), result.clone())),
+                    Piece::Freed => None,
+                    _ => continue,
+                };
+                let piece = piece as u32;
+                done.push(DonePiece { stage, piece, kept });
+            }
+        }
+        done
+    }
+
     /// Returns the pieces that are not done, by stage.
     pub(super) fn unfinished_by_stage(&self) -> Vec<usize> {
         let stages = 0..self.pieces.len();
--- a/crates/core/src/stages/scheduler.rs
+++ b/crates/core/src/stages/scheduler.rs
@@ -9,12 +9,12 @@
     kept::KeptResults,
     request::Request,
     server::Server,
-    service::StageService,
+    service::{StageService, Taken},
     work::{CallId, Refusal, RequestKey, StageAction, Submission},
 };
 use crate::{
     forwarding::{RoutingConfig, ServerEntry, ServerState},
-    ids::{BackendName, PoolName},
+    ids::{BackendName, InstanceName, PoolName},
 };
 
 /// Time between two looks at pieces that wait for a server in their zone while
@@ -73,6 +73,8 @@
     pub(super) kept: KeptResults,
     pub(super) last_call: u64,
     pub(super) refusals: Refusals,
+    /// The scheduler that goes on with what is handed over.
+    pub(super) successor: Option<InstanceName>,
     pub(super) actions: Vec<StageAction>,
 }
 
@@ -120,8 +122,10 @@
     /// Takes a request's stages, or refuses them where they would not be done in
     /// time; how they end is told by an action.
     pub fn submit(&mut self, now_ms: u64, submission: Submission) {
-        let Some(taken) = admission::admit(now_ms, &submission, &self.services, &self.refusals)
-        else {
+        // What another scheduler has begun is finished.
+        let is_begun = !submission.done.is_empty();
+        let admitted = admission::admit(now_ms, &submission, &self.services, &self.refusals);
+        let Some(taken) = admitted.or(is_begun.then_some(Taken::InTime)) else {
             let outcome = self.refusal(now_ms, &submission, Refusal::TooBusy);
             let key = submission.key;
             self.actions.push(StageAction::Finish { key, outcome });
@@ -129,12 +133,14 @@
         };
         let key = submission.key.clone();
         let rest_ms = self.rest_ms(&submission);
-        for stage in &submission.stages {
-            if let Some(service) = self.services.get_mut(&stage.service) {
-                service.committed.add(taken, stage.pieces as usize);
+        self.keep_handed_over(now_ms, &submission);
+        let request = Request::new(now_ms, submission, rest_ms, taken);
+        for (stage, unfinished) in request.unfinished_by_stage().into_iter().enumerate() {
+            let name = &request.submission.stages[stage].service;
+            if let Some(service) = self.services.get_mut(name) {
+                service.committed.add(taken, unfinished);
             }
         }
-        let request = Request::new(now_ms, submission, rest_ms, taken);
         self.requests.insert(key.clone(), request);
         self.advance(now_ms, &key);
     }
@@ -153,6 +159,7 @@
     pub fn poll(&mut self, now_ms: u64) -> Vec<StageAction> {
         self.drop_expired(now_ms);
         self.drop_old_results(now_ms);
+        self.move_idle();
         self.repeat_overdue(now_ms);
         let names: Vec<PoolName> = self.services.keys().cloned().collect();
         for name in names {
--- a/crates/core/src/stages/work.rs
+++ b/crates/core/src/stages/work.rs
@@ -54,6 +54,19 @@
     pub priority: u8,
     /// Availability zone in which its results are wanted.
     pub home_zone: Option<ZoneName>,
+    /// Pieces that another scheduler has had done before it handed it over.
+    pub done: Vec<DonePiece>,
+}
+
+/// A piece that is done, as one scheduler hands it over to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DonePiece {
+    /// Number of the stage.
+    pub stage: usize,
+    /// Number of the piece.
+    pub piece: u32,
+    /// The server that keeps its result, unless that is not needed any more.
+    pub kept: Option<(BackendName, ResultRef)>,
 }
 
 /// A result that a backend server keeps.
@@ -97,6 +110,13 @@
 pub enum StageOutcome {
     /// All is done; these are the results that no other stage has used.
     Ready(Vec<ResultRef>),
+    /// Another scheduler goes on.
+    Moved {
+        /// What is done.
+        done: Vec<DonePiece>,
+        /// The instance that schedules now, as far as is known.
+        to: Option<InstanceName>,
+    },
     /// Nothing more is done.
     Refused {
         /// Why.
--- a/crates/core/tests/stages_bursts.rs
+++ b/crates/core/tests/stages_bursts.rs
@@ -129,6 +129,7 @@
             StageOutcome::Ready(_) => of_kind.late += 1,
             StageOutcome::Refused { .. } if took_ms <= 101 => of_kind.refused_at_once += 1,
             StageOutcome::Refused { .. } => of_kind.refused_later += 1,
+            StageOutcome::Moved { .. } => panic!("nothing is handed over"),
         }
     }
     assert_eq!(world.faults, Vec::<String>::new());
--- a/crates/core/tests/stages_scheduler.rs
+++ b/crates/core/tests/stages_scheduler.rs
@@ -6,8 +6,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use savoryvane_core::{
-    ids::BackendName,
-    stages::{Refusal, StageOutcome},
+    ids::{BackendName, InstanceName, RequestId},
+    stages::{DonePiece, Refusal, StageOutcome, StageScheduler},
 };
 use stages_world::{World, batching, server, service, stage};
 
@@ -170,7 +170,7 @@
                 retry_after_ms,
                 ..
             } => Some((*at_ms, *reason, *retry_after_ms)),
-            StageOutcome::Ready(_) => None,
+            StageOutcome::Ready(_) | StageOutcome::Moved { .. } => None,
         })
         .collect();
     assert!(refused.len() > 20, "{} were refused", refused.len());
@@ -263,3 +263,48 @@
         first_ms - healed_ms
     );
 }
+
+/// A scheduler that is replaced begins no more calls; the next one goes on with
+/// what is done, and makes nothing twice.
+#[test]
+fn what_is_handed_over_goes_on_where_it_was() {
+    for handed_over_ms in (10..900).step_by(70) {
+        let mut world = chain();
+        for number in 1..=4 {
+            world.submit(World::submission(number, three_stages(), 5_000));
+        }
+        world.run(handed_over_ms);
+        world.scheduler.hand_over(Some(&InstanceName::new("next")));
+        let begun = world.calls.len();
+        world.run(handed_over_ms + 400);
+        assert_eq!(world.calls.len(), begun, "no call is begun");
+        let moved: Vec<(u64, Vec<DonePiece>)> = world
+            .outcomes
+            .iter()
+            .filter_map(|(_, key, outcome)| match outcome {
+                StageOutcome::Moved { done, to } => {
+                    assert_eq!(to, &Some(InstanceName::new("next")));
+                    Some((key.number, done.clone()))
+                }
+                _ => None,
+            })
+            .collect();
+        world.scheduler = StageScheduler::default();
+        world.configure();
+        for (number, done) in &moved {
+            let mut submission = World::submission(number + 10, three_stages(), 4_000);
+            submission.request = RequestId::new(format!("r{number}"));
+            submission.piece_key = format!("k{number}");
+            submission.done = done.clone();
+            world.submit(submission);
+        }
+        world.run(handed_over_ms + 3_000);
+        assert_eq!(world.faults, Vec::<String>::new());
+        let ready = world.outcomes.iter().filter(
+            |(_, _, outcome)| matches!(outcome, StageOutcome::Ready(results) if results.len() == 6),
+        );
+        assert_eq!(ready.count(), 4, "handed over at {handed_over_ms} ms");
+        let made: usize = world.calls.iter().map(|(_, call)| call.items.len()).sum();
+        assert_eq!(made, 4 * 11, "handed over at {handed_over_ms} ms");
+    }
+}
--- a/crates/core/tests/stages_world/mod.rs
+++ b/crates/core/tests/stages_world/mod.rs
@@ -165,6 +165,7 @@
             rest_ms: 100,
             priority: 0,
             home_zone: None,
+            done: Vec::new(),
         }
     }
 
--- a/crates/server/src/gateway/dispatch.rs
+++ b/crates/server/src/gateway/dispatch.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use savoryvane_core::{
-    ids::{BackendName, RequestId},
+    ids::{BackendName, InstanceName, RequestId},
     stages::{
         CallEnd, ItemEnd, Refusal, RequestKey, StageAction, StageCall, StageOutcome,
         StageScheduler, Submission,
@@ -127,6 +127,7 @@
         let (requests, waiting, calls) = self.scheduler().load();
         let (ended, retry_after_ms, forecast_ms) = match outcome {
             StageOutcome::Ready(_) => ("ready", None, None),
+            StageOutcome::Moved { .. } => ("moved", None, None),
             StageOutcome::Refused {
                 reason,
                 retry_after_ms,
@@ -145,6 +146,15 @@
         self.carry_out();
     }
 
+    /// Hands what is not finished over to the instance that schedules now.
+    pub(super) fn hand_over(self: &Arc<Self>, to: Option<&InstanceName>) {
+        let (requests, waiting, calls) = self.scheduler().load();
+        info!(self.log, "stages handed over"; "to" => to.map(ToString::to_string),
+            "requests" => requests, "pieces_waiting" => waiting, "calls" => calls);
+        self.scheduler().hand_over(to);
+        self.carry_out();
+    }
+
     fn cancel(&self, key: &RequestKey) {
         self.waiters().remove(key);
         self.scheduler().cancel(key);
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -7,7 +7,7 @@
 use savoryvane_core::{
     forwarding::{AttemptEnd, Giving, NextStep, Placement, Repeats, next_step},
     ids::{BackendName, RequestId, ZoneName},
-    stages::{StageOutcome, StageWork, Submission},
+    stages::{Refusal, StageOutcome, StageWork, Submission},
 };
 use savoryvane_platform::request::{self, RequestHead};
 use slog::{Logger, info};
@@ -157,6 +157,7 @@
                     .fleet()
                     .home_zone(now_ms, &caller.service, prompt)
             }),
+            done: Vec::new(),
         };
         let ended = self.stages.run(submission).await;
         match ended.outcome {
@@ -171,6 +172,8 @@
                     held: ended.held,
                 })
             }
+            // Whoever runs stages goes on with those that were handed over.
+            StageOutcome::Moved { .. } => Err(Why::Stages(Refusal::Failed, 0)),
             StageOutcome::Refused {
                 reason,
                 retry_after_ms,
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -272,6 +272,7 @@
         tasks.spawn(members::watch_scheduler(
             Arc::clone(&self.members),
             Arc::clone(&self.catch_up),
+            Arc::clone(&self.dispatch),
             Arc::clone(&self.phases),
         ));
         tasks.spawn(catch_up::run(self.members, self.catch_up));
--- a/crates/server/src/gateway/members.rs
+++ b/crates/server/src/gateway/members.rs
@@ -22,11 +22,11 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{catch_up::CatchUp, settings::GatewaySettings, store::StoreClient};
+use super::{catch_up::CatchUp, dispatch::Dispatch, settings::GatewaySettings, store::StoreClient};
 use crate::{
     clock::Clock,
     peer::{PeerError, PeerHandle, PeerId},
-    phase::Phases,
+    phase::{Phase, Phases},
 };
 
 /// Time between two questions to the instance that schedules: with two misses
@@ -193,6 +193,12 @@
         }
     }
 
+    /// Notes that the instance that scheduled names another one, which it
+    /// reaches; whether this one does shows when it is asked.
+    pub(super) fn on_scheduler_told(&self, instance: &InstanceName) {
+        self.choice().on_answer(instance);
+    }
+
     /// Notes that an instance does not schedule for others.
     pub(super) fn on_scheduler_declined(&self, instance: &InstanceName) {
         self.choice().on_declined(self.clock.now_ms(), instance);
@@ -208,13 +214,17 @@
 pub(super) async fn watch_scheduler(
     members: Arc<Members>,
     catch_up: Arc<CatchUp>,
+    dispatch: Arc<Dispatch>,
     phases: Arc<Phases>,
 ) {
     let mut ticks = time::interval(ASK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut current = None;
     loop {
-        ticks.tick().await;
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = phases.reached(Phase::Leaving), if !phases.is_leaving() => {}
+        }
         let asked = members.choice().to_ask(members.clock.now_ms());
         for instance in asked {
             if members.is_me(&instance) {
@@ -229,6 +239,9 @@
         }
         let now = members.scheduler();
         if now != current {
+            if current.as_ref().is_some_and(|before| members.is_me(before)) {
+                dispatch.hand_over(now.as_ref());
+            }
             info!(members.log, "scheduler chosen";
                 "scheduler" => now.as_ref().map(ToString::to_string),
                 "before" => current.as_ref().map(|name: &InstanceName| name.to_string()));
--- a/crates/server/src/gateway/stages.rs
+++ b/crates/server/src/gateway/stages.rs
@@ -22,7 +22,7 @@
 /// Time on top of a request's own for its scheduler to tell that it has run out.
 const ANSWER_SPARE: Duration = Duration::from_millis(200);
 /// Schedulers that a request is handed to one after the other.
-const MOST_SCHEDULERS: u32 = 4;
+const MOST_SCHEDULERS: u32 = 6;
 /// Time for a scheduler to be told that results are not needed.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -106,6 +106,7 @@
     pub(super) async fn run(self: &Arc<Self>, mut submission: Submission) -> Ended {
         let began = Instant::now();
         let (goal_ms, deadline_ms) = (submission.goal_left_ms, submission.deadline_left_ms);
+        let mut next = None;
         for _ in 0..MOST_SCHEDULERS {
             let elapsed_ms = began.elapsed().as_millis() as u64;
             submission.goal_left_ms = goal_ms.saturating_sub(elapsed_ms);
@@ -113,20 +114,29 @@
             if submission.deadline_left_ms == 0 {
                 break;
             }
-            let scheduler = self.members.scheduler();
-            let Some(scheduler) = scheduler.filter(|name| !self.members.is_me(name)) else {
-                let key = submission.key.clone();
-                let outcome = self.dispatch.run(submission).await;
-                return self.ended(outcome, None, key);
-            };
-            match self.run_at(&scheduler, &submission).await {
-                Ok(outcome) => {
-                    return self.ended(outcome, Some(scheduler), submission.key);
+            let scheduler = next.take().or_else(|| self.members.scheduler());
+            let outcome = self.run_at(scheduler.as_ref(), &submission).await;
+            match (outcome, scheduler) {
+                (Ok(StageOutcome::Moved { done, to }), _) => {
+                    submission.done = done;
+                    if let Some(to) = &to {
+                        self.members.on_scheduler_told(to);
+                    }
+                    next = to;
                 }
-                Err(Lost::Declined) => self.members.on_scheduler_declined(&scheduler),
-                Err(Lost::Failed(err)) => self.members.on_scheduler_lost(&scheduler, &err),
+                (Ok(outcome), scheduler) => {
+                    return self.ended(outcome, scheduler, submission.key);
+                }
+                (Err(Lost::Declined), Some(scheduler)) => {
+                    self.members.on_scheduler_declined(&scheduler);
+                }
+                (Err(Lost::Failed(err)), Some(scheduler)) => {
+                    self.members.on_scheduler_lost(&scheduler, &err);
+                }
+                // This instance itself loses nothing.
+                (Err(_), None) => {}
             }
-            // What the lost one may still finish is not this one.
+            // What the one before may still finish is not this one.
             submission.key = self.next_key();
         }
         Ended {
@@ -147,17 +157,21 @@
     ) -> Ended {
         let held = matches!(outcome, StageOutcome::Ready(_)).then(|| Held {
             stages: Arc::clone(self),
-            scheduler,
+            scheduler: scheduler.filter(|name| !self.members.is_me(name)),
             key,
         });
         Ended { outcome, held }
     }
 
+    /// Has the stages run by `scheduler`, or here when there is none.
     async fn run_at(
         &self,
-        scheduler: &InstanceName,
+        scheduler: Option<&InstanceName>,
         submission: &Submission,
     ) -> Result<StageOutcome, Lost> {
+        let Some(scheduler) = scheduler.filter(|name| !self.members.is_me(name)) else {
+            return Ok(self.dispatch.run(submission.clone()).await);
+        };
         let message = Message::StageSubmission(submission.clone());
         let timeout = Duration::from_millis(submission.deadline_left_ms) + ANSWER_SPARE;
         let request = self
