Run stages again for a result that is gone; small parts of the slack for many instances

Tests: stages_run_again_when_the_engine_finds_a_result_gone (the caller got 503 before), many_instances_take_small_parts_of_the_slack.

--- a/crates/core/src/fleet/retry_budget.rs
+++ b/crates/core/src/fleet/retry_budget.rs
@@ -30,6 +30,12 @@
         }
     }
 
+    /// Lowers or raises what can be saved up to `burst` retries.
+    pub(crate) fn set_burst(&mut self, burst: u32) {
+        self.cap = u64::from(burst) * PERCENT;
+        self.saved = self.saved.min(self.cap);
+    }
+
     pub(crate) fn on_first_attempt(&mut self) {
         self.saved = (self.saved + self.earn).min(self.cap);
     }
--- a/crates/core/src/forwarding/budget.rs
+++ b/crates/core/src/forwarding/budget.rs
@@ -11,8 +11,8 @@
     pub ratio: f64,
     /// Repeats beyond that, of all instances together, in one window.
     pub slack: f64,
-    /// Most instances there may be; each takes an equal part of the slack, so
-    /// that none has to ask the others.
+    /// Instances that there are at least; each takes an equal part of the slack,
+    /// so that none has to ask the others.
     pub instances: u32,
 }
 
@@ -23,6 +23,7 @@
 /// A budget of repeats for each service.
 #[derive(Debug)]
 pub struct RepeatBudgets {
+    settings: BudgetSettings,
     earn_percent: u32,
     burst: u32,
     budgets: HashMap<PoolName, RetryBudget>,
@@ -31,14 +32,25 @@
 impl RepeatBudgets {
     /// Creates budgets with this instance's part of `settings`.
     pub fn new(settings: BudgetSettings) -> Self {
-        let burst = settings.slack / f64::from(settings.instances.max(1));
         Self {
+            settings,
             earn_percent: (settings.ratio * USED_PERCENT) as u32,
-            burst: burst as u32,
+            burst: part_of_slack(settings, settings.instances),
             budgets: HashMap::new(),
         }
     }
 
+    /// Takes a smaller part of the slack where more instances are listed than the
+    /// settings say; those that have gone stay listed, so that the parts never
+    /// add up to more than the whole.
+    pub fn on_listed(&mut self, instances: u32) {
+        let instances = instances.max(self.settings.instances);
+        self.burst = part_of_slack(self.settings, instances);
+        for budget in self.budgets.values_mut() {
+            budget.set_burst(self.burst);
+        }
+    }
+
     /// Counts a request of a caller to `service`.
     pub fn on_request(&mut self, service: &PoolName) {
         self.budget(service).on_first_attempt();
@@ -56,3 +68,8 @@
             .or_insert_with(|| RetryBudget::with(earn_percent, burst))
     }
 }
+
+/// Returns the repeats that one of `instances` may send beyond the ratio.
+fn part_of_slack(settings: BudgetSettings, instances: u32) -> u32 {
+    (settings.slack / f64::from(instances.max(1))) as u32
+}
--- a/crates/core/src/forwarding/steps.rs
+++ b/crates/core/src/forwarding/steps.rs
@@ -7,6 +7,8 @@
     NotSent,
     /// Another server has the address, and did not run the request.
     Misdirected,
+    /// The server did not run the request, since a result that it needs is gone.
+    InputsGone,
     /// The server says that it did not run the request.
     NotRun,
     /// The server ran it and answered with a failure of its own.
@@ -37,9 +39,10 @@
 
 impl AttemptEnd {
     /// Tells whether the send uses up one of the servers that a request may be
-    /// sent to: not when it never reached the server that was meant.
+    /// sent to: not when it never reached the server that was meant, or came there
+    /// without what it needs.
     pub fn counts(self) -> bool {
-        !matches!(self, Self::NotSent | Self::Misdirected)
+        !matches!(self, Self::NotSent | Self::Misdirected | Self::InputsGone)
     }
 }
 
@@ -67,7 +70,7 @@
 ) -> NextStep {
     let is_harmless = matches!(
         end,
-        AttemptEnd::NotSent | AttemptEnd::Misdirected | AttemptEnd::NotRun
+        AttemptEnd::NotSent | AttemptEnd::Misdirected | AttemptEnd::InputsGone | AttemptEnd::NotRun
     );
     let is_allowed = repeats == Repeats::Allowed || (is_harmless && !may_have_run);
     if is_allowed && has_room && (end == AttemptEnd::NotSent || spend()) {
--- a/crates/core/tests/forwarding_rules.rs
+++ b/crates/core/tests/forwarding_rules.rs
@@ -86,6 +86,7 @@
     let ends = [
         AttemptEnd::NotSent,
         AttemptEnd::Misdirected,
+        AttemptEnd::InputsGone,
         AttemptEnd::NotRun,
         AttemptEnd::Failed,
         AttemptEnd::Lost,
@@ -163,6 +164,32 @@
     );
 }
 
+/// More instances than the settings say take smaller parts of the slack, also of
+/// budgets that are full already.
+#[test]
+fn many_instances_take_small_parts_of_the_slack() {
+    let settings = BudgetSettings {
+        ratio: 0.2,
+        slack: 176.0,
+        instances: 16,
+    };
+    let service = PoolName::new("s");
+    let mut repeats = 0;
+    for _ in 0..75 {
+        let mut budgets = RepeatBudgets::new(settings);
+        budgets.on_request(&service);
+        budgets.on_listed(75);
+        while budgets.try_spend(&service) {
+            repeats += 1;
+        }
+    }
+    assert!(f64::from(repeats) <= 176.0 + 0.2 * 75.0, "{repeats}");
+    let mut few = RepeatBudgets::new(settings);
+    few.on_listed(3);
+    let spent = (0..100).filter(|_| few.try_spend(&service)).count();
+    assert_eq!(spent, 11, "as many as the settings say are reckoned with");
+}
+
 fn entry(id: &str, state: ServerState) -> ServerEntry {
     ServerEntry {
         id: BackendName::new(id),
--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -180,10 +180,10 @@
         let response = Response::from_parts(parts, body);
         if head.is_not_run {
             in_flight.end(ServerEnd::Full);
-            let end = if head.is_misdirected {
-                AttemptEnd::Misdirected
-            } else {
-                AttemptEnd::NotRun
+            let end = match (head.is_misdirected, head.is_input_gone) {
+                (true, _) => AttemptEnd::Misdirected,
+                (false, true) => AttemptEnd::InputsGone,
+                (false, false) => AttemptEnd::NotRun,
             };
             return Sent::Ended(end, None);
         }
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -192,7 +192,7 @@
     async fn send(
         self: &Arc<Self>,
         caller: CallerRequest,
-        inputs: Inputs,
+        mut inputs: Inputs,
     ) -> Result<Response<Body>, Why> {
         self.knowledge.budgets().on_request(&caller.service);
         let mut tried: Vec<BackendName> = Vec::new();
@@ -238,6 +238,10 @@
                 "end" => ?end, "next" => ?next, "sends" => sends,
                 "elapsed_ms" => caller.elapsed_ms());
             match (next, failure) {
+                (NextStep::SendAgain, _) if end == AttemptEnd::InputsGone => {
+                    inputs = self.run_stages(&caller).await?;
+                    tried.clear();
+                }
                 (NextStep::SendAgain, _) => {}
                 (NextStep::Give(Giving::Refusal), _) => return Err(Why::NoServer),
                 (NextStep::Give(Giving::ServersFailure), Some(response)) => {
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -186,7 +186,14 @@
         });
         let me = members::peer_id(settings, incarnation);
         let (peers, _linked) = PeerHandle::new(me.clone(), log.clone());
-        let members = Members::new(settings, incarnation, clock, peers, log.clone());
+        let members = Members::new(
+            settings,
+            incarnation,
+            clock,
+            peers,
+            Arc::clone(&knowledge),
+            log.clone(),
+        );
         let members = Arc::new(members);
         let freshness = Arc::new(Freshness::new(clock));
         let catch_up = Arc::new(CatchUp::new(
--- a/crates/server/src/gateway/members.rs
+++ b/crates/server/src/gateway/members.rs
@@ -22,7 +22,10 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{catch_up::CatchUp, dispatch::Dispatch, settings::GatewaySettings, store::StoreClient};
+use super::{
+    catch_up::CatchUp, dispatch::Dispatch, knowledge::Knowledge, settings::GatewaySettings,
+    store::StoreClient,
+};
 use crate::{
     clock::Clock,
     peer::{PeerError, PeerHandle, PeerId},
@@ -46,6 +49,7 @@
     clock: Clock,
     log: Logger,
     peers: PeerHandle,
+    knowledge: Arc<Knowledge>,
     listed: Mutex<Vec<ListedPeer>>,
     choice: Mutex<SchedulerChoice>,
     /// Told when an instance was found not to be reached.
@@ -58,6 +62,7 @@
         incarnation: Incarnation,
         clock: Clock,
         peers: PeerHandle,
+        knowledge: Arc<Knowledge>,
         log: Logger,
     ) -> Self {
         Self {
@@ -72,6 +77,7 @@
             clock,
             log,
             peers,
+            knowledge,
             listed: Mutex::default(),
             choice: Mutex::default(),
             lost: watch::Sender::new(()),
@@ -158,6 +164,8 @@
 
     fn take_list(&self, list: &[ListedPeer]) {
         info!(self.log, "instances listed"; "instances" => list.len());
+        let count = u32::try_from(list.len()).unwrap_or(u32::MAX);
+        self.knowledge.budgets().on_listed(count);
         let others = list.iter().filter(|peer| peer.instance != self.me);
         self.peers.set_addrs(others.map(|peer| Contact {
             instance: peer.instance.clone(),
