--- a/crates/server/src/gateway/knowledge.rs
+++ b/crates/server/src/gateway/knowledge.rs
@@ -20,7 +20,8 @@
 /// Servers of a service and availability zone that one instance uses: all, so
 /// that every instance finds the same home for a session.
 const ALL_SERVERS: usize = 4_096;
-/// Repeats of calls that were answered late; requests are forwarded once.
+/// Most servers of a service that are left alone for failing, in per cent: with more,
+/// the fault is more likely on the way to them.
 const EJECTED_PERCENT_MAX: u32 = 50;
 
 /// What an instance knows of routes and backend servers.
--- a/crates/server/src/gateway/settings.rs
+++ b/crates/server/src/gateway/settings.rs
@@ -9,8 +9,8 @@
 };
 
 use crate::{
-    error::{Error, Result},
-    settings::{Log, file_limits, read_log},
+    error::Result,
+    settings::{Log, file_limits, load, read_log},
 };
 
 /// Most instances that are named as first contacts.
@@ -35,7 +35,7 @@
     pub seeds: Vec<SocketAddr>,
     /// Part of a core that it has.
     pub cores: f64,
-    /// Most repeats that all instances together may send.
+    /// What all instances together may send again.
     pub repeats: BudgetSettings,
     /// How it logs.
     pub log: Log,
@@ -71,14 +71,10 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Unreadable`] when there is no such file, and
-    /// [`Error::Settings`] with every problem when something in it is not allowed.
+    /// Returns [`crate::Error::Unreadable`] when there is no such file, and
+    /// [`crate::Error::Settings`] with every problem when something in it is not allowed.
     pub fn load(path: &Path) -> Result<Self> {
-        let text = file_limits()
-            .read_file(path)
-            .map_err(|err| Error::Unreadable(path.to_owned(), err))?;
-        let name = path.display().to_string();
-        check::read(&name, &text, &file_limits(), read).map_err(Error::Settings)
+        load(path, read)
     }
 
     /// Checks the settings in `text`.
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -179,11 +179,7 @@
     /// Returns [`Error::Unreadable`] when there is no such file, and
     /// [`Error::Settings`] with every problem when something in it is not allowed.
     pub fn load(path: &Path) -> Result<Self> {
-        let text = file_limits()
-            .read_file(path)
-            .map_err(|err| Error::Unreadable(path.to_owned(), err))?;
-        let name = path.display().to_string();
-        check::read(&name, &text, &file_limits(), read).map_err(Error::Settings)
+        load(path, read)
     }
 
     /// Checks the settings in `text`.
@@ -208,6 +204,20 @@
     }
 }
 
+/// Reads and checks settings of some kind in the file at `path`.
+///
+/// # Errors
+///
+/// Returns [`Error::Unreadable`] when there is no such file, and
+/// [`Error::Settings`] with every problem when something in it is not allowed.
+pub(crate) fn load<T>(path: &Path, read: impl FnOnce(&mut Fields<'_>) -> Option<T>) -> Result<T> {
+    let text = file_limits()
+        .read_file(path)
+        .map_err(|err| Error::Unreadable(path.to_owned(), err))?;
+    let name = path.display().to_string();
+    check::read(&name, &text, &file_limits(), read).map_err(Error::Settings)
+}
+
 pub(crate) fn file_limits() -> check::Limits {
     check::Limits {
         file_bytes: MAX_FILE_BYTES,
