--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -2,7 +2,11 @@
 
 use quickcheck::{Gen, QuickCheck, Testable};
 use savoryvane_core::ids::{Incarnation, Offset, RegionName, ZoneName};
-use savoryvane_core::topology::Shard;
+use savoryvane_core::{
+    forwarding::{DirectoryUpdate, RoutingConfig},
+    stages::{DonePiece, ResultRef, StageWork},
+    topology::Shard,
+};
 use savoryvane_wire::peer::*;
 
 const SEED: u64 = 13;
@@ -80,9 +84,104 @@
             term: None,
         }),
         Message::Declined(Declined::NotMine),
+        Message::StageSubmission(submission()),
+        Message::StageOutcome(StageOutcome::Ready(vec![result()])),
+        Message::StageOutcome(StageOutcome::Moved {
+            done: submission().done,
+            to: Some("entry-2".into()),
+        }),
+        Message::StageRelease(submission().key),
+        Message::Taken(Taken),
+        Message::SchedulerQuery(SchedulerQuery),
+        Message::SchedulerState(SchedulerState {
+            is_taking: true,
+            known: known(),
+        }),
+        Message::RoutingQuery(RoutingQuery {
+            version: 4,
+            revision: Some(9),
+        }),
+        Message::RoutingState(RoutingState {
+            known: known(),
+            config: Some(RoutingConfig {
+                version: 5,
+                ..RoutingConfig::default()
+            }),
+            servers: DirectoryUpdate::Changes(vec![("i-1".into(), None)]),
+            instances: vec![ListedPeer {
+                instance: "entry-1".into(),
+                addr: "127.0.0.1:7000".parse().unwrap(),
+                cores: 0.25,
+            }],
+        }),
     ]
 }
 
+fn known() -> KnownState {
+    KnownState {
+        version: 5,
+        version_age_ms: 20,
+        incarnation: Incarnation(7),
+        revision: 9,
+        servers_age_ms: u64::MAX,
+        instances: 3,
+    }
+}
+
+fn result() -> ResultRef {
+    ResultRef {
+        handle: "a/1".to_owned(),
+        zone: "hal-gouda".into(),
+        bytes: 8_000,
+    }
+}
+
+fn submission() -> Submission {
+    let stage = |after| StageWork {
+        service: "archive".into(),
+        after,
+        pieces: 3,
+        result_bytes: 8_000,
+    };
+    Submission {
+        key: RequestKey {
+            instance: "entry-1".into(),
+            incarnation: Incarnation(7),
+            number: 1,
+        },
+        request: "r1".into(),
+        stages: vec![stage(vec![]), stage(vec![0])],
+        piece_key: "k".to_owned(),
+        goal_left_ms: 1_800,
+        deadline_left_ms: 6_000,
+        missing_ms: 0,
+        rest_ms: 100,
+        priority: 1,
+        home_zone: Some("hal-gouda".into()),
+        done: vec![DonePiece {
+            stage: 0,
+            piece: 2,
+            kept: Some(("i-1".into(), result())),
+        }],
+    }
+}
+
+/// A stage that needs itself, a later one or one that is not there is refused
+/// before it reaches the scheduler, which follows these numbers.
+#[test]
+fn stages_that_need_no_earlier_ones_are_refused() {
+    for needed in [1, 2, 99] {
+        let mut hostile = submission();
+        hostile.stages[1].after = vec![needed];
+        let message = Message::StageSubmission(hostile);
+        assert_eq!(encode(&message), Err(FrameError::OverLimit(18)));
+    }
+    let mut large = submission();
+    large.stages[0].pieces = u32::MAX;
+    let message = Message::StageSubmission(large);
+    assert_eq!(encode(&message), Err(FrameError::OverLimit(18)));
+}
+
 fn read_all(bytes: &[u8], step: usize) -> Result<(Vec<Message>, u64)> {
     let mut reader = FrameReader::new();
     let mut messages = Vec::new();
