Keep waiting pieces in their order instead of sorting them at each look

Change: a queue by service in the order in which pieces are sent, from which a piece is taken by its place; the earliest deadline is remembered; pieces that are left beside idle servers are looked at again when something has changed, or after 20 ms. Ranks below the fourth are not told apart.

--- a/crates/bench/src/bin/stage-ways.rs
+++ b/crates/bench/src/bin/stage-ways.rs
@@ -1,7 +1,11 @@
 //! Weighs ways in which instances can act together at stages, side by side: one
-//! schedules for all, or each for itself. Prints a line for each load and way.
+//! schedules for all, or each for itself. Prints a line for each load and way, with
+//! the processor time that scheduling a request takes.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::{Duration, Instant},
+};
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -14,14 +18,47 @@
     },
 };
 
-/// Instances of the smaller deployment of today.
-const INSTANCES: usize = 9;
+/// One deployment of the sign makers.
+#[derive(Clone, Copy, Debug)]
+struct Size {
+    name: &'static str,
+    instances: usize,
+    /// Servers of each service.
+    servers: usize,
+    /// Pieces of a call of the archive, the agenda and the invoices.
+    batches: [usize; 3],
+    /// Time that a piece of each adds to a call, in ms.
+    piece_ms: [f64; 3],
+    /// Memory for results at a server of each, in MB.
+    room_mb: [f64; 3],
+    /// Requests a second without a burst, of three stages each.
+    rate: f64,
+}
+
+const SIZES: [Size; 2] = [
+    Size {
+        name: "today",
+        instances: 9,
+        servers: 5,
+        batches: [10, 28, 46],
+        piece_ms: [5.0, 6.1, 3.7],
+        room_mb: [22.0, 3.6, 0.6],
+        rate: 31.2,
+    },
+    Size {
+        name: "grown",
+        instances: 68,
+        servers: 15,
+        batches: [20, 68, 94],
+        piece_ms: [2.6, 2.5, 1.8],
+        room_mb: [45.0, 8.9, 1.2],
+        rate: 266.0,
+    },
+];
 /// Time that is played, in ms.
 const LENGTH_MS: u64 = 20_000;
 /// Begin and end of the burst, in ms.
 const BURST_MS: std::ops::Range<u64> = 6_000..12_000;
-/// Requests a second without a burst, of three stages each.
-const RATE: f64 = 31.2;
 /// Time to the first event that callers ask for, in ms.
 const GOAL_MS: u64 = 1_800;
 /// Time that a request needs after its stages, in ms.
@@ -55,39 +92,48 @@
     refused: u32,
     full: u32,
     calls: u32,
+    /// Time that scheduling took.
+    busy: Duration,
 }
 
 fn main() {
-    println!("burst  way     asked  in time %  late %  refused %  calls  full");
-    for times in [1.0, 1.4, 1.8, 2.3] {
-        for way in [Way::Shared, Way::Alone] {
-            let got = play(way, times);
-            let percent = |count: u32| 100.0 * f64::from(count) / f64::from(got.asked);
-            println!(
-                "x{times:<5} {way:<7} {:5}  {:9.1}  {:6.1}  {:9.1}  {:5}  {:4}",
-                got.asked,
-                percent(got.in_time),
-                percent(got.late),
-                percent(got.refused),
-                got.calls,
-                got.full,
-                way = format!("{way:?}"),
-            );
+    println!("size   burst  way     asked  in time %  late %  refused %  calls  full  us/request");
+    for size in &SIZES {
+        for times in [1.0, 1.4, 1.8, 2.3] {
+            for way in [Way::Shared, Way::Alone] {
+                print(size, times, way, &play(size, way, times));
+            }
         }
     }
 }
 
-fn config() -> RoutingConfig {
-    let service = |name: &str, batch_pieces, piece_ms, room_mb: f64| Service {
+fn print(size: &Size, times: f64, way: Way, got: &Got) {
+    let percent = |count: u32| 100.0 * f64::from(count) / f64::from(got.asked);
+    println!(
+        "{name:<6} x{times:<5} {way:<7} {:5}  {:9.1}  {:6.1}  {:9.1}  {:5}  {:4}  {:10.0}",
+        got.asked,
+        percent(got.in_time),
+        percent(got.late),
+        percent(got.refused),
+        got.calls,
+        got.full,
+        got.busy.as_secs_f64() * 1e6 / f64::from(got.asked),
+        name = size.name,
+        way = format!("{way:?}"),
+    );
+}
+
+fn config(size: &Size) -> RoutingConfig {
+    let service = |name: &str, index: usize| Service {
         name: PoolName::new(name),
         max_connections: 100,
         batching: Some(Batching {
             slots: 1,
             queue: QUEUE as u32,
-            batch_pieces,
+            batch_pieces: size.batches[index],
             call_ms: 200.0,
-            piece_ms,
-            room_bytes: (room_mb * 1e6) as u64,
+            piece_ms: size.piece_ms[index],
+            room_bytes: (size.room_mb[index] * 1e6) as u64,
             result_ttl_ms: 4_000,
         }),
         engine: None,
@@ -95,19 +141,19 @@
     RoutingConfig {
         version: 1,
         services: vec![
-            service("archive", 10, 5.0, 22.0),
-            service("agenda", 28, 6.1, 3.6),
-            service("invoices", 46, 3.7, 0.6),
+            service("archive", 0),
+            service("agenda", 1),
+            service("invoices", 2),
         ],
         ..RoutingConfig::default()
     }
 }
 
-fn servers() -> Vec<ServerEntry> {
-    let zones = ["utrecht", "utrecht", "amersfoort", "amersfoort", "gouda"];
+fn servers(size: &Size) -> Vec<ServerEntry> {
+    let zones = ["utrecht", "amersfoort", "gouda"].iter().cycle();
     let names = ["archive", "agenda", "invoices"];
     let entries = names.iter().flat_map(|service| {
-        let zones = zones.iter().enumerate();
+        let zones = zones.clone().take(size.servers).enumerate();
         zones.map(move |(index, zone)| ServerEntry {
             id: BackendName::new(format!("{service}-{index}")),
             service: PoolName::new(service),
@@ -150,11 +196,11 @@
     }
 }
 
-fn play(way: Way, times: f64) -> Got {
-    let (config, entries) = (config(), servers());
+fn play(size: &Size, way: Way, times: f64) -> Got {
+    let (config, entries) = (config(size), servers(size));
     let schedulers = match way {
         Way::Shared => 1,
-        Way::Alone => INSTANCES,
+        Way::Alone => size.instances,
     };
     let mut schedulers: Vec<StageScheduler> =
         (0..schedulers).map(|_| StageScheduler::default()).collect();
@@ -172,12 +218,9 @@
     let mut began: Vec<u64> = Vec::new();
     let mut releases: VecDeque<(u64, usize, RequestKey)> = VecDeque::new();
     for now_ms in 0..LENGTH_MS + 7_000 {
-        let rate = RATE
-            * if BURST_MS.contains(&now_ms) {
-                times
-            } else {
-                1.0
-            };
+        let is_burst = BURST_MS.contains(&now_ms);
+        let rate = size.rate * if is_burst { times } else { 1.0 };
+        let started = Instant::now();
         if now_ms < LENGTH_MS && rng.random_range(0.0..1.0) < rate / 1_000.0 {
             let number = began.len() as u64;
             began.push(now_ms);
@@ -222,6 +265,7 @@
                 }
             }
         }
+        got.busy += started.elapsed();
     }
     got
 }
--- a/crates/core/src/stages.rs
+++ b/crates/core/src/stages.rs
@@ -12,6 +12,7 @@
 mod handover;
 mod kept;
 mod progress;
+mod queue;
 mod request;
 mod scheduler;
 mod server;
--- a/crates/core/src/stages/admission.rs
+++ b/crates/core/src/stages/admission.rs
@@ -101,7 +101,7 @@
         let pieces = stage.pieces as usize;
         // While none of what is taken has come this far, the servers stand idle
         // until the first does.
-        let is_begun = service.running > 0 || !service.waiting.is_empty();
+        let is_begun = service.running > 0 || !service.queue.is_empty();
         let idle_ms = if is_begun { 0.0 } else { ready_ms };
         let backlog_ms = idle_ms + (service.committed.ahead(late_weight) + pieces as f64) / rate;
         let begin_ms = ready_ms + turn_ms(now_ms, service, ready_ms);
@@ -136,7 +136,7 @@
 /// Estimates how long a piece waits for a server to come free: none where one
 /// is idle now, else the mean gap between two that end.
 fn turn_ms(now_ms: u64, service: &StageService, ready_ms: f64) -> f64 {
-    let is_free_now = service.idle_servers(now_ms) > 0 && service.waiting.is_empty();
+    let is_free_now = service.idle_servers(now_ms) > 0 && service.queue.is_empty();
     if is_free_now && ready_ms == 0.0 {
         return 0.0;
     }
--- a/crates/core/src/stages/batch.rs
+++ b/crates/core/src/stages/batch.rs
@@ -4,11 +4,12 @@
 //! calls that are opened before another server is taken. There is no timer: a
 //! batch fills while all servers are busy, and is sent at once when one is not.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 
 use super::{
-    request::{PieceAt, Request},
-    service::{StageService, Waiting},
+    queue::{QueueOrder, Waiting},
+    request::{MOST_RANK_MS, Request},
+    service::StageService,
     work::RequestKey,
 };
 use crate::ids::{BackendName, ZoneName};
@@ -18,11 +19,6 @@
 /// as much as a hundredth of a request of the least worth.
 const MANY_BYTES: u64 = 100_000;
 
-/// Time by which the pieces of a request of one rank less go later than they
-/// have to, in ms: half of a call, so that among requests that came together
-/// the more urgent fill the next call.
-const RANK_MS: u64 = 150;
-
 /// Pieces for one server.
 #[derive(Debug)]
 pub(super) struct Batch {
@@ -37,14 +33,19 @@
     service: &StageService,
     requests: &HashMap<RequestKey, Request>,
 ) -> Vec<RequestKey> {
-    let is_late = |piece: &&Waiting| {
-        requests.get(&piece.key).is_some_and(|request| {
-            let needed_ms = service.usual_ms as u64 + request.rest_ms[piece.at.stage];
-            !request.is_late && now_ms + needed_ms / 2 > request.goal_at_ms
+    // No piece behind this place is late: its time is its goal without what
+    // follows, and at most its rank later.
+    let last_ms = now_ms + service.usual_ms as u64 / 2 + MOST_RANK_MS;
+    let is_late = |waiting: &&Waiting| {
+        requests.get(&waiting.key).is_some_and(|request| {
+            let needed_ms = service.usual_ms as u64 + request.rest_ms[waiting.at.stage];
+            now_ms + needed_ms / 2 > request.goal_at_ms
         })
     };
-    let late = service.waiting.iter().filter(is_late);
-    late.map(|piece| piece.key.clone()).collect()
+    let first = service.queue.iter();
+    let first = first.take_while(|(order, _)| !order.is_late && order.time_ms <= last_ms);
+    let late = first.map(|(_, waiting)| waiting).filter(is_late);
+    late.map(|waiting| waiting.key.clone()).collect()
 }
 
 /// Distributes what waits for `service` over its idle servers, and takes it out
@@ -54,73 +55,50 @@
     service: &mut StageService,
     requests: &mut HashMap<RequestKey, Request>,
 ) -> Vec<Batch> {
-    let mut idle: Vec<BackendName> = service
-        .servers
-        .iter()
-        .filter(|(_, server)| server.is_idle(now_ms))
-        .map(|(name, _)| name.clone())
-        .collect();
-    if idle.is_empty() || service.waiting.is_empty() {
-        return Vec::new();
-    }
-    let mut waiting = std::mem::take(&mut service.waiting);
-    waiting.sort_by_cached_key(|piece| order(service.usual_ms, piece, requests));
-    let mut open: BTreeMap<BackendName, Vec<Waiting>> = BTreeMap::new();
+    let mut calls = OpenCalls::new(now_ms, service);
     let half = service.batching.batch_pieces / 2;
     let call_ms = service.batching.duration_ms(half) as u64;
-    for piece in waiting {
-        let Some(request) = requests.get_mut(&piece.key) else {
+    let mut placed: Vec<QueueOrder> = Vec::new();
+    for (order, waiting) in service.queue.iter() {
+        if calls.are_full() {
+            break;
+        }
+        let Some(request) = requests.get_mut(&waiting.key) else {
             continue;
         };
-        let is_far_dear = request.fetched_bytes(piece.at.stage) >= MANY_BYTES;
-        let due_ms = due_ms(service.usual_ms, request, piece.at);
+        let is_far_dear = request.fetched_bytes(waiting.at.stage) >= MANY_BYTES;
+        let begin_by_ms = order.time_ms.saturating_sub(service.usual_ms as u64);
         let wanted = Wanted {
             zone: request.zone.as_ref().filter(|_| is_far_dear),
-            can_wait: due_ms > now_ms + call_ms,
-            bytes: piece.bytes,
+            can_wait: !order.is_late && begin_by_ms > now_ms + call_ms,
+            bytes: waiting.bytes,
         };
-        match place(now_ms, service, &mut idle, &open, &wanted) {
-            Some(name) => {
-                if let Some(server) = service.servers.get_mut(&name) {
-                    server.room_used += piece.bytes;
-                    if is_far_dear {
-                        request.zone = Some(server.zone.clone());
-                    }
-                }
-                open.entry(name).or_default().push(piece);
-            }
-            None => service.waiting.push(piece),
+        let Some(index) = calls.place(&wanted) else {
+            continue;
+        };
+        let call = &mut calls.calls[index];
+        call.room_used += waiting.bytes;
+        call.pieces.push(waiting.clone());
+        if is_far_dear {
+            request.zone = Some(call.zone.clone());
         }
+        placed.push(*order);
     }
-    open.into_iter()
-        .map(|(server, pieces)| Batch { server, pieces })
-        .collect()
-}
-
-/// Returns the latest time at which a piece has to begin for its request to
-/// make its goal, in ms.
-fn due_ms(usual_ms: f64, request: &Request, at: PieceAt) -> u64 {
-    let needed_ms = usual_ms as u64 + request.rest_ms[at.stage];
-    let rank_ms = u64::from(request.submission.priority) * RANK_MS;
-    (request.goal_at_ms + rank_ms).saturating_sub(needed_ms)
-}
-
-/// Orders the pieces of a queue: those that can still make their goal by the
-/// latest time at which they have to begin, then the others by their deadline.
-fn order(
-    usual_ms: f64,
-    piece: &Waiting,
-    requests: &HashMap<RequestKey, Request>,
-) -> (bool, u64, RequestKey, PieceAt) {
-    let Some(request) = requests.get(&piece.key) else {
-        return (true, u64::MAX, piece.key.clone(), piece.at);
-    };
-    let due_ms = if request.is_late {
-        request.deadline_at_ms
-    } else {
-        due_ms(usual_ms, request, piece.at)
-    };
-    (request.is_late, due_ms, piece.key.clone(), piece.at)
+    for order in &placed {
+        service.queue.take(order);
+    }
+    let filled = calls.calls.into_iter().filter(|c| !c.pieces.is_empty());
+    let mut batches = Vec::new();
+    for call in filled {
+        if let Some(server) = service.servers.get_mut(&call.server) {
+            server.room_used = call.room_used;
+        }
+        batches.push(Batch {
+            server: call.server,
+            pieces: call.pieces,
+        });
+    }
+    batches
 }
 
 /// What a piece asks of its server.
@@ -133,52 +111,84 @@
     bytes: u64,
 }
 
-/// Chooses a server for a piece: a call that is being filled in the wanted
-/// zone, an idle server there, then the same anywhere, unless it can wait for
-/// one in the wanted zone.
-fn place(
-    now_ms: u64,
-    service: &StageService,
-    idle: &mut Vec<BackendName>,
-    open: &BTreeMap<BackendName, Vec<Waiting>>,
-    wanted: &Wanted<'_>,
-) -> Option<BackendName> {
-    let has_room = |name: &BackendName| {
-        let server = &service.servers[name];
-        let room = server.room(now_ms, service.usable_room_bytes());
-        server.room_used + wanted.bytes <= room
-            && open
-                .get(name)
-                .is_none_or(|pieces| pieces.len() < service.batching.batch_pieces)
-    };
-    let is_wanted = |name: &BackendName| {
-        let zone = &service.servers[name].zone;
-        wanted.zone.is_none_or(|wanted| wanted == zone)
-    };
-    let filling = |is_right: &dyn Fn(&BackendName) -> bool| {
-        open.keys()
-            .find(|name| is_right(name) && has_room(name))
-            .cloned()
-    };
-    let fresh = |idle: &mut Vec<BackendName>, is_right: &dyn Fn(&BackendName) -> bool| {
-        let index = idle
-            .iter()
-            .enumerate()
-            .filter(|(_, name)| is_right(name) && has_room(name))
-            .min_by_key(|(_, name)| service.servers[*name].room_used)
-            .map(|(index, _)| index)?;
-        Some(idle.swap_remove(index))
-    };
-    if let Some(name) = filling(&is_wanted).or_else(|| fresh(idle, &is_wanted)) {
-        return Some(name);
+/// A call that an idle server could get.
+struct OpenCall {
+    server: BackendName,
+    zone: ZoneName,
+    /// Memory that results may take at the server, in bytes.
+    room: u64,
+    /// Memory that they take with those of this call, in bytes.
+    room_used: u64,
+    pieces: Vec<Waiting>,
+}
+
+/// A call for each idle server.
+struct OpenCalls {
+    calls: Vec<OpenCall>,
+    batch_pieces: usize,
+    /// Availability zones of the servers that take work at all.
+    zones: Vec<ZoneName>,
+}
+
+impl OpenCalls {
+    fn new(now_ms: u64, service: &StageService) -> Self {
+        let mut zones: Vec<ZoneName> = Vec::new();
+        let mut calls = Vec::new();
+        for (name, server) in &service.servers {
+            if server.is_open(now_ms) && !zones.contains(&server.zone) {
+                zones.push(server.zone.clone());
+            }
+            if server.is_idle(now_ms) {
+                calls.push(OpenCall {
+                    server: name.clone(),
+                    zone: server.zone.clone(),
+                    room: server.room(now_ms, service.usable_room_bytes()),
+                    room_used: server.room_used,
+                    pieces: Vec::new(),
+                });
+            }
+        }
+        Self {
+            calls,
+            batch_pieces: service.batching.batch_pieces,
+            zones,
+        }
+    }
+
+    /// Tells whether no call takes another piece.
+    fn are_full(&self) -> bool {
+        let mut calls = self.calls.iter();
+        calls.all(|call| call.pieces.len() >= self.batch_pieces)
     }
-    let mut servers = service.servers.values();
-    let has_wanted = wanted
-        .zone
-        .is_some_and(|zone| servers.any(|server| server.is_open(now_ms) && server.zone == *zone));
-    if wanted.can_wait && has_wanted {
-        return None;
+
+    /// Chooses the call of a piece: one that is being filled in the wanted zone,
+    /// that of an idle server there, then the same anywhere, unless the piece can
+    /// wait for one in the wanted zone.
+    fn place(&self, wanted: &Wanted<'_>) -> Option<usize> {
+        let in_zone = wanted.zone.and_then(|zone| self.best(wanted, Some(zone)));
+        if in_zone.is_some() {
+            return in_zone;
+        }
+        let waits = wanted.can_wait && wanted.zone.is_some_and(|zone| self.zones.contains(zone));
+        if waits {
+            return None;
+        }
+        self.best(wanted, None)
+    }
+
+    fn best(&self, wanted: &Wanted<'_>, zone: Option<&ZoneName>) -> Option<usize> {
+        let fits = |(_, call): &(usize, &OpenCall)| {
+            call.pieces.len() < self.batch_pieces
+                && call.room_used + wanted.bytes <= call.room
+                && zone.is_none_or(|zone| *zone == call.zone)
+        };
+        let fitting = self.calls.iter().enumerate().filter(fits);
+        // Those that are being filled first, then the one with the most room.
+        fitting
+            .min_by_key(|(_, call)| match call.pieces.is_empty() {
+                true => (true, call.room_used),
+                false => (false, 0),
+            })
+            .map(|(index, _)| index)
     }
-    let anywhere = |_: &BackendName| true;
-    filling(&anywhere).or_else(|| fresh(idle, &anywhere))
 }
--- a/crates/core/src/stages/calls.rs
+++ b/crates/core/src/stages/calls.rs
@@ -2,10 +2,10 @@
 
 use super::{
     batch::Batch,
+    queue::Waiting,
     request::{Piece, PieceAt, Request},
     scheduler::{CallEnd, ItemEnd, StageScheduler},
     server::Server,
-    service::{Taken, Waiting},
     work::{CallId, CallItem, ItemInput, Refusal, ResultRef, StageAction, StageCall},
 };
 use crate::ids::{BackendName, PoolName};
@@ -148,37 +148,33 @@
         };
         self.keep(now_ms, call, handle, waiting.bytes);
         let zone = self.server_mut(call).map(|server| server.zone.clone());
-        let is_wanted = self
-            .requests
-            .get(&waiting.key)
-            .and_then(|request| request.piece(waiting.at))
-            .is_some_and(|piece| matches!(piece, Piece::Running(_) | Piece::Waiting));
-        let (Some(zone), true) = (zone, is_wanted) else {
+        let wanted = self.requests.get_mut(&waiting.key).filter(|request| {
+            let piece = request.piece(waiting.at);
+            matches!(piece, Some(Piece::Running(_) | Piece::Waiting))
+        });
+        let (Some(zone), Some(request)) = (zone, wanted) else {
             // Its request is gone or has this result from elsewhere.
             self.free(&call.service, &call.server, vec![handle.clone()]);
             return;
         };
-        let mut taken = Taken::InTime;
-        if let Some(request) = self.requests.get_mut(&waiting.key) {
-            taken = request.taken;
-            let bytes = request.submission.stages[waiting.at.stage].result_bytes;
-            if let Some(piece) = request.piece_mut(waiting.at) {
-                *piece = Piece::Done {
-                    server: call.server.clone(),
-                    result: ResultRef {
-                        handle: handle.clone(),
-                        zone,
-                        bytes,
-                    },
-                };
-            }
+        let taken = request.taken;
+        let order = request.order(waiting.at);
+        let bytes = request.submission.stages[waiting.at.stage].result_bytes;
+        if let Some(piece) = request.piece_mut(waiting.at) {
+            *piece = Piece::Done {
+                server: call.server.clone(),
+                result: ResultRef {
+                    handle: handle.clone(),
+                    zone,
+                    bytes,
+                },
+            };
         }
         if let Some(service) = self.services.get_mut(&call.service) {
             service.committed.remove(taken, 1);
             service.on_piece_done(now_ms.saturating_sub(waiting.since_ms) as f64);
-            service
-                .waiting
-                .retain(|other| other.key != waiting.key || other.at != waiting.at);
+            // It waits if its call was overdue.
+            service.queue.take(&order);
         }
         self.advance(now_ms, &waiting.key);
     }
@@ -214,7 +210,9 @@
         let stage = &request.submission.stages[waiting.at.stage];
         let waits = has_inputs && !request.is_moving;
         if waits && let Some(service) = self.services.get_mut(&stage.service) {
-            service.waiting.push(waiting.clone());
+            service
+                .queue
+                .add(request.order(waiting.at), waiting.clone());
         }
     }
 
--- a/crates/core/src/stages/handover.rs
+++ b/crates/core/src/stages/handover.rs
@@ -14,9 +14,10 @@
     /// Hands every request that is not finished over to the scheduler `to`, as
     /// soon as none of its pieces is at work.
     pub fn hand_over(&mut self, to: Option<&InstanceName>) {
+        self.is_handing_over = true;
         self.successor = to.cloned();
         for service in self.services.values_mut() {
-            service.waiting.clear();
+            service.queue.clear();
         }
         for request in self.requests.values_mut() {
             request.is_moving = !request.is_finished;
@@ -26,6 +27,9 @@
 
     /// Hands over the requests that are to be and have no piece at work.
     pub(super) fn move_idle(&mut self) {
+        if !self.is_handing_over {
+            return;
+        }
         let idle: Vec<RequestKey> = self
             .requests
             .iter()
@@ -46,5 +50,7 @@
             };
             self.actions.push(StageAction::Finish { key, outcome });
         }
+        let mut requests = self.requests.values();
+        self.is_handing_over = requests.any(|request| request.is_moving && !request.is_finished);
     }
 }
--- a/crates/core/src/stages/progress.rs
+++ b/crates/core/src/stages/progress.rs
@@ -5,9 +5,10 @@
 use super::{
     admission,
     calls::MOST_REPEATS,
+    queue::Waiting,
     request::{Piece, Request},
     scheduler::StageScheduler,
-    service::{StageService, Waiting},
+    service::StageService,
     work::{CallId, Refusal, RequestKey, StageAction, StageOutcome, Submission},
 };
 use crate::ids::{BackendName, PoolName};
@@ -42,8 +43,19 @@
 
     /// Notes that a request can't make its goal.
     pub(super) fn give_up_goal(&mut self, key: &RequestKey) {
-        if let Some(request) = self.requests.get_mut(key) {
-            request.is_late = true;
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        let waiting = request.waiting();
+        let before: Vec<_> = waiting.iter().map(|at| request.order(*at)).collect();
+        request.is_late = true;
+        for (at, before) in waiting.into_iter().zip(before) {
+            let service = &request.submission.stages[at.stage].service;
+            if let Some(service) = self.services.get_mut(service)
+                && let Some(waiting) = service.queue.take(&before)
+            {
+                service.queue.add(request.order(at), waiting);
+            }
         }
     }
 
@@ -62,12 +74,13 @@
         for at in ready {
             let stage = &request.submission.stages[at.stage];
             if let Some(service) = self.services.get_mut(&stage.service) {
-                service.waiting.push(Waiting {
+                let waiting = Waiting {
                     key: key.clone(),
                     at,
                     since_ms: now_ms,
                     bytes: stage.result_bytes,
-                });
+                };
+                service.queue.add(request.order(at), waiting);
             }
         }
         if request.is_done() && !request.is_finished {
@@ -97,6 +110,7 @@
             all.any(|service| service.servers.contains_key(server))
         };
         let before = request.unfinished_by_stage();
+        let waited = request.waiting();
         if let Some(piece) = request.piece_mut(waiting.at) {
             *piece = Piece::Blocked;
         }
@@ -107,9 +121,14 @@
             if let Some(service) = self.services.get_mut(name) {
                 let again = after.saturating_sub(before);
                 service.committed.add(request.taken, again);
-                service.waiting.retain(|other| {
-                    other.key != waiting.key || request.piece(other.at) == Some(&Piece::Waiting)
-                });
+            }
+        }
+        for at in waited {
+            let name = &request.submission.stages[at.stage].service;
+            if request.piece(at) != Some(&Piece::Waiting)
+                && let Some(service) = self.services.get_mut(name)
+            {
+                service.queue.take(&request.order(at));
             }
         }
         self.advance(now_ms, &waiting.key);
@@ -157,8 +176,11 @@
             return;
         };
         uncommit(&mut self.services, &request);
-        for service in self.services.values_mut() {
-            service.waiting.retain(|waiting| waiting.key != *key);
+        for at in request.waiting() {
+            let name = &request.submission.stages[at.stage].service;
+            if let Some(service) = self.services.get_mut(name) {
+                service.queue.take(&request.order(at));
+            }
         }
         let unneeded = request.take_unneeded(true);
         self.free_results(unneeded);
@@ -167,6 +189,9 @@
     /// Ends requests whose callers have given up or that can't be answered
     /// before they do.
     pub(super) fn drop_expired(&mut self, now_ms: u64) {
+        if self.earliest_drop_ms.is_none_or(|at_ms| at_ms > now_ms) {
+            return;
+        }
         let expired: Vec<RequestKey> = self
             .requests
             .iter()
@@ -176,6 +201,7 @@
         for key in expired {
             self.refuse(now_ms, &key, Refusal::TooLate);
         }
+        self.earliest_drop_ms = self.requests.values().map(Request::drop_at_ms).min();
     }
 }
 
--- a/crates/core/src/stages/request.rs
+++ b/crates/core/src/stages/request.rs
@@ -2,11 +2,19 @@
 
 use super::{
     CallId, Submission,
+    queue::QueueOrder,
     service::Taken,
     work::{DonePiece, ResultRef},
 };
 use crate::ids::{BackendName, ZoneName};
 
+/// Time by which the pieces of a request of one rank less go later than they
+/// have to, in ms: half of a call, so that among requests that came together
+/// the more urgent fill the next call.
+const RANK_MS: u64 = 150;
+/// Most such time, in ms: ranks below the fourth are not told apart.
+pub(super) const MOST_RANK_MS: u64 = 4 * RANK_MS;
+
 /// Where one piece stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Piece {
@@ -38,6 +46,8 @@
 #[derive(Debug)]
 pub(super) struct Request {
     pub(super) submission: Submission,
+    /// Number of the request, in the order of arrival.
+    pub(super) number: u64,
     /// Time by which its answer should begin, in ms.
     pub(super) goal_at_ms: u64,
     /// Time at which its caller gives up, in ms.
@@ -64,6 +74,7 @@
 impl Request {
     pub(super) fn new(
         now_ms: u64,
+        number: u64,
         submission: Submission,
         rest_ms: Vec<u64>,
         taken: Taken,
@@ -93,6 +104,7 @@
             rest_ms,
             pieces,
             submission,
+            number,
             repeats: 0,
             taken,
             is_moving: false,
@@ -101,6 +113,37 @@
         }
     }
 
+    /// Returns where a piece stands in its queue.
+    pub(super) fn order(&self, at: PieceAt) -> QueueOrder {
+        let rank_ms = u64::from(self.submission.priority) * RANK_MS;
+        let begin_by_ms =
+            (self.goal_at_ms + rank_ms.min(MOST_RANK_MS)).saturating_sub(self.rest_ms[at.stage]);
+        QueueOrder {
+            is_late: self.is_late,
+            time_ms: if self.is_late {
+                self.deadline_at_ms
+            } else {
+                begin_by_ms
+            },
+            request: self.number,
+            at,
+        }
+    }
+
+    /// Returns the pieces that wait for a server.
+    pub(super) fn waiting(&self) -> Vec<PieceAt> {
+        let mut waiting = Vec::new();
+        for (stage, pieces) in self.pieces.iter().enumerate() {
+            for (piece, state) in pieces.iter().enumerate() {
+                if *state == Piece::Waiting {
+                    let piece = piece as u32;
+                    waiting.push(PieceAt { stage, piece });
+                }
+            }
+        }
+        waiting
+    }
+
     /// Makes pieces wait whose results are all there, and names them.
     pub(super) fn unblock(&mut self) -> Vec<PieceAt> {
         let mut ready = Vec::new();
--- a/crates/core/src/stages/scheduler.rs
+++ b/crates/core/src/stages/scheduler.rs
@@ -9,7 +9,7 @@
     kept::KeptResults,
     request::Request,
     server::Server,
-    service::{StageService, Taken},
+    service::{StageService, Taken, WAIT_STEP_MS},
     work::{CallId, Refusal, RequestKey, StageAction, Submission},
 };
 use crate::{
@@ -17,10 +17,6 @@
     ids::{BackendName, InstanceName, PoolName},
 };
 
-/// Time between two looks at pieces that wait for a server in their zone while
-/// others are idle, in ms.
-const WAIT_STEP_MS: u64 = 20;
-
 /// How one piece of a call ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ItemEnd {
@@ -72,6 +68,13 @@
     pub(super) calls: HashMap<CallId, RunningCall>,
     pub(super) kept: KeptResults,
     pub(super) last_call: u64,
+    /// Number of the last request.
+    last_request: u64,
+    /// Time before which no request is dropped, in ms; those that have ended
+    /// since may be the reason.
+    pub(super) earliest_drop_ms: Option<u64>,
+    /// Whether requests are left that are to be handed over.
+    pub(super) is_handing_over: bool,
     pub(super) refusals: Refusals,
     /// The scheduler that goes on with what is handed over.
     pub(super) successor: Option<InstanceName>,
@@ -134,7 +137,11 @@
         let key = submission.key.clone();
         let rest_ms = self.rest_ms(&submission);
         self.keep_handed_over(now_ms, &submission);
-        let request = Request::new(now_ms, submission, rest_ms, taken);
+        self.last_request += 1;
+        let request = Request::new(now_ms, self.last_request, submission, rest_ms, taken);
+        let drop_at_ms = request.drop_at_ms();
+        let earliest_ms = self.earliest_drop_ms.unwrap_or(drop_at_ms);
+        self.earliest_drop_ms = Some(earliest_ms.min(drop_at_ms));
         for (stage, unfinished) in request.unfinished_by_stage().into_iter().enumerate() {
             let name = &request.submission.stages[stage].service;
             if let Some(service) = self.services.get_mut(name) {
@@ -166,15 +173,22 @@
             let Some(service) = self.services.get(&name) else {
                 continue;
             };
+            if !service.can_begin(now_ms) {
+                continue;
+            }
             for key in batch::late(now_ms, service, &self.requests) {
                 self.give_up_goal(&key);
             }
             let Some(service) = self.services.get_mut(&name) else {
                 continue;
             };
-            for batch in batch::fill(now_ms, service, &mut self.requests) {
+            let batches = batch::fill(now_ms, service, &mut self.requests);
+            for batch in batches {
                 self.start_call(now_ms, &name, batch);
             }
+            if let Some(service) = self.services.get_mut(&name) {
+                service.note_stuck(now_ms);
+            }
         }
         std::mem::take(&mut self.actions)
     }
@@ -184,12 +198,12 @@
         let waited_for = self
             .services
             .values()
-            .filter(|service| !service.waiting.is_empty() && service.idle_servers(now_ms) > 0)
+            .filter(|service| !service.queue.is_empty() && service.idle_servers(now_ms) > 0)
             .map(|_| now_ms + WAIT_STEP_MS);
         let paused = self
             .services
             .values()
-            .filter(|service| !service.waiting.is_empty())
+            .filter(|service| !service.queue.is_empty())
             .flat_map(|service| service.servers.values())
             .filter_map(|server| server.paused_until_ms(now_ms));
         let overdue = self
@@ -197,14 +211,13 @@
             .values()
             .filter(|call| !call.is_overdue)
             .map(|call| call.overdue_at_ms());
-        let deadlines = self.requests.values().map(|request| request.drop_at_ms());
-        let due = paused.chain(overdue).chain(deadlines);
+        let due = paused.chain(overdue).chain(self.earliest_drop_ms);
         due.chain(waited_for).min()
     }
 
     /// Returns what is waiting and at work: requests, pieces and calls.
     pub fn load(&self) -> (usize, usize, usize) {
-        let waiting = self.services.values().map(|service| service.waiting.len());
+        let waiting = self.services.values().map(|service| service.queue.len());
         (self.requests.len(), waiting.sum(), self.calls.len())
     }
 }
--- a/crates/core/src/stages/service.rs
+++ b/crates/core/src/stages/service.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{request::PieceAt, server::Server, work::RequestKey};
+use super::{queue::Queue, server::Server};
 use crate::{forwarding::Batching, ids::BackendName};
 
 /// How much a new measure counts for the usual time of a stage.
@@ -12,6 +12,10 @@
 /// known only roughly, and a piece without room is a call in vain.
 const USABLE_ROOM_PERCENT: u64 = 85;
 
+/// Time between two looks at pieces that wait for a server in their zone while
+/// others are idle, in ms.
+pub(super) const WAIT_STEP_MS: u64 = 20;
+
 /// How a request was taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Taken {
@@ -52,15 +56,15 @@
     }
 }
 
-/// A piece that waits for a server.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Waiting {
-    pub(super) key: RequestKey,
-    pub(super) at: PieceAt,
-    /// Time at which it became ready, in ms.
-    pub(super) since_ms: u64,
-    /// Size of its result, in bytes.
-    pub(super) bytes: u64,
+/// How things stood when pieces were left waiting beside idle servers: they are
+/// looked at again when anything of it changes, or after a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Stuck {
+    added: u64,
+    idle_servers: usize,
+    room_used: u64,
+    /// Time of the look, in ms.
+    at_ms: u64,
 }
 
 /// One service and its servers.
@@ -68,7 +72,10 @@
 pub(super) struct StageService {
     pub(super) batching: Batching,
     pub(super) servers: BTreeMap<BackendName, Server>,
-    pub(super) waiting: Vec<Waiting>,
+    /// What waits for them.
+    pub(super) queue: Queue,
+    /// How things stood when pieces were left waiting beside idle servers.
+    pub(super) stuck: Option<Stuck>,
     /// Pieces of taken requests that are not done, waiting for this stage or an
     /// earlier one.
     pub(super) committed: Committed,
@@ -83,13 +90,44 @@
         Self {
             batching,
             servers: BTreeMap::new(),
-            waiting: Vec::new(),
+            queue: Queue::default(),
+            stuck: None,
             committed: Committed::default(),
             running: 0,
             usual_ms: batching.duration_ms(batching.batch_pieces / 2),
         }
     }
 
+    /// Tells whether any piece that waits may be sent now.
+    pub(super) fn can_begin(&self, now_ms: u64) -> bool {
+        if self.queue.is_empty() || self.idle_servers(now_ms) == 0 {
+            return false;
+        }
+        self.stuck.is_none_or(|stuck| {
+            let now = self.standing(now_ms);
+            let is_same = Stuck {
+                at_ms: stuck.at_ms,
+                ..now
+            } == stuck;
+            !is_same || now_ms >= stuck.at_ms + WAIT_STEP_MS
+        })
+    }
+
+    /// Notes how things stand after what could be sent was sent.
+    pub(super) fn note_stuck(&mut self, now_ms: u64) {
+        self.stuck = Some(self.standing(now_ms));
+    }
+
+    fn standing(&self, now_ms: u64) -> Stuck {
+        let servers = self.servers.values();
+        Stuck {
+            added: self.queue.added(),
+            idle_servers: self.idle_servers(now_ms),
+            room_used: servers.map(|server| server.room_used).sum(),
+            at_ms: now_ms,
+        }
+    }
+
     pub(super) fn on_piece_done(&mut self, elapsed_ms: f64) {
         self.usual_ms += USUAL_WEIGHT * (elapsed_ms - self.usual_ms);
     }
