Pass over the engines of a zone that seems to be cut off

Requests that wait there hold the results of their stages, so that servers of stages had calls of 20 pieces of 94 while 2,400 waited, and two requests in five were refused.

Change: two servers of a zone that can't be reached, none there having answered since, and the zone is passed over for 1 to 4 s where there are others; a request then finds out. Logged as 'zones passed over'.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -22,6 +22,7 @@
 mod observed;
 mod pace;
 mod prefixes;
+mod reach;
 mod refusals;
 mod retry_budget;
 mod route;
@@ -35,6 +36,7 @@
 pub(crate) use known::{KnownBackend, KnownPool, Report};
 pub(crate) use pace::Progress;
 use prefixes::Prefixes;
+use reach::ZoneReach;
 pub(crate) use retry_budget::RetryBudget;
 pub(crate) use route::{RouteQuery, Routed};
 use shares::Shares;
@@ -69,6 +71,8 @@
     pools: BTreeMap<PoolName, KnownPool>,
     /// Time beside work of the calls to each availability zone.
     ways: BTreeMap<ZoneName, Quantiles>,
+    /// Availability zones to which connections failed.
+    reach: BTreeMap<ZoneName, ZoneReach>,
     /// Other instances that use the same backend servers.
     peers: u32,
     prefixes: Prefixes,
@@ -97,6 +101,7 @@
             by_name: HashMap::new(),
             pools: BTreeMap::new(),
             ways: BTreeMap::new(),
+            reach: BTreeMap::new(),
             peers: 0,
             prefixes: Prefixes::default(),
             overload: Overload::default(),
@@ -263,6 +268,13 @@
     }
 
     pub(crate) fn on_call_ended(&mut self, now_ms: u64, name: &BackendName, end: CallEnd) {
+        match end {
+            CallEnd::Failed(Fault::Unreachable) => self.on_unreached(now_ms, name),
+            CallEnd::Failed(Fault::Silent) | CallEnd::Abandoned => {}
+            CallEnd::Done { .. } | CallEnd::Refused(_) | CallEnd::Failed(Fault::Failing) => {
+                self.on_reached(name);
+            }
+        }
         let Some(backend) = self.known_mut(name) else {
             return;
         };
--- a/crates/core/src/fleet/route.rs
+++ b/crates/core/src/fleet/route.rs
@@ -50,7 +50,8 @@
     }
 
     /// Returns the members that are best for the call as far as their health
-    /// goes: untried ones that have not refused lately, if there are any.
+    /// goes: untried ones in zones that are reached, which have not refused lately,
+    /// if there are any.
     pub(crate) fn eligible(&self, now_ms: u64, query: &RouteQuery<'_>) -> Vec<usize> {
         let mut able = self.able(now_ms, query);
         if able.is_empty() && query.idempotent {
@@ -59,7 +60,10 @@
         let untried = prefer(able, |index| {
             !query.tried.contains(&self.backends[index].name)
         });
-        let taking = prefer(untried, |index| {
+        let reached = prefer(untried, |index| {
+            !self.is_cut_off(now_ms, &self.backends[index].zone)
+        });
+        let taking = prefer(reached, |index| {
             !self.backends[index].refusals.is_avoided(now_ms)
         });
         if query.idempotent {
--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -8,10 +8,10 @@
 use hyper::body::Incoming;
 use savoryvane_core::{
     forwarding::{AttemptEnd, Repeats, ServerState},
-    ids::BackendName,
+    ids::{BackendName, ZoneName},
 };
 use savoryvane_platform::answer::{self, AnswerHead};
-use slog::warn;
+use slog::{info, warn};
 use tokio::time::Instant;
 
 use super::{
@@ -69,6 +69,7 @@
         self.has_ended = true;
         let now_ms = self.forwarder.clock.now_ms();
         let mut fleet = self.forwarder.knowledge.fleet();
+        let before = fleet.cut_off_zones(now_ms);
         match end {
             ServerEnd::Answered => {
                 let elapsed_us = self.began.elapsed().as_micros() as u64;
@@ -79,6 +80,11 @@
             ServerEnd::Silent => fleet.on_silent(now_ms, &self.server),
             ServerEnd::Unreachable => fleet.on_unreachable(now_ms, &self.server),
         }
+        let cut_off = fleet.cut_off_zones(now_ms);
+        if cut_off != before {
+            info!(self.forwarder.log, "zones passed over"; "zones" => zone_names(&cut_off),
+                "before" => zone_names(&before), "server" => %self.server, "end" => ?end);
+        }
     }
 }
 
@@ -195,6 +201,11 @@
     }
 }
 
+fn zone_names(zones: &[ZoneName]) -> String {
+    let names: Vec<&str> = zones.iter().map(ZoneName::as_str).collect();
+    names.join(",")
+}
+
 /// Gives a connection back after its answer was read.
 pub(super) fn keep(lease: Lease, head: &AnswerHead) {
     let limit = head
