Give up silent servers for others where a request may be repeated

Ruled out: what may not be repeated, of which silence says nothing; it is waited for as before.

Change: a request that may be repeated is sent to another server when the first has been silent for the time that the whole answer was to take, 0.4 to 1 s, and a stream that may be resumed goes on elsewhere after a pause of 1.5 s; only where there is another server and a repeat in the budget, which is taken first, and with the first connection closed. Its other idle connections are closed too.

--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod directory;
 mod objects;
+mod patience;
 mod placement;
 mod returning;
 mod steps;
@@ -15,6 +16,7 @@
     Batching, CallerLimits, Engine, Route, RouteKind, RouteStage, RoutingConfig, Service, Target,
     WorkspaceKeys,
 };
+pub use patience::{answer_patience_ms, event_patience_ms};
 pub use placement::{Chosen, Placement, Prompt, PromptPart};
 pub use returning::UsualDeadlines;
 pub use steps::{AttemptEnd, Giving, NextStep, Repeats, next_step};
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -200,6 +200,12 @@
         self.on_call_ended(now_ms, server, CallEnd::Failed(Fault::Silent));
     }
 
+    /// Notes that `server` was given up as it stayed silent; its request has been
+    /// noted as abandoned.
+    pub fn on_given_up(&mut self, now_ms: u64, server: &BackendName) {
+        self.on_bad_answer(now_ms, server, Fault::Silent);
+    }
+
     /// Notes that no connection to `server` could be made.
     pub fn on_unreachable(&mut self, now_ms: u64, server: &BackendName) {
         self.on_call_ended(now_ms, server, CallEnd::Failed(Fault::Unreachable));
--- a/crates/core/src/forwarding/steps.rs
+++ b/crates/core/src/forwarding/steps.rs
@@ -15,6 +15,8 @@
     Failed,
     /// The answer was lost, broken or not that of the request.
     Lost,
+    /// The server stayed silent, and a repeat was taken out of the budget.
+    Silent,
 }
 
 /// Whether a request may be sent again after it may have run.
@@ -59,8 +61,8 @@
 ///
 /// `may_have_run` tells whether any send, this one included, may have run;
 /// `has_room` whether another server, its attempts and the time allow one more
-/// send. For all but those that never left, `spend` takes one repeat out of the
-/// budget and tells whether there was one.
+/// send. For all but those that never left and those that have paid already,
+/// `spend` takes one repeat out of the budget and tells whether there was one.
 pub fn next_step(
     end: AttemptEnd,
     repeats: Repeats,
@@ -73,7 +75,8 @@
         AttemptEnd::NotSent | AttemptEnd::Misdirected | AttemptEnd::InputsGone | AttemptEnd::NotRun
     );
     let is_allowed = repeats == Repeats::Allowed || (is_harmless && !may_have_run);
-    if is_allowed && has_room && (end == AttemptEnd::NotSent || spend()) {
+    let is_paid = matches!(end, AttemptEnd::NotSent | AttemptEnd::Silent);
+    if is_allowed && has_room && (is_paid || spend()) {
         return NextStep::SendAgain;
     }
     NextStep::Give(match end {
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -5,7 +5,9 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use savoryvane_core::{
-    forwarding::{AttemptEnd, Giving, NextStep, Placement, Repeats, next_step},
+    forwarding::{
+        AttemptEnd, Chosen, Giving, NextStep, Placement, Repeats, answer_patience_ms, next_step,
+    },
     ids::{BackendName, RequestId, ZoneName},
     stages::{Refusal, StageOutcome, StageWork, Submission},
 };
@@ -207,10 +209,13 @@
                 });
             };
             tried.push(server.clone());
-            let sent = self.send_once(&caller, &inputs, &server, None);
-            let Ok(sent) = time::timeout_at(caller.deadline, sent).await else {
-                return Err(Why::Overdue);
-            };
+            let may_move_on = caller.repeats() == Repeats::Allowed
+                && sends + 1 < caller.route().max_servers
+                && tried.len() < MOST_UNREACHED;
+            let sent = self
+                .send_to(&caller, &inputs, &tried, &server, may_move_on)
+                .await
+                .ok_or(Why::Overdue)?;
             let (end, failure) = match sent {
                 Sent::Whole(response) => {
                     self.log_answered(&caller, &server, response.status(), sends + 1);
@@ -227,7 +232,10 @@
                 }
                 Sent::Ended(end, failure) => (end, failure),
             };
-            may_have_run |= matches!(end, AttemptEnd::Failed | AttemptEnd::Lost);
+            may_have_run |= matches!(
+                end,
+                AttemptEnd::Failed | AttemptEnd::Lost | AttemptEnd::Silent
+            );
             sends += u32::from(end.counts());
             let has_room = sends < caller.route().max_servers
                 && tried.len() < MOST_UNREACHED
@@ -253,6 +261,58 @@
         }
     }
 
+    /// Sends a request to one server until the caller's deadline; where it may
+    /// move on, a server that stays silent is given up for another one.
+    async fn send_to(
+        self: &Arc<Self>,
+        caller: &CallerRequest,
+        inputs: &Inputs,
+        tried: &[BackendName],
+        server: &BackendName,
+        may_move_on: bool,
+    ) -> Option<Sent> {
+        let patience = Duration::from_millis(answer_patience_ms(caller.route().goal_ms));
+        let mut sent = Box::pin(self.send_once(caller, inputs, server, None));
+        if may_move_on {
+            let until = (Instant::now() + patience).min(caller.deadline);
+            if let Ok(sent) = time::timeout_at(until, &mut sent).await {
+                return Some(sent);
+            }
+            if self.may_repeat_elsewhere(caller, inputs, tried) {
+                // Closes the connection, so that the server stops.
+                drop(sent);
+                self.give_up(caller, server, patience);
+                return Some(Sent::Ended(AttemptEnd::Silent, None));
+            }
+        }
+        time::timeout_at(caller.deadline, sent).await.ok()
+    }
+
+    /// Tells whether there is another server for a request and a repeat in the
+    /// budget, which it takes.
+    pub(super) fn may_repeat_elsewhere(
+        &self,
+        caller: &CallerRequest,
+        inputs: &Inputs,
+        tried: &[BackendName],
+    ) -> bool {
+        !caller.left().is_zero()
+            && self.find(caller, inputs, tried).0.is_some()
+            && self.knowledge.budgets().try_spend(&caller.service)
+    }
+
+    /// Notes that a server was given up as it stayed silent.
+    pub(super) fn give_up(&self, caller: &CallerRequest, server: &BackendName, waited: Duration) {
+        let now_ms = self.clock.now_ms();
+        self.knowledge.fleet().on_given_up(now_ms, server);
+        if let Some(entry) = self.knowledge.directory().entry(server) {
+            // Others that are kept may be as silent.
+            self.servers.forget(entry.addr);
+        }
+        info!(self.log, "silent server given up"; "request" => %caller.id, "server" => %server,
+            "waited_ms" => waited.as_millis() as u64, "elapsed_ms" => caller.elapsed_ms());
+    }
+
     /// Chooses the server of the next send.
     pub(super) fn choose(
         &self,
@@ -260,6 +320,21 @@
         inputs: &Inputs,
         tried: &[BackendName],
     ) -> Option<BackendName> {
+        let (server, chosen) = self.find(caller, inputs, tried);
+        info!(self.log, "server chosen"; "request" => %caller.id, "service" => %caller.service,
+            "server" => server.as_ref().map(ToString::to_string),
+            "reason" => chosen.reason.as_str(), "considered" => chosen.considered,
+            "version" => self.knowledge.version(), "elapsed_ms" => caller.elapsed_ms());
+        server
+    }
+
+    /// Finds the server for a send, and says why it is that one.
+    fn find(
+        &self,
+        caller: &CallerRequest,
+        inputs: &Inputs,
+        tried: &[BackendName],
+    ) -> (Option<BackendName>, Chosen) {
         let placement = Placement {
             service: &caller.service,
             tried,
@@ -267,16 +342,10 @@
             prompt: caller.prompt(),
             inputs: &inputs.by_zone,
         };
-        let chosen = self
-            .knowledge
-            .fleet()
-            .choose(self.clock.now_ms(), &placement);
-        let server = chosen.server.filter(|server| !tried.contains(server));
-        info!(self.log, "server chosen"; "request" => %caller.id, "service" => %caller.service,
-            "server" => server.as_ref().map(ToString::to_string),
-            "reason" => chosen.reason.as_str(), "considered" => chosen.considered,
-            "version" => self.knowledge.version(), "elapsed_ms" => caller.elapsed_ms());
-        server
+        let now_ms = self.clock.now_ms();
+        let chosen = self.knowledge.fleet().choose(now_ms, &placement);
+        let untried = chosen.server.clone();
+        (untried.filter(|server| !tried.contains(server)), chosen)
     }
 
     fn log_answered(
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -10,13 +10,14 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll},
+    time::Duration,
 };
 
 use bytes::{Bytes, BytesMut};
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
-use savoryvane_core::ids::BackendName;
+use savoryvane_core::{forwarding::event_patience_ms, ids::BackendName};
 use savoryvane_platform::answer;
 use slog::{info, warn};
 use tokio::{sync::mpsc, time};
@@ -111,13 +112,20 @@
     Overdue,
     /// It broke off.
     Broken,
+    /// It paused for long, and a repeat was taken out of the budget.
+    Silent,
 }
 
 impl Relay {
     async fn run(mut self) {
         let stop = loop {
             let stop = self.pass_on().await;
-            if stop != Stop::Broken || !self.resume().await {
+            let goes_on = match stop {
+                Stop::Broken => self.may_go_on() && self.go_on().await,
+                Stop::Silent => self.go_on().await,
+                Stop::Whole | Stop::CallerGone | Stop::Overdue => false,
+            };
+            if !goes_on {
                 break stop;
             }
         };
@@ -130,6 +138,7 @@
             Stop::CallerGone => "caller_gone",
             Stop::Overdue => "overdue",
             Stop::Broken => "broken",
+            Stop::Silent => "silent",
         })
         .increment(1);
         match stop {
@@ -139,7 +148,7 @@
                 }
             }
             Stop::CallerGone => {}
-            Stop::Overdue | Stop::Broken => {
+            Stop::Overdue | Stop::Broken | Stop::Silent => {
                 let broken = io::Error::new(io::ErrorKind::ConnectionAborted, "stream broke off");
                 // The caller may have gone meanwhile.
                 let _ = self.sender.send(Err(broken)).await;
@@ -149,12 +158,22 @@
 
     /// Passes events on until they end.
     async fn pass_on(&mut self) -> Stop {
+        let patience = Duration::from_millis(event_patience_ms());
+        let mut is_waited_for = true;
         loop {
             let frame = tokio::select! {
                 biased;
                 () = self.sender.closed() => return Stop::CallerGone,
                 frame = self.source.body.frame() => frame,
                 () = time::sleep_until(self.caller.deadline) => return Stop::Overdue,
+                () = time::sleep(patience), if is_waited_for => {
+                    is_waited_for = false;
+                    if self.may_go_on() {
+                        self.leave_silent(patience);
+                        return Stop::Silent;
+                    }
+                    continue;
+                }
             };
             let bytes = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
@@ -195,21 +214,32 @@
         }
     }
 
-    /// Has another server go on after the last whole event.
-    async fn resume(&mut self) -> bool {
-        self.source.lease = None;
+    /// Tells whether another server may go on; it takes a repeat out of the
+    /// budget.
+    fn may_go_on(&self) -> bool {
         let caller = &self.caller;
-        let is_allowed = caller.is_resumable()
+        caller.is_resumable()
             && (self.tried.len() as u32) < caller.route().max_servers
-            && !caller.left().is_zero()
             && self
                 .forwarder
-                .knowledge
-                .budgets()
-                .try_spend(&caller.service);
-        if !is_allowed {
-            return false;
+                .may_repeat_elsewhere(caller, &self.inputs, &self.tried)
+    }
+
+    /// Closes the connection to a server that has paused for long, which ends its
+    /// run.
+    fn leave_silent(&mut self, waited: Duration) {
+        self.source.lease = None;
+        if let Some(server) = self.source.server.take() {
+            let name = server.server.clone();
+            drop(server);
+            self.forwarder.give_up(&self.caller, &name, waited);
         }
+    }
+
+    /// Has another server go on after the last whole event.
+    async fn go_on(&mut self) -> bool {
+        self.source.lease = None;
+        let caller = &self.caller;
         self.events.drop_rest();
         if self.inputs.held.is_none() && !self.inputs.handles.is_empty() {
             match self.forwarder.run_stages(caller).await {
