Ask refused callers to come back when the burst is over

Cause: a caller who is refused early in a burst of 4 to 6 s was asked to come back after some hundred ms, into the same burst, and refused again; letters, whose callers wait 20 s, were told 3 s at most.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod report;
 pub mod scenario;
 pub mod server;
+pub mod stage_load;
 pub mod traffic;
 pub mod world;
--- a/crates/core/src/stages/admission.rs
+++ b/crates/core/src/stages/admission.rs
@@ -28,9 +28,13 @@
 /// call of a stage, after which its queue has changed.
 const SHORTEST_RETRY_AFTER_MS: u64 = 250;
 
-/// Longest such time, in ms: callers wait at most a third of what they have left,
-/// which is 6 to 20 s.
-const LONGEST_RETRY_AFTER_MS: u64 = 3_000;
+/// Longest such time, in ms: the longest bursts of the users' days; callers wait
+/// at most a third of what they have left, which is 6 to 20 s.
+const LONGEST_RETRY_AFTER_MS: u64 = 6_000;
+/// Time that a burst usually lasts, in ms: on the users' days 3.5 to 6 s.
+const USUAL_BURST_MS: u64 = 4_000;
+/// Time of refusals from which they count as a burst, in ms: less may be chance.
+const BURST_BEGINS_MS: u64 = 250;
 /// Time without a refusal after which one counts as over, in ms.
 const RECENT_MS: u64 = 4_000;
 /// Time by which the deadline of a caller who comes back is shorter than usual
@@ -166,9 +170,15 @@
             .is_some_and(|last_ms| now_ms.saturating_sub(last_ms) <= RECENT_MS)
     }
 
-    /// Returns how long refusals have gone on, in ms.
-    fn lasted_ms(&self, now_ms: u64) -> u64 {
-        now_ms.saturating_sub(self.began_ms)
+    /// Estimates how long refusals will go on, in ms: until a burst has lasted as
+    /// long as it usually does, and for half as long again after that.
+    fn remaining_ms(&self, now_ms: u64) -> u64 {
+        let lasted_ms = now_ms.saturating_sub(self.began_ms);
+        if lasted_ms < BURST_BEGINS_MS {
+            return 0;
+        }
+        let usual_ms = USUAL_BURST_MS.saturating_sub(lasted_ms);
+        usual_ms.max(lasted_ms / 2)
     }
 }
 
@@ -203,9 +213,8 @@
 }
 
 /// Estimates when a request that is refused now would be taken: when the queue
-/// has gone down, and a burst that has lasted a while is over, which is expected
-/// to last half as long again. It differs from request to request, so that the
-/// callers do not come back together.
+/// has gone down and the burst is over. It differs from request to request, so
+/// that the callers do not come back together.
 pub(super) fn retry_after_ms(
     now_ms: u64,
     submission: &Submission,
@@ -215,7 +224,7 @@
     refusals.note(now_ms);
     let needed_ms = forecast.stages_ms + submission.rest_ms;
     let excess_ms = needed_ms.saturating_sub(submission.goal_left_ms);
-    let usual_ms = SHORTEST_RETRY_AFTER_MS + excess_ms + refusals.lasted_ms(now_ms) / 2;
+    let usual_ms = SHORTEST_RETRY_AFTER_MS + excess_ms + refusals.remaining_ms(now_ms);
     let usual_ms = usual_ms.min(LONGEST_RETRY_AFTER_MS);
     let spread_ms = xxh3_64(submission.request.as_str().as_bytes()) % (usual_ms / 2);
     usual_ms - usual_ms / 4 + spread_ms
