Count quotas in one place

Cause: the fleet kept a second count of each workspace's quota beside the limiter that the instances share.

Change: the fleet's quota is gone. The new test of 20 requests under a quota of one a second was refused before at its third, and passes.

--- a/crates/core/src/decision.rs
+++ b/crates/core/src/decision.rs
@@ -57,8 +57,6 @@
     NotIdempotent,
     /// The workspace is over its share while others need theirs.
     OverShare,
-    /// The workspace is over its quota.
-    OverQuota,
     /// The caller has gone.
     CallerGone,
 }
@@ -78,7 +76,6 @@
             Self::DeadlinePassed => "deadline_passed",
             Self::NotIdempotent => "not_idempotent",
             Self::OverShare => "over_share",
-            Self::OverQuota => "over_quota",
             Self::CallerGone => "caller_gone",
         }
     }
--- a/crates/core/src/fleet/admission.rs
+++ b/crates/core/src/fleet/admission.rs
@@ -81,12 +81,6 @@
         if self.settings.admission == Admission::Off {
             return Admitted::Yes;
         }
-        if let Err(due_ms) = self.shares.take_quota(now_ms, query.workspace) {
-            return Admitted::No {
-                reason: DecisionReason::OverQuota,
-                retry_after_ms: due_ms,
-            };
-        }
         let forecast = self.forecast(now_ms, &query.pipeline.stages);
         let wait_percent = self.settings.wait_percent_of_slack.of(query.objective);
         let slack_us = query.time_left_us.saturating_sub(forecast.work_us);
--- a/crates/core/src/fleet/shares.rs
+++ b/crates/core/src/fleet/shares.rs
@@ -1,4 +1,4 @@
-//! Shares of the workspaces: weighted fairness under pressure, and quotas.
+//! Shares of the workspaces: weighted fairness under pressure.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -15,9 +15,6 @@
 const RESCALE_AFTER: f64 = 400.0;
 /// Time for which a workspace counts as active after a request, in ms.
 const ACTIVE_MS: u64 = 10_000;
-/// Seconds of its quota that a workspace may save up.
-const QUOTA_BURST_S: f64 = 2.0;
-const MS_PER_S: f64 = 1_000.0;
 /// Part of the others' shares that a workspace may use and still cause the whole
 /// wait.
 const TOLERATED_OVERUSE: f64 = 0.25;
@@ -28,7 +25,7 @@
 /// refuses nobody.
 const LEAST_WAIT_PART: f64 = 0.1;
 
-/// What a workspace has used and may use.
+/// What a workspace has used.
 #[derive(Clone, Debug)]
 struct Account {
     weight: f64,
@@ -36,33 +33,17 @@
     used: f64,
     taken_at_ms: u64,
     is_active: bool,
-    /// Requests a second that this instance may take.
-    quota_per_s: f64,
-    /// Requests that it may take now.
-    quota_left: f64,
-    quota_at_ms: u64,
 }
 
 impl Account {
-    fn new(workspace: &Workspace, instances: f64) -> Self {
-        let quota_per_s = f64::from(workspace.quota_per_s) / instances;
+    fn new(workspace: &Workspace) -> Self {
         Self {
             weight: f64::from(workspace.weight.max(1)),
             used: 0.0,
             taken_at_ms: 0,
             is_active: false,
-            quota_per_s,
-            quota_left: quota_per_s * QUOTA_BURST_S,
-            quota_at_ms: 0,
         }
     }
-
-    fn refill_quota(&mut self, now_ms: u64) {
-        let passed_ms = now_ms.saturating_sub(self.quota_at_ms) as f64;
-        self.quota_at_ms = self.quota_at_ms.max(now_ms);
-        let most = (self.quota_per_s * QUOTA_BURST_S).max(1.0);
-        self.quota_left = (self.quota_left + self.quota_per_s * passed_ms / MS_PER_S).min(most);
-    }
 }
 
 /// Accounts of all workspaces at one instance.
@@ -98,21 +79,6 @@
         ((used - share) / (1.0 - share)).max(0.0)
     }
 
-    /// Takes a request out of a workspace's quota, or tells when one is due.
-    pub(crate) fn take_quota(&mut self, now_ms: u64, workspace: &WorkspaceName) -> Result<(), u64> {
-        let Some(account) = self.accounts.get_mut(workspace) else {
-            return Ok(());
-        };
-        account.refill_quota(now_ms);
-        if account.quota_left >= 1.0 {
-            account.quota_left -= 1.0;
-            return Ok(());
-        }
-        let missing = 1.0 - account.quota_left;
-        let due_ms = missing * MS_PER_S / account.quota_per_s.max(f64::MIN_POSITIVE);
-        Err(due_ms.min(MS_PER_S * MS_PER_S) as u64 + 1)
-    }
-
     /// Counts the work of a request that was taken.
     pub(crate) fn on_taken(&mut self, now_ms: u64, workspace: &WorkspaceName, work_us: u64) {
         let scale = self.scale(now_ms);
@@ -175,20 +141,17 @@
 }
 
 impl Fleet {
-    /// Takes over the configured workspaces. Each gets an even part of its
-    /// quota at this instance until [`Fleet::set_quota`] says otherwise.
+    /// Takes over the configured workspaces.
     pub fn configure_workspaces<'a>(
         &mut self,
         workspaces: impl IntoIterator<Item = &'a Workspace>,
     ) {
-        let instances = f64::from(self.peers) + 1.0;
         let mut old = std::mem::take(&mut self.shares.accounts);
         for workspace in workspaces {
-            let fresh = Account::new(workspace, instances);
+            let fresh = Account::new(workspace);
             let account = match old.remove(&workspace.name) {
                 Some(known) => Account {
                     weight: fresh.weight,
-                    quota_per_s: fresh.quota_per_s,
                     ..known
                 },
                 None => fresh,
@@ -197,14 +160,6 @@
         }
         self.shares.add_up();
     }
-
-    /// Sets the part of a workspace's quota that this instance may use, as the
-    /// instances have shared it out.
-    pub fn set_quota(&mut self, workspace: &WorkspaceName, quota_per_s: f64) {
-        if let Some(account) = self.shares.accounts.get_mut(workspace) {
-            account.quota_per_s = quota_per_s;
-        }
-    }
 }
 
 /// Returns the part of the usual wait in queues that a workspace may cause when
--- a/crates/core/tests/policy_rules.rs
+++ b/crates/core/tests/policy_rules.rs
@@ -216,6 +216,24 @@
     assert!(sent(&taken).is_some());
 }
 
+/// The limiter, which the instances share, is the one that counts quotas: a
+/// second count here refused bursts that it allows.
+#[test]
+fn the_fleet_refuses_nobody_for_a_quota() {
+    let mut fleet = fleet(PolicySettings::default());
+    let small = Workspace {
+        quota_per_s: 1,
+        ..workspace("atelier")
+    };
+    fleet.configure_workspaces(&[small]);
+    let now_ms = warm_up(&mut fleet, "search");
+    for _ in 0..20 {
+        let (mut execution, actions) = start(&mut fleet, spec_at(now_ms, "search", true), now_ms);
+        let (_, call) = sent(&actions).expect("it is taken");
+        execution.on_event(now_ms, done(&call.id, "x", 0), &mut fleet);
+    }
+}
+
 #[test]
 fn a_cached_prefix_counts_less_than_load() {
     let mut fleet = fleet(PolicySettings::default());
--- a/crates/server/src/sharing.rs
+++ b/crates/server/src/sharing.rs
@@ -174,11 +174,5 @@
     }
     let quotas = state.workspaces().map(|w| (&w.name, w.quota_per_s));
     sharing.usage().set_quotas(quotas);
-    // The rate that the instances have shared out is the one limit; the fleet's
-    // own count of the quota must not be a second one.
-    let mut fleet = shared.fleet();
-    fleet.configure_workspaces(state.workspaces());
-    for workspace in state.workspaces() {
-        fleet.set_quota(&workspace.name, f64::from(workspace.quota_per_s));
-    }
+    shared.fleet().configure_workspaces(state.workspaces());
 }
