Add a fault soak that runs the real program as processes

Four seeds could not be played, since a port that was free when it was drawn was taken as an outgoing one; ports are now drawn outside of that range. One seed (2) was a fault of the soak itself: a process that was asked to stop twice was started beside the one that still stopped.

--- /dev/null
+++ b/crates/soak/src/client.rs
@@ -0,0 +1,88 @@
+//! A caller's side of HTTP/1.1: connections that are kept, and answers that may
+//! break off.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, time};
+
+/// Time for a connection to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A connection to one instance.
+pub(crate) type Connection = SendRequest<Full<Bytes>>;
+
+/// What came back.
+#[derive(Clone, Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    /// What was read of the body.
+    pub(crate) body: Vec<u8>,
+    /// Whether the body ended as a whole one does.
+    pub(crate) is_whole: bool,
+}
+
+impl Answer {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+}
+
+/// Why there is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoAnswer {
+    /// No connection was made, so that nothing was sent.
+    NotSent,
+    /// The connection ended before an answer began.
+    Closed,
+    /// The caller's time was over.
+    Overdue,
+}
+
+/// Connects to an instance.
+pub(crate) async fn connect(addr: SocketAddr) -> Result<Connection, NoAnswer> {
+    let connecting = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
+    let Ok(Ok(stream)) = connecting.await else {
+        return Err(NoAnswer::NotSent);
+    };
+    let made = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = made.map_err(|_| NoAnswer::NotSent)?;
+    // How it ended is told by the exchange that it ended.
+    tokio::spawn(connection);
+    Ok(sender)
+}
+
+/// Sends a request and reads its answer until `deadline`.
+pub(crate) async fn exchange(
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+    deadline: time::Instant,
+) -> Result<Answer, NoAnswer> {
+    let sent = time::timeout_at(deadline, connection.send_request(request)).await;
+    let response = match sent {
+        Ok(Ok(response)) => response,
+        Ok(Err(err)) if err.is_canceled() => return Err(NoAnswer::NotSent),
+        Ok(Err(_)) => return Err(NoAnswer::Closed),
+        Err(_) => return Err(NoAnswer::Overdue),
+    };
+    let (parts, mut incoming) = response.into_parts();
+    let mut body = Vec::new();
+    let is_whole = loop {
+        match time::timeout_at(deadline, incoming.frame()).await {
+            Ok(Some(Ok(frame))) => body.extend(frame.into_data().unwrap_or_default()),
+            Ok(Some(Err(_))) | Err(_) => break false,
+            Ok(None) => break true,
+        }
+    };
+    Ok(Answer {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+        is_whole,
+    })
+}
--- /dev/null
+++ b/crates/soak/src/config.rs
@@ -0,0 +1,108 @@
+//! What the operator of a soak configures.
+
+use serde_json::{Value, json};
+
+/// Host of all routes.
+pub(crate) const HOST: &str = "soak.example";
+/// Key of the workspace.
+pub(crate) const KEY: &str = "key-of-one";
+/// Name of the workspace, as servers see it.
+pub(crate) const WORKSPACE: &str = "one";
+/// Time after which a request has its final answer, in ms.
+pub(crate) const TIMEOUT_MS: u64 = 2_000;
+/// Events of a whole stream.
+pub(crate) const EVENTS: u32 = 6;
+/// Repeats for each request of callers, and beyond that, that all instances
+/// together may send in ten seconds.
+pub(crate) const REPEAT_RATIO: f64 = 0.2;
+pub(crate) const REPEAT_SLACK: u32 = 20;
+
+/// Services and how many servers each has.
+pub(crate) const SERVICES: [(&str, usize); 4] =
+    [("desk", 3), ("engine", 3), ("archive", 2), ("invoices", 2)];
+
+/// A kind of request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// May run again.
+    Lookup,
+    /// Runs at most once.
+    Booking,
+    /// A stream that runs at most once.
+    Draft,
+    /// A stream that may go on elsewhere.
+    Quote,
+    /// A stream that comes after two stages.
+    Staged,
+    /// On a route that this version added.
+    Added(u64),
+}
+
+impl Kind {
+    pub(crate) fn is_repeatable(self) -> bool {
+        matches!(self, Self::Lookup | Self::Quote | Self::Added(_))
+    }
+
+    pub(crate) fn is_stream(self) -> bool {
+        matches!(self, Self::Draft | Self::Quote | Self::Staged)
+    }
+
+    pub(crate) fn method(self) -> &'static str {
+        match self {
+            Self::Lookup | Self::Added(_) => "GET",
+            Self::Booking | Self::Draft | Self::Quote | Self::Staged => "POST",
+        }
+    }
+
+    pub(crate) fn prefix(self) -> String {
+        match self {
+            Self::Lookup => "lookup".to_owned(),
+            Self::Booking => "booking".to_owned(),
+            Self::Draft => "draft".to_owned(),
+            Self::Quote => "quote".to_owned(),
+            Self::Staged => "staged".to_owned(),
+            Self::Added(version) => format!("added-{version}"),
+        }
+    }
+}
+
+/// Describes a configuration with the routes that were added by `added`.
+pub(crate) fn describe(version: u64, added: &[u64]) -> Value {
+    let mut routes = vec![
+        route(Kind::Lookup, "idempotent", "desk"),
+        route(Kind::Booking, "mutating", "desk"),
+        route(Kind::Draft, "stream", "engine"),
+        route(Kind::Quote, "stream", "engine"),
+        route(Kind::Staged, "stream", "engine"),
+    ];
+    routes[3]["Resumable"] = true.into();
+    routes[4]["Stages"] = json!([
+        { "Service": "archive", "After": [], "SizeBytes": 8_000 },
+        { "Service": "invoices", "After": [0], "SizeBytes": 6_000 },
+    ]);
+    let added = added.iter().map(|version| Kind::Added(*version));
+    routes.extend(added.map(|kind| route(kind, "idempotent", "desk")));
+    let pieces = json!({ "Slots": 1, "Queue": 2, "Batch": 20, "CallMs": 10.0, "ItemMs": 1.0,
+        "RoomMb": 20.0, "HandleS": 4.0, "LinkMbps": 1_000 });
+    let services = SERVICES.map(|(name, _)| {
+        let mut service = json!({ "Name": name, "HealthPath": "/healthz", "MaxConns": 200 });
+        if matches!(name, "archive" | "invoices") {
+            service["Pieces"] = pieces.clone();
+        }
+        service
+    });
+    json!({
+        "Version": version, "Routes": routes, "Services": services,
+        "Tenants": [{ "Name": WORKSPACE, "ApiKeys": [KEY] }],
+        "Limits": { "MaxHeaderBytes": 16_384, "MaxBodyBytes": 1_000_000,
+            "HeaderTimeoutMs": 5_000, "IdleTimeoutMs": 10_000 },
+    })
+}
+
+fn route(kind: Kind, repeats: &str, service: &str) -> Value {
+    json!({
+        "Name": kind.prefix(), "Host": HOST, "PathPrefix": format!("/{}/", kind.prefix()),
+        "RouteKind": repeats, "TimeoutMs": TIMEOUT_MS, "GoalMs": 500, "Priority": 0,
+        "Service": service, "Attempts": 2, "Public": false, "Sticky": false, "Resumable": false,
+    })
+}
--- /dev/null
+++ b/crates/soak/src/error.rs
@@ -0,0 +1,31 @@
+//! Why a soak can't be run.
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// Why a soak can't be run; a broken promise is no such reason.
+    #[derive(Debug)]
+    pub enum Error {
+        /// A file, process or socket can't be had.
+        Io(err: std::io::Error) {
+            display("{err}")
+            from()
+        }
+        /// A stand-in can't be started.
+        Standin(err: savoryvane_standins::Error) {
+            display("stand-in: {err}")
+            from()
+        }
+        /// The instances did not become ready.
+        NotReady(what: String) {
+            display("not ready in time: {what}")
+        }
+        /// The command line asks for something that there is not.
+        Flag(what: String) {
+            display("{what}")
+        }
+    }
+}
+
+/// Result of a step of the soak.
+pub(crate) type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,80 @@
+//! Runs the real program as separate processes, injects faults from outside, and
+//! checks what it promises from what callers and backend servers see.
+
+mod caller;
+mod client;
+mod config;
+mod deployment;
+mod error;
+mod flags;
+
+mod ledger;
+mod plan;
+mod process;
+mod promises;
+mod run;
+mod sabotage;
+
+use std::process::ExitCode;
+
+use crate::{error::Result, flags::SavoryvaneSoak, run::Verdict};
+
+fn main() -> ExitCode {
+    let flags = SavoryvaneSoak::from_env_or_exit();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(4)
+        .enable_all()
+        .build();
+    let verdicts = match runtime {
+        Ok(runtime) => runtime.block_on(play(&flags)),
+        Err(err) => Err(err.into()),
+    };
+    match verdicts {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::from(1),
+        Err(err) => {
+            eprintln!("savoryvane-soak: {err}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Plays the seeds one after the other, and returns how many broke a promise.
+async fn play(flags: &SavoryvaneSoak) -> Result<u64> {
+    let first = flags.first_seed.unwrap_or(1);
+    let seeds = flags.seeds.unwrap_or(1);
+    let options = run::Options::from_flags(flags)?;
+    println!("  seed  faults  asked  served  refused  failed  unanswered  verdict");
+    let mut broken = 0;
+    for seed in first..first + seeds {
+        let verdict = run::play(&options, seed).await?;
+        print(seed, &verdict);
+        broken += u64::from(!verdict.violations.is_empty());
+    }
+    println!("{broken} of {seeds} seeds with a broken promise");
+    Ok(broken)
+}
+
+fn print(seed: u64, verdict: &Verdict) {
+    let counts = &verdict.counts;
+    let word = if verdict.violations.is_empty() {
+        "kept"
+    } else {
+        "BROKEN"
+    };
+    println!(
+        "{seed:6}  {:6}  {:5}  {:6}  {:7}  {:6}  {:10}  {word}",
+        verdict.faults,
+        counts.asked,
+        counts.served,
+        counts.refused,
+        counts.failed,
+        counts.unanswered,
+    );
+    for violation in verdict.violations.iter().take(8) {
+        println!("        {violation}");
+    }
+    if let Some(logs) = &verdict.logs {
+        println!("        logs and plan: {}", logs.display());
+    }
+}
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,158 @@
+//! What goes wrong in one seed, and when.
+
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Mean time between two faults.
+const GAP_MS: u64 = 600;
+/// Faults of one process in a series: some end before the one before has.
+const SERIES: std::ops::RangeInclusive<u32> = 1..=3;
+
+/// One fault; those that last end by themselves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// A process stands still for a while.
+    Freeze { instance: usize, lasts: Duration },
+    /// A process is killed and started again after a while.
+    Kill { instance: usize, away: Duration },
+    /// A process is asked to stop, and started again when it has.
+    Terminate { instance: usize },
+    /// A process is told that its settings have changed.
+    Reload { instance: usize },
+    /// All processes are killed at the same moment and started again.
+    KillAll { away: Duration },
+    /// The way from an instance to the store is harmed.
+    StoreLink {
+        instance: usize,
+        harm: Harm,
+        lasts: Duration,
+    },
+    /// The way from all instances to a server is harmed.
+    ServerLink {
+        server: usize,
+        harm: Harm,
+        lasts: Duration,
+    },
+    /// The store refuses calls, or never answers them.
+    Store { is_silent: bool, lasts: Duration },
+    /// The store forgets what is not the newest record of its key.
+    ForgetHistory,
+    /// A server misbehaves.
+    Server {
+        server: usize,
+        misdeed: Misdeed,
+        lasts: Duration,
+    },
+    /// A server says that it leaves, is gone, and comes back as another run.
+    Replace { server: usize, away: Duration },
+    /// A new version with one more route.
+    Configure,
+}
+
+/// What happens to a way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Harm {
+    /// Nothing moves.
+    Cut,
+    /// Connections are closed.
+    Reset,
+    /// Connections that are established fall silent for good.
+    Silence,
+    /// Everything takes longer.
+    Delay,
+}
+
+/// What a server does wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Misdeed {
+    Fails,
+    IsFull,
+    LosesAnswers,
+    IsSilent,
+    AnswersAnother,
+    Unsigned,
+    BreaksOff,
+    BreaksStreams,
+    SilencesStreams,
+}
+
+const MISDEEDS: [Misdeed; 9] = [
+    Misdeed::Fails,
+    Misdeed::IsFull,
+    Misdeed::LosesAnswers,
+    Misdeed::IsSilent,
+    Misdeed::AnswersAnother,
+    Misdeed::Unsigned,
+    Misdeed::BreaksOff,
+    Misdeed::BreaksStreams,
+    Misdeed::SilencesStreams,
+];
+const HARMS: [Harm; 4] = [Harm::Cut, Harm::Reset, Harm::Silence, Harm::Delay];
+
+/// Draws the faults of `seed`, in their order, each with the time at which it
+/// begins. All end by themselves within a few seconds after `length`.
+pub(crate) fn draw(
+    seed: u64,
+    instances: usize,
+    servers: usize,
+    length: Duration,
+) -> Vec<(Duration, Fault)> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut faults = Vec::new();
+    let mut at_ms = 300;
+    while at_ms < length.as_millis() as u64 {
+        let count = rng.random_range(SERIES);
+        let instance = rng.random_range(0..instances);
+        let server = rng.random_range(0..servers);
+        let kind = rng.random_range(0..17);
+        for _ in 0..count {
+            let fault = draw_one(&mut rng, kind, instance, server);
+            faults.push((Duration::from_millis(at_ms), fault));
+            at_ms += rng.random_range(20..500);
+        }
+        at_ms += rng.random_range(0..2 * GAP_MS);
+    }
+    faults
+}
+
+fn draw_one(rng: &mut Pcg64Mcg, kind: u32, instance: usize, server: usize) -> Fault {
+    let lasts = Duration::from_millis(rng.random_range(100..3_000));
+    let harm = HARMS[rng.random_range(0..HARMS.len())];
+    match kind {
+        0 | 1 => Fault::Freeze { instance, lasts },
+        2 | 3 => Fault::Kill {
+            instance,
+            away: lasts,
+        },
+        4 | 5 => Fault::Terminate { instance },
+        6 => Fault::Reload { instance },
+        7 => Fault::KillAll { away: lasts / 2 },
+        8 => Fault::StoreLink {
+            instance,
+            harm,
+            lasts,
+        },
+        9 | 10 => Fault::ServerLink {
+            server,
+            harm,
+            lasts,
+        },
+        11 => Fault::Store {
+            is_silent: rng.random_range(0..2) == 0,
+            lasts,
+        },
+        12 => Fault::ForgetHistory,
+        13 | 14 => Fault::Server {
+            server,
+            misdeed: MISDEEDS[rng.random_range(0..MISDEEDS.len())],
+            lasts,
+        },
+        15 => Fault::Replace {
+            server,
+            away: lasts / 2,
+        },
+        _ => Fault::Configure,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/process.rs
@@ -0,0 +1,165 @@
+//! One instance as a process of its own, ended only by its own id.
+
+use std::{
+    fs::File,
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use tokio::time;
+
+use crate::error::Result;
+
+/// Time between two looks whether a process has ended.
+const LOOK: Duration = Duration::from_millis(20);
+/// Ports of instances.
+const PORTS: std::ops::Range<u16> = 10_000..30_000;
+/// Time that a process has to stop after it was asked to, as the platform gives.
+pub(crate) const GRACE: Duration = Duration::from_secs(8);
+
+/// Addresses of one instance, the same after each start.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Addresses {
+    pub(crate) caller: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    pub(crate) peer: SocketAddr,
+    pub(crate) admin: SocketAddr,
+}
+
+impl Addresses {
+    /// Draws four ports that are free now.
+    pub(crate) fn free() -> Self {
+        Self {
+            caller: free_addr(),
+            ready: free_addr(),
+            peer: free_addr(),
+            admin: free_addr(),
+        }
+    }
+}
+
+/// Draws an address that is free now, outside of the range that connections take
+/// theirs from, so that it is free again after a restart.
+fn free_addr() -> SocketAddr {
+    loop {
+        let addr = ([127, 0, 0, 1], rand::random_range(PORTS)).into();
+        if TcpListener::bind::<SocketAddr>(addr).is_ok() {
+            return addr;
+        }
+    }
+}
+
+/// An instance and its process, which is killed when dropped.
+#[derive(Debug)]
+pub(crate) struct Instance {
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+    /// Starts so far.
+    pub(crate) boots: u32,
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        // Nothing is left to do about one that can't be killed.
+        let _ = self.kill();
+    }
+}
+
+impl Instance {
+    pub(crate) fn new(program: &Path, folder: &Path, name: &str, settings: &str) -> Result<Self> {
+        let file = folder.join(format!("{name}.yaml"));
+        std::fs::write(&file, settings)?;
+        Ok(Self {
+            program: program.to_owned(),
+            settings: file,
+            log: folder.join(format!("{name}.log")),
+            child: None,
+            boots: 0,
+        })
+    }
+
+    /// Starts the process, unless it runs.
+    pub(crate) fn start(&mut self) -> Result<()> {
+        if self.child.is_some() {
+            return Ok(());
+        }
+        let mut log = File::options();
+        let log = log.create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.program)
+            .arg("--gateway")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        self.boots += 1;
+        Ok(())
+    }
+
+    /// Starts the process again if it has ended by itself.
+    pub(crate) fn restart_if_ended(&mut self) -> Result<()> {
+        let has_ended = match &mut self.child {
+            Some(child) => child.try_wait()?.is_some(),
+            None => false,
+        };
+        if has_ended {
+            self.child = None;
+            self.start()?;
+        }
+        Ok(())
+    }
+
+    /// Kills the process, if it runs.
+    pub(crate) fn kill(&mut self) -> Result<()> {
+        if let Some(mut child) = self.child.take() {
+            child.kill()?;
+            child.wait()?;
+        }
+        Ok(())
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub(crate) fn signal(&self, signal: &str) -> Result<()> {
+        if let Some(child) = &self.child {
+            let id = child.id().to_string();
+            Command::new("kill").args([signal, &id]).status()?;
+        }
+        Ok(())
+    }
+
+    /// Takes the process out, to wait for its end.
+    pub(crate) fn take(&mut self) -> Option<Ending> {
+        self.child.take().map(Ending)
+    }
+}
+
+/// A process that was asked to stop; killed when dropped.
+#[derive(Debug)]
+pub(crate) struct Ending(Child);
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        // It has ended already in most cases.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Ending {
+    /// Waits for the end of the process, and kills it after the grace time.
+    pub(crate) async fn wait(mut self) -> Result<()> {
+        let end = time::Instant::now() + GRACE;
+        while time::Instant::now() < end {
+            if self.0.try_wait()?.is_some() {
+                return Ok(());
+            }
+            time::sleep(LOOK).await;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,400 @@
+//! Plays one seed: faults for some seconds, a pause, then planned work while all
+//! is calm, and the check of what everybody saw.
+
+use std::{
+    collections::HashMap,
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use savoryvane_platform_standin::{Behaviour, Fault as StoreFault};
+use savoryvane_standins::LinkFaults;
+use tokio::{
+    task::JoinSet,
+    time::{self, Instant},
+};
+
+use crate::{
+    caller::{self, Callers},
+    client,
+    config::{HOST, Kind},
+    deployment::Deployment,
+    error::{Error, Result},
+    flags::SavoryvaneSoak,
+    ledger::Counts,
+    plan::{self, Fault, Harm, Misdeed},
+    promises::{self, Calm},
+    sabotage::Sabotage,
+};
+
+/// Time for the instances to become ready after their first start.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time after the last fault until everything has to be well again: what the
+/// platform gives for recovery is 12 s, what it calls calm begins after 3 s.
+const SETTLE: Duration = Duration::from_secs(5);
+/// Time within which a version is in force and a server that leaves is left
+/// alone, by the platform's bounds of 2 s, and some more on a busy machine.
+const IN_FORCE: Duration = Duration::from_millis(2_400);
+/// Time for which callers go on after the last planned step.
+const CLOSING: Duration = Duration::from_millis(1_500);
+/// Time between two looks for processes that have ended by themselves.
+const SUPERVISE_INTERVAL: Duration = Duration::from_millis(300);
+/// Delay of harmed ways, in ms.
+const DELAY_MS: u64 = 120;
+
+/// How seeds are played.
+#[derive(Debug)]
+pub(crate) struct Options {
+    program: PathBuf,
+    length: Duration,
+    instances: usize,
+    callers: usize,
+    logs: PathBuf,
+    sabotage: Option<Sabotage>,
+}
+
+impl Options {
+    /// Takes over the command line.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Flag`] for a sabotage that there is not.
+    pub(crate) fn from_flags(flags: &SavoryvaneSoak) -> Result<Self> {
+        let program = flags.program.clone();
+        let sabotage = flags.sabotage.as_deref().map(Sabotage::parse).transpose()?;
+        Ok(Self {
+            program: program.unwrap_or_else(|| PathBuf::from("target/release/savoryvane")),
+            length: Duration::from_secs(flags.seconds.unwrap_or(10)),
+            instances: flags.instances.unwrap_or(5),
+            callers: flags.callers.unwrap_or(16),
+            logs: flags
+                .logs
+                .clone()
+                .unwrap_or_else(|| PathBuf::from("target/soak")),
+            sabotage,
+        })
+    }
+}
+
+/// How a seed ended.
+#[derive(Debug)]
+pub(crate) struct Verdict {
+    pub(crate) faults: usize,
+    pub(crate) counts: Counts,
+    pub(crate) violations: Vec<String>,
+    /// Folder with the logs, if a promise was broken.
+    pub(crate) logs: Option<PathBuf>,
+}
+
+/// Plays one seed.
+///
+/// # Errors
+///
+/// Fails when processes or stand-ins can't be started.
+pub(crate) async fn play(options: &Options, seed: u64) -> Result<Verdict> {
+    let folder = options.logs.join(format!("seed-{seed}"));
+    if folder.exists() {
+        std::fs::remove_dir_all(&folder)?;
+    }
+    std::fs::create_dir_all(&folder)?;
+    let deployment = Deployment::start(&options.program, &folder, options.instances).await?;
+    let deployment = Arc::new(deployment);
+    let mut watching = JoinSet::new();
+    watching.spawn(caller::watch_ready(Arc::clone(&deployment)));
+    watching.spawn(supervise(Arc::clone(&deployment)));
+    until_ready(&deployment).await?;
+
+    let callers = Callers::new(Arc::clone(&deployment), options.sabotage);
+    let mut asking = JoinSet::new();
+    for index in 0..options.callers as u64 {
+        asking.spawn(Arc::clone(&callers).ask_on(seed << 8 | index));
+    }
+    let servers = deployment.servers.len();
+    let faults = plan::draw(seed, options.instances, servers, options.length);
+    write_plan(&folder, &faults)?;
+    inject(&deployment, &faults).await?;
+    time::sleep(SETTLE).await;
+    let calm = work_as_planned(&callers, options.sabotage, seed).await?;
+    time::sleep(CLOSING).await;
+    callers.stop();
+    while asking.join_next().await.is_some() {}
+
+    let violations = promises::check(&deployment, &calm);
+    let counts = Counts::of(&deployment.ledger.lock());
+    let logs = if violations.is_empty() {
+        std::fs::remove_dir_all(&folder)?;
+        None
+    } else {
+        std::fs::write(folder.join("violations.txt"), violations.join("\n"))?;
+        Some(folder)
+    };
+    Ok(Verdict {
+        faults: faults.len(),
+        counts,
+        violations,
+        logs,
+    })
+}
+
+fn write_plan(folder: &Path, faults: &[(Duration, Fault)]) -> Result<()> {
+    let lines = faults
+        .iter()
+        .map(|(at, fault)| format!("{at:?} {fault:?}\n"));
+    std::fs::write(folder.join("plan.txt"), lines.collect::<String>())?;
+    Ok(())
+}
+
+async fn until_ready(deployment: &Deployment) -> Result<()> {
+    let end = Instant::now() + START_TIMEOUT;
+    while deployment.ready().len() < deployment.addresses.len() {
+        if Instant::now() > end {
+            let ready = deployment.ready();
+            return Err(Error::NotReady(format!("only {ready:?} at the start")));
+        }
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    Ok(())
+}
+
+/// Starts processes again that have ended by themselves, as the platform does.
+async fn supervise(deployment: Arc<Deployment>) {
+    loop {
+        time::sleep(SUPERVISE_INTERVAL).await;
+        for index in 0..deployment.addresses.len() {
+            // One that can't be started now is tried again at the next look.
+            if let Err(err) = deployment.instance(index).restart_if_ended() {
+                eprintln!("instance {index} not started: {err}");
+            }
+        }
+    }
+}
+
+/// Lets every fault happen at its time, and waits until all have ended.
+async fn inject(deployment: &Arc<Deployment>, faults: &[(Duration, Fault)]) -> Result<()> {
+    let began = Instant::now();
+    let mut open = JoinSet::new();
+    for (at, fault) in faults {
+        time::sleep_until(began + *at).await;
+        let (deployment, fault) = (Arc::clone(deployment), fault.clone());
+        open.spawn(async move { happen(&deployment, fault).await });
+    }
+    while let Some(ended) = open.join_next().await {
+        ended.map_err(std::io::Error::other)??;
+    }
+    Ok(())
+}
+
+async fn happen(deployment: &Deployment, fault: Fault) -> Result<()> {
+    match fault {
+        Fault::Freeze { instance, lasts } => {
+            deployment.instance(instance).signal("-STOP")?;
+            time::sleep(lasts).await;
+            deployment.instance(instance).signal("-CONT")
+        }
+        Fault::Kill { instance, away } => {
+            deployment.instance(instance).kill()?;
+            time::sleep(away).await;
+            deployment.instance(instance).start()
+        }
+        Fault::Terminate { instance } => terminate(deployment, instance).await,
+        Fault::Reload { instance } => deployment.instance(instance).signal("-HUP"),
+        Fault::KillAll { away } => {
+            for index in 0..deployment.addresses.len() {
+                deployment.instance(index).kill()?;
+            }
+            time::sleep(away).await;
+            for index in 0..deployment.addresses.len() {
+                deployment.instance(index).start()?;
+            }
+            Ok(())
+        }
+        Fault::StoreLink {
+            instance,
+            harm,
+            lasts,
+        } => {
+            let relay = &deployment.store_relays[instance];
+            relay.set_faults(faults_of(harm));
+            time::sleep(lasts).await;
+            relay.set_faults(LinkFaults::default());
+            Ok(())
+        }
+        Fault::ServerLink {
+            server,
+            harm,
+            lasts,
+        } => {
+            let relay = &deployment.servers[server].relay;
+            relay.set_faults(faults_of(harm));
+            time::sleep(lasts).await;
+            relay.set_faults(LinkFaults::default());
+            Ok(())
+        }
+        Fault::Store { is_silent, lasts } => {
+            let fault = if is_silent {
+                StoreFault::Silent
+            } else {
+                StoreFault::Busy
+            };
+            deployment.store.set_fault(fault);
+            time::sleep(lasts).await;
+            deployment.store.set_fault(StoreFault::None);
+            Ok(())
+        }
+        Fault::ForgetHistory => {
+            deployment.store.forget_history("keyed.op");
+            deployment.store.forget_history("keyed.servers");
+            Ok(())
+        }
+        Fault::Server {
+            server,
+            misdeed,
+            lasts,
+        } => {
+            let server = &deployment.servers[server];
+            server.standin.set(behaviour(misdeed, server.service));
+            time::sleep(lasts).await;
+            server.standin.set(server.usual());
+            Ok(())
+        }
+        Fault::Replace { server, away } => {
+            deployment.register(server, "draining");
+            time::sleep(away).await;
+            deployment.deregister(server);
+            deployment.start_run(server);
+            Ok(())
+        }
+        Fault::Configure => {
+            deployment.configure();
+            Ok(())
+        }
+    }
+}
+
+/// Asks a process to stop, waits until it has, and starts it again.
+async fn terminate(deployment: &Deployment, instance: usize) -> Result<()> {
+    deployment.instance(instance).signal("-TERM")?;
+    let Some(ending) = deployment.instance(instance).take() else {
+        // It is away already, and whoever ended it starts it again.
+        return Ok(());
+    };
+    ending.wait().await?;
+    deployment.instance(instance).start()
+}
+
+fn faults_of(harm: Harm) -> LinkFaults {
+    match harm {
+        Harm::Cut => LinkFaults {
+            cut: true,
+            ..LinkFaults::default()
+        },
+        Harm::Reset => LinkFaults {
+            close: true,
+            ..LinkFaults::default()
+        },
+        Harm::Silence => LinkFaults {
+            silence_established: true,
+            ..LinkFaults::default()
+        },
+        Harm::Delay => LinkFaults {
+            delay_ms: DELAY_MS,
+            ..LinkFaults::default()
+        },
+    }
+}
+
+fn behaviour(misdeed: Misdeed, service: &str) -> Behaviour {
+    let streams = service == "engine";
+    match misdeed {
+        Misdeed::Fails => Behaviour::Failing,
+        Misdeed::IsFull => Behaviour::Full,
+        Misdeed::LosesAnswers => Behaviour::LosesAnswer,
+        Misdeed::IsSilent => Behaviour::Silent,
+        Misdeed::AnswersAnother => Behaviour::AnswersAnother,
+        Misdeed::Unsigned => Behaviour::Unsigned,
+        Misdeed::BreaksStreams if streams => Behaviour::StreamsThenBreaks(3),
+        Misdeed::SilencesStreams if streams => Behaviour::StreamsThenSilent(3),
+        Misdeed::BreaksOff | Misdeed::BreaksStreams | Misdeed::SilencesStreams => {
+            Behaviour::BreaksOff
+        }
+    }
+}
+
+/// Does what operators do on a calm day: a version, a server that leaves, a stop
+/// of an instance.
+async fn work_as_planned(callers: &Callers, sabotage: Option<Sabotage>, seed: u64) -> Result<Calm> {
+    let deployment = &callers.deployment;
+    if sabotage == Some(Sabotage::NotBack) {
+        deployment.instance(0).kill()?;
+        time::sleep(Duration::from_secs(1)).await;
+    }
+    let began_at = Instant::now();
+    let ready = deployment.ready();
+    let version = match sabotage {
+        Some(Sabotage::LateConfig) => deployment.next_version().0,
+        _ => deployment.configure(),
+    };
+    let leaving = (seed % 3) as usize;
+    deployment.register(leaving, "draining");
+    let left_alone_from = Instant::now() + IN_FORCE;
+    time::sleep(IN_FORCE).await;
+    let mut behind = Vec::new();
+    for instance in 0..deployment.addresses.len() {
+        let asked = callers
+            .ask(instance, Kind::Added(version), &mut HashMap::new())
+            .await;
+        if !asked.is_served() {
+            behind.push((instance, asked.status()));
+        }
+        deployment.ledger.add(asked);
+    }
+    harm_servers(deployment, sabotage, leaving).await;
+    let stopped = (seed % deployment.addresses.len() as u64) as usize;
+    let stopped_at = Instant::now();
+    match sabotage {
+        Some(Sabotage::CutOnStop) => {
+            deployment.instance(stopped).kill()?;
+            deployment.instance(stopped).start()?;
+        }
+        _ => terminate(deployment, stopped).await?,
+    }
+    Ok(Calm {
+        began_at,
+        ready,
+        version,
+        behind,
+        leaving,
+        left_alone_from,
+        stopped,
+        stopped_at,
+        stop_ended_at: Instant::now(),
+    })
+}
+
+/// Sends servers what no instance may send them.
+async fn harm_servers(deployment: &Deployment, sabotage: Option<Sabotage>, leaving: usize) {
+    let (server, id, times) = match sabotage {
+        Some(Sabotage::Unasked) => (0, "nobody", 1),
+        Some(Sabotage::LateDrain) => (leaving, "r1", 3),
+        Some(Sabotage::Overspent) => (1, "r1", 800),
+        _ => return,
+    };
+    let addr = deployment.servers[server].standin.addr;
+    let Ok(mut connection) = client::connect(addr).await else {
+        return;
+    };
+    for _ in 0..times {
+        let request = Request::get(format!("/lookup/{id}"))
+            .header("host", HOST)
+            .header("request-id", id)
+            .body(Full::new(Bytes::new()))
+            .unwrap_or_default();
+        let deadline = Instant::now() + Duration::from_secs(1);
+        // What the server makes of it is seen in its books.
+        let _ = client::exchange(&mut connection, request, deadline).await;
+    }
+}
