--- a/crates/bench/src/stage_load.rs
+++ b/crates/bench/src/stage_load.rs
@@ -492,130 +492,81 @@
     stage(2, Some(2), (5, 15), 100, 6_000, 1.0),
 ];
 
+/// The kinds of the sign makers, with the requests a second of each and the goal of
+/// their quotations.
+const fn kinds_of_signs(rates_per_s: [f64; 3], offerte_goal_ms: u64) -> [KindLoad; 3] {
+    let dossier = KindLoad {
+        name: "dossier",
+        rate_per_s: rates_per_s[0],
+        goal_ms: 1_000,
+        deadline_ms: 6_000,
+        worth: 3.2,
+        late_worth: 0.48,
+        priority: 1,
+        rest_ms: 160,
+        stages: DRAFT,
+    };
+    let offerte = KindLoad {
+        name: "offerte",
+        rate_per_s: rates_per_s[1],
+        goal_ms: offerte_goal_ms,
+        worth: 2.0,
+        late_worth: 0.3,
+        priority: 0,
+        rest_ms: 120,
+        stages: QUOTATION,
+        ..dossier
+    };
+    let letter = KindLoad {
+        name: "letter",
+        rate_per_s: rates_per_s[2],
+        goal_ms: 1_800,
+        deadline_ms: 20_000,
+        worth: 0.83,
+        late_worth: 0.12,
+        priority: 2,
+        rest_ms: 100,
+        stages: DESCRIPTION,
+    };
+    [dossier, offerte, letter]
+}
+
+const fn service(
+    name: &'static str,
+    servers: usize,
+    batch_pieces: usize,
+    piece_ms: f64,
+    room_mb: f64,
+) -> ServiceLoad {
+    ServiceLoad {
+        name,
+        servers,
+        batch_pieces,
+        piece_ms,
+        room_mb,
+    }
+}
+
 /// The sign makers' deployment of 9 instances.
 pub const SIGNS: SiteLoad = SiteLoad {
     name: "signs",
     services: &[
-        ServiceLoad {
-            name: "archive",
-            servers: 5,
-            batch_pieces: 10,
-            piece_ms: 17.0,
-            room_mb: 22.0,
-        },
-        ServiceLoad {
-            name: "agenda",
-            servers: 5,
-            batch_pieces: 28,
-            piece_ms: 6.1,
-            room_mb: 3.6,
-        },
-        ServiceLoad {
-            name: "invoices",
-            servers: 5,
-            batch_pieces: 46,
-            piece_ms: 3.7,
-            room_mb: 0.6,
-        },
-    ],
-    kinds: &[
-        KindLoad {
-            name: "dossier",
-            rate_per_s: 19.5,
-            goal_ms: 1_000,
-            deadline_ms: 6_000,
-            worth: 3.2,
-            late_worth: 0.48,
-            priority: 1,
-            rest_ms: 160,
-            stages: DRAFT,
-        },
-        KindLoad {
-            name: "offerte",
-            rate_per_s: 20.9,
-            goal_ms: 1_800,
-            deadline_ms: 6_000,
-            worth: 2.0,
-            late_worth: 0.3,
-            priority: 0,
-            rest_ms: 120,
-            stages: QUOTATION,
-        },
-        KindLoad {
-            name: "letter",
-            rate_per_s: 10.3,
-            goal_ms: 1_800,
-            deadline_ms: 20_000,
-            worth: 0.83,
-            late_worth: 0.12,
-            priority: 2,
-            rest_ms: 100,
-            stages: DESCRIPTION,
-        },
+        service("archive", 5, 10, 17.0, 22.0),
+        service("agenda", 5, 28, 6.1, 3.6),
+        service("invoices", 5, 46, 3.7, 0.6),
     ],
+    kinds: &kinds_of_signs([19.5, 20.9, 10.3], 1_800),
 };
 
 /// The same, grown to 68 instances.
 pub const SIGNS_GROWN: SiteLoad = SiteLoad {
     name: "signs-grown",
     services: &[
-        ServiceLoad {
-            name: "archive",
-            servers: 17,
-            batch_pieces: 20,
-            piece_ms: 8.6,
-            room_mb: 45.0,
-        },
-        ServiceLoad {
-            name: "agenda",
-            servers: 15,
-            batch_pieces: 68,
-            piece_ms: 2.5,
-            room_mb: 8.9,
-        },
-        ServiceLoad {
-            name: "invoices",
-            servers: 15,
-            batch_pieces: 94,
-            piece_ms: 1.8,
-            room_mb: 1.2,
-        },
-    ],
-    kinds: &[
-        KindLoad {
-            name: "dossier",
-            rate_per_s: 166.0,
-            goal_ms: 1_000,
-            deadline_ms: 6_000,
-            worth: 3.2,
-            late_worth: 0.48,
-            priority: 1,
-            rest_ms: 160,
-            stages: DRAFT,
-        },
-        KindLoad {
-            name: "offerte",
-            rate_per_s: 178.0,
-            goal_ms: 1_900,
-            deadline_ms: 6_000,
-            worth: 2.0,
-            late_worth: 0.3,
-            priority: 0,
-            rest_ms: 120,
-            stages: QUOTATION,
-        },
-        KindLoad {
-            name: "letter",
-            rate_per_s: 88.3,
-            goal_ms: 1_800,
-            deadline_ms: 20_000,
-            worth: 0.83,
-            late_worth: 0.12,
-            priority: 2,
-            rest_ms: 100,
-            stages: DESCRIPTION,
-        },
+        service("archive", 17, 20, 8.6, 45.0),
+        service("agenda", 15, 68, 2.5, 8.9),
+        service("invoices", 15, 94, 1.8, 1.2),
     ],
+    kinds: &kinds_of_signs([166.0, 178.0, 88.3], 1_900),
 };
 
 /// A day with the bursts of the users' days: one kind after the other, then all
--- a/crates/server/tests/at_most_once.rs
+++ b/crates/server/tests/at_most_once.rs
@@ -12,8 +12,8 @@
 };
 
 use common::{
-    Deployment, ZONE, confirm, credential, expected, read_answer, read_body, send, settings_text,
-    submit,
+    Deployment, ZONE, confirm, credential, expected, read_answer, send, settings_text, submit,
+    take_ticket,
 };
 use http::{Method, StatusCode};
 use process::Entry;
@@ -23,7 +23,7 @@
     RelaySettings, client::Version,
 };
 use savoryvane_wire::{
-    caller::{Answer, Ticket},
+    caller::Answer,
     platform::{Listed, ListedRole, ListedState},
 };
 use serde_json::{Value, json};
@@ -126,21 +126,7 @@
     }
 
     async fn ticket(&self, at: usize) -> String {
-        let bearer = format!("Bearer {}", credential("vakwerk"));
-        let headers = [("x-workspace", "vakwerk"), ("authorization", &*bearer)];
-        let caller = self.entries[at].caller;
-        let reply = send(
-            Version::Http1,
-            caller,
-            Method::POST,
-            "/v1/tickets",
-            "",
-            &headers,
-        )
-        .await;
-        assert_eq!(reply.status(), StatusCode::CREATED);
-        let body = read_body(reply).await;
-        serde_json::from_slice::<Ticket>(&body).unwrap().ticket
+        take_ticket(self.entries[at].caller).await
     }
 
     /// How often the call that may not be repeated ran for `input`.
--- a/crates/server/tests/common/mod.rs
+++ b/crates/server/tests/common/mod.rs
@@ -18,7 +18,7 @@
 };
 use savoryvane_wire::{
     admin::{Confirmation, Plan},
-    caller::Answer,
+    caller::{Answer, Ticket},
     platform::{Listed, ListedRole, ListedState},
 };
 use serde_json::{Value, json};
@@ -312,3 +312,14 @@
     let waited = time::timeout(WAIT, waiting).await;
     assert!(waited.is_ok(), "waited for: {what}");
 }
+
+/// Has a ticket issued to the workspace `vakwerk`.
+pub async fn take_ticket(caller: SocketAddr) -> String {
+    let bearer = format!("Bearer {}", credential("vakwerk"));
+    let headers = [("x-workspace", "vakwerk"), ("authorization", &*bearer)];
+    let path = "/v1/tickets";
+    let reply = send(Version::Http1, caller, Method::POST, path, "", &headers).await;
+    assert_eq!(reply.status(), StatusCode::CREATED);
+    let body = read_body(reply).await;
+    serde_json::from_slice::<Ticket>(&body).unwrap().ticket
+}
--- a/crates/server/tests/tickets.rs
+++ b/crates/server/tests/tickets.rs
@@ -4,11 +4,9 @@
 
 use std::sync::Arc;
 
-use common::{Deployment, credential, expected, read_answer, read_body, send, submit};
-use http::{Method, StatusCode};
+use common::{Deployment, expected, read_answer, submit, take_ticket};
 use savoryvane_core::outcome::Outcome;
-use savoryvane_standins::client::Version;
-use savoryvane_wire::caller::{Answer, Ticket};
+use savoryvane_wire::caller::Answer;
 use serde_json::{Value, json};
 
 const TICKET: &str = "x-ticket";
@@ -17,24 +15,6 @@
 /// Requests that use each of them at the same moment.
 const USERS: usize = 8;
 
-async fn ticket(deployment: &Deployment) -> String {
-    let bearer = format!("Bearer {}", credential("vakwerk"));
-    let headers = [("x-workspace", "vakwerk"), ("authorization", &*bearer)];
-    let caller = deployment.caller();
-    let reply = send(
-        Version::Http1,
-        caller,
-        Method::POST,
-        "/v1/tickets",
-        "",
-        &headers,
-    )
-    .await;
-    assert_eq!(reply.status(), StatusCode::CREATED);
-    let body = read_body(reply).await;
-    serde_json::from_slice::<Ticket>(&body).unwrap().ticket
-}
-
 async fn redeem(deployment: &Deployment, input: &Value, ticket: &str) -> Answer {
     let headers = [(TICKET, ticket)];
     let reply = submit(deployment.caller(), "hold", input, &headers).await;
@@ -52,7 +32,7 @@
     let deployment = Arc::new(deployment);
     for number in 0..TICKETS {
         let input = json!({ "ticket": number });
-        let ticket = ticket(&deployment).await;
+        let ticket = take_ticket(deployment.caller()).await;
         let users: Vec<_> = (0..USERS)
             .map(|_| {
                 let (deployment, input) = (Arc::clone(&deployment), input.clone());
