Leave the store alone for the configuration while the scheduler tells it

Cause: every instance kept a read of the configuration waiting at the store, beside what the instance that schedules tells it every 250 ms, in case that one is lost.

Ruled out: reads of servers (paused already while they are told) and of the list of instances (one in 30 s).

Change: the configuration is read only where it is not told. What was told is at most 1.4 s old, so that a read after its loss is within the 2 s in which a version has to be in force. 'zones passed over' is shown by explain as a belief.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -8,7 +8,7 @@
 use crate::error::{Error, Result};
 
 /// Messages that say what an instance believes, not what it did with a request.
-const BELIEFS: [&str; 14] = [
+const BELIEFS: [&str; 15] = [
     "configuration in force",
     "draining",
     "instance started",
@@ -23,6 +23,7 @@
     "settings read again",
     "store lost",
     "store regained",
+    "zones passed over",
 ];
 /// Beliefs of an instance that are shown from before a request's first line.
 const BELIEFS_BEFORE: usize = 5;
--- a/crates/server/src/gateway/follow.rs
+++ b/crates/server/src/gateway/follow.rs
@@ -25,10 +25,10 @@
 /// tells it: short enough that a connection that went silent is noticed within
 /// the time in which a change has to be in force.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_000);
-/// The same while the instance that schedules tells changes: calls of the store
-/// are dear, and this one only stands by.
-const RELAYED_CONFIGURATION_WAIT: Duration = Duration::from_secs(15);
-/// Time between two looks at whether it still does.
+/// Time between two looks at whether the instance that schedules still tells
+/// changes: meanwhile the store is left alone, since its calls are dear. Where it
+/// stops, what it told is at most 1.4 s old, which leaves time for a read within
+/// the 2 s in which a change has to be in force.
 const RELAYED_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two reads of the register of servers. Servers write there every
 /// 1.2 s, so that a waiting read would be answered at once all the time; a
@@ -130,15 +130,11 @@
 ) {
     let mut topical = Topical::new(Topic::Operator, "configuration", log.clone());
     loop {
-        let is_relayed = topical.next.is_some() && freshness.is_relayed();
-        let read = if is_relayed {
-            tokio::select! {
-                read = topical.read(&store, RELAYED_CONFIGURATION_WAIT) => read,
-                () = freshness.until_not_relayed() => continue,
-            }
-        } else {
-            topical.read(&store, CONFIGURATION_WAIT).await
-        };
+        if topical.next.is_some() && freshness.is_relayed() {
+            time::sleep(RELAYED_INTERVAL).await;
+            continue;
+        }
+        let read = topical.read(&store, CONFIGURATION_WAIT).await;
         topical.on_read(&read.as_ref().map(drop));
         let Ok((records, _)) = read else {
             topical.pause().await;
--- a/crates/server/src/gateway/freshness.rs
+++ b/crates/server/src/gateway/freshness.rs
@@ -1,11 +1,6 @@
 //! How old what an instance knows of routes and servers is.
 
-use std::{
-    sync::atomic::{AtomicU64, Ordering},
-    time::Duration,
-};
-
-use tokio::time;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use crate::clock::Clock;
 
@@ -15,8 +10,6 @@
 /// Age up to which what a peer tells is as good as what the store says, in ms:
 /// peers that read the store do so every 0.8 s, and are asked every 0.25 s.
 const RELAYED_MS: u64 = 1_400;
-/// Time between two looks at whether a peer still tells changes.
-const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// When what an instance knows was last known to be the newest.
 #[derive(Debug)]
@@ -75,13 +68,6 @@
         self.age_ms(&self.relayed_ms) <= RELAYED_MS
     }
 
-    /// Waits until no peer tells what the store says.
-    pub(super) async fn until_not_relayed(&self) {
-        while self.is_relayed() {
-            time::sleep(LOOK_INTERVAL).await;
-        }
-    }
-
     fn age_ms(&self, at: &AtomicU64) -> u64 {
         match at.load(Ordering::Relaxed) {
             0 => u64::MAX,
