--- a/crates/server/src/controller.rs
+++ b/crates/server/src/controller.rs
@@ -119,7 +119,9 @@
         arrived_at_ms: head.arrived_at_ms,
         deadline_at_ms,
     };
-    let prefix = Some(prefix_hash(&input));
+    // Only engines cache prefixes, and hashing a whole input is not free.
+    let has_engine = pipeline.stages.iter().any(|stage| stage.model.is_some());
+    let prefix = has_engine.then(|| prefix_hash(&input));
     let spec = ExecutionSpec {
         request: head.request,
         workspace: head.workspace,
