Judge no server by calls beside those of other schedulers

Change: for 2 s after a scheduler has begun, or has met a full server although it has no other call there, what calls take is not counted.

--- a/crates/core/src/stages.rs
+++ b/crates/core/src/stages.rs
@@ -9,6 +9,7 @@
 mod batch;
 mod calls;
 mod choice;
+mod contention;
 mod handover;
 mod kept;
 mod progress;
--- a/crates/core/src/stages/calls.rs
+++ b/crates/core/src/stages/calls.rs
@@ -39,12 +39,18 @@
             return;
         };
         let elapsed_ms = now_ms.saturating_sub(call.began_at_ms) as f64;
+        if *end == CallEnd::Full {
+            self.contention.on_full(now_ms);
+        }
+        let is_alone = self.contention.is_alone(now_ms);
         if let Some(service) = self.services.get_mut(&call.service) {
             service.running = service.running.saturating_sub(call.pieces.len());
         }
         if let Some(server) = self.server_mut(&call) {
             server.calls = server.calls.saturating_sub(1);
             match end {
+                // Beside other schedulers it says nothing of the server.
+                CallEnd::Answered(_) if !is_alone => {}
                 CallEnd::Answered(_) => server.on_answer(now_ms, elapsed_ms, call.expected_ms),
                 CallEnd::Full => server.on_full(now_ms),
                 CallEnd::Misdirected => server.is_leaving = true,
@@ -233,7 +239,8 @@
             let (service, server) = (call.service.clone(), call.server.clone());
             let elapsed_ms = now_ms.saturating_sub(call.began_at_ms) as f64;
             let expected_ms = call.expected_ms;
-            if let Some(service) = self.services.get_mut(&service)
+            if self.contention.is_alone(now_ms)
+                && let Some(service) = self.services.get_mut(&service)
                 && let Some(server) = service.servers.get_mut(&server)
             {
                 server.on_answer(now_ms, elapsed_ms, expected_ms);
--- a/crates/core/src/stages/scheduler.rs
+++ b/crates/core/src/stages/scheduler.rs
@@ -6,6 +6,7 @@
     admission::{self, Refusals},
     batch,
     calls::RunningCall,
+    contention::Contention,
     kept::KeptResults,
     request::Request,
     server::Server,
@@ -73,6 +74,8 @@
     /// Time before which no request is dropped, in ms; those that have ended
     /// since may be the reason.
     pub(super) earliest_drop_ms: Option<u64>,
+    /// Whether other schedulers may call the servers too.
+    pub(super) contention: Contention,
     /// Whether requests are left that are to be handed over.
     pub(super) is_handing_over: bool,
     pub(super) refusals: Refusals,
@@ -125,6 +128,7 @@
     /// Takes a request's stages, or refuses them where they would not be done in
     /// time; how they end is told by an action.
     pub fn submit(&mut self, now_ms: u64, submission: Submission) {
+        self.contention.on_submission(now_ms);
         // What another scheduler has begun is finished.
         let is_begun = !submission.done.is_empty();
         let admitted = admission::admit(now_ms, &submission, &self.services, &self.refusals);
--- /dev/null
+++ b/crates/core/tests/stages_contention.rs
@@ -0,0 +1,88 @@
+//! The first seconds after all instances were started again: several schedule,
+//! and calls wait behind those of the others.
+
+mod stages_world;
+
+use savoryvane_core::stages::StageOutcome;
+use stages_world::{World, batching, server, service, stage};
+
+/// Times as long that calls take while another scheduler sends as many.
+const CONTENDED: u64 = 3;
+/// Time for which it does, in ms.
+const CONTENDED_MS: u64 = 1_500;
+/// Time between two requests, in ms.
+const GAP_MS: u64 = 20;
+const GOAL_MS: u64 = 1_000;
+
+fn world() -> World {
+    let services = vec![service("agenda", batching(28, 6.1, 3_600_000))];
+    let zones = ["utrecht", "amersfoort", "gouda"];
+    let servers = zones.iter().enumerate();
+    let servers = servers.map(|(index, zone)| server(&format!("a{index}"), "agenda", zone));
+    World::new(services, servers.collect())
+}
+
+/// Servers that took two or three times as long beside others were taken for slow
+/// and got nothing for 3 s more.
+#[test]
+fn servers_that_others_call_too_are_not_taken_for_slow() {
+    let mut world = world();
+    let names: Vec<_> = world
+        .servers
+        .iter()
+        .map(|server| server.id.clone())
+        .collect();
+    world.slow = names.iter().map(|name| (name.clone(), CONTENDED)).collect();
+    let mut asked = Vec::new();
+    for number in 0..200 {
+        if world.now_ms >= CONTENDED_MS {
+            world.slow.clear();
+        }
+        asked.push(world.now_ms);
+        let stages = vec![stage("agenda", &[], 2, 1_000)];
+        world.submit(World::submission(number, stages, GOAL_MS));
+        let next_ms = world.now_ms + GAP_MS;
+        world.run(next_ms);
+    }
+    let end_ms = world.now_ms + 2_000;
+    world.run(end_ms);
+    let since = CONTENDED_MS + 700;
+    let after = asked
+        .iter()
+        .enumerate()
+        .filter(|(_, at_ms)| **at_ms >= since);
+    let mut refused = 0;
+    for (number, _) in after {
+        let outcome = world.outcome(number as u64);
+        refused += u32::from(!matches!(outcome, Some(StageOutcome::Ready(_))));
+    }
+    assert_eq!(refused, 0, "refused once the servers were its own again");
+}
+
+/// One server that is slow while nobody else calls is still found.
+#[test]
+fn a_slow_server_is_still_passed_over() {
+    let mut world = world();
+    let slow = world.servers[0].id.clone();
+    world.run(10);
+    for number in 0..400 {
+        if number == 150 {
+            world.slow.insert(slow.clone(), 6);
+        }
+        let stages = vec![stage("agenda", &[], 2, 1_000)];
+        world.submit(World::submission(number, stages, GOAL_MS));
+        let next_ms = world.now_ms + GAP_MS;
+        world.run(next_ms);
+    }
+    let since_ms = 5_500;
+    let calls = world.calls.iter().filter(|(at_ms, _)| *at_ms >= since_ms);
+    let (mut there, mut all) = (0, 0);
+    for (_, call) in calls {
+        there += u32::from(call.server == slow);
+        all += 1;
+    }
+    assert!(
+        there * 10 <= all,
+        "{there} of {all} calls go to the slow one"
+    );
+}
