Ask the first scheduler at each look while all start

Ruled out: different lists of candidates (all had 68 instances from the store at once).

Change: for 3 s after the first failure it is asked at each look, every 250 ms.

The new test failed before at its third look.

--- a/crates/core/src/stages/choice.rs
+++ b/crates/core/src/stages/choice.rs
@@ -14,6 +14,13 @@
 /// look. After all were restarted at once, those that waited 4 s before they
 /// asked again scheduled beside the others, and each call took twice its time.
 const FIRST_PAUSE_MS: u64 = 250;
+/// Time after the first failure in which instances are asked again at each look, in
+/// ms: where all start at once, those that are not up yet will be soon, and until
+/// then up to 31 instances scheduled beside each other.
+const STARTING_MS: u64 = 3_000;
+/// Time for which an instance is passed over in that time, in ms: less than the
+/// time between two looks.
+const STARTING_PAUSE_MS: u64 = 100;
 /// Doublings of that time while it stays away.
 const MOST_DOUBLINGS: u32 = 2;
 /// Questions without an answer after which an instance counts as not reached.
@@ -57,6 +64,8 @@
 #[derive(Debug, Default)]
 pub struct SchedulerChoice {
     candidates: Vec<(Candidate, Reach)>,
+    /// Time of the first failure of any of them, in ms.
+    began_ms: Option<u64>,
 }
 
 impl SchedulerChoice {
@@ -133,16 +142,24 @@
 
     /// Notes that an instance left a question unanswered.
     pub fn on_miss(&mut self, now_ms: u64, instance: &InstanceName) {
+        let is_starting = self.is_starting(now_ms);
         self.set(instance, |reach| match reach {
             Reach::Reached => Reach::Missed(1),
             Reach::Missed(misses) if misses + 1 < MISSES => Reach::Missed(misses + 1),
-            other => away(now_ms, other),
+            other => away(now_ms, other, is_starting),
         });
     }
 
     /// Notes that an instance could not be reached at all.
     pub fn on_unreachable(&mut self, now_ms: u64, instance: &InstanceName) {
-        self.set(instance, |reach| away(now_ms, reach));
+        let is_starting = self.is_starting(now_ms);
+        self.set(instance, |reach| away(now_ms, reach, is_starting));
+    }
+
+    /// Tells whether this instance has only just begun to look for one.
+    fn is_starting(&mut self, now_ms: u64) -> bool {
+        let began_ms = *self.began_ms.get_or_insert(now_ms);
+        now_ms < began_ms + STARTING_MS
     }
 
     fn set(&mut self, instance: &InstanceName, change: impl FnOnce(Reach) -> Reach) {
@@ -153,12 +170,15 @@
     }
 }
 
-fn away(now_ms: u64, reach: Reach) -> Reach {
+fn away(now_ms: u64, reach: Reach, is_starting: bool) -> Reach {
     let failures = match reach {
-        Reach::Away { failures, .. } => failures + 1,
+        Reach::Away { failures, .. } if !is_starting => failures + 1,
         _ => 0,
     };
-    let pause_ms = FIRST_PAUSE_MS << failures.min(MOST_DOUBLINGS);
+    let pause_ms = match is_starting {
+        true => STARTING_PAUSE_MS,
+        false => FIRST_PAUSE_MS << failures.min(MOST_DOUBLINGS),
+    };
     Reach::Away {
         failures,
         ask_at_ms: now_ms + pause_ms,
--- a/crates/core/tests/stages_choice.rs
+++ b/crates/core/tests/stages_choice.rs
@@ -71,6 +71,19 @@
     assert_eq!(choice.current(), Some(&first));
 }
 
+/// After all were started again, the first one was asked after pauses that
+/// doubled, and others scheduled meanwhile.
+#[test]
+fn while_all_start_the_first_is_asked_at_each_look() {
+    let mut choice = choice();
+    let first = choice.current().cloned().unwrap();
+    for look in 0..8 {
+        let now_ms = look * 250;
+        assert!(choice.to_ask(now_ms).contains(&first), "look {look}");
+        choice.on_unreachable(now_ms, &first);
+    }
+}
+
 #[test]
 fn one_that_declines_is_passed_over_until_it_answers() {
     let mut choice = choice();
