Give the request that is to fail in the metrics' test time to begin

Cause: the stages of the first request took 60 ms on the busy machine, and the second one has 50 ms, so that admission rightly refuses it.

The test is as strict: the servers are frozen, and the request fails at its deadline, now of 1 s.

--- a/crates/server/tests/metrics.rs
+++ b/crates/server/tests/metrics.rs
@@ -50,7 +50,7 @@
         deployment.caller(),
         "quote",
         &json!(2),
-        &[("x-deadline-ms", "50")],
+        &[("x-deadline-ms", "1000")],
     )
     .await;
     deployment
