--- a/crates/bench/src/stage_load.rs
+++ b/crates/bench/src/stage_load.rs
@@ -238,9 +238,9 @@
                 .filter(is_now)
                 .map(|b| b.times)
                 .product();
-            let expected = kind.rate_per_s * times / 1_000.0;
-            let mut comes = expected;
-            while self.rng.random_range(0.0..1.0) < comes {
+            // A draw for each ms, since fewer than one comes in most.
+            let mut expected = kind.rate_per_s * times / 1_000.0;
+            while self.rng.random_range(0.0..1.0) < expected {
                 let stages = kind.draw(self.site, &mut self.rng);
                 self.got[index].asked += 1;
                 self.callers.push(Caller {
@@ -250,7 +250,7 @@
                     has_returned: false,
                 });
                 self.submit(self.callers.len() - 1);
-                comes -= 1.0;
+                expected -= 1.0;
             }
         }
     }
@@ -350,8 +350,7 @@
             let kind = self.callers[self.submissions[number]].kind;
             service.piece_ms * self.site.kinds[kind].stages[item.stage].piece_factor
         });
-        let lasts_ms = savoryvane_core::forwarding::Batching::duration_ms(&service.batching(), 0)
-            + pieces_ms.sum::<f64>();
+        let lasts_ms = service.batching().duration_ms(0) + pieces_ms.sum::<f64>();
         let ends_ms = self.now_ms + lasts_ms as u64;
         self.at_work.insert(call.server.clone(), (call, ends_ms));
     }
