Make again what a server made that has left

Cause: a server of stages that left the register while it worked ended its call well, but with the server its entry was gone, so that the result was dropped as one that nobody wants; the piece stayed at work for ever. Its request neither ended nor was handed over before its caller's deadline.

Change: such a piece waits for another server again.

The new test found no outcome before.

--- a/crates/core/src/stages/calls.rs
+++ b/crates/core/src/stages/calls.rs
@@ -158,13 +158,16 @@
             }
             return;
         };
+        let Some(zone) = self.server_mut(call).map(|server| server.zone.clone()) else {
+            // Its server has left the register, and the result goes with it.
+            return self.wait_again(now_ms, id, waiting, true);
+        };
         self.keep(now_ms, call, handle, waiting.bytes);
-        let zone = self.server_mut(call).map(|server| server.zone.clone());
         let wanted = self.requests.get_mut(&waiting.key).filter(|request| {
             let piece = request.piece(waiting.at);
             matches!(piece, Some(Piece::Running(_) | Piece::Waiting))
         });
-        let (Some(zone), Some(request)) = (zone, wanted) else {
+        let Some(request) = wanted else {
             // Its request is gone or has this result from elsewhere.
             self.free(&call.service, &call.server, vec![handle.clone()]);
             return;
--- a/crates/core/tests/stages_scheduler.rs
+++ b/crates/core/tests/stages_scheduler.rs
@@ -308,3 +308,22 @@
         assert_eq!(made, 4 * 11, "handed over at {handed_over_ms} ms");
     }
 }
+
+/// A server that has left the register while it worked ends its call well, but its
+/// result goes with it: the piece stayed at work for ever, and the caller had no
+/// answer (`mix --seed 764222058625` of taalghar-live).
+#[test]
+fn what_a_server_made_that_has_left_is_made_again() {
+    let mut world = chain();
+    world.submit(World::submission(1, vec![stage("a", &[], 1, 8_000)], 2_000));
+    let at_work = world.calls[0].1.server.clone();
+    world.servers.retain(|server| server.id != at_work);
+    world.configure();
+    world.run(1_500);
+    assert!(
+        matches!(world.outcome(1), Some(StageOutcome::Ready(_))),
+        "{:?}",
+        world.outcome(1)
+    );
+    assert_eq!(world.faults, Vec::<String>::new());
+}
