Answer every request that was read before a leaving instance ends

Cause: drafts wait up to 20 s for their stages; an instance that is stopped has 7.5 s. Ruled out: a hand-over that was lost, each one was taken up.

Change: once told to stop, an instance knows when it ends. Requests get to their server only if answers of their route usually end before that, else 503 and another instance at once; one that a server has gets 504 before the end. The time to be killed comes from the platform's settings.

--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -3,6 +3,7 @@
 
 mod budget;
 mod directory;
+mod leaving;
 mod objects;
 mod patience;
 mod placement;
@@ -12,6 +13,7 @@
 
 pub use budget::{BudgetSettings, RepeatBudgets};
 pub use directory::{Directory, DirectoryUpdate, ServerEntry, ServerState};
+pub use leaving::AnswerTimes;
 pub use objects::{
     Batching, CallerLimits, Engine, Route, RouteKind, RouteStage, RoutingConfig, Service, Target,
     WorkspaceKeys,
--- a/crates/server/src/gateway.rs
+++ b/crates/server/src/gateway.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod attempt;
 mod catch_up;
+mod departure;
 mod dispatch;
 mod follow;
 mod forward;
--- a/crates/server/src/gateway/answers.rs
+++ b/crates/server/src/gateway/answers.rs
@@ -9,6 +9,9 @@
 /// Time to come back after to an instance that has just started, in ms: it
 /// learns routes within a few calls of the store.
 const STARTING_RETRY_AFTER_MS: u64 = 300;
+/// Time to come back after to another instance while this one leaves, in ms:
+/// at once, as the balancer sends new connections elsewhere.
+const LEAVING_RETRY_AFTER_MS: u64 = 50;
 /// Time to come back after when no server takes a request, in ms: about as long
 /// as a server is left alone after a failure.
 const NO_SERVER_RETRY_AFTER_MS: u64 = 500;
@@ -30,6 +33,8 @@
     BadBody,
     /// Its stages would not be done in time, or failed.
     Stages(Refusal, u64),
+    /// This instance ends before it would be done; no server has it.
+    Leaving,
     /// No server takes it now, and none has run it.
     NoServer,
     /// Its answer was lost; it may have run.
@@ -49,8 +54,8 @@
             Self::SlowBody => "slow_body",
             Self::BadBody => "bad_body",
             Self::Stages(refusal, _) => refusal.as_str(),
+            Self::Leaving => "leaving",
             Self::NoServer => "no_server",
-
             Self::Lost => "answer_lost",
             Self::Overdue => "overdue",
         }
@@ -65,7 +70,9 @@
             Self::LargeBody => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::BadBody => StatusCode::BAD_REQUEST,
-            Self::Starting | Self::Stages(..) | Self::NoServer => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Starting | Self::Stages(..) | Self::Leaving | Self::NoServer => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::Overdue => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -75,6 +82,7 @@
         match self {
             Self::Starting => Some(STARTING_RETRY_AFTER_MS),
             Self::Stages(_, retry_after_ms) => Some(retry_after_ms),
+            Self::Leaving => Some(LEAVING_RETRY_AFTER_MS),
             Self::NoServer => Some(NO_SERVER_RETRY_AFTER_MS),
             _ => None,
         }
--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use savoryvane_core::{
-    forwarding::{AttemptEnd, Repeats, ServerState},
+    forwarding::{AttemptEnd, Repeats, Route, ServerState},
     ids::{BackendName, ZoneName},
 };
 use savoryvane_platform::answer::{self, AnswerHead};
@@ -50,6 +50,7 @@
 pub(super) struct InFlight {
     forwarder: Arc<Forwarder>,
     pub(super) server: BackendName,
+    route: Arc<Route>,
     began: Instant,
     has_ended: bool,
 }
@@ -67,6 +68,11 @@
 impl InFlight {
     pub(super) fn end(mut self, end: ServerEnd) {
         self.has_ended = true;
+        if end == ServerEnd::Answered {
+            let elapsed_ms = self.began.elapsed().as_millis() as u64;
+            let mut times = self.forwarder.knowledge.answer_times();
+            times.record(&self.route.name, elapsed_ms);
+        }
         let now_ms = self.forwarder.clock.now_ms();
         let mut fleet = self.forwarder.knowledge.fleet();
         let before = fleet.cut_off_zones(now_ms);
@@ -117,6 +123,7 @@
         let in_flight = InFlight {
             forwarder: Arc::clone(self),
             server: server.clone(),
+            route: Arc::clone(&caller.matched.route),
             began: Instant::now(),
             has_ended: false,
         };
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -18,6 +18,7 @@
 use super::{
     answers::{self, Why},
     attempt::Sent,
+    departure::Departure,
     knowledge::Knowledge,
     relay,
     request::{CallerRequest, host, service},
@@ -49,6 +50,7 @@
     pub(super) knowledge: Arc<Knowledge>,
     pub(super) servers: Arc<Connections>,
     pub(super) stages: Arc<Stages>,
+    pub(super) departure: Arc<Departure>,
 }
 
 /// Results of a request's stages.
@@ -139,14 +141,16 @@
         if stages.iter().all(|stage| stage.pieces == 0) {
             return Ok(Inputs::default());
         }
+        let answer_time = self.answer_time(caller);
+        let left_ms = self.time_to_wait(caller, answer_time)?.as_millis() as u64;
         let elapsed_ms = caller.elapsed_ms();
         let submission = Submission {
             key: self.stages.next_key(),
             request: caller.id.clone(),
             stages,
             piece_key: caller.head.piece_key.clone(),
-            goal_left_ms: route.goal_ms.saturating_sub(elapsed_ms),
-            deadline_left_ms: caller.left().as_millis() as u64,
+            goal_left_ms: route.goal_ms.saturating_sub(elapsed_ms).min(left_ms),
+            deadline_left_ms: left_ms,
             missing_ms: caller.head.deadline_ms.map_or(0, |deadline_ms| {
                 let now_ms = self.clock.now_ms();
                 self.knowledge.missing_ms(now_ms, &route.name, deadline_ms)
@@ -161,7 +165,10 @@
             }),
             done: Vec::new(),
         };
-        let ended = self.stages.run(submission).await;
+        let ended = tokio::select! {
+            ended = self.stages.run(submission) => ended,
+            () = self.departure.nears(answer_time) => return Err(Why::Leaving),
+        };
         match ended.outcome {
             StageOutcome::Ready(results) => {
                 let mut by_zone: BTreeMap<ZoneName, u64> = BTreeMap::new();
@@ -208,14 +215,18 @@
                     Why::NoServer
                 });
             };
+            if !may_have_run {
+                self.time_to_wait(&caller, self.answer_time(&caller))?;
+            }
             tried.push(server.clone());
             let may_move_on = caller.repeats() == Repeats::Allowed
                 && sends + 1 < caller.route().max_servers
                 && tried.len() < MOST_UNREACHED;
-            let sent = self
-                .send_to(&caller, &inputs, &tried, &server, may_move_on)
-                .await
-                .ok_or(Why::Overdue)?;
+            let sent = tokio::select! {
+                sent = self.send_to(&caller, &inputs, &tried, &server, may_move_on) => sent,
+                () = self.departure.nears(Duration::ZERO) => None,
+            };
+            let sent = sent.ok_or(Why::Overdue)?;
             let (end, failure) = match sent {
                 Sent::Whole(response) => {
                     self.log_answered(&caller, &server, response.status(), sends + 1);
@@ -288,6 +299,27 @@
         time::timeout_at(caller.deadline, sent).await.ok()
     }
 
+    /// Returns how long an answer to a request usually takes once it is sent.
+    fn answer_time(&self, caller: &CallerRequest) -> Duration {
+        let usual_ms = self.knowledge.answer_times().usual_ms(&caller.route().name);
+        Duration::from_millis(usual_ms)
+    }
+
+    /// Returns how long a request may wait until it is sent: until its caller
+    /// gives up or, while this instance leaves, until `answer_time` is left of it.
+    fn time_to_wait(&self, caller: &CallerRequest, answer_time: Duration) -> Result<Duration, Why> {
+        let left = caller.left();
+        let Some(answers_by) = self.departure.answers_by() else {
+            return Ok(left);
+        };
+        let send_by = answers_by.checked_sub(answer_time).unwrap_or(answers_by);
+        let leaves_in = send_by.saturating_duration_since(Instant::now());
+        if leaves_in.is_zero() {
+            return Err(Why::Leaving);
+        }
+        Ok(left.min(leaves_in))
+    }
+
     /// Tells whether there is another server for a request and a repeat in the
     /// budget, which it takes.
     pub(super) fn may_repeat_elsewhere(
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -13,6 +13,7 @@
 
 use super::{
     catch_up::{self, CatchUp},
+    departure::Departure,
     dispatch::{self, Dispatch},
     follow,
     forward::Forwarder,
@@ -53,6 +54,7 @@
     log: Logger,
     settings: GatewaySettings,
     phases: Arc<Phases>,
+    departure: Arc<Departure>,
     connections: TaskTracker,
     /// Tasks that run for as long as the instance; aborted when dropped.
     background: JoinSet<()>,
@@ -105,12 +107,14 @@
             "seeds" => settings.seeds.len(), "cores" => settings.cores);
         let phases = Arc::new(Phases::new());
         let connections = TaskTracker::new();
-        let parts = Parts::new(&settings, incarnation, &phases, log.clone());
+        let departure = Arc::new(Departure::new());
+        let parts = Parts::new(&settings, incarnation, &phases, &departure, log.clone());
         let background = parts.spawn(listeners, &connections);
         Ok(Self {
             log,
             settings,
             phases,
+            departure,
             connections,
             background,
         })
@@ -139,13 +143,14 @@
     pub async fn leave(mut self) -> Ended {
         let drain = self.settings.drain;
         info!(self.log, "leaving"; "connections" => self.connections.len());
+        let stops_at = Instant::now() + Duration::from_millis(drain.stop_after_ms());
+        self.departure.set(stops_at);
         self.phases.advance(Phase::Leaving);
-        time::sleep(Duration::from_millis(drain.grace_ms)).await;
+        time::sleep(Duration::from_millis(drain.accept_for_ms())).await;
         self.phases.advance(Phase::Draining);
         info!(self.log, "draining"; "connections" => self.connections.len());
-        let deadline = Instant::now() + Duration::from_millis(drain.timeout_ms);
         self.connections.close();
-        let ended = match time::timeout_at(deadline, self.connections.wait()).await {
+        let ended = match time::timeout_at(stops_at, self.connections.wait()).await {
             Ok(()) => Ended::Drained,
             Err(_) => Ended::TimedOut,
         };
@@ -175,6 +180,7 @@
         settings: &GatewaySettings,
         incarnation: Incarnation,
         phases: &Arc<Phases>,
+        departure: &Arc<Departure>,
         log: Logger,
     ) -> Self {
         let clock = Clock::start();
@@ -220,6 +226,7 @@
             knowledge: Arc::clone(&knowledge),
             servers: Arc::clone(&servers),
             stages,
+            departure: Arc::clone(departure),
         });
         let handler = Arc::new(Peering {
             members: Arc::clone(&members),
--- a/crates/server/src/gateway/knowledge.rs
+++ b/crates/server/src/gateway/knowledge.rs
@@ -6,8 +6,8 @@
 use savoryvane_core::{
     fleet::Fleet,
     forwarding::{
-        Directory, DirectoryUpdate, RepeatBudgets, RouteTable, RoutingConfig, ServerEntry,
-        UsualDeadlines,
+        AnswerTimes, Directory, DirectoryUpdate, RepeatBudgets, RouteTable, RoutingConfig,
+        ServerEntry, UsualDeadlines,
     },
     ids::BackendName,
     settings::PolicySettings,
@@ -33,6 +33,7 @@
     fleet: Mutex<Fleet>,
     budgets: Mutex<RepeatBudgets>,
     deadlines: Mutex<UsualDeadlines>,
+    answer_times: Mutex<AnswerTimes>,
     /// Told after every change of routes or servers.
     changed: Notify,
 }
@@ -57,6 +58,7 @@
             fleet: Mutex::new(fleet),
             budgets: Mutex::new(RepeatBudgets::new(settings.repeats)),
             deadlines: Mutex::default(),
+            answer_times: Mutex::default(),
             changed: Notify::new(),
         }
     }
@@ -101,6 +103,13 @@
         deadlines.missing_ms(now_ms, route, deadline_ms)
     }
 
+    /// Locks how long answers take, for a few steps without waiting.
+    pub(super) fn answer_times(&self) -> MutexGuard<'_, AnswerTimes> {
+        self.answer_times
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Waits for the next change of routes or servers.
     pub(super) async fn changed(&self) {
         self.changed.notified().await;
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -110,6 +110,8 @@
     CallerGone,
     /// Its time is over.
     Overdue,
+    /// This instance ends.
+    Leaving,
     /// It broke off.
     Broken,
     /// It paused for long, and a repeat was taken out of the budget.
@@ -123,7 +125,7 @@
             let goes_on = match stop {
                 Stop::Broken => self.may_go_on() && self.go_on().await,
                 Stop::Silent => self.go_on().await,
-                Stop::Whole | Stop::CallerGone | Stop::Overdue => false,
+                Stop::Whole | Stop::CallerGone | Stop::Overdue | Stop::Leaving => false,
             };
             if !goes_on {
                 break stop;
@@ -137,6 +139,7 @@
             Stop::Whole => "whole",
             Stop::CallerGone => "caller_gone",
             Stop::Overdue => "overdue",
+            Stop::Leaving => "leaving",
             Stop::Broken => "broken",
             Stop::Silent => "silent",
         })
@@ -148,7 +151,7 @@
                 }
             }
             Stop::CallerGone => {}
-            Stop::Overdue | Stop::Broken | Stop::Silent => {
+            Stop::Overdue | Stop::Leaving | Stop::Broken | Stop::Silent => {
                 let broken = io::Error::new(io::ErrorKind::ConnectionAborted, "stream broke off");
                 // The caller may have gone meanwhile.
                 let _ = self.sender.send(Err(broken)).await;
@@ -160,12 +163,16 @@
     async fn pass_on(&mut self) -> Stop {
         let patience = Duration::from_millis(event_patience_ms());
         let mut is_waited_for = true;
+        let departure = Arc::clone(&self.forwarder.departure);
+        let process_ends = departure.nears(Duration::ZERO);
+        tokio::pin!(process_ends);
         loop {
             let frame = tokio::select! {
                 biased;
                 () = self.sender.closed() => return Stop::CallerGone,
                 frame = self.source.body.frame() => frame,
                 () = time::sleep_until(self.caller.deadline) => return Stop::Overdue,
+                () = &mut process_ends => return Stop::Leaving,
                 () = time::sleep(patience), if is_waited_for => {
                     is_waited_for = false;
                     if self.may_go_on() {
--- a/crates/server/src/gateway/settings.rs
+++ b/crates/server/src/gateway/settings.rs
@@ -17,6 +17,11 @@
 const MOST_SEEDS: usize = 64;
 /// Longest duration that a setting takes, in ms.
 const MAX_DURATION_MS: u64 = 600_000;
+/// Longest duration that a setting takes, in s.
+const MAX_DURATION_S: f64 = 600.0;
+/// Time by which a process ends before it would be killed, in ms: one that is
+/// slow or short of processor time still has it for its last lines.
+const KILL_SPARE_MS: u64 = 500;
 
 /// Everything that a forwarding instance is told from outside.
 #[derive(Clone, Debug, PartialEq)]
@@ -62,8 +67,21 @@
     /// Time for which it still takes connections after it has said that it is
     /// not ready, in ms.
     pub grace_ms: u64,
-    /// Time for requests in flight to finish after that, in ms.
-    pub timeout_ms: u64,
+    /// Time after the signal to stop at which the platform kills the process, in ms.
+    pub kill_after_ms: u64,
+}
+
+impl GatewayDrain {
+    /// Returns the time from the signal to stop to the end of the process, in ms.
+    pub(crate) fn stop_after_ms(&self) -> u64 {
+        self.kill_after_ms.saturating_sub(KILL_SPARE_MS)
+    }
+
+    /// Returns the time for which connections are still taken, in ms: what is set,
+    /// but most of what is left of the process is for the requests that it has.
+    pub(crate) fn accept_for_ms(&self) -> u64 {
+        self.grace_ms.min(self.stop_after_ms() / 3)
+    }
 }
 
 impl GatewaySettings {
@@ -137,8 +155,10 @@
 }
 
 fn read_drain(fields: &mut Fields<'_>) -> Option<GatewayDrain> {
+    let grace_ms = fields.number("grace_ms", 0..=MAX_DURATION_MS, 2_500);
+    let kill_after_s = fields.f64("kill_after_s", 0.1..=MAX_DURATION_S)?;
     Some(GatewayDrain {
-        grace_ms: fields.number("grace_ms", 0..=MAX_DURATION_MS, 2_500),
-        timeout_ms: fields.number("timeout_ms", 0..=MAX_DURATION_MS, 5_000),
+        grace_ms,
+        kill_after_ms: (kill_after_s * 1_000.0) as u64,
     })
 }
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -223,7 +223,7 @@
         "instance: {name}\nzone: {}\nregion: one\nlisten:\n  caller: {}\n  ready: {}\n  \
          peer: {}\n  admin: {}\nstore: {}\nseeds: [{}]\ncores: 0.25\nrepeats:\n  \
          ratio: {REPEAT_RATIO}\n  slack: {REPEAT_SLACK}\n  instances: {}\nlog:\n  form: json\n  \
-         level: info\ndrain:\n  grace_ms: 700\n  timeout_ms: 4000\n",
+         level: info\ndrain:\n  grace_ms: 700\n  kill_after_s: 5.2\n",
         ZONES[index % ZONES.len()],
         own.caller,
         own.ready,
