Account for how requests ended from the logs of all instances

savoryvanectl account reads the lines of all instances and gives each request one end: in time, or the cause why not, by goal and by moment, as tables and as a picture. Streams log their first event and longest pause, refusals their route and goal.

--- a/crates/ctl/src/bin/savoryvanectl/app.rs
+++ b/crates/ctl/src/bin/savoryvanectl/app.rs
@@ -10,7 +10,7 @@
 use savoryvane_core::ids::{InstanceName, OperatorName, is_valid_name};
 use savoryvane_ctl::{
     Command, Confirmed, Controller, Costs, Credential, Error, Exit, Format, Grouping, ObjectList,
-    Planned, ReportForm, Result, Settings, explain,
+    Planned, ReportForm, Result, Settings, account, explain,
 };
 use serde_json::json;
 
@@ -22,6 +22,8 @@
 const DEFAULT_TIMEOUT_MS: u64 = 10_000;
 /// Longest wait for a change to be in force everywhere, in ms.
 const DEFAULT_WAIT_MS: u64 = 10_000;
+/// Seconds for each row of an account.
+const DEFAULT_EVERY_S: u64 = 2;
 /// Longest accepted time on the command line, in ms.
 const MAX_TIME_MS: u64 = 3_600_000;
 const VERSION: &str = concat!("savoryvanectl ", env!("CARGO_PKG_VERSION"));
@@ -59,6 +61,14 @@
             &mut io::stdout().lock(),
         );
     }
+    if let SavoryvanectlCmd::Account(accounted) = &flags.subcommand {
+        return account(
+            accounted.every_s.unwrap_or(DEFAULT_EVERY_S).max(1),
+            accounted.svg.as_deref(),
+            io::stdin().lock(),
+            &mut io::stdout().lock(),
+        );
+    }
     let command = command(&flags.subcommand)?;
     let settings = settings(&flags, format)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -114,10 +124,11 @@
 
 fn command(flags: &SavoryvanectlCmd) -> Result<Command> {
     Ok(match flags {
-        // The first two are done with before a command is made of them.
-        SavoryvanectlCmd::Help(_) | SavoryvanectlCmd::Explain(_) | SavoryvanectlCmd::Status(_) => {
-            Command::Status
-        }
+        // All but the last are done with before a command is made of them.
+        SavoryvanectlCmd::Help(_)
+        | SavoryvanectlCmd::Explain(_)
+        | SavoryvanectlCmd::Account(_)
+        | SavoryvanectlCmd::Status(_) => Command::Status,
         SavoryvanectlCmd::Instances(_) => Command::Instances,
         SavoryvanectlCmd::Backends(_) => Command::Backends,
         SavoryvanectlCmd::Workspaces(_) => Command::Objects(ObjectList::Workspaces),
--- a/crates/ctl/src/bin/savoryvanectl/flags.rs
+++ b/crates/ctl/src/bin/savoryvanectl/flags.rs
@@ -75,6 +75,15 @@
             /// Identifier of the request.
             required request: String
         }
+        /// Tells from the log lines of all instances, which it reads from standard
+        /// input, how requests ended and why those that were not in time were not;
+        /// it needs no instance and no credential.
+        cmd account {
+            /// Seconds for each row of the second table (2).
+            optional --every-s s: u64
+            /// File to draw the second table into, as SVG.
+            optional --svg file: PathBuf
+        }
         /// Asks an instance to leave gracefully.
         cmd drain {
             /// Name of the instance.
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -6,7 +6,8 @@
 use hyper::body::Incoming;
 use savoryvane_core::{
     forwarding::{
-        AttemptEnd, Chosen, Giving, NextStep, Placement, Repeats, answer_patience_ms, next_step,
+        AttemptEnd, Chosen, Giving, NextStep, Placement, Repeats, Route, answer_patience_ms,
+        next_step,
     },
     ids::{BackendName, RequestId, ZoneName},
     stages::{Refusal, StageOutcome, StageWork, Submission},
@@ -69,22 +70,24 @@
         let arrived = Instant::now();
         let head = request::decode(request.headers());
         let id = head.id.clone();
-        match self.run(request, head, arrived).await {
+        let caller = match self.take(request, head, arrived).await {
+            Ok(caller) => caller,
+            Err(why) => {
+                self.log_own(id.as_ref(), None, why, arrived);
+                return answers::own(id.as_ref(), why);
+            }
+        };
+        let route = Arc::clone(&caller.matched.route);
+        match self.run(caller).await {
             Ok(response) => response,
             Err(why) => {
-                self.log_own(id.as_ref(), why, arrived);
+                self.log_own(id.as_ref(), Some(&route), why, arrived);
                 answers::own(id.as_ref(), why)
             }
         }
     }
 
-    async fn run(
-        self: &Arc<Self>,
-        request: Request<Incoming>,
-        head: RequestHead,
-        arrived: Instant,
-    ) -> Result<Response<Body>, Why> {
-        let caller = self.take(request, head, arrived).await?;
+    async fn run(self: &Arc<Self>, caller: CallerRequest) -> Result<Response<Body>, Why> {
         let inputs = self.run_stages(&caller).await?;
         self.send(caller, inputs).await
     }
@@ -389,13 +392,16 @@
     ) {
         info!(self.log, "request answered"; "request" => %caller.id,
             "route" => &caller.route().name, "server" => %server, "status" => status.as_u16(),
-            "sends" => sends, "elapsed_ms" => caller.elapsed_ms());
+            "sends" => sends, "goal_ms" => caller.route().goal_ms,
+            "elapsed_ms" => caller.elapsed_ms());
         metrics::counter!("savoryvane_forwarded_total", "outcome" => "answered").increment(1);
         metrics::histogram!("savoryvane_forwarded_seconds").record(caller.arrived.elapsed());
     }
 
-    fn log_own(&self, id: Option<&RequestId>, why: Why, arrived: Instant) {
+    fn log_own(&self, id: Option<&RequestId>, route: Option<&Route>, why: Why, arrived: Instant) {
         info!(self.log, "request refused"; "request" => id.map(ToString::to_string),
+            "route" => route.map(|route| &route.name),
+            "goal_ms" => route.map(|route| route.goal_ms),
             "reason" => why.as_str(), "version" => self.knowledge.version(),
             "elapsed_ms" => arrived.elapsed().as_millis() as u64);
         metrics::counter!("savoryvane_forwarded_total", "outcome" => why.as_str()).increment(1);
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -20,7 +20,10 @@
 use savoryvane_core::{forwarding::event_patience_ms, ids::BackendName};
 use savoryvane_platform::answer;
 use slog::{info, warn};
-use tokio::{sync::mpsc, time};
+use tokio::{
+    sync::mpsc,
+    time::{self, Instant},
+};
 
 use super::{
     attempt::{InFlight, Sent, ServerEnd, Stream, keep},
@@ -54,6 +57,7 @@
         inputs,
         tried,
         events,
+        pace: Pace::default(),
         sender,
         source: Source {
             body,
@@ -97,10 +101,31 @@
     inputs: Inputs,
     tried: Vec<BackendName>,
     events: Events,
+    pace: Pace,
     sender: mpsc::Sender<Result<Bytes, io::Error>>,
     source: Source,
 }
 
+/// When events came, for the log.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    first_event_ms: Option<u64>,
+    last_at: Option<Instant>,
+    longest_gap_ms: u64,
+}
+
+impl Pace {
+    /// Notes events that came `elapsed_ms` after the request.
+    fn on_events(&mut self, elapsed_ms: u64) {
+        let now = Instant::now();
+        self.first_event_ms.get_or_insert(elapsed_ms);
+        if let Some(last_at) = self.last_at.replace(now) {
+            let gap_ms = now.duration_since(last_at).as_millis() as u64;
+            self.longest_gap_ms = self.longest_gap_ms.max(gap_ms);
+        }
+    }
+}
+
 /// Why a stream does not go on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stop {
@@ -134,6 +159,10 @@
         info!(self.forwarder.log, "stream ended"; "request" => %self.caller.id,
             "route" => &self.caller.route().name, "end" => ?stop,
             "servers" => self.tried.len(), "events" => self.events.count,
+            "goal_ms" => self.caller.route().goal_ms,
+            "gap_goal_ms" => self.caller.route().event_gap_ms,
+            "first_event_ms" => self.pace.first_event_ms,
+            "longest_gap_ms" => self.pace.longest_gap_ms,
             "elapsed_ms" => self.caller.elapsed_ms());
         metrics::counter!("savoryvane_streams_total", "end" => match stop {
             Stop::Whole => "whole",
@@ -202,6 +231,9 @@
             // The engine has read its inputs once it answers with events.
             self.inputs.held = None;
             let whole = self.events.push(bytes);
+            if !whole.is_empty() {
+                self.pace.on_events(self.caller.elapsed_ms());
+            }
             if self.give(whole).await.is_none() {
                 return Stop::CallerGone;
             }
