Let results go once an engine has fetched them

Cause: where results are large the memory of their servers bounds a burst (40 results of 1.5 MB in all, 57 a second wanted), and each was held until the first event, some 750 ms in all.

Change: results are let go 40 ms after the send; the time doubles for a service whose engine missed one and goes back slowly. A request that is sent again after that has its stages run again.

--- a/crates/bench/src/bin/stage-bursts.rs
+++ b/crates/bench/src/bin/stage-bursts.rs
@@ -1,7 +1,9 @@
 //! Plays the bursts of the users' days through the scheduler of stages, and
 //! prints what callers of each kind get.
 
-use savoryvane_bench::stage_load::{self, Day, Got, KindLoad, SIGNS, SIGNS_GROWN, SiteLoad};
+use savoryvane_bench::stage_load::{
+    self, Day, Got, KindLoad, PORTAL, SIGNS, SIGNS_GROWN, SiteLoad,
+};
 
 /// Days that are played of each deployment.
 const SEEDS: u64 = 3;
@@ -19,7 +21,7 @@
 
 fn play(day: &Day) {
     println!("site         kind      asked  in time %  late %  refused again %  share");
-    for site in [&SIGNS, &SIGNS_GROWN] {
+    for site in [&SIGNS, &SIGNS_GROWN, &PORTAL] {
         let mut all = vec![Got::default(); site.kinds.len()];
         for seed in 0..SEEDS {
             let got = stage_load::play(site, day, seed);
--- a/crates/bench/src/stage_load.rs
+++ b/crates/bench/src/stage_load.rs
@@ -17,9 +17,6 @@
     },
 };
 
-/// Time between the end of a request's stages and the release of their results,
-/// in ms: its engine has read them by then.
-const READ_MS: u64 = 100;
 /// Longest part of the time they have left for which callers stay away.
 const MOST_WAITED: u64 = 3;
 /// Time after the last request until all have ended, in ms.
@@ -123,6 +120,9 @@
     pub length_ms: u64,
     /// More callers for some seconds.
     pub bursts: Vec<Burst>,
+    /// Time between the end of a request's stages and the release of their
+    /// results, in ms.
+    pub read_ms: u64,
     /// Results that are read late.
     pub slow_reads: Option<SlowReads>,
 }
@@ -373,7 +373,7 @@
                     (slow.at_ms..slow.at_ms + slow.for_ms).contains(&self.now_ms)
                 };
                 let slow = self.day.slow_reads.filter(is_slow);
-                let read_ms = slow.map_or(READ_MS, |slow| slow.read_ms);
+                let read_ms = slow.map_or(self.day.read_ms, |slow| slow.read_ms);
                 let read = self.releases.entry(self.now_ms + read_ms).or_default();
                 read.push(key);
             }
@@ -568,6 +568,52 @@
     kinds: &kinds_of_signs([166.0, 178.0, 88.3], 1_900),
 };
 
+/// A deployment whose servers of the first stage hold a dozen large results
+/// each, so that their memory bounds what they make.
+pub const PORTAL: SiteLoad = SiteLoad {
+    name: "portal",
+    services: &[
+        service("pages", 4, 8, 21.0, 18.0),
+        service("ledger", 5, 18, 9.5, 2.3),
+        service("delivery", 5, 30, 5.7, 0.39),
+    ],
+    kinds: &[
+        KindLoad {
+            name: "digest",
+            rate_per_s: 12.1,
+            goal_ms: 1_600,
+            deadline_ms: 6_000,
+            worth: 4.2,
+            late_worth: 0.63,
+            priority: 0,
+            rest_ms: 350,
+            stages: DRAFT,
+        },
+        KindLoad {
+            name: "explanation",
+            rate_per_s: 13.3,
+            goal_ms: 3_100,
+            deadline_ms: 6_000,
+            worth: 1.1,
+            late_worth: 0.17,
+            priority: 1,
+            rest_ms: 250,
+            stages: QUOTATION,
+        },
+        KindLoad {
+            name: "note",
+            rate_per_s: 7.06,
+            goal_ms: 3_600,
+            deadline_ms: 20_000,
+            worth: 0.66,
+            late_worth: 0.099,
+            priority: 2,
+            rest_ms: 150,
+            stages: DESCRIPTION,
+        },
+    ],
+};
+
 /// A day with the bursts of the users' days: one kind after the other, then all
 /// together.
 pub fn day_of_bursts() -> Day {
@@ -585,6 +631,7 @@
             burst(26_000, 4_000, None, 1.9),
             burst(36_000, 5_000, Some(2), 2.8),
         ],
+        read_ms: 100,
         slow_reads: None,
     }
 }
@@ -594,6 +641,7 @@
     Day {
         length_ms: 18_000,
         bursts: Vec::new(),
+        read_ms: 100,
         slow_reads: Some(SlowReads {
             at_ms: 4_000,
             for_ms: 6_000,
--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -3,6 +3,7 @@
 
 mod budget;
 mod directory;
+mod fetching;
 mod leaving;
 mod objects;
 mod patience;
@@ -13,6 +14,7 @@
 
 pub use budget::{BudgetSettings, RepeatBudgets};
 pub use directory::{Directory, DirectoryUpdate, ServerEntry, ServerState};
+pub use fetching::FetchTimes;
 pub use leaving::AnswerTimes;
 pub use objects::{
     Batching, CallerLimits, Engine, Route, RouteKind, RouteStage, RoutingConfig, Service, Target,
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -9,7 +9,7 @@
         AttemptEnd, Chosen, Giving, NextStep, Placement, Repeats, Route, answer_patience_ms,
         next_step,
     },
-    ids::{BackendName, RequestId, ZoneName},
+    ids::{BackendName, PoolName, RequestId, ZoneName},
     stages::{Refusal, StageOutcome, StageWork, Submission},
 };
 use savoryvane_platform::request::{self, RequestHead};
@@ -64,6 +64,13 @@
     pub(super) held: Option<Held>,
 }
 
+impl Inputs {
+    /// Tells whether there were results that have been let go.
+    pub(super) fn are_gone(&self) -> bool {
+        self.held.is_none() && !self.handles.is_empty()
+    }
+}
+
 impl Forwarder {
     /// Answers a request of a caller.
     pub(super) async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
@@ -225,11 +232,16 @@
             let may_move_on = caller.repeats() == Repeats::Allowed
                 && sends + 1 < caller.route().max_servers
                 && tried.len() < MOST_UNREACHED;
-            let sent = tokio::select! {
-                sent = self.send_to(&caller, &inputs, &tried, &server, may_move_on) => sent,
-                () = self.departure.nears(Duration::ZERO) => None,
+            let held = inputs.held.take();
+            let sending = self.send_to(&caller, &inputs, &tried, &server, may_move_on);
+            let (sent, held) = tokio::select! {
+                sent = self.while_fetched(&caller.service, held, sending) => sent,
+                () = self.departure.nears(Duration::ZERO) => return Err(Why::Overdue),
             };
+            inputs.held = held;
             let sent = sent.ok_or(Why::Overdue)?;
+            let were_let_go = inputs.are_gone();
+            self.note_fetched(&caller.service, were_let_go, &sent);
             let (end, failure) = match sent {
                 Sent::Whole(response) => {
                     self.log_answered(&caller, &server, response.status(), sends + 1);
@@ -260,9 +272,11 @@
                 "end" => ?end, "next" => ?next, "sends" => sends,
                 "elapsed_ms" => caller.elapsed_ms());
             match (next, failure) {
-                (NextStep::SendAgain, _) if end == AttemptEnd::InputsGone => {
+                (NextStep::SendAgain, _) if end == AttemptEnd::InputsGone || were_let_go => {
                     inputs = self.run_stages(&caller).await?;
-                    tried.clear();
+                    if end == AttemptEnd::InputsGone {
+                        tried.clear();
+                    }
                 }
                 (NextStep::SendAgain, _) => {}
                 (NextStep::Give(Giving::Refusal), _) => return Err(Why::NoServer),
@@ -275,6 +289,42 @@
         }
     }
 
+    /// Lets results go once an engine of `service` has had the time to fetch
+    /// them, while `sending` goes on; returns them if it ends before.
+    async fn while_fetched(
+        &self,
+        service: &PoolName,
+        mut held: Option<Held>,
+        sending: impl Future<Output = Option<Sent>>,
+    ) -> (Option<Sent>, Option<Held>) {
+        let within_ms = self.knowledge.fetch_times().within_ms(service);
+        let fetched = time::sleep(Duration::from_millis(within_ms));
+        tokio::pin!(fetched, sending);
+        loop {
+            tokio::select! {
+                biased;
+                sent = &mut sending => return (sent, held),
+                () = &mut fetched, if held.is_some() => held = None,
+            }
+        }
+    }
+
+    /// Learns from the end of a send whether its results were let go too soon.
+    fn note_fetched(&self, service: &PoolName, were_let_go: bool, sent: &Sent) {
+        if !were_let_go {
+            return;
+        }
+        match sent {
+            Sent::Whole(_) | Sent::Stream(_) => {
+                self.knowledge.fetch_times().on_fetched(service);
+            }
+            Sent::Ended(AttemptEnd::InputsGone, _) => {
+                self.knowledge.fetch_times().on_missed(service);
+            }
+            Sent::Ended(..) => {}
+        }
+    }
+
     /// Sends a request to one server until the caller's deadline; where it may
     /// move on, a server that stays silent is given up for another one.
     async fn send_to(
--- a/crates/server/src/gateway/knowledge.rs
+++ b/crates/server/src/gateway/knowledge.rs
@@ -6,8 +6,8 @@
 use savoryvane_core::{
     fleet::Fleet,
     forwarding::{
-        AnswerTimes, Directory, DirectoryUpdate, RepeatBudgets, RouteTable, RoutingConfig,
-        ServerEntry, UsualDeadlines,
+        AnswerTimes, Directory, DirectoryUpdate, FetchTimes, RepeatBudgets, RouteTable,
+        RoutingConfig, ServerEntry, UsualDeadlines,
     },
     ids::BackendName,
     settings::PolicySettings,
@@ -34,6 +34,7 @@
     budgets: Mutex<RepeatBudgets>,
     deadlines: Mutex<UsualDeadlines>,
     answer_times: Mutex<AnswerTimes>,
+    fetch_times: Mutex<FetchTimes>,
     /// Told after every change of routes or servers.
     changed: Notify,
 }
@@ -59,6 +60,7 @@
             budgets: Mutex::new(RepeatBudgets::new(settings.repeats)),
             deadlines: Mutex::default(),
             answer_times: Mutex::default(),
+            fetch_times: Mutex::default(),
             changed: Notify::new(),
         }
     }
@@ -110,6 +112,13 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks how long engines need results, for a few steps without waiting.
+    pub(super) fn fetch_times(&self) -> MutexGuard<'_, FetchTimes> {
+        self.fetch_times
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Waits for the next change of routes or servers.
     pub(super) async fn changed(&self) {
         self.changed.notified().await;
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -280,7 +280,7 @@
         self.source.lease = None;
         let caller = &self.caller;
         self.events.drop_rest();
-        if self.inputs.held.is_none() && !self.inputs.handles.is_empty() {
+        if self.inputs.are_gone() {
             match self.forwarder.run_stages(caller).await {
                 Ok(inputs) => self.inputs = inputs,
                 Err(_) => return false,
