Make middle stages where there is room, not where the engine of a session stands

Cause: every stage of a request was drawn to the zone of its session's home engine, a third of them to each zone, while servers stand 2, 2 and 1 in the zones; calls went half empty while up to 158 pieces waited for another zone. What is large are the inputs of the last stage (3.6 MB a request), not what the engine fetches (60 KB).

Change: only large results that the engine itself fetches are made in its zone; the zone of middle stages is that of the first call that took one.

--- a/crates/core/src/stages/batch.rs
+++ b/crates/core/src/stages/batch.rs
@@ -69,7 +69,7 @@
         let is_far_dear = request.fetched_bytes(waiting.at.stage) >= MANY_BYTES;
         let begin_by_ms = order.time_ms.saturating_sub(service.usual_ms as u64);
         let wanted = Wanted {
-            zone: request.zone.as_ref().filter(|_| is_far_dear),
+            zone: request.zone_of(waiting.at.stage).filter(|_| is_far_dear),
             can_wait: !order.is_late && begin_by_ms > now_ms + call_ms,
             bytes: waiting.bytes,
         };
@@ -79,7 +79,7 @@
         let call = &mut calls.calls[index];
         call.room_used += waiting.bytes;
         call.pieces.push(waiting.clone());
-        if is_far_dear {
+        if is_far_dear && !request.is_pulled_home(waiting.at.stage) {
             request.zone = Some(call.zone.clone());
         }
         placed.push(*order);
--- a/crates/core/src/stages/request.rs
+++ b/crates/core/src/stages/request.rs
@@ -56,7 +56,7 @@
     pub(super) rest_ms: Vec<u64>,
     /// Pieces of each stage.
     pub(super) pieces: Vec<Vec<Piece>>,
-    /// Zone in which its results are collected.
+    /// Zone in which the results of its middle stages are collected.
     pub(super) zone: Option<ZoneName>,
     /// Pieces that were sent again after a failure.
     pub(super) repeats: u32,
@@ -100,7 +100,7 @@
         Self {
             goal_at_ms: now_ms + submission.goal_left_ms,
             deadline_at_ms: now_ms + submission.deadline_left_ms,
-            zone: submission.home_zone.clone(),
+            zone: None,
             rest_ms,
             pieces,
             submission,
@@ -172,11 +172,31 @@
     /// bytes: each piece fetches the results of all pieces before it.
     pub(super) fn fetched_bytes(&self, stage: usize) -> u64 {
         let stages = &self.submission.stages;
-        let size = |stage: usize| u64::from(stages[stage].pieces) * stages[stage].result_bytes;
-        let inputs: u64 = stages[stage].after.iter().map(|needed| size(*needed)).sum();
         let users = stages.iter().filter(|other| other.after.contains(&stage));
         let users: u64 = users.map(|other| u64::from(other.pieces)).sum();
-        inputs + stages[stage].result_bytes * users.max(1)
+        self.input_bytes(stage) + stages[stage].result_bytes * users.max(1)
+    }
+
+    /// Returns the zone in which a stage is best made.
+    pub(super) fn zone_of(&self, stage: usize) -> Option<&ZoneName> {
+        if self.is_pulled_home(stage) {
+            self.submission.home_zone.as_ref()
+        } else {
+            self.zone.as_ref()
+        }
+    }
+
+    /// Tells whether the engine that fetches the results of a stage matters more
+    /// for where it is made than the results that the stage needs.
+    pub(super) fn is_pulled_home(&self, stage: usize) -> bool {
+        self.is_final(stage) && self.submission.stages[stage].result_bytes > self.input_bytes(stage)
+    }
+
+    /// Returns what each piece of a stage fetches, in bytes.
+    fn input_bytes(&self, stage: usize) -> u64 {
+        let stages = &self.submission.stages;
+        let size = |stage: &usize| u64::from(stages[*stage].pieces) * stages[*stage].result_bytes;
+        stages[stage].after.iter().map(size).sum()
     }
 
     pub(super) fn is_stage_done(&self, stage: usize) -> bool {
