Give up late requests whose results expire

Cause: results last 4 s, late requests wait for longer.

Change: when a result of a request that has missed its goal is dropped by its server, the request is told that it has not run and when to come back.

The new test fails without the change.

--- a/crates/core/src/stages/calls.rs
+++ b/crates/core/src/stages/calls.rs
@@ -165,7 +165,7 @@
             // Its server has left the register, and the result goes with it.
             return self.wait_again(now_ms, id, waiting, true);
         };
-        self.keep(now_ms, call, handle, waiting.bytes);
+        self.keep(now_ms, call, waiting, handle);
         let wanted = self.requests.get_mut(&waiting.key).filter(|request| {
             let piece = request.piece(waiting.at);
             matches!(piece, Some(Piece::Running(_) | Piece::Waiting))
--- a/crates/core/src/stages/kept.rs
+++ b/crates/core/src/stages/kept.rs
@@ -4,8 +4,9 @@
 
 use super::{
     calls::RunningCall,
+    queue::Waiting,
     scheduler::StageScheduler,
-    work::{ResultRef, StageAction, Submission},
+    work::{Refusal, RequestKey, ResultRef, StageAction, Submission},
 };
 use crate::ids::{BackendName, PoolName};
 
@@ -13,6 +14,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Kept {
     pub(super) server: BackendName,
+    /// The request that it was made for.
+    pub(super) key: RequestKey,
     pub(super) bytes: u64,
     /// Time at which the server drops it by itself, in ms.
     pub(super) dropped_at_ms: u64,
@@ -37,6 +40,15 @@
         self.kept.remove(handle).map_or(0, |kept| kept.bytes)
     }
 
+    /// Returns when a server drops a result next, in ms.
+    pub(super) fn next_drop_ms(&self) -> Option<u64> {
+        let mut kept = self
+            .oldest
+            .iter()
+            .filter_map(|handle| self.kept.get(handle));
+        kept.next().map(|kept| kept.dropped_at_ms)
+    }
+
     /// Takes out the results that their servers have dropped by now.
     pub(super) fn take_dropped(&mut self, now_ms: u64) -> Vec<Kept> {
         let mut dropped = Vec::new();
@@ -73,6 +85,7 @@
             server.room_used += result.bytes;
             let kept = Kept {
                 server: name.clone(),
+                key: submission.key.clone(),
                 bytes: result.bytes,
                 dropped_at_ms: now_ms + ttl_ms,
             };
@@ -80,10 +93,15 @@
         }
     }
 
-    /// Notes that servers have dropped results whose time was over.
+    /// Notes that servers have dropped results whose time was over. A late request
+    /// that still needed them would have to begin anew; it is given up.
     pub(super) fn drop_old_results(&mut self, now_ms: u64) {
         for dropped in self.kept.take_dropped(now_ms) {
             self.give_room_back(&dropped.server, dropped.bytes);
+            let request = self.requests.get(&dropped.key);
+            if request.is_some_and(|request| request.has_missed_goal(now_ms)) {
+                self.refuse(now_ms, &dropped.key, Refusal::TooLate);
+            }
         }
     }
 
@@ -94,14 +112,21 @@
         }
     }
 
-    pub(super) fn keep(&mut self, now_ms: u64, call: &RunningCall, handle: &str, bytes: u64) {
+    pub(super) fn keep(
+        &mut self,
+        now_ms: u64,
+        call: &RunningCall,
+        waiting: &Waiting,
+        handle: &str,
+    ) {
         let ttl_ms = self
             .services
             .get(&call.service)
             .map_or(0, |service| service.batching.result_ttl_ms);
         let kept = Kept {
             server: call.server.clone(),
-            bytes,
+            key: waiting.key.clone(),
+            bytes: waiting.bytes,
             dropped_at_ms: now_ms + ttl_ms,
         };
         self.kept.insert(handle, kept);
--- a/crates/core/src/stages/request.rs
+++ b/crates/core/src/stages/request.rs
@@ -208,6 +208,11 @@
         })
     }
 
+    /// Tells whether it is not finished and can't make its goal any more.
+    pub(super) fn has_missed_goal(&self, now_ms: u64) -> bool {
+        !self.is_finished && (self.is_late || now_ms >= self.goal_at_ms)
+    }
+
     pub(super) fn is_done(&self) -> bool {
         (0..self.pieces.len()).all(|stage| self.is_stage_done(stage))
     }
--- a/crates/core/src/stages/scheduler.rs
+++ b/crates/core/src/stages/scheduler.rs
@@ -221,7 +221,8 @@
             .map(|call| call.overdue_at_ms());
         let fetched = self.fetching.front().map(|next| next.done_at_ms);
         let due = paused.chain(overdue).chain(self.earliest_drop_ms);
-        due.chain(waited_for).chain(fetched).min()
+        let due = due.chain(waited_for).chain(fetched);
+        due.chain(self.kept.next_drop_ms()).min()
     }
 
     /// Returns what is waiting and at work: requests, pieces and calls.
--- a/crates/core/tests/stages_scheduler.rs
+++ b/crates/core/tests/stages_scheduler.rs
@@ -380,3 +380,40 @@
     }
     assert_eq!(world.faults, Vec::<String>::new());
 }
+
+/// After a cut whole calls went with pieces whose inputs had expired meanwhile.
+#[test]
+fn a_late_request_is_given_up_when_its_results_expire() {
+    let mut world = chain();
+    world
+        .cut_off
+        .extend(["b-near", "b-far"].map(BackendName::new));
+    for number in 0..6 {
+        let submission = World::submission(number, three_stages(), 2_000);
+        world.submit(savoryvane_core::stages::Submission {
+            deadline_left_ms: 20_000,
+            ..submission
+        });
+    }
+    world.run(6_000);
+    for number in 0..6 {
+        let Some(StageOutcome::Refused {
+            reason,
+            retry_after_ms,
+            ..
+        }) = world.outcome(number)
+        else {
+            panic!("{number}: {:?}", world.outcome(number));
+        };
+        assert_eq!(*reason, Refusal::NoServer, "none is reached then");
+        assert!(*retry_after_ms > 0);
+    }
+    world.cut_off.clear();
+    let calls = world.calls.len();
+    world.run(9_000);
+    assert_eq!(
+        world.calls.len(),
+        calls,
+        "nothing is made of what has expired"
+    );
+}
--- a/crates/core/tests/stages_world/mod.rs
+++ b/crates/core/tests/stages_world/mod.rs
@@ -23,6 +23,8 @@
     pub stage: usize,
     pub piece: u32,
     pub bytes: u64,
+    /// When its server drops it, in ms.
+    pub expires_at_ms: u64,
 }
 
 /// A call that is at work.
@@ -42,6 +44,9 @@
 /// need, in ms: half of what the scheduler counts on.
 const FETCH_MS: u64 = 20;
 
+/// Time after its call for which a server keeps a result, in ms.
+const RESULT_TTL_MS: u64 = 4_000;
+
 /// A scheduler with its servers.
 pub struct World {
     pub now_ms: u64,
@@ -92,7 +97,7 @@
         call_ms: 200.0,
         piece_ms,
         room_bytes,
-        result_ttl_ms: 4_000,
+        result_ttl_ms: RESULT_TTL_MS,
     }
 }
 
@@ -210,6 +215,8 @@
     pub fn run(&mut self, until_ms: u64) {
         while self.now_ms < until_ms {
             self.now_ms += 1;
+            let now_ms = self.now_ms;
+            self.results.retain(|_, kept| kept.expires_at_ms > now_ms);
             self.fetch();
             self.end_calls();
             self.end_frees();
@@ -433,6 +440,7 @@
             stage: item.stage,
             piece: item.piece,
             bytes,
+            expires_at_ms: self.now_ms + RESULT_TTL_MS,
         };
         self.results.insert(handle.clone(), kept);
         ItemEnd::Done(handle)
