--- a/crates/core/src/stages/calls.rs
+++ b/crates/core/src/stages/calls.rs
@@ -43,10 +43,10 @@
         };
         let elapsed_ms = now_ms.saturating_sub(call.began_at_ms) as f64;
         if *end == CallEnd::Full {
-            self.contention.on_full(now_ms);
+            self.contention.on_sign_of_others(now_ms);
         }
         if call.was_missed(now_ms) {
-            self.contention.on_stall(now_ms);
+            self.contention.on_sign_of_others(now_ms);
         }
         let is_alone = self.contention.is_alone(now_ms);
         if let Some(service) = self.services.get_mut(&call.service) {
@@ -250,7 +250,7 @@
                 continue;
             };
             if call.was_missed(now_ms) {
-                self.contention.on_stall(now_ms);
+                self.contention.on_sign_of_others(now_ms);
             }
             call.is_overdue = true;
             let pieces = call.pieces.clone();
--- a/crates/core/src/stages/contention.rs
+++ b/crates/core/src/stages/contention.rs
@@ -29,15 +29,11 @@
         }
     }
 
-    /// Notes a server that took no call, although this scheduler has no other
-    /// one there.
-    pub(super) fn on_full(&mut self, now_ms: u64) {
-        self.unsure_until_ms = now_ms + UNSURE_MS;
-    }
-
-    /// Notes that this process stood still: the calls that it had say nothing of
-    /// their servers, and others have scheduled meanwhile.
-    pub(super) fn on_stall(&mut self, now_ms: u64) {
+    /// Notes a sign that others schedule, or have: a server that took no call
+    /// although this scheduler has no other one there, or a time in which this
+    /// process stood still, so that the calls that it had say nothing of their
+    /// servers.
+    pub(super) fn on_sign_of_others(&mut self, now_ms: u64) {
         self.unsure_until_ms = now_ms + UNSURE_MS;
     }
 
