Do not deny what may have run; sending in a module of its own

Cause: a request that may be repeated is sent again after a silent server; its results were let go, so its stages run again, and when these were refused the caller was told 503, not run, although the first server may have run it.

Change: it is told 502 then. Seen failing first: 503 instead of 502.

--- a/crates/server/src/gateway.rs
+++ b/crates/server/src/gateway.rs
@@ -16,6 +16,7 @@
 mod peering;
 mod relay;
 mod request;
+mod sending;
 mod settings;
 mod stages;
 mod store;
