Use slow servers where there are no others

Cause: a server whose calls take twice as long as usual gets nothing for 3 s.

Change: where no server of a service takes work and some are only slow, these are used; then the service is slow, and not a server. The test fails without it.

--- a/crates/core/src/stages/calls.rs
+++ b/crates/core/src/stages/calls.rs
@@ -68,6 +68,9 @@
                 }
             }
         }
+        if let Some(service) = self.services.get_mut(&call.service) {
+            service.use_slow_rather_than_none(now_ms);
+        }
         match end {
             CallEnd::Answered(items) => {
                 for (index, waiting) in call.pieces.iter().enumerate() {
@@ -262,6 +265,7 @@
                 && let Some(server) = service.servers.get_mut(&server)
             {
                 server.on_answer(now_ms, elapsed_ms, expected_ms);
+                service.use_slow_rather_than_none(now_ms);
             }
             for waiting in &pieces {
                 self.wait_again(now_ms, id, waiting, true);
--- a/crates/core/src/stages/server.rs
+++ b/crates/core/src/stages/server.rs
@@ -43,6 +43,8 @@
     room_limit: Option<(u64, u64)>,
     /// Time until which it gets nothing, in ms.
     paused_until_ms: u64,
+    /// Time until which it gets nothing as it is slow, in ms.
+    slow_until_ms: u64,
     /// Time that its calls take, as a multiple of what is usual.
     pub(super) slowness: f64,
 }
@@ -57,13 +59,14 @@
             room_used: 0,
             room_limit: None,
             paused_until_ms: 0,
+            slow_until_ms: 0,
             slowness: 1.0,
         }
     }
 
     /// Tells whether it takes work at all.
     pub(super) fn is_open(&self, now_ms: u64) -> bool {
-        !self.is_leaving && now_ms >= self.paused_until_ms
+        !self.is_leaving && now_ms >= self.paused_until_ms.max(self.slow_until_ms)
     }
 
     /// Tells whether it can begin a call at once.
@@ -73,7 +76,8 @@
 
     /// Returns when it is to be looked at again, if it is paused, in ms.
     pub(super) fn paused_until_ms(&self, now_ms: u64) -> Option<u64> {
-        (!self.is_leaving && self.paused_until_ms > now_ms).then_some(self.paused_until_ms)
+        let until_ms = self.paused_until_ms.max(self.slow_until_ms);
+        (!self.is_leaving && until_ms > now_ms).then_some(until_ms)
     }
 
     pub(super) fn on_answer(&mut self, now_ms: u64, elapsed_ms: f64, expected_ms: f64) {
@@ -81,10 +85,20 @@
         let measured = measured.min(MOST_SLOWNESS);
         self.slowness += SLOWNESS_WEIGHT * (measured - self.slowness);
         if self.slowness >= SLOW {
-            self.paused_until_ms = now_ms + SLOW_PAUSE_MS;
+            self.slow_until_ms = now_ms + SLOW_PAUSE_MS;
         }
     }
 
+    /// Tells whether only its slowness keeps work from it.
+    pub(super) fn is_only_slow(&self, now_ms: u64) -> bool {
+        !self.is_leaving && now_ms >= self.paused_until_ms && now_ms < self.slow_until_ms
+    }
+
+    /// Has it take work although it is slow.
+    pub(super) fn use_slow(&mut self) {
+        self.slow_until_ms = 0;
+    }
+
     /// Returns the memory that results may take there, out of `all`, in bytes.
     pub(super) fn room(&self, now_ms: u64, all: u64) -> u64 {
         match self.room_limit {
@@ -112,5 +126,6 @@
     /// Notes that a connection to it could be made.
     pub(super) fn on_reachable(&mut self) {
         self.paused_until_ms = 0;
+        self.slow_until_ms = 0;
     }
 }
--- a/crates/core/src/stages/service.rs
+++ b/crates/core/src/stages/service.rs
@@ -132,6 +132,18 @@
         self.usual_ms += USUAL_WEIGHT * (elapsed_ms - self.usual_ms);
     }
 
+    /// Uses slow servers where there are no others: then the service is slow, and
+    /// not a server of it.
+    pub(super) fn use_slow_rather_than_none(&mut self, now_ms: u64) {
+        if self.open_servers(now_ms) > 0 {
+            return;
+        }
+        let servers = self.servers.values_mut();
+        for server in servers.filter(|server| server.is_only_slow(now_ms)) {
+            server.use_slow();
+        }
+    }
+
     /// Returns the memory of one server that is given away, in bytes.
     pub(super) fn usable_room_bytes(&self) -> u64 {
         self.batching.room_bytes * USABLE_ROOM_PERCENT / 100
--- a/crates/core/tests/stages_contention.rs
+++ b/crates/core/tests/stages_contention.rs
@@ -3,7 +3,10 @@
 
 mod stages_world;
 
-use savoryvane_core::stages::StageOutcome;
+use savoryvane_core::{
+    ids::BackendName,
+    stages::{StageOutcome, Submission},
+};
 use stages_world::{World, batching, server, service, stage};
 
 /// Times as long that calls take while another scheduler sends as many.
@@ -107,3 +110,31 @@
     let refused = after.filter(|outcome| !matches!(outcome, Some(StageOutcome::Ready(_))));
     assert_eq!(refused.count(), 0);
 }
+
+/// A machine with little time made every call take six times as long; both
+/// servers of a service were left alone, and everything was refused for 3 s.
+#[test]
+fn servers_that_are_all_slow_are_used_all_the_same() {
+    let mut world = World::new(
+        vec![service("archive", batching(10, 5.0, 100_000_000))],
+        ["near", "far"]
+            .map(|zone| server(zone, "archive", zone))
+            .to_vec(),
+    );
+    world.slow = ["near", "far"].map(|id| (BackendName::new(id), 6)).into();
+    for number in 0..40 {
+        let stages = vec![stage("archive", &[], 1, 8_000)];
+        let submission = World::submission(number, stages, 20_000);
+        world.submit(Submission {
+            deadline_left_ms: 30_000,
+            ..submission
+        });
+        let next_ms = world.now_ms + 250;
+        world.run(next_ms);
+    }
+    for number in 0..40 {
+        let outcome = world.outcome(number);
+        let is_refused = matches!(outcome, Some(StageOutcome::Refused { .. }));
+        assert!(!is_refused, "{number}: {outcome:?}");
+    }
+}
