--- a/crates/bench/src/bin/stage-ways.rs
+++ b/crates/bench/src/bin/stage-ways.rs
@@ -156,6 +156,9 @@
         let zones = zones.clone().take(size.servers).enumerate();
         zones.map(move |(index, zone)| ServerEntry {
             id: BackendName::new(format!("{service}-{index}")),
+            registered_as: BackendName::new(format!("{service}-{index}")),
+            started_ms: None,
+            position: 0,
             service: PoolName::new(service),
             addr: ([127, 0, 0, 1], 1).into(),
             zone: ZoneName::new(zone),
--- a/crates/bench/src/stage_load.rs
+++ b/crates/bench/src/stage_load.rs
@@ -449,6 +449,9 @@
         let entries = self.services.iter().flat_map(|service| {
             (0..service.servers).map(move |index| ServerEntry {
                 id: BackendName::new(format!("{}-{index}", service.name)),
+                registered_as: BackendName::new(format!("{}-{index}", service.name)),
+                started_ms: None,
+                position: 0,
                 service: PoolName::new(service.name),
                 addr: ([127, 0, 0, 1], 1).into(),
                 zone: ZoneName::new(zones[index % zones.len()]),
--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -8,12 +8,13 @@
 mod objects;
 mod patience;
 mod placement;
+mod reading;
 mod returning;
 mod steps;
 mod table;
 
 pub use budget::{BudgetSettings, RepeatBudgets};
-pub use directory::{Directory, DirectoryUpdate, ServerEntry, ServerState};
+pub use directory::{Directory, DirectoryUpdate, KnownUpTo, ServerEntry, ServerState};
 pub use fetching::FetchTimes;
 pub use leaving::AnswerTimes;
 pub use objects::{
@@ -22,6 +23,7 @@
 };
 pub use patience::{answer_patience_ms, event_patience_ms};
 pub use placement::{Chosen, Placement, Prompt, PromptPart};
+pub use reading::{InForce, Reader, StoreRetry, reserves};
 pub use returning::UsualDeadlines;
 pub use steps::{AttemptEnd, Giving, NextStep, Repeats, next_step};
 pub use table::{Matched, RouteTable, Unroutable};
--- a/crates/core/src/forwarding/directory.rs
+++ b/crates/core/src/forwarding/directory.rs
@@ -1,7 +1,7 @@
 //! The backend servers that have registered themselves.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashSet, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
     net::SocketAddr,
 };
 
@@ -28,8 +28,18 @@
 /// One run of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerEntry {
-    /// Identifier of the run; a restarted server has another one.
+    /// Identifier of the run; a restarted server has another one, so that nothing
+    /// that is known of a run is taken for true of the next one.
     pub id: BackendName,
+    /// Identifier that the server registers itself under; a restarted server may
+    /// have the same one.
+    pub registered_as: BackendName,
+    /// Start of the run by the server's own clock, in ms since the Unix epoch, if it
+    /// says so. It only tells runs apart: clocks jump, so which of two runs is the
+    /// later one is decided by `position`.
+    pub started_ms: Option<u64>,
+    /// Position in the register of what it says.
+    pub position: u64,
     /// Service that it belongs to.
     pub service: PoolName,
     /// Address that it serves on; another run may have it later.
@@ -42,32 +52,76 @@
     pub state: ServerState,
 }
 
+impl ServerEntry {
+    /// Tells whether `other` is the same run and says the same, at whichever
+    /// position.
+    fn says_the_same(&self, other: &Self) -> bool {
+        let moved = Self {
+            position: self.position,
+            ..other.clone()
+        };
+        *self == moved
+    }
+}
+
 /// What a directory tells one that has an earlier revision of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum DirectoryUpdate {
     /// All its servers.
     Whole(Vec<ServerEntry>),
-    /// Those that changed: what they say of themselves, or none once gone.
+    /// Those that changed, by what they are registered as: what they say of
+    /// themselves, or none once gone.
     Changes(Vec<(BackendName, Option<ServerEntry>)>),
 }
 
-/// The servers that are registered, by their identifiers.
+/// How far one that asks for an update knows the register.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KnownUpTo {
+    /// It has taken over the directory that it asks at this revision.
+    Revision(u64),
+    /// It knows the register up to this position, from elsewhere.
+    Position(u64),
+}
+
+/// One change of a directory.
+#[derive(Clone, Debug)]
+struct Change {
+    revision: u64,
+    /// Position up to which the register was known after it, or `NOT_REGISTERED`.
+    position: u64,
+    registered_as: BackendName,
+}
+
+/// The servers that are registered, each with its current run.
 #[derive(Debug, Default)]
 pub struct Directory {
+    /// By what they are registered as.
     entries: BTreeMap<BackendName, ServerEntry>,
+    /// What the server of each run is registered as.
+    runs: HashMap<BackendName, BackendName>,
+    /// Position up to which the register is known.
+    position: u64,
     /// Number of changes that were made to it.
     revision: u64,
-    /// Servers that changed lately, with the revisions that they led to.
-    changes: VecDeque<(u64, BackendName)>,
-    /// Servers that have left; an entry that was already on its way does not
-    /// bring them back.
+    /// What changed lately, in order.
+    changes: VecDeque<Change>,
+    /// Position from which `changes` has every change.
+    changes_from: u64,
+    /// Runs that have left; an entry that was already on its way does not bring
+    /// them back.
     left: HashSet<BackendName>,
+    /// The same, the latest last.
+    left_order: VecDeque<BackendName>,
 }
 
-/// Most servers that are remembered as having left.
+/// Position of a change that the register does not have, such as what a server said in
+/// an answer: it is told to everybody.
+const NOT_REGISTERED: u64 = u64::MAX;
+/// Most runs that are remembered as having left: an hour of one leaving each second.
 const MOST_LEFT: usize = 4_096;
-/// Changes that are remembered, so that others can be told them alone.
-const MOST_CHANGES: usize = 1_024;
+/// Changes that are remembered, so that others can be told them alone: one of each of
+/// twice the servers of the largest fleet that is planned for.
+const MOST_CHANGES: usize = 4_096;
 
 impl Directory {
     /// Returns the number of changes that were made to it.
@@ -75,110 +129,196 @@
         self.revision
     }
 
+    /// Returns the position up to which the register is known.
+    pub fn position(&self) -> u64 {
+        self.position
+    }
+
+    /// Notes that the register is known up to `position`.
+    pub fn on_known_to(&mut self, position: u64) {
+        self.position = self.position.max(position);
+    }
+
     /// Tells whether it has no server.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
 
-    /// Iterates over the servers in the order of their identifiers.
+    /// Iterates over the current runs, in the order of what they are registered as.
     pub fn entries(&self) -> impl Iterator<Item = &ServerEntry> {
         self.entries.values()
     }
 
-    /// Returns a server by its identifier.
+    /// Returns a run by its identifier, if it is its server's current one.
     pub fn entry(&self, id: &BackendName) -> Option<&ServerEntry> {
-        self.entries.get(id)
+        self.entries.get(self.runs.get(id)?)
     }
 
     /// Applies one record of the register: what a server says of itself, or
     /// none once it is gone. Returns whether anything changed.
-    pub fn apply(&mut self, id: &BackendName, entry: Option<ServerEntry>) -> bool {
+    pub fn apply(&mut self, registered_as: &BackendName, entry: Option<ServerEntry>) -> bool {
+        let position = self.position;
+        self.apply_at(registered_as, entry, position)
+    }
+
+    /// The same for a record after which the register is known up to `position`.
+    fn apply_at(
+        &mut self,
+        registered_as: &BackendName,
+        entry: Option<ServerEntry>,
+        position: u64,
+    ) -> bool {
         let has_changed = match entry {
-            None => self.entries.remove(id).is_some(),
-            Some(entry) => self.put(id, entry),
+            None => self.remove(registered_as),
+            Some(entry) => self.put(entry),
         };
         if has_changed {
-            self.note_change(id);
+            self.note_change(registered_as, position);
         }
         has_changed
     }
 
-    fn put(&mut self, id: &BackendName, mut entry: ServerEntry) -> bool {
-        if self.left.contains(id) {
-            entry.state = ServerState::Leaving;
+    fn remove(&mut self, registered_as: &BackendName) -> bool {
+        let removed = self.entries.remove(registered_as);
+        if let Some(entry) = &removed {
+            self.runs.remove(&entry.id);
+        }
+        removed.is_some()
+    }
+
+    fn put(&mut self, mut entry: ServerEntry) -> bool {
+        let known = self.entries.get(&entry.registered_as);
+        if let Some(known) = known {
+            if entry.position < known.position {
+                return false;
+            }
+            if entry.started_ms.is_none() {
+                // It does not say that it is another run.
+                entry.id = known.id.clone();
+                entry.started_ms = known.started_ms;
+            }
         }
-        if entry.state == ServerState::Leaving && self.left.len() < MOST_LEFT {
-            self.left.insert(id.clone());
+        if self.left.contains(&entry.id) {
+            entry.state = ServerState::Leaving;
+        } else if entry.state == ServerState::Leaving {
+            note_left(&mut self.left, &mut self.left_order, &entry.id);
         }
-        if self.entries.get(id) == Some(&entry) {
-            return false;
+        let has_changed = known.is_none_or(|known| !known.says_the_same(&entry));
+        if let Some(known) = known {
+            self.runs.remove(&known.id);
         }
-        self.entries.insert(id.clone(), entry);
-        true
+        self.runs
+            .insert(entry.id.clone(), entry.registered_as.clone());
+        self.entries.insert(entry.registered_as.clone(), entry);
+        has_changed
     }
 
-    fn note_change(&mut self, id: &BackendName) {
+    fn note_change(&mut self, registered_as: &BackendName, position: u64) {
         self.revision += 1;
-        self.changes.push_back((self.revision, id.clone()));
-        if self.changes.len() > MOST_CHANGES {
-            self.changes.pop_front();
+        self.changes.push_back(Change {
+            revision: self.revision,
+            position,
+            registered_as: registered_as.clone(),
+        });
+        if self.changes.len() <= MOST_CHANGES {
+            return;
+        }
+        let dropped = self.changes.pop_front();
+        // What a server said in an answer it says to whoever asks it.
+        if let Some(dropped) = dropped.filter(|change| change.position != NOT_REGISTERED) {
+            self.changes_from = self.changes_from.max(dropped.position);
         }
     }
 
-    /// Notes that a server says in an answer that it is leaving.
+    /// Notes that a run says in an answer that it is leaving.
     pub fn on_leaving(&mut self, id: &BackendName) -> bool {
-        let Some(mut entry) = self.entries.get(id).cloned() else {
+        let Some(mut entry) = self.entry(id).cloned() else {
             return false;
         };
         entry.state = ServerState::Leaving;
-        self.apply(id, Some(entry))
+        let registered_as = entry.registered_as.clone();
+        self.apply_at(&registered_as, Some(entry), NOT_REGISTERED)
     }
 
     /// Replaces all entries by a whole listing. Returns whether anything
     /// changed.
     pub fn replace(&mut self, listing: Vec<ServerEntry>) -> bool {
-        let listed: HashSet<&BackendName> = listing.iter().map(|entry| &entry.id).collect();
+        let position = self.position;
+        self.replace_at(listing, position)
+    }
+
+    fn replace_at(&mut self, listing: Vec<ServerEntry>, position: u64) -> bool {
+        let listed: HashSet<&BackendName> =
+            listing.iter().map(|entry| &entry.registered_as).collect();
         let gone = self.entries.keys().filter(|id| !listed.contains(id));
         let gone: Vec<BackendName> = gone.cloned().collect();
         let before = self.revision;
-        for id in gone {
-            self.apply(&id, None);
+        for registered_as in gone {
+            self.apply_at(&registered_as, None, position);
         }
         for entry in listing {
-            let id = entry.id.clone();
-            self.apply(&id, Some(entry));
+            let registered_as = entry.registered_as.clone();
+            self.apply_at(&registered_as, Some(entry), position);
         }
         self.revision != before
     }
 
-    /// Takes over what another instance tells of its directory. Returns whether
-    /// anything changed.
-    pub fn update(&mut self, update: DirectoryUpdate) -> bool {
-        match update {
-            DirectoryUpdate::Whole(listing) => self.replace(listing),
+    /// Takes over what the register, or another instance that knows it up to
+    /// `position`, tells. What is known already up to a later position stays.
+    /// Returns whether anything changed.
+    pub fn update_to(&mut self, update: DirectoryUpdate, position: u64) -> bool {
+        if position < self.position {
+            return false;
+        }
+        let has_changed = match update {
+            DirectoryUpdate::Whole(listing) => self.replace_at(listing, position),
             DirectoryUpdate::Changes(changes) => {
                 let before = self.revision;
-                for (id, entry) in changes {
-                    self.apply(&id, entry);
+                for (registered_as, entry) in changes {
+                    self.apply_at(&registered_as, entry, position);
                 }
                 self.revision != before
             }
-        }
+        };
+        self.on_known_to(position);
+        has_changed
+    }
+
+    /// Takes over what another instance tells of its directory. Returns whether
+    /// anything changed.
+    pub fn update(&mut self, update: DirectoryUpdate) -> bool {
+        self.update_to(update, self.position)
     }
 
     /// Returns what has changed since the revision `since`, or everything when
     /// that is unknown or too long ago.
     pub fn update_since(&self, since: Option<u64>) -> DirectoryUpdate {
-        let oldest = self.changes.front().map_or(self.revision, |(at, _)| at - 1);
-        let since = since.filter(|since| (oldest..=self.revision).contains(since));
-        let Some(since) = since else {
+        self.update_for(since.map_or(KnownUpTo::Position(0), KnownUpTo::Revision))
+    }
+
+    /// Returns what one does not know that knows the register up to `known`;
+    /// everything when that is unknown or too long ago.
+    pub fn update_for(&self, known: KnownUpTo) -> DirectoryUpdate {
+        let is_whole = match known {
+            KnownUpTo::Revision(since) => {
+                let oldest = self.changes.front();
+                let oldest = oldest.map_or(self.revision, |change| change.revision - 1);
+                !(oldest..=self.revision).contains(&since)
+            }
+            KnownUpTo::Position(position) => position == 0 || position < self.changes_from,
+        };
+        if is_whole {
             return DirectoryUpdate::Whole(self.entries.values().cloned().collect());
+        }
+        let is_new = |change: &&Change| match known {
+            KnownUpTo::Revision(since) => change.revision > since,
+            KnownUpTo::Position(position) => change.position > position,
         };
         let changed: BTreeSet<&BackendName> = self
             .changes
             .iter()
-            .filter(|(at, _)| *at > since)
-            .map(|(_, id)| id)
+            .filter(is_new)
+            .map(|change| &change.registered_as)
             .collect();
         let changes = changed
             .into_iter()
@@ -209,6 +349,22 @@
     }
 }
 
+/// Remembers that a run has left, and forgets the one that left first when there are
+/// too many.
+fn note_left(
+    left: &mut HashSet<BackendName>,
+    order: &mut VecDeque<BackendName>,
+    run: &BackendName,
+) {
+    left.insert(run.clone());
+    order.push_back(run.clone());
+    if order.len() > MOST_LEFT
+        && let Some(first) = order.pop_front()
+    {
+        left.remove(&first);
+    }
+}
+
 fn pool(service: &Service) -> Pool {
     Pool {
         name: service.name.clone(),
--- /dev/null
+++ b/crates/core/src/forwarding/reading.rs
@@ -0,0 +1,160 @@
+//! Decides which instances read the store, and when.
+//!
+//! One instance, that which schedules, reads it all the time and tells the others what
+//! has changed. The load that this answers: hundreds of instances start together, lose
+//! the store together, or lose the one that tells them. If each then asks the store for
+//! itself, calls grow with the instances and bytes with instances times servers, and
+//! both are dear: with 295 instances a day with an outage of 8 s and a loss of all power
+//! cost 46 calls each.
+//!
+//! So who is told goes by that for as long as the platform's bounds allow. A few in
+//! each availability zone, the reserves, read before the others would, so that the
+//! others can be told again; and where the store fails, only the reserves and the one
+//! that schedules try it often.
+
+use std::collections::BTreeMap;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::ids::{InstanceName, ZoneName};
+
+/// Reserves of an availability zone: two, so that the loss of one leaves one.
+const RESERVES_PER_ZONE: usize = 2;
+/// Part of the bound from which one that is not told any more reads itself, in per
+/// cent: a read and another try fit into the rest.
+const FOLLOWER_PERCENT: u64 = 70;
+/// The same for a reserve: it has been read and told on before the others read.
+const RESERVE_PERCENT: u64 = 50;
+/// Pauses after a call that failed of those that others rely on, in ms: a store that is
+/// back is noticed within a second.
+const EAGER_PAUSES_MS: [u64; 2] = [100, 800];
+/// The same of all others, in ms: they are told, and try for the case that nobody who
+/// reaches the store reaches them.
+const PATIENT_PAUSES_MS: [u64; 2] = [500, 4_000];
+
+/// Times within which what the platform says has to be in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct InForce {
+    /// Time within which a configuration has to be, in ms.
+    pub configuration_ms: u64,
+    /// Time within which a server that is leaving gets nothing new, in ms.
+    pub leaving_ms: u64,
+}
+
+impl InForce {
+    /// Returns the shorter of both, in ms.
+    pub fn shortest_ms(self) -> u64 {
+        self.configuration_ms.min(self.leaving_ms)
+    }
+}
+
+/// What an instance has to do with the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reader {
+    /// It schedules, and reads the store for all.
+    Scheduler,
+    /// It reads it when the one that schedules does not tell what is new.
+    Reserve,
+    /// It reads it when nobody tells what is new.
+    Follower,
+}
+
+impl Reader {
+    /// Returns what `me` is.
+    pub fn of(
+        me: &InstanceName,
+        scheduler: Option<&InstanceName>,
+        reserves: &[InstanceName],
+    ) -> Self {
+        if scheduler == Some(me) {
+            Self::Scheduler
+        } else if reserves.contains(me) {
+            Self::Reserve
+        } else {
+            Self::Follower
+        }
+    }
+
+    /// Returns the age of what it was told last from which it reads the store itself,
+    /// in ms.
+    pub fn reads_from_ms(self, in_force: InForce) -> u64 {
+        match self {
+            Self::Scheduler => 0,
+            Self::Reserve => in_force.shortest_ms() * RESERVE_PERCENT / 100,
+            Self::Follower => in_force.shortest_ms() * FOLLOWER_PERCENT / 100,
+        }
+    }
+
+    /// Returns the pause after a call that failed after `failures` others, in ms.
+    fn pause_ms(self, failures: u32) -> u64 {
+        let [first_ms, longest_ms] = match self {
+            Self::Scheduler | Self::Reserve => EAGER_PAUSES_MS,
+            Self::Follower => PATIENT_PAUSES_MS,
+        };
+        let doubled_ms = first_ms.checked_shl(failures).unwrap_or(longest_ms);
+        doubled_ms.min(longest_ms)
+    }
+}
+
+/// Returns the reserves among the instances that are listed: the first of each
+/// availability zone by a hash of their names, which restarts do not change.
+pub fn reserves<'a>(
+    listed: impl IntoIterator<Item = (&'a InstanceName, &'a ZoneName)>,
+) -> Vec<InstanceName> {
+    let mut zones: BTreeMap<&ZoneName, Vec<(u64, &InstanceName)>> = BTreeMap::new();
+    for (instance, zone) in listed {
+        let rank = xxh3_64(instance.as_str().as_bytes());
+        zones.entry(zone).or_default().push((rank, instance));
+    }
+    let mut reserves = Vec::new();
+    for ranked in zones.values_mut() {
+        ranked.sort_unstable();
+        let first = ranked.iter().take(RESERVES_PER_ZONE);
+        reserves.extend(first.map(|(_, instance)| (*instance).clone()));
+    }
+    reserves
+}
+
+/// When the store is tried again after calls that failed: one call at a time, whatever
+/// it is for, until one is answered.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreRetry {
+    failures: u32,
+    retry_at_ms: u64,
+    is_trying: bool,
+}
+
+impl StoreRetry {
+    /// Begins a call, or returns how long to wait for the next try, in ms.
+    pub fn begin(&mut self, now_ms: u64) -> Option<u64> {
+        if self.failures == 0 {
+            return None;
+        }
+        if self.is_trying {
+            return Some(EAGER_PAUSES_MS[0]);
+        }
+        if now_ms < self.retry_at_ms {
+            return Some(self.retry_at_ms - now_ms);
+        }
+        self.is_trying = true;
+        None
+    }
+
+    /// Notes a call that was answered.
+    pub fn on_answered(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Notes a call that failed; `spread`, from 0 to 1, differs from instance to
+    /// instance, so that they do not try together.
+    pub fn on_failed(&mut self, now_ms: u64, reader: Reader, spread: f64) {
+        if self.failures > 0 && !self.is_trying {
+            // It was begun together with the first that failed.
+            return;
+        }
+        let pause_ms = reader.pause_ms(self.failures);
+        self.failures += 1;
+        self.is_trying = false;
+        self.retry_at_ms = now_ms + pause_ms / 2 + (pause_ms as f64 * spread) as u64;
+    }
+}
--- a/crates/core/src/stages/calls.rs
+++ b/crates/core/src/stages/calls.rs
@@ -54,6 +54,9 @@
         }
         if let Some(server) = self.server_mut(&call) {
             server.calls = server.calls.saturating_sub(1);
+            if matches!(end, CallEnd::Answered(_)) {
+                server.on_taken();
+            }
             match end {
                 // Beside other schedulers it says nothing of the server.
                 CallEnd::Answered(_) if !is_alone => {}
--- a/crates/core/src/stages/choice.rs
+++ b/crates/core/src/stages/choice.rs
@@ -2,9 +2,16 @@
 //!
 //! Every instance goes through the same list and takes the first one that it
 //! reaches. The list is ordered by a hash of the names, which restarts do not
-//! change, so that all agree as soon as they know the same names. Nothing
-//! depends on all taking the same one: two schedulers that share the servers
-//! for a while send smaller calls and meet full queues.
+//! change, so that all agree as soon as they know the same names. Two schedulers
+//! that share the servers for a while send smaller calls and meet full queues, which
+//! is no harm where it is two of them.
+//!
+//! The load that it answers beside that: hundreds of instances come back within the
+//! same second after a loss of power, with their callers waiting. Each that schedules
+//! for itself until it has found the first one takes servers from all others for as
+//! long as its requests last; with 295 instances that was six seconds. So one that
+//! has only just begun to look takes nobody before that one has answered, and gives
+//! those before it the time to start.
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -21,6 +28,12 @@
 /// Time for which an instance is passed over in that time, in ms: less than the
 /// time between two looks.
 const STARTING_PAUSE_MS: u64 = 100;
+/// Time from the first look in which those before the one that is reached may still
+/// come up, in ms: instances that start together are up within 300 ms of each other.
+const LOOKING_MS: u64 = 500;
+/// Instances that are asked at the same time while none has answered: those that were
+/// taken away for good stay listed and do not answer.
+const ASKED_AT_ONCE: usize = 3;
 /// Doublings of that time while it stays away.
 const MOST_DOUBLINGS: u32 = 2;
 /// Questions without an answer after which an instance counts as not reached.
@@ -39,10 +52,11 @@
 }
 
 /// How far an instance is reached.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Reach {
-    /// It answers, or has not been asked.
-    #[default]
+    /// It has not answered yet, and left this many questions unanswered.
+    Unknown(u32),
+    /// It answers.
     Reached,
     /// It left this many questions unanswered.
     Missed(u32),
@@ -66,6 +80,14 @@
     candidates: Vec<(Candidate, Reach)>,
     /// Time of the first failure of any of them, in ms.
     began_ms: Option<u64>,
+    /// Time of the first look, in ms.
+    first_look_ms: Option<u64>,
+}
+
+impl Default for Reach {
+    fn default() -> Self {
+        Self::Unknown(0)
+    }
 }
 
 impl SchedulerChoice {
@@ -95,24 +117,63 @@
         self.candidates = listed;
     }
 
-    /// Returns the instance to schedule at: the first that is reached.
+    /// Returns the instance to schedule at as far as is known: the first that is
+    /// not known to be away.
     pub fn current(&self) -> Option<&InstanceName> {
+        let (candidate, _) = &self.candidates[self.first_not_away()?];
+        Some(&candidate.instance)
+    }
+
+    /// Returns the instance that schedules: the first that has answered, once those
+    /// before it have had the time to start.
+    pub fn settled(&self, now_ms: u64) -> Option<&InstanceName> {
+        let has_answered = |reach: &Reach| matches!(reach, Reach::Reached | Reach::Missed(_));
+        let mut candidates = self.candidates.iter();
+        let first = candidates.position(|(_, reach)| has_answered(reach))?;
+        let mut before = self.candidates[..first].iter();
+        let may_come_up =
+            before.any(|(_, reach)| matches!(reach, Reach::Unknown(_) | Reach::Away { .. }));
+        let is_settled = !may_come_up || !self.is_looking(now_ms);
+        is_settled.then_some(&self.candidates[first].0.instance)
+    }
+
+    fn first_not_away(&self) -> Option<usize> {
         self.candidates
             .iter()
-            .find(|(_, reach)| matches!(reach, Reach::Reached | Reach::Missed(_)))
-            .map(|(candidate, _)| &candidate.instance)
+            .position(|(_, reach)| !matches!(reach, Reach::Away { .. } | Reach::Declining { .. }))
     }
 
-    /// Returns the instances to ask whether they are there: the current one,
-    /// and those before it whose time has come.
+    /// Tells whether this instance has only just begun to look.
+    fn is_looking(&self, now_ms: u64) -> bool {
+        self.first_look_ms
+            .is_none_or(|first_ms| now_ms < first_ms + LOOKING_MS)
+    }
+
+    /// Notes a look for the one that schedules; the first counts once there are
+    /// candidates.
+    pub fn on_look(&mut self, now_ms: u64) {
+        if !self.candidates.is_empty() {
+            self.first_look_ms.get_or_insert(now_ms);
+        }
+    }
+
+    /// Returns the instances to ask whether they are there: the current one, those
+    /// before it whose time has come, and the next ones while none has answered.
     pub fn to_ask(&self, now_ms: u64) -> Vec<InstanceName> {
         let mut asked = Vec::new();
+        let mut unknown = 0;
         for (candidate, reach) in &self.candidates {
             match reach {
                 Reach::Reached | Reach::Missed(_) => {
                     asked.push(candidate.instance.clone());
                     break;
                 }
+                Reach::Unknown(_) => {
+                    if unknown < ASKED_AT_ONCE {
+                        asked.push(candidate.instance.clone());
+                    }
+                    unknown += 1;
+                }
                 Reach::Away { ask_at_ms, .. } | Reach::Declining { ask_at_ms } => {
                     if *ask_at_ms <= now_ms {
                         asked.push(candidate.instance.clone());
@@ -144,6 +205,7 @@
     pub fn on_miss(&mut self, now_ms: u64, instance: &InstanceName) {
         let is_starting = self.is_starting(now_ms);
         self.set(instance, |reach| match reach {
+            Reach::Unknown(misses) if misses + 1 < MISSES => Reach::Unknown(misses + 1),
             Reach::Reached => Reach::Missed(1),
             Reach::Missed(misses) if misses + 1 < MISSES => Reach::Missed(misses + 1),
             other => away(now_ms, other, is_starting),
--- a/crates/core/src/stages/server.rs
+++ b/crates/core/src/stages/server.rs
@@ -4,9 +4,12 @@
 
 use crate::ids::ZoneName;
 
-/// Time for which a server that had no room is left alone, in ms: less than
+/// Time for which a server that had no room is left alone at first, in ms: less than
 /// half of a call, after which it has room again.
 const FULL_PAUSE_MS: u64 = 100;
+/// Doublings of that time while it goes on: then others call it, and whoever asks it
+/// all the time only takes its turn from them.
+const MOST_FULL_DOUBLINGS: u32 = 3;
 /// Time for which a server counts as partly filled with results of others, in
 /// ms: half of the time after which servers drop them, since they were there
 /// before.
@@ -41,6 +44,8 @@
     /// Memory that they may take until a time in ms, since results of others
     /// take the rest: those of a scheduler that was lost, or of another one.
     room_limit: Option<(u64, u64)>,
+    /// Calls in a row that it did not take.
+    fulls: u32,
     /// Time until which it gets nothing, in ms.
     paused_until_ms: u64,
     /// Time until which it gets nothing as it is slow, in ms.
@@ -58,6 +63,7 @@
             calls: 0,
             room_used: 0,
             room_limit: None,
+            fulls: 0,
             paused_until_ms: 0,
             slow_until_ms: 0,
             slowness: 1.0,
@@ -111,11 +117,22 @@
     /// now is all that fits, until the results of others are dropped.
     pub(super) fn on_no_room(&mut self, now_ms: u64) {
         self.room_limit = Some((self.room_used, now_ms + OTHERS_ROOM_MS));
-        self.on_full(now_ms);
+        self.pause(now_ms, FULL_PAUSE_MS);
     }
 
+    /// Notes that it did not take a call.
     pub(super) fn on_full(&mut self, now_ms: u64) {
-        self.paused_until_ms = self.paused_until_ms.max(now_ms + FULL_PAUSE_MS);
+        self.pause(now_ms, FULL_PAUSE_MS << self.fulls.min(MOST_FULL_DOUBLINGS));
+        self.fulls += 1;
+    }
+
+    /// Notes that it took a call.
+    pub(super) fn on_taken(&mut self) {
+        self.fulls = 0;
+    }
+
+    fn pause(&mut self, now_ms: u64, pause_ms: u64) {
+        self.paused_until_ms = self.paused_until_ms.max(now_ms + pause_ms);
     }
 
     /// Notes that it can't be reached; it is to be probed.
--- /dev/null
+++ b/crates/core/tests/forwarding_reading.rs
@@ -0,0 +1,99 @@
+//! Which instances read the store, and how often they try one that fails.
+
+use savoryvane_core::{
+    forwarding::{InForce, Reader, StoreRetry, reserves},
+    ids::{InstanceName, ZoneName},
+};
+
+const IN_FORCE: InForce = InForce {
+    configuration_ms: 4_000,
+    leaving_ms: 2_000,
+};
+
+fn fleet(instances: usize, zones: usize) -> Vec<(InstanceName, ZoneName)> {
+    let fleet = (0..instances).map(|n| {
+        let zone = ZoneName::new(format!("z{}", n % zones));
+        (InstanceName::new(format!("entry-{n}")), zone)
+    });
+    fleet.collect()
+}
+
+fn reserves_of(fleet: &[(InstanceName, ZoneName)]) -> Vec<InstanceName> {
+    reserves(fleet.iter().map(|(instance, zone)| (instance, zone)))
+}
+
+#[test]
+fn each_zone_has_two_reserves_whatever_its_size() {
+    assert_eq!(reserves_of(&fleet(295, 5)).len(), 10);
+    assert_eq!(reserves_of(&fleet(9, 3)).len(), 6);
+    assert_eq!(reserves_of(&fleet(3, 3)).len(), 3);
+    let mut turned = fleet(295, 5);
+    turned.reverse();
+    let (mut one, mut other) = (reserves_of(&fleet(295, 5)), reserves_of(&turned));
+    one.sort();
+    other.sort();
+    assert_eq!(one, other, "the order of the list does not matter");
+}
+
+/// A reserve reads, and is asked, before the others would read; and those do so before
+/// the shorter of the bounds has passed.
+#[test]
+fn a_reserve_reads_before_the_others() {
+    let reserves = [InstanceName::new("r")];
+    let scheduler = InstanceName::new("s");
+    let of = |name: &str| Reader::of(&InstanceName::new(name), Some(&scheduler), &reserves);
+    let from_ms = |name: &str| of(name).reads_from_ms(IN_FORCE);
+    assert_eq!(from_ms("s"), 0);
+    assert!(from_ms("r") + 300 <= from_ms("f"));
+    assert!(from_ms("f") + 300 <= IN_FORCE.shortest_ms());
+}
+
+/// Calls of a fleet in an outage of the store of 8 s, each instance with three topics
+/// that it follows. With tries of each for itself it was 33 calls an instance.
+#[test]
+fn an_outage_costs_few_calls_an_instance() {
+    let fleet = fleet(295, 5);
+    let reserves = reserves_of(&fleet);
+    let mut calls = 0;
+    for (index, (instance, _)) in fleet.iter().enumerate() {
+        let reader = Reader::of(instance, Some(&fleet[0].0), &reserves);
+        let spread = index as f64 / fleet.len() as f64;
+        let mut retry = StoreRetry::default();
+        for now_ms in (0..8_000).step_by(10) {
+            for _topic in 0..3 {
+                if retry.begin(now_ms).is_none() {
+                    calls += 1;
+                    retry.on_failed(now_ms, reader, spread);
+                }
+            }
+        }
+    }
+    assert!(calls <= 6 * fleet.len(), "{calls} calls");
+}
+
+#[test]
+fn one_call_at_a_time_tries_a_store_that_failed() {
+    let mut retry = StoreRetry::default();
+    assert_eq!(retry.begin(0), None);
+    retry.on_failed(0, Reader::Scheduler, 0.5);
+    assert!(retry.begin(10).is_some(), "not at once");
+    assert_eq!(retry.begin(200), None);
+    assert!(retry.begin(200).is_some(), "another one waits for the try");
+    retry.on_answered();
+    assert_eq!(retry.begin(210), None);
+}
+
+/// The one that reads for all notices within a second that the store is back.
+#[test]
+fn a_store_that_is_back_is_noticed_within_a_second_or_so() {
+    let mut retry = StoreRetry::default();
+    retry.on_failed(0, Reader::Scheduler, 1.0);
+    let mut last_ms = 0;
+    for now_ms in (0..60_000).step_by(10) {
+        if retry.begin(now_ms).is_none() {
+            assert!(now_ms - last_ms <= 1_200, "{last_ms} to {now_ms}");
+            last_ms = now_ms;
+            retry.on_failed(now_ms, Reader::Scheduler, 1.0);
+        }
+    }
+}
--- a/crates/core/tests/forwarding_rules.rs
+++ b/crates/core/tests/forwarding_rules.rs
@@ -198,6 +198,9 @@
 fn entry(id: &str, state: ServerState) -> ServerEntry {
     ServerEntry {
         id: BackendName::new(id),
+        registered_as: BackendName::new(id),
+        started_ms: None,
+        position: 0,
         service: PoolName::new("s"),
         addr: "10.0.0.1:80".parse().unwrap(),
         zone: ZoneName::new("z"),
--- /dev/null
+++ b/crates/core/tests/forwarding_runs.rs
@@ -0,0 +1,193 @@
+//! Runs of servers that are registered under one identifier, and records that come late.
+
+use quickcheck::quickcheck;
+use savoryvane_core::{
+    forwarding::{Directory, DirectoryUpdate, KnownUpTo, ServerEntry, ServerState},
+    ids::{BackendName, PoolName, ZoneName},
+};
+
+/// What the run of the server `i-1` that started at `started_ms` says at `position`.
+fn run(started_ms: Option<u64>, position: u64, state: ServerState) -> ServerEntry {
+    run_of("i-1", started_ms, position, state)
+}
+
+fn run_of(id: &str, started_ms: Option<u64>, position: u64, state: ServerState) -> ServerEntry {
+    let suffix = started_ms.map_or(String::new(), |started_ms| format!(" {started_ms}"));
+    ServerEntry {
+        id: BackendName::new(format!("{id}{suffix}")),
+        registered_as: BackendName::new(id),
+        started_ms,
+        position,
+        service: PoolName::new("s"),
+        addr: "10.0.0.1:80".parse().unwrap(),
+        zone: ZoneName::new("z"),
+        slots: 4,
+        state,
+    }
+}
+
+fn name() -> BackendName {
+    BackendName::new("i-1")
+}
+
+fn state_of(directory: &Directory, run: &str) -> Option<ServerState> {
+    let entry = directory.entry(&BackendName::new(run));
+    entry.map(|entry| entry.state)
+}
+
+fn take(directory: &mut Directory, entry: ServerEntry) -> bool {
+    let position = entry.position + 1;
+    let update = DirectoryUpdate::Changes(vec![(entry.registered_as.clone(), Some(entry))]);
+    directory.update_to(update, position)
+}
+
+#[test]
+fn a_server_that_starts_again_takes_work_although_its_last_run_left() {
+    let mut directory = Directory::default();
+    take(&mut directory, run(Some(1_000), 1, ServerState::Ready));
+    take(&mut directory, run(Some(1_000), 2, ServerState::Leaving));
+    assert!(take(
+        &mut directory,
+        run(Some(9_000), 3, ServerState::Ready)
+    ));
+    assert_eq!(state_of(&directory, "i-1 9000"), Some(ServerState::Ready));
+    assert_eq!(state_of(&directory, "i-1 1000"), None, "that run is gone");
+}
+
+#[test]
+fn a_late_record_of_the_run_before_changes_nothing() {
+    let mut directory = Directory::default();
+    take(&mut directory, run(Some(1_000), 1, ServerState::Ready));
+    take(&mut directory, run(Some(9_000), 5, ServerState::Ready));
+    let late = run(Some(1_000), 4, ServerState::Leaving);
+    let update = DirectoryUpdate::Changes(vec![(name(), Some(late))]);
+    assert!(!directory.update_to(update, 6));
+    assert_eq!(state_of(&directory, "i-1 9000"), Some(ServerState::Ready));
+}
+
+/// The register's order tells which run is the later one, not the servers' clocks.
+#[test]
+fn a_run_whose_clock_went_back_is_the_later_one() {
+    let mut directory = Directory::default();
+    take(&mut directory, run(Some(9_000), 1, ServerState::Leaving));
+    assert!(take(
+        &mut directory,
+        run(Some(1_000), 2, ServerState::Ready)
+    ));
+    assert_eq!(state_of(&directory, "i-1 1000"), Some(ServerState::Ready));
+}
+
+#[test]
+fn an_entry_without_a_start_goes_on_with_the_run_that_is_known() {
+    let mut directory = Directory::default();
+    take(&mut directory, run(Some(1_000), 1, ServerState::Ready));
+    assert!(take(&mut directory, run(None, 2, ServerState::Leaving)));
+    assert_eq!(state_of(&directory, "i-1 1000"), Some(ServerState::Leaving));
+    assert!(take(
+        &mut directory,
+        run(Some(2_000), 3, ServerState::Ready)
+    ));
+    assert_eq!(state_of(&directory, "i-1 2000"), Some(ServerState::Ready));
+}
+
+#[test]
+fn a_run_that_says_in_an_answer_that_it_leaves_says_nothing_of_the_next_one() {
+    let mut directory = Directory::default();
+    take(&mut directory, run(Some(1_000), 1, ServerState::Ready));
+    assert!(directory.on_leaving(&BackendName::new("i-1 1000")));
+    assert!(!take(
+        &mut directory,
+        run(Some(1_000), 2, ServerState::Ready)
+    ));
+    assert_eq!(state_of(&directory, "i-1 1000"), Some(ServerState::Leaving));
+    assert!(take(
+        &mut directory,
+        run(Some(2_000), 3, ServerState::Ready)
+    ));
+    assert!(!directory.on_leaving(&BackendName::new("i-1 1000")));
+    assert_eq!(state_of(&directory, "i-1 2000"), Some(ServerState::Ready));
+}
+
+#[test]
+fn what_is_known_to_a_later_position_is_not_replaced_by_what_is_older() {
+    let mut directory = Directory::default();
+    take(&mut directory, run(Some(1_000), 1, ServerState::Ready));
+    take(&mut directory, run(Some(9_000), 8, ServerState::Ready));
+    let stale = DirectoryUpdate::Whole(vec![run(Some(1_000), 1, ServerState::Ready)]);
+    assert!(!directory.update_to(stale, 5));
+    assert!(!directory.update_to(DirectoryUpdate::Whole(Vec::new()), 7));
+    assert_eq!(state_of(&directory, "i-1 9000"), Some(ServerState::Ready));
+    assert!(directory.update_to(DirectoryUpdate::Whole(Vec::new()), 20));
+    assert!(directory.is_empty());
+}
+
+/// Returns whether one that knows the register up to `position` is told all, and how
+/// many servers it is told.
+fn told(directory: &Directory, position: u64) -> (bool, usize) {
+    match directory.update_for(KnownUpTo::Position(position)) {
+        DirectoryUpdate::Whole(all) => (true, all.len()),
+        DirectoryUpdate::Changes(changes) => (false, changes.len()),
+    }
+}
+
+/// One that has read the register itself, or was told by another instance, is told by
+/// the next one only what it does not know.
+#[test]
+fn one_that_knows_the_register_from_elsewhere_is_told_only_what_is_new() {
+    let mut directory = Directory::default();
+    let listing = (0..300).map(|n| run_of(&format!("i-{n}"), Some(1), n, ServerState::Ready));
+    directory.update_to(DirectoryUpdate::Whole(listing.collect()), 300);
+    take(
+        &mut directory,
+        run_of("i-7", Some(2), 310, ServerState::Ready),
+    );
+    directory.update_to(DirectoryUpdate::Changes(vec![("i-9".into(), None)]), 320);
+    assert_eq!(
+        told(&directory, 0),
+        (true, 299),
+        "who knows nothing is told all"
+    );
+    assert_eq!(told(&directory, 300), (false, 2));
+    assert_eq!(told(&directory, 311), (false, 1));
+    assert_eq!(told(&directory, 320), (false, 0));
+    directory.on_leaving(&BackendName::new("i-3 1"));
+    let of_answers = told(&directory, 320);
+    assert_eq!(of_answers, (false, 1), "the register does not say this");
+}
+
+quickcheck! {
+    /// Whoever is told changes, in whichever pieces and however late, ends with what the
+    /// register says.
+    fn all_end_with_the_same_whatever_they_were_told_when(
+        records: Vec<(u8, u8, bool, bool)>,
+        tells: Vec<u8>
+    ) -> bool {
+        let mut source = Directory::default();
+        let mut told = Directory::default();
+        let mut updates = Vec::new();
+        for (index, (id, started, is_gone, is_leaving)) in records.iter().enumerate() {
+            let position = index as u64 + 1;
+            let id = format!("i-{}", id % 4);
+            let state = match is_leaving {
+                true => ServerState::Leaving,
+                false => ServerState::Ready,
+            };
+            let entry = run_of(&id, Some(u64::from(started % 3)), position, state);
+            let record = (BackendName::new(&id), (!is_gone).then_some(entry));
+            source.update_to(DirectoryUpdate::Changes(vec![record]), position + 1);
+            let known = KnownUpTo::Position(told.position());
+            updates.push((source.update_for(known), source.position()));
+            // Some updates arrive late, after later ones.
+            let picked = tells.get(index).map_or(0, |pick| usize::from(*pick) % updates.len());
+            let (update, position) = updates[picked].clone();
+            told.update_to(update, position);
+        }
+        let last = source.update_for(KnownUpTo::Position(told.position()));
+        told.update_to(last, source.position());
+        let of = |directory: &Directory| -> Vec<(BackendName, ServerState)> {
+            let entries = directory.entries();
+            entries.map(|entry| (entry.id.clone(), entry.state)).collect()
+        };
+        of(&source) == of(&told)
+    }
+}
--- a/crates/core/tests/stages_world/mod.rs
+++ b/crates/core/tests/stages_world/mod.rs
@@ -104,6 +104,9 @@
 pub fn server(id: &str, service: &str, zone: &str) -> ServerEntry {
     ServerEntry {
         id: BackendName::new(id),
+        registered_as: BackendName::new(id),
+        started_ms: None,
+        position: 0,
         service: PoolName::new(service),
         addr: "127.0.0.1:1".parse().unwrap(),
         zone: ZoneName::new(zone),
--- a/crates/server/src/gateway/catch_up.rs
+++ b/crates/server/src/gateway/catch_up.rs
@@ -7,6 +7,7 @@
 };
 
 use savoryvane_core::{
+    forwarding::KnownUpTo,
     ids::{Incarnation, InstanceName},
     membership::Contact,
 };
@@ -46,13 +47,18 @@
 
     /// Returns how far the knowledge of this instance goes.
     pub(super) fn known(&self, members: &Members) -> KnownState {
+        let (revision, servers_position) = {
+            let directory = self.knowledge.directory();
+            (directory.revision(), directory.position())
+        };
         KnownState {
             version: self.knowledge.version(),
             version_age_ms: self.freshness.configuration_age_ms(),
             incarnation: self.incarnation,
-            revision: self.knowledge.directory().revision(),
+            revision,
             servers_age_ms: self.freshness.servers_age_ms(),
-            instances: members.list_hash(),
+            servers_position,
+            instances_position: members.list_position(),
         }
     }
 
@@ -66,11 +72,15 @@
         let ours = self.known(members);
         let has_all = self.source() == Some((theirs.incarnation, theirs.revision))
             && ours.version >= theirs.version
-            && ours.instances == theirs.instances;
+            && ours.instances_position >= theirs.instances_position;
         if has_all {
+            let mut directory = self.knowledge.directory();
+            directory.on_known_to(theirs.servers_position);
+            drop(directory);
             return self.note(theirs);
         }
-        let question = Message::RoutingQuery(self.question(theirs.incarnation));
+        let question = self.question(members, Some(theirs.incarnation));
+        let question = Message::RoutingQuery(question);
         let answer = members
             .peers()
             .request(instance, None, &question, CATCH_UP_TIMEOUT)
@@ -80,26 +90,30 @@
         }
     }
 
-    fn question(&self, of: Incarnation) -> RoutingQuery {
-        let source = self.source().filter(|(incarnation, _)| *incarnation == of);
+    /// Returns the question for what the run `of` knows beyond this instance.
+    fn question(&self, members: &Members, of: Option<Incarnation>) -> RoutingQuery {
+        let source = self.source();
+        let source = source.filter(|(incarnation, _)| Some(*incarnation) == of);
         RoutingQuery {
             version: self.knowledge.version(),
             revision: source.map(|(_, revision)| revision),
+            servers_position: self.knowledge.directory().position(),
+            instances_position: members.list_position(),
         }
     }
 
     /// Takes over what a peer knows, as far as it is newer.
     fn take(&self, members: &Members, state: RoutingState) {
         let theirs = state.known;
-        members.adopt(state.instances);
+        members.adopt(state.instances, theirs.instances_position);
         if let Some(config) = state.config {
             self.knowledge.apply_config(config, "peer");
         }
-        if theirs.servers_age_ms <= self.freshness.servers_age_ms() {
-            self.knowledge.update_servers(state.servers, "peer");
-            *self.source.lock().unwrap_or_else(PoisonError::into_inner) =
-                Some((theirs.incarnation, theirs.revision));
-        }
+        let position = theirs.servers_position;
+        self.knowledge
+            .update_servers(state.servers, position, "peer");
+        *self.source.lock().unwrap_or_else(PoisonError::into_inner) =
+            Some((theirs.incarnation, theirs.revision));
         self.note(theirs);
     }
 
@@ -108,7 +122,7 @@
         self.freshness.on_configuration(theirs.version_age_ms);
         self.freshness.on_servers(theirs.servers_age_ms);
         let age_ms = theirs.version_age_ms.max(theirs.servers_age_ms);
-        self.freshness.on_relayed(age_ms);
+        self.freshness.on_told(age_ms);
     }
 
     fn source(&self) -> Option<(Incarnation, u64)> {
@@ -121,11 +135,15 @@
         let config = table
             .filter(|table| table.version() > question.version)
             .map(|table| (**table.config()).clone());
+        let known_up_to = question.revision.map_or(
+            KnownUpTo::Position(question.servers_position),
+            KnownUpTo::Revision,
+        );
         RoutingState {
             known: self.known(members),
             config,
-            servers: self.knowledge.directory().update_since(question.revision),
-            instances: members.listed(),
+            servers: self.knowledge.directory().update_for(known_up_to),
+            instances: members.listed_from(question.instances_position),
         }
     }
 }
@@ -135,7 +153,7 @@
 pub(super) async fn run(members: Arc<Members>, catch_up: Arc<CatchUp>) {
     loop {
         time::sleep(CATCH_UP_INTERVAL).await;
-        if catch_up.freshness.is_fresh() {
+        if !catch_up.freshness.wants_reserves() {
             continue;
         }
         let asked = members.contacts().into_iter().map(|contact| {
@@ -150,10 +168,7 @@
 }
 
 async fn learn(members: &Members, catch_up: &CatchUp, contact: &Contact) {
-    let question = Message::RoutingQuery(RoutingQuery {
-        version: catch_up.knowledge.version(),
-        revision: None,
-    });
+    let question = Message::RoutingQuery(catch_up.question(members, None));
     let answer = members
         .peers()
         .request_at(contact, &question, CATCH_UP_TIMEOUT)
--- a/crates/server/src/gateway/dispatch.rs
+++ b/crates/server/src/gateway/dispatch.rs
@@ -149,6 +149,9 @@
     /// Hands what is not finished over to the instance that schedules now.
     pub(super) fn hand_over(self: &Arc<Self>, to: Option<&InstanceName>) {
         let (requests, waiting, calls) = self.scheduler().load();
+        if requests == 0 {
+            return;
+        }
         info!(self.log, "stages handed over"; "to" => to.map(ToString::to_string),
             "requests" => requests, "pieces_waiting" => waiting, "calls" => calls);
         self.scheduler().hand_over(to);
@@ -355,14 +358,25 @@
     }
 }
 
-/// Keeps the scheduler's view of servers up to date.
+/// Keeps the scheduler's view of servers up to date, and closes the connections that
+/// are kept to runs that are gone: another one may have their address.
 pub(super) async fn configure(dispatch: Arc<Dispatch>) {
+    let mut addrs: HashMap<BackendName, SocketAddr> = HashMap::new();
     loop {
         if let Some(table) = dispatch.knowledge.table() {
             let directory = dispatch.knowledge.directory();
             dispatch
                 .scheduler()
                 .configure(table.config(), directory.entries());
+            let current = directory.entries();
+            let current = current.map(|entry| (entry.id.clone(), entry.addr));
+            let before = std::mem::replace(&mut addrs, current.collect());
+            drop(directory);
+            for (run, addr) in before {
+                if addrs.get(&run) != Some(&addr) {
+                    dispatch.servers.forget(addr);
+                }
+            }
         }
         dispatch.carry_out();
         dispatch.knowledge.changed().await;
--- a/crates/server/src/gateway/follow.rs
+++ b/crates/server/src/gateway/follow.rs
@@ -1,14 +1,10 @@
-//! Follows the store: the configuration, the register of servers, and the list
-//! of our own instances.
+//! Follows the store: the configuration, and the list of our own instances.
 
 use std::{sync::Arc, time::Duration};
 
-use savoryvane_core::{
-    forwarding::{DirectoryUpdate, ServerEntry},
-    ids::BackendName,
-};
+use savoryvane_core::forwarding::Reader;
 use savoryvane_platform::{
-    configuration, servers,
+    configuration,
     store::{CONFIGURATION_KEY, Read, Record, Topic},
 };
 use slog::{Logger, info, warn};
@@ -25,81 +21,90 @@
 /// tells it: short enough that a connection that went silent is noticed within
 /// the time in which a change has to be in force.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_000);
-/// Time between two looks at whether the instance that schedules still tells
-/// changes: meanwhile the store is left alone, since its calls are dear. Where it
-/// stops, what it told is at most 1.4 s old, which leaves time for a read within
-/// the 2 s in which a change has to be in force.
-const RELAYED_INTERVAL: Duration = Duration::from_millis(200);
-/// Time between two reads of the register of servers. Servers write there every
-/// 1.2 s, so that a waiting read would be answered at once all the time; a
-/// leaving server has to be left alone after 2 s.
-const SERVERS_INTERVAL: Duration = Duration::from_millis(800);
+/// Time between two looks at whether another instance still tells changes: meanwhile
+/// the store is left alone, since its calls are dear.
+pub(super) const TOLD_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two reads of the list of instances.
 const INSTANCES_INTERVAL: Duration = Duration::from_secs(5);
-/// The same while the instance that schedules tells changes.
-const RELAYED_INSTANCES_INTERVAL: Duration = Duration::from_secs(30);
 /// The same in the first seconds, in which all instances start.
 const FIRST_INSTANCES_INTERVAL: Duration = Duration::from_secs(1);
 /// Reads of the list of instances in those first seconds.
 const FIRST_INSTANCES_READS: u32 = 4;
-/// Pause after a call that failed first; it doubles up to the longest.
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause after calls that failed: a store that is back is noticed
-/// within this time.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
-/// Time for servers to write themselves again after the store was away;
-/// entries that are still missing then are gone.
-const RETURN_GRACE: Duration = Duration::from_millis(2_000);
+
+/// What following the store needs.
+#[derive(Clone, Debug)]
+pub(super) struct Follower {
+    pub(super) store: StoreClient,
+    pub(super) knowledge: Arc<Knowledge>,
+    pub(super) freshness: Arc<Freshness>,
+    pub(super) members: Arc<Members>,
+    pub(super) log: Logger,
+}
+
+/// What a read of a topic gave.
+pub(super) struct Batch {
+    pub(super) records: Vec<Record>,
+    /// Whether it is the newest of every key and not what has changed.
+    pub(super) is_whole: bool,
+    /// Offset up to which the topic is known after it.
+    pub(super) position: u64,
+}
 
 /// A topic that is followed, and how its calls go.
-struct Topical {
+pub(super) struct Topical {
     topic: Topic,
     name: &'static str,
     log: Logger,
-    /// Offset of the next record; none when the newest of each key have to be
-    /// read first.
-    next: Option<u64>,
     failing_since: Option<Instant>,
-    pause: Duration,
 }
 
 impl Topical {
-    fn new(topic: Topic, name: &'static str, log: Logger) -> Self {
+    pub(super) fn new(topic: Topic, name: &'static str, log: &Logger) -> Self {
         Self {
             topic,
             name,
-            log,
-            next: None,
+            log: log.clone(),
             failing_since: None,
-            pause: FIRST_PAUSE,
         }
     }
 
-    /// Reads what is new, waiting up to `wait`. The second value tells whether
-    /// it is the newest of every key and not what has changed.
-    async fn read(&mut self, store: &StoreClient, wait: Duration) -> Result<(Vec<Record>, bool)> {
-        if let Some(from) = self.next {
+    /// Reads what is new from the offset `from` on, waiting up to `wait`, or the
+    /// newest of each key where there is none.
+    pub(super) async fn read(
+        &self,
+        store: &StoreClient,
+        from: Option<u64>,
+        wait: Duration,
+    ) -> Result<Batch> {
+        if let Some(from) = from {
             match store.read(self.topic, from, wait).await? {
-                Read::Records { end, records } => {
-                    let after = records.last().map_or(from, |record| record.offset + 1);
-                    self.next = Some(if records.is_empty() { end } else { after });
-                    return Ok((records, false));
+                Read::Records { next, records, .. } => {
+                    return Ok(Batch {
+                        records,
+                        is_whole: false,
+                        position: next,
+                    });
                 }
                 Read::Trimmed => {
                     info!(self.log, "records expired"; "topic" => self.name, "from" => from);
                 }
             }
         }
-        let (records, end) = store.newest(self.topic).await?;
-        self.next = Some(end);
-        Ok((records, true))
+        let (records, position) = store.newest(self.topic).await?;
+        Ok(Batch {
+            records,
+            is_whole: true,
+            position,
+        })
     }
 
     /// Notes how a read went; returns how long it had failed before it did not.
-    fn on_read(&mut self, result: &std::result::Result<(), &StoreError>) -> Option<Duration> {
+    pub(super) fn on_read<T>(
+        &mut self,
+        result: &std::result::Result<T, StoreError>,
+    ) -> Option<Duration> {
         match result {
-            Ok(()) => {
-                self.pause = FIRST_PAUSE;
+            Ok(_) => {
                 let lasted = self.failing_since.take()?.elapsed();
                 info!(self.log, "store regained"; "topic" => self.name,
                     "away_ms" => lasted.as_millis() as u64);
@@ -115,36 +120,49 @@
         }
     }
 
-    async fn pause(&mut self) {
-        time::sleep(self.pause).await;
-        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+    /// Returns how long a read waits for a record: one that tries whether the store is
+    /// back does not wait, so that the others know it.
+    fn wait(&self, usual: Duration) -> Duration {
+        if self.failing_since.is_some() {
+            Duration::ZERO
+        } else {
+            usual
+        }
     }
 }
 
 /// Follows the configuration.
-pub(super) async fn configuration(
-    store: StoreClient,
-    knowledge: Arc<Knowledge>,
-    freshness: Arc<Freshness>,
-    log: Logger,
-) {
-    let mut topical = Topical::new(Topic::Operator, "configuration", log.clone());
+pub(super) async fn configuration(follower: Follower) {
+    let Follower {
+        store,
+        knowledge,
+        freshness,
+        members,
+        log,
+    } = follower;
+    let mut topical = Topical::new(Topic::Operator, "configuration", &log);
+    let mut next = None;
     loop {
-        if topical.next.is_some() && freshness.is_relayed() {
-            time::sleep(RELAYED_INTERVAL).await;
+        if next.is_some() && freshness.is_told(members.reader()) {
+            time::sleep(TOLD_INTERVAL).await;
             continue;
         }
-        let read = topical.read(&store, CONFIGURATION_WAIT).await;
-        topical.on_read(&read.as_ref().map(drop));
-        let Ok((records, _)) = read else {
-            topical.pause().await;
+        if let Err(wait) = store.begin() {
+            time::sleep(wait.min(TOLD_INTERVAL)).await;
+            continue;
+        }
+        let wait = topical.wait(CONFIGURATION_WAIT);
+        let read = topical.read(&store, next, wait).await;
+        topical.on_read(&read);
+        let Ok(batch) = read else {
             continue;
         };
+        if next.replace(batch.position).is_none() {
+            freshness.on_told(0);
+        }
         freshness.on_configuration(0);
-        let newest = records
-            .iter()
-            .rev()
-            .find(|record| record.key == CONFIGURATION_KEY);
+        let mut records = batch.records.iter().rev();
+        let newest = records.find(|record| record.key == CONFIGURATION_KEY);
         if let Some(value) = newest.and_then(|record| record.value.as_ref()) {
             match configuration::decode(value) {
                 Ok(config) => knowledge.apply_config(config, "store"),
@@ -154,100 +172,45 @@
     }
 }
 
-/// Follows the register of servers.
-pub(super) async fn servers(
-    store: StoreClient,
-    knowledge: Arc<Knowledge>,
-    freshness: Arc<Freshness>,
-    log: Logger,
-) {
-    let mut topical = Topical::new(Topic::Servers, "servers", log.clone());
-    // While servers write themselves again, none counts as gone.
-    let mut keeps_until: Option<Instant> = None;
+/// Follows the list of instances, and writes this instance into it where it does not
+/// say what this instance is.
+pub(super) async fn instances(follower: Follower) {
+    let Follower {
+        store,
+        freshness,
+        members,
+        log,
+        ..
+    } = follower;
+    let mut topical = Topical::new(Topic::Instances, "instances", &log);
+    let mut reads = 0;
     loop {
-        let began = Instant::now();
-        if freshness.is_relayed() {
-            // What was read before is older than what is told now.
-            topical.next = None;
-            keeps_until = None;
-            time::sleep(RELAYED_INTERVAL).await;
+        let reader = members.reader();
+        if reads > 0 && reader != Reader::Scheduler && freshness.is_told(reader) {
+            time::sleep(TOLD_INTERVAL).await;
             continue;
         }
-        if keeps_until.is_some_and(|until| until <= began) {
-            keeps_until = None;
-            topical.next = None;
-        }
-        let read = topical.read(&store, Duration::ZERO).await;
-        if topical.on_read(&read.as_ref().map(drop)).is_some() {
-            keeps_until = Some(Instant::now() + RETURN_GRACE);
+        if let Err(wait) = store.begin() {
+            time::sleep(wait.min(TOLD_INTERVAL)).await;
+            continue;
         }
-        let Ok((records, is_whole)) = read else {
-            topical.pause().await;
+        let from = Some(members.list_position()).filter(|from| *from > 0);
+        let read = topical.read(&store, from, Duration::ZERO).await;
+        topical.on_read(&read);
+        let Ok(batch) = read else {
             continue;
         };
-        freshness.on_servers(0);
-        let mut records: Vec<_> = records
-            .iter()
-            .map(|record| (BackendName::new(&record.key), entry(&log, record)))
-            .collect();
-        if is_whole && keeps_until.is_none() {
-            let listing = records.into_iter().filter_map(|(_, entry)| entry);
-            let listing = DirectoryUpdate::Whole(listing.collect());
-            knowledge.update_servers(listing, "store");
-        } else {
-            records.retain(|(_, entry)| keeps_until.is_none() || entry.is_some());
-            knowledge.apply_servers(records);
-        }
-        time::sleep_until(began + SERVERS_INTERVAL).await;
-    }
-}
-
-fn entry(log: &Logger, record: &Record) -> Option<ServerEntry> {
-    let value = record.value.as_ref()?;
-    match servers::decode(&record.key, value) {
-        Ok(entry) => Some(entry),
-        Err(err) => {
-            warn!(log, "server not understood"; "server" => &record.key, "error" => %err);
-            None
-        }
-    }
-}
-
-/// Writes this instance into the list of instances, and follows the list.
-pub(super) async fn instances(
-    store: StoreClient,
-    members: Arc<Members>,
-    freshness: Arc<Freshness>,
-    log: Logger,
-) {
-    let mut topical = Topical::new(Topic::Instances, "instances", log.clone());
-    let mut is_written = false;
-    let mut reads = 0;
-    loop {
-        if !is_written {
-            match members.write_self(&store).await {
-                Ok(()) => is_written = true,
-                Err(err) => {
-                    warn!(log, "instance not listed yet"; "error" => %err);
-                    topical.pause().await;
-                    continue;
-                }
-            }
-        }
-        let read = topical.read(&store, Duration::ZERO).await;
-        topical.on_read(&read.as_ref().map(drop));
-        match read {
-            Ok((records, is_whole)) => members.apply(records, is_whole),
-            Err(_) => {
-                topical.pause().await;
-                continue;
-            }
+        members.apply(batch);
+        if reads == 0
+            && !members.is_listed_as_it_is()
+            && let Err(err) = members.write_self(&store).await
+        {
+            warn!(log, "instance not listed yet"; "error" => %err);
+            continue;
         }
         reads += 1;
         let interval = if reads <= FIRST_INSTANCES_READS {
             FIRST_INSTANCES_INTERVAL
-        } else if freshness.is_relayed() {
-            RELAYED_INSTANCES_INTERVAL
         } else {
             INSTANCES_INTERVAL
         };
--- a/crates/server/src/gateway/freshness.rs
+++ b/crates/server/src/gateway/freshness.rs
@@ -2,32 +2,29 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use crate::clock::Clock;
+use savoryvane_core::forwarding::{InForce, Reader};
 
-/// Age from which what the store said last counts as old, in ms: a few reads
-/// have failed by then.
-const FRESH_MS: u64 = 2_000;
-/// Age up to which what a peer tells is as good as what the store says, in ms:
-/// peers that read the store do so every 0.8 s, and are asked every 0.25 s.
-const RELAYED_MS: u64 = 1_400;
+use crate::clock::Clock;
 
 /// When what an instance knows was last known to be the newest.
 #[derive(Debug)]
 pub(super) struct Freshness {
     clock: Clock,
+    in_force: InForce,
     configuration_ms: AtomicU64,
     servers_ms: AtomicU64,
     /// Time until which a peer has told all that it knew, in ms.
-    relayed_ms: AtomicU64,
+    told_ms: AtomicU64,
 }
 
 impl Freshness {
-    pub(super) fn new(clock: Clock) -> Self {
+    pub(super) fn new(clock: Clock, in_force: InForce) -> Self {
         Self {
             clock,
+            in_force,
             configuration_ms: AtomicU64::new(0),
             servers_ms: AtomicU64::new(0),
-            relayed_ms: AtomicU64::new(0),
+            told_ms: AtomicU64::new(0),
         }
     }
 
@@ -42,9 +39,9 @@
     }
 
     /// Notes that a peer has told all that it knew, which the store had told
-    /// `age_ms` ago.
-    pub(super) fn on_relayed(&self, age_ms: u64) {
-        self.note(&self.relayed_ms, age_ms);
+    /// `age_ms` ago, or that the store itself has.
+    pub(super) fn on_told(&self, age_ms: u64) {
+        self.note(&self.told_ms, age_ms);
     }
 
     /// Returns the age of the configuration, in ms.
@@ -57,15 +54,15 @@
         self.age_ms(&self.servers_ms)
     }
 
-    /// Tells whether both are known to have been the newest a short time ago.
-    pub(super) fn is_fresh(&self) -> bool {
-        self.configuration_age_ms() <= FRESH_MS && self.servers_age_ms() <= FRESH_MS
+    /// Tells whether `reader` leaves the store alone, since it is told what that says.
+    pub(super) fn is_told(&self, reader: Reader) -> bool {
+        self.age_ms(&self.told_ms) < reader.reads_from_ms(self.in_force)
     }
 
-    /// Tells whether a peer tells what the store says, so that this instance
-    /// need not ask.
-    pub(super) fn is_relayed(&self) -> bool {
-        self.age_ms(&self.relayed_ms) <= RELAYED_MS
+    /// Tells whether what is known is so old that the reserves are asked for it.
+    pub(super) fn wants_reserves(&self) -> bool {
+        let oldest_ms = self.configuration_age_ms().max(self.servers_age_ms());
+        oldest_ms >= Reader::Reserve.reads_from_ms(self.in_force)
     }
 
     fn age_ms(&self, at: &AtomicU64) -> u64 {
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -15,13 +15,14 @@
     catch_up::{self, CatchUp},
     departure::Departure,
     dispatch::{self, Dispatch},
-    follow,
+    follow::{self, Follower},
     forward::Forwarder,
     freshness::Freshness,
     ingress::{self, Service},
     knowledge::Knowledge,
     members::{self, Members},
     peering::Peering,
+    register,
     settings::{GatewayListen, GatewaySettings},
     stages::Stages,
     store::StoreClient,
@@ -201,7 +202,7 @@
             log.clone(),
         );
         let members = Arc::new(members);
-        let freshness = Arc::new(Freshness::new(clock));
+        let freshness = Arc::new(Freshness::new(clock, settings.in_force));
         let catch_up = Arc::new(CatchUp::new(
             Arc::clone(&knowledge),
             Arc::clone(&freshness),
@@ -233,10 +234,11 @@
             catch_up: Arc::clone(&catch_up),
             dispatch: Arc::clone(&dispatch),
             phases: Arc::clone(phases),
+            started: Instant::now(),
         });
         Self {
             phases: Arc::clone(phases),
-            store: StoreClient::new(settings.store),
+            store: StoreClient::new(settings.store, clock),
             freshness,
             knowledge,
             members,
@@ -264,35 +266,27 @@
         let metrics = ingress::metrics(Arc::new(Meters::install()));
         self.spawn_lasting(&mut tasks, listeners.admin, metrics);
         tasks.spawn(self.peer_server.run(listeners.peer));
-        let (store, knowledge) = (self.store, self.knowledge);
-        tasks.spawn(follow::configuration(
-            store.clone(),
-            Arc::clone(&knowledge),
-            Arc::clone(&self.freshness),
-            self.log.clone(),
-        ));
-        tasks.spawn(follow::servers(
-            store.clone(),
-            Arc::clone(&knowledge),
-            Arc::clone(&self.freshness),
-            self.log.clone(),
-        ));
-        tasks.spawn(follow::instances(
-            store,
-            Arc::clone(&self.members),
-            self.freshness,
-            self.log.clone(),
-        ));
+        let follower = Follower {
+            store: self.store.clone(),
+            knowledge: Arc::clone(&self.knowledge),
+            freshness: self.freshness,
+            members: Arc::clone(&self.members),
+            log: self.log.clone(),
+        };
+        tasks.spawn(follow::configuration(follower.clone()));
+        tasks.spawn(register::follow(follower.clone()));
+        tasks.spawn(follow::instances(follower));
         tasks.spawn(members::watch_scheduler(
             Arc::clone(&self.members),
             Arc::clone(&self.catch_up),
             Arc::clone(&self.dispatch),
             Arc::clone(&self.phases),
+            self.store,
         ));
         tasks.spawn(catch_up::run(self.members, self.catch_up));
         tasks.spawn(dispatch::run(Arc::clone(&self.dispatch)));
         tasks.spawn(dispatch::configure(self.dispatch));
-        tasks.spawn(become_ready(knowledge, self.phases, self.log));
+        tasks.spawn(become_ready(self.knowledge, self.phases, self.log));
         tasks.spawn(upkeep(self.servers));
         tasks
     }
--- a/crates/server/src/gateway/knowledge.rs
+++ b/crates/server/src/gateway/knowledge.rs
@@ -138,38 +138,54 @@
         self.configure_fleet();
     }
 
-    /// Applies records of the register of servers.
-    pub(super) fn apply_servers(&self, records: Vec<(BackendName, Option<ServerEntry>)>) {
+    /// Applies records of the register of servers, after which it is known up to
+    /// `position`.
+    pub(super) fn apply_servers(
+        &self,
+        records: Vec<(BackendName, Option<ServerEntry>)>,
+        position: Option<u64>,
+    ) {
         let mut has_changed = false;
         {
             let mut directory = self.directory();
             for (id, entry) in records {
                 let state = entry.as_ref().map(|entry| entry.state);
-                if directory.apply(&id, entry) {
+                let update = DirectoryUpdate::Changes(vec![(id.clone(), entry)]);
+                let known_to = position.unwrap_or(directory.position());
+                if directory.update_to(update, known_to) {
                     has_changed = true;
                     info!(self.log, "server changed"; "server" => %id, "source" => "store",
                         "state" => state.map_or("gone".to_owned(), |state| format!("{state:?}")));
                 }
             }
+            if let Some(position) = position {
+                directory.on_known_to(position);
+            }
         }
         if has_changed {
             self.configure_fleet();
         }
     }
 
-    /// Takes over the register of servers from the store or a peer.
-    pub(super) fn update_servers(&self, update: DirectoryUpdate, source: &'static str) {
+    /// Takes over the register of servers from the store or a peer that knows it up
+    /// to `position`.
+    pub(super) fn update_servers(
+        &self,
+        update: DirectoryUpdate,
+        position: u64,
+        source: &'static str,
+    ) {
         let (count, is_whole) = match &update {
             DirectoryUpdate::Whole(listing) => (listing.len(), true),
             DirectoryUpdate::Changes(changes) => (changes.len(), false),
         };
         let mut directory = self.directory();
-        let has_changed = directory.update(update);
+        let has_changed = directory.update_to(update, position);
         let revision = directory.revision();
         drop(directory);
         if has_changed {
             info!(self.log, "servers changed"; "servers" => count, "whole" => is_whole,
-                "revision" => revision, "source" => source);
+                "revision" => revision, "position" => position, "source" => source);
             self.configure_fleet();
         }
     }
--- a/crates/server/src/gateway/members.rs
+++ b/crates/server/src/gateway/members.rs
@@ -8,23 +8,22 @@
 };
 
 use savoryvane_core::{
-    ids::{Incarnation, InstanceName},
+    forwarding::Reader,
+    ids::{Incarnation, InstanceName, ZoneName},
     membership::Contact,
     stages::{Candidate, SchedulerChoice},
 };
-use savoryvane_platform::store::{self, InstanceRecord, Record};
+use savoryvane_platform::store::{self, InstanceRecord};
 use savoryvane_wire::peer::{ListedPeer, Message, SchedulerQuery, SchedulerState};
 use slog::{Logger, info, warn};
 use tokio::{
     sync::watch,
-    time::{self, MissedTickBehavior},
+    time::{self, Instant},
 };
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use super::{
-    catch_up::CatchUp, dispatch::Dispatch, knowledge::Knowledge, settings::GatewaySettings,
-    store::StoreClient,
+    catch_up::CatchUp, dispatch::Dispatch, follow::Batch, knowledge::Knowledge, listing::Listing,
+    settings::GatewaySettings, store::StoreClient,
 };
 use crate::{
     clock::Clock,
@@ -35,8 +34,14 @@
 /// Time between two questions to the instance that schedules: with two misses
 /// it is given up within a second.
 const ASK_INTERVAL: Duration = Duration::from_millis(250);
+/// The same while it is not known which one schedules: requests wait for that.
+const LOOKING_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for such a question to be answered.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time that a request waits until it is known which instance schedules: twice what
+/// it takes where all start at once. Nobody is reached then, and an instance that is
+/// alone schedules for itself.
+const SETTLE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Peers that are asked at the same time for what they know.
 const CATCH_UP_PEERS: usize = 2;
 
@@ -44,16 +49,17 @@
 #[derive(Debug)]
 pub(super) struct Members {
     me: InstanceName,
+    zone: ZoneName,
     own_record: InstanceRecord,
     seeds: Vec<SocketAddr>,
     clock: Clock,
     log: Logger,
     peers: PeerHandle,
     knowledge: Arc<Knowledge>,
-    listed: Mutex<Vec<ListedPeer>>,
+    listed: Mutex<Listing>,
     choice: Mutex<SchedulerChoice>,
-    /// Told when an instance was found not to be reached.
-    lost: watch::Sender<()>,
+    /// Told when more is known of which instances are reached.
+    heard: watch::Sender<()>,
 }
 
 impl Members {
@@ -67,6 +73,7 @@
     ) -> Self {
         Self {
             me: settings.instance.clone(),
+            zone: settings.zone.clone(),
             own_record: InstanceRecord {
                 addr: settings.listen.peer,
                 zone: settings.zone.to_string(),
@@ -80,7 +87,7 @@
             knowledge,
             listed: Mutex::default(),
             choice: Mutex::default(),
-            lost: watch::Sender::new(()),
+            heard: watch::Sender::new(()),
         }
     }
 
@@ -89,9 +96,34 @@
         &self.peers
     }
 
-    /// Returns the instance that schedules for this one.
+    /// Returns the instance that schedules for this one, once that is known.
     pub(super) fn scheduler(&self) -> Option<InstanceName> {
-        self.choice().current().cloned()
+        self.choice().settled(self.clock.now_ms()).cloned()
+    }
+
+    /// Waits until it is known which instance schedules, for `longest` at most, and
+    /// returns the one that seems to.
+    pub(super) async fn settled(&self, longest: Duration) -> Option<InstanceName> {
+        let until = Instant::now() + longest.min(SETTLE_TIMEOUT);
+        let mut heard = self.heard.subscribe();
+        loop {
+            if let Some(scheduler) = self.scheduler() {
+                return Some(scheduler);
+            }
+            let look = (Instant::now() + LOOKING_INTERVAL).min(until);
+            // The sender lives as long as `self`.
+            let _ = time::timeout_at(look, heard.changed()).await;
+            if Instant::now() >= until {
+                return self.choice().current().cloned();
+            }
+        }
+    }
+
+    /// Returns what this instance has to do with the store.
+    pub(super) fn reader(&self) -> Reader {
+        let scheduler = self.scheduler();
+        let listed = self.listed();
+        Reader::of(&self.me, scheduler.as_ref(), listed.reserves())
     }
 
     /// Tells whether `instance` is this one.
@@ -101,29 +133,33 @@
 
     /// Writes this instance into the list in the store.
     pub(super) async fn write_self(&self, store: &StoreClient) -> super::store::Result<()> {
-        store
+        let position = store
             .write_instance(self.me.as_str(), &self.own_record)
-            .await
+            .await?;
+        let own = ListedPeer {
+            instance: self.me.clone(),
+            addr: self.own_record.addr,
+            zone: self.zone.clone(),
+            cores: self.own_record.cores,
+            position,
+        };
+        // What others wrote before it is not known from that.
+        self.adopt(vec![own], 0);
+        Ok(())
     }
 
-    /// Takes in records of the list; all of them when `is_whole`.
-    pub(super) fn apply(&self, records: Vec<Record>, is_whole: bool) {
-        if records.is_empty() && !is_whole {
-            return;
-        }
-        let mut listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
-        if is_whole {
-            listed.clear();
-        }
-        for record in records {
-            let instance = InstanceName::new(&record.key);
-            listed.retain(|peer| peer.instance != instance);
+    /// Takes over what was read of the list.
+    pub(super) fn apply(&self, batch: Batch) {
+        let mut peers = Vec::with_capacity(batch.records.len());
+        for record in batch.records {
             let Some(value) = &record.value else { continue };
             match store::decode_instance(value) {
-                Ok(decoded) => listed.push(ListedPeer {
-                    instance,
+                Ok(decoded) => peers.push(ListedPeer {
+                    instance: InstanceName::new(&record.key),
                     addr: decoded.addr,
+                    zone: ZoneName::new(decoded.zone),
                     cores: decoded.cores,
+                    position: record.offset,
                 }),
                 Err(err) => {
                     warn!(self.log, "instance not understood"; "peer" => &record.key,
@@ -131,57 +167,55 @@
                 }
             }
         }
-        let snapshot = listed.clone();
-        drop(listed);
-        self.take_list(&snapshot);
+        self.adopt(peers, batch.position);
     }
 
-    /// Adds the instances that a peer lists and this one does not know.
-    pub(super) fn adopt(&self, list: Vec<ListedPeer>) {
-        let mut listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
-        let before = listed.len();
-        for peer in list {
-            if !listed.iter().any(|known| known.instance == peer.instance) {
-                listed.push(peer);
-            }
-        }
-        let has_changed = listed.len() != before;
-        let snapshot = listed.clone();
-        drop(listed);
+    /// Takes over what the store or a peer lists that knows the list up to `position`.
+    pub(super) fn adopt(&self, peers: Vec<ListedPeer>, position: u64) {
+        let has_changed = self.listed().update(peers, position);
         if has_changed {
-            self.take_list(&snapshot);
+            self.take_list();
         }
     }
 
-    /// Returns a hash of the names of the instances that are listed.
-    pub(super) fn list_hash(&self) -> u64 {
-        let listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
-        let names = listed
-            .iter()
-            .map(|peer| xxh3_64(peer.instance.as_str().as_bytes()));
-        names.fold(0, |sum, hash| sum ^ hash)
+    /// Returns the position up to which the list is known.
+    pub(super) fn list_position(&self) -> u64 {
+        self.listed().position()
     }
 
-    fn take_list(&self, list: &[ListedPeer]) {
-        info!(self.log, "instances listed"; "instances" => list.len());
-        let count = u32::try_from(list.len()).unwrap_or(u32::MAX);
+    /// Tells whether the list says of this instance what it is.
+    pub(super) fn is_listed_as_it_is(&self) -> bool {
+        let listed = self.listed();
+        listed.peer(&self.me).is_some_and(|own| {
+            own.addr == self.own_record.addr
+                && own.zone == self.zone
+                && own.cores == self.own_record.cores
+        })
+    }
+
+    /// Returns the instances whose entries are at the position `from` or later.
+    pub(super) fn listed_from(&self, from: u64) -> Vec<ListedPeer> {
+        let listed = self.listed();
+        let later = listed.peers().filter(|peer| peer.position >= from);
+        later.cloned().collect()
+    }
+
+    fn take_list(&self) {
+        let listed = self.listed();
+        let count = u32::try_from(listed.peers().count()).unwrap_or(u32::MAX);
+        info!(self.log, "instances listed"; "instances" => count, "position" => listed.position());
         self.knowledge.budgets().on_listed(count);
-        let others = list.iter().filter(|peer| peer.instance != self.me);
-        self.peers.set_addrs(others.map(|peer| Contact {
-            instance: peer.instance.clone(),
-            addr: peer.addr,
-        }));
-        let candidates = list.iter().map(|peer| Candidate {
+        let others = listed.peers().filter(|peer| peer.instance != self.me);
+        self.peers.set_addrs(others.map(contact));
+        let candidates = listed.peers().map(|peer| Candidate {
             instance: peer.instance.clone(),
             cores: peer.cores,
         });
         self.choice().set_candidates(candidates.collect());
     }
 
-    /// Returns the instances that are listed.
-    pub(super) fn listed(&self) -> Vec<ListedPeer> {
-        let listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
-        listed.clone()
+    fn listed(&self) -> MutexGuard<'_, Listing> {
+        self.listed.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Notes that the instance that schedules could not be reached or gave no
@@ -189,15 +223,15 @@
     pub(super) fn on_scheduler_lost(&self, instance: &InstanceName, err: &PeerError) {
         warn!(self.log, "scheduler lost"; "scheduler" => %instance, "error" => %err);
         self.choice().on_unreachable(self.clock.now_ms(), instance);
-        self.lost.send_replace(());
+        self.heard.send_replace(());
     }
 
     /// Waits until `instance` is found not to be reached.
     pub(super) async fn lost(&self, instance: &InstanceName) {
-        let mut lost = self.lost.subscribe();
+        let mut heard = self.heard.subscribe();
         while !self.choice().is_away(instance) {
             // The sender lives as long as `self`.
-            let _ = lost.changed().await;
+            let _ = heard.changed().await;
         }
     }
 
@@ -224,36 +258,43 @@
     catch_up: Arc<CatchUp>,
     dispatch: Arc<Dispatch>,
     phases: Arc<Phases>,
+    store: StoreClient,
 ) {
-    let mut ticks = time::interval(ASK_INTERVAL);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut heard = members.heard.subscribe();
     let mut current = None;
     loop {
-        tokio::select! {
-            _ = ticks.tick() => {}
-            () = phases.reached(Phase::Leaving), if !phases.is_leaving() => {}
-        }
-        let asked = members.choice().to_ask(members.clock.now_ms());
+        let interval = match current {
+            Some(_) => ASK_INTERVAL,
+            None => LOOKING_INTERVAL,
+        };
+        let next_look = Instant::now() + interval;
+        let now_ms = members.clock.now_ms();
+        members.choice().on_look(now_ms);
+        let asked = members.choice().to_ask(now_ms);
         for instance in asked {
             if members.is_me(&instance) {
-                if phases.is_leaving() {
-                    members.on_scheduler_declined(&instance);
-                } else {
-                    members.choice().on_answer(&instance);
-                }
-                continue;
+                members.ask_self(&phases);
+            } else {
+                tokio::spawn(ask(Arc::clone(&members), instance, Arc::clone(&catch_up)));
             }
-            tokio::spawn(ask(Arc::clone(&members), instance, Arc::clone(&catch_up)));
         }
-        let now = members.scheduler();
-        if now != current {
-            if current.as_ref().is_some_and(|before| members.is_me(before)) {
-                dispatch.hand_over(now.as_ref());
+        // What is heard meanwhile may tell which one schedules.
+        loop {
+            let now = members.scheduler();
+            if now != current {
+                members.on_chosen(current.as_ref(), now.as_ref(), &dispatch);
+                store.set_reader(members.reader());
+                let is_lost = now.is_none();
+                current = now;
+                if is_lost {
+                    break;
+                }
+            }
+            tokio::select! {
+                () = time::sleep_until(next_look) => break,
+                _ = heard.changed() => {}
+                () = phases.reached(Phase::Leaving), if !phases.is_leaving() => break,
             }
-            info!(members.log, "scheduler chosen";
-                "scheduler" => now.as_ref().map(ToString::to_string),
-                "before" => current.as_ref().map(|name: &InstanceName| name.to_string()));
-            current = now;
         }
     }
 }
@@ -286,25 +327,47 @@
             }
         }
     };
-    members.lost.send_replace(());
+    members.heard.send_replace(());
     if let Some(SchedulerState { known, .. }) = state {
         catch_up.follow(&members, &instance, known).await;
     }
 }
 
 impl Members {
-    /// Chooses instances to ask: listed ones, or the first contacts of the
-    /// settings while none is listed.
+    /// Answers the question of whether this instance schedules.
+    fn ask_self(&self, phases: &Phases) {
+        if phases.is_leaving() {
+            self.on_scheduler_declined(&self.me);
+        } else {
+            self.choice().on_answer(&self.me);
+        }
+    }
+
+    /// Hands over what this instance schedules to the one that does now: also what it
+    /// began while it did not know of that one.
+    fn on_chosen(
+        &self,
+        before: Option<&InstanceName>,
+        now: Option<&InstanceName>,
+        dispatch: &Arc<Dispatch>,
+    ) {
+        info!(self.log, "scheduler chosen"; "scheduler" => now.map(ToString::to_string),
+            "before" => before.map(ToString::to_string));
+        if now.is_some_and(|now| !self.is_me(now)) {
+            dispatch.hand_over(now);
+        }
+    }
+
+    /// Chooses instances to ask for what they know: reserves, or the first contacts of
+    /// the settings while no instance is listed.
     pub(super) fn contacts(&self) -> Vec<Contact> {
         let listed = self.listed();
-        let mut contacts: Vec<Contact> = listed
-            .into_iter()
-            .filter(|peer| peer.instance != self.me)
-            .map(|peer| Contact {
-                instance: peer.instance,
-                addr: peer.addr,
-            })
+        let reserves = listed.reserves().iter().filter(|name| **name != self.me);
+        let mut contacts: Vec<Contact> = reserves
+            .filter_map(|name| listed.peer(name))
+            .map(contact)
             .collect();
+        drop(listed);
         if contacts.is_empty() {
             let others = self
                 .seeds
@@ -322,6 +385,13 @@
     }
 }
 
+fn contact(peer: &ListedPeer) -> Contact {
+    Contact {
+        instance: peer.instance.clone(),
+        addr: peer.addr,
+    }
+}
+
 /// Returns who this instance is to its peers.
 pub(super) fn peer_id(settings: &GatewaySettings, incarnation: Incarnation) -> PeerId {
     PeerId {
--- a/crates/server/src/gateway/peering.rs
+++ b/crates/server/src/gateway/peering.rs
@@ -2,6 +2,8 @@
 
 use std::{future, sync::Arc, time::Duration};
 
+use tokio::time::{self, Instant};
+
 use savoryvane_wire::peer::{Declined, Message, SchedulerState, Taken};
 
 use super::{catch_up::CatchUp, dispatch::Dispatch, members::Members};
@@ -10,14 +12,30 @@
     phase::{Phase, Phases},
 };
 
+/// Time for which one that starts counts as one that schedules: it knows routes and
+/// servers some ms after it can be reached, and others need not look for another one.
+const STARTING: Duration = Duration::from_millis(1_000);
+
 /// Hands messages of peers to the parts that they are for.
 pub(super) struct Peering {
+    pub(super) started: Instant,
     pub(super) members: Arc<Members>,
     pub(super) catch_up: Arc<CatchUp>,
     pub(super) dispatch: Arc<Dispatch>,
     pub(super) phases: Arc<Phases>,
 }
 
+impl Peering {
+    /// Tells whether this instance schedules for others, or will in a moment.
+    fn is_taking(&self) -> bool {
+        match self.phases.current() {
+            Phase::Starting => self.started.elapsed() < STARTING,
+            Phase::Serving => true,
+            Phase::Leaving | Phase::Draining => false,
+        }
+    }
+}
+
 impl PeerHandler for Peering {
     fn on_gossip(&self, _from: &PeerId, _message: Message) {
         metrics::counter!("savoryvane_peer_unexpected_total").increment(1);
@@ -26,20 +44,24 @@
     fn on_request(&self, _from: PeerId, message: Message, _wait: Duration) -> PeerAnswer {
         let answer = match message {
             Message::StageSubmission(submission) => {
-                if self.phases.current() != Phase::Serving {
-                    return Box::pin(future::ready(Message::Declined(Declined::NotMine)));
-                }
                 let dispatch = Arc::clone(&self.dispatch);
-                return Box::pin(
-                    async move { Message::StageOutcome(dispatch.run(submission).await) },
-                );
+                let phases = Arc::clone(&self.phases);
+                let starting_until = self.started + STARTING;
+                return Box::pin(async move {
+                    let serving = phases.reached(Phase::Serving);
+                    let _ = time::timeout_at(starting_until, serving).await;
+                    if phases.current() != Phase::Serving {
+                        return Message::Declined(Declined::NotMine);
+                    }
+                    Message::StageOutcome(dispatch.run(submission).await)
+                });
             }
             Message::StageRelease(key) => {
                 self.dispatch.release(&key);
                 Message::Taken(Taken)
             }
             Message::SchedulerQuery(_) => Message::SchedulerState(SchedulerState {
-                is_taking: self.phases.current() == Phase::Serving,
+                is_taking: self.is_taking(),
                 known: self.catch_up.known(&self.members),
             }),
             Message::RoutingQuery(question) => {
--- a/crates/server/src/gateway/settings.rs
+++ b/crates/server/src/gateway/settings.rs
@@ -4,7 +4,7 @@
 
 use savoryvane_check::{self as check, Fields, Problems};
 use savoryvane_core::{
-    forwarding::BudgetSettings,
+    forwarding::{BudgetSettings, InForce},
     ids::{InstanceName, RegionName, ZoneName},
 };
 
@@ -23,6 +23,16 @@
 /// slow or short of processor time still has it for its last lines.
 const KILL_SPARE_MS: u64 = 500;
 
+/// Times within which what the platform says has to be in force where the settings do
+/// not say: the shortest that any platform has asked for.
+const DEFAULT_IN_FORCE: InForce = InForce {
+    configuration_ms: 2_000,
+    leaving_ms: 2_000,
+};
+/// Shortest such time, in ms: it takes two reads of the store and a question to the one
+/// that reads it.
+const MIN_IN_FORCE_MS: u64 = 1_000;
+
 /// Everything that a forwarding instance is told from outside.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -42,6 +52,8 @@
     pub cores: f64,
     /// What all instances together may send again.
     pub repeats: BudgetSettings,
+    /// Times within which what the platform says has to be in force.
+    pub in_force: InForce,
     /// How it logs.
     pub log: Log,
     /// How it stops.
@@ -114,6 +126,7 @@
     let seeds = fields.list("seeds", 0..=MOST_SEEDS, |item| item.addr());
     let cores = fields.f64("cores", 0.01..=1_024.0);
     let repeats = fields.section("repeats", read_repeats);
+    let in_force = fields.section("in_force", read_in_force);
     let log = fields.section("log", read_log);
     let drain = fields.section("drain", read_drain);
     Some(GatewaySettings {
@@ -125,6 +138,7 @@
         seeds: seeds?,
         cores: cores?,
         repeats: repeats?,
+        in_force: in_force?,
         log: log?,
         drain: drain?,
     })
@@ -154,6 +168,19 @@
     })
 }
 
+fn read_in_force(fields: &mut Fields<'_>) -> Option<InForce> {
+    let times_ms = MIN_IN_FORCE_MS..=MAX_DURATION_MS;
+    let default = DEFAULT_IN_FORCE;
+    Some(InForce {
+        configuration_ms: fields.number(
+            "configuration_ms",
+            times_ms.clone(),
+            default.configuration_ms,
+        ),
+        leaving_ms: fields.number("leaving_ms", times_ms, default.leaving_ms),
+    })
+}
+
 fn read_drain(fields: &mut Fields<'_>) -> Option<GatewayDrain> {
     let grace_ms = fields.number("grace_ms", 0..=MAX_DURATION_MS, 2_500);
     let kill_after_s = fields.f64("kill_after_s", 0.1..=MAX_DURATION_S)?;
--- a/crates/server/src/gateway/stages.rs
+++ b/crates/server/src/gateway/stages.rs
@@ -108,13 +108,19 @@
         let (goal_ms, deadline_ms) = (submission.goal_left_ms, submission.deadline_left_ms);
         let mut next = None;
         for _ in 0..MOST_SCHEDULERS {
+            let scheduler = match next.take() {
+                Some(next) => Some(next),
+                None => {
+                    let left = Duration::from_millis(submission.deadline_left_ms);
+                    self.members.settled(left).await
+                }
+            };
             let elapsed_ms = began.elapsed().as_millis() as u64;
             submission.goal_left_ms = goal_ms.saturating_sub(elapsed_ms);
             submission.deadline_left_ms = deadline_ms.saturating_sub(elapsed_ms);
             if submission.deadline_left_ms == 0 {
                 break;
             }
-            let scheduler = next.take().or_else(|| self.members.scheduler());
             let outcome = self.run_at(scheduler.as_ref(), &submission).await;
             match (outcome, scheduler) {
                 (Ok(StageOutcome::Moved { done, to }), _) => {
--- a/crates/server/src/gateway/store.rs
+++ b/crates/server/src/gateway/store.rs
@@ -1,13 +1,19 @@
 //! Client of the platform's store.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::StatusCode;
 use quick_error::quick_error;
+use savoryvane_core::forwarding::{Reader, StoreRetry};
 use savoryvane_platform::store::{self, Call, InstanceRecord, Page, Read, Record, Topic};
 
 use crate::{
+    clock::Clock,
     connections::{ConnectionSettings, Connections, SendError},
     platform::request,
 };
@@ -49,13 +55,27 @@
 #[derive(Clone, Debug)]
 pub(super) struct StoreClient {
     addr: SocketAddr,
+    clock: Clock,
+    turns: Arc<Mutex<Turns>>,
     connections: Arc<Connections>,
 }
 
+/// When the store is called.
+#[derive(Debug)]
+struct Turns {
+    retry: StoreRetry,
+    reader: Reader,
+}
+
 impl StoreClient {
-    pub(super) fn new(addr: SocketAddr) -> Self {
+    pub(super) fn new(addr: SocketAddr, clock: Clock) -> Self {
         Self {
             addr,
+            clock,
+            turns: Arc::new(Mutex::new(Turns {
+                retry: StoreRetry::default(),
+                reader: Reader::Follower,
+            })),
             connections: Connections::new(ConnectionSettings {
                 connect_timeout: CONNECT_TIMEOUT,
                 max_idle: MAX_IDLE,
@@ -64,6 +84,22 @@
         }
     }
 
+    /// Takes over what this instance has to do with the store.
+    pub(super) fn set_reader(&self, reader: Reader) {
+        self.turns().reader = reader;
+    }
+
+    /// Begins a call; after one that failed returns how long to wait instead, but for
+    /// the one that tries whether the store is back.
+    pub(super) fn begin(&self) -> std::result::Result<(), Duration> {
+        let wait_ms = self.turns().retry.begin(self.clock.now_ms());
+        wait_ms.map_or(Ok(()), |wait_ms| Err(Duration::from_millis(wait_ms)))
+    }
+
+    fn turns(&self) -> MutexGuard<'_, Turns> {
+        self.turns.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Reads `topic` from the offset `from` on, waiting up to `wait` for a
     /// record.
     pub(super) async fn read(&self, topic: Topic, from: u64, wait: Duration) -> Result<Read> {
@@ -78,31 +114,32 @@
     pub(super) async fn newest(&self, topic: Topic) -> Result<(Vec<Record>, u64)> {
         let mut records: Vec<Record> = Vec::new();
         let mut first_end = None;
+        let mut after: Option<String> = None;
         loop {
-            let after = records.last().map(|record| record.key.clone());
             let call = store::newest(topic, after.as_deref());
             let (status, body) = self.call(call, TIMEOUT).await?;
             let Page {
                 records: page,
+                last_key,
                 has_more,
                 end,
             } = store::decode_newest(status, &body)?;
             // Pages are taken one after the other: what changed meanwhile is
             // read again from the end that the first one gave.
             let first_end = *first_end.get_or_insert(end);
-            let is_last = !has_more || page.is_empty();
             records.extend(page);
-            if is_last {
+            if !has_more || last_key.is_none() || last_key == after {
                 return Ok((records, first_end));
             }
+            after = last_key;
         }
     }
 
-    /// Writes what the instance `name` says of itself.
-    pub(super) async fn write_instance(&self, name: &str, record: &InstanceRecord) -> Result<()> {
+    /// Writes what the instance `name` says of itself, and returns its offset.
+    pub(super) async fn write_instance(&self, name: &str, record: &InstanceRecord) -> Result<u64> {
         let call = store::write_instance(name, record)?;
-        let (status, _) = self.call(call, TIMEOUT).await?;
-        Ok(store::decode_write(status)?)
+        let (status, body) = self.call(call, TIMEOUT).await?;
+        Ok(store::decode_write(status, &body)?)
     }
 
     async fn call(&self, call: Call, timeout: Duration) -> Result<(StatusCode, Bytes)> {
@@ -114,7 +151,24 @@
         metrics::counter!("savoryvane_store_calls_total",
             "outcome" => if answer.is_ok() { "answered" } else { "lost" })
         .increment(1);
+        let is_served = answer
+            .as_ref()
+            .is_ok_and(|answer| !is_refusal(answer.status()));
+        let now_ms = self.clock.now_ms();
+        {
+            let mut turns = self.turns();
+            let reader = turns.reader;
+            match is_served {
+                true => turns.retry.on_answered(),
+                false => turns.retry.on_failed(now_ms, reader, rand::random()),
+            }
+        }
         let answer = answer?;
         Ok((answer.status(), answer.into_body()))
     }
 }
+
+/// Tells whether the store takes no calls of this instance now.
+fn is_refusal(status: StatusCode) -> bool {
+    status == StatusCode::TOO_MANY_REQUESTS || status.is_server_error()
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -17,6 +17,7 @@
 use savoryvane_core::forwarding::{DirectoryUpdate, RoutingConfig};
 use savoryvane_core::ids::{
     IdempotencyKey, Incarnation, InstanceName, Offset, PipelineName, RequestId, WorkspaceName,
+    ZoneName,
 };
 pub use savoryvane_core::{
     digest::{AgedDigest, Digest, DigestBatch, Leaver, LeavingBackend, LeavingNotice, ZoneDigest},
@@ -213,13 +214,13 @@
 /// Answer to that question.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SchedulerState {
-    /// Whether it does.
+    /// Whether it does, or will as soon as it knows routes and servers.
     pub is_taking: bool,
     /// What it knows.
     pub known: KnownState,
 }
 
-/// How far an instance's knowledge of routes and servers goes.
+/// How far an instance's knowledge of routes, servers and instances goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KnownState {
     /// Version of its routing configuration.
@@ -232,17 +233,23 @@
     pub revision: u64,
     /// Time since the store told it, or one that the store told, in ms.
     pub servers_age_ms: u64,
-    /// Hash of the list of instances.
-    pub instances: u64,
+    /// Position up to which it knows the register of servers.
+    pub servers_position: u64,
+    /// Position up to which it knows the list of instances.
+    pub instances_position: u64,
 }
 
-/// Asks for what the receiver knows of routes and servers.
+/// Asks for what the receiver knows beyond the sender.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoutingQuery {
     /// Version of the routing configuration that the sender has.
     pub version: u64,
-    /// Revision of the receiver's directory that the sender has.
+    /// Revision of the receiver's directory that the sender has taken over last.
     pub revision: Option<u64>,
+    /// Position up to which the sender knows the register of servers.
+    pub servers_position: u64,
+    /// Position up to which the sender knows the list of instances.
+    pub instances_position: u64,
 }
 
 /// An entry instance as the store lists it.
@@ -252,20 +259,24 @@
     pub instance: InstanceName,
     /// Address for other instances.
     pub addr: std::net::SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
     /// Part of a core that it has.
     pub cores: f64,
+    /// Position in the list of what it says.
+    pub position: u64,
 }
 
-/// What the receiver of a question knows beyond the sender.
+/// What an instance knows of routes, servers and instances.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RoutingState {
     /// How far its knowledge goes.
     pub known: KnownState,
     /// The routing configuration, if it is a later version.
     pub config: Option<RoutingConfig>,
-    /// The servers.
+    /// The servers, as far as the asker does not know them.
     pub servers: DirectoryUpdate,
-    /// The instances that are listed.
+    /// The same of the instances that are listed.
     pub instances: Vec<ListedPeer>,
 }
 
@@ -349,13 +360,13 @@
     /// Answer to a request that needs no other.
     21 Taken(Taken),
     /// Asks who schedules; a request.
-    22 SchedulerQuery(SchedulerQuery),
+    26 SchedulerQuery(SchedulerQuery),
     /// Answer to that request.
-    23 SchedulerState(SchedulerState),
+    27 SchedulerState(SchedulerState),
     /// Asks for routes and servers; a request.
-    24 RoutingQuery(RoutingQuery),
+    28 RoutingQuery(RoutingQuery),
     /// Answer to that request.
-    25 RoutingState(RoutingState),
+    29 RoutingState(RoutingState),
 }
 
 /// Why a request gets no other answer.
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -100,6 +100,8 @@
         Message::RoutingQuery(RoutingQuery {
             version: 4,
             revision: Some(9),
+            servers_position: 70,
+            instances_position: 12,
         }),
         Message::RoutingState(RoutingState {
             known: known(),
@@ -111,7 +113,9 @@
             instances: vec![ListedPeer {
                 instance: "entry-1".into(),
                 addr: "127.0.0.1:7000".parse().unwrap(),
+                zone: "z".into(),
                 cores: 0.25,
+                position: 12,
             }],
         }),
     ]
@@ -124,7 +128,8 @@
         incarnation: Incarnation(7),
         revision: 9,
         servers_age_ms: u64::MAX,
-        instances: 3,
+        servers_position: 71,
+        instances_position: 13,
     }
 }
 
