Send on what comes to a scheduler that was replaced a moment ago

Ruled out: results that expired; the hand-over itself, which lost none at 26 s.

Change: for a second after another one was chosen, requests are sent on to it; a scheduler that hands over counts as one that is not alone. Inputs that are gone have a log line.

--- a/crates/core/src/stages/handover.rs
+++ b/crates/core/src/stages/handover.rs
@@ -13,7 +13,8 @@
 impl StageScheduler {
     /// Hands every request that is not finished over to the scheduler `to`, as
     /// soon as none of its pieces is at work.
-    pub fn hand_over(&mut self, to: Option<&InstanceName>) {
+    pub fn hand_over(&mut self, now_ms: u64, to: Option<&InstanceName>) {
+        self.contention.on_sign_of_others(now_ms);
         self.is_handing_over = true;
         self.successor = to.cloned();
         for service in self.services.values_mut() {
--- a/crates/core/tests/stages_scheduler.rs
+++ b/crates/core/tests/stages_scheduler.rs
@@ -274,7 +274,9 @@
             world.submit(World::submission(number, three_stages(), 5_000));
         }
         world.run(handed_over_ms);
-        world.scheduler.hand_over(Some(&InstanceName::new("next")));
+        let now_ms = world.now_ms;
+        let next = InstanceName::new("next");
+        world.scheduler.hand_over(now_ms, Some(&next));
         let begun = world.calls.len();
         world.run(handed_over_ms + 400);
         assert_eq!(world.calls.len(), begun, "no call is begun");
@@ -316,7 +318,8 @@
     let mut world = chain();
     world.submit(World::submission(1, three_stages(), 5_000));
     world.run(300);
-    world.scheduler.hand_over(Some(&InstanceName::new("next")));
+    let next = InstanceName::new("next");
+    world.scheduler.hand_over(300, Some(&next));
     world.run(700);
     let Some(StageOutcome::Moved { done, .. }) = world.outcome(1).cloned() else {
         panic!("not moved: {:?}", world.outcome(1));
--- a/crates/server/src/gateway/dispatch.rs
+++ b/crates/server/src/gateway/dispatch.rs
@@ -13,7 +13,7 @@
 use savoryvane_core::{
     ids::{BackendName, InstanceName, RequestId},
     stages::{
-        CallEnd, ItemEnd, Refusal, RequestKey, StageAction, StageCall, StageOutcome,
+        CallEnd, ItemEnd, ItemInput, Refusal, RequestKey, StageAction, StageCall, StageOutcome,
         StageScheduler, Submission,
     },
 };
@@ -154,7 +154,7 @@
         }
         info!(self.log, "stages handed over"; "to" => to.map(ToString::to_string),
             "requests" => requests, "pieces_waiting" => waiting, "calls" => calls);
-        self.scheduler().hand_over(to);
+        self.scheduler().hand_over(self.clock.now_ms(), to);
         self.carry_out();
     }
 
@@ -234,6 +234,15 @@
             "late" => count(&ItemEnd::Late), "input_gone" => count(&ItemEnd::InputGone),
             "no_room" => count(&ItemEnd::NoRoom), "failed" => count(&ItemEnd::Failed),
             "elapsed_ms" => elapsed_ms);
+        let gone = items.iter().position(|end| *end == ItemEnd::InputGone);
+        if let Some(item) = gone.and_then(|index| call.items.get(index)) {
+            let input = match &item.input {
+                ItemInput::Results(handles) => handles.first().map(String::as_str),
+                ItemInput::Key(_) => None,
+            };
+            info!(self.log, "inputs gone"; "call" => call.id.0, "request" => %item.request,
+                "stage" => item.stage, "first_input" => input);
+        }
     }
 
     async fn exchange(&self, call: &StageCall) -> CallEnd {
--- a/crates/server/src/gateway/members.rs
+++ b/crates/server/src/gateway/members.rs
@@ -42,6 +42,10 @@
 /// it takes where all start at once. Nobody is reached then, and an instance that is
 /// alone schedules for itself.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time for which one that was replaced sends on what comes to it: the others look every
+/// 250 ms. What it scheduled beside the next one found servers busy, its inputs gone, and
+/// was made up to four times.
+const REPLACED_FOR: Duration = Duration::from_millis(1_000);
 /// Peers that are asked at the same time for what they know.
 const CATCH_UP_PEERS: usize = 2;
 
@@ -49,7 +53,6 @@
 #[derive(Debug)]
 pub(super) struct Members {
     me: InstanceName,
-    zone: ZoneName,
     own_record: InstanceRecord,
     seeds: Vec<SocketAddr>,
     clock: Clock,
@@ -58,6 +61,8 @@
     knowledge: Arc<Knowledge>,
     listed: Mutex<Listing>,
     choice: Mutex<SchedulerChoice>,
+    /// When another instance was chosen to schedule, and which one.
+    replaced: Mutex<Option<(Instant, InstanceName)>>,
     /// Told when more is known of which instances are reached.
     heard: watch::Sender<()>,
 }
@@ -73,7 +78,6 @@
     ) -> Self {
         Self {
             me: settings.instance.clone(),
-            zone: settings.zone.clone(),
             own_record: InstanceRecord {
                 addr: settings.listen.peer,
                 zone: settings.zone.to_string(),
@@ -87,6 +91,7 @@
             knowledge,
             listed: Mutex::default(),
             choice: Mutex::default(),
+            replaced: Mutex::default(),
             heard: watch::Sender::new(()),
         }
     }
@@ -346,11 +351,26 @@
     ) {
         info!(self.log, "scheduler chosen"; "scheduler" => now.map(ToString::to_string),
             "before" => before.map(ToString::to_string));
-        if now.is_some_and(|now| !self.is_me(now)) {
-            dispatch.hand_over(now);
+        let other = now.filter(|now| !self.is_me(now));
+        *self.replaced() = other.map(|other| (Instant::now(), other.clone()));
+        if other.is_some() {
+            dispatch.hand_over(other);
         }
     }
 
+    /// Returns the instance that has begun to schedule instead of this one a moment ago:
+    /// what others still send here is sent on. Later they have a reason to, since they
+    /// do not reach that one.
+    pub(super) fn replaced_by(&self) -> Option<InstanceName> {
+        let replaced = self.replaced();
+        let (since, other) = replaced.as_ref()?;
+        (since.elapsed() < REPLACED_FOR).then(|| other.clone())
+    }
+
+    fn replaced(&self) -> MutexGuard<'_, Option<(Instant, InstanceName)>> {
+        self.replaced.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Chooses instances to ask for what they know: reserves, or the first contacts of
     /// the settings while no instance is listed.
     pub(super) fn contacts(&self) -> Vec<Contact> {
--- a/crates/server/src/gateway/peering.rs
+++ b/crates/server/src/gateway/peering.rs
@@ -4,6 +4,7 @@
 
 use tokio::time::{self, Instant};
 
+use savoryvane_core::stages::StageOutcome;
 use savoryvane_wire::peer::{Declined, Message, SchedulerState, Taken};
 
 use super::{catch_up::CatchUp, dispatch::Dispatch, members::Members};
@@ -44,6 +45,13 @@
     fn on_request(&self, _from: PeerId, message: Message, _wait: Duration) -> PeerAnswer {
         let answer = match message {
             Message::StageSubmission(submission) => {
+                if let Some(next) = self.members.replaced_by() {
+                    let moved = StageOutcome::Moved {
+                        done: submission.done,
+                        to: Some(next),
+                    };
+                    return Box::pin(future::ready(Message::StageOutcome(moved)));
+                }
                 let dispatch = Arc::clone(&self.dispatch);
                 let phases = Arc::clone(&self.phases);
                 let starting_until = self.started + STARTING;
