--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -3,6 +3,7 @@
 
 mod budget;
 mod directory;
+mod entry;
 mod fetching;
 mod leaving;
 mod objects;
@@ -14,7 +15,8 @@
 mod table;
 
 pub use budget::{BudgetSettings, RepeatBudgets};
-pub use directory::{Directory, DirectoryUpdate, KnownUpTo, ServerEntry, ServerState};
+pub use directory::Directory;
+pub use entry::{DirectoryUpdate, KnownUpTo, ServerEntry, ServerState};
 pub use fetching::FetchTimes;
 pub use leaving::AnswerTimes;
 pub use objects::{
--- a/crates/server/src/gateway.rs
+++ b/crates/server/src/gateway.rs
@@ -18,6 +18,7 @@
 mod register;
 mod relay;
 mod request;
+mod scheduling;
 mod sending;
 mod settings;
 mod stages;
--- a/crates/server/src/gateway/follow.rs
+++ b/crates/server/src/gateway/follow.rs
@@ -36,7 +36,7 @@
 
 /// What following the store needs.
 #[derive(Clone, Debug)]
-pub(super) struct Follower {
+pub(super) struct StoreFollower {
     pub(super) store: StoreClient,
     pub(super) knowledge: Arc<Knowledge>,
     pub(super) freshness: Arc<Freshness>,
@@ -137,8 +137,8 @@
 }
 
 /// Follows the configuration.
-pub(super) async fn configuration(follower: Follower) {
-    let Follower {
+pub(super) async fn configuration(follower: StoreFollower) {
+    let StoreFollower {
         store,
         knowledge,
         freshness,
@@ -181,8 +181,8 @@
 
 /// Follows the list of instances, and writes this instance into it where it does not
 /// say what this instance is.
-pub(super) async fn instances(follower: Follower) {
-    let Follower {
+pub(super) async fn instances(follower: StoreFollower) {
+    let StoreFollower {
         store,
         freshness,
         members,
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -15,14 +15,14 @@
     catch_up::{self, CatchUp},
     departure::Departure,
     dispatch::{self, Dispatch},
-    follow::{self, Follower},
+    follow::{self, StoreFollower},
     forward::Forwarder,
     freshness::Freshness,
     ingress::{self, Service},
     knowledge::Knowledge,
     members::{self, Members},
     peering::Peering,
-    register,
+    register, scheduling,
     settings::{GatewayListen, GatewaySettings},
     stages::Stages,
     store::StoreClient,
@@ -275,7 +275,7 @@
         let metrics = ingress::metrics(Arc::new(Meters::install()));
         self.spawn_lasting(&mut tasks, listeners.admin, metrics);
         tasks.spawn(self.peer_server.run(listeners.peer));
-        let follower = Follower {
+        let follower = StoreFollower {
             store: self.store.clone(),
             knowledge: Arc::clone(&self.knowledge),
             freshness: self.freshness,
@@ -286,7 +286,7 @@
         tasks.spawn(follow::configuration(follower.clone()));
         tasks.spawn(register::follow(follower.clone()));
         tasks.spawn(follow::instances(follower));
-        tasks.spawn(members::watch_scheduler(
+        tasks.spawn(scheduling::watch_scheduler(
             Arc::clone(&self.members),
             Arc::clone(&self.catch_up),
             Arc::clone(&self.dispatch),
--- a/crates/server/src/gateway/members.rs
+++ b/crates/server/src/gateway/members.rs
@@ -4,7 +4,6 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
 };
 
 use savoryvane_core::{
@@ -14,57 +13,38 @@
     stages::{Candidate, SchedulerChoice},
 };
 use savoryvane_platform::store::{self, InstanceRecord};
-use savoryvane_wire::peer::{ListedPeer, Message, SchedulerQuery, SchedulerState};
+use savoryvane_wire::peer::ListedPeer;
 use slog::{Logger, info, warn};
-use tokio::{
-    sync::watch,
-    time::{self, Instant},
-};
+use tokio::{sync::watch, time::Instant};
 
 use super::{
-    catch_up::CatchUp, dispatch::Dispatch, follow::Batch, knowledge::Knowledge, listing::Listing,
-    settings::GatewaySettings, store::StoreClient,
+    follow::Batch, knowledge::Knowledge, listing::Listing, settings::GatewaySettings,
+    store::StoreClient,
 };
 use crate::{
     clock::Clock,
-    peer::{PeerError, PeerHandle, PeerId},
-    phase::{Phase, Phases},
+    peer::{PeerHandle, PeerId},
 };
 
-/// Time between two questions to the instance that schedules: with two misses
-/// it is given up within a second.
-const ASK_INTERVAL: Duration = Duration::from_millis(250);
-/// The same while it is not known which one schedules: requests wait for that.
-const LOOKING_INTERVAL: Duration = Duration::from_millis(50);
-/// Time for such a question to be answered.
-const ASK_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time that a request waits until it is known which instance schedules: twice what
-/// it takes where all start at once. Nobody is reached then, and an instance that is
-/// alone schedules for itself.
-const SETTLE_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Time for which one that was replaced sends on what comes to it: the others look every
-/// 250 ms. What it scheduled beside the next one found servers busy, its inputs gone, and
-/// was made up to four times.
-const REPLACED_FOR: Duration = Duration::from_millis(1_000);
 /// Peers that are asked at the same time for what they know.
 const CATCH_UP_PEERS: usize = 2;
 
 /// The other instances, as this one knows them.
 #[derive(Debug)]
 pub(super) struct Members {
-    me: InstanceName,
+    pub(super) me: InstanceName,
     own_record: InstanceRecord,
     seeds: Vec<SocketAddr>,
-    clock: Clock,
-    log: Logger,
-    peers: PeerHandle,
+    pub(super) clock: Clock,
+    pub(super) log: Logger,
+    pub(super) peers: PeerHandle,
     knowledge: Arc<Knowledge>,
     listed: Mutex<Listing>,
     choice: Mutex<SchedulerChoice>,
     /// When another instance was chosen to schedule, and which one.
-    replaced: Mutex<Option<(Instant, InstanceName)>>,
+    pub(super) replaced: Mutex<Option<(Instant, InstanceName)>>,
     /// Told when more is known of which instances are reached.
-    heard: watch::Sender<()>,
+    pub(super) heard: watch::Sender<()>,
 }
 
 impl Members {
@@ -106,24 +86,6 @@
         self.choice().settled(self.clock.now_ms()).cloned()
     }
 
-    /// Waits until it is known which instance schedules, for `longest` at most, and
-    /// returns the one that seems to.
-    pub(super) async fn settled(&self, longest: Duration) -> Option<InstanceName> {
-        let until = Instant::now() + longest.min(SETTLE_TIMEOUT);
-        let mut heard = self.heard.subscribe();
-        loop {
-            if let Some(scheduler) = self.scheduler() {
-                return Some(scheduler);
-            }
-            let look = (Instant::now() + LOOKING_INTERVAL).min(until);
-            // The sender lives as long as `self`.
-            let _ = time::timeout_at(look, heard.changed()).await;
-            if Instant::now() >= until {
-                return self.choice().current().cloned();
-            }
-        }
-    }
-
     /// Returns what this instance has to do with the store.
     pub(super) fn reader(&self) -> Reader {
         let scheduler = self.scheduler();
@@ -216,161 +178,12 @@
         self.listed.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Notes that the instance that schedules could not be reached or gave no
-    /// answer, so that another one is asked.
-    pub(super) fn on_scheduler_lost(&self, instance: &InstanceName, err: &PeerError) {
-        warn!(self.log, "scheduler lost"; "scheduler" => %instance, "error" => %err);
-        self.choice().on_unreachable(self.clock.now_ms(), instance);
-        self.heard.send_replace(());
-    }
-
-    /// Waits until `instance` is found not to be reached.
-    pub(super) async fn lost(&self, instance: &InstanceName) {
-        let mut heard = self.heard.subscribe();
-        while !self.choice().is_away(instance) {
-            // The sender lives as long as `self`.
-            let _ = heard.changed().await;
-        }
-    }
-
-    /// Notes that the instance that scheduled names another one, which it
-    /// reaches; whether this one does shows when it is asked.
-    pub(super) fn on_scheduler_told(&self, instance: &InstanceName) {
-        self.choice().on_answer(instance);
-    }
-
-    /// Notes that an instance does not schedule for others.
-    pub(super) fn on_scheduler_declined(&self, instance: &InstanceName) {
-        self.choice().on_declined(self.clock.now_ms(), instance);
-    }
-
-    fn choice(&self) -> MutexGuard<'_, SchedulerChoice> {
+    pub(super) fn choice(&self) -> MutexGuard<'_, SchedulerChoice> {
         self.choice.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Asks the instance that schedules, and those that went before it, whether
-/// they are there.
-pub(super) async fn watch_scheduler(
-    members: Arc<Members>,
-    catch_up: Arc<CatchUp>,
-    dispatch: Arc<Dispatch>,
-    phases: Arc<Phases>,
-    store: StoreClient,
-) {
-    let mut heard = members.heard.subscribe();
-    let mut current = None;
-    loop {
-        let interval = match current {
-            Some(_) => ASK_INTERVAL,
-            None => LOOKING_INTERVAL,
-        };
-        let next_look = Instant::now() + interval;
-        let now_ms = members.clock.now_ms();
-        members.choice().on_look(now_ms);
-        let asked = members.choice().to_ask(now_ms);
-        for instance in asked {
-            if members.is_me(&instance) {
-                members.ask_self(&phases);
-            } else {
-                tokio::spawn(ask(Arc::clone(&members), instance, Arc::clone(&catch_up)));
-            }
-        }
-        // What is heard meanwhile may tell which one schedules.
-        loop {
-            let now = members.scheduler();
-            if now != current {
-                members.on_chosen(current.as_ref(), now.as_ref(), &dispatch);
-                store.set_reader(members.reader());
-                let is_lost = now.is_none();
-                current = now;
-                if is_lost {
-                    break;
-                }
-            }
-            tokio::select! {
-                () = time::sleep_until(next_look) => break,
-                _ = heard.changed() => {}
-                () = phases.reached(Phase::Leaving), if !phases.is_leaving() => break,
-            }
-        }
-    }
-}
-
-async fn ask(members: Arc<Members>, instance: InstanceName, catch_up: Arc<CatchUp>) {
-    let question = Message::SchedulerQuery(SchedulerQuery);
-    let answer = members
-        .peers
-        .request(&instance, None, &question, ASK_TIMEOUT)
-        .await;
-    let now_ms = members.clock.now_ms();
-    let state = {
-        let mut choice = members.choice();
-        match answer {
-            Ok(Message::SchedulerState(state)) if state.is_taking => {
-                choice.on_answer(&instance);
-                Some(state)
-            }
-            Ok(_) => {
-                choice.on_declined(now_ms, &instance);
-                None
-            }
-            Err(err) => {
-                if err.is_nothing_done() {
-                    choice.on_unreachable(now_ms, &instance);
-                } else {
-                    choice.on_miss(now_ms, &instance);
-                }
-                None
-            }
-        }
-    };
-    members.heard.send_replace(());
-    if let Some(SchedulerState { known, .. }) = state {
-        catch_up.follow(&members, &instance, known).await;
-    }
-}
-
 impl Members {
-    /// Answers the question of whether this instance schedules.
-    fn ask_self(&self, phases: &Phases) {
-        if phases.is_leaving() {
-            self.on_scheduler_declined(&self.me);
-        } else {
-            self.choice().on_answer(&self.me);
-        }
-    }
-
-    /// Hands over what this instance schedules to the one that does now: also what it
-    /// began while it did not know of that one.
-    fn on_chosen(
-        &self,
-        before: Option<&InstanceName>,
-        now: Option<&InstanceName>,
-        dispatch: &Arc<Dispatch>,
-    ) {
-        info!(self.log, "scheduler chosen"; "scheduler" => now.map(ToString::to_string),
-            "before" => before.map(ToString::to_string));
-        let other = now.filter(|now| !self.is_me(now));
-        *self.replaced() = other.map(|other| (Instant::now(), other.clone()));
-        if other.is_some() {
-            dispatch.hand_over(other);
-        }
-    }
-
-    /// Returns the instance that has begun to schedule instead of this one a moment ago:
-    /// what others still send here is sent on. Later they have a reason to, since they
-    /// do not reach that one.
-    pub(super) fn replaced_by(&self) -> Option<InstanceName> {
-        let replaced = self.replaced();
-        let (since, other) = replaced.as_ref()?;
-        (since.elapsed() < REPLACED_FOR).then(|| other.clone())
-    }
-
-    fn replaced(&self) -> MutexGuard<'_, Option<(Instant, InstanceName)>> {
-        self.replaced.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Chooses instances to ask for what they know: reserves, or the first contacts of
     /// the settings while no instance is listed.
     pub(super) fn contacts(&self) -> Vec<Contact> {
--- a/crates/server/src/gateway/register.rs
+++ b/crates/server/src/gateway/register.rs
@@ -13,7 +13,7 @@
 use slog::{Logger, warn};
 use tokio::time::{self, Instant};
 
-use super::follow::{Batch, Follower, TOLD_INTERVAL, Topical};
+use super::follow::{Batch, StoreFollower, TOLD_INTERVAL, Topical};
 
 /// Time between two reads of the register of servers. Servers write there every
 /// 1.2 s, so that a waiting read would be answered at once all the time; a
@@ -29,7 +29,7 @@
 const MOST_UNREADABLE: usize = 1_024;
 
 /// Follows the register of servers.
-pub(super) async fn follow(follower: Follower) {
+pub(super) async fn follow(follower: StoreFollower) {
     let mut topical = Topical::new(Topic::Servers, "servers", &follower.log);
     let mut unreadable = Unreadable::new(&follower.log);
     // While servers write themselves again, none counts as gone.
@@ -77,7 +77,7 @@
 
 /// Takes over what was read; while servers write themselves again, those that are
 /// missing are kept, and the register does not count as known up to there.
-fn apply(follower: &Follower, unreadable: &mut Unreadable, batch: Batch, keeps: bool) {
+fn apply(follower: &StoreFollower, unreadable: &mut Unreadable, batch: Batch, keeps: bool) {
     let records = batch.records.iter();
     let mut records: Vec<(BackendName, Option<ServerEntry>)> = records
         .map(|record| (BackendName::new(&record.key), unreadable.entry(record)))
