Tell those that know nothing one after the other, and go on with half-read registers

A register is seven pages there; one page that came late had all of them read again, after pauses meant for instances that know something, and whoever failed asked the scheduler for half a megabyte every 250 ms.

Change: a page is asked for again by itself; an instance that knows no routes and servers yet tries the store as often as the reserves do; an instance tells at most 1 MB a second to those that know nothing. An instance that is not listed yet is a candidate to itself.

--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -25,7 +25,7 @@
 };
 pub use patience::{answer_patience_ms, event_patience_ms};
 pub use placement::{Chosen, Placement, Prompt, PromptPart};
-pub use reading::{InForce, Reader, StoreRetry, is_told, reserves};
+pub use reading::{InForce, Reader, StoreRetry, TellingBudget, is_told, reserves};
 pub use returning::UsualDeadlines;
 pub use steps::{AttemptEnd, Giving, NextStep, Repeats, next_step};
 pub use table::{Matched, RouteTable, Unroutable};
--- a/crates/core/src/forwarding/reading.rs
+++ b/crates/core/src/forwarding/reading.rs
@@ -55,6 +55,34 @@
     routes.sum::<usize>() + keys.map(String::len).sum::<usize>() <= MOST_TOLD_BYTES
 }
 
+/// Bytes that one instance tells in a second to those that know nothing: less than half
+/// of the smallest link, so that what it does for others goes on. Hundreds that start
+/// together and can't read the store would ask the same one for half a megabyte each, and
+/// again as long as that does not come; with 3,000 servers none had it after 30 s.
+const TOLD_BYTES_PER_S: u64 = 1_000_000;
+/// Bytes of a server between instances.
+const SERVER_BYTES: u64 = 140;
+
+/// Bounds what an instance tells to those that know nothing.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TellingBudget {
+    /// Time until which what was told takes the budget, in ms.
+    busy_until_ms: u64,
+}
+
+impl TellingBudget {
+    /// Takes a listing of `servers` out of the budget, if that is not used up.
+    pub fn try_take(&mut self, now_ms: u64, servers: usize) -> bool {
+        if self.busy_until_ms > now_ms + 1_000 {
+            return false;
+        }
+        let bytes = servers as u64 * SERVER_BYTES;
+        let takes_ms = bytes * 1_000 / TOLD_BYTES_PER_S;
+        self.busy_until_ms = self.busy_until_ms.max(now_ms) + takes_ms;
+        true
+    }
+}
+
 /// Times within which what the platform says has to be in force.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct InForce {
--- a/crates/core/tests/forwarding_reading.rs
+++ b/crates/core/tests/forwarding_reading.rs
@@ -1,7 +1,9 @@
 //! Which instances read the store, and how often they try one that fails.
 
 use savoryvane_core::{
-    forwarding::{InForce, Reader, RoutingConfig, StoreRetry, WorkspaceKeys, is_told, reserves},
+    forwarding::{
+        InForce, Reader, RoutingConfig, StoreRetry, TellingBudget, WorkspaceKeys, is_told, reserves,
+    },
     ids::{InstanceName, WorkspaceName, ZoneName},
 };
 
@@ -122,3 +124,23 @@
     assert!(is_told(&config(40)));
     assert!(!is_told(&config(13_000)));
 }
+
+/// 300 that start without the store ask the same one, each every 250 ms: it tells some of
+/// them and the others ask again, and its link is not filled.
+#[test]
+fn those_that_know_nothing_are_told_one_after_the_other() {
+    for (servers, in_first_s) in [(294, 41..=49), (3_002, 3..=5)] {
+        let mut budget = TellingBudget::default();
+        let mut told = 0;
+        for now_ms in (0..5_000).step_by(250) {
+            if now_ms == 1_000 {
+                assert!(in_first_s.contains(&told), "{told}");
+            }
+            for _asker in 0..300 {
+                told += usize::from(budget.try_take(now_ms, servers));
+            }
+        }
+        let bytes = told * servers * 140;
+        assert!(bytes <= 6_500_000, "{bytes} bytes in 5 s");
+    }
+}
--- a/crates/server/src/gateway/catch_up.rs
+++ b/crates/server/src/gateway/catch_up.rs
@@ -7,13 +7,15 @@
 };
 
 use savoryvane_core::{
-    forwarding::{KnownUpTo, is_told},
+    forwarding::{DirectoryUpdate, KnownUpTo, TellingBudget, is_told},
     ids::{Incarnation, InstanceName},
     membership::Contact,
 };
 use savoryvane_wire::peer::{KnownState, Message, RoutingQuery, RoutingState};
 use tokio::time;
 
+use crate::clock::Clock;
+
 use super::{freshness::Freshness, knowledge::Knowledge, members::Members, store::StoreClient};
 
 /// Time between two looks at whether the own knowledge is old.
@@ -32,6 +34,8 @@
     is_first_start: bool,
     /// The run whose directory was taken over last, and its revision.
     source: Mutex<Option<(Incarnation, u64)>>,
+    clock: Clock,
+    telling: Mutex<TellingBudget>,
 }
 
 impl CatchUp {
@@ -41,6 +45,7 @@
         store: StoreClient,
         incarnation: Incarnation,
         is_first_start: bool,
+        clock: Clock,
     ) -> Self {
         Self {
             knowledge,
@@ -49,6 +54,8 @@
             incarnation,
             is_first_start,
             source: Mutex::default(),
+            clock,
+            telling: Mutex::default(),
         }
     }
 
@@ -146,8 +153,9 @@
         *self.source.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Tells a peer what this instance knows beyond it.
-    pub(super) fn answer(&self, members: &Members, question: RoutingQuery) -> RoutingState {
+    /// Tells a peer what this instance knows beyond it, unless it has told as much as
+    /// its link takes.
+    pub(super) fn answer(&self, members: &Members, question: RoutingQuery) -> Option<RoutingState> {
         let table = self.knowledge.table();
         let config = table
             .filter(|table| table.version() > question.version)
@@ -157,12 +165,21 @@
             KnownUpTo::Position(question.servers_position),
             KnownUpTo::Revision,
         );
-        RoutingState {
-            known: self.known(members),
+        let known = self.known(members);
+        let servers = self.knowledge.directory().update_for(known_up_to);
+        if let DirectoryUpdate::Whole(listing) = &servers {
+            let telling = self.telling.lock();
+            let mut telling = telling.unwrap_or_else(PoisonError::into_inner);
+            if !telling.try_take(self.clock.now_ms(), listing.len()) {
+                return None;
+            }
+        }
+        Some(RoutingState {
+            known,
             config,
-            servers: self.knowledge.directory().update_for(known_up_to),
+            servers,
             instances: members.listed_from(question.instances_position),
-        }
+        })
     }
 }
 
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -215,6 +215,7 @@
             store.clone(),
             incarnation,
             settings.is_first_start,
+            clock,
         ));
         let dispatch = Dispatch::new(
             clock,
--- a/crates/server/src/gateway/members.rs
+++ b/crates/server/src/gateway/members.rs
@@ -171,7 +171,15 @@
             instance: peer.instance.clone(),
             cores: peer.cores,
         });
-        self.choice().set_candidates(candidates.collect());
+        let mut candidates: Vec<Candidate> = candidates.collect();
+        if listed.peer(&self.me).is_none() {
+            // One that could not write itself yet and reaches nobody schedules for itself.
+            candidates.push(Candidate {
+                instance: self.me.clone(),
+                cores: self.own_record.cores,
+            });
+        }
+        self.choice().set_candidates(candidates);
     }
 
     fn listed(&self) -> MutexGuard<'_, Listing> {
--- a/crates/server/src/gateway/peering.rs
+++ b/crates/server/src/gateway/peering.rs
@@ -73,7 +73,8 @@
                 known: self.catch_up.known(&self.members),
             }),
             Message::RoutingQuery(question) => {
-                Message::RoutingState(self.catch_up.answer(&self.members, question))
+                let answer = self.catch_up.answer(&self.members, question);
+                answer.map_or(Message::Declined(Declined::NotMine), Message::RoutingState)
             }
             _ => Message::Declined(Declined::Unsupported),
         };
--- a/crates/server/src/gateway/scheduling.rs
+++ b/crates/server/src/gateway/scheduling.rs
@@ -136,6 +136,9 @@
             None => LOOKING_INTERVAL,
         };
         let next_look = Instant::now() + interval;
+        if phases.current() != Phase::Starting {
+            store.set_reader(members.reader());
+        }
         let now_ms = members.clock.now_ms();
         members.choice().on_look(now_ms);
         let asked = members.choice().to_ask(now_ms);
@@ -151,7 +154,6 @@
             let now = members.scheduler();
             if now != current {
                 members.on_chosen(current.as_ref(), now.as_ref(), &dispatch);
-                store.set_reader(members.reader());
                 let is_lost = now.is_none();
                 current = now;
                 if is_lost {
--- a/crates/server/src/gateway/store.rs
+++ b/crates/server/src/gateway/store.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    ops::RangeInclusive,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -11,6 +12,7 @@
 use quick_error::quick_error;
 use savoryvane_core::forwarding::{Reader, StoreRetry};
 use savoryvane_platform::store::{self, Call, InstanceRecord, Page, Read, Record, Topic};
+use tokio::time;
 
 use crate::{
     clock::Clock,
@@ -24,6 +26,10 @@
 /// The same of a whole topic, which is a megabyte or more in a large fleet and comes
 /// over a link of 10 Mbit/s.
 const WHOLE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Times that a page is asked for, once the one before it has come.
+const MOST_PAGE_TRIES: u32 = 3;
+/// Pause before it is asked for again, in ms: spread, since others ask too.
+const PAGE_PAUSES_MS: RangeInclusive<u64> = 100..=400;
 /// Time for a connection to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Largest answer that is read, in bytes: a page of the store is at most 1 MB,
@@ -88,7 +94,8 @@
         }
     }
 
-    /// Takes over what this instance has to do with the store.
+    /// Takes over what this instance has to do with the store, which is to be known once
+    /// it has routes and servers: until then it has nobody else to rely on.
     pub(super) fn set_reader(&self, reader: Reader) {
         self.turns().reader = reader;
     }
@@ -125,8 +132,7 @@
         let mut first_end = None;
         let mut after: Option<String> = None;
         loop {
-            let call = store::newest(topic, after.as_deref());
-            let (status, body) = self.call(call, WHOLE_TIMEOUT).await?;
+            let (status, body) = self.page(topic, after.as_deref()).await?;
             let Page {
                 records: page,
                 last_key,
@@ -144,6 +150,22 @@
         }
     }
 
+    /// Reads one page of a topic. Where hundreds read whole topics at the same time one
+    /// comes late, and the pages before it need not be read again for that.
+    async fn page(&self, topic: Topic, after: Option<&str>) -> Result<(StatusCode, Bytes)> {
+        let mut tries = 1;
+        loop {
+            let call = store::newest(topic, after);
+            match self.call(call, WHOLE_TIMEOUT).await {
+                Err(_) if after.is_some() && tries < MOST_PAGE_TRIES => {}
+                answer => return answer,
+            }
+            tries += 1;
+            let pause_ms = rand::random_range(PAGE_PAUSES_MS);
+            time::sleep(Duration::from_millis(pause_ms)).await;
+        }
+    }
+
     /// Writes what the instance `name` says of itself.
     pub(super) async fn write_instance(&self, name: &str, record: &InstanceRecord) -> Result<()> {
         let call = store::write_instance(name, record)?;
