--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -11,13 +11,15 @@
 //! - `POST /peer/v1/request`: one frame each way.
 
 mod limits;
+mod routing;
 
 use bincode::config::{Configuration, Limit, LittleEndian, Varint};
 use quick_error::quick_error;
-use savoryvane_core::forwarding::{DirectoryUpdate, RoutingConfig};
+pub use routing::{
+    KnownState, ListedPeer, RoutingQuery, RoutingState, SchedulerQuery, SchedulerState,
+};
 use savoryvane_core::ids::{
     IdempotencyKey, Incarnation, InstanceName, Offset, PipelineName, RequestId, WorkspaceName,
-    ZoneName,
 };
 pub use savoryvane_core::{
     digest::{AgedDigest, Digest, DigestBatch, Leaver, LeavingBackend, LeavingNotice, ZoneDigest},
@@ -207,84 +209,6 @@
     pub offset: Offset,
 }
 
-/// Asks whether the receiver schedules stages for others, and what it knows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SchedulerQuery;
-
-/// Answer to that question.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SchedulerState {
-    /// Whether it does, or will as soon as it knows routes and servers.
-    pub is_taking: bool,
-    /// What it knows.
-    pub known: KnownState,
-}
-
-/// How far an instance's knowledge of routes, servers and instances goes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct KnownState {
-    /// Version of its routing configuration.
-    pub version: u64,
-    /// Time since the store told it, or one that the store told, in ms.
-    pub version_age_ms: u64,
-    /// Its run, which numbers its revisions.
-    pub incarnation: Incarnation,
-    /// Revision of its directory of servers.
-    pub revision: u64,
-    /// Time since the store told it, or one that the store told, in ms.
-    pub servers_age_ms: u64,
-    /// Position up to which it knows the register of servers.
-    pub servers_position: u64,
-    /// Position up to which it knows the list of instances.
-    pub instances_position: u64,
-    /// Whether it reaches the store.
-    pub has_store: bool,
-}
-
-/// Asks for what the receiver knows beyond the sender.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RoutingQuery {
-    /// Version of the routing configuration that the sender has.
-    pub version: u64,
-    /// Revision of the receiver's directory that the sender has taken over last.
-    pub revision: Option<u64>,
-    /// Position up to which the sender knows the register of servers.
-    pub servers_position: u64,
-    /// Position up to which the sender knows the list of instances.
-    pub instances_position: u64,
-    /// Whether the sender reaches the store, where it reads a large configuration.
-    pub has_store: bool,
-}
-
-/// An entry instance as the store lists it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ListedPeer {
-    /// Its name.
-    pub instance: InstanceName,
-    /// Address for other instances.
-    pub addr: std::net::SocketAddr,
-    /// Its availability zone.
-    pub zone: ZoneName,
-    /// Part of a core that it has.
-    pub cores: f64,
-    /// Position in the list of what it says.
-    pub position: u64,
-}
-
-/// What an instance knows of routes, servers and instances.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct RoutingState {
-    /// How far its knowledge goes.
-    pub known: KnownState,
-    /// The routing configuration, if it is a later version that is not left to the
-    /// store.
-    pub config: Option<RoutingConfig>,
-    /// The servers, as far as the asker does not know them.
-    pub servers: DirectoryUpdate,
-    /// The same of the instances that are listed.
-    pub instances: Vec<ListedPeer>,
-}
-
 /// Says that a message was taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Taken;
