--- a/crates/core/src/forwarding/reading.rs
+++ b/crates/core/src/forwarding/reading.rs
@@ -23,9 +23,11 @@
 const RESERVES_PER_ZONE: usize = 2;
 /// Part of the bound from which one that is not told any more reads itself, in per
 /// cent: a read and another try fit into the rest.
-const FOLLOWER_PERCENT: u64 = 70;
-/// The same for a reserve: it has been read and told on before the others read.
-const RESERVE_PERCENT: u64 = 50;
+const FOLLOWER_PERCENT: u64 = 75;
+/// The same for a reserve: it has been read and told on before the others read. What is
+/// told is up to 1.1 s old on a calm day, 55 per cent of the shortest bound that there is;
+/// with 50 per cent the reserves of nine instances made 400 calls of the store in 34 s.
+const RESERVE_PERCENT: u64 = 60;
 /// Pauses after a call that failed of those that others rely on, in ms: a store that is
 /// back is noticed within a second.
 const EAGER_PAUSES_MS: [u64; 2] = [100, 800];
--- a/crates/core/tests/forwarding_reading.rs
+++ b/crates/core/tests/forwarding_reading.rs
@@ -57,6 +57,18 @@
     );
 }
 
+/// What is told is as old as the time between two reads of the one that schedules, 0.8 s,
+/// and between two questions to it, 0.25 s. Nine instances made 664 calls of the store on a
+/// calm day where reserves read from an age of 1.0 s on, and 199 with this.
+#[test]
+fn a_reserve_leaves_the_store_alone_on_a_calm_day() {
+    let shortest = InForce {
+        configuration_ms: 2_000,
+        leaving_ms: 2_000,
+    };
+    assert!(Reader::Reserve.reads_from_ms(shortest, true) >= 800 + 250 + 100);
+}
+
 /// Calls of a fleet in an outage of the store of 8 s, each instance with three topics
 /// that it follows. With tries of each for itself it was 33 calls an instance.
 #[test]
