Follow the scheduler alone, and take for lapsed only what an outage can have taken

Ruled out: unreadable entries, lost log lines.

Change: a directory tells changes only from the position of its last whole reading on; only the one that schedules is followed; servers are kept as lapsed only where nothing was told for 2 s, and those removed later are gone.

--- a/crates/core/src/forwarding/directory.rs
+++ b/crates/core/src/forwarding/directory.rs
@@ -36,7 +36,8 @@
     revision: u64,
     /// What changed lately, in order.
     changes: VecDeque<Change>,
-    /// Position from which `changes` has every change.
+    /// Position from which `changes` has every change: one that knows the register up to
+    /// an earlier one may know servers of which this directory never heard.
     changes_from: u64,
     /// Runs that have left; an entry that was already on its way does not bring
     /// them back.
@@ -205,7 +206,13 @@
             return self.take_newer(update);
         }
         let has_changed = match update {
-            DirectoryUpdate::Whole(listing) => self.replace_at(listing, position),
+            DirectoryUpdate::Whole(listing) => {
+                // Who came and went since the last position is not told by it.
+                if position > self.position {
+                    self.changes_from = position;
+                }
+                self.replace_at(listing, position)
+            }
             DirectoryUpdate::Changes(changes) => {
                 let before = self.revision;
                 for (registered_as, entry) in changes {
--- a/crates/core/tests/forwarding_runs.rs
+++ b/crates/core/tests/forwarding_runs.rs
@@ -152,6 +152,30 @@
     assert_eq!(state_of(&told, "i-2 1"), Some(ServerState::Ready));
 }
 
+/// An instance that has just started has read who is registered, and knows nothing of
+/// those that had left before. Told its changes alone, others kept these for good.
+#[test]
+fn one_that_has_just_read_the_register_tells_all_of_it() {
+    let mut known = Directory::default();
+    let listing = vec![
+        run_of("i-1", Some(1), 1, ServerState::Ready),
+        run_of("i-2", Some(1), 2, ServerState::Ready),
+    ];
+    known.update_to(DirectoryUpdate::Whole(listing), 352);
+    let mut started = Directory::default();
+    let listing = vec![run_of("i-2", Some(1), 2, ServerState::Ready)];
+    started.update_to(DirectoryUpdate::Whole(listing), 362);
+    let update = started.update_for(KnownUpTo::Position(known.position()));
+    known.update_to(update, started.position());
+    assert_eq!(
+        state_of(&known, "i-1 1"),
+        None,
+        "it left before the other one started"
+    );
+    assert_eq!(state_of(&known, "i-2 1"), Some(ServerState::Ready));
+    assert_eq!(told(&started, 362), (false, 0));
+}
+
 /// Returns whether one that knows the register up to `position` is told all, and how
 /// many servers it is told.
 fn told(directory: &Directory, position: u64) -> (bool, usize) {
--- a/crates/server/src/gateway/register.rs
+++ b/crates/server/src/gateway/register.rs
@@ -22,6 +22,10 @@
 /// Time for servers to write themselves again after the store was away;
 /// entries that are still missing then are gone.
 const RETURN_GRACE: Duration = Duration::from_millis(2_000);
+/// Age of what was known last from which servers may have lapsed, in ms: they do after
+/// three heartbeats that the store did not take. Where it is less, others have read the
+/// store meanwhile, and who is missing has left.
+const LAPSED_FROM_MS: u64 = 2_000;
 /// Age of what is known from which the whole register is read, in ms: with a record a
 /// second of each server the records since then are as many as the servers.
 const WHOLE_FROM_MS: u64 = 2_000;
@@ -57,44 +61,63 @@
             Some(_) => kept_to,
             None => follower.knowledge.directory().position(),
         };
-        let is_old = follower.freshness.servers_age_ms() > WHOLE_FROM_MS;
+        let age_ms = follower.freshness.servers_age_ms();
+        let is_old = age_ms > WHOLE_FROM_MS;
         let from = Some(position).filter(|position| *position > 0 && !is_over && !is_old);
         let read = topical.read(&follower.store, from, Duration::ZERO).await;
         let had_failed = topical.on_read(&read).is_some();
         let Ok(batch) = read else {
             continue;
         };
-        if had_failed && has_read {
+        let may_have_lapsed = had_failed && has_read && age_ms >= LAPSED_FROM_MS;
+        if may_have_lapsed {
             keeps_until = Some(Instant::now() + RETURN_GRACE);
         }
         has_read = true;
         follower.freshness.on_servers(0);
         kept_to = batch.position;
-        apply(&follower, &mut unreadable, batch, keeps_until.is_some());
+        let keeps = match keeps_until {
+            None => Keeps::None,
+            Some(_) if may_have_lapsed => Keeps::Lapsed,
+            Some(_) => Keeps::Position,
+        };
+        apply(&follower, &mut unreadable, batch, keeps);
         time::sleep_until(began + INTERVAL).await;
     }
 }
 
-/// Takes over what was read; while servers write themselves again, those that are
-/// missing are kept, and the register does not count as known up to there.
-fn apply(follower: &StoreFollower, unreadable: &mut Unreadable, batch: Batch, keeps: bool) {
+/// What is kept while servers write themselves again after an outage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Keeps {
+    /// Nothing: the store was not away.
+    None,
+    /// Servers that are missing, as this is the first read after the outage.
+    Lapsed,
+    /// The position up to which the register counts as known; who is removed after the
+    /// outage has left.
+    Position,
+}
+
+/// Takes over what was read.
+fn apply(follower: &StoreFollower, unreadable: &mut Unreadable, batch: Batch, keeps: Keeps) {
+    let knowledge = &follower.knowledge;
     let records = batch.records.iter();
     let mut records: Vec<(BackendName, Option<ServerEntry>)> = records
         .map(|record| (BackendName::new(&record.key), unreadable.entry(record)))
         .collect();
-    if keeps {
-        records.retain(|(_, entry)| entry.is_some());
-        return follower.knowledge.apply_servers(records, None);
-    }
-    if batch.is_whole {
-        let listing = records.into_iter().filter_map(|(_, entry)| entry);
-        let listing = DirectoryUpdate::Whole(listing.collect());
-        let knowledge = &follower.knowledge;
-        return knowledge.update_servers(listing, batch.position, "store");
+    match keeps {
+        Keeps::None if batch.is_whole => {
+            let listing = records.into_iter().filter_map(|(_, entry)| entry);
+            let listing = DirectoryUpdate::Whole(listing.collect());
+            knowledge.update_servers(listing, batch.position, "store");
+        }
+        Keeps::None => knowledge.apply_servers(records, Some(batch.position)),
+        Keeps::Lapsed => {
+            records.retain(|(_, entry)| entry.is_some());
+            knowledge.apply_servers(records, None);
+        }
+        Keeps::Position => knowledge.apply_servers(records, None),
     }
-    follower
-        .knowledge
-        .apply_servers(records, Some(batch.position));
 }
 
 /// Entries of the register that can't be read: they were not written by a server, and
--- a/crates/server/src/gateway/scheduling.rs
+++ b/crates/server/src/gateway/scheduling.rs
@@ -198,7 +198,9 @@
         }
     };
     members.heard.send_replace(());
-    if let Some(SchedulerState { known, .. }) = state {
+    // The next one is asked too; it knows what the one that schedules has told it.
+    let schedules = members.scheduler().as_ref() == Some(&instance);
+    if let Some(SchedulerState { known, .. }) = state.filter(|_| schedules) {
         catch_up.follow(&members, &instance, known).await;
     }
 }
