--- a/crates/server/src/gateway/catch_up.rs
+++ b/crates/server/src/gateway/catch_up.rs
@@ -14,9 +14,8 @@
 use savoryvane_wire::peer::{KnownState, Message, RoutingQuery, RoutingState};
 use tokio::time;
 
-use crate::clock::Clock;
-
 use super::{freshness::Freshness, knowledge::Knowledge, members::Members, store::StoreClient};
+use crate::clock::Clock;
 
 /// Time between two looks at whether the own knowledge is old.
 const CATCH_UP_INTERVAL: Duration = Duration::from_millis(400);
--- a/crates/server/src/gateway/peering.rs
+++ b/crates/server/src/gateway/peering.rs
@@ -2,10 +2,9 @@
 
 use std::{future, sync::Arc, time::Duration};
 
-use tokio::time::{self, Instant};
-
 use savoryvane_core::stages::StageOutcome;
 use savoryvane_wire::peer::{Declined, Message, SchedulerState, Taken};
+use tokio::time::{self, Instant};
 
 use super::{catch_up::CatchUp, dispatch::Dispatch, members::Members};
 use crate::{
--- a/crates/server/src/gateway/register.rs
+++ b/crates/server/src/gateway/register.rs
@@ -15,9 +15,9 @@
 
 use super::follow::{Batch, StoreFollower, TOLD_INTERVAL, Topical};
 
-/// Time between two reads of the register of servers. Servers write there every
-/// 1.2 s, so that a waiting read would be answered at once all the time; a
-/// leaving server has to be left alone after 2 s or more.
+/// Time between two reads of the register of servers. Where heartbeats add records a
+/// waiting read would be answered at once all the time; a leaving server has to be left
+/// alone after 2 s or more.
 const INTERVAL: Duration = Duration::from_millis(800);
 /// Time for servers to write themselves again after the store was away;
 /// entries that are still missing then are gone.
