Clone a configuration only for an answer that is given; one way to run the command line in tests

An instance that had told as much as its link takes cloned its configuration before it declined. The sender to peers is reached by its accessor alone.

--- a/crates/ctl/tests/account.rs
+++ b/crates/ctl/tests/account.rs
@@ -1,10 +1,10 @@
 //! `savoryvanectl account`, as an operator runs it: each request gets one end.
 
-use std::{
-    env, fs,
-    io::Write,
-    process::{Command, Output, Stdio},
-};
+mod common;
+
+use std::{env, fs, process::Output};
+
+use common::run_on;
 
 /// Lines of requests that end in different ways, out of order and with others.
 const LOGS: &str = r#"not a line of a log
@@ -24,18 +24,7 @@
 "#;
 
 fn account(flags: &[&str], logs: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_savoryvanectl"))
-        .arg("account")
-        .args(flags)
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the program");
-    let mut input = child.stdin.take().expect("its input");
-    input.write_all(logs.as_bytes()).expect("lines");
-    drop(input);
-    child.wait_with_output().expect("its end")
+    run_on(&[&["account"], flags].concat(), logs.as_bytes())
 }
 
 /// Returns the numbers of the line that begins with `name`.
--- a/crates/ctl/tests/common/mod.rs
+++ b/crates/ctl/tests/common/mod.rs
@@ -4,9 +4,10 @@
 
 use std::{
     fs,
+    io::Write,
     net::SocketAddr,
     path::PathBuf,
-    process::{Command, Stdio},
+    process::{Command, Output, Stdio},
     sync::{
         Arc, Mutex,
         atomic::{AtomicU32, Ordering},
@@ -223,6 +224,21 @@
     ran
 }
 
+/// Runs the binary with `input` on its standard input.
+pub fn run_on(args: &[&str], input: &[u8]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_savoryvanectl"))
+        .args(args)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program");
+    let mut lines = child.stdin.take().expect("its input");
+    lines.write_all(input).expect("lines");
+    drop(lines);
+    child.wait_with_output().expect("its end")
+}
+
 /// A plan with one step.
 pub fn plan() -> Value {
     let key = json!({"kind": "pool", "name": "engine"});
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -1,12 +1,11 @@
 //! `savoryvanectl explain`, as an operator runs it, on lines of a played day; the
 //! operators' page shows what it prints.
 
-use std::{
-    fs,
-    io::Write,
-    path::PathBuf,
-    process::{Command, Output, Stdio},
-};
+mod common;
+
+use std::{fs, path::PathBuf, process::Output};
+
+use common::run_on;
 
 /// The requests that the page explains, with the lines of their day.
 const WALKS: [(&str, &str); 3] = [
@@ -20,17 +19,7 @@
 }
 
 fn explain(request: &str, logs: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_savoryvanectl"))
-        .args(["explain", request])
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the program");
-    let mut input = child.stdin.take().expect("its input");
-    input.write_all(logs).expect("lines");
-    drop(input);
-    child.wait_with_output().expect("its end")
+    run_on(&["explain", request], logs)
 }
 
 #[test]
--- a/crates/server/src/gateway/catch_up.rs
+++ b/crates/server/src/gateway/catch_up.rs
@@ -155,11 +155,6 @@
     /// Tells a peer what this instance knows beyond it, unless it has told as much as
     /// its link takes.
     pub(super) fn answer(&self, members: &Members, question: RoutingQuery) -> Option<RoutingState> {
-        let table = self.knowledge.table();
-        let config = table
-            .filter(|table| table.version() > question.version)
-            .filter(|table| !question.has_store || is_told(table.config()))
-            .map(|table| (**table.config()).clone());
         let known_up_to = question.revision.map_or(
             KnownUpTo::Position(question.servers_position),
             KnownUpTo::Revision,
@@ -173,6 +168,11 @@
                 return None;
             }
         }
+        let table = self.knowledge.table();
+        let config = table
+            .filter(|table| table.version() > question.version)
+            .filter(|table| !question.has_store || is_told(table.config()))
+            .map(|table| (**table.config()).clone());
         Some(RoutingState {
             known,
             config,
--- a/crates/server/src/gateway/members.rs
+++ b/crates/server/src/gateway/members.rs
@@ -37,7 +37,7 @@
     seeds: Vec<SocketAddr>,
     pub(super) clock: Clock,
     pub(super) log: Logger,
-    pub(super) peers: PeerHandle,
+    peers: PeerHandle,
     knowledge: Arc<Knowledge>,
     listed: Mutex<Listing>,
     choice: Mutex<SchedulerChoice>,
--- a/crates/server/src/gateway/scheduling.rs
+++ b/crates/server/src/gateway/scheduling.rs
@@ -172,7 +172,7 @@
 async fn ask(members: Arc<Members>, instance: InstanceName, catch_up: Arc<CatchUp>) {
     let question = Message::SchedulerQuery(SchedulerQuery);
     let answer = members
-        .peers
+        .peers()
         .request(&instance, None, &question, ASK_TIMEOUT)
         .await;
     let now_ms = members.clock.now_ms();
