Name requests by what they ask for, and tell the end of a server from a lost connection

The logs of the incident could not tell whether streams that broke belong to one request that comes again or to many, nor whether a server had ended or only a connection to it. A digest of caller, method, host, path and body is made while the body comes in and stands on the lines of a request's end; a lost connection is followed by one attempt to connect to the server and, where that is refused, to another one of its zone. Nothing is decided by it yet.

--- a/crates/bench/src/bin/stage-ways.rs
+++ b/crates/bench/src/bin/stage-ways.rs
@@ -196,6 +196,7 @@
         priority: 0,
         home_zone: None,
         done: Vec::new(),
+        digest: Default::default(),
     }
 }
 
--- a/crates/bench/src/stage_load.rs
+++ b/crates/bench/src/stage_load.rs
@@ -280,6 +280,7 @@
             priority: kind.priority,
             home_zone: None,
             done: Vec::new(),
+            digest: Default::default(),
         };
         self.submissions.push(index);
         self.submitted_ms.push(self.now_ms);
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -250,6 +250,11 @@
         self.pools.get(name)
     }
 
+    /// Returns the calls of this instance that a backend server has.
+    pub fn in_flight(&self, name: &BackendName) -> u32 {
+        self.known(name).map_or(0, |backend| backend.in_flight)
+    }
+
     pub(crate) fn known(&self, name: &BackendName) -> Option<&KnownBackend> {
         self.by_name.get(name).map(|index| &self.backends[*index])
     }
--- a/crates/core/src/forwarding/directory.rs
+++ b/crates/core/src/forwarding/directory.rs
@@ -1,6 +1,9 @@
 //! The backend servers that have registered themselves.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
+    ops::Bound,
+};
 
 use super::{
     RoutingConfig, Service,
@@ -9,6 +12,7 @@
 use crate::{
     ids::{BackendName, PoolName},
     objects::{Backend, Fencing, Pool, StageKind},
+    poison::Registered,
 };
 
 /// Calls that a server takes where its service says nothing of it.
@@ -86,6 +90,31 @@
         self.entries.get(self.runs.get(id)?)
     }
 
+    /// Returns what the register says of the run `entry`, which it had.
+    pub fn registered(&self, entry: &ServerEntry) -> Registered {
+        if self.left.contains(&entry.id) {
+            return Registered::Leaving;
+        }
+        match self.entries.get(&entry.registered_as) {
+            None => Registered::Gone,
+            Some(current) if current.id != entry.id => Registered::Replaced,
+            Some(current) if current.state == ServerState::Leaving => Registered::Leaving,
+            Some(_) => Registered::Ready,
+        }
+    }
+
+    /// Returns another server of the availability zone of `entry` that takes work, of
+    /// any service: the one whose name follows.
+    pub fn neighbour(&self, entry: &ServerEntry) -> Option<&ServerEntry> {
+        let is_neighbour = |other: &&ServerEntry| {
+            other.zone == entry.zone && other.id != entry.id && other.state == ServerState::Ready
+        };
+        let after = (Bound::Excluded(&entry.registered_as), Bound::Unbounded);
+        let following = self.entries.range::<BackendName, _>(after);
+        let following = following.map(|(_, other)| other);
+        following.chain(self.entries.values()).find(is_neighbour)
+    }
+
     /// Applies one record of the register: what a server says of itself, or
     /// none once it is gone. Returns whether anything changed.
     pub fn apply(&mut self, registered_as: &BackendName, entry: Option<ServerEntry>) -> bool {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod pace;
 pub mod placement;
 pub mod placer;
+pub mod poison;
 pub mod progress;
 pub mod quantile;
 pub mod quota;
--- a/crates/core/src/stages/calls.rs
+++ b/crates/core/src/stages/calls.rs
@@ -305,6 +305,7 @@
     let has_key = request.submission.stages[at.stage].after.is_empty();
     CallItem {
         request: request.submission.request.clone(),
+        digest: request.submission.digest,
         stage: at.stage,
         piece: at.piece,
         left_ms: request.deadline_at_ms.saturating_sub(now_ms),
--- a/crates/core/src/stages/work.rs
+++ b/crates/core/src/stages/work.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{BackendName, Incarnation, InstanceName, PoolName, RequestId, ZoneName};
+use crate::{
+    ids::{BackendName, Incarnation, InstanceName, PoolName, RequestId, ZoneName},
+    poison::RequestDigest,
+};
 
 /// A request as its scheduler knows it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -56,6 +59,8 @@
     pub home_zone: Option<ZoneName>,
     /// Pieces that another scheduler has had done before it handed it over.
     pub done: Vec<DonePiece>,
+    /// What it asks for, under whichever identifier.
+    pub digest: RequestDigest,
 }
 
 /// A piece that is done, as one scheduler hands it over to another.
@@ -146,6 +151,8 @@
 pub struct CallItem {
     /// Identifier of the request.
     pub request: RequestId,
+    /// What the request asks for.
+    pub digest: RequestDigest,
     /// Number of the stage.
     pub stage: usize,
     /// Number of the piece.
--- a/crates/core/tests/stages_world/mod.rs
+++ b/crates/core/tests/stages_world/mod.rs
@@ -186,6 +186,7 @@
             priority: 0,
             home_zone: None,
             done: Vec::new(),
+            digest: Default::default(),
         }
     }
 
--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -6,6 +6,7 @@
 
 use std::{
     collections::HashMap,
+    io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -20,6 +21,7 @@
 };
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
+use savoryvane_core::poison::Probe;
 use tokio::{
     net::TcpStream,
     task::AbortHandle,
@@ -244,6 +246,16 @@
         }
     }
 
+    /// Tells from one attempt to connect to `addr` whether anything listens there.
+    pub(crate) async fn probe(&self, addr: SocketAddr) -> Probe {
+        let connecting = time::timeout(self.settings.connect_timeout, TcpStream::connect(addr));
+        match connecting.await {
+            Ok(Ok(_)) => Probe::Open,
+            Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused => Probe::Refused,
+            Ok(Err(_)) | Err(_) => Probe::Unknown,
+        }
+    }
+
     /// Takes over an idle connection to `addr` of another pool, if there is none
     /// here.
     pub(crate) fn take_over(&self, addr: SocketAddr, other: &Self) {
--- a/crates/server/src/gateway.rs
+++ b/crates/server/src/gateway.rs
@@ -6,6 +6,7 @@
 mod catch_up;
 mod departure;
 mod dispatch;
+mod ends;
 mod follow;
 mod forward;
 mod freshness;
--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use savoryvane_core::{
-    forwarding::{AttemptEnd, Repeats, Route, ServerState},
+    forwarding::{AttemptEnd, Repeats, Route, ServerEntry, ServerState},
     ids::{BackendName, ZoneName},
 };
 use savoryvane_platform::answer::{self, AnswerHead};
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use super::{
+    ends::LostRun,
     forward::{Forwarder, Inputs},
     request::CallerRequest,
 };
@@ -34,7 +35,7 @@
     /// With a whole answer.
     Whole(Response<Bytes>),
     /// With a stream of events that has begun.
-    Stream(Stream),
+    Stream(Box<Stream>),
     /// Without an answer to give, but for a failure of the server's own.
     Ended(AttemptEnd, Option<Response<Bytes>>),
 }
@@ -49,7 +50,8 @@
 /// Counts a request as in flight at a server until its end is known.
 pub(super) struct InFlight {
     forwarder: Arc<Forwarder>,
-    pub(super) server: BackendName,
+    /// The server, as it was registered when the request was sent.
+    pub(super) server: ServerEntry,
     route: Arc<Route>,
     began: Instant,
     has_ended: bool,
@@ -79,17 +81,17 @@
         match end {
             ServerEnd::Answered => {
                 let elapsed_us = self.began.elapsed().as_micros() as u64;
-                fleet.on_answered(now_ms, &self.server, elapsed_us);
+                fleet.on_answered(now_ms, &self.server.id, elapsed_us);
             }
-            ServerEnd::Full => fleet.on_full(now_ms, &self.server),
-            ServerEnd::Failing => fleet.on_failing(now_ms, &self.server),
-            ServerEnd::Silent => fleet.on_silent(now_ms, &self.server),
-            ServerEnd::Unreachable => fleet.on_unreachable(now_ms, &self.server),
+            ServerEnd::Full => fleet.on_full(now_ms, &self.server.id),
+            ServerEnd::Failing => fleet.on_failing(now_ms, &self.server.id),
+            ServerEnd::Silent => fleet.on_silent(now_ms, &self.server.id),
+            ServerEnd::Unreachable => fleet.on_unreachable(now_ms, &self.server.id),
         }
         let cut_off = fleet.cut_off_zones(now_ms);
         if cut_off != before {
             info!(self.forwarder.log, "zones passed over"; "zones" => zone_names(&cut_off),
-                "before" => zone_names(&before), "server" => %self.server, "end" => ?end);
+                "before" => zone_names(&before), "server" => %self.server.id, "end" => ?end);
         }
     }
 }
@@ -99,7 +101,7 @@
         if !self.has_ended {
             let now_ms = self.forwarder.clock.now_ms();
             let mut fleet = self.forwarder.knowledge.fleet();
-            fleet.on_abandoned(now_ms, &self.server);
+            fleet.on_abandoned(now_ms, &self.server.id);
         }
     }
 }
@@ -122,7 +124,7 @@
         self.knowledge.fleet().on_forwarded(now_ms, server);
         let in_flight = InFlight {
             forwarder: Arc::clone(self),
-            server: server.clone(),
+            server: entry,
             route: Arc::clone(&caller.matched.route),
             began: Instant::now(),
             has_ended: false,
@@ -131,10 +133,11 @@
             Repeats::Allowed => Reuse::Any,
             Repeats::Never => Reuse::Within(FRESH_CONNECTION),
         };
+        let addr = in_flight.server.addr;
         let request = caller.to_server(server, &inputs.handles, last_event);
         let sent = self
             .servers
-            .send_reusing(entry.addr, request, caller.deadline, reuse)
+            .send_reusing(addr, request, caller.deadline, reuse)
             .await;
         match sent {
             Ok(exchange) => self.read_answer(caller, exchange, in_flight).await,
@@ -147,12 +150,26 @@
             Err(SendError::Sent(reason)) => {
                 warn!(self.log, "answer lost"; "request" => %caller.id,
                     "server" => %server, "error" => reason);
-                in_flight.end(ServerEnd::Silent);
+                self.on_lost(caller, in_flight).await;
                 Sent::Ended(AttemptEnd::Lost, None)
             }
         }
     }
 
+    /// Finds out whether a server that broke off has ended under the request.
+    pub(super) async fn on_lost(&self, caller: &CallerRequest, in_flight: InFlight) {
+        let server = in_flight.server.clone();
+        let calls = self.knowledge.fleet().in_flight(&server.id);
+        in_flight.end(ServerEnd::Silent);
+        let lost = LostRun {
+            request: &caller.id,
+            digest: caller.digest,
+            server: &server,
+            others: calls.saturating_sub(1),
+        };
+        self.ends.on_lost(lost).await;
+    }
+
     async fn read_answer(
         &self,
         caller: &CallerRequest,
@@ -164,30 +181,30 @@
         let head = answer::decode(status, response.headers());
         if let Some(fault) = fault(caller, status, &head) {
             warn!(self.log, "answer not used"; "request" => %caller.id,
-                "server" => %in_flight.server, "status" => status.as_u16(), "fault" => fault);
+                "server" => %in_flight.server.id, "status" => status.as_u16(), "fault" => fault);
             in_flight.end(ServerEnd::Failing);
             return Sent::Ended(AttemptEnd::Lost, None);
         }
         if status.is_success() && head.has_events {
-            return Sent::Stream(Stream {
+            return Sent::Stream(Box::new(Stream {
                 response,
                 lease,
                 server: in_flight,
-            });
+            }));
         }
         let (mut parts, body) = response.into_parts();
         let body = match Limited::new(body, GATHERED_BYTES).collect().await {
             Ok(body) => body.to_bytes(),
             Err(err) => {
                 warn!(self.log, "answer broke off"; "request" => %caller.id,
-                    "server" => %in_flight.server, "error" => %err);
-                in_flight.end(ServerEnd::Silent);
+                    "server" => %in_flight.server.id, "error" => %err);
+                self.on_lost(caller, in_flight).await;
                 return Sent::Ended(AttemptEnd::Lost, None);
             }
         };
         keep(lease, &head);
         if head.is_misdirected {
-            self.knowledge.on_leaving(&in_flight.server);
+            self.knowledge.on_leaving(&in_flight.server.id);
         }
         parts.headers = answer::forward(&parts.headers);
         let response = Response::from_parts(parts, body);
--- a/crates/server/src/gateway/dispatch.rs
+++ b/crates/server/src/gateway/dispatch.rs
@@ -2,7 +2,7 @@
 //! with pieces, and tells whoever submitted a request how its stages ended.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -11,7 +11,9 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use savoryvane_core::{
+    forwarding::ServerEntry,
     ids::{BackendName, InstanceName, RequestId},
+    poison::RequestDigest,
     stages::{
         CallEnd, ItemEnd, ItemInput, Refusal, RequestKey, StageAction, StageCall, StageOutcome,
         StageScheduler, Submission,
@@ -24,7 +26,10 @@
     time::{self, Instant},
 };
 
-use super::knowledge::Knowledge;
+use super::{
+    ends::{LostRun, ServerEnds},
+    knowledge::Knowledge,
+};
 use crate::{
     clock::Clock,
     connections::{Connections, SendError},
@@ -52,6 +57,7 @@
     clock: Clock,
     knowledge: Arc<Knowledge>,
     servers: Arc<Connections>,
+    ends: Arc<ServerEnds>,
     scheduler: Mutex<StageScheduler>,
     waiters: Mutex<HashMap<RequestKey, oneshot::Sender<StageOutcome>>>,
     unneeded: Mutex<HashMap<BackendName, (SocketAddr, Vec<String>)>>,
@@ -79,6 +85,7 @@
         clock: Clock,
         knowledge: Arc<Knowledge>,
         servers: Arc<Connections>,
+        ends: Arc<ServerEnds>,
         log: Logger,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -86,6 +93,7 @@
             clock,
             knowledge,
             servers,
+            ends,
             scheduler: Mutex::default(),
             waiters: Mutex::default(),
             unneeded: Mutex::default(),
@@ -207,8 +215,14 @@
 
     async fn call(self: Arc<Self>, call: StageCall) {
         let began = Instant::now();
+        let server = self.knowledge.directory().entry(&call.server).cloned();
         let end = self.exchange(&call).await;
         let elapsed_ms = began.elapsed().as_millis() as u64;
+        if end == CallEnd::Lost
+            && let Some(server) = server
+        {
+            self.on_lost(&call, &server).await;
+        }
         metrics::counter!("savoryvane_stage_calls_ended_total", "end" => end.as_str()).increment(1);
         metrics::histogram!("savoryvane_stage_call_seconds").record(began.elapsed());
         self.log_call(&call, &end, elapsed_ms);
@@ -220,6 +234,25 @@
         self.carry_out();
     }
 
+    /// Finds out whether a server that broke off has ended under the requests of a call.
+    async fn on_lost(&self, call: &StageCall, server: &ServerEntry) {
+        let lost: BTreeMap<RequestDigest, &RequestId> = call
+            .items
+            .iter()
+            .map(|item| (item.digest, &item.request))
+            .collect();
+        let others = lost.len() as u32 - 1;
+        for (digest, request) in lost {
+            let lost = LostRun {
+                request,
+                digest,
+                server,
+                others,
+            };
+            self.ends.on_lost(lost).await;
+        }
+    }
+
     fn log_call(&self, call: &StageCall, end: &CallEnd, elapsed_ms: u64) {
         let CallEnd::Answered(items) = end else {
             warn!(self.log, "pieces not called"; "call" => call.id.0,
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -7,6 +7,7 @@
 use savoryvane_core::{
     forwarding::{Chosen, Placement, Repeats, Route},
     ids::{BackendName, RequestId, ZoneName},
+    poison::DigestBuilder,
     stages::{Refusal, StageOutcome, StageWork, Submission},
 };
 use savoryvane_platform::request::{self, RequestHead};
@@ -16,6 +17,7 @@
 use super::{
     answers::{self, Why},
     departure::Departure,
+    ends::ServerEnds,
     knowledge::Knowledge,
     request::{CallerRequest, host, service},
     stages::{Held, Stages},
@@ -45,6 +47,7 @@
     pub(super) servers: Arc<Connections>,
     pub(super) stages: Arc<Stages>,
     pub(super) departure: Arc<Departure>,
+    pub(super) ends: Arc<ServerEnds>,
 }
 
 /// Results of a request's stages.
@@ -103,8 +106,18 @@
         let matched = table.find(host(&request), request.uri().path(), head.key.as_deref())?;
         let service = service(&matched.route, &head).ok_or(Why::NoServer)?;
         let limits = table.config().limits;
+        let mut digest = DigestBuilder::new(
+            matched.workspace.as_ref(),
+            request.method().as_str(),
+            host(&request),
+            request
+                .uri()
+                .path_and_query()
+                .map_or("/", |path| path.as_str()),
+        );
         let (parts, body) = request.into_parts();
-        let body = http_body::read(body, limits.body_bytes, BODY_TIMEOUT).await?;
+        let on_part = |part: &[u8]| digest.update(part);
+        let body = http_body::read_with(body, limits.body_bytes, BODY_TIMEOUT, on_part).await?;
         let callers = head
             .deadline_ms
             .map_or(DEFAULT_DEADLINE, Duration::from_millis);
@@ -120,6 +133,7 @@
                 .unwrap_or_else(|| http::uri::PathAndQuery::from_static("/")),
             headers: parts.headers,
             body,
+            digest: digest.finish(),
             matched,
             service,
             arrived,
@@ -167,6 +181,7 @@
                     .home_zone(now_ms, &caller.service, prompt)
             }),
             done: Vec::new(),
+            digest: caller.digest,
         };
         let ended = tokio::select! {
             ended = self.stages.run(submission) => ended,
@@ -268,6 +283,7 @@
         sends: u32,
     ) {
         info!(self.log, "request answered"; "request" => %caller.id,
+            "digest" => %caller.digest,
             "route" => &caller.route().name, "server" => %server, "status" => status.as_u16(),
             "sends" => sends, "goal_ms" => caller.route().goal_ms,
             "elapsed_ms" => caller.elapsed_ms());
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -15,6 +15,7 @@
     catch_up::{self, CatchUp},
     departure::Departure,
     dispatch::{self, Dispatch},
+    ends::ServerEnds,
     follow::{self, StoreFollower},
     forward::Forwarder,
     freshness::Freshness,
@@ -217,10 +218,16 @@
             settings.is_first_start,
             clock,
         ));
+        let ends = Arc::new(ServerEnds::new(
+            Arc::clone(&knowledge),
+            Arc::clone(&servers),
+            log.clone(),
+        ));
         let dispatch = Dispatch::new(
             clock,
             Arc::clone(&knowledge),
             Arc::clone(&servers),
+            Arc::clone(&ends),
             log.clone(),
         );
         let stages = Stages::new(
@@ -237,6 +244,7 @@
             servers: Arc::clone(&servers),
             stages,
             departure: Arc::clone(departure),
+            ends,
         });
         let handler = Arc::new(Peering {
             members: Arc::clone(&members),
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -42,7 +42,7 @@
     forwarder: Arc<Forwarder>,
     caller: CallerRequest,
     inputs: Inputs,
-    stream: Stream,
+    stream: Box<Stream>,
     tried: Vec<BackendName>,
 ) -> Response<Body> {
     let (sender, frames) = mpsc::channel(WAITING_FRAMES);
@@ -157,6 +157,7 @@
             }
         };
         info!(self.forwarder.log, "stream ended"; "request" => %self.caller.id,
+            "digest" => %self.caller.digest,
             "route" => &self.caller.route().name, "end" => ?stop,
             "servers" => self.tried.len(), "events" => self.events.count,
             "goal_ms" => self.caller.route().goal_ms,
@@ -216,7 +217,9 @@
                 Some(Err(err)) => {
                     warn!(self.forwarder.log, "stream broke off"; "request" => %self.caller.id,
                         "events" => self.events.count, "error" => %err);
-                    self.end(ServerEnd::Silent);
+                    if let Some(server) = self.source.server.take() {
+                        self.forwarder.on_lost(&self.caller, server).await;
+                    }
                     return Stop::Broken;
                 }
                 None => {
@@ -269,7 +272,7 @@
     fn leave_silent(&mut self, waited: Duration) {
         self.source.lease = None;
         if let Some(server) = self.source.server.take() {
-            let name = server.server.clone();
+            let name = server.server.id.clone();
             drop(server);
             self.forwarder.give_up(&self.caller, &name, waited);
         }
--- a/crates/server/src/gateway/request.rs
+++ b/crates/server/src/gateway/request.rs
@@ -8,6 +8,7 @@
 use savoryvane_core::{
     forwarding::{Matched, Prompt, Repeats, Route, RouteKind},
     ids::{BackendName, PoolName, RequestId},
+    poison::RequestDigest,
 };
 use savoryvane_platform::request::{self, Forwarded, RequestHead};
 use tokio::time::Instant;
@@ -22,6 +23,8 @@
     pub(super) path: PathAndQuery,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// What it asks for, under whichever identifier.
+    pub(super) digest: RequestDigest,
     pub(super) matched: Matched,
     /// Service that it goes to.
     pub(super) service: PoolName,
--- a/crates/server/src/http_body.rs
+++ b/crates/server/src/http_body.rs
@@ -35,6 +35,20 @@
     max_bytes: u64,
     timeout: Duration,
 ) -> Result<Bytes, BodyFault> {
+    read_with(body, max_bytes, timeout, |_| {}).await
+}
+
+/// Reads a body like [`read`], and shows each part of it to `on_part` as it comes.
+pub(crate) async fn read_with(
+    body: Incoming,
+    max_bytes: u64,
+    timeout: Duration,
+    mut on_part: impl FnMut(&[u8]),
+) -> Result<Bytes, BodyFault> {
+    let body = body.map_frame(|frame| {
+        frame.data_ref().into_iter().for_each(|part| on_part(part));
+        frame
+    });
     let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
     let whole = time::timeout(timeout, Limited::new(body, max_bytes).collect());
     match whole.await {
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -170,6 +170,7 @@
             piece: 2,
             kept: Some(("i-1".into(), result())),
         }],
+        digest: Default::default(),
     }
 }
 
