--- a/crates/bench/src/bin/stage-ways.rs
+++ b/crates/bench/src/bin/stage-ways.rs
@@ -197,6 +197,7 @@
         home_zone: None,
         done: Vec::new(),
         digest: Default::default(),
+        ends: 0,
     }
 }
 
--- a/crates/bench/src/stage_load.rs
+++ b/crates/bench/src/stage_load.rs
@@ -281,6 +281,7 @@
             home_zone: None,
             done: Vec::new(),
             digest: Default::default(),
+            ends: 0,
         };
         self.submissions.push(index);
         self.submitted_ms.push(self.now_ms);
--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -2,10 +2,23 @@
 //!
 //! A caller who comes again with one has a new request identifier, and reaches
 //! another instance. What is known of it therefore goes by a digest of what the
-//! request asks for.
+//! request asks for, and is shared by all instances: without that, N attempts end
+//! N servers, with all that these run for others.
+//!
+//! A request under which a server has ended is a suspect: one copy of it runs at a
+//! time, by a permit of the instance that schedules. Under the third server it is
+//! quarantined: refused at once, and tried again once in a while. A whole answer,
+//! or a server that turns out to run on, clears it.
 
+mod book;
 mod digest;
 mod evidence;
+mod permits;
+mod recent;
+mod record;
 
+pub use book::{ENDS_TO_QUARANTINE, EndBook};
 pub use digest::{DigestBuilder, RequestDigest};
 pub use evidence::{Evidence, Fate, Probe, Registered, fate_at_loss, fate_later};
+pub use permits::{Permit, Permits};
+pub use record::{EndRecord, QuarantineSettings, Standing, StoredEnds, ToldEnds};
--- a/crates/core/src/poison/evidence.rs
+++ b/crates/core/src/poison/evidence.rs
@@ -81,10 +81,13 @@
 }
 
 /// Decides the same some time later, for a server that was registered when its
-/// connection was lost and of which nothing was known then.
+/// connection was lost and of which nothing was known then. Behind a partition entries
+/// lapse of servers that run on, so that a neighbour has to be reached for it.
 pub fn fate_later(registered: Registered, probe: Probe, neighbour: Probe) -> Fate {
-    match registered {
-        Registered::Gone => Fate::Ended(Evidence::Lapsed),
+    match (registered, probe) {
+        (Registered::Gone, Probe::Open) => Fate::NotToBlame,
+        (Registered::Gone, _) if neighbour == Probe::Open => Fate::Ended(Evidence::Lapsed),
+        (Registered::Gone, _) => Fate::Unknown,
         _ => fate_at_loss(registered, probe, neighbour),
     }
 }
--- a/crates/core/src/stages.rs
+++ b/crates/core/src/stages.rs
@@ -12,6 +12,7 @@
 mod contention;
 mod fetched;
 mod handover;
+mod isolation;
 mod kept;
 mod progress;
 mod queue;
--- a/crates/core/src/stages/batch.rs
+++ b/crates/core/src/stages/batch.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 
 use super::{
+    isolation::{Company, Isolation, Suspicion},
     queue::{QueueOrder, Waiting},
     request::{MOST_RANK_MS, Request},
     service::{StageService, usable_room_bytes},
@@ -54,6 +55,7 @@
     now_ms: u64,
     service: &mut StageService,
     requests: &mut HashMap<RequestKey, Request>,
+    mut isolation: Isolation,
 ) -> Vec<Batch> {
     let mut calls = OpenCalls::new(now_ms, service);
     let half = service.batching.batch_pieces / 2;
@@ -72,13 +74,16 @@
             zone: request.zone_of(waiting.at.stage).filter(|_| is_far_dear),
             can_wait: !order.is_late && begin_by_ms > now_ms + call_ms,
             bytes: waiting.bytes,
+            suspicion: Suspicion::of(request),
         };
-        let Some(index) = calls.place(&wanted) else {
+        let Some(index) = calls.place(&wanted, &isolation) else {
             continue;
         };
+        isolation.place(&wanted.suspicion, index);
         let call = &mut calls.calls[index];
         call.room_used += waiting.bytes;
         call.pieces.push(waiting.clone());
+        call.company.add(&wanted.suspicion);
         if is_far_dear && !request.is_pulled_home(waiting.at.stage) {
             request.zone = Some(call.zone.clone());
         }
@@ -109,6 +114,8 @@
     can_wait: bool,
     /// Size of its result, in bytes.
     bytes: u64,
+    /// Whether servers have ended under its request.
+    suspicion: Suspicion,
 }
 
 /// A call that an idle server could get.
@@ -120,6 +127,7 @@
     /// Memory that they take with those of this call, in bytes.
     room_used: u64,
     pieces: Vec<Waiting>,
+    company: Company,
 }
 
 /// A call for each idle server.
@@ -145,6 +153,7 @@
                     room: server.room(now_ms, service.batching.room_bytes),
                     room_used: server.room_used,
                     pieces: Vec::new(),
+                    company: Company::new(service.batching.batch_pieces),
                 });
             }
         }
@@ -164,8 +173,10 @@
     /// Chooses the call of a piece: one that is being filled in the wanted zone,
     /// that of an idle server there, then the same anywhere, unless the piece can
     /// wait for one in the wanted zone.
-    fn place(&self, wanted: &Wanted<'_>) -> Option<usize> {
-        let in_zone = wanted.zone.and_then(|zone| self.best(wanted, Some(zone)));
+    fn place(&self, wanted: &Wanted<'_>, isolation: &Isolation) -> Option<usize> {
+        let in_zone = wanted
+            .zone
+            .and_then(|zone| self.best(wanted, Some(zone), isolation));
         if in_zone.is_some() {
             return in_zone;
         }
@@ -173,12 +184,21 @@
         if waits {
             return None;
         }
-        self.best(wanted, None)
+        self.best(wanted, None, isolation)
     }
 
-    fn best(&self, wanted: &Wanted<'_>, zone: Option<&ZoneName>) -> Option<usize> {
-        let fits = |(_, call): &(usize, &OpenCall)| {
-            call.pieces.len() < self.batch_pieces
+    fn best(
+        &self,
+        wanted: &Wanted<'_>,
+        zone: Option<&ZoneName>,
+        isolation: &Isolation,
+    ) -> Option<usize> {
+        let suspicion = &wanted.suspicion;
+        let fits = |(index, call): &(usize, &OpenCall)| {
+            let is_begun = !call.pieces.is_empty();
+            call.company.takes(is_begun, suspicion)
+                && isolation.allows(suspicion, *index)
+                && call.pieces.len() < self.batch_pieces
                 && call.room_used + wanted.bytes <= usable_room_bytes(call.room, wanted.bytes)
                 && zone.is_none_or(|zone| *zone == call.zone)
         };
--- a/crates/core/src/stages/calls.rs
+++ b/crates/core/src/stages/calls.rs
@@ -2,13 +2,17 @@
 
 use super::{
     batch::Batch,
+    isolation::Isolation,
     queue::Waiting,
     request::{Piece, PieceAt, Request},
     scheduler::{CallEnd, ItemEnd, StageScheduler},
     server::Server,
-    work::{CallId, CallItem, ItemInput, Refusal, ResultRef, StageAction, StageCall},
+    work::{CallId, CallItem, ItemInput, Refusal, RequestKey, ResultRef, StageAction, StageCall},
+};
+use crate::{
+    ids::{BackendName, PoolName},
+    poison::{ENDS_TO_QUARANTINE, RequestDigest},
 };
-use crate::ids::{BackendName, PoolName};
 
 /// Times that pieces of one request are sent again before it is given up.
 pub(super) const MOST_REPEATS: u32 = 24;
@@ -63,7 +67,7 @@
                 CallEnd::Answered(_) => server.on_answer(now_ms, elapsed_ms, call.expected_ms),
                 CallEnd::Full => server.on_full(now_ms),
                 CallEnd::Misdirected => server.is_leaving = true,
-                CallEnd::Unreachable | CallEnd::Lost => {
+                CallEnd::Unreachable | CallEnd::Lost | CallEnd::ServerEnded(_) => {
                     server.on_failure(now_ms);
                     let addr = server.addr;
                     let server = call.server.clone();
@@ -87,7 +91,10 @@
                     self.wait_again(now_ms, id, waiting, false);
                 }
             }
-            CallEnd::Lost => {
+            CallEnd::Lost | CallEnd::ServerEnded(_) => {
+                if let CallEnd::ServerEnded(ends) = end {
+                    self.on_ends(now_ms, ends);
+                }
                 for waiting in &call.pieces {
                     self.release_room(&call, waiting);
                     self.wait_again(now_ms, id, waiting, true);
@@ -96,6 +103,36 @@
         }
     }
 
+    /// Notes how many servers have ended under requests: their pieces go apart from now
+    /// on, and those under which too many have are refused.
+    fn on_ends(&mut self, now_ms: u64, ends: &[(RequestDigest, u32)]) {
+        let mut refused: Vec<RequestKey> = Vec::new();
+        for (key, request) in &mut self.requests {
+            let digest = request.submission.digest;
+            let Some((_, ends)) = ends.iter().find(|(ended, _)| *ended == digest) else {
+                continue;
+            };
+            request.submission.ends = *ends;
+            self.suspects.insert(key.clone());
+            if *ends >= ENDS_TO_QUARANTINE {
+                refused.push(key.clone());
+            }
+        }
+        for key in refused {
+            self.refuse(now_ms, &key, Refusal::EndsServers);
+        }
+    }
+
+    /// Returns which suspects have pieces at work; nearly always there is none.
+    pub(super) fn isolation(&mut self) -> Isolation {
+        let requests = &self.requests;
+        self.suspects.retain(|key| requests.contains_key(key));
+        if self.suspects.is_empty() {
+            return Isolation::default();
+        }
+        Isolation::new(self.calls.values(), requests)
+    }
+
     /// Notes that a connection to a server could be made.
     pub fn on_reachable(&mut self, server: &BackendName) {
         let mut services = self.services.values_mut();
@@ -181,6 +218,8 @@
             self.free(&call.service, &call.server, vec![handle.clone()]);
             return;
         };
+        // The next stage may go with others again; an end there says so anew.
+        request.submission.ends = 0;
         let taken = request.taken;
         let order = request.order(waiting.at);
         let bytes = request.submission.stages[waiting.at.stage].result_bytes;
--- a/crates/core/src/stages/progress.rs
+++ b/crates/core/src/stages/progress.rs
@@ -156,6 +156,13 @@
         submission: &Submission,
         reason: Refusal,
     ) -> StageOutcome {
+        if reason == Refusal::EndsServers {
+            return StageOutcome::Refused {
+                reason,
+                retry_after_ms: 0,
+                forecast_ms: 0,
+            };
+        }
         let forecast = admission::forecast_all(now_ms, submission, &self.services);
         let (reason, retry_after_ms) = if forecast.has_gap {
             (Refusal::NoServer, NO_SERVER_RETRY_AFTER_MS)
--- a/crates/core/src/stages/scheduler.rs
+++ b/crates/core/src/stages/scheduler.rs
@@ -1,6 +1,6 @@
 //! Schedules the pieces of all requests over the servers of all services.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 use super::{
     admission::{self, Refusals},
@@ -17,6 +17,7 @@
 use crate::{
     forwarding::{RoutingConfig, ServerEntry, ServerState},
     ids::{BackendName, InstanceName, PoolName},
+    poison::RequestDigest,
 };
 
 /// How one piece of a call ended.
@@ -47,6 +48,8 @@
     Unreachable,
     /// Its answer was lost or made no sense.
     Lost,
+    /// The server has ended under it; so many have now under its requests.
+    ServerEnded(Vec<(RequestDigest, u32)>),
 }
 
 impl CallEnd {
@@ -58,6 +61,7 @@
             Self::Misdirected => "misdirected",
             Self::Unreachable => "unreachable",
             Self::Lost => "lost",
+            Self::ServerEnded(_) => "server_ended",
         }
     }
 }
@@ -84,6 +88,8 @@
     pub(super) refusals: Refusals,
     /// The scheduler that goes on with what is handed over.
     pub(super) successor: Option<InstanceName>,
+    /// Requests that came as suspects or became so here, also some that have ended.
+    pub(super) suspects: HashSet<RequestKey>,
     pub(super) actions: Vec<StageAction>,
 }
 
@@ -132,6 +138,9 @@
     /// time; how they end is told by an action.
     pub fn submit(&mut self, now_ms: u64, submission: Submission) {
         self.contention.on_submission(now_ms);
+        if submission.ends > 0 {
+            self.suspects.insert(submission.key.clone());
+        }
         // What another scheduler has begun is finished.
         let is_begun = !submission.done.is_empty();
         let admitted = admission::admit(now_ms, &submission, &self.services, &self.refusals);
@@ -191,10 +200,11 @@
             for key in batch::late(now_ms, service, &self.requests) {
                 self.give_up_goal(&key);
             }
+            let isolation = self.isolation();
             let Some(service) = self.services.get_mut(&name) else {
                 continue;
             };
-            let batches = batch::fill(now_ms, service, &mut self.requests);
+            let batches = batch::fill(now_ms, service, &mut self.requests, isolation);
             for batch in batches {
                 self.start_call(now_ms, &name, batch);
             }
--- a/crates/core/src/stages/work.rs
+++ b/crates/core/src/stages/work.rs
@@ -61,6 +61,8 @@
     pub done: Vec<DonePiece>,
     /// What it asks for, under whichever identifier.
     pub digest: RequestDigest,
+    /// Backend servers that have ended under it, as far as is known.
+    pub ends: u32,
 }
 
 /// A piece that is done, as one scheduler hands it over to another.
@@ -96,6 +98,8 @@
     NoServer,
     /// Pieces failed too often.
     Failed,
+    /// Backend servers end under it.
+    EndsServers,
 }
 
 impl Refusal {
@@ -106,6 +110,7 @@
             Self::TooLate => "stages_too_late",
             Self::NoServer => "stages_no_server",
             Self::Failed => "stages_failed",
+            Self::EndsServers => "ends_servers",
         }
     }
 }
--- a/crates/core/tests/stages_world/mod.rs
+++ b/crates/core/tests/stages_world/mod.rs
@@ -9,6 +9,7 @@
 use savoryvane_core::{
     forwarding::{Batching, RoutingConfig, ServerEntry, ServerState, Service},
     ids::{BackendName, Incarnation, InstanceName, PoolName, RequestId, ZoneName},
+    poison::{EndBook, EndRecord, Evidence, QuarantineSettings, RequestDigest},
     stages::{
         CallEnd, CallItem, ItemEnd, ItemInput, RequestKey, StageAction, StageCall, StageOutcome,
         StageScheduler, StageWork, Submission,
@@ -44,6 +45,11 @@
 /// need, in ms: half of what the scheduler counts on.
 const FETCH_MS: u64 = 20;
 
+/// Time from the beginning of a call to the end of a server under it, in ms.
+const ENDS_AFTER_MS: u64 = 50;
+/// Time until it has started again, in ms.
+const RESTART_MS: u64 = 2_000;
+
 /// Time after its call for which a server keeps a result, in ms.
 const RESULT_TTL_MS: u64 = 4_000;
 
@@ -80,6 +86,16 @@
     probing: Vec<(u64, BackendName)>,
     /// Servers to which no connection can be made.
     pub cut_off: BTreeSet<BackendName>,
+    /// Requests that end each server that begins to run them.
+    pub poison: BTreeSet<RequestDigest>,
+    /// Which servers ended under which requests.
+    pub book: EndBook,
+    /// Servers that have ended, and when.
+    pub ended: Vec<(u64, BackendName)>,
+    /// Servers that end with the calls that they have, for a reason of their own.
+    pub crashing: BTreeSet<BackendName>,
+    /// Servers that start, and when.
+    starting: Vec<(u64, ServerEntry)>,
     next_handle: u64,
 }
 
@@ -155,6 +171,11 @@
             freeing: Vec::new(),
             probing: Vec::new(),
             cut_off: BTreeSet::new(),
+            poison: BTreeSet::new(),
+            book: EndBook::new(QuarantineSettings::default()),
+            ended: Vec::new(),
+            crashing: BTreeSet::new(),
+            starting: Vec::new(),
             next_handle: 0,
         };
         world.configure();
@@ -187,6 +208,7 @@
             home_zone: None,
             done: Vec::new(),
             digest: Default::default(),
+            ends: 0,
         }
     }
 
@@ -242,6 +264,7 @@
             self.end_calls();
             self.end_frees();
             self.end_probes();
+            self.start_servers();
             let due = self.scheduler.next_poll_ms(self.now_ms);
             if due.is_some_and(|due_ms| due_ms <= self.now_ms) {
                 self.carry_out();
@@ -279,7 +302,9 @@
                 had_room,
                 ..
             } = work;
-            if self.silent.contains(&call.server) {
+            if self.crashing.contains(&call.server) || self.is_poisoned(&call) {
+                self.end_server(&call);
+            } else if self.silent.contains(&call.server) {
                 let end = CallEnd::Lost;
                 self.scheduler.on_call_ended(now_ms, call.id, &end);
             } else if self.is_bad() {
@@ -308,6 +333,60 @@
         }
     }
 
+    fn is_poisoned(&self, call: &StageCall) -> bool {
+        let mut items = call.items.iter();
+        items.any(|item| self.poison.contains(&item.digest))
+    }
+
+    /// Ends the server of a call under its requests; it starts again as another run.
+    fn end_server(&mut self, call: &StageCall) {
+        let now_ms = self.now_ms;
+        self.ended.push((now_ms, call.server.clone()));
+        self.crashing.remove(&call.server);
+        self.lose_results(call.server.as_str());
+        let digests: BTreeSet<RequestDigest> = call.items.iter().map(|item| item.digest).collect();
+        for digest in &digests {
+            let record = EndRecord {
+                digest: *digest,
+                server: call.server.clone(),
+                evidence: Evidence::Refused,
+                age_ms: 0,
+                is_withdrawn: false,
+            };
+            self.book.on_end(now_ms, record);
+        }
+        if let Some(index) = self.servers.iter().position(|s| s.id == call.server) {
+            let run = format!("{}+", call.server);
+            let next = server(
+                &run,
+                call.service.as_str(),
+                self.servers[index].zone.as_str(),
+            );
+            self.starting.push((now_ms + RESTART_MS, next));
+            self.cut_off.insert(call.server.clone());
+        }
+        let ends = digests
+            .iter()
+            .map(|digest| (*digest, self.book.ends(now_ms, digest)));
+        let end = CallEnd::ServerEnded(ends.collect());
+        self.scheduler.on_call_ended(now_ms, call.id, &end);
+    }
+
+    fn start_servers(&mut self) {
+        let now_ms = self.now_ms;
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.starting)
+            .into_iter()
+            .partition(|(at_ms, _)| *at_ms <= now_ms);
+        self.starting = later;
+        for (_, next) in due {
+            let before = next.id.as_str().trim_end_matches('+');
+            let is_before = |entry: &ServerEntry| entry.id.as_str().trim_end_matches('+') == before;
+            self.servers.retain(|entry| !is_before(entry));
+            self.servers.push(next);
+            self.configure();
+        }
+    }
+
     fn end_probes(&mut self) {
         let now_ms = self.now_ms;
         let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.probing)
@@ -390,7 +469,9 @@
             self.check_inputs(item);
         }
         let times = self.slow.get(&call.server).copied().unwrap_or(1);
-        let lasts_ms = if self.silent.contains(&call.server) {
+        let lasts_ms = if self.is_poisoned(&call) {
+            ENDS_AFTER_MS
+        } else if self.silent.contains(&call.server) {
             call.timeout_ms
         } else {
             batching.duration_ms(call.items.len()) as u64 * times
--- a/crates/server/src/gateway.rs
+++ b/crates/server/src/gateway.rs
@@ -1,6 +1,7 @@
 //! An instance that forwards callers' requests to backend servers as they are,
 //! by routes that the operator keeps in the platform's store.
 
+mod admitting;
 mod answers;
 mod attempt;
 mod catch_up;
@@ -12,10 +13,12 @@
 mod freshness;
 mod ingress;
 mod instance;
+mod keeping;
 mod knowledge;
 mod listing;
 mod members;
 mod peering;
+mod quarantine;
 mod register;
 mod relay;
 mod request;
--- /dev/null
+++ b/crates/server/src/gateway/admitting.rs
@@ -0,0 +1,88 @@
+//! Decides whether a request may be sent to a server, by how many have ended under it.
+
+use std::time::Duration;
+
+use savoryvane_core::poison::Standing;
+use slog::{info, warn};
+
+use super::{
+    answers::Why,
+    forward::Forwarder,
+    quarantine::{Asked, HeldPermit},
+    request::CallerRequest,
+};
+
+/// Shortest time to come back after while another copy runs, in ms: most servers take
+/// as long for an answer.
+const MIN_RETRY_AFTER_MS: u64 = 200;
+
+impl Forwarder {
+    /// Lets a request through, a suspect with a permit that `permit` holds from then on.
+    /// Asked before every send, as it may have become a suspect since the last one.
+    pub(super) async fn admit(
+        &self,
+        caller: &CallerRequest,
+        permit: &mut Option<HeldPermit>,
+    ) -> Result<(), Why> {
+        match self.quarantine.standing(&caller.digest) {
+            Standing::Clear => Ok(()),
+            Standing::Quarantined { .. } => Err(self.refuse_quarantined(caller, "own")),
+            Standing::Suspect { .. } if permit.is_some() => Ok(()),
+            Standing::Suspect { ends } => {
+                let asked = self.quarantine.ask(caller.digest, caller.left()).await;
+                match asked {
+                    Asked::Granted(held) => {
+                        info!(self.log, "suspect admitted"; "request" => %caller.id,
+                            "digest" => %caller.digest, "ends" => ends);
+                        *permit = Some(held);
+                        Ok(())
+                    }
+                    Asked::Out(lapses_in) => Err(self.refuse_copy(caller, ends, lapses_in)),
+                    Asked::Quarantined(known_from) => {
+                        Err(self.refuse_quarantined(caller, known_from))
+                    }
+                }
+            }
+        }
+    }
+
+    /// Learns from the instance that schedules why it has refused the stages of a
+    /// request under which servers end.
+    pub(super) async fn learn_why(&self, caller: &CallerRequest) -> Why {
+        // A permit that is granted after all is given back at once.
+        let asked = self.quarantine.ask(caller.digest, Duration::ZERO).await;
+        let known_from = match asked {
+            Asked::Quarantined(known_from) => known_from,
+            Asked::Granted(_) | Asked::Out(_) => "scheduler",
+        };
+        self.refuse_quarantined(caller, known_from)
+    }
+
+    fn refuse_quarantined(&self, caller: &CallerRequest, known_from: &str) -> Why {
+        let (ends, retry_after_ms) = match self.quarantine.standing(&caller.digest) {
+            Standing::Quarantined {
+                ends,
+                retry_after_ms,
+            } => (ends, Some(retry_after_ms)),
+            Standing::Suspect { ends } => (ends, None),
+            Standing::Clear => (0, None),
+        };
+        warn!(self.log, "quarantined request refused"; "request" => %caller.id,
+            "digest" => %caller.digest, "ends" => ends, "known_from" => known_from,
+            "retry_after_ms" => retry_after_ms);
+        metrics::counter!("savoryvane_quarantine_refusals_total", "reason" => "quarantined")
+            .increment(1);
+        Why::EndsServers(retry_after_ms)
+    }
+
+    fn refuse_copy(&self, caller: &CallerRequest, ends: u32, lapses_in: Duration) -> Why {
+        let usual_ms = self.answer_time(caller).as_millis() as u64;
+        let lapses_in_ms = lapses_in.as_millis() as u64;
+        let retry_after_ms = usual_ms.max(MIN_RETRY_AFTER_MS).min(lapses_in_ms);
+        info!(self.log, "copy of a suspect refused"; "request" => %caller.id,
+            "digest" => %caller.digest, "ends" => ends, "retry_after_ms" => retry_after_ms);
+        metrics::counter!("savoryvane_quarantine_refusals_total", "reason" => "copy_runs")
+            .increment(1);
+        Why::CopyRuns(retry_after_ms)
+    }
+}
--- a/crates/server/src/gateway/answers.rs
+++ b/crates/server/src/gateway/answers.rs
@@ -16,6 +16,10 @@
 /// as a server is left alone after a failure.
 const NO_SERVER_RETRY_AFTER_MS: u64 = 500;
 
+/// What a caller is told of a request that is quarantined.
+const ENDS_SERVERS_TEXT: &str = "backend servers ended each time they ran this request, so \
+    it is not sent again before the time given; other requests are served";
+
 /// Why a request has no answer of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Why {
@@ -33,6 +37,12 @@
     BadBody,
     /// Its stages would not be done in time, or failed.
     Stages(Refusal, u64),
+    /// Too many servers have ended under it, and it is not sent again for this time, in
+    /// ms, where that is known.
+    EndsServers(Option<u64>),
+    /// A server has ended under it, and another copy of it runs; when to come back, in
+    /// ms.
+    CopyRuns(u64),
     /// This instance ends before it would be done; no server has it.
     Leaving,
     /// No server takes it now, and none has run it.
@@ -54,6 +64,8 @@
             Self::SlowBody => "slow_body",
             Self::BadBody => "bad_body",
             Self::Stages(refusal, _) => refusal.as_str(),
+            Self::EndsServers(_) => "ends_servers",
+            Self::CopyRuns(_) => "copy_runs",
             Self::Leaving => "leaving",
             Self::NoServer => "no_server",
             Self::Lost => "answer_lost",
@@ -70,10 +82,13 @@
             Self::LargeBody => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::BadBody => StatusCode::BAD_REQUEST,
-            Self::Starting | Self::Stages(..) | Self::Leaving | Self::NoServer => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
-            Self::Lost => StatusCode::BAD_GATEWAY,
+            Self::Starting
+            | Self::Stages(..)
+            | Self::CopyRuns(_)
+            | Self::Leaving
+            | Self::NoServer => StatusCode::SERVICE_UNAVAILABLE,
+            // It has run, under other identifiers or this one.
+            Self::Lost | Self::EndsServers(_) => StatusCode::BAD_GATEWAY,
             Self::Overdue => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -82,6 +97,8 @@
         match self {
             Self::Starting => Some(STARTING_RETRY_AFTER_MS),
             Self::Stages(_, retry_after_ms) => Some(retry_after_ms),
+            Self::EndsServers(retry_after_ms) => retry_after_ms,
+            Self::CopyRuns(retry_after_ms) => Some(retry_after_ms),
             Self::Leaving => Some(LEAVING_RETRY_AFTER_MS),
             Self::NoServer => Some(NO_SERVER_RETRY_AFTER_MS),
             _ => None,
@@ -110,7 +127,10 @@
 
 /// Builds the answer that tells a caller why there is no other.
 pub(super) fn own(id: Option<&RequestId>, why: Why) -> Response<Body> {
-    let text = format!("{}\n", why.as_str());
+    let text = match why {
+        Why::EndsServers(_) => format!("{}: {ENDS_SERVERS_TEXT}\n", why.as_str()),
+        _ => format!("{}\n", why.as_str()),
+    };
     let mut response = http_body::with_type(why.status(), "text/plain", text);
     request::put_own_answer(response.headers_mut(), id, why.retry_after_ms());
     if why == Why::BadBody || why == Why::SlowBody || why == Why::LargeBody {
--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -217,6 +217,7 @@
             };
             return Sent::Ended(end, None);
         }
+        self.quarantine.on_answered(caller.digest);
         in_flight.end(ServerEnd::Answered);
         if status.is_success() || status.is_client_error() {
             return Sent::Whole(response);
--- a/crates/server/src/gateway/dispatch.rs
+++ b/crates/server/src/gateway/dispatch.rs
@@ -13,7 +13,7 @@
 use savoryvane_core::{
     forwarding::ServerEntry,
     ids::{BackendName, InstanceName, RequestId},
-    poison::RequestDigest,
+    poison::{Fate, RequestDigest, Standing},
     stages::{
         CallEnd, ItemEnd, ItemInput, Refusal, RequestKey, StageAction, StageCall, StageOutcome,
         StageScheduler, Submission,
@@ -29,6 +29,7 @@
 use super::{
     ends::{LostRun, ServerEnds},
     knowledge::Knowledge,
+    quarantine::Quarantine,
 };
 use crate::{
     clock::Clock,
@@ -58,6 +59,7 @@
     knowledge: Arc<Knowledge>,
     servers: Arc<Connections>,
     ends: Arc<ServerEnds>,
+    quarantine: Arc<Quarantine>,
     scheduler: Mutex<StageScheduler>,
     waiters: Mutex<HashMap<RequestKey, oneshot::Sender<StageOutcome>>>,
     unneeded: Mutex<HashMap<BackendName, (SocketAddr, Vec<String>)>>,
@@ -86,6 +88,7 @@
         knowledge: Arc<Knowledge>,
         servers: Arc<Connections>,
         ends: Arc<ServerEnds>,
+        quarantine: Arc<Quarantine>,
         log: Logger,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -94,6 +97,7 @@
             knowledge,
             servers,
             ends,
+            quarantine,
             scheduler: Mutex::default(),
             waiters: Mutex::default(),
             unneeded: Mutex::default(),
@@ -102,7 +106,17 @@
     }
 
     /// Runs the stages of a request; dropping the future gives them up.
-    pub(super) async fn run(self: &Arc<Self>, submission: Submission) -> StageOutcome {
+    pub(super) async fn run(self: &Arc<Self>, mut submission: Submission) -> StageOutcome {
+        // Whoever submits it may know less of it, as after a partition.
+        if let Standing::Quarantined { .. } = self.quarantine.standing(&submission.digest) {
+            return StageOutcome::Refused {
+                reason: Refusal::EndsServers,
+                retry_after_ms: 0,
+                forecast_ms: 0,
+            };
+        }
+        let ends = self.quarantine.ends(&submission.digest);
+        submission.ends = submission.ends.max(ends);
         let began = Instant::now();
         let (key, request) = (submission.key.clone(), submission.request.clone());
         let (sender, receiver) = oneshot::channel();
@@ -216,12 +230,13 @@
     async fn call(self: Arc<Self>, call: StageCall) {
         let began = Instant::now();
         let server = self.knowledge.directory().entry(&call.server).cloned();
-        let end = self.exchange(&call).await;
+        let mut end = self.exchange(&call).await;
         let elapsed_ms = began.elapsed().as_millis() as u64;
         if end == CallEnd::Lost
             && let Some(server) = server
+            && let Some(ends) = self.on_lost(&call, &server).await
         {
-            self.on_lost(&call, &server).await;
+            end = CallEnd::ServerEnded(ends);
         }
         metrics::counter!("savoryvane_stage_calls_ended_total", "end" => end.as_str()).increment(1);
         metrics::histogram!("savoryvane_stage_call_seconds").record(began.elapsed());
@@ -234,23 +249,34 @@
         self.carry_out();
     }
 
-    /// Finds out whether a server that broke off has ended under the requests of a call.
-    async fn on_lost(&self, call: &StageCall, server: &ServerEntry) {
+    /// Finds out whether a server that broke off has ended under the requests of a call;
+    /// returns how many have under each of them.
+    async fn on_lost(
+        &self,
+        call: &StageCall,
+        server: &ServerEntry,
+    ) -> Option<Vec<(RequestDigest, u32)>> {
         let lost: BTreeMap<RequestDigest, &RequestId> = call
             .items
             .iter()
             .map(|item| (item.digest, &item.request))
             .collect();
         let others = lost.len() as u32 - 1;
-        for (digest, request) in lost {
+        let mut has_ended = false;
+        for (digest, request) in &lost {
             let lost = LostRun {
                 request,
-                digest,
+                digest: *digest,
                 server,
                 others,
             };
-            self.ends.on_lost(lost).await;
+            let fate = self.ends.on_lost(lost).await;
+            has_ended |= matches!(fate, Fate::Ended(_));
         }
+        let ends = lost
+            .keys()
+            .map(|digest| (*digest, self.quarantine.ends(digest)));
+        has_ended.then(|| ends.collect())
     }
 
     fn log_call(&self, call: &StageCall, end: &CallEnd, elapsed_ms: u64) {
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -19,6 +19,7 @@
     departure::Departure,
     ends::ServerEnds,
     knowledge::Knowledge,
+    quarantine::Quarantine,
     request::{CallerRequest, host, service},
     stages::{Held, Stages},
 };
@@ -48,6 +49,7 @@
     pub(super) stages: Arc<Stages>,
     pub(super) departure: Arc<Departure>,
     pub(super) ends: Arc<ServerEnds>,
+    pub(super) quarantine: Arc<Quarantine>,
 }
 
 /// Results of a request's stages.
@@ -91,8 +93,10 @@
     }
 
     async fn run(self: &Arc<Self>, caller: CallerRequest) -> Result<Response<Body>, Why> {
+        let mut permit = None;
+        self.admit(&caller, &mut permit).await?;
         let inputs = self.run_stages(&caller).await?;
-        self.send(caller, inputs).await
+        self.send(caller, inputs, permit).await
     }
 
     /// Finds the route of a request and reads its body.
@@ -182,6 +186,7 @@
             }),
             done: Vec::new(),
             digest: caller.digest,
+            ends: self.quarantine.ends(&caller.digest),
         };
         let ended = tokio::select! {
             ended = self.stages.run(submission) => ended,
@@ -201,6 +206,10 @@
             }
             // Whoever runs stages goes on with those that were handed over.
             StageOutcome::Moved { .. } => Err(Why::Stages(Refusal::Failed, 0)),
+            StageOutcome::Refused {
+                reason: Refusal::EndsServers,
+                ..
+            } => Err(self.learn_why(caller).await),
             StageOutcome::Refused {
                 reason,
                 retry_after_ms,
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -15,14 +15,16 @@
     catch_up::{self, CatchUp},
     departure::Departure,
     dispatch::{self, Dispatch},
-    ends::ServerEnds,
+    ends::{self, ServerEnds},
     follow::{self, StoreFollower},
     forward::Forwarder,
     freshness::Freshness,
     ingress::{self, Service},
+    keeping::Keeper,
     knowledge::Knowledge,
     members::{self, Members},
     peering::Peering,
+    quarantine::Quarantine,
     register, scheduling,
     settings::{GatewayListen, GatewaySettings},
     stages::Stages,
@@ -50,6 +52,11 @@
 /// Time between two looks for idle connections to close.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time that an instance which knows routes and servers waits to learn which requests end
+/// servers: without it the first copies after a loss of all would end three more. Who
+/// reaches nobody serves without.
+const LEARN_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// One running instance that forwards requests.
 #[derive(Debug)]
 pub struct Gateway {
@@ -165,6 +172,7 @@
 /// The parts of an instance, each with what it needs of the others.
 struct Parts {
     log: Logger,
+    clock: Clock,
     is_first_start: bool,
     phases: Arc<Phases>,
     store: StoreClient,
@@ -174,6 +182,8 @@
     catch_up: Arc<CatchUp>,
     servers: Arc<Connections>,
     dispatch: Arc<Dispatch>,
+    ends: Arc<ServerEnds>,
+    quarantine: Arc<Quarantine>,
     forwarder: Arc<Forwarder>,
     peer_server: PeerServer<Peering>,
 }
@@ -218,9 +228,18 @@
             settings.is_first_start,
             clock,
         ));
+        let quarantine = Arc::new(Quarantine::new(
+            settings.quarantine,
+            incarnation,
+            clock,
+            Arc::clone(&members),
+            log.clone(),
+        ));
         let ends = Arc::new(ServerEnds::new(
             Arc::clone(&knowledge),
+            Arc::clone(&freshness),
             Arc::clone(&servers),
+            Arc::clone(&quarantine),
             log.clone(),
         ));
         let dispatch = Dispatch::new(
@@ -228,6 +247,7 @@
             Arc::clone(&knowledge),
             Arc::clone(&servers),
             Arc::clone(&ends),
+            Arc::clone(&quarantine),
             log.clone(),
         );
         let stages = Stages::new(
@@ -244,12 +264,14 @@
             servers: Arc::clone(&servers),
             stages,
             departure: Arc::clone(departure),
-            ends,
+            ends: Arc::clone(&ends),
+            quarantine: Arc::clone(&quarantine),
         });
         let handler = Arc::new(Peering {
             members: Arc::clone(&members),
             catch_up: Arc::clone(&catch_up),
             dispatch: Arc::clone(&dispatch),
+            quarantine: Arc::clone(&quarantine),
             phases: Arc::clone(phases),
             started: Instant::now(),
         });
@@ -262,6 +284,8 @@
             catch_up,
             servers,
             dispatch,
+            ends,
+            quarantine,
             forwarder,
             peer_server: PeerServer {
                 me,
@@ -269,6 +293,7 @@
                 log: log.clone(),
             },
             log,
+            clock,
             is_first_start: settings.is_first_start,
         }
     }
@@ -298,14 +323,30 @@
         tasks.spawn(scheduling::watch_scheduler(
             Arc::clone(&self.members),
             Arc::clone(&self.catch_up),
+            Arc::clone(&self.quarantine),
             Arc::clone(&self.dispatch),
             Arc::clone(&self.phases),
-            self.store,
+            self.store.clone(),
         ));
+        let keeper = Keeper {
+            quarantine: Arc::clone(&self.quarantine),
+            members: Arc::clone(&self.members),
+            store: self.store,
+            clock: self.clock,
+            is_first_start: self.is_first_start,
+            log: self.log.clone(),
+        };
+        tasks.spawn(keeper.run());
+        tasks.spawn(ends::watch(self.ends));
         tasks.spawn(catch_up::run(self.members, self.catch_up));
         tasks.spawn(dispatch::run(Arc::clone(&self.dispatch)));
         tasks.spawn(dispatch::configure(self.dispatch));
-        tasks.spawn(become_ready(self.knowledge, self.phases, self.log));
+        tasks.spawn(become_ready(
+            self.knowledge,
+            self.quarantine,
+            self.phases,
+            self.log,
+        ));
         tasks.spawn(upkeep(self.servers));
         tasks
     }
@@ -326,10 +367,16 @@
 }
 
 /// Says that the instance takes requests once it knows routes and servers.
-async fn become_ready(knowledge: Arc<Knowledge>, phases: Arc<Phases>, log: Logger) {
+async fn become_ready(
+    knowledge: Arc<Knowledge>,
+    quarantine: Arc<Quarantine>,
+    phases: Arc<Phases>,
+    log: Logger,
+) {
     while knowledge.table().is_none() || knowledge.directory().is_empty() {
         time::sleep(Duration::from_millis(20)).await;
     }
+    quarantine.loaded(LEARN_TIMEOUT).await;
     phases.advance(Phase::Serving);
     info!(log, "ready"; "version" => knowledge.version());
 }
--- /dev/null
+++ b/crates/server/src/gateway/keeping.rs
@@ -0,0 +1,122 @@
+//! Keeps quarantined requests in the store, for the case that all instances are lost.
+
+use std::{sync::Arc, time::Duration};
+
+use savoryvane_core::{forwarding::Reader, poison::StoredEnds};
+use savoryvane_platform::{quarantine, store::Topic};
+use slog::{Logger, info, warn};
+use tokio::time;
+
+use super::{
+    members::Members,
+    quarantine::Quarantine,
+    store::{Result, StoreClient},
+};
+use crate::clock::Clock;
+
+/// Longest time between two looks at what is to be kept or forgotten.
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
+/// Pause after a look, so that what comes together is looked at together.
+const GATHER_TIME: Duration = Duration::from_millis(50);
+
+/// Keeps quarantined requests in the store. Only the instance that schedules reads and
+/// writes there: a read when it begins to, a write for each request, none in between.
+pub(super) struct Keeper {
+    pub(super) quarantine: Arc<Quarantine>,
+    pub(super) members: Arc<Members>,
+    pub(super) store: StoreClient,
+    pub(super) clock: Clock,
+    /// Whether the store has nothing to read when this instance starts.
+    pub(super) is_first_start: bool,
+    pub(super) log: Logger,
+}
+
+impl Keeper {
+    /// Runs for as long as the instance does.
+    pub(super) async fn run(self) {
+        let mut has_read = self.is_first_start;
+        if has_read {
+            self.quarantine.on_loaded();
+        }
+        let mut kept_to = 0;
+        loop {
+            let changed = self.quarantine.changed.notified();
+            let look = if self.is_waited_for(has_read) {
+                GATHER_TIME
+            } else {
+                LOOK_INTERVAL
+            };
+            // Whichever comes first, it is time to look.
+            let _ = time::timeout(look, changed).await;
+            time::sleep(GATHER_TIME).await;
+            self.quarantine.book().forget_old(self.clock.now_ms());
+            if self.members.reader() != Reader::Scheduler {
+                // Another one writes meanwhile.
+                has_read = false;
+                continue;
+            }
+            if !has_read {
+                has_read = self.read().await;
+                // Without the store it goes by what the others tell.
+                self.quarantine.on_loaded();
+            }
+            let revision = self.quarantine.book().revision();
+            if has_read && kept_to != revision && self.write_all().await {
+                kept_to = revision;
+            }
+        }
+    }
+
+    /// Tells whether this instance schedules and has not read the store for it.
+    fn is_waited_for(&self, has_read: bool) -> bool {
+        !has_read && self.members.reader() == Reader::Scheduler
+    }
+
+    /// Reads what is kept; tells whether it could.
+    async fn read(&self) -> bool {
+        if self.store.begin().is_err() {
+            return false;
+        }
+        let (records, _) = match self.store.newest(Topic::Quarantine).await {
+            Ok(read) => read,
+            Err(err) => {
+                warn!(self.log, "quarantine not read"; "error" => %err);
+                return false;
+            }
+        };
+        let mut stored: Vec<StoredEnds> = Vec::new();
+        for record in &records {
+            match quarantine::decode_kept(record) {
+                Ok(kept) => stored.extend(kept),
+                Err(err) => {
+                    warn!(self.log, "quarantined request not understood"; "key" => &record.key,
+                        "error" => %err);
+                }
+            }
+        }
+        info!(self.log, "quarantine read"; "requests" => stored.len());
+        let now_ms = self.clock.now_ms();
+        self.quarantine.book().on_stored(now_ms, stored);
+        true
+    }
+
+    /// Writes what is not kept yet; tells whether all of it is.
+    async fn write_all(&self) -> bool {
+        let to_keep = self.quarantine.book().to_keep(self.clock.now_ms());
+        for stored in to_keep {
+            if let Err(err) = self.write(&stored).await {
+                warn!(self.log, "quarantine not kept"; "digest" => %stored.digest,
+                    "error" => %err);
+                return false;
+            }
+            info!(self.log, "quarantine kept"; "digest" => %stored.digest,
+                "ends" => stored.records.len());
+            self.quarantine.book().on_kept(&stored);
+        }
+        true
+    }
+
+    async fn write(&self, stored: &StoredEnds) -> Result<()> {
+        self.store.write(quarantine::write_kept(stored)?).await
+    }
+}
--- a/crates/server/src/gateway/peering.rs
+++ b/crates/server/src/gateway/peering.rs
@@ -6,7 +6,7 @@
 use savoryvane_wire::peer::{Declined, Message, SchedulerState, Taken};
 use tokio::time::{self, Instant};
 
-use super::{catch_up::CatchUp, dispatch::Dispatch, members::Members};
+use super::{catch_up::CatchUp, dispatch::Dispatch, members::Members, quarantine::Quarantine};
 use crate::{
     peer::{PeerAnswer, PeerHandler, PeerId},
     phase::{Phase, Phases},
@@ -22,6 +22,7 @@
     pub(super) members: Arc<Members>,
     pub(super) catch_up: Arc<CatchUp>,
     pub(super) dispatch: Arc<Dispatch>,
+    pub(super) quarantine: Arc<Quarantine>,
     pub(super) phases: Arc<Phases>,
 }
 
@@ -75,6 +76,15 @@
                 let answer = self.catch_up.answer(&self.members, question);
                 answer.map_or(Message::Declined(Declined::NotMine), Message::RoutingState)
             }
+            Message::EndsQuery(question) => {
+                let answer = self.quarantine.on_query(question);
+                answer.map_or(Message::Declined(Declined::NotMine), Message::EndsState)
+            }
+            Message::PermitQuery(question) => Message::PermitState(self.quarantine.grant(question)),
+            Message::PermitReturn(returned) => {
+                self.quarantine.on_returned(returned);
+                Message::Taken(Taken)
+            }
             _ => Message::Declined(Declined::Unsupported),
         };
         Box::pin(future::ready(answer))
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -28,6 +28,7 @@
 use super::{
     attempt::{InFlight, Sent, ServerEnd, Stream, keep},
     forward::{Forwarder, Inputs},
+    quarantine::HeldPermit,
     request::CallerRequest,
 };
 use crate::{connections::Lease, http_body::Body};
@@ -44,6 +45,7 @@
     inputs: Inputs,
     stream: Box<Stream>,
     tried: Vec<BackendName>,
+    permit: Option<HeldPermit>,
 ) -> Response<Body> {
     let (sender, frames) = mpsc::channel(WAITING_FRAMES);
     let (mut parts, body) = stream.response.into_parts();
@@ -56,6 +58,7 @@
         caller,
         inputs,
         tried,
+        permit,
         events,
         pace: Pace::default(),
         sender,
@@ -100,6 +103,8 @@
     caller: CallerRequest,
     inputs: Inputs,
     tried: Vec<BackendName>,
+    /// Right to run it, where servers have ended under it.
+    permit: Option<HeldPermit>,
     events: Events,
     pace: Pace,
     sender: mpsc::Sender<Result<Bytes, io::Error>>,
@@ -223,6 +228,7 @@
                     return Stop::Broken;
                 }
                 None => {
+                    self.forwarder.quarantine.on_answered(self.caller.digest);
                     self.end(ServerEnd::Answered);
                     let rest = self.events.take_rest();
                     return self
@@ -283,6 +289,15 @@
         self.source.lease = None;
         let caller = &self.caller;
         self.events.drop_rest();
+        if self
+            .forwarder
+            .admit(caller, &mut self.permit)
+            .await
+            .is_err()
+        {
+            // It has said why.
+            return false;
+        }
         if self.inputs.are_gone() {
             match self.forwarder.run_stages(caller).await {
                 Ok(inputs) => self.inputs = inputs,
--- a/crates/server/src/gateway/scheduling.rs
+++ b/crates/server/src/gateway/scheduling.rs
@@ -10,7 +10,10 @@
 use slog::{info, warn};
 use tokio::time::{self, Instant};
 
-use super::{catch_up::CatchUp, dispatch::Dispatch, members::Members, store::StoreClient};
+use super::{
+    catch_up::CatchUp, dispatch::Dispatch, members::Members, quarantine::Quarantine,
+    store::StoreClient,
+};
 use crate::{
     peer::PeerError,
     phase::{Phase, Phases},
@@ -124,6 +127,7 @@
 pub(super) async fn watch_scheduler(
     members: Arc<Members>,
     catch_up: Arc<CatchUp>,
+    quarantine: Arc<Quarantine>,
     dispatch: Arc<Dispatch>,
     phases: Arc<Phases>,
     store: StoreClient,
@@ -146,7 +150,12 @@
             if members.is_me(&instance) {
                 members.ask_self(&phases);
             } else {
-                tokio::spawn(ask(Arc::clone(&members), instance, Arc::clone(&catch_up)));
+                tokio::spawn(ask(
+                    Arc::clone(&members),
+                    instance,
+                    Arc::clone(&catch_up),
+                    Arc::clone(&quarantine),
+                ));
             }
         }
         // What is heard meanwhile may tell which one schedules.
@@ -154,6 +163,8 @@
             let now = members.scheduler();
             if now != current {
                 members.on_chosen(current.as_ref(), now.as_ref(), &dispatch);
+                // What is kept is read at once by who schedules now.
+                quarantine.changed.notify_one();
                 let is_lost = now.is_none();
                 current = now;
                 if is_lost {
@@ -169,7 +180,12 @@
     }
 }
 
-async fn ask(members: Arc<Members>, instance: InstanceName, catch_up: Arc<CatchUp>) {
+async fn ask(
+    members: Arc<Members>,
+    instance: InstanceName,
+    catch_up: Arc<CatchUp>,
+    quarantine: Arc<Quarantine>,
+) {
     let question = Message::SchedulerQuery(SchedulerQuery);
     let answer = members
         .peers()
@@ -201,6 +217,9 @@
     // The next one is asked too; it knows what the one that schedules has told it.
     let schedules = members.scheduler().as_ref() == Some(&instance);
     if let Some(SchedulerState { known, .. }) = state.filter(|_| schedules) {
-        catch_up.follow(&members, &instance, known).await;
+        tokio::join!(
+            catch_up.follow(&members, &instance, known),
+            quarantine.follow(&instance, known.incarnation),
+        );
     }
 }
--- a/crates/server/src/gateway/sending.rs
+++ b/crates/server/src/gateway/sending.rs
@@ -13,7 +13,9 @@
 use super::{
     answers::Why,
     attempt::Sent,
+    ends::LostRun,
     forward::{Forwarder, Inputs},
+    quarantine::HeldPermit,
     relay,
     request::CallerRequest,
     stages::Held,
@@ -29,12 +31,21 @@
         self: &Arc<Self>,
         caller: CallerRequest,
         mut inputs: Inputs,
+        mut permit: Option<HeldPermit>,
     ) -> Result<Response<Body>, Why> {
         self.knowledge.budgets().on_request(&caller.service);
         let mut tried: Vec<BackendName> = Vec::new();
         let mut sends = 0;
         let mut may_have_run = false;
         loop {
+            if let Err(why) = self.admit(&caller, &mut permit).await {
+                return Err(match why {
+                    Why::EndsServers(_) => why,
+                    // What is refused now may have run at the server before.
+                    _ if may_have_run => Why::Lost,
+                    _ => why,
+                });
+            }
             let Some(server) = self.choose(&caller, &inputs, &tried) else {
                 return Err(if may_have_run {
                     Why::Lost
@@ -71,6 +82,7 @@
                         inputs,
                         stream,
                         tried,
+                        permit,
                     ));
                 }
                 Sent::Ended(end, failure) => (end, failure),
@@ -191,9 +203,16 @@
     pub(super) fn give_up(&self, caller: &CallerRequest, server: &BackendName, waited: Duration) {
         let now_ms = self.clock.now_ms();
         self.knowledge.fleet().on_given_up(now_ms, server);
-        if let Some(entry) = self.knowledge.directory().entry(server) {
+        let entry = self.knowledge.directory().entry(server).cloned();
+        if let Some(entry) = &entry {
             // Others that are kept may be as silent.
             self.servers.forget(entry.addr);
+            self.ends.on_silent(LostRun {
+                request: &caller.id,
+                digest: caller.digest,
+                server: entry,
+                others: self.knowledge.fleet().in_flight(server),
+            });
         }
         info!(self.log, "silent server given up"; "request" => %caller.id, "server" => %server,
             "waited_ms" => waited.as_millis() as u64, "elapsed_ms" => caller.elapsed_ms());
--- a/crates/server/src/gateway/store.rs
+++ b/crates/server/src/gateway/store.rs
@@ -168,7 +168,11 @@
 
     /// Writes what the instance `name` says of itself.
     pub(super) async fn write_instance(&self, name: &str, record: &InstanceRecord) -> Result<()> {
-        let call = store::write_instance(name, record)?;
+        self.write(store::write_instance(name, record)?).await
+    }
+
+    /// Makes a call that writes.
+    pub(super) async fn write(&self, call: Call) -> Result<()> {
         let (status, _) = self.call(call, TIMEOUT).await?;
         Ok(store::decode_write(status)?)
     }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -11,9 +11,11 @@
 //! - `POST /peer/v1/request`: one frame each way.
 
 mod limits;
+mod poison;
 mod routing;
 
 use bincode::config::{Configuration, Limit, LittleEndian, Varint};
+pub use poison::{EndsQuery, EndsState, KnownEnds, PermitQuery, PermitReturn, PermitState};
 use quick_error::quick_error;
 pub use routing::{
     KnownState, ListedPeer, RoutingQuery, RoutingState, SchedulerQuery, SchedulerState,
@@ -296,6 +298,16 @@
     28 RoutingQuery(RoutingQuery),
     /// Answer to that request.
     29 RoutingState(RoutingState),
+    /// Tells of servers that ended under requests, and asks for others; a request.
+    30 EndsQuery(EndsQuery),
+    /// Answer to that request.
+    31 EndsState(EndsState),
+    /// Asks for the permit to run a suspect; a request.
+    32 PermitQuery(PermitQuery),
+    /// Answer to that request.
+    33 PermitState(PermitState),
+    /// Gives a permit back; a request.
+    34 PermitReturn(PermitReturn),
 }
 
 /// Why a request gets no other answer.
--- a/crates/wire/src/peer/limits.rs
+++ b/crates/wire/src/peer/limits.rs
@@ -4,12 +4,13 @@
     digest::{DigestBatch, Leaver, ZoneDigest},
     forwarding::DirectoryUpdate,
     ids::MAX_NAME_BYTES,
+    poison::EndRecord,
     quota::Claimant,
     topology::SHARDS,
 };
 
 use super::{
-    AnswerState, MAX_ENTRIES, MAX_KEY_BYTES, MAX_PAYLOAD_BYTES, Message, RoutingState,
+    AnswerState, MAX_ENTRIES, MAX_KEY_BYTES, MAX_PAYLOAD_BYTES, Message, PermitState, RoutingState,
     StageOutcome, Submission, TicketRun,
 };
 
@@ -36,6 +37,9 @@
         Message::StageRelease(key) => is_short(key.instance.as_str()),
         Message::StageOutcome(StageOutcome::Ready(results)) => results.len() <= MAX_ENTRIES,
         Message::RoutingState(state) => is_routing_bounded(state),
+        Message::EndsQuery(query) => are_ends_bounded(&query.records),
+        Message::EndsState(state) => are_ends_bounded(&state.records),
+        Message::PermitState(PermitState::Quarantined(records)) => are_ends_bounded(records),
         Message::ClaimAppend(append) => append.claims.len() <= MAX_ENTRIES,
         Message::AnswerState(_)
         | Message::ConfigHead(_)
@@ -47,6 +51,9 @@
         | Message::SchedulerQuery(_)
         | Message::SchedulerState(_)
         | Message::RoutingQuery(_)
+        | Message::PermitQuery(_)
+        | Message::PermitState(_)
+        | Message::PermitReturn(_)
         | Message::Declined(_) => true,
     }
 }
@@ -116,6 +123,10 @@
         && are_after_known
 }
 
+fn are_ends_bounded(records: &[EndRecord]) -> bool {
+    records.len() <= MAX_ENTRIES && records.iter().all(|record| is_key(record.server.as_str()))
+}
+
 fn is_routing_bounded(state: &RoutingState) -> bool {
     let servers = match &state.servers {
         DirectoryUpdate::Whole(listing) => listing.len(),
--- /dev/null
+++ b/crates/wire/src/peer/poison.rs
@@ -0,0 +1,67 @@
+//! What instances tell each other of requests that end backend servers.
+
+use savoryvane_core::{
+    ids::Incarnation,
+    poison::{EndRecord, RequestDigest},
+};
+use serde::{Deserialize, Serialize};
+
+/// How far an instance knows what another one does of servers that ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownEnds {
+    /// Run of the other instance, which numbers its revisions.
+    pub incarnation: Incarnation,
+    /// Revision up to which it is known.
+    pub revision: u64,
+}
+
+/// Tells the receiver of servers that ended under requests, and asks for what it knows
+/// of them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndsQuery {
+    /// What the sender knows of the receiver's.
+    pub known: Option<KnownEnds>,
+    /// What the sender saw.
+    pub records: Vec<EndRecord>,
+}
+
+/// Answer to that.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndsState {
+    /// What the asker knows with this.
+    pub known: KnownEnds,
+    /// What it does not know yet.
+    pub records: Vec<EndRecord>,
+}
+
+/// Asks for the permit to run one copy of a suspect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitQuery {
+    /// The request.
+    pub digest: RequestDigest,
+    /// Time after which the permit lapses unless it is given back, in ms.
+    pub lease_ms: u64,
+}
+
+/// Answer to that.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PermitState {
+    /// The asker has the permit of this number.
+    Granted(u64),
+    /// Another copy runs.
+    Out {
+        /// Time after which its permit lapses, in ms.
+        lapses_in_ms: u64,
+    },
+    /// The request is quarantined, for these ends.
+    Quarantined(Vec<EndRecord>),
+}
+
+/// Gives a permit back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitReturn {
+    /// The request.
+    pub digest: RequestDigest,
+    /// Number of the permit.
+    pub permit: u64,
+}
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -171,6 +171,7 @@
             kept: Some(("i-1".into(), result())),
         }],
         digest: Default::default(),
+        ends: 0,
     }
 }
 
