--- a/crates/core/src/forwarding/directory.rs
+++ b/crates/core/src/forwarding/directory.rs
@@ -1,9 +1,6 @@
 //! The backend servers that have registered themselves.
 
-use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
-    ops::Bound,
-};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 use super::{
     RoutingConfig, Service,
@@ -103,16 +100,16 @@
         }
     }
 
-    /// Returns another server of the availability zone of `entry` that takes work, of
-    /// any service: the one whose name follows.
-    pub fn neighbour(&self, entry: &ServerEntry) -> Option<&ServerEntry> {
-        let is_neighbour = |other: &&ServerEntry| {
+    /// Returns up to `most` other servers of the availability zone of `entry` that take
+    /// work, of any service, spread over all that there are.
+    pub fn neighbours(&self, entry: &ServerEntry, most: usize) -> Vec<&ServerEntry> {
+        let entries = self.entries.values();
+        let neighbours = entries.filter(|other| {
             other.zone == entry.zone && other.id != entry.id && other.state == ServerState::Ready
-        };
-        let after = (Bound::Excluded(&entry.registered_as), Bound::Unbounded);
-        let following = self.entries.range::<BackendName, _>(after);
-        let following = following.map(|(_, other)| other);
-        following.chain(self.entries.values()).find(is_neighbour)
+        });
+        let neighbours: Vec<&ServerEntry> = neighbours.collect();
+        let step = neighbours.len().div_ceil(most.max(1)).max(1);
+        neighbours.into_iter().step_by(step).collect()
     }
 
     /// Applies one record of the register: what a server says of itself, or
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -28,6 +28,13 @@
     "store regained",
     "zones passed over",
 ];
+/// Messages that say what counts for or against a request, under whichever identifier
+/// it came.
+const ENDS: [&str; 3] = [
+    "quarantine kept",
+    "server ended under request",
+    "suspect cleared",
+];
 /// Beliefs of an instance that are shown from before a request's first line.
 const BELIEFS_BEFORE: usize = 5;
 /// Fields that are shown in columns of their own, or say nothing more.
@@ -35,7 +42,9 @@
 
 /// Reads log lines, one JSON object each, and writes those that explain
 /// `request` in the order of their time: its own, and what the instances that
-/// had it believed. Lines that are not of a log are passed over.
+/// had it believed. Of a request that was refused since servers ended under it, these
+/// ends are shown too, at whichever instance and under whichever identifier it ran then.
+/// Lines that are not of a log are passed over.
 ///
 /// # Errors
 ///
@@ -68,6 +77,7 @@
                 .filter(|line| line.order() <= last.order()),
         );
     }
+    shown.extend(ends_before(&lines, &own));
     shown.sort_by(|a, b| a.order().cmp(b.order()));
     for line in shown {
         writeln!(out, "{}", render(line))?;
@@ -75,6 +85,22 @@
     Ok(())
 }
 
+/// Returns what was known against a request when it was refused, if that was the reason.
+fn ends_before<'a>(lines: &'a [LogLine], own: &[&LogLine]) -> Vec<&'a LogLine> {
+    let refused = own.iter().find(|line| line.text("ends_from").is_some());
+    let Some((refused, digest)) = refused.and_then(|line| Some((line, line.text("digest")?)))
+    else {
+        return Vec::new();
+    };
+    let is_end = |line: &&LogLine| {
+        ENDS.contains(&line.message.as_str())
+            && line.text("digest") == Some(digest)
+            && line.text("request") != refused.text("request")
+            && line.order() <= refused.order()
+    };
+    lines.iter().filter(is_end).collect()
+}
+
 fn render(line: &LogLine) -> String {
     let shown = line
         .fields
--- a/crates/server/src/gateway/admitting.rs
+++ b/crates/server/src/gateway/admitting.rs
@@ -68,7 +68,7 @@
             Standing::Clear => (0, None),
         };
         warn!(self.log, "quarantined request refused"; "request" => %caller.id,
-            "digest" => %caller.digest, "ends" => ends, "known_from" => known_from,
+            "digest" => %caller.digest, "ends" => ends, "ends_from" => known_from,
             "retry_after_ms" => retry_after_ms);
         metrics::counter!("savoryvane_quarantine_refusals_total", "reason" => "quarantined")
             .increment(1);
@@ -80,7 +80,8 @@
         let lapses_in_ms = lapses_in.as_millis() as u64;
         let retry_after_ms = usual_ms.max(MIN_RETRY_AFTER_MS).min(lapses_in_ms);
         info!(self.log, "copy of a suspect refused"; "request" => %caller.id,
-            "digest" => %caller.digest, "ends" => ends, "retry_after_ms" => retry_after_ms);
+            "digest" => %caller.digest, "ends" => ends, "ends_from" => "permit",
+            "retry_after_ms" => retry_after_ms);
         metrics::counter!("savoryvane_quarantine_refusals_total", "reason" => "copy_runs")
             .increment(1);
         Why::CopyRuns(retry_after_ms)
--- a/crates/server/src/gateway/ends.rs
+++ b/crates/server/src/gateway/ends.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -16,12 +17,16 @@
 use slog::{Logger, info, warn};
 use tokio::{
     sync::Notify,
+    task::JoinSet,
     time::{self, Instant},
 };
 
 use super::{freshness::Freshness, knowledge::Knowledge, quarantine::Quarantine};
 use crate::connections::Connections;
 
+/// Other servers of a zone that are tried beside the one whose connection was lost:
+/// copies of a request that were sent together end several at once.
+const NEIGHBOURS: usize = 4;
 /// Time between two looks at servers of which it is not known whether they have ended.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which it is given up to learn what became of a server: entries lapse
@@ -169,14 +174,26 @@
         self.has_watched.notify_one();
     }
 
-    /// Tries to connect to a server and to another one of its availability zone.
+    /// Tries to connect to a server and to some others of its availability zone, of
+    /// which one is to be reached: more than one may have ended at this moment.
     async fn probe(&self, server: &ServerEntry) -> (Probe, Probe) {
-        let neighbour = self.knowledge.directory().neighbour(server).cloned();
+        let neighbours: Vec<SocketAddr> = {
+            let directory = self.knowledge.directory();
+            let neighbours = directory.neighbours(server, NEIGHBOURS);
+            neighbours.into_iter().map(|other| other.addr).collect()
+        };
+        let mut probing = JoinSet::new();
+        for addr in neighbours {
+            let servers = Arc::clone(&self.servers);
+            probing.spawn(async move { servers.probe(addr).await });
+        }
         let neighbour = async {
-            match neighbour {
-                Some(neighbour) => self.servers.probe(neighbour.addr).await,
-                None => Probe::Unknown,
+            while let Some(probe) = probing.join_next().await {
+                if matches!(probe, Ok(Probe::Open)) {
+                    return Probe::Open;
+                }
             }
+            Probe::Unknown
         };
         tokio::join!(self.servers.probe(server.addr), neighbour)
     }
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -52,11 +52,6 @@
 /// Time between two looks for idle connections to close.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Time that an instance which knows routes and servers waits to learn which requests end
-/// servers: without it the first copies after a loss of all would end three more. Who
-/// reaches nobody serves without.
-const LEARN_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// One running instance that forwards requests.
 #[derive(Debug)]
 pub struct Gateway {
@@ -328,25 +323,20 @@
             Arc::clone(&self.phases),
             self.store.clone(),
         ));
-        let keeper = Keeper {
+        let keeper = Arc::new(Keeper {
             quarantine: Arc::clone(&self.quarantine),
             members: Arc::clone(&self.members),
             store: self.store,
             clock: self.clock,
             is_first_start: self.is_first_start,
             log: self.log.clone(),
-        };
-        tasks.spawn(keeper.run());
+        });
+        tasks.spawn(Arc::clone(&keeper).run());
         tasks.spawn(ends::watch(self.ends));
         tasks.spawn(catch_up::run(self.members, self.catch_up));
         tasks.spawn(dispatch::run(Arc::clone(&self.dispatch)));
         tasks.spawn(dispatch::configure(self.dispatch));
-        tasks.spawn(become_ready(
-            self.knowledge,
-            self.quarantine,
-            self.phases,
-            self.log,
-        ));
+        tasks.spawn(become_ready(self.knowledge, keeper, self.phases, self.log));
         tasks.spawn(upkeep(self.servers));
         tasks
     }
@@ -369,14 +359,14 @@
 /// Says that the instance takes requests once it knows routes and servers.
 async fn become_ready(
     knowledge: Arc<Knowledge>,
-    quarantine: Arc<Quarantine>,
+    keeper: Arc<Keeper>,
     phases: Arc<Phases>,
     log: Logger,
 ) {
     while knowledge.table().is_none() || knowledge.directory().is_empty() {
         time::sleep(Duration::from_millis(20)).await;
     }
-    quarantine.loaded(LEARN_TIMEOUT).await;
+    keeper.learn().await;
     phases.advance(Phase::Serving);
     info!(log, "ready"; "version" => knowledge.version());
 }
--- a/crates/server/src/gateway/keeping.rs
+++ b/crates/server/src/gateway/keeping.rs
@@ -14,6 +14,10 @@
 };
 use crate::clock::Clock;
 
+/// Time for the instance that schedules to tell what is known: it reads the store for all
+/// where that is settled by then. Without it the first copies after a loss of all would
+/// end three more servers.
+const LEARN_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest time between two looks at what is to be kept or forgotten.
 const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause after a look, so that what comes together is looked at together.
@@ -32,8 +36,16 @@
 }
 
 impl Keeper {
+    /// Learns what was known before this instance started, from the instance that
+    /// schedules or, where it is not known in time which one does, from the store.
+    pub(super) async fn learn(&self) {
+        if !self.quarantine.loaded(LEARN_TIMEOUT).await && !self.read().await {
+            warn!(self.log, "requests that end servers not known yet");
+        }
+    }
+
     /// Runs for as long as the instance does.
-    pub(super) async fn run(self) {
+    pub(super) async fn run(self: Arc<Self>) {
         let mut has_read = self.is_first_start;
         if has_read {
             self.quarantine.on_loaded();
--- a/crates/server/src/gateway/quarantine.rs
+++ b/crates/server/src/gateway/quarantine.rs
@@ -343,13 +343,11 @@
             .send_if_modified(|is_loaded| !std::mem::replace(is_loaded, true));
     }
 
-    /// Waits until that is known, for `longest` at most.
-    pub(super) async fn loaded(&self, longest: Duration) {
+    /// Waits until that is known, for `longest` at most; tells whether it is.
+    pub(super) async fn loaded(&self, longest: Duration) -> bool {
         let mut is_loaded = self.is_loaded.subscribe();
         let loaded = is_loaded.wait_for(|is_loaded| *is_loaded);
-        if time::timeout(longest, loaded).await.is_err() {
-            warn!(self.log, "requests that end servers not known yet");
-        }
+        time::timeout(longest, loaded).await.is_ok()
     }
 
     /// Locks what is known of requests, for a few steps without waiting.
