Learn of quarantine without holding up who schedules, and probe a server alone first

Its own requests wait for that now, 150 ms at most where nobody tells, then the store is read. A lost connection is followed by one attempt to connect, which is kept; others are tried only where that is refused.

--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -246,13 +246,19 @@
         }
     }
 
-    /// Tells from one attempt to connect to `addr` whether anything listens there.
+    /// Tells from one attempt to connect to `addr` whether anything listens there; a
+    /// connection that is made is kept.
     pub(crate) async fn probe(&self, addr: SocketAddr) -> Probe {
-        let connecting = time::timeout(self.settings.connect_timeout, TcpStream::connect(addr));
-        match connecting.await {
-            Ok(Ok(_)) => Probe::Open,
-            Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused => Probe::Refused,
-            Ok(Err(_)) | Err(_) => Probe::Unknown,
+        match self.stream(addr).await {
+            Ok(stream) => {
+                // Whoever has accepted it may have closed it at once.
+                if let Ok(connection) = self.over(stream).await {
+                    self.put(addr, connection, Duration::MAX);
+                }
+                Probe::Open
+            }
+            Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => Probe::Refused,
+            Err(_) => Probe::Unknown,
         }
     }
 
@@ -339,12 +345,19 @@
     }
 
     async fn connect(&self, addr: SocketAddr) -> Result<Connection, SendError> {
+        let stream = self.stream(addr).await;
+        let stream = stream.map_err(|err| SendError::NotSent(err.to_string()))?;
+        self.over(stream).await
+    }
+
+    async fn stream(&self, addr: SocketAddr) -> io::Result<TcpStream> {
         let connecting = time::timeout(self.settings.connect_timeout, TcpStream::connect(addr));
-        let stream = match connecting.await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(err)) => return Err(SendError::NotSent(err.to_string())),
-            Err(_) => return Err(SendError::NotSent("connect timeout".to_owned())),
-        };
+        let timeout = || io::Error::new(io::ErrorKind::TimedOut, "connect timeout");
+        connecting.await.unwrap_or_else(|_| Err(timeout()))
+    }
+
+    /// Prepares a stream for requests.
+    async fn over(&self, stream: TcpStream) -> Result<Connection, SendError> {
         // Without it small writes wait for acknowledgements; it may fail on a
         // socket that is closed already, which the exchange then finds out.
         let _ = stream.set_nodelay(true);
--- a/crates/server/src/gateway/admitting.rs
+++ b/crates/server/src/gateway/admitting.rs
@@ -12,6 +12,9 @@
     request::CallerRequest,
 };
 
+/// Time that a request waits at an instance that has just started, at most: twice what it
+/// takes to read the store where nobody tells.
+const LEARN_TIMEOUT: Duration = Duration::from_millis(400);
 /// Shortest time to come back after while another copy runs, in ms: most servers take
 /// as long for an answer.
 const MIN_RETRY_AFTER_MS: u64 = 200;
@@ -24,6 +27,9 @@
         caller: &CallerRequest,
         permit: &mut Option<HeldPermit>,
     ) -> Result<(), Why> {
+        // Known some ms after the start of an instance; without it the first copies after
+        // a loss of all would end three more servers.
+        self.quarantine.loaded(LEARN_TIMEOUT).await;
         match self.quarantine.standing(&caller.digest) {
             Standing::Clear => Ok(()),
             Standing::Quarantined { .. } => Err(self.refuse_quarantined(caller, "own")),
--- a/crates/server/src/gateway/ends.rs
+++ b/crates/server/src/gateway/ends.rs
@@ -168,9 +168,15 @@
         all.push(watched);
     }
 
-    /// Tries to connect to a server and to some others of its availability zone, of
-    /// which one is to be reached: more than one may have ended at this moment.
+    /// Tries to connect to a server and, where that fails, to some others of its
+    /// availability zone, of which one is to be reached: more than one may have ended at
+    /// this moment. A new connection takes some of a server's time, so that a server that
+    /// is reached is the only one that is tried.
     async fn probe(&self, server: &ServerEntry) -> (Probe, Probe) {
+        let probe = self.servers.probe(server.addr).await;
+        if probe == Probe::Open {
+            return (probe, Probe::Unknown);
+        }
         let neighbours: Vec<SocketAddr> = {
             let directory = self.knowledge.directory();
             let neighbours = directory.neighbours(server, NEIGHBOURS);
@@ -181,15 +187,12 @@
             let servers = Arc::clone(&self.servers);
             probing.spawn(async move { servers.probe(addr).await });
         }
-        let neighbour = async {
-            while let Some(probe) = probing.join_next().await {
-                if matches!(probe, Ok(Probe::Open)) {
-                    return Probe::Open;
-                }
+        while let Some(neighbour) = probing.join_next().await {
+            if matches!(neighbour, Ok(Probe::Open)) {
+                return (probe, Probe::Open);
             }
-            Probe::Unknown
-        };
-        tokio::join!(self.servers.probe(server.addr), neighbour)
+        }
+        (probe, Probe::Unknown)
     }
 
     /// Looks at what is watched once, all of it at the same time.
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -331,12 +331,13 @@
             is_first_start: self.is_first_start,
             log: self.log.clone(),
         });
-        tasks.spawn(Arc::clone(&keeper).run());
+        tasks.spawn(Arc::clone(&keeper).learn());
+        tasks.spawn(keeper.run());
         tasks.spawn(ends::watch(self.ends));
         tasks.spawn(catch_up::run(self.members, self.catch_up));
         tasks.spawn(dispatch::run(Arc::clone(&self.dispatch)));
         tasks.spawn(dispatch::configure(self.dispatch));
-        tasks.spawn(become_ready(self.knowledge, keeper, self.phases, self.log));
+        tasks.spawn(become_ready(self.knowledge, self.phases, self.log));
         tasks.spawn(upkeep(self.servers));
         tasks
     }
@@ -357,16 +358,10 @@
 }
 
 /// Says that the instance takes requests once it knows routes and servers.
-async fn become_ready(
-    knowledge: Arc<Knowledge>,
-    keeper: Arc<Keeper>,
-    phases: Arc<Phases>,
-    log: Logger,
-) {
+async fn become_ready(knowledge: Arc<Knowledge>, phases: Arc<Phases>, log: Logger) {
     while knowledge.table().is_none() || knowledge.directory().is_empty() {
         time::sleep(Duration::from_millis(20)).await;
     }
-    keeper.learn().await;
     phases.advance(Phase::Serving);
     info!(log, "ready"; "version" => knowledge.version());
 }
--- a/crates/server/src/gateway/keeping.rs
+++ b/crates/server/src/gateway/keeping.rs
@@ -14,10 +14,11 @@
 };
 use crate::clock::Clock;
 
-/// Time for the instance that schedules to tell what is known: it reads the store for all
-/// where that is settled by then. Without it the first copies after a loss of all would
-/// end three more servers.
-const LEARN_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time from its start for an instance to be told what is known: where others run on,
+/// that is a few ways there and back. After a loss of all, hundreds read the store for it,
+/// a call each; who schedules is not settled then for half a second, and no request waits
+/// that long for it.
+const TOLD_WITHIN: Duration = Duration::from_millis(150);
 /// Longest time between two looks at what is to be kept or forgotten.
 const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause after a look, so that what comes together is looked at together.
@@ -37,11 +38,15 @@
 
 impl Keeper {
     /// Learns what was known before this instance started, from the instance that
-    /// schedules or, where it is not known in time which one does, from the store.
-    pub(super) async fn learn(&self) {
-        if !self.quarantine.loaded(LEARN_TIMEOUT).await && !self.read().await {
+    /// schedules or, where that has not told in time, from the store.
+    pub(super) async fn learn(self: Arc<Self>) {
+        if self.quarantine.loaded(TOLD_WITHIN).await {
+            return;
+        }
+        if !self.read().await {
             warn!(self.log, "requests that end servers not known yet");
         }
+        self.quarantine.on_loaded();
     }
 
     /// Runs for as long as the instance does.
--- a/crates/server/src/gateway/quarantine.rs
+++ b/crates/server/src/gateway/quarantine.rs
@@ -362,6 +362,9 @@
 
     /// Waits until that is known, for `longest` at most; tells whether it is.
     pub(super) async fn loaded(&self, longest: Duration) -> bool {
+        if *self.is_loaded.borrow() {
+            return true;
+        }
         let mut is_loaded = self.is_loaded.subscribe();
         let loaded = is_loaded.wait_for(|is_loaded| *is_loaded);
         time::timeout(longest, loaded).await.is_ok()
