The soak ends servers by requests of a caller who comes again, beside crashes and restarts

Six servers without a proxy, so that an address of one that has ended refuses connections; they start again as other runs and crash for other reasons too. Checked: at most three servers end under it once calm, and no other request is refused for it.

--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -160,7 +160,12 @@
     pub(super) async fn on_lost(&self, caller: &CallerRequest, in_flight: InFlight) {
         let lost = self.lost(caller, in_flight.server.clone());
         in_flight.end(ServerEnd::Silent);
-        self.ends.on_lost(lost).await;
+        let ends = Arc::clone(&self.ends);
+        // A caller who goes at this moment does not keep it from being known.
+        let known = tokio::spawn(async move { ends.on_lost(lost).await });
+        if let Err(err) = known.await {
+            warn!(self.log, "loss not looked at"; "request" => %caller.id, "error" => %err);
+        }
     }
 
     /// Describes the loss of the connection to a server that has the request of a caller.
--- a/crates/server/src/gateway/ends.rs
+++ b/crates/server/src/gateway/ends.rs
@@ -131,7 +131,7 @@
     }
 
     async fn on_ended(&self, lost: LostServer, evidence: Evidence) {
-        let others = lost.others + lost.requests.len() as u32 - 1;
+        let others = lost.others + lost.requests.len().saturating_sub(1) as u32;
         for (request, digest) in &lost.requests {
             let ends = self.quarantine.on_end(EndRecord {
                 digest: *digest,
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -15,12 +15,12 @@
 use http_body_util::Full;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use savoryvane_platform_standin::ECHO;
+use savoryvane_platform_standin::{ECHO, ENDS_SERVER};
 use tokio::time::{self, Instant};
 
 use crate::{
     client::{self, Answer, Connection, NoAnswer},
-    config::{HOST, KEY, Kind, TIMEOUT_MS},
+    config::{HOST, KEY, Kind, POISON_PATH, TIMEOUT_MS},
     deployment::Deployment,
     ledger::Asked,
     sabotage::Sabotage,
@@ -30,6 +30,8 @@
 const DEADLINE_MS: u64 = TIMEOUT_MS + 1_000;
 /// Time between an answer and the next request of a caller.
 const PAUSE_MS: std::ops::Range<u64> = 5..60;
+/// Time until a caller comes again with the same request.
+const COMES_AGAIN_MS: std::ops::Range<u64> = 30..300;
 /// Out of a hundred requests, those that go over a new connection.
 const NEW_CONNECTION_PERCENT: u32 = 15;
 /// Time between two looks whether instances take requests.
@@ -93,6 +95,18 @@
         }
     }
 
+    /// Asks for the same kind again and again, at any instance.
+    pub(crate) async fn come_again(self: Arc<Self>, kind: Kind, seed: u64) {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        while !self.is_over() {
+            time::sleep(Duration::from_millis(rng.random_range(COMES_AGAIN_MS))).await;
+            if let Some(instance) = self.deployment.draw_ready(&mut rng) {
+                let asked = self.ask(instance, kind, &mut HashMap::new()).await;
+                self.deployment.ledger.add(asked);
+            }
+        }
+    }
+
     fn draw_kind(&self, rng: &mut Pcg64Mcg) -> Kind {
         let added = self.deployment.added();
         match rng.random_range(0..12) {
@@ -115,9 +129,13 @@
     ) -> Asked {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let id = format!("r{number}");
-        let path = format!("/{}/{id}", kind.prefix());
-        let body = match kind.method() {
-            "GET" => String::new(),
+        let path = match kind {
+            Kind::Poison => POISON_PATH.to_owned(),
+            _ => format!("/{}/{id}", kind.prefix()),
+        };
+        let body = match kind {
+            Kind::Poison => ENDS_SERVER.to_owned(),
+            _ if kind.method() == "GET" => String::new(),
             _ => format!("body of {id}"),
         };
         let boot = self.deployment.boot(instance);
--- a/crates/soak/src/config.rs
+++ b/crates/soak/src/config.rs
@@ -21,6 +21,11 @@
 pub(crate) const SERVICES: [(&str, usize); 4] =
     [("desk", 3), ("engine", 3), ("archive", 2), ("invoices", 2)];
 
+/// Service whose servers end under some requests.
+pub(crate) const PRESS: &str = "press";
+/// Path of the requests that end them.
+pub(crate) const POISON_PATH: &str = "/print/poison";
+
 /// A kind of request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Kind {
@@ -34,6 +39,10 @@
     Quote,
     /// A stream that comes after two stages.
     Staged,
+    /// A stream at a service whose servers crash.
+    Print,
+    /// The same, which ends each server that begins to run it.
+    Poison,
     /// On a route that this version added.
     Added(u64),
 }
@@ -44,13 +53,21 @@
     }
 
     pub(crate) fn is_stream(self) -> bool {
-        matches!(self, Self::Draft | Self::Quote | Self::Staged)
+        matches!(
+            self,
+            Self::Draft | Self::Quote | Self::Staged | Self::Print | Self::Poison
+        )
     }
 
     pub(crate) fn method(self) -> &'static str {
         match self {
             Self::Lookup | Self::Added(_) => "GET",
-            Self::Booking | Self::Draft | Self::Quote | Self::Staged => "POST",
+            Self::Booking
+            | Self::Draft
+            | Self::Quote
+            | Self::Staged
+            | Self::Print
+            | Self::Poison => "POST",
         }
     }
 
@@ -61,6 +78,7 @@
             Self::Draft => "draft".to_owned(),
             Self::Quote => "quote".to_owned(),
             Self::Staged => "staged".to_owned(),
+            Self::Print | Self::Poison => "print".to_owned(),
             Self::Added(version) => format!("added-{version}"),
         }
     }
@@ -74,6 +92,7 @@
         route(Kind::Draft, "stream", "engine"),
         route(Kind::Quote, "stream", "engine"),
         route(Kind::Staged, "stream", "engine"),
+        route(Kind::Print, "stream", PRESS),
     ];
     routes[3]["Resumable"] = true.into();
     routes[4]["Stages"] = json!([
@@ -84,13 +103,16 @@
     routes.extend(added.map(|kind| route(kind, "idempotent", "desk")));
     let pieces = json!({ "Slots": 1, "Queue": 2, "Batch": 20, "CallMs": 10.0, "ItemMs": 1.0,
         "RoomMb": 20.0, "HandleS": 4.0, "LinkMbps": 1_000 });
-    let services = SERVICES.map(|(name, _)| {
+    let names = SERVICES.map(|(name, _)| name);
+    let names = names.into_iter().chain([PRESS]);
+    let services = names.map(|name| {
         let mut service = json!({ "Name": name, "HealthPath": "/healthz", "MaxConns": 200 });
         if matches!(name, "archive" | "invoices") {
             service["Pieces"] = pieces.clone();
         }
         service
     });
+    let services: Vec<Value> = services.collect();
     json!({
         "Version": version, "Routes": routes, "Services": services,
         "Tenants": [{ "Name": WORKSPACE, "ApiKeys": [KEY] }],
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -19,6 +19,7 @@
     config::{self, EVENTS, REPEAT_RATIO, REPEAT_SLACK, SERVICES},
     error::Result,
     ledger::Ledger,
+    presses::Presses,
     process::{Addresses, Instance},
 };
 
@@ -68,6 +69,7 @@
     /// The way of each instance to the store.
     pub(crate) store_relays: Vec<Relay>,
     pub(crate) servers: Vec<Server>,
+    pub(crate) presses: Presses,
     pub(crate) addresses: Vec<Addresses>,
     pub(crate) ledger: Ledger,
     instances: Vec<Mutex<Instance>>,
@@ -105,6 +107,7 @@
             store_relays.push(relay);
         }
         let deployment = Self {
+            presses: Presses::start(&store).await,
             store,
             store_relays,
             servers,
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,9 +7,9 @@
 mod deployment;
 mod error;
 mod flags;
-
 mod ledger;
 mod plan;
+mod presses;
 mod process;
 mod promises;
 mod run;
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -9,7 +9,10 @@
 use tokio::time::Instant;
 
 use crate::{
-    config::{EVENTS, KEY, Kind, REPEAT_RATIO, REPEAT_SLACK, SERVICES, TIMEOUT_MS, WORKSPACE},
+    config::{
+        EVENTS, KEY, Kind, POISON_PATH, PRESS, REPEAT_RATIO, REPEAT_SLACK, SERVICES, TIMEOUT_MS,
+        WORKSPACE,
+    },
     deployment::Deployment,
     ledger::Asked,
 };
@@ -21,6 +24,8 @@
 /// Time beyond a route's timeout by which a caller has an answer, on a busy
 /// machine.
 const TIMEOUT_SPARE: Duration = Duration::from_millis(900);
+/// Servers that may end under one request.
+const MOST_ENDS: usize = 3;
 /// Part of the requests that are served once all is calm, in per cent.
 const CALM_SERVED_PERCENT: usize = 95;
 
@@ -67,6 +72,13 @@
                 .map(|s| (server.service, s)),
         );
     }
+    ran.extend(
+        deployment
+            .presses
+            .ran()
+            .into_iter()
+            .map(|seen| (PRESS, seen)),
+    );
     let mut runs: HashMap<String, usize> = HashMap::new();
     for (_, seen) in &ran {
         *runs.entry(id_of(seen).to_owned()).or_default() += 1;
@@ -86,6 +98,7 @@
     books.inputs_of_the_same_request(&mut broken);
     books.never_back(&mut broken);
     books.repeats_within_budget(&mut broken);
+    books.ends_are_counted(calm, &mut broken);
     books.calm(calm, &mut broken);
     broken
 }
@@ -257,6 +270,7 @@
         let is_for = |asked: &&Asked| match asked.kind {
             Kind::Lookup | Kind::Booking | Kind::Added(_) => service == "desk",
             Kind::Draft | Kind::Quote | Kind::Staged => service == "engine",
+            Kind::Print | Kind::Poison => service == PRESS,
         };
         let shifts = [Duration::ZERO, BUDGET_WINDOW / 2, BUDGET_WINDOW];
         let counts = shifts.map(|shift| {
@@ -270,6 +284,24 @@
         counts.into_iter().max().unwrap_or(0)
     }
 
+    /// A request that ends servers is sent to three at most once all are in touch; nobody
+    /// else is refused for that.
+    fn ends_are_counted(&self, calm: &Calm, broken: &mut Vec<String>) {
+        let ended = self.ran.iter().filter(|(service, seen)| {
+            *service == PRESS && seen.path == POISON_PATH && seen.at >= calm.began_at
+        });
+        let ended = ended.count();
+        if ended > MOST_ENDS {
+            broken.push(format!("{ended} servers ended under one request once calm"));
+        }
+        let others = self.asked.iter().filter(|a| a.kind != Kind::Poison);
+        let wrongly = others.filter(|a| {
+            let answer = a.got.as_ref().ok();
+            answer.is_some_and(|answer| answer.body.starts_with(b"ends_servers"))
+        });
+        broken.extend(wrongly.map(|a| format!("{} was refused as if it ended servers", a.id)));
+    }
+
     /// What holds while nothing is wrong.
     fn calm(&self, calm: &Calm, broken: &mut Vec<String>) {
         let instances = self.deployment.addresses.len();
@@ -290,7 +322,7 @@
         let since: Vec<&Asked> = self
             .asked
             .iter()
-            .filter(|asked| asked.sent_at >= calm.began_at)
+            .filter(|asked| asked.sent_at >= calm.began_at && asked.kind != Kind::Poison)
             .collect();
         let served = since.iter().filter(|asked| asked.is_served()).count();
         if served * 100 < since.len() * CALM_SERVED_PERCENT {
@@ -316,7 +348,8 @@
 
     /// A planned stop cuts nothing that has reached a server.
     fn nothing_cut(&self, calm: &Calm, broken: &mut Vec<String>) {
-        for asked in self.asked.iter().filter(|a| a.instance == calm.stopped) {
+        let taken = self.asked.iter().filter(|a| a.kind != Kind::Poison);
+        for asked in taken.filter(|a| a.instance == calm.stopped) {
             let is_during =
                 asked.ended_at >= calm.stopped_at && asked.sent_at <= calm.stop_ended_at;
             let is_cut = match &asked.got {
@@ -334,7 +367,7 @@
 /// sent last; of a stream that may be resumed no torn event is passed on.
 fn without_torn(kind: Kind, body: &str) -> &str {
     match kind {
-        Kind::Draft | Kind::Staged => body.strip_suffix(TORN_EVENT).unwrap_or(body),
+        Kind::Draft | Kind::Staged | Kind::Print => body.strip_suffix(TORN_EVENT).unwrap_or(body),
         _ => body,
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
-use savoryvane_platform_standin::{Behaviour, Fault as StoreFault};
+use savoryvane_platform_standin::{Behaviour, ENDS_SERVER, Fault as StoreFault};
 use savoryvane_standins::LinkFaults;
 use tokio::{
     task::JoinSet,
@@ -21,7 +21,7 @@
 use crate::{
     caller::{self, Callers},
     client,
-    config::{HOST, Kind},
+    config::{HOST, Kind, POISON_PATH},
     deployment::Deployment,
     error::{Error, Result},
     flags::SavoryvaneSoak,
@@ -43,6 +43,14 @@
 const CLOSING: Duration = Duration::from_millis(1_500);
 /// Time between two looks for processes that have ended by themselves.
 const SUPERVISE_INTERVAL: Duration = Duration::from_millis(300);
+/// Callers at the servers that end under some requests; two of them with the same one.
+const AT_THE_PRESSES: [Kind; 5] = [
+    Kind::Print,
+    Kind::Print,
+    Kind::Print,
+    Kind::Poison,
+    Kind::Poison,
+];
 /// Delay of harmed ways, in ms.
 const DELAY_MS: u64 = 120;
 
@@ -108,8 +116,20 @@
     watching.spawn(supervise(Arc::clone(&deployment)));
     until_ready(&deployment).await?;
 
+    watching.spawn({
+        let deployment = Arc::clone(&deployment);
+        async move { deployment.presses.supervise(&deployment.store).await }
+    });
     let callers = Callers::new(Arc::clone(&deployment), options.sabotage);
     let mut asking = JoinSet::new();
+    for (index, kind) in AT_THE_PRESSES.into_iter().enumerate() {
+        let seed = seed << 8 | 0x80 | index as u64;
+        asking.spawn(Arc::clone(&callers).come_again(kind, seed));
+    }
+    watching.spawn({
+        let (deployment, length) = (Arc::clone(&deployment), options.length);
+        async move { deployment.presses.crash(seed, length).await }
+    });
     for index in 0..options.callers as u64 {
         asking.spawn(Arc::clone(&callers).ask_on(seed << 8 | index));
     }
@@ -377,6 +397,9 @@
 
 /// Sends servers what no instance may send them.
 async fn harm_servers(deployment: &Deployment, sabotage: Option<Sabotage>, leaving: usize) {
+    if sabotage == Some(Sabotage::Uncounted) {
+        return end_presses(deployment).await;
+    }
     let (server, id, times) = match sabotage {
         Some(Sabotage::Unasked) => (0, "nobody", 1),
         Some(Sabotage::LateDrain) => (leaving, "r1", 3),
@@ -398,3 +421,22 @@
         let _ = client::exchange(&mut connection, request, deadline).await;
     }
 }
+
+/// Ends servers by requests that no instance has counted.
+async fn end_presses(deployment: &Deployment) {
+    for _ in 0..6 {
+        let Some(addr) = deployment.presses.running() else {
+            return;
+        };
+        if let Ok(mut connection) = client::connect(addr).await {
+            let request = Request::post(POISON_PATH)
+                .header("host", HOST)
+                .header("request-id", "r1")
+                .body(Full::new(Bytes::from(ENDS_SERVER)))
+                .unwrap_or_default();
+            let deadline = Instant::now() + Duration::from_secs(1);
+            // What the server makes of it is seen in its books.
+            let _ = client::exchange(&mut connection, request, deadline).await;
+        }
+    }
+}
--- a/crates/soak/src/sabotage.rs
+++ b/crates/soak/src/sabotage.rs
@@ -26,6 +26,8 @@
     CutOnStop,
     /// Servers are sent many requests again.
     Overspent,
+    /// Servers are ended by requests that no instance counts.
+    Uncounted,
     /// An instance that was killed is not started again.
     NotBack,
 }
@@ -48,6 +50,7 @@
             "late-drain" => Self::LateDrain,
             "cut-on-stop" => Self::CutOnStop,
             "overspent" => Self::Overspent,
+            "uncounted" => Self::Uncounted,
             "not-back" => Self::NotBack,
             other => return Err(Error::Flag(format!("no such sabotage: {other}"))),
         })
