--- a/crates/standins/src/acceptor.rs
+++ b/crates/standins/src/acceptor.rs
@@ -5,7 +5,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
-    task::{JoinHandle, JoinSet},
+    task::{AbortHandle, JoinHandle, JoinSet},
     time,
 };
 
@@ -56,6 +56,11 @@
         self.addr
     }
 
+    /// Returns what ends it with all its connections at once.
+    pub(crate) fn abort_handle(&self) -> AbortHandle {
+        self.task.abort_handle()
+    }
+
     /// Stops listening and waits for open connections.
     pub(crate) async fn stop(mut self) {
         self.stop.send_replace(true);
--- a/crates/standins/src/backend.rs
+++ b/crates/standins/src/backend.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard, OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -16,6 +19,7 @@
 use savoryvane_wire::backend::{Cancel, LoadReport, Order, Refusal};
 use tokio::{
     sync::{oneshot, watch},
+    task::AbortHandle,
     time,
 };
 
@@ -65,6 +69,8 @@
         let shared = Arc::clone(&state);
         let handler = move |request| Arc::clone(&shared).answer(request);
         let server = Server::start(addr, Arc::clone(&state.switches), handler).await?;
+        // Set once, here.
+        let _ = state.process.set(server.abort_handle());
         Ok(Self { server, state })
     }
 
@@ -73,6 +79,11 @@
         self.server.addr()
     }
 
+    /// Tells whether it has ended under a call.
+    pub fn has_ended(&self) -> bool {
+        self.state.has_ended.load(Ordering::Relaxed)
+    }
+
     /// Replaces the faults.
     pub fn set_faults(&self, faults: BackendFaults) {
         self.state.set_faults(faults);
@@ -111,6 +122,9 @@
     models: Arc<Models>,
     pub(crate) cache: PrefixCache,
     pub(crate) ran: Ran,
+    /// Ends the server with all that it runs.
+    process: OnceLock<AbortHandle>,
+    has_ended: AtomicBool,
     open: Mutex<HashMap<CallId, Vec<oneshot::Sender<()>>>>,
     load: Mutex<History<Load>>,
 }
@@ -147,6 +161,8 @@
             models: Arc::new(models),
             cache: PrefixCache::new(settings.cache_prefixes, reporting),
             ran: Ran::default(),
+            process: OnceLock::new(),
+            has_ended: AtomicBool::new(false),
             open: Mutex::default(),
             load: Mutex::new(History::new(settings.load_lag_ms, load)),
             settings,
@@ -182,6 +198,10 @@
         let Ok(call) = body::read_json::<StageCall, _>(request.into_body()).await else {
             return refuse(RefusalReason::BadCall);
         };
+        if self.ends_under(&call) {
+            // The connection is gone before an answer to it is.
+            std::future::pending::<()>().await;
+        }
         let place = match self.admit(&call) {
             Ok(place) => place,
             Err(reason) => return refuse(reason),
@@ -199,6 +219,17 @@
         Response::new(body)
     }
 
+    /// Ends the server if it can't bear a call.
+    fn ends_under(&self, call: &StageCall) -> bool {
+        let marker = self.faults.borrow().ends_under.clone();
+        let is_meant = marker.is_some_and(|marker| call.input.to_string().contains(&marker));
+        if is_meant && let Some(process) = self.process.get() {
+            self.has_ended.store(true, Ordering::Relaxed);
+            process.abort();
+        }
+        is_meant
+    }
+
     fn admit(&self, call: &StageCall) -> std::result::Result<Place, RefusalReason> {
         let faults = self.faults.borrow().clone();
         if let Some(reason) = faults.refuse {
--- a/crates/standins/src/backend_faults.rs
+++ b/crates/standins/src/backend_faults.rs
@@ -45,6 +45,8 @@
     pub max_write_bytes: usize,
     /// Bytes of garbage sent as a line before each event; 0 for none.
     pub garbage_bytes: usize,
+    /// Ends the server with all that it runs when a call has this text in its input.
+    pub ends_under: Option<String>,
 }
 
 impl Default for BackendFaults {
@@ -63,6 +65,7 @@
             cut_after_events: None,
             max_write_bytes: 0,
             garbage_bytes: 0,
+            ends_under: None,
         }
     }
 }
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -9,6 +9,8 @@
     server::conn::auto,
 };
 
+use tokio::task::AbortHandle;
+
 use crate::{
     Result,
     acceptor::{Acceptor, Stopped},
@@ -70,6 +72,11 @@
         self.0.addr()
     }
 
+    /// Returns what ends it with all its exchanges at once.
+    pub(crate) fn abort_handle(&self) -> AbortHandle {
+        self.0.abort_handle()
+    }
+
     /// Stops listening and waits for open exchanges to end.
     pub(crate) async fn stop(self) {
         self.0.stop().await;
