Pipelines count the servers that end under a request too

Instances tell their neighbours what they see, and these theirs. There are no permits between instances of this kind: copies that are under way when the third server ends are not held back.

--- a/crates/core/src/decision.rs
+++ b/crates/core/src/decision.rs
@@ -59,6 +59,8 @@
     NotIdempotent,
     /// The workspace is over its share while others need theirs.
     OverShare,
+    /// Backend servers end under the request.
+    EndsServers,
     /// The caller has gone.
     CallerGone,
 }
@@ -79,6 +81,7 @@
             Self::DeadlinePassed => "deadline_passed",
             Self::NotIdempotent => "not_idempotent",
             Self::OverShare => "over_share",
+            Self::EndsServers => "ends_servers",
             Self::CallerGone => "caller_gone",
         }
     }
--- a/crates/core/src/execution.rs
+++ b/crates/core/src/execution.rs
@@ -96,6 +96,12 @@
     },
     /// A timer that was asked for is due.
     Timer,
+    /// Too many backend servers have ended under the request, under this identifier or
+    /// others.
+    Quarantined {
+        /// Time until it is tried again, in ms.
+        retry_after_ms: u64,
+    },
     /// The caller has closed its connection.
     CallerGone,
 }
@@ -278,6 +284,7 @@
             Event::Lost { attempt } => self.on_lost(attempt, turn),
             Event::Silent { attempt } => self.on_silent(attempt, turn),
             Event::Severed { attempt } => self.on_severed(attempt, turn),
+            Event::Quarantined { retry_after_ms } => self.on_quarantined(retry_after_ms, turn),
             Event::CallerGone => self.on_caller_gone(turn),
         }
     }
--- a/crates/core/src/execution/finish.rs
+++ b/crates/core/src/execution/finish.rs
@@ -55,6 +55,15 @@
         }
     }
 
+    /// Ends a request that is quarantined, before or after something of it was sent. It has
+    /// run under other identifiers, so that it is never told as not run.
+    pub(super) fn on_quarantined(&mut self, retry_after_ms: u64, turn: &mut Turn<'_>) {
+        self.spec.earlier_may_have_run = true;
+        turn.act(self.log(DecisionKind::GiveUp, DecisionReason::EndsServers));
+        self.abandon_live(turn);
+        self.refuse(DecisionReason::EndsServers, retry_after_ms, turn);
+    }
+
     pub(super) fn give_up(&mut self, reason: DecisionReason, turn: &mut Turn<'_>) {
         turn.act(self.log(DecisionKind::GiveUp, reason));
         self.fail(Reason::GivenUp(reason), turn);
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -250,6 +250,12 @@
         self.pools.get(name)
     }
 
+    /// Tells whether a backend server is known to be leaving.
+    pub fn is_leaving(&self, name: &BackendName) -> bool {
+        let known = self.known(name);
+        known.is_some_and(|backend| backend.leaving || backend.listed_leaving)
+    }
+
     /// Returns the calls of this instance that a backend server has.
     pub fn in_flight(&self, name: &BackendName) -> u32 {
         self.known(name).map_or(0, |backend| backend.in_flight)
--- a/crates/server/src/caller.rs
+++ b/crates/server/src/caller.rs
@@ -107,15 +107,17 @@
     let is_streamed = wants_stream(request.headers());
     let admitted = controller::admit(shared, head)?;
     let limits = &shared.settings.limits;
-    let body = http_body::read(
+    let mut digest = admitted.digest();
+    let body = http_body::read_with(
         request.into_body(),
         limits.body_bytes,
         limits.body_timeout(),
+        |part| digest.update(part),
     )
     .await
     .map_err(body_refusal)?;
     let submission: Submission = serde_json::from_slice(&body).map_err(|_| Refusal::BadBody)?;
-    let updates = controller::execute(shared, admitted, submission.input);
+    let updates = controller::execute(shared, admitted, submission.input, digest.finish());
     Ok(if is_streamed {
         stream(shared, id, updates).await
     } else {
--- a/crates/server/src/calls.rs
+++ b/crates/server/src/calls.rs
@@ -13,6 +13,7 @@
     call::{CallId, StageCall},
     execution::Event,
     ids::BackendName,
+    poison::Probe,
 };
 use savoryvane_wire::backend::{CacheEvents, Cancel, LoadReport, Refusal};
 use serde::de::DeserializeOwned;
@@ -30,6 +31,7 @@
     connections::{ConnectionSettings, Connections, Exchange, SendError},
     gate::Gate,
     platform::request,
+    probing,
     settings::Backends,
 };
 
@@ -161,6 +163,16 @@
         read_json(exchange, MAX_SMALL_BODY_BYTES).await
     }
 
+    /// Tries whether the backend server at `addr` still listens; where it does not, one of
+    /// its neighbours should.
+    pub(crate) async fn probe(
+        &self,
+        addr: SocketAddr,
+        neighbours: impl FnOnce() -> Vec<SocketAddr>,
+    ) -> (Probe, Probe) {
+        probing::probe(&self.connections, addr, neighbours).await
+    }
+
     /// Reads the cache events of the engine at `addr` from a sequence number on.
     pub(crate) async fn cache_events(&self, addr: SocketAddr, from: u64) -> Option<CacheEvents> {
         let path = format!("/v1/cache-events?from={from}");
--- a/crates/server/src/controller.rs
+++ b/crates/server/src/controller.rs
@@ -8,6 +8,7 @@
     limiter::Admission,
     objects::{Objective, Pipeline, Workspace},
     outcome::Outcome,
+    poison::{DigestBuilder, RequestDigest},
 };
 use savoryvane_wire::backend::prefix_hash;
 use serde_json::Value;
@@ -64,6 +65,7 @@
 pub(crate) struct Account {
     shared: Arc<Shared>,
     request: RequestId,
+    digest: RequestDigest,
     workspace: WorkspaceName,
     pipeline: PipelineName,
     arrived_at_ms: u64,
@@ -94,11 +96,20 @@
     })
 }
 
+impl Admitted {
+    /// Begins to digest what the request asks for, which its body follows.
+    pub(crate) fn digest(&self) -> DigestBuilder {
+        let head = &self.head;
+        DigestBuilder::new(Some(&head.workspace), "POST", "", head.pipeline.as_str())
+    }
+}
+
 /// Runs a request that was admitted, and returns what happens to it.
 pub(crate) fn execute(
     shared: &Arc<Shared>,
     admitted: Admitted,
     input: Value,
+    digest: RequestDigest,
 ) -> mpsc::UnboundedReceiver<Update> {
     let Admitted {
         head,
@@ -114,6 +125,7 @@
     let account = Account {
         shared: Arc::clone(shared),
         request: head.request.clone(),
+        digest,
         workspace: head.workspace.clone(),
         pipeline: head.pipeline,
         arrived_at_ms: head.arrived_at_ms,
@@ -141,6 +153,11 @@
 }
 
 impl Account {
+    /// Returns what the request asks for, under whichever identifier.
+    pub(crate) fn digest(&self) -> RequestDigest {
+        self.digest
+    }
+
     /// Returns the request that it is for.
     pub(crate) fn request(&self) -> &RequestId {
         &self.request
--- /dev/null
+++ b/crates/server/src/ends.rs
@@ -0,0 +1,180 @@
+//! Counts which backend servers end under which requests of pipelines, with the other
+//! instances: each tells its neighbours what is new, and they tell theirs.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use savoryvane_core::{
+    ids::{BackendName, InstanceName, RequestId},
+    objects::Backend,
+    poison::{
+        EndBook, EndRecord, Evidence, Fate, Probe, QuarantineSettings, Registered, RequestDigest,
+        Standing, fate_at_loss,
+    },
+};
+use savoryvane_wire::peer::Message;
+use slog::{info, warn};
+use tokio::time;
+
+use crate::{instance::Shared, probing};
+
+/// Which requests end servers, as far as this instance knows.
+#[derive(Debug)]
+pub(crate) struct Ends {
+    book: Mutex<EndBook>,
+    /// Ends that this instance has seen.
+    seen: AtomicU64,
+}
+
+impl Ends {
+    pub(crate) fn new(settings: QuarantineSettings) -> Self {
+        Self {
+            book: Mutex::new(EndBook::new(settings)),
+            seen: AtomicU64::new(0),
+        }
+    }
+
+    fn book(&self) -> MutexGuard<'_, EndBook> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A call whose connection was lost.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LostCall<'a> {
+    pub(crate) request: &'a RequestId,
+    pub(crate) digest: RequestDigest,
+    pub(crate) backend: &'a BackendName,
+}
+
+/// Returns when a request that is quarantined is tried again, in ms.
+pub(crate) fn quarantined(
+    shared: &Shared,
+    request: &RequestId,
+    digest: &RequestDigest,
+) -> Option<u64> {
+    let now_ms = shared.clock.now_ms();
+    let standing = shared.ends.book().standing(now_ms, digest);
+    let Standing::Quarantined {
+        ends,
+        retry_after_ms,
+    } = standing
+    else {
+        return None;
+    };
+    warn!(shared.log, "quarantined request refused"; "request" => %request,
+        "digest" => %digest, "ends" => ends, "ends_from" => "own",
+        "retry_after_ms" => retry_after_ms);
+    metrics::counter!("savoryvane_quarantine_refusals_total", "reason" => "quarantined")
+        .increment(1);
+    Some(retry_after_ms)
+}
+
+/// Finds out whether a server has ended under a call, within the time for one attempt to
+/// connect, and tells the neighbours if it has.
+pub(crate) async fn on_lost(shared: &Shared, lost: LostCall<'_>) {
+    let Some(backend) = backend(shared, lost.backend) else {
+        return;
+    };
+    let neighbours = || neighbours(shared, &backend);
+    let probing = shared.backends.probe(backend.addr, neighbours);
+    let probes = time::timeout(probing::PATIENCE, probing).await;
+    let (probe, neighbour) = probes.unwrap_or((Probe::Unknown, Probe::Unknown));
+    let registered = match shared.fleet().is_leaving(lost.backend) {
+        true => Registered::Leaving,
+        false => Registered::Ready,
+    };
+    let fate = fate_at_loss(registered, probe, neighbour);
+    info!(shared.log, "connection to server lost"; "request" => %lost.request,
+        "digest" => %lost.digest, "server" => %lost.backend, "registered" => ?registered,
+        "probe" => ?probe, "neighbour" => ?neighbour, "fate" => ?fate);
+    if let Fate::Ended(evidence) = fate {
+        on_ended(shared, lost, evidence);
+    }
+}
+
+fn on_ended(shared: &Shared, lost: LostCall<'_>, evidence: Evidence) {
+    // A server has the same name after each start; what one instance saw is told apart
+    // by its number.
+    let number = shared.ends.seen.fetch_add(1, Ordering::Relaxed);
+    let run = format!("{} {}.{number}", lost.backend, shared.incarnation);
+    let record = EndRecord {
+        digest: lost.digest,
+        server: BackendName::new(run),
+        evidence,
+        age_ms: 0,
+        is_withdrawn: false,
+    };
+    let now_ms = shared.clock.now_ms();
+    let others = shared.fleet().in_flight(lost.backend).saturating_sub(1);
+    let counts = shared.ends.book().on_end(now_ms, record.clone());
+    let ends = shared.ends.book().ends(now_ms, &lost.digest);
+    warn!(shared.log, "server ended under request"; "request" => %lost.request,
+        "digest" => %lost.digest, "server" => %lost.backend, "others" => others,
+        "evidence" => evidence.as_str(), "ends" => ends);
+    metrics::counter!("savoryvane_server_ends_total", "evidence" => evidence.as_str()).increment(1);
+    if counts {
+        shared
+            .members
+            .peers()
+            .send_all(&Message::Ends(vec![record]));
+    }
+}
+
+/// Notes that a request was answered whole, which speaks for it.
+pub(crate) fn on_answered(shared: &Shared, digest: RequestDigest) {
+    let now_ms = shared.clock.now_ms();
+    let was_suspect = shared.ends.book().on_answered(now_ms, digest);
+    if was_suspect {
+        info!(shared.log, "suspect cleared"; "digest" => %digest, "reason" => "answered");
+        let records = shared.ends.book().records(now_ms, &digest);
+        shared.members.peers().send_all(&Message::Ends(records));
+    }
+}
+
+/// Takes over what a neighbour tells, and tells it on where it is new.
+pub(crate) fn on_told(shared: &Shared, records: Vec<EndRecord>) {
+    let now_ms = shared.clock.now_ms();
+    let has_changed = shared.ends.book().on_told(now_ms, records.clone());
+    if has_changed {
+        info!(shared.log, "ends told"; "ends" => records.len(), "source" => "peer");
+        shared.members.peers().send_all(&Message::Ends(records));
+    }
+}
+
+/// Tells a neighbour to which a link was opened what is known.
+pub(crate) fn on_linked(shared: &Shared, peer: &InstanceName) {
+    let now_ms = shared.clock.now_ms();
+    shared.ends.book().forget_old(now_ms);
+    let mut known = 0;
+    while known < shared.ends.book().revision() {
+        let told = shared.ends.book().told_since(now_ms, known);
+        known = told.revision;
+        if !told.records.is_empty() {
+            shared
+                .members
+                .peers()
+                .send(peer, Message::Ends(told.records));
+        }
+    }
+}
+
+fn backend(shared: &Shared, name: &BackendName) -> Option<Backend> {
+    let state = shared.configuration.state();
+    state.backend(name.as_str()).cloned()
+}
+
+/// Returns some other servers of the availability zone of `backend`.
+fn neighbours(shared: &Shared, backend: &Backend) -> Vec<SocketAddr> {
+    let state = shared.configuration.state();
+    let others = state.backends();
+    let others = others.filter(|other| other.zone == backend.zone && other.name != backend.name);
+    let others: Vec<SocketAddr> = others.map(|other| other.addr).collect();
+    let step = others.len().div_ceil(probing::NEIGHBOURS).max(1);
+    others.into_iter().step_by(step).collect()
+}
--- a/crates/server/src/exclusive/serving.rs
+++ b/crates/server/src/exclusive/serving.rs
@@ -63,7 +63,14 @@
         arrived_at_ms: shared.clock.now_ms(),
     };
     let admitted = controller::admit(shared, head)?;
-    Ok(controller::execute(shared, admitted, body.input))
+    let mut digest = admitted.digest();
+    digest.update(&run.body);
+    Ok(controller::execute(
+        shared,
+        admitted,
+        body.input,
+        digest.finish(),
+    ))
 }
 
 async fn final_of(mut updates: mpsc::UnboundedReceiver<Update>, request: &RequestId) -> Answer {
--- a/crates/server/src/gateway/ends.rs
+++ b/crates/server/src/gateway/ends.rs
@@ -1,7 +1,6 @@
 //! Finds out whether a backend server ended under its requests.
 
 use std::{
-    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -21,14 +20,8 @@
 };
 
 use super::{freshness::Freshness, knowledge::Knowledge, quarantine::Quarantine};
-use crate::connections::Connections;
-
-/// Time for attempts to connect while a caller waits: servers answer or refuse within some
-/// ms; one behind a partition is looked at later.
-const PATIENCE: Duration = Duration::from_millis(100);
-/// Other servers of a zone that are tried beside the one whose connection was lost:
-/// copies of a request that were sent together end several at once.
-const NEIGHBOURS: usize = 4;
+use crate::{connections::Connections, probing};
+
 /// Time between two looks at servers of which it is not known whether they have ended.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which it is given up to learn what became of a server: entries lapse
@@ -110,7 +103,7 @@
     /// Finds out what became of a server, and tells the other instances if it has ended.
     /// What takes longer than callers should wait for is found out later.
     pub(super) async fn on_lost(&self, lost: LostServer) -> Fate {
-        let probes = time::timeout(PATIENCE, self.probe(&lost.server)).await;
+        let probes = time::timeout(probing::PATIENCE, self.probe(&lost.server)).await;
         let (probe, neighbour) = probes.unwrap_or((Probe::Unknown, Probe::Unknown));
         let registered = self.knowledge.directory().registered(&lost.server);
         let fate = fate_at_loss(registered, probe, neighbour);
@@ -168,31 +161,13 @@
         all.push(watched);
     }
 
-    /// Tries to connect to a server and, where that fails, to some others of its
-    /// availability zone, of which one is to be reached: more than one may have ended at
-    /// this moment. A new connection takes some of a server's time, so that a server that
-    /// is reached is the only one that is tried.
     async fn probe(&self, server: &ServerEntry) -> (Probe, Probe) {
-        let probe = self.servers.probe(server.addr).await;
-        if probe == Probe::Open {
-            return (probe, Probe::Unknown);
-        }
-        let neighbours: Vec<SocketAddr> = {
+        let neighbours = || {
             let directory = self.knowledge.directory();
-            let neighbours = directory.neighbours(server, NEIGHBOURS);
+            let neighbours = directory.neighbours(server, probing::NEIGHBOURS);
             neighbours.into_iter().map(|other| other.addr).collect()
         };
-        let mut probing = JoinSet::new();
-        for addr in neighbours {
-            let servers = Arc::clone(&self.servers);
-            probing.spawn(async move { servers.probe(addr).await });
-        }
-        while let Some(neighbour) = probing.join_next().await {
-            if matches!(neighbour, Ok(Probe::Open)) {
-                return (probe, Probe::Open);
-            }
-        }
-        (probe, Probe::Unknown)
+        probing::probe(&self.servers, server.addr, neighbours).await
     }
 
     /// Looks at what is watched once, all of it at the same time.
--- a/crates/server/src/gateway/settings.rs
+++ b/crates/server/src/gateway/settings.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     error::Result,
-    settings::{Log, file_limits, load, read_log},
+    settings::{Log, file_limits, load, read_log, read_quarantine},
 };
 
 /// Most instances that are named as first contacts.
@@ -34,16 +34,6 @@
 /// that reads it.
 const MIN_IN_FORCE_MS: u64 = 1_000;
 
-/// Shortest time for which a request that ends servers is refused, in ms: with less, its
-/// trials would end servers about as often as they start.
-const MIN_QUARANTINE_MS: u64 = 10_000;
-/// Longest such time, in ms: a day, by which servers have been mended or replaced.
-const MAX_QUARANTINE_MS: u64 = 86_400_000;
-/// Most requests that may be remembered: some 30 MB.
-const MOST_QUARANTINED: u64 = 100_000;
-/// Most ends that may be told in one message, which fit it.
-const MOST_TOLD_AT_ONCE: u64 = 4_096;
-
 /// Everything that a forwarding instance is told from outside.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -201,31 +191,6 @@
     })
 }
 
-fn read_quarantine(fields: &mut Fields<'_>) -> Option<QuarantineSettings> {
-    let default = QuarantineSettings::default();
-    let number = |count: usize| count as u64;
-    let quarantine_ms = fields.number(
-        "quarantine_ms",
-        MIN_QUARANTINE_MS..=MAX_QUARANTINE_MS,
-        default.quarantine_ms,
-    );
-    let max_requests = fields.number(
-        "max_requests",
-        1..=MOST_QUARANTINED,
-        number(default.max_requests),
-    );
-    let told_at_once = fields.number(
-        "told_at_once",
-        1..=MOST_TOLD_AT_ONCE,
-        number(default.told_at_once),
-    );
-    Some(QuarantineSettings {
-        quarantine_ms,
-        max_requests: max_requests as usize,
-        told_at_once: told_at_once as usize,
-    })
-}
-
 fn read_drain(fields: &mut Fields<'_>) -> Option<GatewayDrain> {
     let grace_ms = fields.number("grace_ms", 0..=MAX_DURATION_MS, 2_500);
     let kill_after_s = fields.f64("kill_after_s", 0.1..=MAX_DURATION_S)?;
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -34,6 +34,7 @@
     claims::{self, Claims},
     clock::Clock,
     configuration::Configuration,
+    ends::Ends,
     error::{Error, Result},
     follower,
     listener::{self, Acceptor},
@@ -82,6 +83,8 @@
     pub(crate) tickets: Tickets,
     /// Answers of such requests.
     pub(crate) answers: Answers,
+    /// Which requests end backend servers.
+    pub(crate) ends: Ends,
     /// Client of the backend servers.
     pub(crate) backends: BackendClient,
     /// Part in the election of the placer.
@@ -286,6 +289,7 @@
         claims: Claims::new(&settings, incarnation, log.clone()),
         tickets: Tickets::new(&settings, incarnation),
         answers: Answers::default(),
+        ends: Ends::new(settings.quarantine),
         backends: BackendClient::new(settings.backends, log.clone()),
         candidacy: Candidacy::new(
             settings.instance.clone(),
--- a/crates/server/src/members.rs
+++ b/crates/server/src/members.rs
@@ -24,6 +24,7 @@
 };
 
 use crate::{
+    ends,
     instance::Shared,
     peer::{PeerHandle, PeerId},
     phase::Phase,
@@ -106,7 +107,10 @@
                 sharing::tick(&shared);
             }
             _ = views.tick() => sharing::renew_view(&shared),
-            Some(peer) = linked.recv() => apply(&shared, Event::Linked(peer.instance)),
+            Some(peer) = linked.recv() => {
+                ends::on_linked(&shared, &peer.instance);
+                apply(&shared, Event::Linked(peer.instance));
+            }
         }
     }
 }
--- a/crates/server/src/peer/handle.rs
+++ b/crates/server/src/peer/handle.rs
@@ -131,6 +131,14 @@
         }
     }
 
+    /// Sends a message one way to all peers that are kept, as [`send`](Self::send) does.
+    pub fn send_all(&self, message: &Message) {
+        let kept: Vec<InstanceName> = self.table().gossip.keys().cloned().collect();
+        for peer in kept {
+            self.send(&peer, message.clone());
+        }
+    }
+
     /// Sends a request to `to`, or only to its run `incarnation`, and waits at
     /// most `timeout` for the answer.
     ///
--- a/crates/server/src/runner.rs
+++ b/crates/server/src/runner.rs
@@ -7,6 +7,7 @@
     decision::Decision,
     execution::{Action, Completion, DiscardReason, Event, Execution, ExecutionSpec},
     ids::BackendName,
+    outcome::Outcome,
 };
 use savoryvane_wire::caller::Answer;
 use slog::{info, warn};
@@ -19,6 +20,7 @@
 use crate::{
     calls::Destination,
     controller::Account,
+    ends::{self, LostCall},
     instance::{InFlight, Shared},
     run_right::RunRight,
 };
@@ -98,6 +100,7 @@
 }
 
 struct RunningCall {
+    backend: BackendName,
     task: AbortHandle,
     is_silent: bool,
 }
@@ -105,7 +108,8 @@
 impl Runner {
     async fn run(mut self, mut inbox: mpsc::Receiver<Event>) {
         let mut is_caller_here = true;
-        self.take(Event::Start);
+        let start = self.quarantined().unwrap_or(Event::Start);
+        self.take(start);
         while !self.execution.is_finished() {
             let timer = self.timer.unwrap_or_else(Instant::now);
             let event = tokio::select! {
@@ -114,6 +118,10 @@
                 Some(event) = inbox.recv() => event,
                 () = time::sleep_until(timer), if self.timer.is_some() => Event::Timer,
             };
+            let event = match event {
+                Event::Lost { attempt } => self.on_lost(attempt).await,
+                event => event,
+            };
             match event {
                 Event::CallerGone => is_caller_here = false,
                 Event::Timer => self.timer = None,
@@ -124,6 +132,26 @@
         }
     }
 
+    /// Finds out whether the server of a call that was lost has ended, and turns the loss
+    /// into the end of a request under which too many have.
+    async fn on_lost(&self, attempt: u64) -> Event {
+        if let Some(call) = self.calls.get(&attempt) {
+            let lost = LostCall {
+                request: self.account.request(),
+                digest: self.account.digest(),
+                backend: &call.backend,
+            };
+            ends::on_lost(&self.shared, lost).await;
+        }
+        self.quarantined().unwrap_or(Event::Lost { attempt })
+    }
+
+    fn quarantined(&self) -> Option<Event> {
+        let (request, digest) = (self.account.request(), self.account.digest());
+        let retry_after_ms = ends::quarantined(&self.shared, request, &digest)?;
+        Some(Event::Quarantined { retry_after_ms })
+    }
+
     fn take(&mut self, event: Event) {
         let actions = {
             let mut fleet = self.shared.fleet();
@@ -157,6 +185,7 @@
                 if let Some(model) = &call.model {
                     self.shared.placement.note_call(model);
                 }
+                let server = backend.clone();
                 let to = Destination {
                     backend,
                     addr,
@@ -169,6 +198,7 @@
                     .tasks
                     .spawn(async move { shared.backends.run(to, call, events).await });
                 let call = RunningCall {
+                    backend: server,
                     task: task.abort_handle(),
                     is_silent: false,
                 };
@@ -180,6 +210,9 @@
             Action::Log(decision) => self.log(&decision),
             Action::Discard { id, reason } => self.discard(&id, reason),
             Action::Finish(mut completion) => {
+                if completion.outcome == Outcome::Complete {
+                    ends::on_answered(&self.shared, self.account.digest());
+                }
                 if let Some(right) = &self.right {
                     right.finish(self.account.request(), &mut completion);
                 }
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -3,7 +3,10 @@
 use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
 use savoryvane_check::{self as check, Fields, Problems};
-use savoryvane_core::ids::{InstanceName, RegionName, ZoneName, is_sha256};
+use savoryvane_core::{
+    ids::{InstanceName, RegionName, ZoneName, is_sha256},
+    poison::QuarantineSettings,
+};
 
 use crate::{
     error::{Error, Result},
@@ -26,6 +29,16 @@
 /// Time that an idempotency key is remembered when nothing is set, in ms.
 const DEFAULT_WINDOW_MS: u64 = 600_000;
 
+/// Shortest time for which a request that ends servers is refused, in ms: with less, its
+/// trials would end servers about as often as they start.
+const MIN_QUARANTINE_MS: u64 = 10_000;
+/// Longest such time, in ms: a day, by which servers have been mended or replaced.
+const MAX_QUARANTINE_MS: u64 = 86_400_000;
+/// Most requests that may be remembered: some 30 MB.
+const MOST_QUARANTINED: u64 = 100_000;
+/// Most ends that may be told in one message, which fit it.
+const MOST_TOLD_AT_ONCE: u64 = 4_096;
+
 /// Everything that an entry instance is told from outside.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -49,6 +62,8 @@
     pub backends: Backends,
     /// How it runs what may not be run twice.
     pub claims: Claims,
+    /// How long requests that end servers are refused, and how many are remembered.
+    pub quarantine: QuarantineSettings,
     /// How it stops.
     pub drain: Drain,
     /// How models are placed.
@@ -237,6 +252,7 @@
     let backends = fields.section("backends", read_backends);
     let longest_window_ms = longest_window_ms(platform.as_ref(), limits.as_ref());
     let claims = fields.section("claims", |f| read_claims(f, longest_window_ms));
+    let quarantine = fields.section("quarantine", read_quarantine);
     let drain = fields.section("drain", read_drain);
     let placement = fields.section("placement", placement_settings::read);
     Some(Settings {
@@ -250,6 +266,7 @@
         limits: limits?,
         backends: backends?,
         claims: claims?,
+        quarantine: quarantine?,
         drain: drain?,
         placement: placement?,
     })
@@ -359,6 +376,32 @@
     })
 }
 
+/// Reads how requests that end servers are refused.
+pub(crate) fn read_quarantine(fields: &mut Fields<'_>) -> Option<QuarantineSettings> {
+    let default = QuarantineSettings::default();
+    let number = |count: usize| count as u64;
+    let quarantine_ms = fields.number(
+        "quarantine_ms",
+        MIN_QUARANTINE_MS..=MAX_QUARANTINE_MS,
+        default.quarantine_ms,
+    );
+    let max_requests = fields.number(
+        "max_requests",
+        1..=MOST_QUARANTINED,
+        number(default.max_requests),
+    );
+    let told_at_once = fields.number(
+        "told_at_once",
+        1..=MOST_TOLD_AT_ONCE,
+        number(default.told_at_once),
+    );
+    Some(QuarantineSettings {
+        quarantine_ms,
+        max_requests: max_requests as usize,
+        told_at_once: told_at_once as usize,
+    })
+}
+
 fn read_drain(fields: &mut Fields<'_>) -> Option<Drain> {
     Some(Drain {
         grace_ms: fields.number("grace_ms", 0..=MAX_DURATION_MS, 2_000),
--- a/crates/server/tests/cli.rs
+++ b/crates/server/tests/cli.rs
@@ -151,3 +151,17 @@
     assert_eq!(code(&output), 1);
     assert!(stderr(&output).contains(&addr), "{}", stderr(&output));
 }
+
+#[test]
+fn every_fault_of_the_quarantine_is_told_at_once() {
+    let text = EXAMPLE
+        .replace("quarantine_ms: 600000", "quarantine_ms: 5")
+        .replace("max_requests: 4096", "max_requests: 0")
+        .replace("told_at_once: 64", "told_at_once: many");
+    let output = check(&text);
+    assert_eq!(code(&output), 3);
+    for field in ["quarantine_ms", "max_requests", "told_at_once"] {
+        let field = format!("quarantine.{field}: found");
+        assert!(stderr(&output).contains(&field), "{}", stderr(&output));
+    }
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -23,6 +23,7 @@
 use savoryvane_core::ids::{
     IdempotencyKey, Incarnation, InstanceName, Offset, PipelineName, RequestId, WorkspaceName,
 };
+pub use savoryvane_core::poison::EndRecord;
 pub use savoryvane_core::{
     digest::{AgedDigest, Digest, DigestBatch, Leaver, LeavingBackend, LeavingNotice, ZoneDigest},
     quota::{Claimant, Demand, Grant, Rate, UsageGrant, UsageReport, WorkspaceKey},
@@ -308,6 +309,8 @@
     33 PermitState(PermitState),
     /// Gives a permit back; a request.
     34 PermitReturn(PermitReturn),
+    /// Servers that ended under requests of pipelines.
+    35 Ends(Vec<EndRecord>),
 }
 
 /// Why a request gets no other answer.
--- a/crates/wire/src/peer/limits.rs
+++ b/crates/wire/src/peer/limits.rs
@@ -39,7 +39,9 @@
         Message::RoutingState(state) => is_routing_bounded(state),
         Message::EndsQuery(query) => are_ends_bounded(&query.records),
         Message::EndsState(state) => are_ends_bounded(&state.records),
-        Message::PermitState(PermitState::Quarantined(records)) => are_ends_bounded(records),
+        Message::PermitState(PermitState::Quarantined(records)) | Message::Ends(records) => {
+            are_ends_bounded(records)
+        }
         Message::ClaimAppend(append) => append.claims.len() <= MAX_ENTRIES,
         Message::AnswerState(_)
         | Message::ConfigHead(_)
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -4,6 +4,7 @@
 use savoryvane_core::ids::{Incarnation, Offset, RegionName, ZoneName};
 use savoryvane_core::{
     forwarding::{DirectoryUpdate, RoutingConfig},
+    poison::{Evidence, Permit, RequestDigest},
     stages::{DonePiece, ResultRef, StageWork},
     topology::Shard,
 };
@@ -43,8 +44,44 @@
     })
 }
 
+fn end() -> EndRecord {
+    EndRecord {
+        digest: RequestDigest([7; 16]),
+        server: "i-1 1796000000000".into(),
+        evidence: Evidence::Lapsed,
+        age_ms: 1_200,
+        is_withdrawn: true,
+    }
+}
+
 fn samples() -> Vec<Message> {
+    let known_ends = KnownEnds {
+        incarnation: Incarnation(7),
+        revision: 12,
+    };
+    let digest = RequestDigest([7; 16]);
+    let permit = Permit {
+        number: 3,
+        place: Some(1),
+    };
     vec![
+        Message::EndsQuery(EndsQuery {
+            known: Some(known_ends),
+            records: vec![end()],
+        }),
+        Message::EndsState(EndsState {
+            known: known_ends,
+            records: vec![end(), end()],
+        }),
+        Message::PermitQuery(PermitQuery {
+            digest,
+            lease_ms: 6_500,
+        }),
+        Message::PermitState(PermitState::Granted(permit)),
+        Message::PermitState(PermitState::Out { lapses_in_ms: 400 }),
+        Message::PermitState(PermitState::Quarantined(vec![end()])),
+        Message::PermitReturn(PermitReturn { digest, permit }),
+        Message::Ends(vec![end()]),
         Message::Hello(Hello {
             version: PROTOCOL_VERSION,
             instance: "entry-1".into(),
@@ -244,6 +281,10 @@
     assert_eq!(encode(&hello), Err(FrameError::OverLimit(1)));
     let answer = Message::AnswerState(AnswerState::Answered(vec![0; MAX_PAYLOAD_BYTES + 1]));
     assert_eq!(encode(&answer), Err(FrameError::OverLimit(13)));
+    let mut named = end();
+    named.server = "x".repeat(MAX_KEY_BYTES + 1).as_str().into();
+    let ends = Message::Ends(vec![named]);
+    assert_eq!(encode(&ends), Err(FrameError::OverLimit(35)));
 }
 
 #[test]
@@ -272,7 +313,7 @@
 fn hostile_bodies_never_panic() {
     fn property(kind: u16, body: Vec<u8>) {
         let mut bytes = ((body.len() + 2) as u32).to_be_bytes().to_vec();
-        bytes.extend((kind % 20).to_be_bytes());
+        bytes.extend((kind % 40).to_be_bytes());
         bytes.extend(body);
         let _ = read_all(&bytes, 64);
     }
