--- a/crates/bench/src/bin/poison.rs
+++ b/crates/bench/src/bin/poison.rs
@@ -4,6 +4,10 @@
 use std::process::ExitCode;
 
 use savoryvane_bench::poison_day::{Counting, PoisonDay, PoisonFigures, play};
+use savoryvane_core::{
+    ids::BackendName,
+    poison::{EndBook, EndRecord, Evidence, QuarantineSettings, RequestDigest},
+};
 
 /// Instances and servers of the deployments that are played.
 const SIZES: [(usize, usize); 3] = [(8, 18), (30, 60), (295, 294)];
@@ -17,20 +21,27 @@
 /// Bytes that control may take of an instance in a second.
 const MOST_BYTES_PER_S: f64 = 26_000.0;
 const SEEDS: u64 = 5;
+/// Requests that callers vary on purpose.
+const DISTINCT: u64 = 10_000;
+/// Memory that these may take: a sixteenth of what control may take of an instance.
+const MOST_MEMORY_BYTES: u64 = 2 << 20;
+/// Bytes of a page of memory.
+const PAGE_BYTES: u64 = 4_096;
 
 fn main() -> ExitCode {
+    // First, while the memory of this process says nothing of other things.
+    let mut broken = show_memory();
     println!(
-        "instances  servers  counting  crashes  ended  most by one  asked  lost  wrongly  copies  \
+        "instances  servers  counting  poison  crashes  ended  most by one  asked  lost  wrongly  copies  \
          B/s  B/s scheduler"
     );
-    let mut broken = 0;
     for (instances, servers) in SIZES {
-        for has_crashes in [false, true] {
+        for (poison, has_crashes) in [(POISON, false), (POISON, true), (0, true)] {
             for counting in [Counting::Off, Counting::Shared] {
                 let day = PoisonDay {
                     instances,
                     servers,
-                    poison: POISON,
+                    poison,
                     has_crashes,
                     counting,
                 };
@@ -46,6 +57,40 @@
     }
 }
 
+/// Fills a book as callers do who vary a request on purpose, prints what it takes and
+/// returns the bounds that break.
+fn show_memory() -> usize {
+    let before = resident_bytes();
+    let mut book = EndBook::new(QuarantineSettings::default());
+    for number in 0..DISTINCT {
+        book.on_end(
+            number,
+            EndRecord {
+                digest: RequestDigest(u128::from(number).to_le_bytes()),
+                server: BackendName::new(format!("i-{number:010x} 1796000000000")),
+                evidence: Evidence::Refused,
+                age_ms: 0,
+                is_withdrawn: false,
+            },
+        );
+    }
+    let taken = resident_bytes().saturating_sub(before);
+    println!(
+        "{DISTINCT} distinct requests: {} remembered, {} KB",
+        book.len(),
+        taken / 1_024
+    );
+    usize::from(taken > MOST_MEMORY_BYTES)
+}
+
+/// Returns the memory of this process that is resident, in bytes; 0 where the system does
+/// not tell.
+fn resident_bytes() -> u64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|pages| pages.parse().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
+
 /// Plays a day with each seed, prints the sums and returns the bounds that break.
 fn show(day: PoisonDay) -> usize {
     let mut sum = PoisonFigures::default();
@@ -61,10 +106,11 @@
         sum.scheduler_bytes_per_s += figures.scheduler_bytes_per_s / SEEDS as f64;
     }
     println!(
-        "{:9}  {:7}  {:>8}  {:>7}  {:5}  {:11}  {:5}  {:4}  {:7}  {:6}  {:3.0}  {:13.0}",
+        "{:9}  {:7}  {:>8}  {:6}  {:>7}  {:5}  {:11}  {:5}  {:4}  {:7}  {:6}  {:3.0}  {:13.0}",
         day.instances,
         day.servers,
         format!("{:?}", day.counting),
+        day.poison,
         day.has_crashes,
         sum.ended,
         sum.most_ended,
--- a/crates/bench/src/poison_day.rs
+++ b/crates/bench/src/poison_day.rs
@@ -40,8 +40,9 @@
 const LONGEST_RUN_MS: u64 = 2_400;
 /// Time between two questions of an instance for what is new, in ms.
 const ASKS_EVERY_MS: u64 = 500;
-/// Times at which a third of the servers crash, in ms.
-const CRASHES_AT_MS: [u64; 3] = [20_000, 28_000, 36_000];
+/// Times at which a third of the servers crash, in ms; at the first one requests end
+/// servers too.
+const CRASHES_AT_MS: [u64; 3] = [6_200, 14_000, 28_000];
 
 /// What is played.
 #[derive(Clone, Copy, Debug)]
