--- a/crates/server/src/answers.rs
+++ b/crates/server/src/answers.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{HashMap, VecDeque},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
 };
 
 use bytes::Bytes;
@@ -12,6 +12,8 @@
     time::{self, Instant},
 };
 
+use crate::lock::lock;
+
 /// Most bytes of answers that are kept.
 const MAX_KEPT_BYTES: usize = 32 << 20;
 /// Most answers that are kept.
@@ -106,7 +108,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Kept> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.0)
     }
 }
 
--- a/crates/server/src/calls/severed.rs
+++ b/crates/server/src/calls/severed.rs
@@ -3,11 +3,13 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard},
 };
 
 use tokio::{sync::watch, time::Instant};
 
+use crate::lock::lock;
+
 /// Tells calls in flight when connections to their backend server are found to
 /// have gone silent.
 #[derive(Debug, Default)]
@@ -30,6 +32,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, watch::Sender<Option<Instant>>>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.0)
     }
 }
--- a/crates/server/src/claims.rs
+++ b/crates/server/src/claims.rs
@@ -3,7 +3,7 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -32,6 +32,8 @@
 
 use crate::{instance::Shared, platform::PlatformError, settings::Settings};
 
+use crate::lock::lock;
+
 /// Time between two attempts while the log does not answer, in ms.
 const RETRY_MS: u64 = 100;
 /// Reads after which a record that is not delivered counts as missing.
@@ -228,7 +230,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 }
 
--- a/crates/server/src/configuration.rs
+++ b/crates/server/src/configuration.rs
@@ -1,7 +1,7 @@
 //! The configuration in force on this instance: one follower that changes it,
 //! any number of readers that never wait.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use arc_swap::ArcSwap;
 use savoryvane_core::{
@@ -11,6 +11,8 @@
 };
 use tokio::sync::{mpsc, watch};
 
+use crate::lock::lock;
+
 /// Publishes the state of the follower.
 #[derive(Debug)]
 pub(crate) struct Configuration {
@@ -87,15 +89,12 @@
     }
 
     fn publish(&self, state: &State) {
-        self.fleet
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .configure(state.pools(), state.backends());
+        lock(&self.fleet).configure(state.pools(), state.backends());
         self.published.store(Arc::new(state.clone()));
         self.next.send_replace(state.next());
     }
 
     fn lock(&self) -> MutexGuard<'_, Follower> {
-        self.follower.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.follower)
     }
 }
--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -8,7 +8,7 @@
     collections::HashMap,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -30,6 +30,8 @@
 
 use crate::gate::{Gate, GateSlot, GatedStream};
 
+use crate::lock::lock;
+
 /// Largest head of an answer that is read, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -415,7 +417,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.idle)
     }
 }
 
--- a/crates/server/src/ends.rs
+++ b/crates/server/src/ends.rs
@@ -4,7 +4,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Mutex, MutexGuard, PoisonError,
+        Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering},
     },
 };
@@ -23,6 +23,8 @@
 
 use crate::{instance::Shared, probing};
 
+use crate::lock::lock;
+
 /// Which requests end servers, as far as this instance knows.
 #[derive(Debug)]
 pub(crate) struct Ends {
@@ -40,7 +42,7 @@
     }
 
     fn book(&self) -> MutexGuard<'_, EndBook> {
-        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.book)
     }
 }
 
--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -7,7 +7,7 @@
 use std::{
     io,
     pin::Pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     task::{Context, Poll},
 };
 
@@ -20,6 +20,7 @@
     net::TcpStream,
 };
 
+use crate::lock::lock;
 use crate::run_right::RunRight;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,7 +80,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 }
 
@@ -106,7 +107,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Option<Arc<Gate>>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.0)
     }
 }
 
--- a/crates/server/src/gateway/admitting.rs
+++ b/crates/server/src/gateway/admitting.rs
@@ -8,7 +8,7 @@
 use super::{
     answers::Why,
     forward::Forwarder,
-    quarantine::{Asked, HeldPermit},
+    quarantine::{Asked, CountedBy, HeldPermit},
     request::CallerRequest,
 };
 
@@ -32,7 +32,7 @@
         self.quarantine.loaded(LEARN_TIMEOUT).await;
         match self.quarantine.standing(&caller.digest) {
             Standing::Clear => Ok(()),
-            Standing::Quarantined { .. } => Err(self.refuse_quarantined(caller, "own")),
+            Standing::Quarantined { .. } => Err(self.refuse_quarantined(caller, CountedBy::Own)),
             Standing::Suspect { .. } if permit.is_some() => Ok(()),
             Standing::Suspect { ends } => {
                 let asked = self.quarantine.ask(caller.digest, caller.left()).await;
@@ -44,8 +44,8 @@
                         Ok(())
                     }
                     Asked::Out(lapses_in) => Err(self.refuse_copy(caller, ends, lapses_in)),
-                    Asked::Quarantined(known_from) => {
-                        Err(self.refuse_quarantined(caller, known_from))
+                    Asked::Quarantined(counted_by) => {
+                        Err(self.refuse_quarantined(caller, counted_by))
                     }
                 }
             }
@@ -57,14 +57,14 @@
     pub(super) async fn learn_why(&self, caller: &CallerRequest) -> Why {
         // A permit that is granted after all is given back at once.
         let asked = self.quarantine.ask(caller.digest, Duration::ZERO).await;
-        let known_from = match asked {
-            Asked::Quarantined(known_from) => known_from,
-            Asked::Granted(_) | Asked::Out(_) => "scheduler",
+        let counted_by = match asked {
+            Asked::Quarantined(counted_by) => counted_by,
+            Asked::Granted(_) | Asked::Out(_) => CountedBy::Scheduler,
         };
-        self.refuse_quarantined(caller, known_from)
+        self.refuse_quarantined(caller, counted_by)
     }
 
-    fn refuse_quarantined(&self, caller: &CallerRequest, known_from: &str) -> Why {
+    fn refuse_quarantined(&self, caller: &CallerRequest, counted_by: CountedBy) -> Why {
         let (ends, retry_after_ms) = match self.quarantine.standing(&caller.digest) {
             Standing::Quarantined {
                 ends,
@@ -74,7 +74,7 @@
             Standing::Clear => (0, None),
         };
         warn!(self.log, "quarantined request refused"; "request" => %caller.id,
-            "digest" => %caller.digest, "ends" => ends, "ends_from" => known_from,
+            "digest" => %caller.digest, "ends" => ends, "ends_from" => counted_by.as_str(),
             "retry_after_ms" => retry_after_ms);
         metrics::counter!("savoryvane_quarantine_refusals_total", "reason" => "quarantined")
             .increment(1);
@@ -86,7 +86,7 @@
         let lapses_in_ms = lapses_in.as_millis() as u64;
         let retry_after_ms = usual_ms.max(MIN_RETRY_AFTER_MS).min(lapses_in_ms);
         info!(self.log, "copy of a suspect refused"; "request" => %caller.id,
-            "digest" => %caller.digest, "ends" => ends, "ends_from" => "permit",
+            "digest" => %caller.digest, "ends" => ends, "ends_from" => CountedBy::Scheduler.as_str(),
             "retry_after_ms" => retry_after_ms);
         metrics::counter!("savoryvane_quarantine_refusals_total", "reason" => "copy_runs")
             .increment(1);
--- a/crates/server/src/gateway/catch_up.rs
+++ b/crates/server/src/gateway/catch_up.rs
@@ -2,7 +2,7 @@
 //! all the time, from any while the store does not give them.
 
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -16,6 +16,7 @@
 
 use super::{freshness::Freshness, knowledge::Knowledge, members::Members, store::StoreClient};
 use crate::clock::Clock;
+use crate::lock::lock;
 
 /// Time between two looks at whether the own knowledge is old.
 const CATCH_UP_INTERVAL: Duration = Duration::from_millis(400);
@@ -135,8 +136,7 @@
         let position = theirs.servers_position;
         self.knowledge
             .update_servers(state.servers, position, "peer");
-        *self.source.lock().unwrap_or_else(PoisonError::into_inner) =
-            Some((theirs.incarnation, theirs.revision));
+        *lock(&self.source) = Some((theirs.incarnation, theirs.revision));
         self.note(theirs);
     }
 
@@ -149,7 +149,7 @@
     }
 
     fn source(&self) -> Option<(Incarnation, u64)> {
-        *self.source.lock().unwrap_or_else(PoisonError::into_inner)
+        *lock(&self.source)
     }
 
     /// Tells a peer what this instance knows beyond it, unless it has told as much as
@@ -162,8 +162,7 @@
         let known = self.known(members);
         let servers = self.knowledge.directory().update_for(known_up_to);
         if let DirectoryUpdate::Whole(listing) = &servers {
-            let telling = self.telling.lock();
-            let mut telling = telling.unwrap_or_else(PoisonError::into_inner);
+            let mut telling = lock(&self.telling);
             if !telling.try_take(self.clock.now_ms(), listing.len()) {
                 return None;
             }
--- a/crates/server/src/gateway/dispatch.rs
+++ b/crates/server/src/gateway/dispatch.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -34,6 +34,7 @@
 use crate::{
     clock::Clock,
     connections::{Connections, SendError},
+    lock::lock,
     platform::request,
 };
 
@@ -357,7 +358,7 @@
     /// those that come until then.
     fn free_soon(self: &Arc<Self>, server: BackendName, addr: SocketAddr, handles: Vec<String>) {
         {
-            let mut unneeded = self.unneeded.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut unneeded = lock(&self.unneeded);
             if let Some((_, gathered)) = unneeded.get_mut(&server) {
                 gathered.extend(handles);
                 return;
@@ -373,7 +374,7 @@
 
     async fn free(self: &Arc<Self>, server: &BackendName) {
         let gathered = {
-            let mut unneeded = self.unneeded.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut unneeded = lock(&self.unneeded);
             unneeded.remove(server)
         };
         let Some((addr, handles)) = gathered else {
@@ -399,13 +400,11 @@
     }
 
     fn scheduler(&self) -> MutexGuard<'_, StageScheduler> {
-        self.scheduler
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        lock(&self.scheduler)
     }
 
     fn waiters(&self) -> MutexGuard<'_, HashMap<RequestKey, oneshot::Sender<StageOutcome>>> {
-        self.waiters.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.waiters)
     }
 }
 
--- a/crates/server/src/gateway/ends.rs
+++ b/crates/server/src/gateway/ends.rs
@@ -1,7 +1,7 @@
 //! Finds out whether a backend server ended under its requests.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -22,6 +22,8 @@
 use super::{freshness::Freshness, knowledge::Knowledge, quarantine::Quarantine};
 use crate::{connections::Connections, probing};
 
+use crate::lock::lock;
+
 /// Time between two looks at servers of which it is not known whether they have ended.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which it is given up to learn what became of a server: entries lapse
@@ -203,7 +205,7 @@
     }
 
     fn watched(&self) -> MutexGuard<'_, Vec<Watched>> {
-        self.watched.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.watched)
     }
 }
 
--- a/crates/server/src/gateway/knowledge.rs
+++ b/crates/server/src/gateway/knowledge.rs
@@ -1,7 +1,7 @@
 //! What an instance knows of routes and backend servers.
 
 use std::sync::{
-    Arc, Mutex, MutexGuard, PoisonError,
+    Arc, Mutex, MutexGuard,
     atomic::{AtomicU64, Ordering},
 };
 
@@ -20,6 +20,8 @@
 
 use super::settings::GatewaySettings;
 
+use crate::lock::lock;
+
 /// Servers of a service and availability zone that one instance uses: all, so
 /// that every instance finds the same home for a session.
 const ALL_SERVERS: usize = 4_096;
@@ -96,43 +98,34 @@
 
     /// Locks the backend servers, for a few steps without waiting.
     pub(super) fn fleet(&self) -> MutexGuard<'_, Fleet> {
-        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.fleet)
     }
 
     /// Locks the register of servers, for a few steps without waiting.
     pub(super) fn directory(&self) -> MutexGuard<'_, Directory> {
-        self.directory
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        lock(&self.directory)
     }
 
     /// Locks the budgets of repeats, for a few steps without waiting.
     pub(super) fn budgets(&self) -> MutexGuard<'_, RepeatBudgets> {
-        self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.budgets)
     }
 
     /// Takes in the deadline of a request and returns how much longer callers of
     /// its route usually give, in ms.
     pub(super) fn missing_ms(&self, now_ms: u64, route: &str, deadline_ms: u64) -> u64 {
-        let mut deadlines = self
-            .deadlines
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut deadlines = lock(&self.deadlines);
         deadlines.missing_ms(now_ms, route, deadline_ms)
     }
 
     /// Locks how long answers take, for a few steps without waiting.
     pub(super) fn answer_times(&self) -> MutexGuard<'_, AnswerTimes> {
-        self.answer_times
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        lock(&self.answer_times)
     }
 
     /// Locks how long engines need results, for a few steps without waiting.
     pub(super) fn fetch_times(&self) -> MutexGuard<'_, FetchTimes> {
-        self.fetch_times
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        lock(&self.fetch_times)
     }
 
     /// Waits for the next change of routes or servers.
--- a/crates/server/src/gateway/members.rs
+++ b/crates/server/src/gateway/members.rs
@@ -3,7 +3,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
 };
 
 use savoryvane_core::{
@@ -23,6 +23,7 @@
 };
 use crate::{
     clock::Clock,
+    lock::lock,
     peer::{PeerHandle, PeerId},
 };
 
@@ -183,11 +184,11 @@
     }
 
     fn listed(&self) -> MutexGuard<'_, Listing> {
-        self.listed.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.listed)
     }
 
     pub(super) fn choice(&self) -> MutexGuard<'_, SchedulerChoice> {
-        self.choice.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.choice)
     }
 }
 
--- a/crates/server/src/gateway/quarantine.rs
+++ b/crates/server/src/gateway/quarantine.rs
@@ -6,7 +6,7 @@
 //! permit before they send a suspect. Who reaches nobody goes by its own book.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -28,6 +28,7 @@
 
 use super::members::Members;
 use crate::clock::Clock;
+use crate::lock::lock;
 
 /// Time between two questions for what is new. Only the first copies of a request can be
 /// sent by those that do not know of it yet; later ones need a permit.
@@ -102,8 +103,27 @@
     Granted(HeldPermit),
     /// Another copy runs; its permit lapses after this time.
     Out(Duration),
-    /// The request is quarantined; where it is known from.
-    Quarantined(&'static str),
+    /// The request is quarantined; who has counted.
+    Quarantined(CountedBy),
+}
+
+/// Whose count of ends a refusal goes by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CountedBy {
+    /// What this instance knew.
+    Own,
+    /// What the instance that schedules told when it was asked.
+    Scheduler,
+}
+
+impl CountedBy {
+    /// Returns the name used in logs.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Scheduler => "scheduler",
+        }
+    }
 }
 
 impl Quarantine {
@@ -202,7 +222,10 @@
             None => None,
         };
         let giver = scheduler.filter(|_| told.is_some());
-        let known_from = if giver.is_some() { "peer" } else { "own" };
+        let counted_by = match giver {
+            Some(_) => CountedBy::Scheduler,
+            None => CountedBy::Own,
+        };
         match told.unwrap_or_else(|| self.grant(PermitQuery { digest, lease_ms })) {
             PermitState::Granted(permit) => Asked::Granted(HeldPermit {
                 quarantine: Arc::clone(self),
@@ -213,7 +236,7 @@
             PermitState::Out { lapses_in_ms } => Asked::Out(Duration::from_millis(lapses_in_ms)),
             PermitState::Quarantined(records) => {
                 self.on_told(records, "permit");
-                Asked::Quarantined(known_from)
+                Asked::Quarantined(counted_by)
             }
         }
     }
@@ -372,19 +395,18 @@
 
     /// Locks what is known of requests, for a few steps without waiting.
     pub(super) fn book(&self) -> MutexGuard<'_, EndBook> {
-        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.book)
     }
 
     fn permits(&self) -> MutexGuard<'_, Permits> {
-        self.permits.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.permits)
     }
 
     fn source(&self) -> MutexGuard<'_, Option<(KnownEnds, Instant)>> {
-        self.source.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.source)
     }
 
     fn unreported(&self) -> MutexGuard<'_, Vec<EndRecord>> {
-        let unreported = self.unreported.lock();
-        unreported.unwrap_or_else(PoisonError::into_inner)
+        lock(&self.unreported)
     }
 }
--- a/crates/server/src/gateway/scheduling.rs
+++ b/crates/server/src/gateway/scheduling.rs
@@ -1,7 +1,7 @@
 //! Finds the instance that schedules, and hands over to it.
 
 use std::{
-    sync::{Arc, MutexGuard, PoisonError},
+    sync::{Arc, MutexGuard},
     time::Duration,
 };
 
@@ -15,6 +15,7 @@
     store::StoreClient,
 };
 use crate::{
+    lock::lock,
     peer::PeerError,
     phase::{Phase, Phases},
 };
@@ -118,7 +119,7 @@
     }
 
     fn replaced(&self) -> MutexGuard<'_, Option<(Instant, InstanceName)>> {
-        self.replaced.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.replaced)
     }
 }
 
--- a/crates/server/src/gateway/store.rs
+++ b/crates/server/src/gateway/store.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     ops::RangeInclusive,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -17,6 +17,7 @@
 use crate::{
     clock::Clock,
     connections::{ConnectionSettings, Connections, SendError},
+    lock::lock,
     platform::request,
 };
 
@@ -113,7 +114,7 @@
     }
 
     fn turns(&self) -> MutexGuard<'_, Turns> {
-        self.turns.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.turns)
     }
 
     /// Reads `topic` from the offset `from` on, waiting up to `wait` for a
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicU32, Ordering},
     },
     time::Duration,
@@ -38,7 +38,9 @@
     error::{Error, Result},
     follower,
     listener::{self, Acceptor},
-    listing, loads, logging,
+    listing, loads,
+    lock::lock,
+    logging,
     members::{self, Members},
     meters::Meters,
     peer::{PeerId, PeerServer},
@@ -102,7 +104,7 @@
 impl Shared {
     /// Locks the view of the backend servers, for a few steps without waiting.
     pub(crate) fn fleet(&self) -> MutexGuard<'_, Fleet> {
-        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.fleet)
     }
 
     /// Returns the number of requests in flight.
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -23,6 +23,7 @@
 mod listener;
 mod listing;
 mod loads;
+mod lock;
 mod logging;
 mod members;
 mod meters;
--- a/crates/server/src/members.rs
+++ b/crates/server/src/members.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -26,6 +26,7 @@
 use crate::{
     ends,
     instance::Shared,
+    lock::lock,
     peer::{PeerHandle, PeerId},
     phase::Phase,
     settings::Settings,
@@ -77,9 +78,7 @@
 
     /// Locks the knowledge of the others, for a few steps without waiting.
     pub(crate) fn membership(&self) -> MutexGuard<'_, Membership> {
-        // Nothing panics while it holds the lock, so its contents are whole.
-        let locked = self.membership.lock();
-        locked.unwrap_or_else(PoisonError::into_inner)
+        lock(&self.membership)
     }
 
     /// Returns the workspace quotas.
--- a/crates/server/src/meters.rs
+++ b/crates/server/src/meters.rs
@@ -2,13 +2,15 @@
 
 use std::{
     collections::HashSet,
-    sync::{Mutex, OnceLock, PoisonError},
+    sync::{Mutex, OnceLock},
     time::Duration,
 };
 
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use savoryvane_core::{cost::StageUsage, ids::PipelineName, ids::WorkspaceName, outcome::Outcome};
 
+use crate::lock::lock;
+
 /// Pairs of workspace and pipeline that have metrics of their own; all others
 /// share the label `other`.
 const MAX_LABELLED_PAIRS: usize = 256;
@@ -104,7 +106,7 @@
 
     fn labels(&self, workspace: &WorkspaceName, pipeline: &PipelineName) -> (String, String) {
         let pair = (workspace.clone(), pipeline.clone());
-        let mut labelled = self.labelled.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut labelled = lock(&self.labelled);
         let has_room = labelled.len() < MAX_LABELLED_PAIRS;
         if labelled.contains(&pair) || (has_room && labelled.insert(pair)) {
             (workspace.to_string(), pipeline.to_string())
--- a/crates/server/src/peer/handle.rs
+++ b/crates/server/src/peer/handle.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -26,6 +26,8 @@
     link::{Link, PeerId},
 };
 
+use crate::lock::lock;
+
 /// Messages that wait for a slow peer before further ones are dropped.
 const QUEUE: usize = 256;
 /// Longest pause before a gossip stream is opened again, in ms.
@@ -178,9 +180,7 @@
     }
 
     fn table(&self) -> std::sync::MutexGuard<'_, Table> {
-        // Nothing panics while it holds the lock, so its contents are whole.
-        let locked = self.shared.table.lock();
-        locked.unwrap_or_else(PoisonError::into_inner)
+        lock(&self.shared.table)
     }
 
     fn link_in(&self, table: &mut Table, peer: &InstanceName) -> Option<Arc<Link>> {
--- a/crates/server/src/placement.rs
+++ b/crates/server/src/placement.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -25,6 +25,8 @@
 
 use crate::{instance::Shared, orders::OrderClient, placer, settings::Settings};
 
+use crate::lock::lock;
+
 /// Time between two looks at all engines, in ms.
 const ROUND_MS: u64 = 1_000;
 /// Reports read at the same time.
@@ -60,7 +62,7 @@
     }
 
     fn calls(&self) -> MutexGuard<'_, BTreeMap<ModelName, u64>> {
-        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.calls)
     }
 }
 
--- a/crates/server/src/placer.rs
+++ b/crates/server/src/placer.rs
@@ -2,7 +2,7 @@
 //! it is this instance's turn and renews while it holds the term.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -27,6 +27,8 @@
 
 use crate::{instance::Shared, phase::Phase, platform::PlatformError};
 
+use crate::lock::lock;
+
 /// Instances that follow the stream, to bound its readers.
 const FOLLOWERS: u64 = 4;
 /// Ticks between two looks at the own rank.
@@ -70,7 +72,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Placer> {
-        self.placer.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.placer)
     }
 }
 
--- a/crates/server/src/sharing.rs
+++ b/crates/server/src/sharing.rs
@@ -1,7 +1,7 @@
 //! Workspace quotas as this instance uses them and shares them with the others.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -17,6 +17,7 @@
 
 use crate::{
     instance::Shared,
+    lock::lock,
     peer::{PeerAnswer, PeerId},
 };
 
@@ -44,15 +45,12 @@
     /// Locks the quotas, for a few steps without waiting.
     pub(crate) fn usage(&self) -> MutexGuard<'_, Usage> {
         // Nothing panics while it holds the lock, so its contents are whole.
-        self.usage.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.usage)
     }
 
     /// Notes the position of the configuration; tells whether it is another one.
     fn begin_configuration(&self, next: Offset) -> bool {
-        let mut configured = self
-            .configured
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut configured = lock(&self.configured);
         configured.replace(next) != Some(next)
     }
 }
--- a/crates/server/src/snapshot.rs
+++ b/crates/server/src/snapshot.rs
@@ -1,11 +1,7 @@
 //! What instances ask each other for while the log does not help: the records
 //! that were missed, or the whole state.
 
-use std::{
-    cmp::Reverse,
-    sync::{Mutex, PoisonError},
-    time::Duration,
-};
+use std::{cmp::Reverse, sync::Mutex, time::Duration};
 
 use savoryvane_core::{
     config::{Assembler, Assembly, ConfigRecord, Snapshot, State},
@@ -20,6 +16,8 @@
 
 use crate::{instance::Shared, relay};
 
+use crate::lock::lock;
+
 /// Time for one part to arrive.
 const PART_TIMEOUT: Duration = Duration::from_millis(500);
 /// Peers that are asked one after another.
@@ -41,7 +39,7 @@
     /// Returns a part, of the state at `covers` if one is named, and how many
     /// there are.
     fn part(&self, state: &State, covers: Option<Offset>, part: u32) -> Option<CachedPart> {
-        let mut cached = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut cached = lock(&self.0);
         let wanted = covers.unwrap_or(state.next());
         if cached.as_ref().is_none_or(|parts| parts.covers != wanted) {
             if wanted != state.next() {
--- a/crates/server/src/tickets.rs
+++ b/crates/server/src/tickets.rs
@@ -1,12 +1,13 @@
 //! Tickets that this instance has issued.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 
 use savoryvane_core::{
     ids::{Incarnation, WorkspaceName},
     ticket::{TicketBook, TicketId, TicketLimits},
 };
 
+use crate::lock::lock;
 use crate::settings::Settings;
 
 /// Most tickets of one workspace that are remembered.
@@ -41,7 +42,7 @@
 
     /// Locks the book, for a few steps without waiting.
     pub(crate) fn book(&self) -> MutexGuard<'_, TicketBook> {
-        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.book)
     }
 
     /// Issues a ticket; `None` when there are too many.
