--- a/crates/core/src/poison/book.rs
+++ b/crates/core/src/poison/book.rs
@@ -204,9 +204,11 @@
     /// Takes over what is kept of requests outside.
     pub fn on_stored(&mut self, now_ms: u64, stored: Vec<StoredEnds>) {
         for StoredEnds { digest, records } in stored {
+            let stored_ends = records.len() as u32;
             self.on_told(now_ms, records);
             if let Some(entry) = self.entries.get_mut(&digest) {
-                entry.stored_ends = entry.count();
+                // There may be more by now, which are to be kept too.
+                entry.stored_ends = stored_ends;
             }
         }
     }
--- a/crates/core/tests/poison_book.rs
+++ b/crates/core/tests/poison_book.rs
@@ -210,6 +210,7 @@
     assert!(book.to_keep(0).is_empty());
     book.on_end(0, end(1, "i-3"));
     let to_keep = book.to_keep(0);
+    let kept = to_keep.clone();
     assert_eq!(to_keep.len(), 1);
     assert_eq!(to_keep[0].records.len(), 3);
     book.on_kept(&to_keep[0]);
@@ -219,6 +220,11 @@
     next.on_stored(0, to_keep);
     assert_eq!(next.ends(0, &digest(1)), 3);
     assert!(next.to_keep(0).is_empty());
+    // One that takes over and knows of a trial that is not kept yet.
+    let mut later = EndBook::new(SETTINGS);
+    later.on_end(0, end(1, "i-4"));
+    later.on_stored(0, kept);
+    assert_eq!(later.to_keep(0)[0].records.len(), 4);
     next.on_answered(0, digest(1));
     let removed = next.to_keep(0);
     assert_eq!(removed.len(), 1);
