--- a/crates/bench/src/poison_day/sharing.rs
+++ b/crates/bench/src/poison_day/sharing.rs
@@ -4,8 +4,8 @@
 use savoryvane_core::{
     ids::{BackendName, Incarnation},
     poison::{
-        EndBook, EndRecord, Evidence, Permit, Permits, QuarantineSettings, RequestDigest, Standing,
-        ToldEnds,
+        EndBook, EndRecord, Evidence, Permit, PermitState, Permits, QuarantineSettings,
+        RequestDigest, Standing, ToldEnds,
     },
 };
 use savoryvane_wire::peer::{self, EndsQuery, EndsState, KnownEnds, Message};
@@ -71,15 +71,14 @@
             Standing::Quarantined { .. } => return Admitted::Quarantined,
             Standing::Suspect { .. } => {}
         }
-        if let Standing::Quarantined { .. } = self.books[SCHEDULER].standing(now_ms, &digest) {
-            let records = self.books[SCHEDULER].records(now_ms, &digest);
-            self.books[instance].on_told(now_ms, records);
-            return Admitted::Quarantined;
-        }
-        let ends = self.books[SCHEDULER].ends(now_ms, &digest);
-        match self.permits.take(now_ms, digest, ends, lease_ms) {
-            Ok(permit) => Admitted::WithPermit(permit),
-            Err(_) => Admitted::CopyRuns,
+        let book = &self.books[SCHEDULER];
+        match self.permits.grant(now_ms, book, digest, lease_ms) {
+            PermitState::Granted(permit) => Admitted::WithPermit(permit),
+            PermitState::Out { .. } => Admitted::CopyRuns,
+            PermitState::Quarantined(records) => {
+                self.books[instance].on_told(now_ms, records);
+                Admitted::Quarantined
+            }
         }
     }
 
--- a/crates/core/src/forwarding/directory.rs
+++ b/crates/core/src/forwarding/directory.rs
@@ -9,7 +9,7 @@
 use crate::{
     ids::{BackendName, PoolName},
     objects::{Backend, Fencing, Pool, StageKind},
-    poison::Registered,
+    poison::{Registered, spread},
 };
 
 /// Calls that a server takes where its service says nothing of it.
@@ -107,9 +107,7 @@
         let neighbours = entries.filter(|other| {
             other.zone == entry.zone && other.id != entry.id && other.state == ServerState::Ready
         });
-        let neighbours: Vec<&ServerEntry> = neighbours.collect();
-        let step = neighbours.len().div_ceil(most.max(1)).max(1);
-        neighbours.into_iter().step_by(step).collect()
+        spread(neighbours, most)
     }
 
     /// Applies one record of the register: what a server says of itself, or
--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -19,6 +19,6 @@
 
 pub use book::{ENDS_TO_GO_ALONE, ENDS_TO_QUARANTINE, EndBook};
 pub use digest::{DigestBuilder, RequestDigest};
-pub use evidence::{Evidence, Fate, Probe, Registered, fate_at_loss, fate_later};
-pub use permits::{Permit, Permits};
+pub use evidence::{Evidence, Fate, Probe, Registered, fate_at_loss, fate_later, spread};
+pub use permits::{Permit, PermitState, Permits};
 pub use record::{EndRecord, QuarantineSettings, Standing, StoredEnds, ToldEnds};
--- a/crates/core/src/poison/book.rs
+++ b/crates/core/src/poison/book.rs
@@ -175,10 +175,7 @@
 
     /// Returns how many servers have ended under a request.
     pub fn ends(&self, now_ms: u64, digest: &RequestDigest) -> u32 {
-        match self.standing(now_ms, digest) {
-            Standing::Clear => 0,
-            Standing::Suspect { ends } | Standing::Quarantined { ends, .. } => ends,
-        }
+        self.standing(now_ms, digest).ends()
     }
 
     /// Notes an end that this instance saw, unless the request was answered lately: one
--- a/crates/core/src/poison/evidence.rs
+++ b/crates/core/src/poison/evidence.rs
@@ -91,3 +91,10 @@
         _ => fate_at_loss(registered, probe, neighbour),
     }
 }
+
+/// Chooses up to `most` of the servers that could be tried beside one, spread over all.
+pub fn spread<T>(servers: impl IntoIterator<Item = T>, most: usize) -> Vec<T> {
+    let servers: Vec<T> = servers.into_iter().collect();
+    let step = servers.len().div_ceil(most.max(1)).max(1);
+    servers.into_iter().step_by(step).collect()
+}
--- a/crates/core/src/poison/permits.rs
+++ b/crates/core/src/poison/permits.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{RequestDigest, book::ENDS_TO_GO_ALONE};
+use super::{
+    EndRecord, RequestDigest, Standing,
+    book::{ENDS_TO_GO_ALONE, EndBook},
+};
 
 /// Right to run one copy of a suspect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -17,6 +20,20 @@
     pub place: Option<u32>,
 }
 
+/// What comes of asking for a permit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PermitState {
+    /// The asker has this permit.
+    Granted(Permit),
+    /// Another copy runs.
+    Out {
+        /// Time after which its permit lapses, in ms.
+        lapses_in_ms: u64,
+    },
+    /// The request is quarantined, for these ends.
+    Quarantined(Vec<EndRecord>),
+}
+
 /// Permits that are out, each until it is given back or lapses.
 #[derive(Debug, Default)]
 pub struct Permits {
@@ -31,9 +48,26 @@
 }
 
 impl Permits {
+    /// Answers the question for a permit for `lease_ms` by what `book` knows of the request.
+    pub fn grant(
+        &mut self,
+        now_ms: u64,
+        book: &EndBook,
+        digest: RequestDigest,
+        lease_ms: u64,
+    ) -> PermitState {
+        let standing = book.standing(now_ms, &digest);
+        if let Standing::Quarantined { .. } = standing {
+            return PermitState::Quarantined(book.records(now_ms, &digest));
+        }
+        match self.take(now_ms, digest, standing.ends(), lease_ms) {
+            Ok(permit) => PermitState::Granted(permit),
+            Err(lapses_in_ms) => PermitState::Out { lapses_in_ms },
+        }
+    }
+
     /// Gives the permit for a request under which `ends` servers have ended out for
-    /// `lease_ms` at most, or tells in how many
-    /// ms the one that is out lapses.
+    /// `lease_ms` at most, or tells in how many ms the one that is out lapses.
     ///
     /// # Errors
     ///
--- a/crates/core/src/poison/record.rs
+++ b/crates/core/src/poison/record.rs
@@ -58,6 +58,16 @@
     },
 }
 
+impl Standing {
+    /// Returns how many servers have ended under the request.
+    pub fn ends(self) -> u32 {
+        match self {
+            Self::Clear => 0,
+            Self::Suspect { ends } | Self::Quarantined { ends, .. } => ends,
+        }
+    }
+}
+
 /// How long requests are remembered, and how many.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuarantineSettings {
--- a/crates/core/src/stages/progress.rs
+++ b/crates/core/src/stages/progress.rs
@@ -157,11 +157,7 @@
         reason: Refusal,
     ) -> StageOutcome {
         if reason == Refusal::EndsServers {
-            return StageOutcome::Refused {
-                reason,
-                retry_after_ms: 0,
-                forecast_ms: 0,
-            };
+            return StageOutcome::ends_servers();
         }
         let forecast = admission::forecast_all(now_ms, submission, &self.services);
         let (reason, retry_after_ms) = if forecast.has_gap {
--- a/crates/core/src/stages/work.rs
+++ b/crates/core/src/stages/work.rs
@@ -138,6 +138,18 @@
     },
 }
 
+impl StageOutcome {
+    /// Returns the refusal of a request under which servers end. When it is tried again
+    /// is told by whoever counts them, not by how busy servers are.
+    pub fn ends_servers() -> Self {
+        Self::Refused {
+            reason: Refusal::EndsServers,
+            retry_after_ms: 0,
+            forecast_ms: 0,
+        }
+    }
+}
+
 /// Number of a call of a scheduler.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CallId(pub u64);
--- a/crates/core/tests/poison_book.rs
+++ b/crates/core/tests/poison_book.rs
@@ -4,8 +4,8 @@
 use savoryvane_core::{
     ids::{BackendName, WorkspaceName},
     poison::{
-        DigestBuilder, EndBook, EndRecord, Evidence, Fate, Permits, Probe, QuarantineSettings,
-        Registered, RequestDigest, Standing, fate_at_loss, fate_later,
+        DigestBuilder, EndBook, EndRecord, Evidence, Fate, Permit, PermitState, Permits, Probe,
+        QuarantineSettings, Registered, RequestDigest, Standing, fate_at_loss, fate_later,
     },
 };
 
@@ -251,6 +251,29 @@
     assert!(permits.take(1_600, digest(1), 1, 1_000).is_err());
 }
 
+/// Whoever asks for a permit is told by the book of the one that gives it: the asker may
+/// not know yet that a third server has ended.
+#[test]
+fn a_permit_goes_by_the_book_of_its_giver() {
+    let mut permits = Permits::default();
+    let mut grant = |book: &EndBook| permits.grant(0, book, digest(1), 1_000);
+    let first = grant(&book(&["a", "b"]));
+    let PermitState::Granted(Permit { place, .. }) = first else {
+        panic!("{first:?}");
+    };
+    assert_eq!(place, Some(0));
+    let copy = grant(&book(&["a", "b"]));
+    assert_eq!(
+        copy,
+        PermitState::Out {
+            lapses_in_ms: 1_000
+        }
+    );
+    let quarantined = grant(&book(&["a", "b", "c"]));
+    let ends = vec![end(1, "a"), end(1, "b"), end(1, "c")];
+    assert_eq!(quarantined, PermitState::Quarantined(ends));
+}
+
 /// Two that end servers, and run at the same one, would be blamed for each other's.
 #[test]
 fn requests_with_two_ends_have_places_of_their_own() {
--- a/crates/server/src/ends.rs
+++ b/crates/server/src/ends.rs
@@ -14,7 +14,7 @@
     objects::Backend,
     poison::{
         EndBook, EndRecord, Evidence, Fate, Probe, QuarantineSettings, Registered, RequestDigest,
-        Standing, fate_at_loss,
+        Standing, fate_at_loss, spread,
     },
 };
 use savoryvane_wire::peer::Message;
@@ -176,7 +176,5 @@
     let state = shared.configuration.state();
     let others = state.backends();
     let others = others.filter(|other| other.zone == backend.zone && other.name != backend.name);
-    let others: Vec<SocketAddr> = others.map(|other| other.addr).collect();
-    let step = others.len().div_ceil(probing::NEIGHBOURS).max(1);
-    others.into_iter().step_by(step).collect()
+    spread(others.map(|other| other.addr), probing::NEIGHBOURS)
 }
--- a/crates/server/src/gateway/dispatch.rs
+++ b/crates/server/src/gateway/dispatch.rs
@@ -110,11 +110,7 @@
     pub(super) async fn run(self: &Arc<Self>, mut submission: Submission) -> StageOutcome {
         // Whoever submits it may know less of it, as after a partition.
         if let Standing::Quarantined { .. } = self.quarantine.standing(&submission.digest) {
-            return StageOutcome::Refused {
-                reason: Refusal::EndsServers,
-                retry_after_ms: 0,
-                forecast_ms: 0,
-            };
+            return StageOutcome::ends_servers();
         }
         let ends = self.quarantine.ends(&submission.digest);
         submission.ends = submission.ends.max(ends);
@@ -261,19 +257,15 @@
         let requests: BTreeMap<RequestDigest, RequestId> = requests
             .map(|item| (item.digest, item.request.clone()))
             .collect();
-        let digests: Vec<RequestDigest> = requests.keys().copied().collect();
+        let called = requests.iter().map(|(digest, id)| (id.clone(), *digest));
         let lost = LostServer {
             server: server.clone(),
-            requests: requests
-                .into_iter()
-                .map(|(digest, id)| (id, digest))
-                .collect(),
+            requests: called.collect(),
             others: 0,
         };
         let fate = self.ends.on_lost(lost).await;
-        let ends = digests
-            .into_iter()
-            .map(|digest| (digest, self.quarantine.ends(&digest)));
+        let digests = requests.into_keys();
+        let ends = digests.map(|digest| (digest, self.quarantine.ends(&digest)));
         matches!(fate, Fate::Ended(_)).then(|| ends.collect())
     }
 
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, uri::PathAndQuery};
 use hyper::body::Incoming;
 use savoryvane_core::{
     forwarding::{Chosen, Placement, Repeats, Route},
@@ -110,14 +110,13 @@
         let matched = table.find(host(&request), request.uri().path(), head.key.as_deref())?;
         let service = service(&matched.route, &head).ok_or(Why::NoServer)?;
         let limits = table.config().limits;
+        let path = request.uri().path_and_query().cloned();
+        let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
         let mut digest = DigestBuilder::new(
             matched.workspace.as_ref(),
             request.method().as_str(),
             host(&request),
-            request
-                .uri()
-                .path_and_query()
-                .map_or("/", |path| path.as_str()),
+            path.as_str(),
         );
         let (parts, body) = request.into_parts();
         let on_part = |part: &[u8]| digest.update(part);
@@ -130,11 +129,7 @@
             id: head.id.clone().unwrap_or_else(|| RequestId::new("none")),
             head,
             method: parts.method,
-            path: parts
-                .uri
-                .path_and_query()
-                .cloned()
-                .unwrap_or_else(|| http::uri::PathAndQuery::from_static("/")),
+            path,
             headers: parts.headers,
             body,
             digest: digest.finish(),
--- a/crates/server/src/gateway/quarantine.rs
+++ b/crates/server/src/gateway/quarantine.rs
@@ -13,13 +13,11 @@
 use savoryvane_core::{
     ids::{BackendName, Incarnation, InstanceName},
     poison::{
-        ENDS_TO_QUARANTINE, EndBook, EndRecord, Permit, Permits, QuarantineSettings, RequestDigest,
-        Standing,
+        ENDS_TO_QUARANTINE, EndBook, EndRecord, Permit, PermitState, Permits, QuarantineSettings,
+        RequestDigest, Standing,
     },
 };
-use savoryvane_wire::peer::{
-    EndsQuery, EndsState, KnownEnds, Message, PermitQuery, PermitReturn, PermitState,
-};
+use savoryvane_wire::peer::{EndsQuery, EndsState, KnownEnds, Message, PermitQuery, PermitReturn};
 use slog::{Logger, info, warn};
 use tokio::{
     sync::{Notify, watch},
@@ -157,9 +155,8 @@
     /// one that is not quarantined.
     pub(super) fn ends(&self, digest: &RequestDigest) -> u32 {
         match self.standing(digest) {
-            Standing::Clear => 0,
             Standing::Suspect { ends } => ends.min(ENDS_TO_QUARANTINE - 1),
-            Standing::Quarantined { ends, .. } => ends,
+            standing => standing.ends(),
         }
     }
 
@@ -268,18 +265,7 @@
     pub(super) fn grant(&self, question: PermitQuery) -> PermitState {
         let PermitQuery { digest, lease_ms } = question;
         let now_ms = self.clock.now_ms();
-        let ends = match self.standing(&digest) {
-            Standing::Quarantined { .. } => {
-                return PermitState::Quarantined(self.book().records(now_ms, &digest));
-            }
-            Standing::Suspect { ends } => ends,
-            Standing::Clear => 0,
-        };
-        let taken = self.permits().take(now_ms, digest, ends, lease_ms);
-        match taken {
-            Ok(permit) => PermitState::Granted(permit),
-            Err(lapses_in_ms) => PermitState::Out { lapses_in_ms },
-        }
+        self.permits().grant(now_ms, &self.book(), digest, lease_ms)
     }
 
     /// Takes a permit back that this instance gave out.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -15,7 +15,7 @@
 mod routing;
 
 use bincode::config::{Configuration, Limit, LittleEndian, Varint};
-pub use poison::{EndsQuery, EndsState, KnownEnds, PermitQuery, PermitReturn, PermitState};
+pub use poison::{EndsQuery, EndsState, KnownEnds, PermitQuery, PermitReturn};
 use quick_error::quick_error;
 pub use routing::{
     KnownState, ListedPeer, RoutingQuery, RoutingState, SchedulerQuery, SchedulerState,
@@ -23,7 +23,7 @@
 use savoryvane_core::ids::{
     IdempotencyKey, Incarnation, InstanceName, Offset, PipelineName, RequestId, WorkspaceName,
 };
-pub use savoryvane_core::poison::EndRecord;
+pub use savoryvane_core::poison::{EndRecord, PermitState};
 pub use savoryvane_core::{
     digest::{AgedDigest, Digest, DigestBatch, Leaver, LeavingBackend, LeavingNotice, ZoneDigest},
     quota::{Claimant, Demand, Grant, Rate, UsageGrant, UsageReport, WorkspaceKey},
--- a/crates/wire/src/peer/poison.rs
+++ b/crates/wire/src/peer/poison.rs
@@ -43,20 +43,6 @@
     pub lease_ms: u64,
 }
 
-/// Answer to that.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum PermitState {
-    /// The asker has this permit.
-    Granted(Permit),
-    /// Another copy runs.
-    Out {
-        /// Time after which its permit lapses, in ms.
-        lapses_in_ms: u64,
-    },
-    /// The request is quarantined, for these ends.
-    Quarantined(Vec<EndRecord>),
-}
-
 /// Gives a permit back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PermitReturn {
