Leave the directory only the ways in and out that the product uses

Cause: apply, replace, update and update_since of Directory were called by tests only, each with a twin that takes the position in the register. The tests go through update_to and update_for now, with the same assertions; the twins have the plain names. No change of behaviour.

--- a/crates/core/src/forwarding/directory.rs
+++ b/crates/core/src/forwarding/directory.rs
@@ -110,15 +110,9 @@
         spread(neighbours, most)
     }
 
-    /// Applies one record of the register: what a server says of itself, or
-    /// none once it is gone. Returns whether anything changed.
-    pub fn apply(&mut self, registered_as: &BackendName, entry: Option<ServerEntry>) -> bool {
-        let position = self.position;
-        self.apply_at(registered_as, entry, position)
-    }
-
-    /// The same for a record after which the register is known up to `position`.
-    fn apply_at(
+    /// Applies one record of the register, after which that is known up to `position`: what
+    /// a server says of itself, or none once it is gone. Returns whether anything changed.
+    fn apply(
         &mut self,
         registered_as: &BackendName,
         entry: Option<ServerEntry>,
@@ -197,28 +191,22 @@
         };
         entry.state = ServerState::Leaving;
         let registered_as = entry.registered_as.clone();
-        self.apply_at(&registered_as, Some(entry), NOT_REGISTERED)
-    }
-
-    /// Replaces all entries by a whole listing. Returns whether anything
-    /// changed.
-    pub fn replace(&mut self, listing: Vec<ServerEntry>) -> bool {
-        let position = self.position;
-        self.replace_at(listing, position)
+        self.apply(&registered_as, Some(entry), NOT_REGISTERED)
     }
 
-    fn replace_at(&mut self, listing: Vec<ServerEntry>, position: u64) -> bool {
+    /// Replaces all entries by a whole listing. Returns whether anything changed.
+    fn replace(&mut self, listing: Vec<ServerEntry>, position: u64) -> bool {
         let listed: HashSet<&BackendName> =
             listing.iter().map(|entry| &entry.registered_as).collect();
         let gone = self.entries.keys().filter(|id| !listed.contains(id));
         let gone: Vec<BackendName> = gone.cloned().collect();
         let before = self.revision;
         for registered_as in gone {
-            self.apply_at(&registered_as, None, position);
+            self.apply(&registered_as, None, position);
         }
         for entry in listing {
             let registered_as = entry.registered_as.clone();
-            self.apply_at(&registered_as, Some(entry), position);
+            self.apply(&registered_as, Some(entry), position);
         }
         self.revision != before
     }
@@ -235,12 +223,12 @@
                 if position > self.position {
                     self.changes_from = position;
                 }
-                self.replace_at(listing, position)
+                self.replace(listing, position)
             }
             DirectoryUpdate::Changes(changes) => {
                 let before = self.revision;
                 for (registered_as, entry) in changes {
-                    self.apply_at(&registered_as, entry, position);
+                    self.apply(&registered_as, entry, position);
                 }
                 self.revision != before
             }
@@ -266,24 +254,12 @@
             let known_to = known.map_or(self.position, |known| known.position);
             if entry.position >= known_to {
                 let registered_as = entry.registered_as.clone();
-                self.apply_at(&registered_as, Some(entry), 0);
+                self.apply(&registered_as, Some(entry), 0);
             }
         }
         self.revision != before
     }
 
-    /// Takes over what another instance tells of its directory. Returns whether
-    /// anything changed.
-    pub fn update(&mut self, update: DirectoryUpdate) -> bool {
-        self.update_to(update, self.position)
-    }
-
-    /// Returns what has changed since the revision `since`, or everything when
-    /// that is unknown or too long ago.
-    pub fn update_since(&self, since: Option<u64>) -> DirectoryUpdate {
-        self.update_for(since.map_or(KnownUpTo::Position(0), KnownUpTo::Revision))
-    }
-
     /// Returns what one does not know that knows the register up to `known`;
     /// everything when that is unknown or too long ago.
     pub fn update_for(&self, known: KnownUpTo) -> DirectoryUpdate {
--- a/crates/core/tests/forwarding_rules.rs
+++ b/crates/core/tests/forwarding_rules.rs
@@ -4,9 +4,9 @@
 
 use savoryvane_core::{
     forwarding::{
-        AttemptEnd, BudgetSettings, Directory, DirectoryUpdate, Giving, NextStep, RepeatBudgets,
-        Repeats, Route, RouteKind, RouteTable, RoutingConfig, ServerEntry, ServerState, Target,
-        Unroutable, UsualDeadlines, WorkspaceKeys, next_step,
+        AttemptEnd, BudgetSettings, Directory, DirectoryUpdate, Giving, KnownUpTo, NextStep,
+        RepeatBudgets, Repeats, Route, RouteKind, RouteTable, RoutingConfig, ServerEntry,
+        ServerState, Target, Unroutable, UsualDeadlines, WorkspaceKeys, next_step,
     },
     ids::{BackendName, PoolName, WorkspaceName, ZoneName},
 };
@@ -215,17 +215,24 @@
         .map(|entry| entry.state)
 }
 
+/// Applies one record of the register.
+fn apply(directory: &mut Directory, id: &BackendName, entry: Option<ServerEntry>) -> bool {
+    let update = DirectoryUpdate::Changes(vec![(id.clone(), entry)]);
+    directory.update_to(update, directory.position())
+}
+
 #[test]
 fn a_server_that_has_left_does_not_come_back_with_an_old_record() {
     let mut directory = Directory::default();
     let id = BackendName::new("i-1");
-    directory.apply(&id, Some(entry("i-1", ServerState::Ready)));
+    apply(&mut directory, &id, Some(entry("i-1", ServerState::Ready)));
     directory.on_leaving(&id);
-    directory.apply(&id, Some(entry("i-1", ServerState::Ready)));
+    apply(&mut directory, &id, Some(entry("i-1", ServerState::Ready)));
     assert_eq!(state_of(&directory, "i-1"), Some(ServerState::Leaving));
-    directory.apply(&id, None);
+    apply(&mut directory, &id, None);
     assert_eq!(state_of(&directory, "i-1"), None);
-    directory.replace(vec![entry("i-1", ServerState::Ready)]);
+    let listing = DirectoryUpdate::Whole(vec![entry("i-1", ServerState::Ready)]);
+    directory.update_to(listing, directory.position());
     assert_eq!(state_of(&directory, "i-1"), Some(ServerState::Leaving));
 }
 
@@ -233,20 +240,25 @@
 fn one_that_has_an_earlier_revision_is_told_only_what_changed() {
     let mut directory = Directory::default();
     for id in ["i-1", "i-2", "i-3"] {
-        directory.apply(&BackendName::new(id), Some(entry(id, ServerState::Ready)));
+        apply(
+            &mut directory,
+            &BackendName::new(id),
+            Some(entry(id, ServerState::Ready)),
+        );
     }
     let mut other = Directory::default();
-    assert!(matches!(directory.update_since(None), DirectoryUpdate::Whole(all) if all.len() == 3));
-    other.update(directory.update_since(None));
+    let whole = directory.update_for(KnownUpTo::Position(0));
+    assert!(matches!(&whole, DirectoryUpdate::Whole(all) if all.len() == 3));
+    other.update_to(whole, directory.position());
     let known = directory.revision();
-    directory.apply(&BackendName::new("i-2"), None);
+    apply(&mut directory, &BackendName::new("i-2"), None);
     directory.on_leaving(&BackendName::new("i-3"));
-    let update = directory.update_since(Some(known));
+    let update = directory.update_for(KnownUpTo::Revision(known));
     assert!(matches!(&update, DirectoryUpdate::Changes(changes) if changes.len() == 2));
-    other.update(update);
+    other.update_to(update, directory.position());
     assert_eq!(state_of(&other, "i-2"), None);
     assert_eq!(state_of(&other, "i-3"), Some(ServerState::Leaving));
-    let same = directory.update_since(Some(directory.revision()));
+    let same = directory.update_for(KnownUpTo::Revision(directory.revision()));
     assert_eq!(same, DirectoryUpdate::Changes(Vec::new()));
 }
 
@@ -255,9 +267,17 @@
 fn a_record_that_says_nothing_new_changes_nothing() {
     let mut directory = Directory::default();
     let id = BackendName::new("i-1");
-    assert!(directory.apply(&id, Some(entry("i-1", ServerState::Ready))));
+    assert!(apply(
+        &mut directory,
+        &id,
+        Some(entry("i-1", ServerState::Ready))
+    ));
     let revision = directory.revision();
-    assert!(!directory.apply(&id, Some(entry("i-1", ServerState::Ready))));
+    assert!(!apply(
+        &mut directory,
+        &id,
+        Some(entry("i-1", ServerState::Ready))
+    ));
     assert_eq!(directory.revision(), revision);
 }
 
