Log and count refusals for ends of servers in one place

Cause: the line 'quarantined request refused' and its two counters stood in the gateway and in ends.rs, each spelled out. suspects.rs has both now, with the names of reasons as an enum. Lines and counters are the same. With it, imports of the lock stand in the groups of the others.

--- a/crates/server/src/claims.rs
+++ b/crates/server/src/claims.rs
@@ -30,9 +30,7 @@
     time::{self, Instant},
 };
 
-use crate::{instance::Shared, platform::PlatformError, settings::Settings};
-
-use crate::lock::lock;
+use crate::{instance::Shared, lock::lock, platform::PlatformError, settings::Settings};
 
 /// Time between two attempts while the log does not answer, in ms.
 const RETRY_MS: u64 = 100;
--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -28,9 +28,10 @@
     time::{self, Instant},
 };
 
-use crate::gate::{Gate, GateSlot, GatedStream};
-
-use crate::lock::lock;
+use crate::{
+    gate::{Gate, GateSlot, GatedStream},
+    lock::lock,
+};
 
 /// Largest head of an answer that is read, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
--- a/crates/server/src/ends.rs
+++ b/crates/server/src/ends.rs
@@ -21,9 +21,12 @@
 use slog::{info, warn};
 use tokio::time;
 
-use crate::{instance::Shared, probing};
-
-use crate::lock::lock;
+use crate::{
+    instance::Shared,
+    lock::lock,
+    probing,
+    suspects::{self, CountedBy},
+};
 
 /// Which requests end servers, as far as this instance knows.
 #[derive(Debug)]
@@ -69,11 +72,8 @@
     else {
         return None;
     };
-    warn!(shared.log, "quarantined request refused"; "request" => %request,
-        "digest" => %digest, "ends" => ends, "ends_from" => "own",
-        "retry_after_ms" => retry_after_ms);
-    metrics::counter!("savoryvane_quarantine_refusals_total", "reason" => "quarantined")
-        .increment(1);
+    let retry = Some(retry_after_ms);
+    suspects::refused(&shared.log, request, digest, ends, CountedBy::Own, retry);
     Some(retry_after_ms)
 }
 
@@ -119,7 +119,7 @@
     warn!(shared.log, "server ended under request"; "request" => %lost.request,
         "digest" => %lost.digest, "server" => %lost.backend, "others" => others,
         "evidence" => evidence.as_str(), "ends" => ends);
-    metrics::counter!("savoryvane_server_ends_total", "evidence" => evidence.as_str()).increment(1);
+    suspects::count_end(evidence);
     if counts {
         shared
             .members
--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -20,8 +20,7 @@
     net::TcpStream,
 };
 
-use crate::lock::lock;
-use crate::run_right::RunRight;
+use crate::{lock::lock, run_right::RunRight};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
--- a/crates/server/src/gateway/admitting.rs
+++ b/crates/server/src/gateway/admitting.rs
@@ -3,14 +3,15 @@
 use std::time::Duration;
 
 use savoryvane_core::poison::Standing;
-use slog::{info, warn};
+use slog::info;
 
 use super::{
     answers::Why,
     forward::Forwarder,
-    quarantine::{Asked, CountedBy, HeldPermit},
+    quarantine::{Asked, HeldPermit},
     request::CallerRequest,
 };
+use crate::suspects::{self, CountedBy, Reason};
 
 /// Time that a request waits at an instance that has just started, at most: some calls of
 /// the store.
@@ -65,19 +66,19 @@
     }
 
     fn refuse_quarantined(&self, caller: &CallerRequest, counted_by: CountedBy) -> Why {
-        let (ends, retry_after_ms) = match self.quarantine.standing(&caller.digest) {
-            Standing::Quarantined {
-                ends,
-                retry_after_ms,
-            } => (ends, Some(retry_after_ms)),
-            Standing::Suspect { ends } => (ends, None),
-            Standing::Clear => (0, None),
+        let standing = self.quarantine.standing(&caller.digest);
+        let retry_after_ms = match standing {
+            Standing::Quarantined { retry_after_ms, .. } => Some(retry_after_ms),
+            Standing::Suspect { .. } | Standing::Clear => None,
         };
-        warn!(self.log, "quarantined request refused"; "request" => %caller.id,
-            "digest" => %caller.digest, "ends" => ends, "ends_from" => counted_by.as_str(),
-            "retry_after_ms" => retry_after_ms);
-        metrics::counter!("savoryvane_quarantine_refusals_total", "reason" => "quarantined")
-            .increment(1);
+        suspects::refused(
+            &self.log,
+            &caller.id,
+            &caller.digest,
+            standing.ends(),
+            counted_by,
+            retry_after_ms,
+        );
         Why::EndsServers(retry_after_ms)
     }
 
@@ -88,8 +89,7 @@
         info!(self.log, "copy of a suspect refused"; "request" => %caller.id,
             "digest" => %caller.digest, "ends" => ends, "ends_from" => CountedBy::Scheduler.as_str(),
             "retry_after_ms" => retry_after_ms);
-        metrics::counter!("savoryvane_quarantine_refusals_total", "reason" => "copy_runs")
-            .increment(1);
+        suspects::count_refusal(Reason::CopyRuns);
         Why::CopyRuns(retry_after_ms)
     }
 }
--- a/crates/server/src/gateway/catch_up.rs
+++ b/crates/server/src/gateway/catch_up.rs
@@ -15,8 +15,7 @@
 use tokio::time;
 
 use super::{freshness::Freshness, knowledge::Knowledge, members::Members, store::StoreClient};
-use crate::clock::Clock;
-use crate::lock::lock;
+use crate::{clock::Clock, lock::lock};
 
 /// Time between two looks at whether the own knowledge is old.
 const CATCH_UP_INTERVAL: Duration = Duration::from_millis(400);
--- a/crates/server/src/gateway/ends.rs
+++ b/crates/server/src/gateway/ends.rs
@@ -20,9 +20,7 @@
 };
 
 use super::{freshness::Freshness, knowledge::Knowledge, quarantine::Quarantine};
-use crate::{connections::Connections, probing};
-
-use crate::lock::lock;
+use crate::{connections::Connections, lock::lock, probing, suspects};
 
 /// Time between two looks at servers of which it is not known whether they have ended.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
@@ -140,8 +138,7 @@
                 "started_ms" => lost.server.started_ms, "service" => %lost.server.service,
                 "others" => others, "evidence" => evidence.as_str(), "ends" => ends);
         }
-        metrics::counter!("savoryvane_server_ends_total", "evidence" => evidence.as_str())
-            .increment(1);
+        suspects::count_end(evidence);
         self.watch(lost, Some(evidence));
         self.quarantine.report().await;
     }
--- a/crates/server/src/gateway/knowledge.rs
+++ b/crates/server/src/gateway/knowledge.rs
@@ -19,7 +19,6 @@
 use tokio::sync::Notify;
 
 use super::settings::GatewaySettings;
-
 use crate::lock::lock;
 
 /// Servers of a service and availability zone that one instance uses: all, so
--- a/crates/server/src/gateway/quarantine.rs
+++ b/crates/server/src/gateway/quarantine.rs
@@ -25,8 +25,7 @@
 };
 
 use super::members::Members;
-use crate::clock::Clock;
-use crate::lock::lock;
+use crate::{clock::Clock, lock::lock, suspects::CountedBy};
 
 /// Time between two questions for what is new. Only the first copies of a request can be
 /// sent by those that do not know of it yet; later ones need a permit.
@@ -105,25 +104,6 @@
     Quarantined(CountedBy),
 }
 
-/// Whose count of ends a refusal goes by.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum CountedBy {
-    /// What this instance knew.
-    Own,
-    /// What the instance that schedules told when it was asked.
-    Scheduler,
-}
-
-impl CountedBy {
-    /// Returns the name used in logs.
-    pub(super) fn as_str(self) -> &'static str {
-        match self {
-            Self::Own => "own",
-            Self::Scheduler => "scheduler",
-        }
-    }
-}
-
 impl Quarantine {
     pub(super) fn new(
         settings: QuarantineSettings,
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -45,6 +45,7 @@
 mod shared_stream;
 mod sharing;
 mod snapshot;
+mod suspects;
 mod tickets;
 
 pub use crate::{
--- a/crates/server/src/peer/handle.rs
+++ b/crates/server/src/peer/handle.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -25,7 +25,6 @@
     error::{PeerError, Result},
     link::{Link, PeerId},
 };
-
 use crate::lock::lock;
 
 /// Messages that wait for a slow peer before further ones are dropped.
@@ -179,7 +178,7 @@
         link.request(None, message, deadline).await
     }
 
-    fn table(&self) -> std::sync::MutexGuard<'_, Table> {
+    fn table(&self) -> MutexGuard<'_, Table> {
         lock(&self.shared.table)
     }
 
--- a/crates/server/src/placement.rs
+++ b/crates/server/src/placement.rs
@@ -23,9 +23,7 @@
     time::{self, MissedTickBehavior},
 };
 
-use crate::{instance::Shared, orders::OrderClient, placer, settings::Settings};
-
-use crate::lock::lock;
+use crate::{instance::Shared, lock::lock, orders::OrderClient, placer, settings::Settings};
 
 /// Time between two looks at all engines, in ms.
 const ROUND_MS: u64 = 1_000;
--- a/crates/server/src/placer.rs
+++ b/crates/server/src/placer.rs
@@ -25,9 +25,7 @@
     time::{self, MissedTickBehavior},
 };
 
-use crate::{instance::Shared, phase::Phase, platform::PlatformError};
-
-use crate::lock::lock;
+use crate::{instance::Shared, lock::lock, phase::Phase, platform::PlatformError};
 
 /// Instances that follow the stream, to bound its readers.
 const FOLLOWERS: u64 = 4;
--- a/crates/server/src/sharing.rs
+++ b/crates/server/src/sharing.rs
@@ -44,7 +44,6 @@
 
     /// Locks the quotas, for a few steps without waiting.
     pub(crate) fn usage(&self) -> MutexGuard<'_, Usage> {
-        // Nothing panics while it holds the lock, so its contents are whole.
         lock(&self.usage)
     }
 
--- a/crates/server/src/snapshot.rs
+++ b/crates/server/src/snapshot.rs
@@ -14,9 +14,7 @@
 };
 use slog::debug;
 
-use crate::{instance::Shared, relay};
-
-use crate::lock::lock;
+use crate::{instance::Shared, lock::lock, relay};
 
 /// Time for one part to arrive.
 const PART_TIMEOUT: Duration = Duration::from_millis(500);
--- a/crates/server/src/tickets.rs
+++ b/crates/server/src/tickets.rs
@@ -7,8 +7,7 @@
     ticket::{TicketBook, TicketId, TicketLimits},
 };
 
-use crate::lock::lock;
-use crate::settings::Settings;
+use crate::{lock::lock, settings::Settings};
 
 /// Most tickets of one workspace that are remembered.
 const MAX_PER_WORKSPACE: usize = 16_384;
