Keep servers that start again in one stand-in for tests and the soak

Cause: the test world and the soak each had its own servers that end and are back as other runs, with the same three steps (start again, let the entry lapse, end some). RestartingServers of the stand-ins has them now, with the times as settings.

--- a/crates/soak/src/config.rs
+++ b/crates/soak/src/config.rs
@@ -21,6 +21,8 @@
 pub(crate) const SERVICES: [(&str, usize); 4] =
     [("desk", 3), ("engine", 3), ("archive", 2), ("invoices", 2)];
 
+/// Availability zone of the first instance, and of all servers that end under requests.
+pub(crate) const FIRST_ZONE: &str = "utrecht";
 /// Service whose servers end under some requests.
 pub(crate) const PRESS: &str = "press";
 /// Path of the requests that end them.
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -11,20 +11,20 @@
 
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
-use savoryvane_platform_standin::{Behaviour, ServerStandIn, StoreStandIn};
+use savoryvane_platform_standin::{Behaviour, RestartingServers, ServerStandIn, StoreStandIn};
 use savoryvane_standins::{Relay, RelaySettings};
 use tokio::time::Instant;
 
 use crate::{
-    config::{self, EVENTS, REPEAT_RATIO, REPEAT_SLACK, SERVICES},
+    config::{self, EVENTS, FIRST_ZONE, REPEAT_RATIO, REPEAT_SLACK, SERVICES},
     error::Result,
     ledger::Ledger,
-    presses::Presses,
+    presses,
     process::{Addresses, Instance},
 };
 
 /// Availability zones that instances and servers stand in by turns.
-const ZONES: [&str; 3] = ["utrecht", "amersfoort", "gouda"];
+const ZONES: [&str; 3] = [FIRST_ZONE, "amersfoort", "gouda"];
 /// Instances that others are told of at their start.
 const SEEDS: usize = 3;
 
@@ -69,7 +69,7 @@
     /// The way of each instance to the store.
     pub(crate) store_relays: Vec<Relay>,
     pub(crate) servers: Vec<Server>,
-    pub(crate) presses: Presses,
+    pub(crate) presses: RestartingServers,
     pub(crate) addresses: Vec<Addresses>,
     pub(crate) ledger: Ledger,
     instances: Vec<Mutex<Instance>>,
@@ -107,7 +107,7 @@
             store_relays.push(relay);
         }
         let deployment = Self {
-            presses: Presses::start(&store).await,
+            presses: presses::start(&store).await,
             store,
             store_relays,
             servers,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -27,6 +27,7 @@
     flags::SavoryvaneSoak,
     ledger::Counts,
     plan::{self, Fault, Harm, Misdeed},
+    presses,
     promises::{self, Calm},
     sabotage::Sabotage,
 };
@@ -128,7 +129,7 @@
     }
     watching.spawn({
         let (deployment, length) = (Arc::clone(&deployment), options.length);
-        async move { deployment.presses.crash(seed, length).await }
+        async move { presses::crash(&deployment.presses, seed, length).await }
     });
     for index in 0..options.callers as u64 {
         asking.spawn(Arc::clone(&callers).ask_on(seed << 8 | index));
