--- a/crates/server/tests/poison.rs
+++ b/crates/server/tests/poison.rs
@@ -8,6 +8,7 @@
 use http::StatusCode;
 use savoryvane_core::{objects::StageKind, outcome::Outcome};
 use savoryvane_standins::{BackendFaults, BackendServer, BackendSettings};
+use savoryvane_wire::caller::Answer;
 use serde_json::{Value, json};
 use tokio::time;
 
@@ -21,6 +22,8 @@
 const ATTEMPTS: usize = 8;
 /// Time between them.
 const PAUSE: Duration = Duration::from_millis(200);
+/// Time for instances that are ready to read the list and to open links to each other.
+const LINKED_AFTER: Duration = Duration::from_millis(2_500);
 
 /// Two instances before ten servers of the first stage, which end under some calls.
 async fn deployment() -> (Deployment, Vec<BackendServer>) {
@@ -50,16 +53,26 @@
             "zone": ZONE, "addr": server.addr(), "slots": 8 }),
         );
     }
-    for name in ["entry-1", "entry-2"] {
-        deployment.add_instance(name).await;
-    }
+    start_two(&mut deployment).await;
     deployment.confirm(&intent(&backends)).await;
     deployment.wait_ready().await;
-    // The instances have read the list, and their links are open.
-    time::sleep(Duration::from_millis(2_500)).await;
+    time::sleep(LINKED_AFTER).await;
     (deployment, fragile)
 }
 
+async fn start_two(deployment: &mut Deployment) {
+    for name in ["entry-1", "entry-2"] {
+        deployment.add_instance(name).await;
+    }
+}
+
+/// Sends the request that ends servers to one of the instances.
+async fn ask(deployment: &Deployment, at: usize) -> (StatusCode, Answer) {
+    let addr = deployment.instances[at].addresses().caller;
+    let input = json!({ "text": MARKER });
+    read_answer(submit(addr, "quote", &input, &[]).await).await
+}
+
 fn ended(servers: &[BackendServer]) -> usize {
     servers.iter().filter(|server| server.has_ended()).count()
 }
@@ -67,11 +80,9 @@
 #[tokio::test]
 async fn a_pipeline_request_that_comes_again_ends_three_servers_and_no_more() {
     let (deployment, fragile) = deployment().await;
-    let input = json!({ "text": MARKER });
     let mut last = None;
     for attempt in 0..ATTEMPTS {
-        let addr = deployment.instances[attempt % 2].addresses().caller;
-        last = Some(read_answer(submit(addr, "quote", &input, &[]).await).await);
+        last = Some(ask(&deployment, attempt % 2).await);
         time::sleep(PAUSE).await;
     }
     assert!(ended(&fragile) <= MOST_ENDS, "{} ended", ended(&fragile));
@@ -84,3 +95,25 @@
     assert_eq!(status, StatusCode::OK, "{answer:?}");
     assert_eq!(answer.output, Some(expected(&other)));
 }
+
+/// All instances lose power together: what they knew is in the log.
+#[tokio::test]
+async fn a_quarantine_in_pipelines_outlasts_all_instances() {
+    let (mut deployment, fragile) = deployment().await;
+    for attempt in 0..4 {
+        ask(&deployment, attempt % 2).await;
+        time::sleep(PAUSE).await;
+    }
+    assert_eq!(ended(&fragile), MOST_ENDS);
+    time::sleep(Duration::from_millis(1_500)).await;
+    deployment.instances.clear();
+    start_two(&mut deployment).await;
+    deployment.wait_ready().await;
+    time::sleep(LINKED_AFTER).await;
+    for at in 0..2 {
+        let (status, answer) = ask(&deployment, at).await;
+        assert_eq!(answer.outcome, Outcome::NotStarted, "{status} {answer:?}");
+        assert_eq!(answer.reason.as_deref(), Some("given up: ends_servers"));
+    }
+    assert_eq!(ended(&fragile), MOST_ENDS);
+}
