Keep quarantined requests of pipelines on the log

Cause: what pipelines know of a request that ends servers lay in the memory of instances only. After a loss of all of them three more servers ended under it, and three more after each next loss. Ruled out: a checkpoint of the configuration as its place, since that changes with confirmed intents only; the claim stream, which every instance reads whole.

Change: the stream 'quarantine' of the log. Two instances by rank (Duty::Quarantine) read it when they become its keepers, tell their neighbours, write one record for each request that is new, forgotten or cleared, and all again after a third of the log's retention. Which records count is decided in core (StoredRecords, Renewal). StoredEnds has a type of its own for its ends, which the platform's store and the log share; the rank among all instances, which stood in follower and placer, is one function.

--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -16,9 +16,11 @@
 mod permits;
 mod recent;
 mod record;
+mod stored;
 
 pub use book::{ENDS_TO_GO_ALONE, ENDS_TO_QUARANTINE, EndBook};
 pub use digest::{DigestBuilder, RequestDigest};
 pub use evidence::{Evidence, Fate, Probe, Registered, fate_at_loss, fate_later, spread};
 pub use permits::{Permit, PermitState, Permits};
-pub use record::{EndRecord, QuarantineSettings, Standing, StoredEnds, ToldEnds};
+pub use record::{EndRecord, QuarantineSettings, Standing, ToldEnds};
+pub use stored::{Renewal, StoredEnd, StoredEnds, StoredRecords};
--- a/crates/core/src/poison/book.rs
+++ b/crates/core/src/poison/book.rs
@@ -6,8 +6,8 @@
 use std::collections::{BTreeMap, HashMap};
 
 use super::{
-    EndRecord, Evidence, QuarantineSettings, RequestDigest, Standing, StoredEnds, ToldEnds,
-    recent::RecentAnswers,
+    EndRecord, Evidence, QuarantineSettings, RequestDigest, Standing, StoredEnd, StoredEnds,
+    ToldEnds, recent::RecentAnswers,
 };
 use crate::ids::BackendName;
 
@@ -83,6 +83,17 @@
         })
     }
 
+    fn to_store(&self, digest: RequestDigest) -> StoredEnds {
+        let ends = self.live().map(|end| StoredEnd {
+            server: end.server.clone(),
+            evidence: end.evidence,
+        });
+        StoredEnds {
+            digest,
+            ends: ends.collect(),
+        }
+    }
+
     /// Merges an end in; tells whether anything changed.
     fn merge(&mut self, now_ms: u64, record: EndRecord, is_own: bool) -> bool {
         let at_ms = now_ms.saturating_sub(record.age_ms);
@@ -200,9 +211,16 @@
 
     /// Takes over what is kept of requests outside.
     pub fn on_stored(&mut self, now_ms: u64, stored: Vec<StoredEnds>) {
-        for StoredEnds { digest, records } in stored {
-            let stored_ends = records.len() as u32;
-            self.on_told(now_ms, records);
+        for StoredEnds { digest, ends } in stored {
+            let stored_ends = ends.len() as u32;
+            let records = ends.into_iter().map(|end| EndRecord {
+                digest,
+                server: end.server,
+                evidence: end.evidence,
+                age_ms: 0,
+                is_withdrawn: false,
+            });
+            self.on_told(now_ms, records.collect());
             if let Some(entry) = self.entries.get_mut(&digest) {
                 // There may be more by now, which are to be kept too.
                 entry.stored_ends = stored_ends;
@@ -345,34 +363,35 @@
     /// Returns what is to be kept outside and is not yet, quarantined requests with
     /// their ends and those that were forgotten or cleared without any. Each is noted
     /// with [`on_kept`](Self::on_kept) once it is kept.
-    pub fn to_keep(&self, now_ms: u64) -> Vec<StoredEnds> {
+    pub fn to_keep(&self) -> Vec<StoredEnds> {
         let mut to_keep: Vec<StoredEnds> = Vec::new();
         for (digest, entry) in &self.entries {
             let count = entry.count();
-            let is_new = count >= ENDS_TO_QUARANTINE && entry.stored_ends < count;
-            let is_cleared = count < ENDS_TO_QUARANTINE && entry.stored_ends > 0;
-            if !is_new && !is_cleared {
-                continue;
+            if count >= ENDS_TO_QUARANTINE && entry.stored_ends < count {
+                to_keep.push(entry.to_store(*digest));
+            }
+            if count < ENDS_TO_QUARANTINE && entry.stored_ends > 0 {
+                to_keep.push(StoredEnds::nothing(*digest));
             }
-            let live = entry.records(now_ms, *digest);
-            let live = live.filter(|record| is_new && !record.is_withdrawn);
-            to_keep.push(StoredEnds {
-                digest: *digest,
-                records: live.collect(),
-            });
         }
-        to_keep.extend(self.forgotten.iter().map(|digest| StoredEnds {
-            digest: *digest,
-            records: Vec::new(),
-        }));
+        to_keep.extend(self.forgotten.iter().copied().map(StoredEnds::nothing));
         to_keep
     }
 
+    /// Returns all that is to be kept outside, whether it is or not.
+    pub fn all_to_keep(&self) -> Vec<StoredEnds> {
+        let entries = self.entries.iter();
+        let quarantined = entries.filter(|(_, entry)| entry.count() >= ENDS_TO_QUARANTINE);
+        let kept = quarantined.map(|(digest, entry)| entry.to_store(*digest));
+        kept.chain(self.forgotten.iter().copied().map(StoredEnds::nothing))
+            .collect()
+    }
+
     /// Notes that what was returned to be kept is kept.
     pub fn on_kept(&mut self, kept: &StoredEnds) {
         self.forgotten.retain(|digest| *digest != kept.digest);
         if let Some(entry) = self.entries.get_mut(&kept.digest) {
-            entry.stored_ends = kept.records.len() as u32;
+            entry.stored_ends = kept.ends.len() as u32;
         }
     }
 }
--- a/crates/core/src/poison/record.rs
+++ b/crates/core/src/poison/record.rs
@@ -30,15 +30,6 @@
     pub revision: u64,
 }
 
-/// A quarantined request, as it is kept where it outlasts every instance.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StoredEnds {
-    /// The request.
-    pub digest: RequestDigest,
-    /// The ends that count; none once the request is forgotten.
-    pub records: Vec<EndRecord>,
-}
-
 /// Where a request stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
--- a/crates/core/src/topology.rs
+++ b/crates/core/src/topology.rs
@@ -56,6 +56,8 @@
     Checkpoint,
     /// Placing models.
     Placer,
+    /// Keeping requests that end backend servers on the log.
+    Quarantine,
     /// Sending the zone's digest to another zone.
     ZoneLink(&'a ZoneName),
 }
@@ -67,6 +69,7 @@
             Self::ConfigTail => 1,
             Self::Checkpoint => 2,
             Self::Placer => 3,
+            Self::Quarantine => 4,
             Self::ZoneLink(zone) => xxh3_64_with_seed(zone.as_str().as_bytes(), ZONE_SEED),
         }
     }
--- a/crates/core/tests/poison_book.rs
+++ b/crates/core/tests/poison_book.rs
@@ -207,32 +207,32 @@
 #[test]
 fn only_quarantined_requests_are_kept_outside_and_until_they_are_cleared() {
     let mut book = book(&["i-1", "i-2"]);
-    assert!(book.to_keep(0).is_empty());
+    assert!(book.to_keep().is_empty());
     book.on_end(0, end(1, "i-3"));
-    let to_keep = book.to_keep(0);
+    let to_keep = book.to_keep();
     let kept = to_keep.clone();
     assert_eq!(to_keep.len(), 1);
-    assert_eq!(to_keep[0].records.len(), 3);
+    assert_eq!(to_keep[0].ends.len(), 3);
     book.on_kept(&to_keep[0]);
-    assert!(book.to_keep(0).is_empty());
+    assert!(book.to_keep().is_empty());
     // One that starts when all are lost.
     let mut next = EndBook::new(SETTINGS);
     next.on_stored(0, to_keep);
     assert_eq!(next.ends(0, &digest(1)), 3);
-    assert!(next.to_keep(0).is_empty());
+    assert!(next.to_keep().is_empty());
     // One that takes over and knows of a trial that is not kept yet.
     let mut later = EndBook::new(SETTINGS);
     later.on_end(0, end(1, "i-4"));
     later.on_stored(0, kept);
-    assert_eq!(later.to_keep(0)[0].records.len(), 4);
+    assert_eq!(later.to_keep()[0].ends.len(), 4);
     next.on_answered(0, digest(1));
-    let removed = next.to_keep(0);
+    let removed = next.to_keep();
     assert_eq!(removed.len(), 1);
-    assert!(removed[0].records.is_empty());
+    assert!(removed[0].ends.is_empty());
     next.on_kept(&removed[0]);
-    assert!(next.to_keep(0).is_empty());
+    assert!(next.to_keep().is_empty());
     book.forget_old(60 * MINUTE_MS);
-    assert!(book.to_keep(0)[0].records.is_empty());
+    assert!(book.to_keep()[0].ends.is_empty());
 }
 
 #[test]
--- /dev/null
+++ b/crates/core/tests/poison_stored.rs
@@ -0,0 +1,121 @@
+//! What is kept of quarantined requests on a log that forgets.
+
+use savoryvane_core::{
+    ids::BackendName,
+    poison::{
+        EndBook, EndRecord, Evidence, QuarantineSettings, Renewal, RequestDigest, StoredEnd,
+        StoredEnds, StoredRecords,
+    },
+};
+
+const MINUTE_MS: u64 = 60_000;
+/// Time for which the log keeps its records.
+const RETENTION_MS: u64 = 30 * MINUTE_MS;
+
+fn digest(number: u8) -> RequestDigest {
+    RequestDigest([number; 16])
+}
+
+fn stored(number: u8, servers: &[&str]) -> StoredEnds {
+    let ends = servers.iter().map(|server| StoredEnd {
+        server: BackendName::new(*server),
+        evidence: Evidence::Refused,
+    });
+    StoredEnds {
+        digest: digest(number),
+        ends: ends.collect(),
+    }
+}
+
+/// A book in which three servers have ended under one request.
+fn book() -> EndBook {
+    let mut book = EndBook::new(QuarantineSettings::default());
+    for server in ["i-1", "i-2", "i-3"] {
+        let record = EndRecord {
+            digest: digest(1),
+            server: BackendName::new(server),
+            evidence: Evidence::Refused,
+            age_ms: 0,
+            is_withdrawn: false,
+        };
+        book.on_end(0, record);
+    }
+    book
+}
+
+/// Two that are cut off from each other write beside each other.
+#[test]
+fn records_add_up_until_one_takes_them_back() {
+    let mut kept = StoredRecords::default();
+    for record in [
+        stored(1, &["i-1", "i-2", "i-3"]),
+        stored(2, &["i-1", "i-2", "i-3"]),
+        stored(1, &["i-1", "i-2", "i-4"]),
+        stored(2, &[]),
+        stored(3, &[]),
+    ] {
+        kept.add(record);
+    }
+    let requests = kept.into_requests();
+    assert_eq!(requests, [stored(1, &["i-1", "i-2", "i-3", "i-4"])]);
+}
+
+#[test]
+fn one_that_was_taken_back_may_be_kept_again() {
+    let mut kept = StoredRecords::default();
+    for servers in [&["i-1", "i-2", "i-3"][..], &[], &["i-5", "i-6", "i-7"]] {
+        kept.add(stored(1, servers));
+    }
+    assert_eq!(
+        kept.into_requests(),
+        [stored(1, &["i-5", "i-6", "i-7"])],
+        "what was taken back does not count again"
+    );
+}
+
+/// The first time all is written: whoever wrote before may be gone since long ago.
+#[test]
+fn what_is_kept_is_written_again_before_the_log_forgets_it() {
+    let mut book = book();
+    let mut renewal = Renewal::new(RETENTION_MS);
+    let mut written_at_ms = Vec::new();
+    for minute in 0..30 {
+        let now_ms = minute * MINUTE_MS;
+        for kept in renewal.to_write(now_ms, &book) {
+            written_at_ms.push(now_ms);
+            book.on_kept(&kept);
+        }
+        renewal.on_written(now_ms);
+    }
+    assert_eq!(written_at_ms, [0, 10 * MINUTE_MS, 20 * MINUTE_MS]);
+}
+
+#[test]
+fn a_renewal_that_failed_is_due_still() {
+    let mut book = book();
+    let mut renewal = Renewal::new(RETENTION_MS);
+    for kept in renewal.to_write(0, &book) {
+        book.on_kept(&kept);
+    }
+    renewal.on_written(0);
+    let due_ms = RETENTION_MS / 3;
+    assert_eq!(renewal.to_write(due_ms, &book).len(), 1);
+    assert_eq!(renewal.to_write(due_ms + 1, &book).len(), 1);
+    renewal.on_written(due_ms + 1);
+    assert!(renewal.to_write(due_ms + 2, &book).is_empty());
+}
+
+#[test]
+fn a_request_that_was_cleared_is_taken_back_at_once() {
+    let mut book = book();
+    let mut renewal = Renewal::new(RETENTION_MS);
+    for kept in renewal.to_write(0, &book) {
+        book.on_kept(&kept);
+    }
+    renewal.on_written(0);
+    book.on_answered(1, digest(1));
+    let to_write = renewal.to_write(1, &book);
+    assert_eq!(to_write, [stored(1, &[])]);
+    book.on_kept(&to_write[0]);
+    assert!(renewal.to_write(2, &book).is_empty());
+}
--- a/crates/server/src/ends.rs
+++ b/crates/server/src/ends.rs
@@ -13,8 +13,8 @@
     ids::{BackendName, InstanceName, RequestId},
     objects::Backend,
     poison::{
-        EndBook, EndRecord, Evidence, Fate, Probe, QuarantineSettings, Registered, RequestDigest,
-        Standing, fate_at_loss, spread,
+        EndBook, EndRecord, Evidence, Fate, Probe, QuarantineSettings, Registered, Renewal,
+        RequestDigest, Standing, StoredEnds, fate_at_loss, spread,
     },
 };
 use savoryvane_wire::peer::Message;
@@ -44,6 +44,21 @@
         }
     }
 
+    /// Forgets requests whose time has come.
+    pub(crate) fn forget_old(&self, now_ms: u64) {
+        self.book().forget_old(now_ms);
+    }
+
+    /// Returns what is to be written to the log now.
+    pub(crate) fn to_write(&self, now_ms: u64, renewal: &Renewal) -> Vec<StoredEnds> {
+        renewal.to_write(now_ms, &self.book())
+    }
+
+    /// Notes that a request is on the log.
+    pub(crate) fn on_kept(&self, kept: &StoredEnds) {
+        self.book().on_kept(kept);
+    }
+
     fn book(&self) -> MutexGuard<'_, EndBook> {
         lock(&self.book)
     }
@@ -149,19 +164,32 @@
     }
 }
 
+/// Takes over what the log keeps, and tells the neighbours of what is new.
+pub(crate) fn on_stored(shared: &Shared, stored: Vec<StoredEnds>) {
+    let now_ms = shared.clock.now_ms();
+    let known = shared.ends.book().revision();
+    shared.ends.book().on_stored(now_ms, stored);
+    tell_since(shared, known, |message| {
+        shared.members.peers().send_all(&message);
+    });
+}
+
 /// Tells a neighbour to which a link was opened what is known.
 pub(crate) fn on_linked(shared: &Shared, peer: &InstanceName) {
+    tell_since(shared, 0, |message| {
+        shared.members.peers().send(peer, message)
+    });
+}
+
+/// Tells what has changed since the revision `known`, in messages of bounded length.
+fn tell_since(shared: &Shared, mut known: u64, send: impl Fn(Message)) {
     let now_ms = shared.clock.now_ms();
     shared.ends.book().forget_old(now_ms);
-    let mut known = 0;
     while known < shared.ends.book().revision() {
         let told = shared.ends.book().told_since(now_ms, known);
         known = told.revision;
         if !told.records.is_empty() {
-            shared
-                .members
-                .peers()
-                .send(peer, Message::Ends(told.records));
+            send(Message::Ends(told.records));
         }
     }
 }
--- a/crates/server/src/follower.rs
+++ b/crates/server/src/follower.rs
@@ -8,9 +8,9 @@
     config::{
         Action, CheckpointPart, ConfigRecord, Content, Duties, Event, Progress, Received, TICK_MS,
     },
-    ids::{InstanceName, Offset},
+    ids::Offset,
     roster::Member,
-    topology::{Duty, ranked},
+    topology::Duty,
 };
 use savoryvane_wire::{
     config,
@@ -24,7 +24,8 @@
 };
 
 use crate::{
-    clock::unix_ms, instance::Shared, phase::Phase, platform::PlatformError, relay, snapshot,
+    clock::unix_ms, instance::Shared, members, phase::Phase, platform::PlatformError, relay,
+    snapshot,
 };
 
 /// Instances of a zone that follow the log for the others.
@@ -175,12 +176,12 @@
 }
 
 fn look_at_others(shared: &Shared) {
+    let checkpoint_rank = members::rank_of_all(shared, Duty::Checkpoint);
     let (duties, newest) = {
         let membership = shared.members.membership();
-        let live = membership.listed().iter().filter(|l| !l.is_leaving);
         let duties = Duties {
             tails: membership.rank(Duty::ConfigTail) < TAILERS,
-            checkpoint_rank: checkpoint_rank(shared, live.map(|l| &l.instance)),
+            checkpoint_rank,
         };
         let members = membership.members(shared.clock.now_ms());
         let digests = members.filter_map(|(_, member, _)| Member::digest(member));
@@ -197,15 +198,6 @@
     }
 }
 
-/// Ranks this instance among those of all zones: there is one log.
-fn checkpoint_rank<'a>(shared: &'a Shared, live: impl Iterator<Item = &'a InstanceName>) -> u64 {
-    let me = &shared.settings.instance;
-    let others = live.filter(|name| *name != me);
-    let order = ranked(Duty::Checkpoint, others.chain([me]));
-    let rank = order.iter().position(|name| *name == me);
-    rank.map_or(u64::MAX, |rank| rank as u64)
-}
-
 fn note_progress(shared: &Shared, progress: Progress) {
     let ignored = shared.configuration.ignored();
     metrics::gauge!("savoryvane_config_next_offset").set(progress.next.0 as f64);
--- a/crates/server/src/gateway/keeping.rs
+++ b/crates/server/src/gateway/keeping.rs
@@ -119,7 +119,7 @@
 
     /// Writes what is not kept yet; tells whether all of it is.
     async fn write_all(&self) -> bool {
-        let to_keep = self.quarantine.book().to_keep(self.clock.now_ms());
+        let to_keep = self.quarantine.book().to_keep();
         for stored in to_keep {
             if let Err(err) = self.write(&stored).await {
                 warn!(self.log, "quarantine not kept"; "digest" => %stored.digest,
@@ -127,7 +127,7 @@
                 return false;
             }
             info!(self.log, "quarantine kept"; "digest" => %stored.digest,
-                "ends" => stored.records.len());
+                "ends" => stored.ends.len());
             self.quarantine.book().on_kept(&stored);
         }
         true
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -36,7 +36,7 @@
     configuration::Configuration,
     ends::Ends,
     error::{Error, Result},
-    follower,
+    follower, keeping,
     listener::{self, Acceptor},
     listing, loads,
     lock::lock,
@@ -349,6 +349,7 @@
     background.spawn(operators.run(admin, admin::service(Arc::clone(shared))));
     background.spawn(claims::read(Arc::clone(shared)));
     background.spawn(claims::append(Arc::clone(shared)));
+    background.spawn(keeping::run(Arc::clone(shared)));
     background.spawn(listing::run(Arc::clone(shared)));
     background.spawn(loads::run(Arc::clone(shared)));
     background.spawn(prefixes::run(Arc::clone(shared)));
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -20,6 +20,7 @@
 mod gateway;
 mod http_body;
 mod instance;
+mod keeping;
 mod listener;
 mod listing;
 mod loads;
--- a/crates/server/src/members.rs
+++ b/crates/server/src/members.rs
@@ -11,6 +11,7 @@
     ids::{BackendName, Incarnation, InstanceName},
     membership::{Action, Event, Gossip, Identity, Membership, OwnState, TICK_MS},
     roster::ListedInstance,
+    topology::{Duty, ranked},
     usage::Usage,
 };
 use savoryvane_wire::{
@@ -114,6 +115,18 @@
     }
 }
 
+/// Ranks this instance for a duty among those of all zones that are listed and do not
+/// leave, 0 for the first.
+pub(crate) fn rank_of_all(shared: &Shared, duty: Duty<'_>) -> u64 {
+    let me = &shared.settings.instance;
+    let membership = shared.members.membership();
+    let live = membership.listed().iter().filter(|x| !x.is_leaving);
+    let others = live.map(|x| &x.instance).filter(|name| *name != me);
+    let order = ranked(duty, others.chain([me]));
+    let rank = order.iter().position(|name| *name == me);
+    rank.map_or(u64::MAX, |rank| rank as u64)
+}
+
 /// Takes a new list of the platform's.
 pub(crate) fn take_list(shared: &Shared, listing: &Listing) {
     let entries = listing.entries.iter();
--- a/crates/server/src/placer.rs
+++ b/crates/server/src/placer.rs
@@ -13,7 +13,7 @@
         Action, Event, Holder, Permit, Placer, PlacerRecord, PlacerSettings, Received, Standing,
         TICK_MS,
     },
-    topology::{Duty, ranked},
+    topology::Duty,
 };
 use savoryvane_wire::{
     placer::{self, PlacerView},
@@ -25,7 +25,7 @@
     time::{self, MissedTickBehavior},
 };
 
-use crate::{instance::Shared, lock::lock, phase::Phase, platform::PlatformError};
+use crate::{instance::Shared, lock::lock, members, phase::Phase, platform::PlatformError};
 
 /// Instances that follow the stream, to bound its readers.
 const FOLLOWERS: u64 = 4;
@@ -183,16 +183,10 @@
     Event::AppendEnded
 }
 
-/// Ranks this instance among those of all zones: there is one placer.
+/// Tells what part this instance has: there is one placer for all zones.
 fn standing(shared: &Shared) -> Standing {
-    let me = &shared.settings.instance;
-    let membership = shared.members.membership();
-    let live = membership.listed().iter().filter(|x| !x.is_leaving);
-    let others = live.map(|x| &x.instance).filter(|name| *name != me);
-    let order = ranked(Duty::Placer, others.chain([me]));
-    let rank = order.iter().position(|name| *name == me);
-    match rank.map(|rank| rank as u64) {
-        Some(rank) if rank < FOLLOWERS => Standing::Candidate { rank },
-        Some(_) | None => Standing::Bystander,
+    match members::rank_of_all(shared, Duty::Placer) {
+        rank if rank < FOLLOWERS => Standing::Candidate { rank },
+        _ => Standing::Bystander,
     }
 }
--- a/crates/server/src/platform.rs
+++ b/crates/server/src/platform.rs
@@ -50,6 +50,9 @@
     }
 }
 
+/// Result of a call of the platform.
+pub(crate) type Result<T> = std::result::Result<T, PlatformError>;
+
 impl From<SendError> for PlatformError {
     fn from(err: SendError) -> Self {
         match err {
@@ -86,11 +89,7 @@
     ///
     /// Only [`PlatformError::Unanswered`] and [`PlatformError::Malformed`]
     /// leave it open whether the record is on the log.
-    pub(crate) async fn append(
-        &self,
-        stream: &str,
-        payload: Bytes,
-    ) -> Result<Offset, PlatformError> {
+    pub(crate) async fn append(&self, stream: &str, payload: Bytes) -> Result<Offset> {
         let path = format!("/v1/streams/{stream}/records");
         let request = request(Method::POST, self.settings.log, &path, payload);
         let timeout = Duration::from_millis(self.settings.timeout_ms);
@@ -106,12 +105,7 @@
     /// # Errors
     ///
     /// Returns [`PlatformError::Trimmed`] when `from` is no longer kept.
-    pub(crate) async fn read(
-        &self,
-        stream: &str,
-        from: Offset,
-        wait_ms: u64,
-    ) -> Result<Records, PlatformError> {
+    pub(crate) async fn read(&self, stream: &str, from: Offset, wait_ms: u64) -> Result<Records> {
         let path = format!(
             "/v1/streams/{stream}/records?from={from}&limit={READ_LIMIT}&wait_ms={wait_ms}"
         );
@@ -130,7 +124,7 @@
     /// # Errors
     ///
     /// Returns an error when the list can't be had.
-    pub(crate) async fn listing(&self) -> Result<Listing, PlatformError> {
+    pub(crate) async fn listing(&self) -> Result<Listing> {
         let request = request(
             Method::GET,
             self.settings.list,
@@ -155,7 +149,7 @@
         addr: SocketAddr,
         request: Request<Full<Bytes>>,
         timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), PlatformError> {
+    ) -> Result<(StatusCode, Bytes)> {
         let connections = &self.connections;
         let answer = connections
             .exchange(addr, request, timeout, MAX_ANSWER_BYTES)
@@ -181,6 +175,6 @@
     request
 }
 
-fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
     serde_json::from_slice(body).map_err(|err| PlatformError::Malformed(err.to_string()))
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod peer;
 pub mod placer;
 pub mod platform;
+pub mod quarantine;
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -18,6 +18,8 @@
 pub const CLAIM_STREAM: &str = "claims";
 /// Stream that carries elections of the placer.
 pub const PLACER_STREAM: &str = "placer";
+/// Stream of requests that end backend servers.
+pub const QUARANTINE_STREAM: &str = "quarantine";
 
 /// Answer to an append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
