Read the log of quarantined requests on, as it may deliver late

Cause: a keeper read the stream once, when it became one. What the log delivered after that was never known, so that after a loss of all instances and with a delivery of four seconds three more servers ended. Ruled out: waiting for the end that the log tells, since it tells the end of what it delivers.

Change: keepers read on once a second. What others take back there counts no more, but what has ended since does; what an instance reads of its own changes nothing. A record that is missing is waited for, ten looks; that test of a gap is the one of the claims, moved to the wire's Records.

--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -23,4 +23,4 @@
 pub use evidence::{Evidence, Fate, Probe, Registered, fate_at_loss, fate_later, spread};
 pub use permits::{Permit, PermitState, Permits};
 pub use record::{EndRecord, QuarantineSettings, Standing, ToldEnds};
-pub use stored::{Renewal, StoredEnd, StoredEnds, StoredRecords};
+pub use stored::{Renewal, StoredChange, StoredEnd, StoredEnds, StoredRecords};
--- a/crates/core/src/poison/book.rs
+++ b/crates/core/src/poison/book.rs
@@ -6,8 +6,8 @@
 use std::collections::{BTreeMap, HashMap};
 
 use super::{
-    EndRecord, Evidence, QuarantineSettings, RequestDigest, Standing, StoredEnd, StoredEnds,
-    ToldEnds, recent::RecentAnswers,
+    EndRecord, Evidence, QuarantineSettings, RequestDigest, Standing, StoredChange, StoredEnd,
+    StoredEnds, ToldEnds, recent::RecentAnswers,
 };
 use crate::ids::BackendName;
 
@@ -228,6 +228,18 @@
         }
     }
 
+    /// Takes over what a log that others write too says next.
+    pub fn on_logged(&mut self, now_ms: u64, change: StoredChange) {
+        match change {
+            StoredChange::Kept(stored) => self.on_stored(now_ms, vec![stored]),
+            StoredChange::TakenBack(stored) => {
+                let is_meant = |end: &End| stored.ends.iter().any(|s| s.server == end.server);
+                self.withdraw(stored.digest, is_meant);
+                self.on_kept(&StoredEnds::nothing(stored.digest));
+            }
+        }
+    }
+
     /// Notes a whole answer of a server to a request, which clears it. Tells whether
     /// anything was known against it.
     pub fn on_answered(&mut self, now_ms: u64, digest: RequestDigest) -> bool {
--- a/crates/core/src/poison/stored.rs
+++ b/crates/core/src/poison/stored.rs
@@ -40,18 +40,27 @@
     }
 }
 
-/// What the records of a log come to, from the first to the last.
+/// What a record of the log changes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoredChange {
+    /// The log keeps a request, with all these ends.
+    Kept(StoredEnds),
+    /// The log keeps a request no more, and these ends count no more.
+    TakenBack(StoredEnds),
+}
+
+/// What the records of a log come to, from the first to the last that was read.
 #[derive(Debug, Default)]
 pub struct StoredRecords(BTreeMap<RequestDigest, Vec<StoredEnd>>);
 
 impl StoredRecords {
     /// Takes over the next record. Two may have written beside each other, as while zones
     /// are cut off, so that one adds to those before; one without ends takes them back.
-    pub fn add(&mut self, stored: StoredEnds) {
+    pub fn add(&mut self, stored: StoredEnds) -> StoredChange {
         let StoredEnds { digest, ends } = stored;
         if ends.is_empty() {
-            self.0.remove(&digest);
-            return;
+            let ends = self.0.remove(&digest).unwrap_or_default();
+            return StoredChange::TakenBack(StoredEnds { digest, ends });
         }
         let known = self.0.entry(digest).or_default();
         for end in ends {
@@ -59,14 +68,10 @@
                 known.push(end);
             }
         }
-    }
-
-    /// Returns the requests that are quarantined after the last record.
-    pub fn into_requests(self) -> Vec<StoredEnds> {
-        let requests = self.0.into_iter();
-        requests
-            .map(|(digest, ends)| StoredEnds { digest, ends })
-            .collect()
+        StoredChange::Kept(StoredEnds {
+            digest,
+            ends: known.clone(),
+        })
     }
 }
 
--- a/crates/core/tests/poison_stored.rs
+++ b/crates/core/tests/poison_stored.rs
@@ -3,8 +3,8 @@
 use savoryvane_core::{
     ids::BackendName,
     poison::{
-        EndBook, EndRecord, Evidence, QuarantineSettings, Renewal, RequestDigest, StoredEnd,
-        StoredEnds, StoredRecords,
+        EndBook, EndRecord, Evidence, QuarantineSettings, Renewal, RequestDigest, StoredChange,
+        StoredEnd, StoredEnds, StoredRecords,
     },
 };
 
@@ -47,30 +47,48 @@
 #[test]
 fn records_add_up_until_one_takes_them_back() {
     let mut kept = StoredRecords::default();
-    for record in [
-        stored(1, &["i-1", "i-2", "i-3"]),
-        stored(2, &["i-1", "i-2", "i-3"]),
-        stored(1, &["i-1", "i-2", "i-4"]),
-        stored(2, &[]),
-        stored(3, &[]),
-    ] {
-        kept.add(record);
-    }
-    let requests = kept.into_requests();
-    assert_eq!(requests, [stored(1, &["i-1", "i-2", "i-3", "i-4"])]);
+    kept.add(stored(1, &["i-1", "i-2", "i-3"]));
+    kept.add(stored(2, &["i-1", "i-2", "i-3"]));
+    let all = stored(1, &["i-1", "i-2", "i-3", "i-4"]);
+    let added = kept.add(stored(1, &["i-1", "i-2", "i-4"]));
+    assert_eq!(added, StoredChange::Kept(all.clone()));
+    assert_eq!(kept.add(stored(1, &[])), StoredChange::TakenBack(all));
+    let nothing = stored(3, &[]);
+    assert_eq!(kept.add(nothing.clone()), StoredChange::TakenBack(nothing));
+    let again = stored(1, &["i-5", "i-6", "i-7"]);
+    assert_eq!(kept.add(again.clone()), StoredChange::Kept(again));
 }
 
+/// Its log delivers late, or somebody writes whom it does not reach.
 #[test]
-fn one_that_was_taken_back_may_be_kept_again() {
+fn one_that_reads_on_knows_what_others_keep_and_take_back() {
     let mut kept = StoredRecords::default();
-    for servers in [&["i-1", "i-2", "i-3"][..], &[], &["i-5", "i-6", "i-7"]] {
-        kept.add(stored(1, servers));
-    }
-    assert_eq!(
-        kept.into_requests(),
-        [stored(1, &["i-5", "i-6", "i-7"])],
-        "what was taken back does not count again"
-    );
+    let mut book = EndBook::new(QuarantineSettings::default());
+    let mut read = |book: &mut EndBook, record| book.on_logged(0, kept.add(record));
+    read(&mut book, stored(1, &["i-1", "i-2", "i-3"]));
+    assert_eq!(book.ends(0, &digest(1)), 3);
+    assert!(book.to_keep().is_empty(), "the log keeps it already");
+    read(&mut book, stored(1, &[]));
+    assert_eq!(book.ends(0, &digest(1)), 0);
+    assert!(book.to_keep().is_empty(), "nor is it taken back twice");
+    // What has ended since is not taken back with it.
+    read(&mut book, stored(1, &["i-4", "i-5", "i-6"]));
+    assert_eq!(book.ends(0, &digest(1)), 3);
+    // One that is not known here leaves nothing behind.
+    read(&mut book, stored(2, &[]));
+    assert_eq!(book.len(), 1);
+}
+
+#[test]
+fn what_an_instance_reads_of_its_own_changes_nothing() {
+    let mut kept = StoredRecords::default();
+    let mut book = book();
+    let to_write = book.to_keep();
+    book.on_kept(&to_write[0]);
+    let revision = book.revision();
+    book.on_logged(0, kept.add(to_write[0].clone()));
+    assert_eq!(book.revision(), revision);
+    assert!(book.to_keep().is_empty());
 }
 
 /// The first time all is written: whoever wrote before may be gone since long ago.
--- a/crates/server/src/claims.rs
+++ b/crates/server/src/claims.rs
@@ -22,7 +22,7 @@
 };
 use savoryvane_wire::{
     claims,
-    platform::{CLAIM_STREAM, LogRecord, Records},
+    platform::{CLAIM_STREAM, LogRecord},
 };
 use slog::{Logger, debug, warn};
 use tokio::{
@@ -239,7 +239,7 @@
     loop {
         let wait_ms = shared.platform.wait_ms();
         match shared.platform.read(CLAIM_STREAM, cursor, wait_ms).await {
-            Ok(records) if is_gap(&records, cursor) && gap_reads < GAP_READS => {
+            Ok(records) if records.has_gap(cursor) && gap_reads < GAP_READS => {
                 gap_reads += 1;
                 time::sleep(Duration::from_millis(RETRY_MS)).await;
             }
@@ -265,12 +265,6 @@
     }
 }
 
-/// A record that is kept but not delivered may still come.
-fn is_gap(records: &Records, cursor: Offset) -> bool {
-    let delivered = records.records.first();
-    delivered.is_some_and(|record| record.offset > cursor) && records.first <= cursor
-}
-
 /// Appends claims for as long as the instance lives.
 pub(crate) async fn append(shared: Arc<Shared>) {
     loop {
--- a/crates/server/src/ends.rs
+++ b/crates/server/src/ends.rs
@@ -14,7 +14,7 @@
     objects::Backend,
     poison::{
         EndBook, EndRecord, Evidence, Fate, Probe, QuarantineSettings, Registered, Renewal,
-        RequestDigest, Standing, StoredEnds, fate_at_loss, spread,
+        RequestDigest, Standing, StoredChange, StoredEnds, fate_at_loss, spread,
     },
 };
 use savoryvane_wire::peer::Message;
@@ -164,11 +164,13 @@
     }
 }
 
-/// Takes over what the log keeps, and tells the neighbours of what is new.
-pub(crate) fn on_stored(shared: &Shared, stored: Vec<StoredEnds>) {
+/// Takes over what the log says next, and tells the neighbours of what is new.
+pub(crate) fn on_logged(shared: &Shared, changes: Vec<StoredChange>) {
     let now_ms = shared.clock.now_ms();
     let known = shared.ends.book().revision();
-    shared.ends.book().on_stored(now_ms, stored);
+    for change in changes {
+        shared.ends.book().on_logged(now_ms, change);
+    }
     tell_since(shared, known, |message| {
         shared.members.peers().send_all(&message);
     });
--- a/crates/server/src/keeping.rs
+++ b/crates/server/src/keeping.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use savoryvane_core::{
     ids::Offset,
-    poison::{Renewal, StoredEnds, StoredRecords},
+    poison::{Renewal, StoredChange, StoredEnds, StoredRecords},
     topology::Duty,
 };
 use savoryvane_wire::{platform::QUARANTINE_STREAM, quarantine};
@@ -20,28 +20,52 @@
     platform::{PlatformError, Result},
 };
 
-/// Time between two looks at what is to be kept.
-const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two looks at what is to be read and kept.
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause after the log has failed.
 const FAILED_PAUSE: Duration = Duration::from_secs(2);
+/// Looks after which a record that is not delivered counts as missing.
+const GAP_LOOKS: u32 = 10;
 /// Instances that write beside each other, so that one of them may be lost and not yet
 /// missed. What both write is the same.
 const KEEPERS: u64 = 2;
 
-/// Runs for as long as the instance does. Only the keepers read and write the log: a read
-/// when one becomes that, a write for each request and renewal, none in between.
+/// What a keeper knows of the log.
+struct Keeper {
+    records: StoredRecords,
+    cursor: Offset,
+    /// Looks at which a record was missing.
+    gap_looks: u32,
+    renewal: Renewal,
+}
+
+impl Keeper {
+    fn new(shared: &Shared) -> Self {
+        Self {
+            records: StoredRecords::default(),
+            cursor: Offset::default(),
+            gap_looks: 0,
+            renewal: Renewal::new(shared.settings.platform.retention_ms),
+        }
+    }
+}
+
+/// Runs for as long as the instance does. Only the keepers use the log for it: a read a
+/// second, as it may deliver late what others wrote, and a write for each request and
+/// renewal.
 pub(crate) async fn run(shared: Arc<Shared>) {
     let mut looks = time::interval(LOOK_INTERVAL);
     looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut renewal: Option<Renewal> = None;
+    let mut keeper = None;
     loop {
         looks.tick().await;
         shared.ends.forget_old(shared.clock.now_ms());
         if !is_keeper(&shared) {
-            renewal = None;
+            keeper = None;
             continue;
         }
-        if let Err(err) = keep(&shared, &mut renewal).await {
+        let keeper = keeper.get_or_insert_with(|| Keeper::new(&shared));
+        if let Err(err) = keep(&shared, keeper).await {
             warn!(shared.log, "quarantine neither read nor kept"; "error" => %err);
             time::sleep(FAILED_PAUSE).await;
         }
@@ -54,55 +78,54 @@
     knows_others && members::rank_of_all(shared, Duty::Quarantine) < KEEPERS
 }
 
-/// Reads the log if this instance has just become a keeper, and writes what is not there.
-async fn keep(shared: &Shared, renewal: &mut Option<Renewal>) -> Result<()> {
-    let renewal = match renewal {
-        Some(renewal) => renewal,
-        None => {
-            ends::on_stored(shared, read(shared).await?);
-            renewal.insert(Renewal::new(shared.settings.platform.retention_ms))
-        }
-    };
+/// Reads what is new on the log, and writes what is not there.
+async fn keep(shared: &Shared, keeper: &mut Keeper) -> Result<()> {
+    let changes = read(shared, keeper).await?;
+    ends::on_logged(shared, changes);
     let now_ms = shared.clock.now_ms();
-    for stored in shared.ends.to_write(now_ms, renewal) {
+    for stored in shared.ends.to_write(now_ms, &keeper.renewal) {
         write(shared, &stored).await?;
         info!(shared.log, "quarantine kept"; "digest" => %stored.digest,
             "ends" => stored.ends.len());
         shared.ends.on_kept(&stored);
     }
-    renewal.on_written(now_ms);
+    keeper.renewal.on_written(now_ms);
     Ok(())
 }
 
-/// Reads the whole stream.
-async fn read(shared: &Shared) -> Result<Vec<StoredEnds>> {
-    let mut kept = StoredRecords::default();
-    let mut cursor = Offset::default();
+/// Reads the stream from where the keeper is to its end.
+async fn read(shared: &Shared, keeper: &mut Keeper) -> Result<Vec<StoredChange>> {
+    let mut changes = Vec::new();
     loop {
-        let answer = match shared.platform.read(QUARANTINE_STREAM, cursor, 0).await {
+        let cursor = keeper.cursor;
+        let read = match shared.platform.read(QUARANTINE_STREAM, cursor, 0).await {
             Err(PlatformError::Trimmed(first)) if first > cursor => {
-                cursor = first;
+                keeper.cursor = first;
                 continue;
             }
-            answer => answer?,
+            read => read?,
         };
-        let Some(last) = answer.records.last() else {
-            break;
+        if read.has_gap(cursor) && keeper.gap_looks < GAP_LOOKS {
+            keeper.gap_looks += 1;
+            return Ok(changes);
+        }
+        let Some(last) = read.records.last() else {
+            return Ok(changes);
         };
-        for record in &answer.records {
+        keeper.gap_looks = 0;
+        for record in &read.records {
             match quarantine::decode_record(record) {
-                Ok(stored) => kept.add(stored),
+                Ok(stored) => changes.push(keeper.records.add(stored)),
                 Err(err) => {
                     warn!(shared.log, "quarantined request not understood";
                         "offset" => record.offset.0, "error" => %err);
                 }
             }
         }
-        cursor = last.offset.next();
+        keeper.cursor = last.offset.next();
+        info!(shared.log, "quarantine read"; "records" => read.records.len(),
+            "next" => keeper.cursor.0);
     }
-    let kept = kept.into_requests();
-    info!(shared.log, "quarantine read"; "requests" => kept.len(), "next" => cursor.0);
-    Ok(kept)
 }
 
 async fn write(shared: &Shared, stored: &StoredEnds) -> Result<()> {
--- a/crates/server/tests/poison.rs
+++ b/crates/server/tests/poison.rs
@@ -7,7 +7,7 @@
 use common::{Deployment, KINDS, ZONE, expected, intent, read_answer, submit};
 use http::StatusCode;
 use savoryvane_core::{objects::StageKind, outcome::Outcome};
-use savoryvane_standins::{BackendFaults, BackendServer, BackendSettings};
+use savoryvane_standins::{BackendFaults, BackendServer, BackendSettings, LogFaults};
 use savoryvane_wire::caller::Answer;
 use serde_json::{Value, json};
 use tokio::time;
@@ -96,9 +96,9 @@
     assert_eq!(answer.output, Some(expected(&other)));
 }
 
-/// All instances lose power together: what they knew is in the log.
-#[tokio::test]
-async fn a_quarantine_in_pipelines_outlasts_all_instances() {
+/// Ends three servers, loses all instances together, sets `faults` of the log, and asks two
+/// new ones some time after they are ready.
+async fn ask_after_a_loss_of_all(faults: LogFaults, after: Duration) {
     let (mut deployment, fragile) = deployment().await;
     for attempt in 0..4 {
         ask(&deployment, attempt % 2).await;
@@ -107,9 +107,10 @@
     assert_eq!(ended(&fragile), MOST_ENDS);
     time::sleep(Duration::from_millis(1_500)).await;
     deployment.instances.clear();
+    deployment.log.set_faults(faults);
     start_two(&mut deployment).await;
     deployment.wait_ready().await;
-    time::sleep(LINKED_AFTER).await;
+    time::sleep(after).await;
     for at in 0..2 {
         let (status, answer) = ask(&deployment, at).await;
         assert_eq!(answer.outcome, Outcome::NotStarted, "{status} {answer:?}");
@@ -117,3 +118,19 @@
     }
     assert_eq!(ended(&fragile), MOST_ENDS);
 }
+
+/// All instances lose power together: what they knew is in the log.
+#[tokio::test]
+async fn a_quarantine_in_pipelines_outlasts_all_instances() {
+    ask_after_a_loss_of_all(LogFaults::default(), LINKED_AFTER).await;
+}
+
+/// The log has the record, and delivers it four seconds after its append.
+#[tokio::test]
+async fn a_quarantine_that_the_log_delivers_late_is_waited_for() {
+    let faults = LogFaults {
+        delivery_delay_ms: 4_000,
+        ..LogFaults::default()
+    };
+    ask_after_a_loss_of_all(faults, 2 * LINKED_AFTER).await;
+}
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -50,6 +50,15 @@
     pub records: Vec<LogRecord>,
 }
 
+impl Records {
+    /// Tells whether a record from `asked` on is missing: one that is kept but not
+    /// delivered may still come.
+    pub fn has_gap(&self, asked: Offset) -> bool {
+        let delivered = self.records.first();
+        delivered.is_some_and(|record| record.offset > asked) && self.first <= asked
+    }
+}
+
 /// Answer to a read of records that are no longer kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Trimmed {
