Give each soak a block of ports of its own

Ruled out: ports of outgoing connections, which are above 32768 here.

Change: a soak claims one of forty blocks by listening on its first port, and takes the ports in order.

--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -19,6 +19,7 @@
     config::{self, EVENTS, FIRST_ZONE, REPEAT_RATIO, REPEAT_SLACK, SERVICES},
     error::Result,
     ledger::Ledger,
+    ports::Ports,
     presses,
     process::{Addresses, Instance},
 };
@@ -75,6 +76,8 @@
     instances: Vec<Mutex<Instance>>,
     ready: Vec<AtomicBool>,
     configured: Mutex<Configured>,
+    /// Holds the addresses for as long as the instances may start again.
+    _ports: Ports,
 }
 
 impl Deployment {
@@ -95,7 +98,9 @@
                 });
             }
         }
-        let addresses: Vec<Addresses> = (0..instances).map(|_| Addresses::free()).collect();
+        let mut ports = Ports::claim()?;
+        let addresses = (0..instances).map(|_| ports.addresses());
+        let addresses: Vec<Addresses> = addresses.collect::<Result<_>>()?;
         let mut store_relays = Vec::new();
         let mut processes = Vec::new();
         for (index, own) in addresses.iter().enumerate() {
@@ -116,6 +121,7 @@
             ledger: Ledger::default(),
             instances: processes,
             configured: Mutex::default(),
+            _ports: ports,
         };
         for server in 0..deployment.servers.len() {
             deployment.start_run(server);
--- a/crates/soak/src/error.rs
+++ b/crates/soak/src/error.rs
@@ -16,6 +16,10 @@
             display("stand-in: {err}")
             from()
         }
+        /// No ports are left for instances.
+        Ports {
+            display("no ports are left for instances")
+        }
         /// The instances did not become ready.
         NotReady(what: String) {
             display("not ready in time: {what}")
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -9,6 +9,7 @@
 mod flags;
 mod ledger;
 mod plan;
+mod ports;
 mod presses;
 mod process;
 mod promises;
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::File,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     time::Duration,
@@ -14,8 +14,6 @@
 
 /// Time between two looks whether a process has ended.
 const LOOK: Duration = Duration::from_millis(20);
-/// Ports of instances.
-const PORTS: std::ops::Range<u16> = 10_000..30_000;
 /// Time that a process has to stop after it was asked to, as the platform gives.
 pub(crate) const GRACE: Duration = Duration::from_secs(8);
 
@@ -28,29 +26,6 @@
     pub(crate) admin: SocketAddr,
 }
 
-impl Addresses {
-    /// Draws four ports that are free now.
-    pub(crate) fn free() -> Self {
-        Self {
-            caller: free_addr(),
-            ready: free_addr(),
-            peer: free_addr(),
-            admin: free_addr(),
-        }
-    }
-}
-
-/// Draws an address that is free now, outside of the range that connections take
-/// theirs from, so that it is free again after a restart.
-fn free_addr() -> SocketAddr {
-    loop {
-        let addr = ([127, 0, 0, 1], rand::random_range(PORTS)).into();
-        if TcpListener::bind::<SocketAddr>(addr).is_ok() {
-            return addr;
-        }
-    }
-}
-
 /// An instance and its process, which is killed when dropped.
 #[derive(Debug)]
 pub(crate) struct Instance {
