Take each page of the quarantine's log over before the next is read

Cause: found on reading the change again. Pages were gathered and taken over at the end, while the cursor moved with each, so that a read that failed after the first of several pages lost what that one said for as long as the keeper lived. And a renewal left out what was to be taken back.

Change: a page is taken over, and the cursor moved, in one step; a renewal is all that is new and all that is kept. No test for the first: a log that fails between two pages is not among the stand-in's faults. The second has a line in a_request_that_was_cleared_is_taken_back_at_once, not seen failing.

--- a/crates/core/src/poison/book.rs
+++ b/crates/core/src/poison/book.rs
@@ -390,13 +390,16 @@
         to_keep
     }
 
-    /// Returns all that is to be kept outside, whether it is or not.
+    /// Returns all that is to be kept outside, whether it is already or not.
     pub fn all_to_keep(&self) -> Vec<StoredEnds> {
+        let mut to_keep = self.to_keep();
         let entries = self.entries.iter();
-        let quarantined = entries.filter(|(_, entry)| entry.count() >= ENDS_TO_QUARANTINE);
-        let kept = quarantined.map(|(digest, entry)| entry.to_store(*digest));
-        kept.chain(self.forgotten.iter().copied().map(StoredEnds::nothing))
-            .collect()
+        let kept = entries.filter(|(_, entry)| {
+            let count = entry.count();
+            count >= ENDS_TO_QUARANTINE && entry.stored_ends >= count
+        });
+        to_keep.extend(kept.map(|(digest, entry)| entry.to_store(*digest)));
+        to_keep
     }
 
     /// Notes that what was returned to be kept is kept.
--- a/crates/core/tests/poison_stored.rs
+++ b/crates/core/tests/poison_stored.rs
@@ -134,6 +134,8 @@
     book.on_answered(1, digest(1));
     let to_write = renewal.to_write(1, &book);
     assert_eq!(to_write, [stored(1, &[])]);
+    let at_renewal = renewal.to_write(RETENTION_MS, &book);
+    assert_eq!(at_renewal, to_write);
     book.on_kept(&to_write[0]);
     assert!(renewal.to_write(2, &book).is_empty());
 }
--- a/crates/server/src/keeping.rs
+++ b/crates/server/src/keeping.rs
@@ -6,10 +6,13 @@
 use bytes::Bytes;
 use savoryvane_core::{
     ids::Offset,
-    poison::{Renewal, StoredChange, StoredEnds, StoredRecords},
+    poison::{Renewal, StoredEnds, StoredRecords},
     topology::Duty,
 };
-use savoryvane_wire::{platform::QUARANTINE_STREAM, quarantine};
+use savoryvane_wire::{
+    platform::{QUARANTINE_STREAM, Records},
+    quarantine,
+};
 use slog::{info, warn};
 use tokio::time::{self, MissedTickBehavior};
 
@@ -80,8 +83,9 @@
 
 /// Reads what is new on the log, and writes what is not there.
 async fn keep(shared: &Shared, keeper: &mut Keeper) -> Result<()> {
-    let changes = read(shared, keeper).await?;
-    ends::on_logged(shared, changes);
+    while let Some(page) = read(shared, keeper).await? {
+        take(shared, keeper, &page);
+    }
     let now_ms = shared.clock.now_ms();
     for stored in shared.ends.to_write(now_ms, &keeper.renewal) {
         write(shared, &stored).await?;
@@ -93,39 +97,43 @@
     Ok(())
 }
 
-/// Reads the stream from where the keeper is to its end.
-async fn read(shared: &Shared, keeper: &mut Keeper) -> Result<Vec<StoredChange>> {
-    let mut changes = Vec::new();
-    loop {
-        let cursor = keeper.cursor;
-        let read = match shared.platform.read(QUARANTINE_STREAM, cursor, 0).await {
-            Err(PlatformError::Trimmed(first)) if first > cursor => {
-                keeper.cursor = first;
-                continue;
-            }
-            read => read?,
-        };
-        if read.has_gap(cursor) && keeper.gap_looks < GAP_LOOKS {
-            keeper.gap_looks += 1;
-            return Ok(changes);
+/// Reads the next page of the stream, if there is one now.
+async fn read(shared: &Shared, keeper: &mut Keeper) -> Result<Option<Records>> {
+    let cursor = keeper.cursor;
+    let read = shared.platform.read(QUARANTINE_STREAM, cursor, 0).await;
+    let page = match read {
+        Err(PlatformError::Trimmed(first)) if first > cursor => {
+            keeper.cursor = first;
+            let read = shared.platform.read(QUARANTINE_STREAM, first, 0);
+            read.await?
         }
-        let Some(last) = read.records.last() else {
-            return Ok(changes);
-        };
-        keeper.gap_looks = 0;
-        for record in &read.records {
-            match quarantine::decode_record(record) {
-                Ok(stored) => changes.push(keeper.records.add(stored)),
-                Err(err) => {
-                    warn!(shared.log, "quarantined request not understood";
-                        "offset" => record.offset.0, "error" => %err);
-                }
+        read => read?,
+    };
+    if page.has_gap(keeper.cursor) && keeper.gap_looks < GAP_LOOKS {
+        keeper.gap_looks += 1;
+        return Ok(None);
+    }
+    Ok((!page.records.is_empty()).then_some(page))
+}
+
+/// Takes a whole page over in one step, so that none is passed over when the next one
+/// can't be read.
+fn take(shared: &Shared, keeper: &mut Keeper, page: &Records) {
+    let mut changes = Vec::new();
+    for record in &page.records {
+        match quarantine::decode_record(record) {
+            Ok(stored) => changes.push(keeper.records.add(stored)),
+            Err(err) => {
+                warn!(shared.log, "quarantined request not understood";
+                    "offset" => record.offset.0, "error" => %err);
             }
         }
-        keeper.cursor = last.offset.next();
-        info!(shared.log, "quarantine read"; "records" => read.records.len(),
-            "next" => keeper.cursor.0);
+        keeper.cursor = keeper.cursor.max(record.offset.next());
     }
+    keeper.gap_looks = 0;
+    ends::on_logged(shared, changes);
+    info!(shared.log, "quarantine read"; "records" => page.records.len(),
+        "next" => keeper.cursor.0);
 }
 
 async fn write(shared: &Shared, stored: &StoredEnds) -> Result<()> {
