Say once in tests and the soak what stood twice

Found on reading the change again: the same damage done to a payload in the tests of two streams (tests/common of the wire now), the same three lines that write what is due in tests of what is kept, and the same request past all instances in two sabotages of the soak. No assertion, bound or literal is changed; no product code is.

--- a/crates/core/tests/poison_stored.rs
+++ b/crates/core/tests/poison_stored.rs
@@ -43,6 +43,14 @@
     book
 }
 
+/// Writes what is due, and returns how many requests were.
+fn write(now_ms: u64, renewal: &mut Renewal, book: &mut EndBook) -> usize {
+    let due = renewal.to_write(now_ms, book);
+    due.iter().for_each(|kept| book.on_kept(kept));
+    renewal.on_written(now_ms);
+    due.len()
+}
+
 /// Two that are cut off from each other write beside each other.
 #[test]
 fn records_add_up_until_one_takes_them_back() {
@@ -99,11 +107,8 @@
     let mut written_at_ms = Vec::new();
     for minute in 0..30 {
         let now_ms = minute * MINUTE_MS;
-        for kept in renewal.to_write(now_ms, &book) {
-            written_at_ms.push(now_ms);
-            book.on_kept(&kept);
-        }
-        renewal.on_written(now_ms);
+        let written = write(now_ms, &mut renewal, &mut book);
+        written_at_ms.extend(std::iter::repeat_n(now_ms, written));
     }
     assert_eq!(written_at_ms, [0, 10 * MINUTE_MS, 20 * MINUTE_MS]);
 }
@@ -112,10 +117,7 @@
 fn a_renewal_that_failed_is_due_still() {
     let mut book = book();
     let mut renewal = Renewal::new(RETENTION_MS);
-    for kept in renewal.to_write(0, &book) {
-        book.on_kept(&kept);
-    }
-    renewal.on_written(0);
+    write(0, &mut renewal, &mut book);
     let due_ms = RETENTION_MS / 3;
     assert_eq!(renewal.to_write(due_ms, &book).len(), 1);
     assert_eq!(renewal.to_write(due_ms + 1, &book).len(), 1);
@@ -127,10 +129,7 @@
 fn a_request_that_was_cleared_is_taken_back_at_once() {
     let mut book = book();
     let mut renewal = Renewal::new(RETENTION_MS);
-    for kept in renewal.to_write(0, &book) {
-        book.on_kept(&kept);
-    }
-    renewal.on_written(0);
+    write(0, &mut renewal, &mut book);
     book.on_answered(1, digest(1));
     let to_write = renewal.to_write(1, &book);
     assert_eq!(to_write, [stored(1, &[])]);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -9,7 +9,7 @@
 };
 
 use bytes::Bytes;
-use http::Request;
+use http::{Request, request};
 use http_body_util::Full;
 use savoryvane_platform_standin::{Behaviour, ENDS_SERVER, Fault as StoreFault};
 use savoryvane_standins::LinkFaults;
@@ -20,7 +20,7 @@
 
 use crate::{
     caller::{self, Callers},
-    client,
+    client::{self, Connection},
     config::{HOST, Kind, POISON_PATH},
     deployment::Deployment,
     error::{Error, Result},
@@ -412,14 +412,8 @@
         return;
     };
     for _ in 0..times {
-        let request = Request::get(format!("/lookup/{id}"))
-            .header("host", HOST)
-            .header("request-id", id)
-            .body(Full::new(Bytes::new()))
-            .unwrap_or_default();
-        let deadline = Instant::now() + Duration::from_secs(1);
-        // What the server makes of it is seen in its books.
-        let _ = client::exchange(&mut connection, request, deadline).await;
+        let request = Request::get(format!("/lookup/{id}"));
+        send_directly(&mut connection, request, id, "").await;
     }
 }
 
@@ -430,14 +424,25 @@
             return;
         };
         if let Ok(mut connection) = client::connect(addr).await {
-            let request = Request::post(POISON_PATH)
-                .header("host", HOST)
-                .header("request-id", "r1")
-                .body(Full::new(Bytes::from(ENDS_SERVER)))
-                .unwrap_or_default();
-            let deadline = Instant::now() + Duration::from_secs(1);
-            // What the server makes of it is seen in its books.
-            let _ = client::exchange(&mut connection, request, deadline).await;
+            let request = Request::post(POISON_PATH);
+            send_directly(&mut connection, request, "r1", ENDS_SERVER).await;
         }
     }
 }
+
+/// Sends a server a request past all instances.
+async fn send_directly(
+    connection: &mut Connection,
+    request: request::Builder,
+    id: &str,
+    body: &'static str,
+) {
+    let request = request
+        .header("host", HOST)
+        .header("request-id", id)
+        .body(Full::new(Bytes::from(body)))
+        .unwrap_or_default();
+    let deadline = Instant::now() + Duration::from_secs(1);
+    // What the server makes of it is seen in its books.
+    let _ = client::exchange(connection, request, deadline).await;
+}
--- a/crates/wire/tests/placer.rs
+++ b/crates/wire/tests/placer.rs
@@ -1,5 +1,8 @@
 //! Payloads of the placer's stream.
 
+mod common;
+
+use common::damaged;
 use quickcheck::QuickCheck;
 use savoryvane_core::{
     ids::{Incarnation, Offset},
@@ -52,10 +55,7 @@
 #[test]
 fn any_bytes_decode_or_fail_without_a_panic() {
     fn law(cut: usize, at: usize, byte: u8, noise: Vec<u8>) -> bool {
-        let mut payload = encode(&renewal()).unwrap();
-        let at = at % payload.len();
-        payload[at] = byte;
-        payload.truncate(cut % (payload.len() + 1));
+        let payload = damaged(encode(&renewal()).unwrap(), cut, at, byte);
         let _ = decode(&payload);
         let _ = decode(&noise);
         true
--- a/crates/wire/tests/quarantine.rs
+++ b/crates/wire/tests/quarantine.rs
@@ -1,5 +1,8 @@
 //! Payloads of the stream of requests that end backend servers.
 
+mod common;
+
+use common::damaged;
 use quickcheck::QuickCheck;
 use savoryvane_core::{
     ids::BackendName,
@@ -42,10 +45,7 @@
 #[test]
 fn any_bytes_decode_or_fail_without_a_panic() {
     fn law(cut: usize, at: usize, byte: u8, noise: Vec<u8>) -> bool {
-        let mut payload = encode(&stored(3, "press")).unwrap();
-        let at = at % payload.len();
-        payload[at] = byte;
-        payload.truncate(cut % (payload.len() + 1));
+        let payload = damaged(encode(&stored(3, "press")).unwrap(), cut, at, byte);
         let _ = decode(&payload);
         let _ = decode(&noise);
         true
