Log which answers of backend servers name a limit

The collected output of the incident can't tell which answers name a limit, of which height, when an instance sees it first and how many sends follow there. Each such answer has a line now, and a counter. No decision changes.

--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -191,6 +191,12 @@
         let Exchange { response, lease } = exchange;
         let status = response.status();
         let head = answer::decode(status, response.headers());
+        if let Some(limit_per_s) = head.limit_per_s {
+            info!(self.log, "server names a limit"; "request" => %caller.id,
+                "server" => %in_flight.server.id, "limit_per_s" => limit_per_s,
+                "elapsed_ms" => caller.elapsed_ms());
+            metrics::counter!("savoryvane_limits_named_total").increment(1);
+        }
         if let Some(fault) = fault(caller, status, &head) {
             warn!(self.log, "answer not used"; "request" => %caller.id,
                 "server" => %in_flight.server.id, "status" => status.as_u16(), "fault" => fault);
--- a/crates/server/src/gateway/calls.rs
+++ b/crates/server/src/gateway/calls.rs
@@ -152,7 +152,13 @@
         if stages::is_misdirected(status) {
             return CallEnd::Misdirected;
         }
-        if answer::decode(status, answer.headers()).is_not_run {
+        let head = answer::decode(status, answer.headers());
+        if let Some(limit_per_s) = head.limit_per_s {
+            info!(self.log, "server names a limit"; "call" => call.id.0,
+                "server" => %call.server, "limit_per_s" => limit_per_s);
+            metrics::counter!("savoryvane_limits_named_total").increment(1);
+        }
+        if head.is_not_run {
             return CallEnd::Full;
         }
         match stages::decode_run(answer.body()) {
