Keep what backend servers get from all instances together within the limits that they name

What callers saw: nothing yet; the platform saw a server that takes 1 request a second get 16 in 4 s, where 11 are allowed. Cause: a bound that belongs to a server, over all instances together, which nobody read; each instance went on sending sessions to their home. Evidence: the load of both servers before and after they named a limit is the same, by all instances.

The requests of a window of 4 s are dealt out to instances by a rendezvous hash, as those of cold servers are; both share the code for that now. A limit ends or rises only by the answer to a request that was sent after the server had named it last, since answers come in another order than they are given. Instances tell the one that schedules what servers have said, and ask it for what is new, so that who has no part learns of the end; where everyone is silent for 10 s they try one after the other. First sends, repeats, resumed streams and trials of quarantined requests go through the same choice; the scheduler of stages spaces its calls, and leaves results to expire rather than free them at a limited server. Where limits keep all servers of a service, callers are refused at once, before their stages, and told times to come back one after the other at the rate that is left.

--- a/crates/core/src/fleet/route.rs
+++ b/crates/core/src/fleet/route.rs
@@ -79,18 +79,25 @@
         };
         let can_serve = |index: &usize| {
             let backend = &self.backends[*index];
-            let takes_work = matches!(
-                backend.state(now_ms),
-                BackendState::Serving | BackendState::Unknown
-            );
-            takes_work
-                && backend.is_open(now_ms)
-                && has_model(backend, query.model)
+            takes_work(now_ms, backend, query)
                 && self.cold.allows(now_ms, &backend.name)
+                && self.limits.allows(now_ms, &backend.name)
         };
         pool.members.iter().copied().filter(can_serve).collect()
     }
 
+    /// Names the members that could take the call but for their limit.
+    pub(crate) fn held_back(&self, now_ms: u64, query: &RouteQuery<'_>) -> Vec<BackendName> {
+        let Some(pool) = self.pools.get(query.pool) else {
+            return Vec::new();
+        };
+        let members = pool.members.iter().map(|index| &self.backends[*index]);
+        let held_back = members.filter(|backend| {
+            takes_work(now_ms, backend, query) && !self.limits.allows(now_ms, &backend.name)
+        });
+        held_back.map(|backend| backend.name.clone()).collect()
+    }
+
     /// Returns the members that can take the call but for their health: where
     /// there is no better one, a call that may be repeated is worth a try, and a
     /// server that is slow or unlucky goes on serving when the others leave.
@@ -103,6 +110,7 @@
             backend.state(now_ms) != BackendState::Leaving
                 && has_model(backend, query.model)
                 && self.cold.allows(now_ms, &backend.name)
+                && self.limits.allows(now_ms, &backend.name)
         };
         pool.members.iter().copied().filter(can_serve).collect()
     }
@@ -215,6 +223,14 @@
     }
 }
 
+fn takes_work(now_ms: u64, backend: &KnownBackend, query: &RouteQuery<'_>) -> bool {
+    let is_serving = matches!(
+        backend.state(now_ms),
+        BackendState::Serving | BackendState::Unknown
+    );
+    is_serving && backend.is_open(now_ms) && has_model(backend, query.model)
+}
+
 fn has_model(backend: &KnownBackend, model: Option<&ModelName>) -> bool {
     match (model, &backend.models) {
         (Some(model), Some(models)) => models.contains(model),
--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -3,11 +3,13 @@
 
 mod budget;
 mod cold;
+mod dealing;
 mod directory;
 mod entry;
 mod evacuation;
 mod fetching;
 mod leaving;
+mod limits;
 mod objects;
 mod placement;
 mod position;
@@ -27,6 +29,8 @@
 };
 pub use fetching::FetchTimes;
 pub use leaving::AnswerTimes;
+pub(crate) use limits::MIN_LIMIT_PER_S;
+pub use limits::{LimitChange, LimitReport, NamedLimit, ServerLimits};
 pub use objects::{
     Batching, CallerLimits, ColdStart, Engine, Route, RouteKind, RouteStage, RoutingConfig,
     Service, Target, WorkspaceKeys,
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -173,19 +173,41 @@
         }
     }
 
+    /// Returns when a caller is to come back, in ms, where no server of `service` takes a
+    /// request and some do not for their limit only.
+    pub fn limited_retry_after_ms(&mut self, now_ms: u64, service: &PoolName) -> Option<u64> {
+        let held_back = self.held_back_all(now_ms, service)?;
+        let retry_after_ms = self.limits().retry_after_ms(now_ms, service, &held_back);
+        Some(retry_after_ms)
+    }
+
+    /// Tells whether limits keep all servers of `service` from taking a request of this
+    /// instance within `within_ms`.
+    pub fn is_limited_for(&mut self, now_ms: u64, service: &PoolName, within_ms: u64) -> bool {
+        let Some(held_back) = self.held_back_all(now_ms, service) else {
+            return false;
+        };
+        let opens_in_ms = |server| self.limits().opens_in_ms(now_ms, server);
+        let mut openings = held_back.iter().filter_map(opens_in_ms);
+        openings.all(|opens_in_ms| opens_in_ms > within_ms)
+    }
+
+    /// Names the servers of `service` that their limit holds back, if no server takes a
+    /// request.
+    fn held_back_all(&self, now_ms: u64, service: &PoolName) -> Option<Vec<BackendName>> {
+        let query = any_request(service);
+        if !self.eligible(now_ms, &query).is_empty() {
+            return None;
+        }
+        let held_back = self.held_back(now_ms, &query);
+        (!held_back.is_empty()).then_some(held_back)
+    }
+
     /// Returns the availability zone of a session's home among the servers of
     /// `service` that take work.
     pub fn home_zone(&self, now_ms: u64, service: &PoolName, prompt: &Prompt) -> Option<ZoneName> {
-        let query = RouteQuery {
-            pool: service,
-            model: None,
-            tried: &[],
-            prefix: None,
-            idempotent: true,
-            objective: Objective::Attainment,
-        };
         let session = prompt.session()?;
-        self.eligible(now_ms, &query)
+        self.eligible(now_ms, &any_request(service))
             .into_iter()
             .map(|index| &self.backends[index])
             .max_by_key(|backend| rendezvous(&backend.name, session))
@@ -248,6 +270,18 @@
     }
 }
 
+/// Returns the query for any server of `service`.
+fn any_request(service: &PoolName) -> RouteQuery<'_> {
+    RouteQuery {
+        pool: service,
+        model: None,
+        tried: &[],
+        prefix: None,
+        idempotent: true,
+        objective: Objective::Attainment,
+    }
+}
+
 /// Ranks a server for a session; the highest is its home.
 fn rendezvous(server: &BackendName, session: u64) -> u64 {
     xxh3_64_with_seed(server.as_str().as_bytes(), session)
--- a/crates/core/src/stages/calls.rs
+++ b/crates/core/src/stages/calls.rs
@@ -161,6 +161,7 @@
             return;
         };
         server.calls += 1;
+        server.on_called(now_ms);
         service.running += items.len();
         self.actions.push(StageAction::Call(StageCall {
             id,
--- a/crates/core/src/stages/scheduler.rs
+++ b/crates/core/src/stages/scheduler.rs
@@ -138,6 +138,15 @@
         }
     }
 
+    /// Takes over which calls a second servers take that name a limit.
+    pub fn set_limits(&mut self, limit_per_s: impl Fn(&BackendName) -> Option<f64>) {
+        for service in self.services.values_mut() {
+            for (name, server) in &mut service.servers {
+                server.limit_per_s = limit_per_s(name);
+            }
+        }
+    }
+
     /// Takes a request's stages, or refuses them where they would not be done in
     /// time; how they end is told by an action.
     pub fn submit(&mut self, now_ms: u64, submission: Submission) {
--- a/crates/core/src/stages/server.rs
+++ b/crates/core/src/stages/server.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::ids::ZoneName;
+use crate::{forwarding::MIN_LIMIT_PER_S, ids::ZoneName};
 
 /// Time for which a server that had no room is left alone at first, in ms: less than
 /// half of a call, after which it has room again.
@@ -52,6 +52,8 @@
     slow_until_ms: u64,
     /// Time that its calls take, as a multiple of what is usual.
     pub(super) slowness: f64,
+    /// Calls a second that it takes, if it names a limit.
+    pub(super) limit_per_s: Option<f64>,
 }
 
 impl Server {
@@ -67,6 +69,7 @@
             paused_until_ms: 0,
             slow_until_ms: 0,
             slowness: 1.0,
+            limit_per_s: None,
         }
     }
 
@@ -126,6 +129,15 @@
         self.fulls += 1;
     }
 
+    /// Notes a call of it: the next one has to wait where it names a limit, which one
+    /// scheduler uses for all instances.
+    pub(super) fn on_called(&mut self, now_ms: u64) {
+        if let Some(limit_per_s) = self.limit_per_s {
+            let pause_ms = 1_000.0 / limit_per_s.max(MIN_LIMIT_PER_S);
+            self.pause(now_ms, pause_ms.ceil() as u64);
+        }
+    }
+
     /// Notes that it took a call.
     pub(super) fn on_taken(&mut self) {
         self.fulls = 0;
--- a/crates/server/src/gateway.rs
+++ b/crates/server/src/gateway.rs
@@ -16,6 +16,7 @@
 mod instance;
 mod keeping;
 mod knowledge;
+mod limits;
 mod listing;
 mod members;
 mod peering;
--- a/crates/server/src/gateway/answers.rs
+++ b/crates/server/src/gateway/answers.rs
@@ -47,6 +47,9 @@
     Leaving,
     /// No server takes it now, and none has run it.
     NoServer,
+    /// Servers would take it but for the limits that they name, and none has run it; when
+    /// to come back, in ms.
+    Limited(u64),
     /// Its answer was lost; it may have run.
     Lost,
     /// Its time was over while a server had it; it may have run.
@@ -68,6 +71,7 @@
             Self::CopyRuns(_) => "copy_runs",
             Self::Leaving => "leaving",
             Self::NoServer => "no_server",
+            Self::Limited(_) => "servers_limited",
             Self::Lost => "answer_lost",
             Self::Overdue => "overdue",
         }
@@ -86,7 +90,8 @@
             | Self::Stages(..)
             | Self::CopyRuns(_)
             | Self::Leaving
-            | Self::NoServer => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::NoServer
+            | Self::Limited(_) => StatusCode::SERVICE_UNAVAILABLE,
             // It has run, under other identifiers or this one.
             Self::Lost | Self::EndsServers(_) => StatusCode::BAD_GATEWAY,
             Self::Overdue => StatusCode::GATEWAY_TIMEOUT,
@@ -98,7 +103,7 @@
             Self::Starting => Some(STARTING_RETRY_AFTER_MS),
             Self::Stages(_, retry_after_ms) => Some(retry_after_ms),
             Self::EndsServers(retry_after_ms) => retry_after_ms,
-            Self::CopyRuns(retry_after_ms) => Some(retry_after_ms),
+            Self::CopyRuns(retry_after_ms) | Self::Limited(retry_after_ms) => Some(retry_after_ms),
             Self::Leaving => Some(LEAVING_RETRY_AFTER_MS),
             Self::NoServer => Some(NO_SERVER_RETRY_AFTER_MS),
             _ => None,
--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -54,6 +54,7 @@
     pub(super) server: ServerEntry,
     route: Arc<Route>,
     began: Instant,
+    sent_at_ms: u64,
     has_ended: bool,
 }
 
@@ -131,6 +132,7 @@
             server: entry,
             route: Arc::clone(&caller.matched.route),
             began: Instant::now(),
+            sent_at_ms: now_ms,
             has_ended: false,
         };
         let reuse = match caller.repeats() {
@@ -191,12 +193,9 @@
         let Exchange { response, lease } = exchange;
         let status = response.status();
         let head = answer::decode(status, response.headers());
-        if let Some(limit_per_s) = head.limit_per_s {
-            info!(self.log, "server names a limit"; "request" => %caller.id,
-                "server" => %in_flight.server.id, "limit_per_s" => limit_per_s,
-                "elapsed_ms" => caller.elapsed_ms());
-            metrics::counter!("savoryvane_limits_named_total").increment(1);
-        }
+        let server = &in_flight.server.id;
+        self.knowledge
+            .on_limit(server, in_flight.sent_at_ms, head.limit);
         if let Some(fault) = fault(caller, status, &head) {
             warn!(self.log, "answer not used"; "request" => %caller.id,
                 "server" => %in_flight.server.id, "status" => status.as_u16(), "fault" => fault);
--- a/crates/server/src/gateway/calls.rs
+++ b/crates/server/src/gateway/calls.rs
@@ -140,6 +140,7 @@
             }
         };
         let timeout = Duration::from_millis(call.timeout_ms);
+        let sent_at_ms = self.knowledge.now_ms();
         let answer = self
             .post(&call.server, call.addr, stages::RUN_PATH, body, timeout)
             .await;
@@ -153,11 +154,8 @@
             return CallEnd::Misdirected;
         }
         let head = answer::decode(status, answer.headers());
-        if let Some(limit_per_s) = head.limit_per_s {
-            info!(self.log, "server names a limit"; "call" => call.id.0,
-                "server" => %call.server, "limit_per_s" => limit_per_s);
-            metrics::counter!("savoryvane_limits_named_total").increment(1);
-        }
+        self.knowledge
+            .on_limit(&call.server, sent_at_ms, head.limit);
         if head.is_not_run {
             return CallEnd::Full;
         }
@@ -208,8 +206,15 @@
             let entry = directory.entry(server);
             entry.is_some_and(|entry| directory.evacuated().contains(&entry.zone))
         };
-        if is_closed {
-            // Nothing is sent to an evacuated zone; the server drops them by itself.
+        let is_limited = self
+            .knowledge
+            .fleet()
+            .limits()
+            .limit_per_s(server)
+            .is_some();
+        if is_closed || is_limited {
+            // Nothing is sent to an evacuated zone, and what a limited server takes is left
+            // for pieces; the server drops results by itself.
             return true;
         }
         let freed = self
--- a/crates/server/src/gateway/dispatch.rs
+++ b/crates/server/src/gateway/dispatch.rs
@@ -277,7 +277,17 @@
                 }
             }
         }
+        {
+            let mut fleet = dispatch.knowledge.fleet();
+            let limits = fleet.limits();
+            dispatch
+                .scheduler()
+                .set_limits(|server| limits.limit_per_s(server));
+        }
         dispatch.carry_out();
-        dispatch.knowledge.changed().await;
+        tokio::select! {
+            () = dispatch.knowledge.changed() => {}
+            () = dispatch.knowledge.limits_changed() => {}
+        }
     }
 }
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -5,6 +5,7 @@
 use http::{Request, Response, StatusCode, uri::PathAndQuery};
 use hyper::body::Incoming;
 use savoryvane_core::{
+    fleet::Fleet,
     forwarding::{Chosen, Placement, Repeats, Route},
     ids::{BackendName, RequestId, ZoneName},
     poison::DigestBuilder,
@@ -95,6 +96,7 @@
     async fn run(self: &Arc<Self>, caller: CallerRequest) -> Result<Response<Body>, Why> {
         let mut permit = None;
         self.admit(&caller, &mut permit).await?;
+        self.expect_server(&caller)?;
         let inputs = self.run_stages(&caller).await?;
         self.send(caller, inputs, permit).await
     }
@@ -244,6 +246,25 @@
         Ok(left.min(leaves_in))
     }
 
+    /// Refuses a request before its stages where limits keep all servers from taking it
+    /// within its goal.
+    fn expect_server(&self, caller: &CallerRequest) -> Result<(), Why> {
+        let goal_ms = caller.route().goal_ms;
+        let left_ms = goal_ms.saturating_sub(caller.elapsed_ms());
+        let now_ms = self.clock.now_ms();
+        let mut fleet = self.knowledge.fleet();
+        match fleet.is_limited_for(now_ms, &caller.service, left_ms) {
+            true => Err(no_server(&mut fleet, now_ms, caller)),
+            false => Ok(()),
+        }
+    }
+
+    /// Tells why there is no server for a request that none has run.
+    pub(super) fn why_no_server(&self, caller: &CallerRequest) -> Why {
+        let now_ms = self.clock.now_ms();
+        no_server(&mut self.knowledge.fleet(), now_ms, caller)
+    }
+
     /// Chooses the server of the next send.
     pub(super) fn choose(
         &self,
@@ -308,6 +329,11 @@
     }
 }
 
+fn no_server(fleet: &mut Fleet, now_ms: u64, caller: &CallerRequest) -> Why {
+    let retry_after_ms = fleet.limited_retry_after_ms(now_ms, &caller.service);
+    retry_after_ms.map_or(Why::NoServer, Why::Limited)
+}
+
 /// Estimates the time from the end of a request's stages to its first event.
 fn rest_ms(caller: &CallerRequest) -> u64 {
     let tokens = caller.prompt().map_or(0, |prompt| {
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -23,10 +23,12 @@
     ingress::{self, Service},
     keeping::Keeper,
     knowledge::Knowledge,
+    limits::LimitSharing,
     members::{self, Members},
     peering::Peering,
     quarantine::Quarantine,
-    register, scheduling,
+    register,
+    scheduling::SchedulerWatch,
     settings::{GatewayListen, GatewaySettings},
     stages::Stages,
     store::StoreClient,
@@ -180,6 +182,7 @@
     dispatch: Arc<Dispatch>,
     ends: Arc<CrashDetector>,
     quarantine: Arc<Quarantine>,
+    limits: Arc<LimitSharing>,
     forwarder: Arc<Forwarder>,
     peer_server: PeerServer<Peering>,
 }
@@ -269,11 +272,14 @@
             ends: Arc::clone(&ends),
             quarantine: Arc::clone(&quarantine),
         });
+        let limits = LimitSharing::new(Arc::clone(&knowledge), log.clone());
+        let limits = Arc::new(limits);
         let handler = Arc::new(Peering {
             members: Arc::clone(&members),
             catch_up: Arc::clone(&catch_up),
             dispatch: Arc::clone(&dispatch),
             quarantine: Arc::clone(&quarantine),
+            limits: Arc::clone(&limits),
             phases: Arc::clone(phases),
             started: Instant::now(),
         });
@@ -288,6 +294,7 @@
             dispatch,
             ends,
             quarantine,
+            limits,
             forwarder,
             peer_server: PeerServer {
                 me,
@@ -323,14 +330,16 @@
         tasks.spawn(register::follow(follower.clone()));
         tasks.spawn(register::settle(Arc::clone(&self.knowledge)));
         tasks.spawn(follow::instances(follower));
-        tasks.spawn(scheduling::watch_scheduler(
-            Arc::clone(&self.members),
-            Arc::clone(&self.catch_up),
-            Arc::clone(&self.quarantine),
-            Arc::clone(&self.dispatch),
-            Arc::clone(&self.phases),
-            self.store.clone(),
-        ));
+        let watch = SchedulerWatch {
+            members: Arc::clone(&self.members),
+            catch_up: Arc::clone(&self.catch_up),
+            quarantine: Arc::clone(&self.quarantine),
+            limits: self.limits,
+            dispatch: Arc::clone(&self.dispatch),
+            phases: Arc::clone(&self.phases),
+            store: self.store.clone(),
+        };
+        tasks.spawn(Arc::new(watch).run());
         let keeper = Arc::new(Keeper {
             quarantine: Arc::clone(&self.quarantine),
             members: Arc::clone(&self.members),
--- a/crates/server/src/gateway/knowledge.rs
+++ b/crates/server/src/gateway/knowledge.rs
@@ -13,14 +13,14 @@
     fleet::Fleet,
     forwarding::{
         AnswerTimes, ColdServers, ColdStart, Cursor, Directory, DirectoryUpdate, EvacuationState,
-        Evacuations, FetchTimes, LapsingServer, Position, RepeatBudgets, RouteTable, RoutingConfig,
-        ServerEntry, UsualDeadlines,
+        Evacuations, FetchTimes, LapsingServer, LimitChange, LimitReport, NamedLimit, Position,
+        RepeatBudgets, RouteTable, RoutingConfig, ServerEntry, UsualDeadlines,
     },
     ids::{BackendName, PoolName},
     settings::PolicySettings,
 };
 use savoryvane_platform::store;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::Notify;
 
 use super::{follow::Batch, settings::GatewaySettings};
@@ -55,6 +55,8 @@
     fetch_times: Mutex<FetchTimes>,
     /// Told after every change of routes or servers.
     changed: Notify,
+    /// Told after every change of a server's limit.
+    limits_changed: Notify,
 }
 
 impl Knowledge {
@@ -83,9 +85,15 @@
             answer_times: Mutex::default(),
             fetch_times: Mutex::default(),
             changed: Notify::new(),
+            limits_changed: Notify::new(),
         }
     }
 
+    /// Returns the time of this instance's clock, in ms.
+    pub(super) fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
     /// Returns the routes, once they are known.
     pub(super) fn table(&self) -> Option<Arc<RouteTable>> {
         self.table.load_full()
@@ -333,6 +341,70 @@
         }
     }
 
+    /// Takes in what the answer to a request sent at `sent_at_ms` says of its server's
+    /// limit.
+    pub(super) fn on_limit(&self, server: &BackendName, sent_at_ms: u64, named: NamedLimit) {
+        if named == NamedLimit::Unreadable {
+            warn!(self.log, "limit not understood"; "server" => %server);
+            metrics::counter!("savoryvane_limits_unreadable_total").increment(1);
+        }
+        let now_ms = self.clock.now_ms();
+        let change = {
+            let mut fleet = self.fleet();
+            fleet.limits().on_answer(now_ms, sent_at_ms, server, named)
+        };
+        if let Some(change) = change {
+            self.note_limit(server, change, "its answer");
+        }
+    }
+
+    /// Takes over what another instance knows of servers' limits.
+    pub(super) fn update_limits(&self, reports: Vec<LimitReport>) {
+        let now_ms = self.clock.now_ms();
+        let changes = self.fleet().limits().on_reports(now_ms, reports);
+        self.note_limits(&changes);
+    }
+
+    /// Takes over what another instance knows of servers' limits, which knows this one up
+    /// to `known_revision`; returns what it does not know, and up to which revision it does
+    /// with that.
+    pub(super) fn exchange_limits(
+        &self,
+        known_revision: u64,
+        reports: Vec<LimitReport>,
+    ) -> (u64, Vec<LimitReport>) {
+        let now_ms = self.clock.now_ms();
+        let (unknown, changes, revision) = {
+            let mut fleet = self.fleet();
+            let limits = fleet.limits();
+            let unknown = limits.reports_since(now_ms, known_revision);
+            let changes = limits.on_reports(now_ms, reports);
+            (unknown, changes, limits.revision())
+        };
+        self.note_limits(&changes);
+        (revision, unknown)
+    }
+
+    fn note_limits(&self, changes: &[(BackendName, LimitChange)]) {
+        for (server, change) in changes {
+            self.note_limit(server, *change, "peer");
+        }
+    }
+
+    fn note_limit(&self, server: &BackendName, change: LimitChange, source: &'static str) {
+        let limited = self.fleet().limits().count();
+        info!(self.log, "server limit changed"; "server" => %server,
+            "limit_per_s" => change.after, "before" => change.before, "source" => source,
+            "limited" => limited);
+        metrics::gauge!("savoryvane_limited_servers").set(limited as f64);
+        self.limits_changed.notify_one();
+    }
+
+    /// Waits for the next change of a server's limit.
+    pub(super) async fn limits_changed(&self) {
+        self.limits_changed.notified().await;
+    }
+
     /// Notes that a server says that it is leaving or that it is gone.
     pub(super) fn on_leaving(&self, id: &BackendName) {
         if self.directory().on_leaving(id) {
--- a/crates/server/src/gateway/members.rs
+++ b/crates/server/src/gateway/members.rs
@@ -189,8 +189,9 @@
         let count = u32::try_from(listed.peers().count()).unwrap_or(u32::MAX);
         info!(self.log, "instances listed"; "instances" => count, "position" => %listed.cursor());
         self.knowledge.budgets().on_listed(count);
-        let names = listed.peers().map(|peer| &peer.instance);
-        self.knowledge.fleet().cold().set_listed(names);
+        let names = listed.peers().map(|peer| peer.instance.clone());
+        let names: Vec<InstanceName> = names.collect();
+        self.knowledge.fleet().set_listed(&names);
         let others = listed.peers().filter(|peer| peer.instance != self.me);
         self.peers.set_addrs(others.map(contact));
         let candidates = listed.peers().map(|peer| Candidate {
--- a/crates/server/src/gateway/peering.rs
+++ b/crates/server/src/gateway/peering.rs
@@ -6,7 +6,10 @@
 use savoryvane_wire::peer::{Declined, Message, SchedulerState, Taken};
 use tokio::time::{self, Instant};
 
-use super::{catch_up::CatchUp, dispatch::Dispatch, members::Members, quarantine::Quarantine};
+use super::{
+    catch_up::CatchUp, dispatch::Dispatch, limits::LimitSharing, members::Members,
+    quarantine::Quarantine,
+};
 use crate::{
     peer::{PeerAnswer, PeerHandler, PeerId},
     phase::{Phase, Phases},
@@ -23,6 +26,7 @@
     pub(super) catch_up: Arc<CatchUp>,
     pub(super) dispatch: Arc<Dispatch>,
     pub(super) quarantine: Arc<Quarantine>,
+    pub(super) limits: Arc<LimitSharing>,
     pub(super) phases: Arc<Phases>,
 }
 
@@ -71,6 +75,7 @@
             Message::SchedulerQuery(_) => Message::SchedulerState(SchedulerState {
                 is_taking: self.is_taking(),
                 known: self.catch_up.known(&self.members),
+                limits_revision: self.limits.revision(),
             }),
             Message::RoutingQuery(question) => {
                 let answer = self.catch_up.answer(&self.members, question);
@@ -80,6 +85,7 @@
                 let answer = self.quarantine.on_query(question);
                 answer.map_or(Message::Declined(Declined::NotMine), Message::CrashState)
             }
+            Message::LimitQuery(question) => Message::LimitState(self.limits.on_query(question)),
             Message::PermitQuery(question) => Message::PermitState(self.quarantine.grant(question)),
             Message::PermitReturn(returned) => {
                 self.quarantine.on_returned(returned);
--- a/crates/server/src/gateway/scheduling.rs
+++ b/crates/server/src/gateway/scheduling.rs
@@ -6,13 +6,13 @@
 };
 
 use savoryvane_core::ids::InstanceName;
-use savoryvane_wire::peer::{Message, SchedulerQuery, SchedulerState};
+use savoryvane_wire::peer::{Message, SchedulerQuery};
 use slog::{info, warn};
 use tokio::time::{self, Instant};
 
 use super::{
-    catch_up::CatchUp, dispatch::Dispatch, members::Members, quarantine::Quarantine,
-    store::StoreClient,
+    catch_up::CatchUp, dispatch::Dispatch, limits::LimitSharing, members::Members,
+    quarantine::Quarantine, store::StoreClient,
 };
 use crate::{
     lock::lock,
@@ -123,104 +123,106 @@
     }
 }
 
-/// Asks the instance that schedules, and those that went before it, whether
-/// they are there.
-pub(super) async fn watch_scheduler(
-    members: Arc<Members>,
-    catch_up: Arc<CatchUp>,
-    quarantine: Arc<Quarantine>,
-    dispatch: Arc<Dispatch>,
-    phases: Arc<Phases>,
-    store: StoreClient,
-) {
-    let mut heard = members.heard.subscribe();
-    let mut current = None;
-    loop {
-        let interval = match current {
-            Some(_) => ASK_INTERVAL,
-            None => LOOKING_INTERVAL,
-        };
-        let next_look = Instant::now() + interval;
-        if phases.current() != Phase::Starting {
-            store.set_reader(members.reader());
-        }
-        let now_ms = members.clock.now_ms();
-        members.choice().on_look(now_ms);
-        let asked = members.choice().to_ask(now_ms);
-        for instance in asked {
-            if members.is_me(&instance) {
-                members.ask_self(&phases);
-            } else {
-                tokio::spawn(ask(
-                    Arc::clone(&members),
-                    instance,
-                    Arc::clone(&catch_up),
-                    Arc::clone(&quarantine),
-                ));
-            }
-        }
-        // What is heard meanwhile may tell which one schedules.
+/// Watches which instance schedules, and follows what it knows.
+pub(super) struct SchedulerWatch {
+    pub(super) members: Arc<Members>,
+    pub(super) catch_up: Arc<CatchUp>,
+    pub(super) quarantine: Arc<Quarantine>,
+    pub(super) limits: Arc<LimitSharing>,
+    pub(super) dispatch: Arc<Dispatch>,
+    pub(super) phases: Arc<Phases>,
+    pub(super) store: StoreClient,
+}
+
+impl SchedulerWatch {
+    /// Asks the instance that schedules, and those that went before it, whether they are
+    /// there.
+    pub(super) async fn run(self: Arc<Self>) {
+        let (members, phases) = (&self.members, &self.phases);
+        let mut heard = members.heard.subscribe();
+        let mut current = None;
         loop {
-            let now = members.scheduler();
-            if now != current {
-                members.on_chosen(current.as_ref(), now.as_ref(), &dispatch);
-                // What is kept is read at once by who schedules now.
-                quarantine.changed.notify_one();
-                let is_lost = now.is_none();
-                current = now;
-                if is_lost {
-                    break;
+            let interval = match current {
+                Some(_) => ASK_INTERVAL,
+                None => LOOKING_INTERVAL,
+            };
+            let next_look = Instant::now() + interval;
+            if phases.current() != Phase::Starting {
+                self.store.set_reader(members.reader());
+            }
+            let now_ms = members.clock.now_ms();
+            members.choice().on_look(now_ms);
+            let asked = members.choice().to_ask(now_ms);
+            for instance in asked {
+                if members.is_me(&instance) {
+                    members.ask_self(phases);
+                } else {
+                    tokio::spawn(Arc::clone(&self).ask(instance));
                 }
             }
-            tokio::select! {
-                () = time::sleep_until(next_look) => break,
-                _ = heard.changed() => {}
-                () = phases.reached(Phase::Leaving), if !phases.is_leaving() => break,
+            // What is heard meanwhile may tell which one schedules.
+            loop {
+                let now = members.scheduler();
+                if now != current {
+                    members.on_chosen(current.as_ref(), now.as_ref(), &self.dispatch);
+                    // What is kept is read at once by who schedules now.
+                    self.quarantine.changed.notify_one();
+                    let is_lost = now.is_none();
+                    current = now;
+                    if is_lost {
+                        break;
+                    }
+                }
+                tokio::select! {
+                    () = time::sleep_until(next_look) => break,
+                    _ = heard.changed() => {}
+                    () = phases.reached(Phase::Leaving), if !phases.is_leaving() => break,
+                }
             }
         }
     }
-}
 
-async fn ask(
-    members: Arc<Members>,
-    instance: InstanceName,
-    catch_up: Arc<CatchUp>,
-    quarantine: Arc<Quarantine>,
-) {
-    let question = Message::SchedulerQuery(SchedulerQuery);
-    let answer = members
-        .peers()
-        .request(&instance, None, &question, ASK_TIMEOUT)
-        .await;
-    let now_ms = members.clock.now_ms();
-    let state = {
-        let mut choice = members.choice();
-        match answer {
-            Ok(Message::SchedulerState(state)) if state.is_taking => {
-                choice.on_answer(&instance);
-                Some(state)
-            }
-            Ok(_) => {
-                choice.on_declined(now_ms, &instance);
-                None
-            }
-            Err(err) => {
-                if err.is_nothing_done() {
-                    choice.on_unreachable(now_ms, &instance);
-                } else {
-                    choice.on_miss(now_ms, &instance);
+    async fn ask(self: Arc<Self>, instance: InstanceName) {
+        let members = &self.members;
+        let question = Message::SchedulerQuery(SchedulerQuery);
+        let answer = members
+            .peers()
+            .request(&instance, None, &question, ASK_TIMEOUT)
+            .await;
+        let now_ms = members.clock.now_ms();
+        let state = {
+            let mut choice = members.choice();
+            match answer {
+                Ok(Message::SchedulerState(state)) if state.is_taking => {
+                    choice.on_answer(&instance);
+                    Some(state)
+                }
+                Ok(_) => {
+                    choice.on_declined(now_ms, &instance);
+                    None
+                }
+                Err(err) => {
+                    if err.is_nothing_done() {
+                        choice.on_unreachable(now_ms, &instance);
+                    } else {
+                        choice.on_miss(now_ms, &instance);
+                    }
+                    None
                 }
-                None
             }
-        }
-    };
-    members.heard.send_replace(());
-    // The next one is asked too; it knows what the one that schedules has told it.
-    let schedules = members.scheduler().as_ref() == Some(&instance);
-    if let Some(SchedulerState { known, .. }) = state.filter(|_| schedules) {
+        };
+        members.heard.send_replace(());
+        // The next one is asked too; it knows what the one that schedules has told it.
+        let schedules = members.scheduler().as_ref() == Some(&instance);
+        let Some(state) = state.filter(|_| schedules) else {
+            return;
+        };
+        let incarnation = state.known.incarnation;
         tokio::join!(
-            catch_up.follow(&members, &instance, known),
-            quarantine.follow(&instance, known.incarnation),
+            self.catch_up.follow(members, &instance, state.known),
+            self.quarantine.follow(&instance, incarnation),
+            self.limits
+                .follow(members, &instance, incarnation, state.limits_revision),
         );
     }
 }
--- a/crates/server/src/gateway/sending.rs
+++ b/crates/server/src/gateway/sending.rs
@@ -49,7 +49,7 @@
                 return Err(if may_have_run {
                     Why::Lost
                 } else {
-                    Why::NoServer
+                    self.why_no_server(&caller)
                 });
             };
             if !may_have_run {
@@ -112,7 +112,7 @@
                     }
                 }
                 (NextStep::SendAgain, _) => {}
-                (NextStep::Give(Giving::Refusal), _) => return Err(Why::NoServer),
+                (NextStep::Give(Giving::Refusal), _) => return Err(self.why_no_server(&caller)),
                 (NextStep::Give(Giving::ServersFailure), Some(response)) => {
                     self.log_answered(&caller, &server, response.status(), sends);
                     return Ok(response.map(http_body::full));
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -13,6 +13,7 @@
 mod limits;
 mod poison;
 mod routing;
+mod server_limits;
 
 use bincode::config::{Configuration, Limit, LittleEndian, Varint};
 pub use poison::{CrashQuery, CrashState, KnownCrashes, PermitQuery, PermitReturn};
@@ -30,6 +31,7 @@
     stages::{RequestKey, StageOutcome, Submission},
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+pub use server_limits::{LimitQuery, LimitState};
 
 use limits::is_within_limits;
 
@@ -311,6 +313,10 @@
     34 PermitReturn(PermitReturn),
     /// Servers that ended under requests of pipelines.
     35 Ends(Vec<CrashReport>),
+    /// Tells of limits that servers name, and asks for others; a request.
+    39 LimitQuery(LimitQuery),
+    /// Answer to that request.
+    40 LimitState(LimitState),
 }
 
 /// Why a request gets no other answer.
--- a/crates/wire/src/peer/limits.rs
+++ b/crates/wire/src/peer/limits.rs
@@ -2,7 +2,7 @@
 
 use savoryvane_core::{
     digest::{DigestBatch, Leaver, ZoneDigest},
-    forwarding::{DirectoryUpdate, MAX_ZONES},
+    forwarding::{DirectoryUpdate, LimitReport, MAX_ZONES},
     ids::MAX_NAME_BYTES,
     poison::CrashReport,
     quota::Claimant,
@@ -43,6 +43,8 @@
         Message::PermitState(PermitState::Quarantined(records)) | Message::Ends(records) => {
             are_ends_bounded(records)
         }
+        Message::LimitQuery(query) => are_limits_bounded(&query.reports),
+        Message::LimitState(state) => are_limits_bounded(&state.reports),
         Message::ClaimAppend(append) => append.claims.len() <= MAX_ENTRIES,
         Message::AnswerState(_)
         | Message::ConfigHead(_)
@@ -64,6 +66,14 @@
     name.len() <= MAX_NAME_BYTES
 }
 
+fn are_limits_bounded(reports: &[LimitReport]) -> bool {
+    reports.len() <= MAX_ENTRIES
+        && reports.iter().all(|report| {
+            let limit_per_s = report.limit_per_s.unwrap_or_default();
+            is_short(report.server.as_str()) && limit_per_s.is_finite() && limit_per_s >= 0.0
+        })
+}
+
 fn is_key(key: &str) -> bool {
     key.len() <= MAX_KEY_BYTES
 }
--- a/crates/wire/src/peer/routing.rs
+++ b/crates/wire/src/peer/routing.rs
@@ -22,6 +22,8 @@
     pub is_taking: bool,
     /// What it knows.
     pub known: KnownState,
+    /// Revision of what it knows of the limits that servers name.
+    pub limits_revision: u64,
 }
 
 /// How far an instance's knowledge of routes, servers and instances goes.
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -4,7 +4,8 @@
 use savoryvane_core::ids::{Incarnation, Offset, RegionName, ZoneName};
 use savoryvane_core::{
     forwarding::{
-        Cursor, DirectoryUpdate, EvacuationState, LapsingServer, RoutingConfig, ZoneOrder,
+        Cursor, DirectoryUpdate, EvacuationState, LapsingServer, LimitReport, RoutingConfig,
+        ZoneOrder,
     },
     poison::{Evidence, Permit, RequestDigest},
     stages::{DonePiece, ResultRef, StageWork},
@@ -135,6 +136,15 @@
         Message::SchedulerState(SchedulerState {
             is_taking: true,
             known: known(),
+            limits_revision: 3,
+        }),
+        Message::LimitQuery(LimitQuery {
+            known_revision: 7,
+            reports: vec![limit_report(Some(1.5))],
+        }),
+        Message::LimitState(LimitState {
+            revision: 9,
+            reports: vec![limit_report(None)],
         }),
         Message::RoutingQuery(RoutingQuery {
             version: 4,
@@ -177,6 +187,26 @@
     ]
 }
 
+fn limit_report(limit_per_s: Option<f64>) -> LimitReport {
+    LimitReport {
+        server: "i-1".into(),
+        limit_per_s,
+        age_ms: 20,
+    }
+}
+
+/// A limit that no server can keep to is refused before it is reckoned with.
+#[test]
+fn limits_that_are_no_sound_numbers_are_refused() {
+    for limit_per_s in [-1.0, f64::NAN, f64::INFINITY] {
+        let message = Message::LimitState(LimitState {
+            revision: 1,
+            reports: vec![limit_report(Some(limit_per_s))],
+        });
+        assert_eq!(encode(&message), Err(FrameError::OverLimit(40)));
+    }
+}
+
 fn cursor(offset: u64) -> Cursor {
     Cursor {
         era: 2,
