--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod deployment;
 pub mod figures;
+pub mod limit_load;
 pub mod peer_net;
 pub mod poison_day;
 pub mod policy;
--- a/crates/core/src/bucket.rs
+++ b/crates/core/src/bucket.rs
@@ -59,6 +59,14 @@
         }
     }
 
+    /// Creates an empty bucket.
+    pub fn empty(now_ms: u64) -> Self {
+        Self {
+            tokens: 0,
+            filled_ms: now_ms,
+        }
+    }
+
     /// Adds what came in since the last call.
     pub fn fill(&mut self, now_ms: u64, flow: Flow) {
         let elapsed_ms = now_ms.saturating_sub(self.filled_ms);
@@ -67,6 +75,13 @@
         self.filled_ms = self.filled_ms.max(now_ms);
     }
 
+    /// Adds what came in since the last call, to hold `most_milli` thousandths of a request
+    /// at most.
+    pub fn fill_to(&mut self, now_ms: u64, flow: Flow, most_milli: u64) {
+        self.fill(now_ms, flow);
+        self.tokens = self.tokens.min(most_milli.saturating_mul(MILLI));
+    }
+
     /// Takes the token of one request, if there is one.
     pub fn take(&mut self) -> bool {
         let is_enough = self.tokens >= ONE;
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -80,7 +80,7 @@
     overload: Overload,
     shares: Shares,
     cold: ColdServers,
-    limits: ServerLimits,
+    pub(crate) limits: ServerLimits,
     pub(crate) retry_budget: RetryBudget,
     pub(crate) costs: CostLedger,
 }
@@ -95,8 +95,8 @@
         seed: u64,
     ) -> Self {
         Self {
-            cold: ColdServers::new(&instance),
-            limits: ServerLimits::new(&instance),
+            cold: ColdServers::new(instance.clone()),
+            limits: ServerLimits::default(),
             instance,
             zone,
             retry_budget: RetryBudget::new(&settings),
@@ -183,17 +183,11 @@
         &mut self.cold
     }
 
-    /// Returns the limits that servers name, and what this instance may send them.
+    /// Returns the limits that servers name.
     pub fn limits(&mut self) -> &mut ServerLimits {
         &mut self.limits
     }
 
-    /// Takes over the list of instances that share what cold and limited servers take.
-    pub fn set_listed(&mut self, instances: &[InstanceName]) {
-        self.cold.set_listed(instances);
-        self.limits.set_listed(instances);
-    }
-
     /// Notes how many other instances use the same backend servers.
     pub fn set_peers(&mut self, peers: u32) {
         self.peers = peers;
@@ -296,7 +290,6 @@
 
     pub(crate) fn on_call_sent(&mut self, now_ms: u64, name: &BackendName) {
         self.cold.on_sent(now_ms, name);
-        self.limits.on_sent(now_ms, name);
         if let Some(backend) = self.known_mut(name) {
             backend.in_flight += 1;
             backend.recent.record(now_ms, backend.in_flight);
@@ -305,10 +298,7 @@
 
     pub(crate) fn on_call_ended(&mut self, now_ms: u64, name: &BackendName, end: CallEnd) {
         match end {
-            CallEnd::Failed(Fault::Unreachable) => {
-                self.limits.on_not_sent(name);
-                self.on_unreached(now_ms, name);
-            }
+            CallEnd::Failed(Fault::Unreachable) => self.on_unreached(now_ms, name),
             CallEnd::Failed(Fault::Silent) | CallEnd::Abandoned => {}
             CallEnd::Done { .. } | CallEnd::Refused(_) | CallEnd::Failed(Fault::Failing) => {
                 self.on_reached(name);
--- a/crates/core/src/fleet/route.rs
+++ b/crates/core/src/fleet/route.rs
@@ -74,28 +74,36 @@
 
     /// Returns the members that can take the call.
     fn able(&self, now_ms: u64, query: &RouteQuery<'_>) -> Vec<usize> {
+        let mut able = self.able_with_grant(now_ms, query);
+        able.retain(|index| self.limits.is_open(now_ms, &self.backends[*index].name));
+        able
+    }
+
+    /// Returns the members that can take the call, also where no grant is to be had for them.
+    fn able_with_grant(&self, now_ms: u64, query: &RouteQuery<'_>) -> Vec<usize> {
         let Some(pool) = self.pools.get(query.pool) else {
             return Vec::new();
         };
         let can_serve = |index: &usize| {
             let backend = &self.backends[*index];
-            takes_work(now_ms, backend, query)
-                && self.cold.allows(now_ms, &backend.name)
-                && self.limits.allows(now_ms, &backend.name)
+            takes_work(now_ms, backend, query) && self.cold.allows(now_ms, &backend.name)
         };
         pool.members.iter().copied().filter(can_serve).collect()
     }
 
-    /// Names the members that could take the call but for their limit.
-    pub(crate) fn held_back(&self, now_ms: u64, query: &RouteQuery<'_>) -> Vec<BackendName> {
-        let Some(pool) = self.pools.get(query.pool) else {
-            return Vec::new();
-        };
-        let members = pool.members.iter().map(|index| &self.backends[*index]);
-        let held_back = members.filter(|backend| {
-            takes_work(now_ms, backend, query) && !self.limits.allows(now_ms, &backend.name)
+    /// Returns the members that can take the call and their limits, if all of them name one.
+    pub(crate) fn all_limited(
+        &self,
+        now_ms: u64,
+        query: &RouteQuery<'_>,
+    ) -> Vec<(BackendName, f64)> {
+        let able = self.able_with_grant(now_ms, query).into_iter();
+        let limits = able.map(|index| {
+            let name = &self.backends[index].name;
+            Some((name.clone(), self.limits.limit_per_s(name)?))
         });
-        held_back.map(|backend| backend.name.clone()).collect()
+        let limits: Option<Vec<(BackendName, f64)>> = limits.collect();
+        limits.unwrap_or_default()
     }
 
     /// Returns the members that can take the call but for their health: where
@@ -110,7 +118,7 @@
             backend.state(now_ms) != BackendState::Leaving
                 && has_model(backend, query.model)
                 && self.cold.allows(now_ms, &backend.name)
-                && self.limits.allows(now_ms, &backend.name)
+                && self.limits.is_open(now_ms, &backend.name)
         };
         pool.members.iter().copied().filter(can_serve).collect()
     }
--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -3,11 +3,11 @@
 
 mod budget;
 mod cold;
-mod dealing;
 mod directory;
 mod entry;
 mod evacuation;
 mod fetching;
+mod grants;
 mod leaving;
 mod limits;
 mod objects;
@@ -28,14 +28,15 @@
     EvacuationState, Evacuations, LISTED_FOR_MS, MAX_ZONES, MISSING_FOR_MS, ZoneOrder,
 };
 pub use fetching::FetchTimes;
+pub(crate) use grants::MIN_LIMIT_PER_S;
+pub use grants::{GrantPurpose, GrantQuery, GrantState, LimitGrants};
 pub use leaving::AnswerTimes;
-pub(crate) use limits::MIN_LIMIT_PER_S;
 pub use limits::{LimitChange, LimitReport, NamedLimit, ServerLimits};
 pub use objects::{
     Batching, CallerLimits, ColdStart, Engine, Route, RouteKind, RouteStage, RoutingConfig,
     Service, Target, WorkspaceKeys,
 };
-pub use placement::{Chosen, Placement, Prompt, PromptPart};
+pub use placement::{Chosen, MAX_GRANT_CANDIDATES, Placement, Prompt, PromptPart};
 pub use position::{Cursor, Position};
 pub use reading::{InForce, Reader, StoreRetry, TellingBudget, is_told, reserves};
 pub use returning::UsualDeadlines;
--- a/crates/core/src/forwarding/cold.rs
+++ b/crates/core/src/forwarding/cold.rs
@@ -9,12 +9,11 @@
 //! that of the server, and each of them sends it a fixed number of requests in any window.
 //! All instances that know the same list find the same ones without a message.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
-use super::{
-    ColdStart, Position, ServerEntry,
-    dealing::{Dealing, SentTimes},
-};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::{ColdStart, Position, ServerEntry};
 use crate::ids::{BackendName, InstanceName};
 
 /// Span that a platform counts requests in, in ms.
@@ -35,30 +34,36 @@
     requests_per_s: f64,
     /// Requests that this instance may send it in a window.
     part: usize,
-    sent: SentTimes,
+    /// Times at which requests were sent to it within the last window, in ms.
+    sent_at_ms: VecDeque<u64>,
 }
 
 /// The cold servers, and which of them one instance may send to.
 #[derive(Debug)]
 pub struct ColdServers {
-    dealing: Dealing,
+    instance: InstanceName,
+    /// Hashes of the names of all listed instances.
+    listed: Vec<u64>,
     servers: HashMap<BackendName, ColdServer>,
 }
 
 impl ColdServers {
     /// Creates the view of `instance`, which knows no other.
-    pub fn new(instance: &InstanceName) -> Self {
+    pub fn new(instance: InstanceName) -> Self {
         Self {
-            dealing: Dealing::new(instance),
+            instance,
+            listed: Vec::new(),
             servers: HashMap::new(),
         }
     }
 
     /// Takes over the list of instances.
     pub fn set_listed<'a>(&mut self, instances: impl IntoIterator<Item = &'a InstanceName>) {
-        self.dealing.set_listed(instances);
+        let listed = instances.into_iter().map(hash);
+        self.listed = listed.collect();
+        let (own, listed) = (hash(&self.instance), &self.listed);
         for (server, cold) in &mut self.servers {
-            cold.part = part(&self.dealing, server, cold.requests_per_s);
+            cold.part = part(own, listed, server, cold.requests_per_s);
         }
     }
 
@@ -77,11 +82,11 @@
             until_ms: 0,
             requests_per_s,
             part: 0,
-            sent: SentTimes::default(),
+            sent_at_ms: VecDeque::new(),
         });
         cold.until_ms = cold.until_ms.max(now_ms + left_ms);
         cold.requests_per_s = requests_per_s;
-        cold.part = part(&self.dealing, server, requests_per_s);
+        cold.part = part(hash(&self.instance), &self.listed, server, requests_per_s);
     }
 
     /// Notes what the record of a server at `position` says, once for each record.
@@ -114,18 +119,45 @@
         let Some(cold) = self.servers.get(server) else {
             return true;
         };
-        cold.until_ms <= now_ms || cold.sent.count(now_ms, WINDOW_MS) < cold.part
+        if cold.until_ms <= now_ms {
+            return true;
+        }
+        let sent = cold.sent_at_ms.iter();
+        let sent = sent.filter(|at_ms| *at_ms + WINDOW_MS > now_ms);
+        sent.count() < cold.part
     }
 
     /// Notes that a request was sent to `server`.
     pub fn on_sent(&mut self, now_ms: u64, server: &BackendName) {
-        if let Some(cold) = self.servers.get_mut(server) {
-            cold.sent.on_sent(now_ms, WINDOW_MS);
+        let Some(cold) = self.servers.get_mut(server) else {
+            return;
+        };
+        while cold
+            .sent_at_ms
+            .front()
+            .is_some_and(|at_ms| at_ms + WINDOW_MS <= now_ms)
+        {
+            cold.sent_at_ms.pop_front();
         }
+        cold.sent_at_ms.push_back(now_ms);
+    }
+}
+
+/// Returns the requests that an instance may send to `server` in a window: those that the
+/// server takes in a second are dealt out in the order of the hashes of `listed`. One that
+/// is not listed yet has none.
+fn part(own: u64, listed: &[u64], server: &BackendName, requests_per_s: f64) -> usize {
+    if !listed.contains(&own) {
+        return 0;
     }
+    let seed = xxh3_64(server.as_str().as_bytes());
+    let rank = |instance: &u64| xxh3_64_with_seed(&instance.to_le_bytes(), seed);
+    let own_rank = rank(&own);
+    let before = listed.iter().filter(|other| rank(other) < own_rank).count();
+    let all = (requests_per_s as usize).max(1);
+    all / listed.len() + usize::from(before < all % listed.len())
 }
 
-/// Returns the requests that an instance may send to `server` in a window.
-fn part(dealing: &Dealing, server: &BackendName, requests_per_s: f64) -> usize {
-    dealing.part(server, (requests_per_s as usize).max(1))
+fn hash(instance: &InstanceName) -> u64 {
+    xxh3_64(instance.as_str().as_bytes())
 }
--- /dev/null
+++ b/crates/core/src/forwarding/grants.rs
@@ -0,0 +1,376 @@
+//! Gives out what servers with a limit take, one request at a time.
+//!
+//! The load that this answers: a server in need names a limit as low as one request a
+//! second for all instances together. Sessions have their home there, so that up to
+//! hundreds of instances go on sending to it, each of which sees only its own requests.
+//! A fixed part for each leaves most of the limit unused, as few of those that have a part
+//! have a request for just that server.
+//!
+//! So the instance that schedules gives a grant for each send. Beside a partition there are
+//! several that schedule: each gives out the part of the limit that the instances it hears
+//! from are of all that live. One that begins to schedule has given out nothing and starts
+//! with nothing, so that it does not give again what another one has just given.
+//!
+//! Where all servers of a service name limits, a request is admitted before its stages, at
+//! the rate of all limits together; who is not is told at once when to come back. The most
+//! urgent ones go first.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    bucket::{Bucket, Flow},
+    ids::{BackendName, InstanceName, PoolName},
+    quota::Rate,
+};
+
+/// Lowest limit that is reckoned with, in requests a second: nobody would learn otherwise
+/// that a server which took nothing at all takes requests again.
+pub(crate) const MIN_LIMIT_PER_S: f64 = 0.1;
+/// Highest limit that is reckoned with, in requests a second; no server takes as many.
+const MAX_LIMIT_PER_S: f64 = 1e6;
+/// A request a second, as a [`Rate`].
+const REQUEST_PER_S: f64 = 1e6;
+/// Time since an instance asked last within which it is heard, in ms: six questions.
+const HEARD_MS: u64 = 1_500;
+/// Time since an instance asked last after which it has left, in ms: partitions heal or
+/// instances start again within that.
+const LEFT_MS: u64 = 60_000;
+/// Time for which a kind of request that came counts as one that may come again, in ms.
+const URGENT_MS: u64 = 10_000;
+/// Shortest time until a grant is asked for again, in ms.
+const MIN_OPENS_IN_MS: u64 = 50;
+/// Shortest time to come back after, in ms.
+const MIN_RETRY_AFTER_MS: u64 = 200;
+/// Longest time to come back after, in ms: limits seldom hold for longer.
+const MAX_RETRY_AFTER_MS: u64 = 10_000;
+/// Time after which what was given out for a server is forgotten, in ms.
+const IDLE_MS: u64 = 60_000;
+/// Most servers or services for which grants are given; beyond it none is.
+const MAX_BUCKETS: usize = 4_096;
+
+/// A request, in thousandths of a request.
+const ONE_MILLI: u64 = 1_000;
+/// What may be given out at once beside that by all instances together, in thousandths of
+/// a request: requests come unevenly, and with one at a time a third of a limit of one
+/// request in two seconds is not used.
+const SPARE_MILLI: f64 = 2_000.0;
+/// The same as a time of the limit, in ms.
+const SPARE_MS: f64 = 500.0;
+
+/// What a grant is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GrantPurpose {
+    /// To begin a request's stages; all servers of its service name a limit.
+    Admission,
+    /// To send a request.
+    Send,
+    /// To learn when to come back; nothing is granted.
+    ReturnTime,
+}
+
+impl GrantPurpose {
+    /// Returns the name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Admission => "admission",
+            Self::Send => "send",
+            Self::ReturnTime => "return_time",
+        }
+    }
+}
+
+/// Asks for a grant.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GrantQuery {
+    /// Service of the servers.
+    pub service: PoolName,
+    /// What it is for.
+    pub purpose: GrantPurpose,
+    /// Servers that will do, the best one first, and their limits as the asker knows them,
+    /// in requests a second.
+    pub servers: Vec<(BackendName, f64)>,
+    /// Rank of the request, 0 being the most urgent.
+    pub priority: u8,
+}
+
+/// Answer to that.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GrantState {
+    /// The request may be sent to this server; for an admission, to any.
+    Granted(BackendName),
+    /// It may not.
+    Closed {
+        /// Time until one of the servers may be asked for again, in ms.
+        opens_in_ms: u64,
+        /// Time after which the caller is to come back if no other server takes it, in ms.
+        retry_after_ms: u64,
+    },
+}
+
+/// When an instance was heard.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    /// When it was listed, in ms.
+    listed_ms: u64,
+    /// When it asked last, in ms.
+    last_ms: Option<u64>,
+}
+
+/// The part of one or several limits that an instance gives out.
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    flow: Flow,
+    /// What is given out at once at most, in thousandths of a request.
+    depth_milli: u64,
+}
+
+/// What was given out of one limit.
+#[derive(Clone, Copy, Debug)]
+struct Given {
+    bucket: Bucket,
+    asked_ms: u64,
+}
+
+/// The admission of one service.
+#[derive(Clone, Copy, Debug)]
+struct Admission {
+    given: Given,
+    /// When the last refused caller was told to come back, in ms.
+    returns_at_ms: u64,
+    /// Most urgent rank that came, and when, in ms.
+    most_urgent: (u8, u64),
+}
+
+/// Grants of one instance.
+#[derive(Debug)]
+pub struct LimitGrants {
+    instance: InstanceName,
+    heard: HashMap<InstanceName, Heard>,
+    servers: HashMap<BackendName, Given>,
+    services: HashMap<PoolName, Admission>,
+}
+
+impl LimitGrants {
+    /// Creates the grants of `instance`, which has heard of no other.
+    pub fn new(instance: InstanceName) -> Self {
+        Self {
+            instance,
+            heard: HashMap::new(),
+            servers: HashMap::new(),
+            services: HashMap::new(),
+        }
+    }
+
+    /// Takes over the list of instances.
+    pub fn set_listed(&mut self, now_ms: u64, instances: &[InstanceName]) {
+        let mut before = std::mem::take(&mut self.heard);
+        let others = instances.iter().filter(|name| **name != self.instance);
+        let heard = others.map(|name| {
+            let new = Heard {
+                listed_ms: now_ms,
+                last_ms: None,
+            };
+            (name.clone(), before.remove(name).unwrap_or(new))
+        });
+        self.heard = heard.collect();
+    }
+
+    /// Notes that an instance has asked whether this one schedules.
+    pub fn on_heard(&mut self, now_ms: u64, instance: &InstanceName) {
+        if let Some(heard) = self.heard.get_mut(instance) {
+            heard.last_ms = Some(now_ms);
+        }
+    }
+
+    /// Returns the part of all limits that this instance gives out.
+    pub fn share(&self, now_ms: u64) -> f64 {
+        let is_within = |at_ms: u64, within_ms| at_ms + within_ms > now_ms;
+        let others = self.heard.values();
+        let living = others
+            .clone()
+            .filter(|heard| is_within(heard.last_ms.unwrap_or(heard.listed_ms), LEFT_MS));
+        let heard = others.filter(|heard| heard.last_ms.is_some_and(|at| is_within(at, HEARD_MS)));
+        (heard.count() + 1) as f64 / (living.count() + 1) as f64
+    }
+
+    /// Gives a grant, or tells when to ask again and when the caller is to come back.
+    /// `limit_per_s` gives what is known here of a server: its limit, or that it has none.
+    pub fn grant(
+        &mut self,
+        now_ms: u64,
+        query: &GrantQuery,
+        limit_per_s: impl Fn(&BackendName, f64) -> Option<f64>,
+    ) -> GrantState {
+        let share = self.share(now_ms);
+        let mut parts = Vec::with_capacity(query.servers.len());
+        for (server, told_per_s) in &query.servers {
+            match limit_per_s(server, *told_per_s) {
+                Some(limit_per_s) => parts.push((server, Part::of(limit_per_s, share))),
+                None => return GrantState::Granted(server.clone()),
+            }
+        }
+        let all = Part::sum(parts.iter().map(|(_, part)| *part));
+        match (query.purpose, query.servers.first()) {
+            (GrantPurpose::Send, _) => self.grant_send(now_ms, query, &parts, all),
+            (GrantPurpose::Admission, Some((best, _))) if self.admit(now_ms, query, all) => {
+                GrantState::Granted(best.clone())
+            }
+            (GrantPurpose::Admission | GrantPurpose::ReturnTime, _) => {
+                self.closed(now_ms, query, all, MIN_OPENS_IN_MS)
+            }
+        }
+    }
+
+    fn grant_send(
+        &mut self,
+        now_ms: u64,
+        query: &GrantQuery,
+        parts: &[(&BackendName, Part)],
+        all: Part,
+    ) -> GrantState {
+        let mut opens_in_ms = MAX_RETRY_AFTER_MS;
+        for (server, part) in parts {
+            let Some(given) = given(&mut self.servers, now_ms, server) else {
+                continue;
+            };
+            given.bucket.fill_to(now_ms, part.flow, part.depth_milli);
+            if given.bucket.take() {
+                return GrantState::Granted((*server).clone());
+            }
+            opens_in_ms = opens_in_ms.min(given.bucket.wait_ms(part.flow));
+        }
+        self.closed(now_ms, query, all, opens_in_ms.max(MIN_OPENS_IN_MS))
+    }
+
+    /// Admits a request to a service of which all servers name limits; a less urgent one
+    /// leaves a place to those more urgent.
+    fn admit(&mut self, now_ms: u64, query: &GrantQuery, all: Part) -> bool {
+        let Some(admission) = self.admission(now_ms, &query.service) else {
+            return false;
+        };
+        let (most_urgent, seen_ms) = admission.most_urgent;
+        let is_most_urgent = query.priority <= most_urgent || seen_ms + URGENT_MS <= now_ms;
+        if is_most_urgent {
+            admission.most_urgent = (query.priority, now_ms);
+        }
+        let bucket = &mut admission.given.bucket;
+        bucket.fill_to(now_ms, all.flow, all.depth_milli + ONE_MILLI);
+        if is_most_urgent {
+            return bucket.take();
+        }
+        let before = *bucket;
+        let leaves_a_place = bucket.take() && bucket.clone().take();
+        if !leaves_a_place {
+            *bucket = before;
+        }
+        leaves_a_place
+    }
+
+    /// Tells callers one time after the other to come back, at the rate at which the
+    /// servers take requests.
+    fn closed(
+        &mut self,
+        now_ms: u64,
+        query: &GrantQuery,
+        all: Part,
+        opens_in_ms: u64,
+    ) -> GrantState {
+        let step_ms = (REQUEST_PER_S * 1_000.0 / all.flow.rate.0.max(1) as f64) as u64;
+        let (earliest_ms, latest_ms) = (now_ms + MIN_RETRY_AFTER_MS, now_ms + MAX_RETRY_AFTER_MS);
+        let returns_at_ms = match self.admission(now_ms, &query.service) {
+            None => latest_ms,
+            Some(admission) => {
+                let next_ms = admission.returns_at_ms.max(now_ms).saturating_add(step_ms);
+                admission.returns_at_ms = next_ms.clamp(earliest_ms, latest_ms);
+                admission.returns_at_ms
+            }
+        };
+        GrantState::Closed {
+            opens_in_ms,
+            retry_after_ms: returns_at_ms - now_ms,
+        }
+    }
+
+    fn admission(&mut self, now_ms: u64, service: &PoolName) -> Option<&mut Admission> {
+        if !self.services.contains_key(service) {
+            if self.services.len() >= MAX_BUCKETS {
+                self.services
+                    .retain(|_, admission| admission.given.asked_ms + IDLE_MS > now_ms);
+            }
+            if self.services.len() >= MAX_BUCKETS {
+                return None;
+            }
+            let admission = Admission {
+                given: Given::new(now_ms),
+                returns_at_ms: now_ms,
+                most_urgent: (u8::MAX, now_ms),
+            };
+            self.services.insert(service.clone(), admission);
+        }
+        let admission = self.services.get_mut(service)?;
+        admission.given.asked_ms = now_ms;
+        Some(admission)
+    }
+}
+
+impl Given {
+    fn new(now_ms: u64) -> Self {
+        Self {
+            bucket: Bucket::empty(now_ms),
+            asked_ms: now_ms,
+        }
+    }
+}
+
+/// Returns what was given out for a server, if there is room to remember it.
+fn given<'a>(
+    servers: &'a mut HashMap<BackendName, Given>,
+    now_ms: u64,
+    server: &BackendName,
+) -> Option<&'a mut Given> {
+    if !servers.contains_key(server) {
+        if servers.len() >= MAX_BUCKETS {
+            servers.retain(|_, given| given.asked_ms + IDLE_MS > now_ms);
+        }
+        if servers.len() >= MAX_BUCKETS {
+            return None;
+        }
+        servers.insert(server.clone(), Given::new(now_ms));
+    }
+    let given = servers.get_mut(server)?;
+    given.asked_ms = now_ms;
+    Some(given)
+}
+
+impl Part {
+    fn of(limit_per_s: f64, share: f64) -> Self {
+        let limit_per_s = limit_per_s.clamp(MIN_LIMIT_PER_S, MAX_LIMIT_PER_S);
+        let part_per_s = limit_per_s * share;
+        let spare_milli = SPARE_MILLI * share + part_per_s * SPARE_MS;
+        Self {
+            flow: Flow {
+                rate: Rate((part_per_s * REQUEST_PER_S) as u64),
+                safe: Rate(0),
+            },
+            depth_milli: ONE_MILLI + spare_milli as u64,
+        }
+    }
+
+    fn sum(parts: impl Iterator<Item = Self>) -> Self {
+        let none = Flow {
+            rate: Rate(0),
+            safe: Rate(0),
+        };
+        let mut sum = Self {
+            flow: none,
+            depth_milli: 0,
+        };
+        for part in parts {
+            sum.flow.rate = sum.flow.rate.plus(part.flow.rate);
+            sum.depth_milli = sum.depth_milli.saturating_add(part.depth_milli);
+        }
+        sum
+    }
+}
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -20,6 +20,10 @@
 /// prompt of 50 ms goes first.
 const REQUEST_US: f64 = 6_000.0;
 
+/// Most servers that one question for a grant names: some hundred bytes, and enough that
+/// one of them is likely to be free.
+pub const MAX_GRANT_CANDIDATES: usize = 32;
+
 /// One part of a prompt that other prompts may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
@@ -77,6 +81,19 @@
     pub apart: Option<u32>,
 }
 
+impl<'a> Placement<'a> {
+    fn query(&self) -> RouteQuery<'a> {
+        RouteQuery {
+            pool: self.service,
+            model: None,
+            tried: self.tried,
+            prefix: None,
+            idempotent: self.is_repeatable,
+            objective: Objective::Attainment,
+        }
+    }
+}
+
 /// A server and why it was chosen.
 #[derive(Clone, Debug)]
 pub struct Chosen {
@@ -91,14 +108,7 @@
 impl Fleet {
     /// Chooses the server of a forwarded request.
     pub fn choose(&mut self, now_ms: u64, placement: &Placement<'_>) -> Chosen {
-        let query = RouteQuery {
-            pool: placement.service,
-            model: None,
-            tried: placement.tried,
-            prefix: None,
-            idempotent: placement.is_repeatable,
-            objective: Objective::Attainment,
-        };
+        let query = placement.query();
         if let Some(place) = placement.apart {
             return self.choose_apart(now_ms, &query, place);
         }
@@ -173,34 +183,37 @@
         }
     }
 
-    /// Returns when a caller is to come back, in ms, where no server of `service` takes a
-    /// request and some do not for their limit only.
-    pub fn limited_retry_after_ms(&mut self, now_ms: u64, service: &PoolName) -> Option<u64> {
-        let held_back = self.held_back_all(now_ms, service)?;
-        let retry_after_ms = self.limits().retry_after_ms(now_ms, service, &held_back);
-        Some(retry_after_ms)
-    }
-
-    /// Tells whether limits keep all servers of `service` from taking a request of this
-    /// instance within `within_ms`.
-    pub fn is_limited_for(&mut self, now_ms: u64, service: &PoolName, within_ms: u64) -> bool {
-        let Some(held_back) = self.held_back_all(now_ms, service) else {
-            return false;
-        };
-        let opens_in_ms = |server| self.limits().opens_in_ms(now_ms, server);
-        let mut openings = held_back.iter().filter_map(opens_in_ms);
-        openings.all(|opens_in_ms| opens_in_ms > within_ms)
+    /// Returns the servers to ask a grant for instead of `chosen`, which names a limit, and
+    /// their limits in requests a second: only that one while others need none, unless
+    /// `is_any_wanted`.
+    pub fn grant_candidates(
+        &self,
+        now_ms: u64,
+        placement: &Placement<'_>,
+        chosen: &BackendName,
+        is_any_wanted: bool,
+    ) -> Vec<(BackendName, f64)> {
+        let eligible = self.eligible(now_ms, &placement.query()).into_iter();
+        let names = eligible.map(|index| &self.backends[index].name);
+        let untried = names.filter(|name| !placement.tried.contains(name));
+        let limits = untried.map(|name| (name, self.limits.limit_per_s(name)));
+        let limits: Vec<(&BackendName, Option<f64>)> = limits.collect();
+        let needs_none = limits.iter().any(|(_, limit)| limit.is_none());
+        let is_wanted = |name: &BackendName| name == chosen || is_any_wanted || !needs_none;
+        let limited = limits.into_iter().filter(|(name, _)| is_wanted(name));
+        let limited = limited.filter_map(|(name, limit)| Some((name.clone(), limit?)));
+        let mut limited: Vec<(BackendName, f64)> = limited.collect();
+        limited.sort_by_key(|(name, _)| name != chosen);
+        limited.truncate(MAX_GRANT_CANDIDATES);
+        limited
     }
 
-    /// Names the servers of `service` that their limit holds back, if no server takes a
-    /// request.
-    fn held_back_all(&self, now_ms: u64, service: &PoolName) -> Option<Vec<BackendName>> {
-        let query = any_request(service);
-        if !self.eligible(now_ms, &query).is_empty() {
-            return None;
-        }
-        let held_back = self.held_back(now_ms, &query);
-        (!held_back.is_empty()).then_some(held_back)
+    /// Returns the servers of `service` that take work and their limits in requests a
+    /// second, if all of them name one.
+    pub fn limits_of_all(&self, now_ms: u64, service: &PoolName) -> Vec<(BackendName, f64)> {
+        let mut limits = self.all_limited(now_ms, &any_request(service));
+        limits.truncate(MAX_GRANT_CANDIDATES);
+        limits
     }
 
     /// Returns the availability zone of a session's home among the servers of
--- a/crates/core/src/stages/scheduler.rs
+++ b/crates/core/src/stages/scheduler.rs
@@ -15,7 +15,7 @@
     work::{CallId, Refusal, RequestKey, StageAction, Submission},
 };
 use crate::{
-    forwarding::{RoutingConfig, ServerEntry, ServerState},
+    forwarding::{MIN_LIMIT_PER_S, RoutingConfig, ServerEntry, ServerState},
     ids::{BackendName, InstanceName, PoolName, ZoneName},
     poison::RequestDigest,
 };
@@ -138,11 +138,13 @@
         }
     }
 
-    /// Takes over which calls a second servers take that name a limit.
-    pub fn set_limits(&mut self, limit_per_s: impl Fn(&BackendName) -> Option<f64>) {
+    /// Takes over how many calls a second servers take that name a limit, of which this
+    /// scheduler uses `share`.
+    pub fn set_limits(&mut self, limit_per_s: impl Fn(&BackendName) -> Option<f64>, share: f64) {
         for service in self.services.values_mut() {
             for (name, server) in &mut service.servers {
-                server.limit_per_s = limit_per_s(name);
+                let limit_per_s = limit_per_s(name).map(|limit| limit.max(MIN_LIMIT_PER_S));
+                server.limit_per_s = limit_per_s.map(|limit| limit * share);
             }
         }
     }
--- a/crates/core/src/stages/server.rs
+++ b/crates/core/src/stages/server.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::{forwarding::MIN_LIMIT_PER_S, ids::ZoneName};
+use crate::ids::ZoneName;
 
 /// Time for which a server that had no room is left alone at first, in ms: less than
 /// half of a call, after which it has room again.
@@ -54,6 +54,8 @@
     pub(super) slowness: f64,
     /// Calls a second that it takes, if it names a limit.
     pub(super) limit_per_s: Option<f64>,
+    /// Time before which its limit allows no further call, in ms.
+    next_call_ms: u64,
 }
 
 impl Server {
@@ -70,6 +72,7 @@
             slow_until_ms: 0,
             slowness: 1.0,
             limit_per_s: None,
+            next_call_ms: 0,
         }
     }
 
@@ -80,12 +83,20 @@
 
     /// Tells whether it can begin a call at once.
     pub(super) fn is_idle(&self, now_ms: u64) -> bool {
-        self.is_open(now_ms) && self.calls == 0
+        self.is_open(now_ms) && self.calls == 0 && now_ms >= self.next_call_ms
+    }
+
+    /// Returns the calls that it takes in a ms, where each takes `call_ms`.
+    pub(super) fn calls_per_ms(&self, call_ms: f64) -> f64 {
+        let by_time = 1.0 / (call_ms * self.slowness.max(1.0));
+        let by_limit = self.limit_per_s.map(|limit_per_s| limit_per_s / 1_000.0);
+        by_limit.map_or(by_time, |by_limit| by_time.min(by_limit))
     }
 
     /// Returns when it is to be looked at again, if it is paused, in ms.
     pub(super) fn paused_until_ms(&self, now_ms: u64) -> Option<u64> {
         let until_ms = self.paused_until_ms.max(self.slow_until_ms);
+        let until_ms = until_ms.max(self.next_call_ms);
         (!self.is_closed && until_ms > now_ms).then_some(until_ms)
     }
 
@@ -133,8 +144,8 @@
     /// scheduler uses for all instances.
     pub(super) fn on_called(&mut self, now_ms: u64) {
         if let Some(limit_per_s) = self.limit_per_s {
-            let pause_ms = 1_000.0 / limit_per_s.max(MIN_LIMIT_PER_S);
-            self.pause(now_ms, pause_ms.ceil() as u64);
+            let pause_ms = 1_000.0 / limit_per_s;
+            self.next_call_ms = now_ms + pause_ms.ceil() as u64;
         }
     }
 
--- a/crates/core/src/stages/service.rs
+++ b/crates/core/src/stages/service.rs
@@ -157,12 +157,13 @@
     /// Returns the pieces that its servers finish in a ms with full batches.
     pub(super) fn rate_per_ms(&self, now_ms: u64) -> f64 {
         let full = self.batching.batch_pieces;
-        let each = full as f64 / self.batching.duration_ms(full);
+        let call_ms = self.batching.duration_ms(full);
         let open = self
             .servers
             .values()
             .filter(|server| server.is_open(now_ms));
-        open.map(|server| each / server.slowness.max(1.0)).sum()
+        let calls_per_ms: f64 = open.map(|server| server.calls_per_ms(call_ms)).sum();
+        full as f64 * calls_per_ms
     }
 
     /// Returns the servers that take work.
--- a/crates/core/tests/forwarding_cold.rs
+++ b/crates/core/tests/forwarding_cold.rs
@@ -27,7 +27,7 @@
 /// Instances that know `listed`, all of which know `cold` as cold from the start.
 fn fleet(listed: &[InstanceName], cold: &[BackendName]) -> Vec<ColdServers> {
     let view = |instance: &InstanceName| {
-        let mut view = ColdServers::new(instance);
+        let mut view = ColdServers::new(instance.clone());
         view.set_listed(listed);
         for server in cold {
             view.on_cold(0, server, COLD_MS, PER_S);
@@ -130,7 +130,7 @@
 #[test]
 fn an_instance_that_is_not_listed_sends_to_no_cold_server() {
     let servers = servers(1);
-    let mut view = ColdServers::new(&InstanceName::new("entry-new"));
+    let mut view = ColdServers::new(InstanceName::new("entry-new"));
     view.on_cold(0, &servers[0], COLD_MS, PER_S);
     assert!(!view.allows(0, &servers[0]));
     view.set_listed(&names(3));
@@ -158,7 +158,7 @@
         duration_ms: COLD_MS,
         requests_per_s: PER_S,
     };
-    let mut view = ColdServers::new(&InstanceName::new("entry-1"));
+    let mut view = ColdServers::new(InstanceName::new("entry-1"));
     view.on_entry(0, &entry, cold_start);
     assert_eq!(view.count(2_499), 1);
     view.on_entry(10_000, &entry, cold_start);
--- a/crates/server/src/gateway/dispatch.rs
+++ b/crates/server/src/gateway/dispatch.rs
@@ -21,11 +21,16 @@
     time::{self, Instant},
 };
 
-use super::{calls::StageCalls, knowledge::Knowledge, quarantine::Quarantine};
+use super::{
+    calls::StageCalls, knowledge::Knowledge, limits::LimitSharing, quarantine::Quarantine,
+};
 use crate::{clock::Clock, lock::lock};
 
 /// Time for which results are gathered before a server is told to free them.
 const FREE_DELAY: Duration = Duration::from_millis(20);
+/// Time between two looks at the part of limits that this instance uses: it is heard that
+/// others are gone within 1.5 s.
+const SHARE_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest time between two looks at the scheduler.
 const LONGEST_SLEEP: Duration = Duration::from_secs(1);
 
@@ -37,6 +42,7 @@
     knowledge: Arc<Knowledge>,
     calls: StageCalls,
     quarantine: Arc<Quarantine>,
+    limits: Arc<LimitSharing>,
     scheduler: Mutex<StageScheduler>,
     waiters: Mutex<HashMap<RequestKey, oneshot::Sender<StageOutcome>>>,
     unneeded: Mutex<HashMap<BackendName, (SocketAddr, Vec<String>)>>,
@@ -65,6 +71,7 @@
         knowledge: Arc<Knowledge>,
         calls: StageCalls,
         quarantine: Arc<Quarantine>,
+        limits: Arc<LimitSharing>,
         log: Logger,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -73,6 +80,7 @@
             knowledge,
             calls,
             quarantine,
+            limits,
             scheduler: Mutex::default(),
             waiters: Mutex::default(),
             unneeded: Mutex::default(),
@@ -256,6 +264,25 @@
     }
 }
 
+/// Keeps the scheduler's view of limits up to date, and of the part that this instance
+/// uses of them.
+pub(super) async fn follow_limits(dispatch: Arc<Dispatch>) {
+    loop {
+        let share = dispatch.limits.share();
+        let limited = {
+            let mut fleet = dispatch.knowledge.fleet();
+            let limits = fleet.limits();
+            let limit_per_s = |server: &_| limits.limit_per_s(server);
+            dispatch.scheduler().set_limits(limit_per_s, share);
+            limits.count()
+        };
+        tokio::select! {
+            () = dispatch.knowledge.limits_changed() => {}
+            () = time::sleep(SHARE_INTERVAL), if limited > 0 => {}
+        }
+    }
+}
+
 /// Keeps the scheduler's view of servers up to date, and closes the connections that
 /// are kept to runs that are gone: another one may have their address.
 pub(super) async fn configure(dispatch: Arc<Dispatch>) {
@@ -277,17 +304,7 @@
                 }
             }
         }
-        {
-            let mut fleet = dispatch.knowledge.fleet();
-            let limits = fleet.limits();
-            dispatch
-                .scheduler()
-                .set_limits(|server| limits.limit_per_s(server));
-        }
         dispatch.carry_out();
-        tokio::select! {
-            () = dispatch.knowledge.changed() => {}
-            () = dispatch.knowledge.limits_changed() => {}
-        }
+        dispatch.knowledge.changed().await;
     }
 }
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -5,7 +5,6 @@
 use http::{Request, Response, StatusCode, uri::PathAndQuery};
 use hyper::body::Incoming;
 use savoryvane_core::{
-    fleet::Fleet,
     forwarding::{Chosen, Placement, Repeats, Route},
     ids::{BackendName, RequestId, ZoneName},
     poison::DigestBuilder,
@@ -20,6 +19,8 @@
     crashes::CrashDetector,
     departure::Departure,
     knowledge::Knowledge,
+    limits::LimitSharing,
+    members::Members,
     quarantine::{HeldPermit, Quarantine},
     request::{CallerRequest, host, service},
     stages::{Held, Stages},
@@ -51,6 +52,8 @@
     pub(super) departure: Arc<Departure>,
     pub(super) ends: Arc<CrashDetector>,
     pub(super) quarantine: Arc<Quarantine>,
+    pub(super) members: Arc<Members>,
+    pub(super) limits: Arc<LimitSharing>,
 }
 
 /// Results of a request's stages.
@@ -96,7 +99,7 @@
     async fn run(self: &Arc<Self>, caller: CallerRequest) -> Result<Response<Body>, Why> {
         let mut permit = None;
         self.admit(&caller, &mut permit).await?;
-        self.expect_server(&caller)?;
+        self.ask_admission(&caller).await?;
         let inputs = self.run_stages(&caller).await?;
         self.send(caller, inputs, permit).await
     }
@@ -246,25 +249,6 @@
         Ok(left.min(leaves_in))
     }
 
-    /// Refuses a request before its stages where limits keep all servers from taking it
-    /// within its goal.
-    fn expect_server(&self, caller: &CallerRequest) -> Result<(), Why> {
-        let goal_ms = caller.route().goal_ms;
-        let left_ms = goal_ms.saturating_sub(caller.elapsed_ms());
-        let now_ms = self.clock.now_ms();
-        let mut fleet = self.knowledge.fleet();
-        match fleet.is_limited_for(now_ms, &caller.service, left_ms) {
-            true => Err(no_server(&mut fleet, now_ms, caller)),
-            false => Ok(()),
-        }
-    }
-
-    /// Tells why there is no server for a request that none has run.
-    pub(super) fn why_no_server(&self, caller: &CallerRequest) -> Why {
-        let now_ms = self.clock.now_ms();
-        no_server(&mut self.knowledge.fleet(), now_ms, caller)
-    }
-
     /// Chooses the server of the next send.
     pub(super) fn choose(
         &self,
@@ -289,14 +273,7 @@
         tried: &[BackendName],
         permit: Option<&HeldPermit>,
     ) -> (Option<BackendName>, Chosen) {
-        let placement = Placement {
-            service: &caller.service,
-            tried,
-            is_repeatable: caller.repeats() == Repeats::Allowed,
-            prompt: caller.prompt(),
-            inputs: &inputs.by_zone,
-            apart: permit.and_then(HeldPermit::place),
-        };
+        let placement = placement(caller, inputs, tried, permit);
         let now_ms = self.clock.now_ms();
         let chosen = self.knowledge.fleet().choose(now_ms, &placement);
         let untried = chosen.server.clone();
@@ -329,9 +306,21 @@
     }
 }
 
-fn no_server(fleet: &mut Fleet, now_ms: u64, caller: &CallerRequest) -> Why {
-    let retry_after_ms = fleet.limited_retry_after_ms(now_ms, &caller.service);
-    retry_after_ms.map_or(Why::NoServer, Why::Limited)
+/// Returns what the choice of a request's server goes by.
+pub(super) fn placement<'a>(
+    caller: &'a CallerRequest,
+    inputs: &'a Inputs,
+    tried: &'a [BackendName],
+    permit: Option<&HeldPermit>,
+) -> Placement<'a> {
+    Placement {
+        service: &caller.service,
+        tried,
+        is_repeatable: caller.repeats() == Repeats::Allowed,
+        prompt: caller.prompt(),
+        inputs: &inputs.by_zone,
+        apart: permit.and_then(HeldPermit::place),
+    }
 }
 
 /// Estimates the time from the end of a request's stages to its first event.
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -205,12 +205,19 @@
         let store = StoreClient::new(settings.store, clock);
         let me = members::peer_id(settings, incarnation);
         let (peers, _linked) = PeerHandle::new(me.clone(), log.clone());
+        let limits = LimitSharing::new(
+            settings.instance.clone(),
+            Arc::clone(&knowledge),
+            log.clone(),
+        );
+        let limits = Arc::new(limits);
         let members = Members::new(
             settings,
             incarnation,
             clock,
             peers,
             Arc::clone(&knowledge),
+            Arc::clone(&limits),
             log.clone(),
         );
         let members = Arc::new(members);
@@ -253,6 +260,7 @@
             Arc::clone(&knowledge),
             calls,
             Arc::clone(&quarantine),
+            Arc::clone(&limits),
             log.clone(),
         );
         let stages = Stages::new(
@@ -271,9 +279,9 @@
             departure: Arc::clone(departure),
             ends: Arc::clone(&ends),
             quarantine: Arc::clone(&quarantine),
+            members: Arc::clone(&members),
+            limits: Arc::clone(&limits),
         });
-        let limits = LimitSharing::new(Arc::clone(&knowledge), log.clone());
-        let limits = Arc::new(limits);
         let handler = Arc::new(Peering {
             members: Arc::clone(&members),
             catch_up: Arc::clone(&catch_up),
@@ -353,6 +361,7 @@
         tasks.spawn(crashes::watch(self.ends));
         tasks.spawn(catch_up::run(self.members, self.catch_up));
         tasks.spawn(dispatch::run(Arc::clone(&self.dispatch)));
+        tasks.spawn(dispatch::follow_limits(Arc::clone(&self.dispatch)));
         tasks.spawn(dispatch::configure(self.dispatch));
         tasks.spawn(become_ready(self.knowledge, self.phases, self.log));
         tasks.spawn(upkeep(self.servers));
--- a/crates/server/src/gateway/knowledge.rs
+++ b/crates/server/src/gateway/knowledge.rs
@@ -385,6 +385,15 @@
         (revision, unknown)
     }
 
+    /// Notes that no grant for `servers` is to be had for `opens_in_ms`.
+    pub(super) fn on_limits_closed(&self, servers: &[BackendName], opens_in_ms: u64) {
+        let now_ms = self.clock.now_ms();
+        let mut fleet = self.fleet();
+        for server in servers {
+            fleet.limits().on_closed(now_ms, server, opens_in_ms);
+        }
+    }
+
     fn note_limits(&self, changes: &[(BackendName, LimitChange)]) {
         for (server, change) in changes {
             self.note_limit(server, *change, "peer");
--- a/crates/server/src/gateway/limits.rs
+++ b/crates/server/src/gateway/limits.rs
@@ -1,30 +1,48 @@
-//! Shares with the other instances which servers name a limit.
+//! Shares with the other instances which servers name a limit, and what these take.
 //!
 //! The instance that schedules gathers what servers have said to all others. They ask it
-//! whenever it knows more than it has told them, or they know more than they have told it.
+//! whenever it knows more than it has told them, or they know more than they have told it,
+//! and for a grant before they send to a server that names a limit.
 
 use std::{
-    sync::{Arc, Mutex},
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
 use savoryvane_core::{
-    forwarding::LimitReport,
-    ids::{Incarnation, InstanceName},
+    forwarding::{GrantPurpose, GrantQuery, GrantState, LimitGrants, LimitReport, Placement},
+    ids::{BackendName, Incarnation, InstanceName},
 };
 use savoryvane_wire::peer::{LimitQuery, LimitState, Message};
 use slog::{Logger, info};
 use tokio::time::Instant;
 
-use super::{knowledge::Knowledge, members::Members};
+use super::{
+    answers::Why,
+    forward::{Forwarder, Inputs, placement},
+    knowledge::Knowledge,
+    members::Members,
+    quarantine::HeldPermit,
+    request::CallerRequest,
+};
 use crate::lock::lock;
 
-/// Shortest time between two questions: instances without a part send nothing that could
-/// matter meanwhile.
+/// Shortest time between two questions for what is new.
 const ASK_INTERVAL: Duration = Duration::from_millis(400);
 /// Time for a question to be answered: a way there and back takes a few ms.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Questions for a grant before one request is refused: for the best server, and twice for
+/// any.
+const MAX_QUESTIONS: u32 = 3;
+/// What is reckoned with where the instance that schedules gives no answer: the next one is
+/// known within this time.
+const NOT_ASKED: GrantState = GrantState::Closed {
+    opens_in_ms: 250,
+    retry_after_ms: 500,
+};
+
 /// How far this instance and the one that schedules know what the other does.
 #[derive(Clone, Copy, Debug)]
 struct Exchanged {
@@ -42,14 +60,16 @@
 pub(super) struct LimitSharing {
     log: Logger,
     knowledge: Arc<Knowledge>,
+    grants: Mutex<LimitGrants>,
     last: Mutex<Option<Exchanged>>,
 }
 
 impl LimitSharing {
-    pub(super) fn new(knowledge: Arc<Knowledge>, log: Logger) -> Self {
+    pub(super) fn new(instance: InstanceName, knowledge: Arc<Knowledge>, log: Logger) -> Self {
         Self {
             log,
             knowledge,
+            grants: Mutex::new(LimitGrants::new(instance)),
             last: Mutex::default(),
         }
     }
@@ -123,4 +143,189 @@
         let limits = fleet.limits();
         (limits.revision(), limits.own_since(now_ms, revision))
     }
+
+    /// Takes over the list of instances.
+    pub(super) fn set_listed(&self, instances: &[InstanceName]) {
+        self.grants().set_listed(self.knowledge.now_ms(), instances);
+    }
+
+    /// Notes that an instance has asked whether this one schedules.
+    pub(super) fn on_heard(&self, instance: &InstanceName) {
+        self.grants().on_heard(self.knowledge.now_ms(), instance);
+    }
+
+    /// Returns the part of all limits that this instance gives out.
+    pub(super) fn share(&self) -> f64 {
+        self.grants().share(self.knowledge.now_ms())
+    }
+
+    /// Gives a grant by what this instance knows and has given out.
+    pub(super) fn grant(&self, query: &GrantQuery) -> GrantState {
+        let now_ms = self.knowledge.now_ms();
+        let known: HashMap<BackendName, Option<f64>> = {
+            let mut fleet = self.knowledge.fleet();
+            let limits = fleet.limits();
+            let servers = query.servers.iter();
+            servers
+                .filter(|(server, _)| limits.is_known(server))
+                .map(|(server, _)| (server.clone(), limits.limit_per_s(server)))
+                .collect()
+        };
+        let limit_per_s = |server: &BackendName, told_per_s| match known.get(server) {
+            Some(limit_per_s) => *limit_per_s,
+            None => Some(told_per_s),
+        };
+        self.grants().grant(now_ms, query, limit_per_s)
+    }
+
+    /// Asks the instance that schedules for a grant, or gives it here where none does.
+    async fn ask(&self, members: &Members, query: GrantQuery) -> GrantState {
+        let scheduler = members.scheduler();
+        let Some(scheduler) = scheduler.filter(|name| !members.is_me(name)) else {
+            return self.grant(&query);
+        };
+        let message = Message::GrantQuery(query);
+        let peers = members.peers();
+        let answer = peers
+            .request(&scheduler, None, &message, ANSWER_TIMEOUT)
+            .await;
+        match answer {
+            Ok(Message::GrantState(state)) => state,
+            Ok(_) => NOT_ASKED,
+            Err(err) => {
+                info!(self.log, "grant not asked"; "of" => %scheduler, "error" => %err);
+                NOT_ASKED
+            }
+        }
+    }
+
+    fn grants(&self) -> MutexGuard<'_, LimitGrants> {
+        lock(&self.grants)
+    }
+}
+
+impl Forwarder {
+    /// Refuses a request before its stages where all servers of its service name limits and
+    /// they have no place for it.
+    pub(super) async fn ask_admission(&self, caller: &CallerRequest) -> Result<(), Why> {
+        if caller.route().stages.is_empty() {
+            return Ok(());
+        }
+        let now_ms = self.clock.now_ms();
+        let servers = {
+            let fleet = self.knowledge.fleet();
+            fleet.limits_of_all(now_ms, &caller.service)
+        };
+        if servers.is_empty() {
+            return Ok(());
+        }
+        let state = self.ask_grant(caller, GrantPurpose::Admission, servers);
+        match state.await {
+            GrantState::Granted(_) => Ok(()),
+            GrantState::Closed { retry_after_ms, .. } => Err(Why::Limited(retry_after_ms)),
+        }
+    }
+
+    /// Chooses the server of the next send, with a grant where it names a limit.
+    pub(super) async fn choose_granted(
+        &self,
+        caller: &CallerRequest,
+        inputs: &Inputs,
+        tried: &[BackendName],
+        permit: Option<&HeldPermit>,
+    ) -> Result<BackendName, Why> {
+        let placement = placement(caller, inputs, tried, permit);
+        let mut refusal = Why::NoServer;
+        for question in 0..MAX_QUESTIONS {
+            let Some(chosen) = self.choose(caller, inputs, tried, permit) else {
+                break;
+            };
+            let servers = self.grant_candidates(&placement, &chosen, question > 0);
+            if servers.is_empty() {
+                return Ok(chosen);
+            }
+            let asked = servers.iter().map(|(server, _)| server.clone());
+            let asked: Vec<BackendName> = asked.collect();
+            let state = self.ask_grant(caller, GrantPurpose::Send, servers);
+            match state.await {
+                GrantState::Granted(server) => return Ok(server),
+                GrantState::Closed {
+                    opens_in_ms,
+                    retry_after_ms,
+                } => {
+                    self.knowledge.on_limits_closed(&asked, opens_in_ms);
+                    refusal = Why::Limited(retry_after_ms);
+                }
+            }
+        }
+        if refusal == Why::NoServer {
+            refusal = self.why_no_server(caller).await;
+        }
+        Err(refusal)
+    }
+
+    /// Returns the servers that a grant is asked for; none where `chosen` needs none.
+    fn grant_candidates(
+        &self,
+        placement: &Placement<'_>,
+        chosen: &BackendName,
+        is_any_wanted: bool,
+    ) -> Vec<(BackendName, f64)> {
+        let now_ms = self.clock.now_ms();
+        let mut fleet = self.knowledge.fleet();
+        if fleet.limits().limit_per_s(chosen).is_none() {
+            return Vec::new();
+        }
+        fleet.grant_candidates(now_ms, placement, chosen, is_any_wanted)
+    }
+
+    /// Tells why no server takes a request, and asks when one will where all have a limit.
+    async fn why_no_server(&self, caller: &CallerRequest) -> Why {
+        let now_ms = self.clock.now_ms();
+        let servers = {
+            let fleet = self.knowledge.fleet();
+            fleet.limits_of_all(now_ms, &caller.service)
+        };
+        if servers.is_empty() {
+            return Why::NoServer;
+        }
+        let state = self.ask_grant(caller, GrantPurpose::ReturnTime, servers);
+        match state.await {
+            GrantState::Granted(_) => Why::NoServer,
+            GrantState::Closed { retry_after_ms, .. } => Why::Limited(retry_after_ms),
+        }
+    }
+
+    async fn ask_grant(
+        &self,
+        caller: &CallerRequest,
+        purpose: GrantPurpose,
+        servers: Vec<(BackendName, f64)>,
+    ) -> GrantState {
+        let asked = servers.len();
+        let query = GrantQuery {
+            service: caller.service.clone(),
+            purpose,
+            servers,
+            priority: caller.matched.priority,
+        };
+        let state = self.limits.ask(&self.members, query).await;
+        let (granted, opens_in_ms, retry_after_ms) = match &state {
+            GrantState::Granted(server) => (Some(server.to_string()), None, None),
+            GrantState::Closed {
+                opens_in_ms,
+                retry_after_ms,
+            } => (None, Some(*opens_in_ms), Some(*retry_after_ms)),
+        };
+        info!(self.log, "grant asked"; "request" => %caller.id, "purpose" => purpose.as_str(),
+            "service" => %caller.service, "servers" => asked, "granted" => granted,
+            "opens_in_ms" => opens_in_ms, "retry_after_ms" => retry_after_ms,
+            "elapsed_ms" => caller.elapsed_ms());
+        let outcome = match state {
+            GrantState::Granted(_) => "granted",
+            GrantState::Closed { .. } => "closed",
+        };
+        metrics::counter!("savoryvane_limit_grants_total", "outcome" => outcome).increment(1);
+        state
+    }
 }
--- a/crates/server/src/gateway/members.rs
+++ b/crates/server/src/gateway/members.rs
@@ -21,8 +21,8 @@
 use tokio::{sync::watch, time::Instant};
 
 use super::{
-    follow::Batch, knowledge::Knowledge, listing::Listing, settings::GatewaySettings,
-    store::StoreClient,
+    follow::Batch, knowledge::Knowledge, limits::LimitSharing, listing::Listing,
+    settings::GatewaySettings, store::StoreClient,
 };
 use crate::{
     clock::Clock,
@@ -43,6 +43,7 @@
     pub(super) log: Logger,
     peers: PeerHandle,
     knowledge: Arc<Knowledge>,
+    limits: Arc<LimitSharing>,
     listed: Mutex<Listing>,
     /// Era of the store in which this instance has written itself again.
     listed_again_in: AtomicU64,
@@ -60,6 +61,7 @@
         clock: Clock,
         peers: PeerHandle,
         knowledge: Arc<Knowledge>,
+        limits: Arc<LimitSharing>,
         log: Logger,
     ) -> Self {
         Self {
@@ -75,6 +77,7 @@
             log,
             peers,
             knowledge,
+            limits,
             listed: Mutex::default(),
             listed_again_in: AtomicU64::new(0),
             choice: Mutex::default(),
@@ -191,7 +194,8 @@
         self.knowledge.budgets().on_listed(count);
         let names = listed.peers().map(|peer| peer.instance.clone());
         let names: Vec<InstanceName> = names.collect();
-        self.knowledge.fleet().set_listed(&names);
+        self.knowledge.fleet().cold().set_listed(&names);
+        self.limits.set_listed(&names);
         let others = listed.peers().filter(|peer| peer.instance != self.me);
         self.peers.set_addrs(others.map(contact));
         let candidates = listed.peers().map(|peer| Candidate {
--- a/crates/server/src/gateway/peering.rs
+++ b/crates/server/src/gateway/peering.rs
@@ -46,7 +46,7 @@
         metrics::counter!("savoryvane_peer_unexpected_total").increment(1);
     }
 
-    fn on_request(&self, _from: PeerId, message: Message, _wait: Duration) -> PeerAnswer {
+    fn on_request(&self, from: PeerId, message: Message, _wait: Duration) -> PeerAnswer {
         let answer = match message {
             Message::StageSubmission(submission) => {
                 if let Some(next) = self.members.replaced_by() {
@@ -72,11 +72,14 @@
                 self.dispatch.release(&key);
                 Message::Taken(Taken)
             }
-            Message::SchedulerQuery(_) => Message::SchedulerState(SchedulerState {
-                is_taking: self.is_taking(),
-                known: self.catch_up.known(&self.members),
-                limits_revision: self.limits.revision(),
-            }),
+            Message::SchedulerQuery(_) => {
+                self.limits.on_heard(&from.instance);
+                Message::SchedulerState(SchedulerState {
+                    is_taking: self.is_taking(),
+                    known: self.catch_up.known(&self.members),
+                    limits_revision: self.limits.revision(),
+                })
+            }
             Message::RoutingQuery(question) => {
                 let answer = self.catch_up.answer(&self.members, question);
                 answer.map_or(Message::Declined(Declined::NotMine), Message::RoutingState)
@@ -86,6 +89,7 @@
                 answer.map_or(Message::Declined(Declined::NotMine), Message::CrashState)
             }
             Message::LimitQuery(question) => Message::LimitState(self.limits.on_query(question)),
+            Message::GrantQuery(question) => Message::GrantState(self.limits.grant(&question)),
             Message::PermitQuery(question) => Message::PermitState(self.quarantine.grant(question)),
             Message::PermitReturn(returned) => {
                 self.quarantine.on_returned(returned);
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -307,8 +307,9 @@
         let permit = self.permit.as_ref();
         let chosen = self
             .forwarder
-            .choose(caller, &self.inputs, &self.tried, permit);
-        let Some(server) = chosen else {
+            .choose_granted(caller, &self.inputs, &self.tried, permit)
+            .await;
+        let Ok(server) = chosen else {
             return false;
         };
         self.tried.push(server.clone());
--- a/crates/server/src/gateway/sending.rs
+++ b/crates/server/src/gateway/sending.rs
@@ -45,12 +45,11 @@
                     _ => why,
                 });
             }
-            let Some(server) = self.choose(&caller, &inputs, &tried, permit.as_ref()) else {
-                return Err(if may_have_run {
-                    Why::Lost
-                } else {
-                    self.why_no_server(&caller)
-                });
+            let chosen = self.choose_granted(&caller, &inputs, &tried, permit.as_ref());
+            let server = match chosen.await {
+                Ok(server) => server,
+                Err(_) if may_have_run => return Err(Why::Lost),
+                Err(why) => return Err(why),
             };
             if !may_have_run {
                 self.time_to_wait(&caller, self.answer_time(&caller))?;
@@ -112,7 +111,7 @@
                     }
                 }
                 (NextStep::SendAgain, _) => {}
-                (NextStep::Give(Giving::Refusal), _) => return Err(self.why_no_server(&caller)),
+                (NextStep::Give(Giving::Refusal), _) => return Err(Why::NoServer),
                 (NextStep::Give(Giving::ServersFailure), Some(response)) => {
                     self.log_answered(&caller, &server, response.status(), sends);
                     return Ok(response.map(http_body::full));
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -21,6 +21,7 @@
 pub use routing::{
     KnownState, ListedPeer, RoutingQuery, RoutingState, SchedulerQuery, SchedulerState,
 };
+pub use savoryvane_core::forwarding::{GrantQuery, GrantState};
 use savoryvane_core::ids::{
     IdempotencyKey, Incarnation, InstanceName, Offset, PipelineName, RequestId, WorkspaceName,
 };
@@ -317,6 +318,10 @@
     39 LimitQuery(LimitQuery),
     /// Answer to that request.
     40 LimitState(LimitState),
+    /// Asks for a grant to send to a server that names a limit; a request.
+    41 GrantQuery(GrantQuery),
+    /// Answer to that request.
+    42 GrantState(GrantState),
 }
 
 /// Why a request gets no other answer.
--- a/crates/wire/src/peer/limits.rs
+++ b/crates/wire/src/peer/limits.rs
@@ -2,16 +2,16 @@
 
 use savoryvane_core::{
     digest::{DigestBatch, Leaver, ZoneDigest},
-    forwarding::{DirectoryUpdate, LimitReport, MAX_ZONES},
-    ids::MAX_NAME_BYTES,
+    forwarding::{DirectoryUpdate, LimitReport, MAX_GRANT_CANDIDATES, MAX_ZONES},
+    ids::{BackendName, MAX_NAME_BYTES},
     poison::CrashReport,
     quota::Claimant,
     topology::SHARDS,
 };
 
 use super::{
-    AnswerState, MAX_ENTRIES, MAX_KEY_BYTES, MAX_PAYLOAD_BYTES, Message, PermitState, RoutingState,
-    StageOutcome, Submission, TicketRun,
+    AnswerState, GrantState, MAX_ENTRIES, MAX_KEY_BYTES, MAX_PAYLOAD_BYTES, Message, PermitState,
+    RoutingState, StageOutcome, Submission, TicketRun,
 };
 
 pub(super) fn is_within_limits(message: &Message) -> bool {
@@ -45,6 +45,12 @@
         }
         Message::LimitQuery(query) => are_limits_bounded(&query.reports),
         Message::LimitState(state) => are_limits_bounded(&state.reports),
+        Message::GrantQuery(query) => {
+            is_short(query.service.as_str())
+                && (1..=MAX_GRANT_CANDIDATES).contains(&query.servers.len())
+                && query.servers.iter().all(is_limit_sound)
+        }
+        Message::GrantState(GrantState::Granted(server)) => is_short(server.as_str()),
         Message::ClaimAppend(append) => append.claims.len() <= MAX_ENTRIES,
         Message::AnswerState(_)
         | Message::ConfigHead(_)
@@ -58,6 +64,7 @@
         | Message::PermitQuery(_)
         | Message::PermitState(_)
         | Message::PermitReturn(_)
+        | Message::GrantState(_)
         | Message::Declined(_) => true,
     }
 }
@@ -70,10 +77,14 @@
     reports.len() <= MAX_ENTRIES
         && reports.iter().all(|report| {
             let limit_per_s = report.limit_per_s.unwrap_or_default();
-            is_short(report.server.as_str()) && limit_per_s.is_finite() && limit_per_s >= 0.0
+            is_limit_sound(&(report.server.clone(), limit_per_s))
         })
 }
 
+fn is_limit_sound((server, limit_per_s): &(BackendName, f64)) -> bool {
+    is_short(server.as_str()) && limit_per_s.is_finite() && *limit_per_s >= 0.0
+}
+
 fn is_key(key: &str) -> bool {
     key.len() <= MAX_KEY_BYTES
 }
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -4,8 +4,8 @@
 use savoryvane_core::ids::{Incarnation, Offset, RegionName, ZoneName};
 use savoryvane_core::{
     forwarding::{
-        Cursor, DirectoryUpdate, EvacuationState, LapsingServer, LimitReport, RoutingConfig,
-        ZoneOrder,
+        Cursor, DirectoryUpdate, EvacuationState, GrantPurpose, LapsingServer, LimitReport,
+        RoutingConfig, ZoneOrder,
     },
     poison::{Evidence, Permit, RequestDigest},
     stages::{DonePiece, ResultRef, StageWork},
@@ -146,6 +146,12 @@
             revision: 9,
             reports: vec![limit_report(None)],
         }),
+        Message::GrantQuery(grant_query(1.5)),
+        Message::GrantState(GrantState::Granted("i-1".into())),
+        Message::GrantState(GrantState::Closed {
+            opens_in_ms: 700,
+            retry_after_ms: 1_500,
+        }),
         Message::RoutingQuery(RoutingQuery {
             version: 4,
             revision: Some(9),
@@ -204,9 +210,29 @@
             reports: vec![limit_report(Some(limit_per_s))],
         });
         assert_eq!(encode(&message), Err(FrameError::OverLimit(40)));
+        let message = Message::GrantQuery(grant_query(limit_per_s));
+        assert_eq!(encode(&message), Err(FrameError::OverLimit(41)));
+    }
+}
+
+fn grant_query(limit_per_s: f64) -> GrantQuery {
+    GrantQuery {
+        service: "desk".into(),
+        purpose: GrantPurpose::Send,
+        servers: vec![("i-1".into(), limit_per_s)],
+        priority: 1,
     }
 }
 
+/// A grant for no server at all can't be given.
+#[test]
+fn questions_for_grants_name_some_servers() {
+    let mut query = grant_query(1.0);
+    query.servers.clear();
+    let message = Message::GrantQuery(query);
+    assert_eq!(encode(&message), Err(FrameError::OverLimit(41)));
+}
+
 fn cursor(offset: u64) -> Cursor {
     Cursor {
         era: 2,
