Servers that name limits in the fault soak

Once all is calm an engine names 1 a second and gets no more than the platform allows in any 4 s; the sabotage over-limit breaks that.

--- a/crates/soak/src/config.rs
+++ b/crates/soak/src/config.rs
@@ -1,5 +1,7 @@
 //! What the operator of a soak configures.
 
+use std::ops::Range;
+
 use serde_json::{Value, json};
 
 /// Host of all routes.
@@ -21,6 +23,14 @@
 pub(crate) const SERVICES: [(&str, usize); 4] =
     [("desk", 3), ("engine", 3), ("archive", 2), ("invoices", 2)];
 
+/// Returns the indices of a service's servers.
+pub(crate) fn servers_of(service: &str) -> Range<usize> {
+    let before = SERVICES.iter().take_while(|(name, _)| *name != service);
+    let start = before.map(|(_, count)| count).sum();
+    let own = SERVICES.iter().find(|(name, _)| *name == service);
+    start..start + own.map_or(0, |(_, count)| *count)
+}
+
 /// Availability zone of the first instance, and of all servers that end under requests.
 pub(crate) const FIRST_ZONE: &str = "utrecht";
 /// Service whose servers end under some requests.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -47,6 +47,12 @@
     },
     /// A server says that it leaves, is gone, and comes back as another run.
     Replace { server: usize, away: Duration },
+    /// A server names a limit of requests a second, in tenths of one.
+    Limit {
+        server: usize,
+        tenths_per_s: u32,
+        lasts: Duration,
+    },
     /// A new version with one more route.
     Configure,
 }
@@ -91,6 +97,11 @@
 ];
 const HARMS: [Harm; 4] = [Harm::Cut, Harm::Reset, Harm::Silence, Harm::Delay];
 
+/// Limits that servers name, in tenths of a request a second.
+const LIMITS: [u32; 4] = [0, 5, 10, 40];
+/// Mean time between two limits that servers name.
+const LIMIT_GAP_MS: u64 = 2_500;
+
 /// Draws the faults of `seed`, in their order, each with the time at which it
 /// begins. All end by themselves within a few seconds after `length`.
 pub(crate) fn draw(
@@ -114,9 +125,33 @@
         }
         at_ms += rng.random_range(0..2 * GAP_MS);
     }
+    faults.extend(draw_limits(seed, servers, length));
+    faults.sort_by_key(|(at, _)| *at);
     faults
 }
 
+/// Draws the servers that name limits, of one series after the other: up to all of a
+/// service at the same time. Drawn apart, so that a seed keeps its other faults.
+fn draw_limits(seed: u64, servers: usize, length: Duration) -> Vec<(Duration, Fault)> {
+    let mut rng = Pcg64Mcg::seed_from_u64(!seed);
+    let mut limits = Vec::new();
+    let mut at_ms = rng.random_range(0..LIMIT_GAP_MS);
+    while at_ms < length.as_millis() as u64 {
+        let first = rng.random_range(0..servers);
+        let tenths_per_s = LIMITS[rng.random_range(0..LIMITS.len())];
+        for next in 0..rng.random_range(SERIES) as usize {
+            let fault = Fault::Limit {
+                server: (first + next) % servers,
+                tenths_per_s,
+                lasts: Duration::from_millis(rng.random_range(500..4_000)),
+            };
+            limits.push((Duration::from_millis(at_ms), fault));
+        }
+        at_ms += rng.random_range(0..2 * LIMIT_GAP_MS);
+    }
+    limits
+}
+
 fn draw_one(rng: &mut Pcg64Mcg, kind: u32, instance: usize, server: usize) -> Fault {
     let lasts = Duration::from_millis(rng.random_range(100..3_000));
     let harm = HARMS[rng.random_range(0..HARMS.len())];
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -15,6 +15,7 @@
     },
     deployment::Deployment,
     ledger::Asked,
+    run::CALM_LIMIT_PER_S,
 };
 
 /// Window of the budget of repeats.
@@ -24,6 +25,10 @@
 /// Time beyond a route's timeout by which a caller has an answer, on a busy
 /// machine.
 const TIMEOUT_SPARE: Duration = Duration::from_millis(900);
+/// Span in which a server with a limit is looked at, and the requests that it may get in
+/// it beyond one and a half times its limit, by the platform's bound.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+const LIMIT_SLACK: f64 = 5.0;
 /// Servers that may end under one request.
 const MOST_ENDS: usize = 3;
 /// Part of the requests that are served once all is calm, in per cent.
@@ -43,6 +48,8 @@
     pub(crate) leaving: usize,
     /// Time from which it gets nothing.
     pub(crate) left_alone_from: Instant,
+    /// Server that names a limit.
+    pub(crate) limited: usize,
     /// Instance that was stopped.
     pub(crate) stopped: usize,
     pub(crate) stopped_at: Instant,
@@ -318,6 +325,7 @@
             ));
         }
         self.left_alone(calm, broken);
+        self.within_limit(calm, broken);
         self.nothing_cut(calm, broken);
         let since: Vec<&Asked> = self
             .asked
@@ -346,6 +354,25 @@
         }
     }
 
+    /// A server that names a limit gets no more, until an instance is stopped.
+    fn within_limit(&self, calm: &Calm, broken: &mut Vec<String>) {
+        let server = &self.deployment.servers[calm.limited];
+        let ran = server.standin.ran().into_iter().map(|seen| seen.at);
+        let ran: Vec<Instant> = ran
+            .filter(|at| (calm.began_at..calm.stopped_at).contains(at))
+            .collect();
+        let within = |first: &Instant| {
+            let span = *first..*first + LIMIT_WINDOW;
+            ran.iter().filter(|at| span.contains(at)).count()
+        };
+        let worst = ran.iter().map(within).max().unwrap_or_default();
+        let most = 1.5 * CALM_LIMIT_PER_S * LIMIT_WINDOW.as_secs_f64() + LIMIT_SLACK;
+        if worst as f64 > most {
+            let id = server.id();
+            broken.push(format!("{id} got {worst} in 4 s although it names a limit"));
+        }
+    }
+
     /// A planned stop cuts nothing that has reached a server.
     fn nothing_cut(&self, calm: &Calm, broken: &mut Vec<String>) {
         let taken = self.asked.iter().filter(|a| a.kind != Kind::Poison);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -21,7 +21,7 @@
 use crate::{
     caller::{self, Callers},
     client::{self, Connection},
-    config::{HOST, Kind, POISON_PATH},
+    config::{HOST, Kind, POISON_PATH, servers_of},
     deployment::Deployment,
     error::{Error, Result},
     flags::SavoryvaneSoak,
@@ -52,6 +52,8 @@
     Kind::Poison,
     Kind::Poison,
 ];
+/// Requests a second that an engine takes once all is calm.
+pub(crate) const CALM_LIMIT_PER_S: f64 = 1.0;
 /// Delay of harmed ways, in ms.
 const DELAY_MS: u64 = 120;
 
@@ -138,6 +140,9 @@
     let faults = plan::draw(seed, options.instances, servers, options.length);
     write_plan(&folder, &faults)?;
     inject(&deployment, &faults).await?;
+    deployment.servers[limited(seed)]
+        .standin
+        .set_limit(Some(CALM_LIMIT_PER_S));
     time::sleep(SETTLE).await;
     let calm = work_as_planned(&callers, options.sabotage, seed).await?;
     time::sleep(CLOSING).await;
@@ -289,6 +294,17 @@
             deployment.start_run(server);
             Ok(())
         }
+        Fault::Limit {
+            server,
+            tenths_per_s,
+            lasts,
+        } => {
+            let server = &deployment.servers[server].standin;
+            server.set_limit(Some(f64::from(tenths_per_s) / 10.0));
+            time::sleep(lasts).await;
+            server.set_limit(None);
+            Ok(())
+        }
         Fault::Configure => {
             deployment.configure();
             Ok(())
@@ -345,6 +361,12 @@
     }
 }
 
+/// Returns the engine that names a limit once all is calm.
+fn limited(seed: u64) -> usize {
+    let engines = servers_of("engine");
+    engines.start + seed as usize % engines.len()
+}
+
 /// Does what operators do on a calm day: a version, a server that leaves, a stop
 /// of an instance.
 async fn work_as_planned(callers: &Callers, sabotage: Option<Sabotage>, seed: u64) -> Result<Calm> {
@@ -373,7 +395,7 @@
         }
         deployment.ledger.add(asked);
     }
-    harm_servers(deployment, sabotage, leaving).await;
+    harm_servers(deployment, sabotage, leaving, limited(seed)).await;
     let stopped = (seed % deployment.addresses.len() as u64) as usize;
     let stopped_at = Instant::now();
     match sabotage {
@@ -390,6 +412,7 @@
         behind,
         leaving,
         left_alone_from,
+        limited: limited(seed),
         stopped,
         stopped_at,
         stop_ended_at: Instant::now(),
@@ -397,13 +420,19 @@
 }
 
 /// Sends servers what no instance may send them.
-async fn harm_servers(deployment: &Deployment, sabotage: Option<Sabotage>, leaving: usize) {
+async fn harm_servers(
+    deployment: &Deployment,
+    sabotage: Option<Sabotage>,
+    leaving: usize,
+    limited: usize,
+) {
     if sabotage == Some(Sabotage::Uncounted) {
         return end_presses(deployment).await;
     }
     let (server, id, times) = match sabotage {
         Some(Sabotage::Unasked) => (0, "nobody", 1),
         Some(Sabotage::LateDrain) => (leaving, "r1", 3),
+        Some(Sabotage::OverLimit) => (limited, "r1", 20),
         Some(Sabotage::Overspent) => (1, "r1", 800),
         _ => return,
     };
--- a/crates/soak/src/sabotage.rs
+++ b/crates/soak/src/sabotage.rs
@@ -28,6 +28,8 @@
     Overspent,
     /// Servers are ended by requests that no instance counts.
     Uncounted,
+    /// A server that names a limit is sent many requests.
+    OverLimit,
     /// An instance that was killed is not started again.
     NotBack,
 }
@@ -51,6 +53,7 @@
             "cut-on-stop" => Self::CutOnStop,
             "overspent" => Self::Overspent,
             "uncounted" => Self::Uncounted,
+            "over-limit" => Self::OverLimit,
             "not-back" => Self::NotBack,
             other => return Err(Error::Flag(format!("no such sabotage: {other}"))),
         })
