Call servers of stages that take nearly nothing all the same

Both servers of a service had named a limit of 0. By the forecast a piece took ten seconds there, so that admission refused all, no call was made, and nobody learnt that the limit had ended. Now a server whose limit allows a call takes a batch at once by the forecast, and the lowest limit that is reckoned with is one request in four seconds instead of ten.

The test made no call of either server in 40 s before.

--- a/crates/core/src/forwarding/grants.rs
+++ b/crates/core/src/forwarding/grants.rs
@@ -26,8 +26,9 @@
 };
 
 /// Lowest limit that is reckoned with, in requests a second: nobody would learn otherwise
-/// that a server which took nothing at all takes requests again.
-pub(crate) const MIN_LIMIT_PER_S: f64 = 0.1;
+/// that a server which took nothing at all takes requests again. It is tried every 4 s, with
+/// what is stored up four times in that time at most, where five are allowed.
+pub(crate) const MIN_LIMIT_PER_S: f64 = 0.25;
 /// Highest limit that is reckoned with, in requests a second; no server takes as many.
 const MAX_LIMIT_PER_S: f64 = 1e6;
 /// A request a second, as a [`Rate`].
--- a/crates/core/src/stages/admission.rs
+++ b/crates/core/src/stages/admission.rs
@@ -107,7 +107,9 @@
         // until the first does.
         let is_begun = service.running > 0 || !service.queue.is_empty();
         let idle_ms = if is_begun { 0.0 } else { ready_ms };
-        let backlog_ms = idle_ms + (service.committed.ahead(late_weight) + pieces as f64) / rate;
+        let ahead = service.committed.ahead(late_weight) + pieces as f64;
+        let waiting = (ahead - service.taken_at_once(now_ms) as f64).max(0.0);
+        let backlog_ms = idle_ms + waiting / rate;
         let begin_ms = ready_ms + turn_ms(now_ms, service, ready_ms);
         let own_ms = service
             .batching
--- a/crates/core/src/stages/service.rs
+++ b/crates/core/src/stages/service.rs
@@ -166,6 +166,15 @@
         full as f64 * calls_per_ms
     }
 
+    /// Returns the pieces that servers with a limit take now, however low it is: while they
+    /// are not called nobody learns that they take more again.
+    pub(super) fn taken_at_once(&self, now_ms: u64) -> usize {
+        let servers = self.servers.values();
+        let limited = servers.filter(|server| server.limit_per_s.is_some());
+        let ready = limited.filter(|server| server.is_idle(now_ms)).count();
+        ready * self.batching.batch_pieces
+    }
+
     /// Returns the servers that take work.
     pub(super) fn open_servers(&self, now_ms: u64) -> usize {
         let servers = self.servers.values();
--- /dev/null
+++ b/crates/core/tests/stages_limits.rs
@@ -0,0 +1,68 @@
+//! Servers of stages that name a limit of calls a second.
+
+mod stages_world;
+
+use std::collections::BTreeMap;
+
+use savoryvane_core::{ids::BackendName, stages::StageOutcome};
+use stages_world::{World, batching, server, service, stage};
+
+const GOAL_MS: u64 = 600;
+/// Time between two requests, in ms.
+const GAP_MS: u64 = 100;
+const LENGTH_MS: u64 = 40_000;
+
+/// Two servers of one service, requests of one piece all the time, and a limit that both
+/// name from the start; returns the requests that were served and when each server was
+/// called, in ms.
+fn play(limit_per_s: f64) -> (usize, BTreeMap<BackendName, Vec<u64>>) {
+    let services = vec![service("archive", batching(10, 5.0, 20_000_000))];
+    let servers = vec![server("a0", "archive", "z"), server("a1", "archive", "z")];
+    let mut world = World::new(services, servers);
+    world.scheduler.set_limits(|_| Some(limit_per_s), 1.0);
+    let requests = LENGTH_MS / GAP_MS;
+    for number in 0..requests {
+        let stages = vec![stage("archive", &[], 1, 1_000)];
+        world.submit(World::submission(number, stages, GOAL_MS));
+        let next_ms = world.now_ms + GAP_MS;
+        world.run(next_ms);
+    }
+    let mut called: BTreeMap<BackendName, Vec<u64>> = BTreeMap::new();
+    for (at_ms, call) in &world.calls {
+        called.entry(call.server.clone()).or_default().push(*at_ms);
+    }
+    let served = (0..requests)
+        .filter(|number| matches!(world.outcome(*number), Some(StageOutcome::Ready(_))));
+    (served.count(), called)
+}
+
+/// While no call is made nobody learns that a server takes more again.
+#[test]
+fn servers_that_take_nearly_nothing_are_called_all_the_same() {
+    for limit_per_s in [0.0, 0.1, 0.5, 2.0] {
+        let (_, called) = play(limit_per_s);
+        for server in ["a0", "a1"] {
+            let calls = called.get(&BackendName::new(server)).map_or(0, Vec::len);
+            let least = limit_per_s.max(0.2) * LENGTH_MS as f64 / 1_000.0;
+            assert!(
+                calls as f64 >= 0.5 * least,
+                "{limit_per_s} a second: {calls} at {server}"
+            );
+        }
+    }
+}
+
+#[test]
+fn calls_are_as_far_apart_as_the_limit_says() {
+    for limit_per_s in [0.5, 1.0, 2.0] {
+        let (served, called) = play(limit_per_s);
+        let calls = called.values().map(Vec::len).sum::<usize>();
+        assert!(served >= calls, "{served} served by {calls} calls");
+        for times_ms in called.values() {
+            for pair in times_ms.windows(2) {
+                let gap_ms = (pair[1] - pair[0]) as f64;
+                assert!(gap_ms >= 1_000.0 / limit_per_s, "{limit_per_s}: {gap_ms}");
+            }
+        }
+    }
+}
