--- a/crates/core/src/fleet/route.rs
+++ b/crates/core/src/fleet/route.rs
@@ -97,6 +97,9 @@
         now_ms: u64,
         query: &RouteQuery<'_>,
     ) -> Vec<(BackendName, f64)> {
+        if self.limits.is_empty() {
+            return Vec::new();
+        }
         let able = self.able_with_grant(now_ms, query).into_iter();
         let limits = able.map(|index| {
             let name = &self.backends[index].name;
--- a/crates/core/src/forwarding/limits.rs
+++ b/crates/core/src/forwarding/limits.rs
@@ -25,6 +25,14 @@
     Unreadable,
 }
 
+impl NamedLimit {
+    /// Tells whether a failure with this says anything: only what a server names counts,
+    /// as an answer that failed may lack what others have.
+    pub fn is_told_by(self, is_success: bool) -> bool {
+        is_success || self != Self::None
+    }
+}
+
 /// What an instance knows of a server's limit, for another instance.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitReport {
@@ -187,6 +195,11 @@
         self.servers.get(server)?.limit_per_s
     }
 
+    /// Tells whether no server has said anything of a limit.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
     /// Returns the servers that name a limit.
     pub fn count(&self) -> usize {
         let servers = self.servers.values();
--- a/crates/core/tests/forwarding_limits.rs
+++ b/crates/core/tests/forwarding_limits.rs
@@ -129,6 +129,13 @@
     assert_eq!(limits.limit_per_s(&server()), Some(2.0));
 }
 
+#[test]
+fn a_failure_that_names_no_limit_does_not_end_one() {
+    assert!(!NamedLimit::None.is_told_by(false));
+    assert!(NamedLimit::None.is_told_by(true));
+    assert!(NamedLimit::PerSecond(1.0).is_told_by(false));
+}
+
 /// A server that starts again is another run, with another name.
 #[test]
 fn a_server_that_is_gone_takes_its_limit_with_it() {
--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -193,9 +193,11 @@
         let Exchange { response, lease } = exchange;
         let status = response.status();
         let head = answer::decode(status, response.headers());
-        let server = &in_flight.server.id;
-        self.knowledge
-            .on_limit(server, in_flight.sent_at_ms, head.limit);
+        if head.limit.is_told_by(status.is_success()) {
+            let server = &in_flight.server.id;
+            self.knowledge
+                .on_limit(server, in_flight.sent_at_ms, head.limit);
+        }
         if let Some(fault) = fault(caller, status, &head) {
             warn!(self.log, "answer not used"; "request" => %caller.id,
                 "server" => %in_flight.server.id, "status" => status.as_u16(), "fault" => fault);
--- a/crates/server/src/gateway/calls.rs
+++ b/crates/server/src/gateway/calls.rs
@@ -154,8 +154,10 @@
             return CallEnd::Misdirected;
         }
         let head = answer::decode(status, answer.headers());
-        self.knowledge
-            .on_limit(&call.server, sent_at_ms, head.limit);
+        if head.limit.is_told_by(status.is_success()) {
+            self.knowledge
+                .on_limit(&call.server, sent_at_ms, head.limit);
+        }
         if head.is_not_run {
             return CallEnd::Full;
         }
