Work out a limited server's next call by the part that is used now

Found by reading: a scheduler that hears nobody yet uses 1 part of 295 of a limit. The time of the next call was worked out once, at the call, so that the server was left alone for up to 20 minutes, also after its limit had ended; and a grant was not asked for again for 10 s. The next call follows from the last one and from what is known now, and a grant is asked for again within a second.

--- a/crates/core/src/forwarding/grants.rs
+++ b/crates/core/src/forwarding/grants.rs
@@ -42,6 +42,8 @@
 const URGENT_MS: u64 = 10_000;
 /// Shortest time until a grant is asked for again, in ms.
 const MIN_OPENS_IN_MS: u64 = 50;
+/// Longest such time, in ms: a part grows as soon as more instances are heard.
+const MAX_OPENS_IN_MS: u64 = 1_000;
 /// Shortest time to come back after, in ms.
 const MIN_RETRY_AFTER_MS: u64 = 200;
 /// Longest time to come back after, in ms: limits seldom hold for longer.
@@ -231,7 +233,7 @@
         parts: &[(&BackendName, Part)],
         all: Part,
     ) -> GrantState {
-        let mut opens_in_ms = MAX_RETRY_AFTER_MS;
+        let mut opens_in_ms = MAX_OPENS_IN_MS;
         for (server, part) in parts {
             let Some(given) = given(&mut self.servers, now_ms, server) else {
                 continue;
--- a/crates/core/src/stages/server.rs
+++ b/crates/core/src/stages/server.rs
@@ -54,8 +54,8 @@
     pub(super) slowness: f64,
     /// Calls a second that it takes, if it names a limit.
     pub(super) limit_per_s: Option<f64>,
-    /// Time before which its limit allows no further call, in ms.
-    next_call_ms: u64,
+    /// Time of its last call, in ms.
+    last_call_ms: Option<u64>,
 }
 
 impl Server {
@@ -72,7 +72,7 @@
             slow_until_ms: 0,
             slowness: 1.0,
             limit_per_s: None,
-            next_call_ms: 0,
+            last_call_ms: None,
         }
     }
 
@@ -83,7 +83,7 @@
 
     /// Tells whether it can begin a call at once.
     pub(super) fn is_idle(&self, now_ms: u64) -> bool {
-        self.is_open(now_ms) && self.calls == 0 && now_ms >= self.next_call_ms
+        self.is_open(now_ms) && self.calls == 0 && now_ms >= self.next_call_ms()
     }
 
     /// Returns the calls that it takes in a ms, where each takes `call_ms`.
@@ -96,7 +96,7 @@
     /// Returns when it is to be looked at again, if it is paused, in ms.
     pub(super) fn paused_until_ms(&self, now_ms: u64) -> Option<u64> {
         let until_ms = self.paused_until_ms.max(self.slow_until_ms);
-        let until_ms = until_ms.max(self.next_call_ms);
+        let until_ms = until_ms.max(self.next_call_ms());
         (!self.is_closed && until_ms > now_ms).then_some(until_ms)
     }
 
@@ -140,12 +140,19 @@
         self.fulls += 1;
     }
 
-    /// Notes a call of it: the next one has to wait where it names a limit, which one
-    /// scheduler uses for all instances.
+    /// Notes a call of it.
     pub(super) fn on_called(&mut self, now_ms: u64) {
-        if let Some(limit_per_s) = self.limit_per_s {
-            let pause_ms = 1_000.0 / limit_per_s;
-            self.next_call_ms = now_ms + pause_ms.ceil() as u64;
+        self.last_call_ms = Some(now_ms);
+    }
+
+    /// Returns the time before which its limit allows no further call, in ms, by the part
+    /// of it that this scheduler uses now.
+    fn next_call_ms(&self) -> u64 {
+        match (self.last_call_ms, self.limit_per_s) {
+            (Some(last_call_ms), Some(limit_per_s)) => {
+                last_call_ms + (1_000.0 / limit_per_s).ceil() as u64
+            }
+            _ => 0,
         }
     }
 
--- a/crates/core/tests/forwarding_limits.rs
+++ b/crates/core/tests/forwarding_limits.rs
@@ -224,6 +224,18 @@
     assert_eq!(grants.share(70_000), 1.0);
 }
 
+/// The part is small only until the others are heard.
+#[test]
+fn a_grant_that_a_small_part_has_none_of_is_asked_for_again_soon() {
+    let mut grants = LimitGrants::new(InstanceName::new("entry-0"));
+    grants.set_listed(0, &names(300));
+    let state = grants.grant(0, &query(GrantPurpose::Send, 0), told);
+    let GrantState::Closed { opens_in_ms, .. } = state else {
+        panic!("a grant");
+    };
+    assert!(opens_in_ms <= 1_000, "{opens_in_ms}");
+}
+
 #[test]
 fn a_server_whose_limit_has_ended_needs_no_grant() {
     let mut grants = LimitGrants::new(InstanceName::new("entry-0"));
--- a/crates/core/tests/stages_limits.rs
+++ b/crates/core/tests/stages_limits.rs
@@ -66,3 +66,29 @@
         }
     }
 }
+
+/// One that has just begun to schedule hears nobody yet and uses a small part of a limit.
+#[test]
+fn a_pause_is_as_long_as_the_part_that_is_used_now_says() {
+    for (limit_per_s, pause_ms) in [(Some(1.0), 1_000), (None, 0)] {
+        let services = vec![service("archive", batching(10, 5.0, 20_000_000))];
+        let mut world = World::new(services, vec![server("a0", "archive", "z")]);
+        world.scheduler.set_limits(|_| Some(1.0), 0.01);
+        let mut changed_ms = None;
+        for number in 0..20 {
+            if world.now_ms >= 400 && changed_ms.is_none() {
+                changed_ms = Some(world.now_ms);
+                world.scheduler.set_limits(|_| limit_per_s, 1.0);
+            }
+            let stages = vec![stage("archive", &[], 1, 1_000)];
+            world.submit(World::submission(number, stages, GOAL_MS));
+            let next_ms = world.now_ms + GAP_MS;
+            world.run(next_ms);
+        }
+        let first_ms = world.calls[0].0;
+        let allowed_ms = (first_ms + pause_ms).max(changed_ms.unwrap_or_default());
+        let second_ms = world.calls.get(1).map(|call| call.0);
+        let is_soon = second_ms.is_some_and(|at_ms| at_ms <= allowed_ms + 2 * GAP_MS);
+        assert!(is_soon, "{second_ms:?}, allowed from {allowed_ms}");
+    }
+}
