--- a/crates/bench/src/limit_load.rs
+++ b/crates/bench/src/limit_load.rs
@@ -286,9 +286,9 @@
         };
         let giver = &mut self.instances[scheduler];
         let limits = &giver.limits;
-        let limit_per_s = |server: &BackendName, told_per_s| match limits.is_known(server) {
+        let limit_per_s = |server: &BackendName, reported_per_s| match limits.is_known(server) {
             true => limits.limit_per_s(server),
-            false => Some(told_per_s),
+            false => Some(reported_per_s),
         };
         match giver.grants.grant(now_ms, &query, limit_per_s) {
             GrantState::Granted(granted) => {
@@ -391,7 +391,7 @@
                 continue;
             };
             let name = &self.names[number];
-            self.instances[scheduler].grants.on_heard(now_ms, name);
+            self.instances[scheduler].grants.on_seen(now_ms, name);
             let [taker, asker] = self
                 .instances
                 .get_disjoint_mut([scheduler, number])
--- a/crates/core/src/forwarding/grants.rs
+++ b/crates/core/src/forwarding/grants.rs
@@ -33,8 +33,8 @@
 const MAX_LIMIT_PER_S: f64 = 1e6;
 /// A request a second, as a [`Rate`].
 const REQUEST_PER_S: f64 = 1e6;
-/// Time since an instance asked last within which it is heard, in ms: six questions.
-const HEARD_MS: u64 = 1_500;
+/// Time since an instance asked last within which it counts as reached, in ms: six questions.
+const SEEN_WITHIN_MS: u64 = 1_500;
 /// Time since an instance asked last after which it has left, in ms: partitions heal or
 /// instances start again within that.
 const LEFT_MS: u64 = 60_000;
@@ -42,7 +42,7 @@
 const URGENT_MS: u64 = 10_000;
 /// Shortest time until a grant is asked for again, in ms.
 const MIN_OPENS_IN_MS: u64 = 50;
-/// Longest such time, in ms: a part grows as soon as more instances are heard.
+/// Longest such time, in ms: a part grows as soon as more instances are seen.
 const MAX_OPENS_IN_MS: u64 = 1_000;
 /// Shortest time to come back after, in ms.
 const MIN_RETRY_AFTER_MS: u64 = 200;
@@ -112,13 +112,13 @@
     },
 }
 
-/// When an instance was heard.
+/// When an instance was seen.
 #[derive(Clone, Copy, Debug)]
-struct Heard {
+struct LastSeen {
     /// When it was listed, in ms.
     listed_ms: u64,
     /// When it asked last, in ms.
-    last_ms: Option<u64>,
+    seen_ms: Option<u64>,
 }
 
 /// The part of one or several limits that an instance gives out.
@@ -150,17 +150,17 @@
 #[derive(Debug)]
 pub struct LimitGrants {
     instance: InstanceName,
-    heard: HashMap<InstanceName, Heard>,
+    last_seen: HashMap<InstanceName, LastSeen>,
     servers: HashMap<BackendName, Given>,
     services: HashMap<PoolName, Admission>,
 }
 
 impl LimitGrants {
-    /// Creates the grants of `instance`, which has heard of no other.
+    /// Creates the grants of `instance`, which has seen no other.
     pub fn new(instance: InstanceName) -> Self {
         Self {
             instance,
-            heard: HashMap::new(),
+            last_seen: HashMap::new(),
             servers: HashMap::new(),
             services: HashMap::new(),
         }
@@ -168,34 +168,35 @@
 
     /// Takes over the list of instances.
     pub fn set_listed(&mut self, now_ms: u64, instances: &[InstanceName]) {
-        let mut before = std::mem::take(&mut self.heard);
+        let mut before = std::mem::take(&mut self.last_seen);
         let others = instances.iter().filter(|name| **name != self.instance);
-        let heard = others.map(|name| {
-            let new = Heard {
+        let seen = others.map(|name| {
+            let new = LastSeen {
                 listed_ms: now_ms,
-                last_ms: None,
+                seen_ms: None,
             };
             (name.clone(), before.remove(name).unwrap_or(new))
         });
-        self.heard = heard.collect();
+        self.last_seen = seen.collect();
     }
 
     /// Notes that an instance has asked whether this one schedules.
-    pub fn on_heard(&mut self, now_ms: u64, instance: &InstanceName) {
-        if let Some(heard) = self.heard.get_mut(instance) {
-            heard.last_ms = Some(now_ms);
+    pub fn on_seen(&mut self, now_ms: u64, instance: &InstanceName) {
+        if let Some(seen) = self.last_seen.get_mut(instance) {
+            seen.seen_ms = Some(now_ms);
         }
     }
 
     /// Returns the part of all limits that this instance gives out.
     pub fn share(&self, now_ms: u64) -> f64 {
         let is_within = |at_ms: u64, within_ms| at_ms + within_ms > now_ms;
-        let others = self.heard.values();
+        let others = self.last_seen.values();
         let living = others
             .clone()
-            .filter(|heard| is_within(heard.last_ms.unwrap_or(heard.listed_ms), LEFT_MS));
-        let heard = others.filter(|heard| heard.last_ms.is_some_and(|at| is_within(at, HEARD_MS)));
-        (heard.count() + 1) as f64 / (living.count() + 1) as f64
+            .filter(|seen| is_within(seen.seen_ms.unwrap_or(seen.listed_ms), LEFT_MS));
+        let seen =
+            others.filter(|seen| seen.seen_ms.is_some_and(|at| is_within(at, SEEN_WITHIN_MS)));
+        (seen.count() + 1) as f64 / (living.count() + 1) as f64
     }
 
     /// Gives a grant, or tells when to ask again and when the caller is to come back.
@@ -208,8 +209,8 @@
     ) -> GrantState {
         let share = self.share(now_ms);
         let mut parts = Vec::with_capacity(query.servers.len());
-        for (server, told_per_s) in &query.servers {
-            match limit_per_s(server, *told_per_s) {
+        for (server, reported_per_s) in &query.servers {
+            match limit_per_s(server, *reported_per_s) {
                 Some(limit_per_s) => parts.push((server, Part::of(limit_per_s, share))),
                 None => return GrantState::Granted(server.clone()),
             }
--- a/crates/core/src/forwarding/limits.rs
+++ b/crates/core/src/forwarding/limits.rs
@@ -26,9 +26,9 @@
 }
 
 impl NamedLimit {
-    /// Tells whether a failure with this says anything: only what a server names counts,
-    /// as an answer that failed may lack what others have.
-    pub fn is_told_by(self, is_success: bool) -> bool {
+    /// Tells whether an answer with this says anything: of a failure only what it names counts,
+    /// as it may lack headers that others have.
+    pub fn is_meaningful(self, is_success: bool) -> bool {
         is_success || self != Self::None
     }
 }
--- a/crates/core/tests/forwarding_limits.rs
+++ b/crates/core/tests/forwarding_limits.rs
@@ -131,9 +131,9 @@
 
 #[test]
 fn a_failure_that_names_no_limit_does_not_end_one() {
-    assert!(!NamedLimit::None.is_told_by(false));
-    assert!(NamedLimit::None.is_told_by(true));
-    assert!(NamedLimit::PerSecond(1.0).is_told_by(false));
+    assert!(!NamedLimit::None.is_meaningful(false));
+    assert!(NamedLimit::None.is_meaningful(true));
+    assert!(NamedLimit::PerSecond(1.0).is_meaningful(false));
 }
 
 /// A server that starts again is another run, with another name.
@@ -195,8 +195,8 @@
     matches!(state, GrantState::Granted(_))
 }
 
-fn told(_: &BackendName, told_per_s: f64) -> Option<f64> {
-    Some(told_per_s)
+fn as_reported(_: &BackendName, reported_per_s: f64) -> Option<f64> {
+    Some(reported_per_s)
 }
 
 /// One that begins to schedule does not give again what another one has just given.
@@ -204,9 +204,9 @@
 fn an_instance_that_begins_to_schedule_gives_nothing_at_first() {
     let mut grants = LimitGrants::new(InstanceName::new("entry-0"));
     let query = query(GrantPurpose::Send, 0);
-    assert!(!is_granted(&grants.grant(1_000, &query, told)));
-    assert!(!is_granted(&grants.grant(1_400, &query, told)));
-    assert!(is_granted(&grants.grant(1_500, &query, told)));
+    assert!(!is_granted(&grants.grant(1_000, &query, as_reported)));
+    assert!(!is_granted(&grants.grant(1_400, &query, as_reported)));
+    assert!(is_granted(&grants.grant(1_500, &query, as_reported)));
 }
 
 #[test]
@@ -215,12 +215,12 @@
     grants.set_listed(0, &names(10));
     assert_eq!(grants.share(0), 0.1);
     for instance in &names(5) {
-        grants.on_heard(1_000, instance);
+        grants.on_seen(1_000, instance);
     }
     assert_eq!(grants.share(1_500), 0.5);
     assert_eq!(grants.share(3_000), 0.1);
     // The other five have left for good.
-    grants.on_heard(70_000, &names(5)[1]);
+    grants.on_seen(70_000, &names(5)[1]);
     assert_eq!(grants.share(70_000), 1.0);
 }
 
@@ -229,7 +229,7 @@
 fn a_grant_that_a_small_part_has_none_of_is_asked_for_again_soon() {
     let mut grants = LimitGrants::new(InstanceName::new("entry-0"));
     grants.set_listed(0, &names(300));
-    let state = grants.grant(0, &query(GrantPurpose::Send, 0), told);
+    let state = grants.grant(0, &query(GrantPurpose::Send, 0), as_reported);
     let GrantState::Closed { opens_in_ms, .. } = state else {
         panic!("a grant");
     };
@@ -248,7 +248,7 @@
     let mut grants = LimitGrants::new(InstanceName::new("entry-0"));
     let mut query = query(GrantPurpose::Send, 0);
     query.servers = vec![(server(), 0.0)];
-    let asked = (0..60).map(|second| grants.grant(second * 1_000, &query, told));
+    let asked = (0..60).map(|second| grants.grant(second * 1_000, &query, as_reported));
     let granted = asked.filter(is_granted).count();
     assert!((12..=16).contains(&granted), "{granted} in a minute");
 }
@@ -258,13 +258,15 @@
 fn refused_callers_are_told_times_one_after_the_other() {
     let mut grants = LimitGrants::new(InstanceName::new("entry-0"));
     let query = query(GrantPurpose::ReturnTime, 0);
-    let times = (0..4).map(|_| match grants.grant(1_000, &query, told) {
+    let times = (0..4).map(|_| match grants.grant(1_000, &query, as_reported) {
         GrantState::Closed { retry_after_ms, .. } => retry_after_ms,
         GrantState::Granted(_) => 0,
     });
     let times: Vec<u64> = times.collect();
     assert_eq!(times, [500, 1_000, 1_500, 2_000]);
-    let later = (0..100).map(|_| grants.grant(1_000, &query, told)).last();
+    let later = (0..100)
+        .map(|_| grants.grant(1_000, &query, as_reported))
+        .last();
     let Some(GrantState::Closed { retry_after_ms, .. }) = later else {
         panic!("a grant");
     };
@@ -281,7 +283,7 @@
         let state = grants.grant(
             number * 250,
             &query(GrantPurpose::Admission, priority),
-            told,
+            as_reported,
         );
         admitted[usize::from(priority)] += usize::from(is_granted(&state));
     }
@@ -293,7 +295,7 @@
 fn requests_of_one_rank_are_admitted_at_the_rate_of_the_limit() {
     let mut grants = LimitGrants::new(InstanceName::new("entry-0"));
     let query = query(GrantPurpose::Admission, 5);
-    let asked = (0..400u64).map(|number| grants.grant(number * 250, &query, told));
+    let asked = (0..400u64).map(|number| grants.grant(number * 250, &query, as_reported));
     let admitted = asked.filter(is_granted).count();
     assert!((195..=203).contains(&admitted), "{admitted}");
 }
@@ -322,11 +324,11 @@
             let giver = match is_shared {
                 true => &mut givers[usize::from(limit % 2)],
                 false => {
-                    givers[0].on_heard(now_ms, &names(2)[1]);
+                    givers[0].on_seen(now_ms, &names(2)[1]);
                     &mut givers[0]
                 }
             };
-            if is_granted(&giver.grant(now_ms, &asked, told)) {
+            if is_granted(&giver.grant(now_ms, &asked, as_reported)) {
                 granted_ms.push(now_ms);
             }
         }
--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -193,7 +193,7 @@
         let Exchange { response, lease } = exchange;
         let status = response.status();
         let head = answer::decode(status, response.headers());
-        if head.limit.is_told_by(status.is_success()) {
+        if head.limit.is_meaningful(status.is_success()) {
             let server = &in_flight.server.id;
             self.knowledge
                 .on_limit(server, in_flight.sent_at_ms, head.limit);
--- a/crates/server/src/gateway/calls.rs
+++ b/crates/server/src/gateway/calls.rs
@@ -154,7 +154,7 @@
             return CallEnd::Misdirected;
         }
         let head = answer::decode(status, answer.headers());
-        if head.limit.is_told_by(status.is_success()) {
+        if head.limit.is_meaningful(status.is_success()) {
             self.knowledge
                 .on_limit(&call.server, sent_at_ms, head.limit);
         }
--- a/crates/server/src/gateway/limits.rs
+++ b/crates/server/src/gateway/limits.rs
@@ -150,8 +150,8 @@
     }
 
     /// Notes that an instance has asked whether this one schedules.
-    pub(super) fn on_heard(&self, instance: &InstanceName) {
-        self.grants().on_heard(self.knowledge.now_ms(), instance);
+    pub(super) fn on_seen(&self, instance: &InstanceName) {
+        self.grants().on_seen(self.knowledge.now_ms(), instance);
     }
 
     /// Returns the part of all limits that this instance gives out.
@@ -171,9 +171,9 @@
                 .map(|(server, _)| (server.clone(), limits.limit_per_s(server)))
                 .collect()
         };
-        let limit_per_s = |server: &BackendName, told_per_s| match known.get(server) {
+        let limit_per_s = |server: &BackendName, reported_per_s| match known.get(server) {
             Some(limit_per_s) => *limit_per_s,
-            None => Some(told_per_s),
+            None => Some(reported_per_s),
         };
         self.grants().grant(now_ms, query, limit_per_s)
     }
--- a/crates/server/src/gateway/peering.rs
+++ b/crates/server/src/gateway/peering.rs
@@ -73,7 +73,7 @@
                 Message::Taken(Taken)
             }
             Message::SchedulerQuery(_) => {
-                self.limits.on_heard(&from.instance);
+                self.limits.on_seen(&from.instance);
                 Message::SchedulerState(SchedulerState {
                     is_taking: self.is_taking(),
                     known: self.catch_up.known(&self.members),
