--- a/crates/core/src/forwarding/grants.rs
+++ b/crates/core/src/forwarding/grants.rs
@@ -1,6 +1,6 @@
 //! Gives out what servers with a limit take, one request at a time.
 //!
-//! The load that this answers: a server in need names a limit as low as one request a
+//! The load that this answers: an overloaded server names a limit as low as one request a
 //! second for all instances together. Sessions have their home there, so that up to
 //! hundreds of instances go on sending to it, each of which sees only its own requests.
 //! A fixed part for each leaves most of the limit unused, as few of those that have a part
--- a/crates/core/src/forwarding/limits.rs
+++ b/crates/core/src/forwarding/limits.rs
@@ -1,6 +1,6 @@
 //! Knows the limits that servers name.
 //!
-//! A server in need names in its answers how many requests a second it takes from all
+//! An overloaded server tells by its answers how many requests a second it takes from all
 //! instances together. An instance learns of that by the answers that it gets, and from
 //! the others. Before it sends to such a server it asks for a grant, see
 //! [`LimitGrants`](super::LimitGrants).
