Say once how grants remember a bounded number of entries, and which limit is in force

The bounded maps of servers and services were the same code twice; the limit that counts was worked out once by copying names into a map before each grant, and again in the simulation. An admission that leaves no place for more urgent ones is tried on a copy of the bucket in place of being taken back. Behaviour unchanged; the tests keep their assertions.

--- a/crates/bench/src/limit_load.rs
+++ b/crates/bench/src/limit_load.rs
@@ -286,10 +286,7 @@
         };
         let giver = &mut self.instances[scheduler];
         let limits = &giver.limits;
-        let limit_per_s = |server: &BackendName, reported_per_s| match limits.is_known(server) {
-            true => limits.limit_per_s(server),
-            false => Some(reported_per_s),
-        };
+        let limit_per_s = |server: &_, reported_per_s| limits.limit_or(server, reported_per_s);
         match giver.grants.grant(now_ms, &query, limit_per_s) {
             GrantState::Granted(granted) => {
                 self.servers.iter().position(|server| *server == granted)
--- a/crates/core/src/forwarding/grants.rs
+++ b/crates/core/src/forwarding/grants.rs
@@ -15,7 +15,7 @@
 //! the rate of all limits together; who is not is told at once when to come back. The most
 //! urgent ones go first.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, hash::Hash};
 
 use serde::{Deserialize, Serialize};
 
@@ -236,7 +236,7 @@
     ) -> GrantState {
         let mut opens_in_ms = MAX_OPENS_IN_MS;
         for (server, part) in parts {
-            let Some(given) = given(&mut self.servers, now_ms, server) else {
+            let Some(given) = self.given(now_ms, server) else {
                 continue;
             };
             given.bucket.fill_to(now_ms, part.flow, part.depth_milli);
@@ -264,10 +264,10 @@
         if is_most_urgent {
             return bucket.take();
         }
-        let before = *bucket;
-        let leaves_a_place = bucket.take() && bucket.clone().take();
-        if !leaves_a_place {
-            *bucket = before;
+        let mut after = *bucket;
+        let leaves_a_place = after.take() && after.clone().take();
+        if leaves_a_place {
+            *bucket = after;
         }
         leaves_a_place
     }
@@ -298,25 +298,24 @@
     }
 
     fn admission(&mut self, now_ms: u64, service: &PoolName) -> Option<&mut Admission> {
-        if !self.services.contains_key(service) {
-            if self.services.len() >= MAX_BUCKETS {
-                self.services
-                    .retain(|_, admission| admission.given.asked_ms + IDLE_MS > now_ms);
-            }
-            if self.services.len() >= MAX_BUCKETS {
-                return None;
-            }
-            let admission = Admission {
-                given: Given::new(now_ms),
-                returns_at_ms: now_ms,
-                most_urgent: (u8::MAX, now_ms),
-            };
-            self.services.insert(service.clone(), admission);
-        }
-        let admission = self.services.get_mut(service)?;
+        let new = Admission {
+            given: Given::new(now_ms),
+            returns_at_ms: now_ms,
+            most_urgent: (u8::MAX, now_ms),
+        };
+        let asked_ms = |admission: &Admission| admission.given.asked_ms;
+        let admission = remembered(&mut self.services, now_ms, service, new, asked_ms)?;
         admission.given.asked_ms = now_ms;
         Some(admission)
     }
+
+    fn given(&mut self, now_ms: u64, server: &BackendName) -> Option<&mut Given> {
+        let new = Given::new(now_ms);
+        let asked_ms = |given: &Given| given.asked_ms;
+        let given = remembered(&mut self.servers, now_ms, server, new, asked_ms)?;
+        given.asked_ms = now_ms;
+        Some(given)
+    }
 }
 
 impl Given {
@@ -328,24 +327,25 @@
     }
 }
 
-/// Returns what was given out for a server, if there is room to remember it.
-fn given<'a>(
-    servers: &'a mut HashMap<BackendName, Given>,
+/// Returns the entry of `key`, `new` where there is none, if there is room to remember it:
+/// entries that were not asked for lately make room.
+fn remembered<'a, K: Clone + Eq + Hash, V>(
+    entries: &'a mut HashMap<K, V>,
     now_ms: u64,
-    server: &BackendName,
-) -> Option<&'a mut Given> {
-    if !servers.contains_key(server) {
-        if servers.len() >= MAX_BUCKETS {
-            servers.retain(|_, given| given.asked_ms + IDLE_MS > now_ms);
+    key: &K,
+    new: V,
+    asked_ms: impl Fn(&V) -> u64,
+) -> Option<&'a mut V> {
+    if !entries.contains_key(key) {
+        if entries.len() >= MAX_BUCKETS {
+            entries.retain(|_, entry| asked_ms(entry) + IDLE_MS > now_ms);
         }
-        if servers.len() >= MAX_BUCKETS {
+        if entries.len() >= MAX_BUCKETS {
             return None;
         }
-        servers.insert(server.clone(), Given::new(now_ms));
+        entries.insert(key.clone(), new);
     }
-    let given = servers.get_mut(server)?;
-    given.asked_ms = now_ms;
-    Some(given)
+    entries.get_mut(key)
 }
 
 impl Part {
--- a/crates/core/src/forwarding/limits.rs
+++ b/crates/core/src/forwarding/limits.rs
@@ -185,9 +185,11 @@
         reports.collect()
     }
 
-    /// Tells whether `server` has said anything of a limit.
-    pub fn is_known(&self, server: &BackendName) -> bool {
-        self.servers.contains_key(server)
+    /// Returns the limit of `server`, in requests a second: that which another instance
+    /// reports where the server has said nothing here.
+    pub fn limit_or(&self, server: &BackendName, reported_per_s: f64) -> Option<f64> {
+        let known = self.servers.get(server);
+        known.map_or(Some(reported_per_s), |known| known.limit_per_s)
     }
 
     /// Returns the requests a second that `server` takes, if it names a limit.
--- a/crates/server/src/gateway/limits.rs
+++ b/crates/server/src/gateway/limits.rs
@@ -5,7 +5,6 @@
 //! and for a grant before they send to a server that names a limit.
 
 use std::{
-    collections::HashMap,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
@@ -162,20 +161,12 @@
     /// Gives a grant by what this instance knows and has given out.
     pub(super) fn grant(&self, query: &GrantQuery) -> GrantState {
         let now_ms = self.knowledge.now_ms();
-        let known: HashMap<BackendName, Option<f64>> = {
-            let mut fleet = self.knowledge.fleet();
-            let limits = fleet.limits();
-            let servers = query.servers.iter();
-            servers
-                .filter(|(server, _)| limits.is_known(server))
-                .map(|(server, _)| (server.clone(), limits.limit_per_s(server)))
-                .collect()
-        };
-        let limit_per_s = |server: &BackendName, reported_per_s| match known.get(server) {
-            Some(limit_per_s) => *limit_per_s,
-            None => Some(reported_per_s),
-        };
-        self.grants().grant(now_ms, query, limit_per_s)
+        let mut fleet = self.knowledge.fleet();
+        let limits = fleet.limits();
+        self.grants()
+            .grant(now_ms, query, |server, reported_per_s| {
+                limits.limit_or(server, reported_per_s)
+            })
     }
 
     /// Asks the instance that schedules for a grant, or gives it here where none does.
