Log which answers of backend servers say that they leave or ask for backoff

Each such answer has a line and a counter now, with the request or call that it answers and when that was sent. What answers say of their servers is decoded into one type and taken in by one function; values that can't be read are counted by signal, limits too (savoryvane_signals_unreadable_total in place of savoryvane_limits_unreadable_total). No decision changes.

--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -16,6 +16,7 @@
 mod reading;
 mod removed;
 mod returning;
+mod signals;
 mod steps;
 mod table;
 mod timeouts;
@@ -40,6 +41,7 @@
 pub use position::{Cursor, Position};
 pub use reading::{InForce, Reader, StoreRetry, TellingBudget, is_told, reserves};
 pub use returning::UsualDeadlines;
+pub use signals::{BackoffRequest, Departure, ServerSignals};
 pub use steps::{AttemptEnd, Giving, NextStep, Repeats, next_step};
 pub use table::{Matched, RouteTable, Unroutable};
 pub use timeouts::{answer_timeout_ms, event_timeout_ms};
--- a/crates/server/src/gateway.rs
+++ b/crates/server/src/gateway.rs
@@ -27,6 +27,7 @@
 mod scheduling;
 mod sending;
 mod settings;
+mod signals;
 mod stages;
 mod store;
 
--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -18,6 +18,7 @@
     crashes::LostServer,
     forward::{Forwarder, Inputs},
     request::CallerRequest,
+    signals::Answered,
 };
 use crate::connections::{Exchange, Lease, Reuse, SendError};
 
@@ -193,11 +194,13 @@
         let Exchange { response, lease } = exchange;
         let status = response.status();
         let head = answer::decode(status, response.headers());
-        if head.limit.is_meaningful(status.is_success()) {
-            let server = &in_flight.server.id;
-            self.knowledge
-                .on_limit(server, in_flight.sent_at_ms, head.limit);
-        }
+        self.knowledge.on_signals(
+            &in_flight.server.id,
+            in_flight.sent_at_ms,
+            Answered::Request(&caller.id),
+            status.is_success(),
+            head.signals,
+        );
         if let Some(fault) = fault(caller, status, &head) {
             warn!(self.log, "answer not used"; "request" => %caller.id,
                 "server" => %in_flight.server.id, "status" => status.as_u16(), "fault" => fault);
--- a/crates/server/src/gateway/calls.rs
+++ b/crates/server/src/gateway/calls.rs
@@ -19,6 +19,7 @@
     crashes::{CrashDetector, LostServer},
     knowledge::Knowledge,
     quarantine::Quarantine,
+    signals::Answered,
 };
 use crate::{
     connections::{Connections, SendError},
@@ -154,10 +155,13 @@
             return CallEnd::Misdirected;
         }
         let head = answer::decode(status, answer.headers());
-        if head.limit.is_meaningful(status.is_success()) {
-            self.knowledge
-                .on_limit(&call.server, sent_at_ms, head.limit);
-        }
+        self.knowledge.on_signals(
+            &call.server,
+            sent_at_ms,
+            Answered::Call(call.id),
+            status.is_success(),
+            head.signals,
+        );
         if head.is_not_run {
             return CallEnd::Full;
         }
--- a/crates/server/src/gateway/knowledge.rs
+++ b/crates/server/src/gateway/knowledge.rs
@@ -20,7 +20,7 @@
     settings::PolicySettings,
 };
 use savoryvane_platform::store;
-use slog::{Logger, info, warn};
+use slog::{Logger, info};
 use tokio::sync::Notify;
 
 use super::{follow::Batch, settings::GatewaySettings};
@@ -41,7 +41,7 @@
 /// What an instance knows of routes and backend servers.
 #[derive(Debug)]
 pub(super) struct Knowledge {
-    log: Logger,
+    pub(super) log: Logger,
     clock: Clock,
     table: ArcSwapOption<RouteTable>,
     /// Latest version of the routes that another instance knows.
@@ -345,8 +345,7 @@
     /// limit.
     pub(super) fn on_limit(&self, server: &BackendName, sent_at_ms: u64, named: NamedLimit) {
         if named == NamedLimit::Unreadable {
-            warn!(self.log, "limit not understood"; "server" => %server);
-            metrics::counter!("savoryvane_limits_unreadable_total").increment(1);
+            self.note_unreadable(server, "server-limit");
         }
         let now_ms = self.clock.now_ms();
         let change = {
