Send nothing new to servers that say in an answer that they leave

Callers saw nothing: such servers answer well until they end, and may end under a request that they should never have got.

Cause: the only source of who leaves was the register, and for 13 s nobody could write there. Nothing read Server-Leaving. Ruled out: that the word was known and undone by the register (no line of it) and that some path does not ask (after 20.7 s, when the register said so, the server got nothing on any path).

Every answer goes through one function now, as soon as its head has come: whole ones, streams, resumed ones, refusals, failures, calls with pieces, freed results, and those that break off after their head. A 421 goes through it too; before, it was learnt after the whole body, and not at all where the answer was not used. What another run at the address says of itself, or what answers another request, is not taken for the server's. The directory remembers the run as having left also while its entry is missing, and forgets registered ones last. Calls with pieces are decided again when they are sent.

--- a/crates/core/src/forwarding/directory.rs
+++ b/crates/core/src/forwarding/directory.rs
@@ -205,19 +205,39 @@
         }
         if self.left.contains(&entry.id) {
             entry.state = ServerState::Leaving;
-        } else if entry.state == ServerState::Leaving {
-            note_left(&mut self.left, &mut self.left_order, &entry.id);
         }
         let has_changed = is_back || known.is_none_or(|known| !known.says_the_same(&entry));
         if let Some(known) = known {
             self.runs.remove(&known.id);
         }
-        self.runs
-            .insert(entry.id.clone(), entry.registered_as.clone());
+        let run = entry.id.clone();
+        let is_leaving = entry.state == ServerState::Leaving;
+        self.runs.insert(run.clone(), entry.registered_as.clone());
         self.entries.insert(entry.registered_as.clone(), entry);
+        if is_leaving {
+            self.note_left(&run);
+        }
         has_changed
     }
 
+    /// Remembers that a run has left. When there are too many, the first one to leave that is
+    /// not registered any more is forgotten.
+    fn note_left(&mut self, run: &BackendName) {
+        if !self.left.insert(run.clone()) {
+            return;
+        }
+        self.left_order.push_back(run.clone());
+        if self.left_order.len() <= MOST_LEFT {
+            return;
+        }
+        let mut order = self.left_order.iter();
+        let first = order.position(|run| !self.runs.contains_key(run));
+        let forgotten = self.left_order.remove(first.unwrap_or_default());
+        if let Some(run) = forgotten {
+            self.left.remove(&run);
+        }
+    }
+
     fn note_change(&mut self, registered_as: &BackendName, cursor: Option<Cursor>) {
         self.revision += 1;
         self.changes.push_back(Change {
@@ -235,11 +255,17 @@
         }
     }
 
-    /// Notes that a run says in an answer that it is leaving.
+    /// Notes that a run says in an answer that it is leaving, which holds for good. Returns
+    /// whether that was unknown of a registered run.
     pub fn on_leaving(&mut self, id: &BackendName) -> bool {
         let Some(mut entry) = self.entry(id).cloned() else {
+            // Its entry may have lapsed, and may be back.
+            self.note_left(id);
             return false;
         };
+        if entry.state == ServerState::Leaving {
+            return false;
+        }
         entry.state = ServerState::Leaving;
         let registered_as = entry.registered_as.clone();
         self.apply(&registered_as, Some(entry), None)
@@ -478,22 +504,6 @@
     }
 }
 
-/// Remembers that a run has left, and forgets the one that left first when there are
-/// too many.
-fn note_left(
-    left: &mut HashSet<BackendName>,
-    order: &mut VecDeque<BackendName>,
-    run: &BackendName,
-) {
-    left.insert(run.clone());
-    order.push_back(run.clone());
-    if order.len() > MOST_LEFT
-        && let Some(first) = order.pop_front()
-    {
-        left.remove(&first);
-    }
-}
-
 fn pool(service: &Service) -> Pool {
     Pool {
         name: service.name.clone(),
--- a/crates/core/tests/forwarding_rules.rs
+++ b/crates/core/tests/forwarding_rules.rs
@@ -254,6 +254,32 @@
     assert_eq!(state_of(&directory, "i-1"), Some(ServerState::Leaving));
 }
 
+#[test]
+fn a_server_that_says_that_it_leaves_while_it_is_not_registered_stays_leaving() {
+    let mut directory = Directory::default();
+    assert!(!directory.on_leaving(&BackendName::new("i-1")));
+    let listing = DirectoryUpdate::Whole(vec![entry("i-1", ServerState::Ready)]);
+    directory.update_to(listing, KNOWN_TO);
+    assert_eq!(state_of(&directory, "i-1"), Some(ServerState::Leaving));
+}
+
+#[test]
+fn a_registered_server_that_leaves_is_remembered_however_many_leave_after_it() {
+    let mut directory = Directory::default();
+    let id = BackendName::new("i-1");
+    apply(&mut directory, &id, Some(entry("i-1", ServerState::Ready)));
+    assert!(directory.on_leaving(&id));
+    for number in 0..5_000 {
+        directory.on_leaving(&BackendName::new(format!("i-gone-{number}")));
+    }
+    let later = ServerEntry {
+        position: KNOWN_TO.position(),
+        ..entry("i-1", ServerState::Ready)
+    };
+    apply(&mut directory, &id, Some(later));
+    assert_eq!(state_of(&directory, "i-1"), Some(ServerState::Leaving));
+}
+
 #[test]
 fn one_that_has_an_earlier_revision_is_told_only_what_changed() {
     let mut directory = Directory::default();
--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -13,7 +13,7 @@
 };
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     body::Incoming,
@@ -301,11 +301,31 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
         max_bytes: usize,
+    ) -> Result<Response<Bytes>, SendError> {
+        self.exchange_with(addr, request, timeout, max_bytes, |_| {})
+            .await
+    }
+
+    /// Does the same as [`exchange`](Self::exchange) and passes the head of the answer to
+    /// `on_head` as soon as it has come, also where the rest does not follow.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError::NotSent`] only when nothing of the request was
+    /// handed to a socket.
+    pub(crate) async fn exchange_with(
+        self: &Arc<Self>,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+        max_bytes: usize,
+        on_head: impl FnOnce(&response::Parts),
     ) -> Result<Response<Bytes>, SendError> {
         let not_after = Instant::now() + timeout;
         let whole = async {
             let Exchange { response, lease } = self.send(addr, request, not_after).await?;
             let (head, body) = response.into_parts();
+            on_head(&head);
             let body = Limited::new(body, max_bytes)
                 .collect()
                 .await
--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -46,6 +46,7 @@
     pub(super) response: Response<Incoming>,
     pub(super) lease: Lease,
     pub(super) server: InFlight,
+    pub(super) head: AnswerHead,
 }
 
 /// Counts a request as in flight at a server until its end is known.
@@ -194,12 +195,11 @@
         let Exchange { response, lease } = exchange;
         let status = response.status();
         let head = answer::decode(status, response.headers());
-        self.knowledge.on_signals(
+        self.knowledge.on_answer_head(
             &in_flight.server.id,
             in_flight.sent_at_ms,
             Answered::Request(&caller.id),
-            status.is_success(),
-            head.signals,
+            &head,
         );
         if let Some(fault) = fault(caller, status, &head) {
             warn!(self.log, "answer not used"; "request" => %caller.id,
@@ -212,6 +212,7 @@
                 response,
                 lease,
                 server: in_flight,
+                head,
             }));
         }
         let (mut parts, body) = response.into_parts();
@@ -225,9 +226,6 @@
             }
         };
         keep(lease, &head);
-        if head.is_misdirected {
-            self.knowledge.on_leaving(&in_flight.server.id);
-        }
         parts.headers = answer::forward(&parts.headers);
         let response = Response::from_parts(parts, body);
         if head.is_not_run {
--- a/crates/server/src/gateway/calls.rs
+++ b/crates/server/src/gateway/calls.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{Method, StatusCode};
+use http::{Method, StatusCode, response};
 use savoryvane_core::{
     forwarding::ServerEntry,
     ids::{BackendName, RequestId},
@@ -46,6 +46,14 @@
     log: Logger,
 }
 
+/// Where a call goes, and what for.
+#[derive(Clone, Copy, Debug)]
+struct Addressee<'a> {
+    server: &'a BackendName,
+    addr: SocketAddr,
+    answered: Answered<'a>,
+}
+
 impl StageCalls {
     pub(super) fn new(
         knowledge: Arc<Knowledge>,
@@ -78,9 +86,6 @@
         metrics::counter!("savoryvane_stage_calls_ended_total", "end" => end.as_str()).increment(1);
         metrics::histogram!("savoryvane_stage_call_seconds").record(began.elapsed());
         self.log_call(call, &end, elapsed_ms);
-        if end == CallEnd::Misdirected {
-            self.knowledge.on_leaving(&call.server);
-        }
         end
     }
 
@@ -140,28 +145,27 @@
                 return CallEnd::Unreachable;
             }
         };
+        if self.is_closed(&call.server) {
+            // It was chosen before that was known.
+            return CallEnd::Misdirected;
+        }
         let timeout = Duration::from_millis(call.timeout_ms);
-        let sent_at_ms = self.knowledge.now_ms();
-        let answer = self
-            .post(&call.server, call.addr, stages::RUN_PATH, body, timeout)
-            .await;
+        let to = Addressee {
+            server: &call.server,
+            addr: call.addr,
+            answered: Answered::Call(call.id),
+        };
+        let answer = self.post(to, stages::RUN_PATH, body, timeout).await;
         let answer = match answer {
             Ok(answer) => answer,
             Err(SendError::NotSent(_)) => return CallEnd::Unreachable,
             Err(SendError::Sent(_)) => return CallEnd::Lost,
         };
         let status = answer.status();
-        if stages::is_misdirected(status) {
+        let head = answer::decode(status, answer.headers());
+        if head.is_misdirected {
             return CallEnd::Misdirected;
         }
-        let head = answer::decode(status, answer.headers());
-        self.knowledge.on_signals(
-            &call.server,
-            sent_at_ms,
-            Answered::Call(call.id),
-            status.is_success(),
-            head.signals,
-        );
         if head.is_not_run {
             return CallEnd::Full;
         }
@@ -178,18 +182,24 @@
         }
     }
 
+    /// Sends a call, and takes in what its answer says of the server.
     async fn post(
         &self,
-        server: &BackendName,
-        addr: SocketAddr,
+        to: Addressee<'_>,
         path: &str,
         body: Vec<u8>,
         timeout: Duration,
     ) -> Result<http::Response<Bytes>, SendError> {
-        let mut request = request(Method::POST, addr, path, body.into());
-        request.headers_mut().extend(stages::headers(server));
+        let mut request = request(Method::POST, to.addr, path, body.into());
+        request.headers_mut().extend(stages::headers(to.server));
+        let sent_at_ms = self.knowledge.now_ms();
+        let on_head = |head: &response::Parts| {
+            let head = answer::decode(head.status, &head.headers);
+            self.knowledge
+                .on_answer_head(to.server, sent_at_ms, to.answered, &head);
+        };
         self.servers
-            .exchange(addr, request, timeout, MAX_ANSWER_BYTES)
+            .exchange_with(to.addr, request, timeout, MAX_ANSWER_BYTES, on_head)
             .await
     }
 
@@ -207,25 +217,23 @@
                 return false;
             }
         };
-        let is_closed = {
-            let directory = self.knowledge.directory();
-            let entry = directory.entry(server);
-            entry.is_some_and(|entry| directory.evacuated().contains(&entry.zone))
-        };
         let is_limited = self
             .knowledge
             .fleet()
             .limits()
             .limit_per_s(server)
             .is_some();
-        if is_closed || is_limited {
-            // Nothing is sent to an evacuated zone, and what a limited server takes is left
-            // for pieces; the server drops results by itself.
+        if self.is_closed(server) || is_limited {
+            // Nothing is sent to a server that leaves or to an evacuated zone, and what a
+            // limited server takes is left for pieces; the server drops results by itself.
             return true;
         }
-        let freed = self
-            .post(server, addr, stages::FREE_PATH, body, FREE_TIMEOUT)
-            .await;
+        let to = Addressee {
+            server,
+            addr,
+            answered: Answered::Free,
+        };
+        let freed = self.post(to, stages::FREE_PATH, body, FREE_TIMEOUT).await;
         if let Err(err) = freed {
             // The server drops them by itself a little later.
             warn!(self.log, "results not freed"; "server" => %server, "results" => handles.len(),
@@ -234,6 +242,13 @@
         true
     }
 
+    /// Tells whether a server takes nothing new.
+    fn is_closed(&self, server: &BackendName) -> bool {
+        let directory = self.knowledge.directory();
+        let entry = directory.entry(server);
+        entry.is_some_and(|entry| directory.is_closed(entry))
+    }
+
     /// Tries to connect to a server that could not be reached until that succeeds; returns
     /// whether it did in time.
     pub(super) async fn reach(&self, server: &BackendName, addr: SocketAddr) -> bool {
--- a/crates/server/src/gateway/knowledge.rs
+++ b/crates/server/src/gateway/knowledge.rs
@@ -413,11 +413,11 @@
         self.limits_changed.notified().await;
     }
 
-    /// Notes that a server says that it is leaving or that it is gone.
-    pub(super) fn on_leaving(&self, id: &BackendName) {
+    /// Notes that a run of a server leaves or is gone.
+    pub(super) fn on_leaving(&self, id: &BackendName, source: &'static str) {
         if self.directory().on_leaving(id) {
             info!(self.log, "server changed"; "server" => %id, "state" => "leaving",
-                "source" => "its answer");
+                "source" => source);
             self.configure_fleet();
         }
     }
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -49,7 +49,6 @@
 ) -> Response<Body> {
     let (sender, frames) = mpsc::channel(WAITING_FRAMES);
     let (mut parts, body) = stream.response.into_parts();
-    let head = answer::decode(parts.status, &parts.headers);
     parts.headers = answer::forward(&parts.headers);
     parts.headers.remove(http::header::CONTENT_LENGTH);
     let events = Events::new(caller.is_resumable());
@@ -66,7 +65,7 @@
             body,
             lease: Some(stream.lease),
             server: Some(stream.server),
-            head,
+            head: stream.head,
         },
     };
     tokio::spawn(relay.run());
@@ -322,12 +321,11 @@
         };
         info!(self.forwarder.log, "stream resumed"; "request" => %caller.id,
             "server" => %server, "last_event" => last);
-        let (parts, body) = stream.response.into_parts();
         self.source = Source {
-            body,
+            body: stream.response.into_body(),
             lease: Some(stream.lease),
             server: Some(stream.server),
-            head: answer::decode(parts.status, &parts.headers),
+            head: stream.head,
         };
         true
     }
--- a/crates/server/src/gateway/signals.rs
+++ b/crates/server/src/gateway/signals.rs
@@ -1,10 +1,11 @@
 //! Takes in what backend servers say of themselves in their answers.
 
 use savoryvane_core::{
-    forwarding::{BackoffRequest, Departure, ServerSignals},
+    forwarding::{BackoffRequest, Departure},
     ids::{BackendName, RequestId},
     stages::CallId,
 };
+use savoryvane_platform::answer::AnswerHead;
 use slog::{info, warn};
 
 use super::knowledge::Knowledge;
@@ -16,34 +17,60 @@
     Request(&'a RequestId),
     /// A call with pieces of stages.
     Call(CallId),
+    /// A call that frees results.
+    Free,
 }
 
 impl Answered<'_> {
+    /// Tells whether an answer belongs to it, as far as the answer says.
+    fn is_answered_by(self, head: &AnswerHead) -> bool {
+        match (self, &head.id) {
+            (Self::Request(id), Some(answered)) => id == answered,
+            (Self::Request(_) | Self::Call(_) | Self::Free, _) => true,
+        }
+    }
+
     fn request(self) -> Option<String> {
         match self {
             Self::Request(id) => Some(id.to_string()),
-            Self::Call(_) => None,
+            Self::Call(_) | Self::Free => None,
         }
     }
 
     fn call(self) -> Option<u64> {
         match self {
             Self::Call(id) => Some(id.0),
-            Self::Request(_) => None,
+            Self::Request(_) | Self::Free => None,
         }
     }
 }
 
 impl Knowledge {
-    /// Takes in what `server` says of itself in an answer to what was sent at `sent_at_ms`.
-    pub(super) fn on_signals(
+    /// Takes in what the head of an answer says of `server`, to which the request or call was
+    /// sent at `sent_at_ms`.
+    pub(super) fn on_answer_head(
+        &self,
+        server: &BackendName,
+        sent_at_ms: u64,
+        answered: Answered<'_>,
+        head: &AnswerHead,
+    ) {
+        if head.is_misdirected {
+            // Another run has the address, and speaks of itself.
+            self.on_leaving(server, "another run at its address");
+        } else if answered.is_answered_by(head) {
+            self.on_signals(server, sent_at_ms, answered, head);
+        }
+    }
+
+    fn on_signals(
         &self,
         server: &BackendName,
         sent_at_ms: u64,
         answered: Answered<'_>,
-        is_success: bool,
-        signals: ServerSignals,
+        head: &AnswerHead,
     ) {
+        let signals = head.signals;
         match signals.departure {
             Departure::None => {}
             Departure::Leaving => {
@@ -51,6 +78,7 @@
                     "request" => answered.request(), "call" => answered.call(),
                     "sent_at_ms" => sent_at_ms);
                 metrics::counter!("savoryvane_departures_said_total").increment(1);
+                self.on_leaving(server, "its answer");
             }
             Departure::Unreadable => self.note_unreadable(server, "server-leaving"),
         }
@@ -64,7 +92,7 @@
             }
             BackoffRequest::Unreadable => self.note_unreadable(server, "retry-after"),
         }
-        if signals.limit.is_meaningful(is_success) {
+        if signals.limit.is_meaningful(head.is_success) {
             self.on_limit(server, sent_at_ms, signals.limit);
         }
     }
