Send nothing to servers for as long as they ask for backoff

The servers were asked all the time.

Cause: nothing read Retry-After of a server that rejects a request. Ruled out: that the time was kept as a preference only (17 or 18 servers were considered each time) and that requests chosen before the rejection came after it (they were chosen 0.5 s later).

The fleet keeps the end of each server's backoff, the latest that was asked for, and no choice takes such a server: no home, no last resort, no repeat, no trial, no grant. It is asked again when a request is sent and once its connection is there. The scheduler of stages learns it from its calls, and admission counts with what a server takes after its backoff instead of taking it for gone. Where nothing else keeps all servers of a service from a request, it is refused at once with the end of the first backoff, spread over callers. The world of the scheduler's tests polls at the time that was due before the step, as the dispatcher does.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -9,7 +9,7 @@
 use crate::{
     call::{LoadReport, RefusalReason, ServingState},
     cost::CostLedger,
-    forwarding::{ColdServers, ServerLimits},
+    forwarding::{ColdServers, ServerBackoffs, ServerLimits},
     ids::{BackendName, InstanceName, PoolName, ZoneName},
     objects::{Backend, Pool},
     quantile::Quantiles,
@@ -66,7 +66,7 @@
     instance: InstanceName,
     zone: ZoneName,
     pub(crate) settings: PolicySettings,
-    rng: Pcg64Mcg,
+    pub(crate) rng: Pcg64Mcg,
     pub(crate) backends: Vec<KnownBackend>,
     by_name: HashMap<BackendName, usize>,
     pools: BTreeMap<PoolName, KnownPool>,
@@ -81,6 +81,7 @@
     shares: Shares,
     cold: ColdServers,
     pub(crate) limits: ServerLimits,
+    pub(crate) backoffs: ServerBackoffs,
     pub(crate) retry_budget: RetryBudget,
     pub(crate) costs: CostLedger,
 }
@@ -97,6 +98,7 @@
         Self {
             cold: ColdServers::new(instance.clone()),
             limits: ServerLimits::default(),
+            backoffs: ServerBackoffs::default(),
             instance,
             zone,
             retry_budget: RetryBudget::new(&settings),
@@ -188,6 +190,11 @@
         &mut self.limits
     }
 
+    /// Returns the backoffs that servers have asked this instance for.
+    pub fn backoffs(&mut self) -> &mut ServerBackoffs {
+        &mut self.backoffs
+    }
+
     /// Notes how many other instances use the same backend servers.
     pub fn set_peers(&mut self, peers: u32) {
         self.peers = peers;
--- a/crates/core/src/fleet/route.rs
+++ b/crates/core/src/fleet/route.rs
@@ -86,7 +86,9 @@
         };
         let can_serve = |index: &usize| {
             let backend = &self.backends[*index];
-            takes_work(now_ms, backend, query) && self.cold.allows(now_ms, &backend.name)
+            takes_work(now_ms, backend, query)
+                && self.cold.allows(now_ms, &backend.name)
+                && self.backoffs.allows(now_ms, &backend.name)
         };
         pool.members.iter().copied().filter(can_serve).collect()
     }
@@ -109,6 +111,22 @@
         limits.unwrap_or_default()
     }
 
+    /// Returns the time until the first backoff of a server ends, in ms, while backoffs are all
+    /// that keeps the members from taking the call.
+    pub(crate) fn backoff_ends_in_ms(&self, now_ms: u64, query: &RouteQuery<'_>) -> Option<u64> {
+        if !self.able_with_grant(now_ms, query).is_empty() {
+            return None;
+        }
+        let pool = self.pools.get(query.pool)?;
+        let members = pool.members.iter().map(|index| &self.backends[*index]);
+        let staying = members.filter(|backend| backend.state(now_ms) != BackendState::Leaving);
+        let ends_in = staying.map(|backend| {
+            let until_ms = self.backoffs.until_ms(&backend.name);
+            until_ms.saturating_sub(now_ms)
+        });
+        ends_in.filter(|ends_in_ms| *ends_in_ms > 0).min()
+    }
+
     /// Returns the members that can take the call but for their health: where
     /// there is no better one, a call that may be repeated is worth a try, and a
     /// server that is slow or unlucky goes on serving when the others leave.
@@ -121,6 +139,7 @@
             backend.state(now_ms) != BackendState::Leaving
                 && has_model(backend, query.model)
                 && self.cold.allows(now_ms, &backend.name)
+                && self.backoffs.allows(now_ms, &backend.name)
                 && self.limits.is_open(now_ms, &backend.name)
         };
         pool.members.iter().copied().filter(can_serve).collect()
--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -1,6 +1,7 @@
 //! Requests that are forwarded to a backend server as their caller sent them:
 //! which route takes them, which server, and what happens after a failure.
 
+mod backoff;
 mod budget;
 mod cold;
 mod directory;
@@ -21,6 +22,7 @@
 mod table;
 mod timeouts;
 
+pub use backoff::ServerBackoffs;
 pub use budget::{BudgetSettings, RepeatBudgets};
 pub use cold::{ARRIVAL_MS, ColdServers, WINDOW_MS};
 pub use directory::Directory;
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -1,5 +1,6 @@
 //! Chooses the backend server of a forwarded request.
 
+use rand::RngExt;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
@@ -20,6 +21,11 @@
 /// prompt of 50 ms goes first.
 const REQUEST_US: f64 = 6_000.0;
 
+/// Part of a backoff over which the return of callers is spread after its end, as a divisor.
+const RETURN_SPREAD_DIVISOR: u64 = 4;
+/// Shortest time over which it is, in ms.
+const MIN_RETURN_SPREAD_MS: u64 = 100;
+
 /// Most servers that one question for a grant names: some hundred bytes, and enough that
 /// one of them is likely to be free.
 pub const MAX_GRANT_CANDIDATES: usize = 32;
@@ -216,6 +222,15 @@
         limits
     }
 
+    /// Returns when a request that no server of `service` takes may come back, in ms, where
+    /// that is for the backoff that servers have asked for: after the first one ends, at
+    /// another time for each caller.
+    pub fn return_after_backoff_ms(&mut self, now_ms: u64, service: &PoolName) -> Option<u64> {
+        let ends_in_ms = self.backoff_ends_in_ms(now_ms, &any_request(service))?;
+        let spread_ms = (ends_in_ms / RETURN_SPREAD_DIVISOR).max(MIN_RETURN_SPREAD_MS);
+        Some(ends_in_ms + self.rng.random_range(0..spread_ms))
+    }
+
     /// Returns the availability zone of a session's home among the servers of
     /// `service` that take work.
     pub fn home_zone(&self, now_ms: u64, service: &PoolName, prompt: &Prompt) -> Option<ZoneName> {
--- a/crates/core/src/stages/admission.rs
+++ b/crates/core/src/stages/admission.rs
@@ -56,7 +56,9 @@
     pub(super) stages_ms: u64,
     /// The same without any queue.
     own_ms: u64,
-    /// Whether a service has no server that takes work.
+    /// Time until each service has a server that takes work, in ms.
+    pub(super) opens_in_ms: u64,
+    /// Whether a service has no server that takes work or will after its backoff.
     pub(super) has_gap: bool,
 }
 
@@ -80,6 +82,7 @@
 ) -> Forecast {
     let mut ends_ms: Vec<f64> = Vec::with_capacity(submission.stages.len());
     let mut own_ends_ms: Vec<f64> = Vec::with_capacity(submission.stages.len());
+    let mut opens_in_ms = 0;
     let mut has_gap = false;
     for stage in &submission.stages {
         let ready_ms = latest(&stage.after, &ends_ms);
@@ -95,13 +98,6 @@
             own_ends_ms.push(own_ready_ms);
             continue;
         };
-        let rate = service.rate_per_ms(now_ms);
-        if rate <= 0.0 {
-            has_gap = true;
-            ends_ms.push(ready_ms);
-            own_ends_ms.push(own_ready_ms);
-            continue;
-        }
         let pieces = stage.pieces as usize;
         // While none of what is taken has come this far, the servers stand idle
         // until the first does.
@@ -109,8 +105,18 @@
         let idle_ms = if is_begun { 0.0 } else { ready_ms };
         let ahead = service.committed.ahead(late_weight) + pieces as f64;
         let waiting = (ahead - service.taken_at_once(now_ms) as f64).max(0.0);
-        let backlog_ms = idle_ms + waiting / rate;
-        let begin_ms = ready_ms + turn_ms(now_ms, service, ready_ms);
+        let opening_ms = service.opens_in_ms(now_ms);
+        let (Some(drain_ms), Some(opening_ms)) = (service.drain_ms(now_ms, waiting), opening_ms)
+        else {
+            has_gap = true;
+            ends_ms.push(ready_ms);
+            own_ends_ms.push(own_ready_ms);
+            continue;
+        };
+        opens_in_ms = opens_in_ms.max(opening_ms);
+        let backlog_ms = idle_ms + drain_ms;
+        let turn_ms = turn_ms(now_ms, service, ready_ms);
+        let begin_ms = (ready_ms + turn_ms).max(opening_ms as f64);
         let own_ms = service
             .batching
             .duration_ms(pieces.min(service.batching.batch_pieces));
@@ -120,6 +126,7 @@
     Forecast {
         stages_ms: ends_ms.into_iter().fold(0.0, f64::max) as u64,
         own_ms: own_ends_ms.into_iter().fold(0.0, f64::max) as u64,
+        opens_in_ms,
         has_gap,
     }
 }
@@ -228,6 +235,10 @@
     let excess_ms = needed_ms.saturating_sub(submission.goal_left_ms);
     let usual_ms = SHORTEST_RETRY_AFTER_MS + excess_ms + refusals.remaining_ms(now_ms);
     let usual_ms = usual_ms.min(LONGEST_RETRY_AFTER_MS);
-    let spread_ms = xxh3_64(submission.request.as_str().as_bytes()) % (usual_ms / 2);
-    usual_ms - usual_ms / 4 + spread_ms
+    let hash = xxh3_64(submission.request.as_str().as_bytes());
+    match forecast.opens_in_ms {
+        0 => usual_ms - usual_ms / 4 + hash % (usual_ms / 2),
+        // No server takes a piece before the first backoff ends.
+        opens_in_ms => opens_in_ms + hash % (opens_in_ms / 4).max(SHORTEST_RETRY_AFTER_MS),
+    }
 }
--- a/crates/core/src/stages/calls.rs
+++ b/crates/core/src/stages/calls.rs
@@ -66,6 +66,7 @@
                 CallEnd::Answered(_) if !is_alone => {}
                 CallEnd::Answered(_) => server.on_answer(now_ms, elapsed_ms, call.expected_ms),
                 CallEnd::Full => server.on_full(now_ms),
+                CallEnd::BackingOff(until_ms) => server.on_backoff(*until_ms),
                 CallEnd::Misdirected => server.is_closed = true,
                 CallEnd::Unreachable | CallEnd::Lost | CallEnd::ServerEnded(_) => {
                     server.on_failure(now_ms);
@@ -85,7 +86,10 @@
                     self.on_item_ended(now_ms, id, &call, waiting, item);
                 }
             }
-            CallEnd::Full | CallEnd::Misdirected | CallEnd::Unreachable => {
+            CallEnd::Full
+            | CallEnd::BackingOff(_)
+            | CallEnd::Misdirected
+            | CallEnd::Unreachable => {
                 for waiting in &call.pieces {
                     self.release_room(&call, waiting);
                     self.wait_again(now_ms, id, waiting, false);
--- a/crates/core/src/stages/scheduler.rs
+++ b/crates/core/src/stages/scheduler.rs
@@ -42,6 +42,9 @@
     Answered(Vec<ItemEnd>),
     /// The server did not take it.
     Full,
+    /// The server wants nothing from this instance until a time, in ms; it did not take the
+    /// call, or was not sent it.
+    BackingOff(u64),
     /// Another run of a server has the address.
     Misdirected,
     /// No connection could be made.
@@ -58,6 +61,7 @@
         match self {
             Self::Answered(_) => "answered",
             Self::Full => "full",
+            Self::BackingOff(_) => "backing_off",
             Self::Misdirected => "misdirected",
             Self::Unreachable => "unreachable",
             Self::Lost => "lost",
--- a/crates/core/src/stages/server.rs
+++ b/crates/core/src/stages/server.rs
@@ -48,6 +48,8 @@
     fulls: u32,
     /// Time until which it gets nothing, in ms.
     paused_until_ms: u64,
+    /// Time until which it wants nothing from this instance, in ms.
+    backoff_until_ms: u64,
     /// Time until which it gets nothing as it is slow, in ms.
     slow_until_ms: u64,
     /// Time that its calls take, as a multiple of what is usual.
@@ -69,6 +71,7 @@
             room_limit: None,
             fulls: 0,
             paused_until_ms: 0,
+            backoff_until_ms: 0,
             slow_until_ms: 0,
             slowness: 1.0,
             limit_per_s: None,
@@ -78,7 +81,7 @@
 
     /// Tells whether it takes work at all.
     pub(super) fn is_open(&self, now_ms: u64) -> bool {
-        !self.is_closed && now_ms >= self.paused_until_ms.max(self.slow_until_ms)
+        !self.is_closed && now_ms >= self.opens_at_ms()
     }
 
     /// Tells whether it can begin a call at once.
@@ -93,10 +96,22 @@
         by_limit.map_or(by_time, |by_limit| by_time.min(by_limit))
     }
 
+    /// Returns when it takes work again, in ms, while it is registered and not leaving.
+    fn opens_at_ms(&self) -> u64 {
+        let opens_at_ms = self.paused_until_ms.max(self.slow_until_ms);
+        opens_at_ms.max(self.backoff_until_ms)
+    }
+
+    /// Returns the rest of its backoff, in ms, if that is all that keeps work from it.
+    pub(super) fn backoff_left_ms(&self, now_ms: u64) -> Option<u64> {
+        let is_all = !self.is_closed && now_ms >= self.paused_until_ms.max(self.slow_until_ms);
+        let left_ms = self.backoff_until_ms.saturating_sub(now_ms);
+        (is_all && left_ms > 0).then_some(left_ms)
+    }
+
     /// Returns when it is to be looked at again, if it is paused, in ms.
     pub(super) fn paused_until_ms(&self, now_ms: u64) -> Option<u64> {
-        let until_ms = self.paused_until_ms.max(self.slow_until_ms);
-        let until_ms = until_ms.max(self.next_call_ms());
+        let until_ms = self.opens_at_ms().max(self.next_call_ms());
         (!self.is_closed && until_ms > now_ms).then_some(until_ms)
     }
 
@@ -111,7 +126,8 @@
 
     /// Tells whether only its slowness keeps work from it.
     pub(super) fn is_only_slow(&self, now_ms: u64) -> bool {
-        !self.is_closed && now_ms >= self.paused_until_ms && now_ms < self.slow_until_ms
+        let others_ms = self.paused_until_ms.max(self.backoff_until_ms);
+        !self.is_closed && now_ms >= others_ms && now_ms < self.slow_until_ms
     }
 
     /// Has it take work although it is slow.
@@ -140,6 +156,11 @@
         self.fulls += 1;
     }
 
+    /// Notes that it wants nothing until a time, in ms.
+    pub(super) fn on_backoff(&mut self, until_ms: u64) {
+        self.backoff_until_ms = self.backoff_until_ms.max(until_ms);
+    }
+
     /// Notes a call of it.
     pub(super) fn on_called(&mut self, now_ms: u64) {
         self.last_call_ms = Some(now_ms);
--- a/crates/core/src/stages/service.rs
+++ b/crates/core/src/stages/service.rs
@@ -166,6 +166,51 @@
         full as f64 * calls_per_ms
     }
 
+    /// Returns the time in which its servers finish `pieces` with full batches, in ms; servers
+    /// that back off begin once that ends. None where no server takes work by then.
+    pub(super) fn drain_ms(&self, now_ms: u64, pieces: f64) -> Option<f64> {
+        let full = self.batching.batch_pieces;
+        let call_ms = self.batching.duration_ms(full);
+        let mut rate = self.rate_per_ms(now_ms);
+        if rate > 0.0 && self.backing_off(now_ms).next().is_none() {
+            return Some(pieces / rate);
+        }
+        let backing_off = self.backing_off(now_ms);
+        let mut joining: Vec<(u64, f64)> = backing_off
+            .map(|(left_ms, server)| (left_ms, full as f64 * server.calls_per_ms(call_ms)))
+            .collect();
+        joining.sort_by_key(|(left_ms, _)| *left_ms);
+        let mut left = pieces;
+        let mut at_ms = 0.0;
+        for (joins_in_ms, joining_rate) in joining {
+            let until_ms = joins_in_ms as f64;
+            let done = rate * (until_ms - at_ms);
+            if done >= left {
+                break;
+            }
+            left -= done;
+            at_ms = until_ms;
+            rate += joining_rate;
+        }
+        (rate > 0.0).then(|| at_ms + left / rate)
+    }
+
+    /// Returns the time until the first server takes work, in ms; 0 where one does, none where
+    /// none will by itself.
+    pub(super) fn opens_in_ms(&self, now_ms: u64) -> Option<u64> {
+        if self.open_servers(now_ms) > 0 {
+            return Some(0);
+        }
+        self.backing_off(now_ms).map(|(left_ms, _)| left_ms).min()
+    }
+
+    /// Returns the servers that only their backoff keeps from work, and what is left of it in
+    /// ms.
+    fn backing_off(&self, now_ms: u64) -> impl Iterator<Item = (u64, &Server)> {
+        let servers = self.servers.values();
+        servers.filter_map(move |server| Some((server.backoff_left_ms(now_ms)?, server)))
+    }
+
     /// Returns the pieces that servers with a limit take now, however low it is: while they
     /// are not called nobody learns that they take more again.
     pub(super) fn taken_at_once(&self, now_ms: u64) -> usize {
--- a/crates/core/tests/stages_world/mod.rs
+++ b/crates/core/tests/stages_world/mod.rs
@@ -74,6 +74,8 @@
     /// Time until which every server works on calls of another scheduler, in ms: calls
     /// wait there until then.
     pub busy_until_ms: u64,
+    /// Servers that reject calls and ask for backoff, and until when, in ms.
+    pub backoffs: BTreeMap<BackendName, u64>,
     /// Out of a hundred calls, those that end in each of some bad ways.
     pub bad_percent: u32,
     pub rng: Pcg64Mcg,
@@ -167,6 +169,7 @@
             silent: BTreeSet::new(),
             slow: BTreeMap::new(),
             busy_until_ms: 0,
+            backoffs: BTreeMap::new(),
             bad_percent: 0,
             rng: Pcg64Mcg::seed_from_u64(1),
             free_lag_ms: 3,
@@ -263,6 +266,7 @@
     /// Runs until `until_ms`.
     pub fn run(&mut self, until_ms: u64) {
         while self.now_ms < until_ms {
+            let set_before = self.scheduler.next_poll_ms(self.now_ms);
             self.now_ms += 1;
             let now_ms = self.now_ms;
             self.results.retain(|_, kept| kept.expires_at_ms > now_ms);
@@ -272,6 +276,7 @@
             self.end_probes();
             self.start_servers();
             let due = self.scheduler.next_poll_ms(self.now_ms);
+            let due = due.into_iter().chain(set_before).min();
             if due.is_some_and(|due_ms| due_ms <= self.now_ms) {
                 self.carry_out();
             }
@@ -456,6 +461,12 @@
             return self.carry_out();
         }
         self.calls.push((self.now_ms, call.clone()));
+        let backoff = self.backoffs.get(&call.server);
+        if let Some(until_ms) = backoff.filter(|until_ms| **until_ms > self.now_ms) {
+            let end = CallEnd::BackingOff(*until_ms);
+            self.scheduler.on_call_ended(self.now_ms, call.id, &end);
+            return self.carry_out();
+        }
         let batching = self
             .config
             .services
--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -163,7 +163,7 @@
     }
 
     /// Sends `request` like [`send`](Self::send), over kept connections only as
-    /// `reuse` allows.
+    /// `reuse` allows, if `may_send` says so once a connection is there.
     ///
     /// # Errors
     ///
@@ -175,8 +175,10 @@
         request: Request<Full<Bytes>>,
         not_after: Instant,
         reuse: Reuse,
+        may_send: impl Fn() -> bool,
     ) -> Result<Exchange, SendError> {
-        self.try_send(addr, request, not_after, None, reuse).await
+        self.try_send(addr, request, not_after, None, reuse, may_send)
+            .await
     }
 
     /// Sends `request` like [`send`](Self::send) if `gate`, which is asked
@@ -194,7 +196,7 @@
         gate: Option<&Arc<Gate>>,
     ) -> Result<Exchange, SendError> {
         let sent = self
-            .try_send(addr, request, not_after, gate, Reuse::Any)
+            .try_send(addr, request, not_after, gate, Reuse::Any, || true)
             .await;
         match (sent, gate) {
             // Once shut, a write that is still on its way does not happen.
@@ -215,6 +217,7 @@
         not_after: Instant,
         gate: Option<&Arc<Gate>>,
         reuse: Reuse,
+        may_send: impl Fn() -> bool,
     ) -> Result<Exchange, SendError> {
         while let Some(connection) = self.take(addr, reuse) {
             connection.gates.set(gate.cloned());
@@ -228,6 +231,10 @@
         if Instant::now() >= not_after {
             return Err(SendError::NotSent("too late".to_owned()));
         }
+        if !may_send() {
+            self.put(addr, connection, Duration::MAX);
+            return Err(SendError::NotSent("withheld".to_owned()));
+        }
         connection.gates.set(gate.cloned());
         self.send_over(addr, connection, request)
             .await
@@ -302,12 +309,13 @@
         timeout: Duration,
         max_bytes: usize,
     ) -> Result<Response<Bytes>, SendError> {
-        self.exchange_with(addr, request, timeout, max_bytes, |_| {})
+        self.exchange_with(addr, request, timeout, max_bytes, || true, |_| {})
             .await
     }
 
-    /// Does the same as [`exchange`](Self::exchange) and passes the head of the answer to
-    /// `on_head` as soon as it has come, also where the rest does not follow.
+    /// Does the same as [`exchange`](Self::exchange) if `may_send` says so once a connection
+    /// is there, and passes the head of the answer to `on_head` as soon as it has come, also
+    /// where the rest does not follow.
     ///
     /// # Errors
     ///
@@ -319,11 +327,13 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
         max_bytes: usize,
+        may_send: impl Fn() -> bool,
         on_head: impl FnOnce(&response::Parts),
     ) -> Result<Response<Bytes>, SendError> {
         let not_after = Instant::now() + timeout;
         let whole = async {
-            let Exchange { response, lease } = self.send(addr, request, not_after).await?;
+            let sending = self.send_reusing(addr, request, not_after, Reuse::Any, may_send);
+            let Exchange { response, lease } = sending.await?;
             let (head, body) = response.into_parts();
             on_head(&head);
             let body = Limited::new(body, max_bytes)
--- a/crates/server/src/gateway/answers.rs
+++ b/crates/server/src/gateway/answers.rs
@@ -50,6 +50,9 @@
     /// Servers would take it but for the limits that they name, and none has run it; when
     /// to come back, in ms.
     Limited(u64),
+    /// All servers that would take it have asked for backoff, and none has run it; when to
+    /// come back, in ms.
+    BackingOff(u64),
     /// Its answer was lost; it may have run.
     Lost,
     /// Its time was over while a server had it; it may have run.
@@ -72,6 +75,7 @@
             Self::Leaving => "leaving",
             Self::NoServer => "no_server",
             Self::Limited(_) => "servers_limited",
+            Self::BackingOff(_) => "servers_backing_off",
             Self::Lost => "answer_lost",
             Self::Overdue => "overdue",
         }
@@ -91,7 +95,8 @@
             | Self::CopyRuns(_)
             | Self::Leaving
             | Self::NoServer
-            | Self::Limited(_) => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Limited(_)
+            | Self::BackingOff(_) => StatusCode::SERVICE_UNAVAILABLE,
             // It has run, under other identifiers or this one.
             Self::Lost | Self::EndsServers(_) => StatusCode::BAD_GATEWAY,
             Self::Overdue => StatusCode::GATEWAY_TIMEOUT,
@@ -103,7 +108,9 @@
             Self::Starting => Some(STARTING_RETRY_AFTER_MS),
             Self::Stages(_, retry_after_ms) => Some(retry_after_ms),
             Self::EndsServers(retry_after_ms) => retry_after_ms,
-            Self::CopyRuns(retry_after_ms) | Self::Limited(retry_after_ms) => Some(retry_after_ms),
+            Self::CopyRuns(retry_after_ms)
+            | Self::Limited(retry_after_ms)
+            | Self::BackingOff(retry_after_ms) => Some(retry_after_ms),
             Self::Leaving => Some(LEAVING_RETRY_AFTER_MS),
             Self::NoServer => Some(NO_SERVER_RETRY_AFTER_MS),
             _ => None,
--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -18,7 +18,7 @@
     crashes::LostServer,
     forward::{Forwarder, Inputs},
     request::CallerRequest,
-    signals::Answered,
+    signals::{Answered, Sendable},
 };
 use crate::connections::{Exchange, Lease, Reuse, SendError};
 
@@ -119,12 +119,9 @@
         server: &BackendName,
         last_event: Option<&str>,
     ) -> Sent {
-        let entry = {
-            let directory = self.knowledge.directory();
-            let entry = directory.entry(server).cloned();
-            entry.filter(|entry| !directory.is_closed(entry))
-        };
-        let Some(entry) = entry else {
+        let may_send = || self.knowledge.sendable(server) == Sendable::Yes;
+        let entry = self.knowledge.directory().entry(server).cloned();
+        let Some(entry) = entry.filter(|_| may_send()) else {
             return Sent::Ended(AttemptEnd::NotSent, None);
         };
         let now_ms = self.clock.now_ms();
@@ -145,10 +142,15 @@
         let request = caller.to_server(server, &inputs.handles, last_event);
         let sent = self
             .servers
-            .send_reusing(addr, request, caller.deadline, reuse)
+            .send_reusing(addr, request, caller.deadline, reuse, may_send)
             .await;
         match sent {
             Ok(exchange) => self.read_answer(caller, exchange, in_flight).await,
+            Err(SendError::NotSent(_)) if !may_send() => {
+                info!(self.log, "send withheld"; "request" => %caller.id, "server" => %server,
+                    "elapsed_ms" => caller.elapsed_ms());
+                Sent::Ended(AttemptEnd::NotSent, None)
+            }
             Err(SendError::NotSent(reason)) => {
                 warn!(self.log, "server not reached"; "request" => %caller.id,
                     "server" => %server, "error" => reason);
--- a/crates/server/src/gateway/calls.rs
+++ b/crates/server/src/gateway/calls.rs
@@ -19,7 +19,7 @@
     crashes::{CrashDetector, LostServer},
     knowledge::Knowledge,
     quarantine::Quarantine,
-    signals::Answered,
+    signals::{Answered, Sendable},
 };
 use crate::{
     connections::{Connections, SendError},
@@ -145,9 +145,9 @@
                 return CallEnd::Unreachable;
             }
         };
-        if self.is_closed(&call.server) {
-            // It was chosen before that was known.
-            return CallEnd::Misdirected;
+        // What has been learnt since its server was chosen.
+        if let Some(end) = self.not_sent(call) {
+            return end;
         }
         let timeout = Duration::from_millis(call.timeout_ms);
         let to = Addressee {
@@ -158,7 +158,9 @@
         let answer = self.post(to, stages::RUN_PATH, body, timeout).await;
         let answer = match answer {
             Ok(answer) => answer,
-            Err(SendError::NotSent(_)) => return CallEnd::Unreachable,
+            Err(SendError::NotSent(_)) => {
+                return self.not_sent(call).unwrap_or(CallEnd::Unreachable);
+            }
             Err(SendError::Sent(_)) => return CallEnd::Lost,
         };
         let status = answer.status();
@@ -167,7 +169,7 @@
             return CallEnd::Misdirected;
         }
         if head.is_not_run {
-            return CallEnd::Full;
+            return self.not_sent(call).unwrap_or(CallEnd::Full);
         }
         match stages::decode_run(answer.body()) {
             Ok(items) if status == StatusCode::OK && items.len() == call.items.len() => {
@@ -182,6 +184,15 @@
         }
     }
 
+    /// Returns how a call ends that its server does not take now.
+    fn not_sent(&self, call: &StageCall) -> Option<CallEnd> {
+        match self.knowledge.sendable(&call.server) {
+            Sendable::Yes => None,
+            Sendable::Closed => Some(CallEnd::Misdirected),
+            Sendable::BackingOff(until_ms) => Some(CallEnd::BackingOff(until_ms)),
+        }
+    }
+
     /// Sends a call, and takes in what its answer says of the server.
     async fn post(
         &self,
@@ -199,7 +210,14 @@
                 .on_answer_head(to.server, sent_at_ms, to.answered, &head);
         };
         self.servers
-            .exchange_with(to.addr, request, timeout, MAX_ANSWER_BYTES, on_head)
+            .exchange_with(
+                to.addr,
+                request,
+                timeout,
+                MAX_ANSWER_BYTES,
+                || self.knowledge.sendable(to.server) == Sendable::Yes,
+                on_head,
+            )
             .await
     }
 
@@ -223,9 +241,9 @@
             .limits()
             .limit_per_s(server)
             .is_some();
-        if self.is_closed(server) || is_limited {
-            // Nothing is sent to a server that leaves or to an evacuated zone, and what a
-            // limited server takes is left for pieces; the server drops results by itself.
+        if self.knowledge.sendable(server) != Sendable::Yes || is_limited {
+            // What a limited server takes is left for pieces; servers drop results by
+            // themselves a little later.
             return true;
         }
         let to = Addressee {
@@ -242,13 +260,6 @@
         true
     }
 
-    /// Tells whether a server takes nothing new.
-    fn is_closed(&self, server: &BackendName) -> bool {
-        let directory = self.knowledge.directory();
-        let entry = directory.entry(server);
-        entry.is_some_and(|entry| directory.is_closed(entry))
-    }
-
     /// Tries to connect to a server that could not be reached until that succeeds; returns
     /// whether it did in time.
     pub(super) async fn reach(&self, server: &BackendName, addr: SocketAddr) -> bool {
--- a/crates/server/src/gateway/limits.rs
+++ b/crates/server/src/gateway/limits.rs
@@ -270,13 +270,21 @@
         fleet.grant_candidates(now_ms, placement, chosen, is_any_wanted)
     }
 
-    /// Tells why no server takes a request, and asks when one will where all have a limit.
-    async fn why_no_server(&self, caller: &CallerRequest) -> Why {
+    /// Tells why no server takes a request, and when one will: after a backoff, or, where all
+    /// have a limit, as the instance says that schedules.
+    pub(super) async fn why_no_server(&self, caller: &CallerRequest) -> Why {
         let now_ms = self.clock.now_ms();
-        let servers = {
-            let fleet = self.knowledge.fleet();
-            fleet.limits_of_all(now_ms, &caller.service)
+        let (servers, return_after_ms) = {
+            let mut fleet = self.knowledge.fleet();
+            let servers = fleet.limits_of_all(now_ms, &caller.service);
+            (
+                servers,
+                fleet.return_after_backoff_ms(now_ms, &caller.service),
+            )
         };
+        if let Some(retry_after_ms) = return_after_ms {
+            return Why::BackingOff(retry_after_ms);
+        }
         if servers.is_empty() {
             return Why::NoServer;
         }
--- a/crates/server/src/gateway/sending.rs
+++ b/crates/server/src/gateway/sending.rs
@@ -111,7 +111,9 @@
                     }
                 }
                 (NextStep::SendAgain, _) => {}
-                (NextStep::Give(Giving::Refusal), _) => return Err(Why::NoServer),
+                (NextStep::Give(Giving::Refusal), _) => {
+                    return Err(self.why_no_server(&caller).await);
+                }
                 (NextStep::Give(Giving::ServersFailure), Some(response)) => {
                     self.log_answered(&caller, &server, response.status(), sends);
                     return Ok(response.map(http_body::full));
--- a/crates/server/src/gateway/signals.rs
+++ b/crates/server/src/gateway/signals.rs
@@ -21,6 +21,17 @@
     Free,
 }
 
+/// Whether a server takes what is sent to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Sendable {
+    /// It does.
+    Yes,
+    /// It leaves, is gone, or its availability zone is evacuated.
+    Closed,
+    /// It wants nothing until a time, in ms.
+    BackingOff(u64),
+}
+
 impl Answered<'_> {
     /// Tells whether an answer belongs to it, as far as the answer says.
     fn is_answered_by(self, head: &AnswerHead) -> bool {
@@ -85,9 +96,17 @@
         match signals.backoff {
             BackoffRequest::None => {}
             BackoffRequest::ForMs(backoff_ms) => {
+                let now_ms = self.now_ms();
+                let count = {
+                    let mut fleet = self.fleet();
+                    fleet.backoffs().on_request(now_ms, server, backoff_ms);
+                    fleet.backoffs().count(now_ms)
+                };
                 info!(self.log, "server asks for backoff"; "server" => %server,
                     "backoff_ms" => backoff_ms, "request" => answered.request(),
-                    "call" => answered.call(), "sent_at_ms" => sent_at_ms);
+                    "call" => answered.call(), "sent_at_ms" => sent_at_ms,
+                    "backing_off" => count);
+                metrics::gauge!("savoryvane_servers_backing_off").set(count as f64);
                 metrics::counter!("savoryvane_backoffs_requested_total").increment(1);
             }
             BackoffRequest::Unreadable => self.note_unreadable(server, "retry-after"),
@@ -97,6 +116,23 @@
         }
     }
 
+    /// Tells whether a server takes what is sent to it now.
+    pub(super) fn sendable(&self, server: &BackendName) -> Sendable {
+        let is_closed = {
+            let directory = self.directory();
+            let entry = directory.entry(server);
+            entry.is_none_or(|entry| directory.is_closed(entry))
+        };
+        if is_closed {
+            return Sendable::Closed;
+        }
+        let now_ms = self.now_ms();
+        match self.fleet().backoffs().until_ms(server) {
+            until_ms if until_ms > now_ms => Sendable::BackingOff(until_ms),
+            _ => Sendable::Yes,
+        }
+    }
+
     pub(super) fn note_unreadable(&self, server: &BackendName, signal: &'static str) {
         warn!(self.log, "signal not understood"; "server" => %server, "signal" => signal);
         metrics::counter!("savoryvane_signals_unreadable_total", "signal" => signal).increment(1);
