Spend no repeat where no other server can take a request

While all servers of a service reject what comes, each request took a repeat out of the shared budget, found no other server and was refused; later requests that a healthy server would have taken had none left. Whether there is another server is asked before the budget now; where a server failed and there is none, the caller gets its answer instead of ours.

--- a/crates/server/src/gateway/sending.rs
+++ b/crates/server/src/gateway/sending.rs
@@ -90,9 +90,15 @@
                 AttemptEnd::Failed | AttemptEnd::Lost | AttemptEnd::Silent
             );
             sends += u32::from(end.counts());
+            let has_server = || {
+                let found = self.find(&caller, &inputs, &tried, permit.as_ref());
+                found.0.is_some()
+            };
+            // Where an input is gone, the same servers will do once it is made again.
             let has_room = sends < caller.route().max_servers
                 && tried.len() < MOST_UNREACHED
-                && !caller.left().is_zero();
+                && !caller.left().is_zero()
+                && (end == AttemptEnd::InputsGone || has_server());
             let spend = || self.knowledge.budgets().try_spend(&caller.service);
             let next = next_step(end, caller.repeats(), may_have_run, has_room, spend);
             info!(self.log, "send ended"; "request" => %caller.id, "server" => %server,
