Servers that leave or ask for backoff in their answers, in the fault soak

Drawn apart from the other faults, so that seeds keep those: up to three servers in a series say that they leave, half of the time with a silent store, or reject all requests and ask for backoff. Checked while faults go on, by the platform's bounds, with freezes and restarts of the instance and harmed ways to the server excused: nothing that was sent later than 2 s after an instance had passed on the word reaches the server from it, and at most two requests within a backoff. Calls with pieces are not checked, as who made them is not known.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     client::{self, Answer, Connection, NoAnswer},
-    config::{HOST, KEY, Kind, POISON_PATH, TIMEOUT_MS},
+    config::{HOST, KEY, Kind, LEAVING, POISON_PATH, TIMEOUT_MS},
     deployment::Deployment,
     ledger::Asked,
     sabotage::Sabotage,
@@ -201,6 +201,10 @@
                 let mixed = text.replace(&format!("r{number}"), &format!("r{other}"));
                 answer.body = mixed.into_bytes();
             }
+            Some(Sabotage::UnseenLeaving) if number.is_multiple_of(SABOTAGED) => {
+                let says_so = http::HeaderValue::from_static("1");
+                answer.headers.insert(LEAVING, says_so);
+            }
             Some(Sabotage::Regress)
                 if matches!(kind, Kind::Added(_)) && number.is_multiple_of(2) =>
             {
--- a/crates/soak/src/config.rs
+++ b/crates/soak/src/config.rs
@@ -10,6 +10,8 @@
 pub(crate) const KEY: &str = "key-of-one";
 /// Name of the workspace, as servers see it.
 pub(crate) const WORKSPACE: &str = "one";
+/// Header in which servers say that they leave.
+pub(crate) const LEAVING: &str = "server-leaving";
 /// Time after which a request has its final answer, in ms.
 pub(crate) const TIMEOUT_MS: u64 = 2_000;
 /// Events of a whole stream.
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     config::{self, EVENTS, FIRST_ZONE, REPEAT_RATIO, REPEAT_SLACK, SERVICES},
+    disturbances::Disturbances,
     error::Result,
     ledger::Ledger,
     ports::Ports,
@@ -73,6 +74,7 @@
     pub(crate) presses: RestartingServers,
     pub(crate) addresses: Vec<Addresses>,
     pub(crate) ledger: Ledger,
+    pub(crate) disturbances: Disturbances,
     instances: Vec<Mutex<Instance>>,
     ready: Vec<AtomicBool>,
     configured: Mutex<Configured>,
@@ -119,6 +121,7 @@
             ready: addresses.iter().map(|_| AtomicBool::new(false)).collect(),
             addresses,
             ledger: Ledger::default(),
+            disturbances: Disturbances::default(),
             instances: processes,
             configured: Mutex::default(),
             _ports: ports,
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -5,6 +5,7 @@
 mod client;
 mod config;
 mod deployment;
+mod disturbances;
 mod error;
 mod flags;
 mod ledger;
@@ -15,6 +16,7 @@
 mod promises;
 mod run;
 mod sabotage;
+mod signals;
 
 use std::process::ExitCode;
 
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -53,6 +53,19 @@
         tenths_per_s: u32,
         lasts: Duration,
     },
+    /// A server says in its answers that it leaves, which nobody can read in the register
+    /// while the store is away; then it is gone, and comes back as another run.
+    Leave {
+        server: usize,
+        is_store_away: bool,
+        lasts: Duration,
+    },
+    /// A server rejects all requests and asks for backoff.
+    Backoff {
+        server: usize,
+        backoff: Duration,
+        lasts: Duration,
+    },
     /// A new version with one more route.
     Configure,
 }
@@ -101,6 +114,8 @@
 const LIMITS: [u32; 4] = [0, 5, 10, 40];
 /// Mean time between two limits that servers name.
 const LIMIT_GAP_MS: u64 = 2_500;
+/// Mean time between two series of servers that leave or ask for backoff.
+const SIGNAL_GAP_MS: u64 = 3_000;
 
 /// Draws the faults of `seed`, in their order, each with the time at which it
 /// begins. All end by themselves within a few seconds after `length`.
@@ -126,6 +141,7 @@
         at_ms += rng.random_range(0..2 * GAP_MS);
     }
     faults.extend(draw_limits(seed, servers, length));
+    faults.extend(draw_signals(seed, servers, length));
     faults.sort_by_key(|(at, _)| *at);
     faults
 }
@@ -152,6 +168,37 @@
     limits
 }
 
+/// Draws the servers that leave or ask for backoff in their answers, of one series after the
+/// other: up to all of a service at the same time. Drawn apart, as limits are.
+fn draw_signals(seed: u64, servers: usize, length: Duration) -> Vec<(Duration, Fault)> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(32) ^ 1);
+    let mut signals = Vec::new();
+    let mut at_ms = rng.random_range(0..SIGNAL_GAP_MS);
+    while at_ms < length.as_millis() as u64 {
+        let first = rng.random_range(0..servers);
+        let leaves = rng.random_range(0..2) == 0;
+        let is_store_away = rng.random_range(0..2) == 0;
+        for next in 0..rng.random_range(SERIES) as usize {
+            let server = (first + next) % servers;
+            let fault = match leaves {
+                true => Fault::Leave {
+                    server,
+                    is_store_away,
+                    lasts: Duration::from_millis(rng.random_range(2_500..5_000)),
+                },
+                false => Fault::Backoff {
+                    server,
+                    backoff: Duration::from_millis(rng.random_range(700..3_000)),
+                    lasts: Duration::from_millis(rng.random_range(300..2_500)),
+                },
+            };
+            signals.push((Duration::from_millis(at_ms), fault));
+        }
+        at_ms += rng.random_range(0..2 * SIGNAL_GAP_MS);
+    }
+    signals
+}
+
 fn draw_one(rng: &mut Pcg64Mcg, kind: u32, instance: usize, server: usize) -> Fault {
     let lasts = Duration::from_millis(rng.random_range(100..3_000));
     let harm = HARMS[rng.random_range(0..HARMS.len())];
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -16,6 +16,7 @@
     deployment::Deployment,
     ledger::Asked,
     run::CALM_LIMIT_PER_S,
+    signals::SignalCheck,
 };
 
 /// Window of the budget of repeats.
@@ -106,11 +107,18 @@
     books.never_back(&mut broken);
     books.repeats_within_budget(&mut broken);
     books.ends_are_counted(calm, &mut broken);
+    let signals = SignalCheck {
+        deployment,
+        asked: &asked,
+        by_id: &books.by_id,
+    };
+    signals.leaving_is_kept(&mut broken);
+    signals.backoff_is_kept(&mut broken);
     books.calm(calm, &mut broken);
     broken
 }
 
-fn id_of(seen: &Seen) -> &str {
+pub(crate) fn id_of(seen: &Seen) -> &str {
     seen.header("request-id").unwrap_or_default()
 }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     path::{Path, PathBuf},
     sync::Arc,
     time::Duration,
@@ -23,6 +24,7 @@
     client::{self, Connection},
     config::{HOST, Kind, POISON_PATH, servers_of},
     deployment::Deployment,
+    disturbances::Disturbed,
     error::{Error, Result},
     flags::SavoryvaneSoak,
     ledger::Counts,
@@ -30,6 +32,7 @@
     presses,
     promises::{self, Calm},
     sabotage::Sabotage,
+    signals::SETTLES_WITHIN,
 };
 
 /// Time for the instances to become ready after their first start.
@@ -139,7 +142,7 @@
     let servers = deployment.servers.len();
     let faults = plan::draw(seed, options.instances, servers, options.length);
     write_plan(&folder, &faults)?;
-    inject(&deployment, &faults).await?;
+    inject(&callers, &faults).await?;
     deployment.servers[limited(seed)]
         .standin
         .set_limit(Some(CALM_LIMIT_PER_S));
@@ -200,13 +203,13 @@
 }
 
 /// Lets every fault happen at its time, and waits until all have ended.
-async fn inject(deployment: &Arc<Deployment>, faults: &[(Duration, Fault)]) -> Result<()> {
+async fn inject(callers: &Arc<Callers>, faults: &[(Duration, Fault)]) -> Result<()> {
     let began = Instant::now();
     let mut open = JoinSet::new();
     for (at, fault) in faults {
         time::sleep_until(began + *at).await;
-        let (deployment, fault) = (Arc::clone(deployment), fault.clone());
-        open.spawn(async move { happen(&deployment, fault).await });
+        let (callers, fault) = (Arc::clone(callers), fault.clone());
+        open.spawn(async move { happen(&callers, fault).await });
     }
     while let Some(ended) = open.join_next().await {
         ended.map_err(std::io::Error::other)??;
@@ -214,12 +217,17 @@
     Ok(())
 }
 
-async fn happen(deployment: &Deployment, fault: Fault) -> Result<()> {
+async fn happen(callers: &Callers, fault: Fault) -> Result<()> {
+    let deployment = callers.deployment.as_ref();
+    let began = Instant::now();
     match fault {
         Fault::Freeze { instance, lasts } => {
             deployment.instance(instance).signal("-STOP")?;
             time::sleep(lasts).await;
-            deployment.instance(instance).signal("-CONT")
+            deployment.instance(instance).signal("-CONT")?;
+            let frozen = Disturbed::Instance(instance);
+            deployment.disturbances.note(frozen, began);
+            Ok(())
         }
         Fault::Kill { instance, away } => {
             deployment.instance(instance).kill()?;
@@ -258,6 +266,8 @@
             relay.set_faults(faults_of(harm));
             time::sleep(lasts).await;
             relay.set_faults(LinkFaults::default());
+            let harmed = Disturbed::ServerLink(server);
+            deployment.disturbances.note(harmed, began);
             Ok(())
         }
         Fault::Store { is_silent, lasts } => {
@@ -305,6 +315,39 @@
             server.set_limit(None);
             Ok(())
         }
+        Fault::Leave {
+            server,
+            is_store_away,
+            lasts,
+        } => {
+            deployment.servers[server].standin.leave();
+            if is_store_away {
+                deployment.store.set_fault(StoreFault::Silent);
+            }
+            time::sleep(lasts).await;
+            if is_store_away {
+                deployment.store.set_fault(StoreFault::None);
+            }
+            deployment.deregister(server);
+            deployment.start_run(server);
+            Ok(())
+        }
+        Fault::Backoff {
+            server,
+            backoff,
+            lasts,
+        } => {
+            let ends = Instant::now() + lasts;
+            let server = &deployment.servers[server];
+            let retry_after_s = backoff.as_secs_f64().to_string();
+            server.standin.ask_for_backoff(&retry_after_s);
+            if callers.sabotage == Some(Sabotage::OverBackoff) {
+                press_on(deployment, server.standin.addr).await;
+            }
+            time::sleep_until(ends).await;
+            server.standin.set(server.usual());
+            Ok(())
+        }
         Fault::Configure => {
             deployment.configure();
             Ok(())
@@ -312,6 +355,27 @@
     }
 }
 
+/// Sends a server the request of a caller again after it has asked for backoff.
+async fn press_on(deployment: &Deployment, addr: SocketAddr) {
+    let last = deployment
+        .ledger
+        .lock()
+        .last()
+        .map(|asked| asked.id.clone());
+    let Some(id) = last else {
+        return;
+    };
+    for number in 0..5 {
+        if let Ok(mut connection) = client::connect(addr).await {
+            let request = Request::get(format!("/lookup/{id}"));
+            send_directly(&mut connection, request, &id, "").await;
+        }
+        if number == 0 {
+            time::sleep(SETTLES_WITHIN).await;
+        }
+    }
+}
+
 /// Asks a process to stop, waits until it has, and starts it again.
 async fn terminate(deployment: &Deployment, instance: usize) -> Result<()> {
     deployment.instance(instance).signal("-TERM")?;
@@ -437,12 +501,12 @@
         _ => return,
     };
     let addr = deployment.servers[server].standin.addr;
-    let Ok(mut connection) = client::connect(addr).await else {
-        return;
-    };
     for _ in 0..times {
-        let request = Request::get(format!("/lookup/{id}"));
-        send_directly(&mut connection, request, id, "").await;
+        // A server may close a connection after any answer.
+        if let Ok(mut connection) = client::connect(addr).await {
+            let request = Request::get(format!("/lookup/{id}"));
+            send_directly(&mut connection, request, id, "").await;
+        }
     }
 }
 
--- a/crates/soak/src/sabotage.rs
+++ b/crates/soak/src/sabotage.rs
@@ -30,6 +30,10 @@
     Uncounted,
     /// A server that names a limit is sent many requests.
     OverLimit,
+    /// Answers seem to say that their servers leave.
+    UnseenLeaving,
+    /// A server that asks for backoff is sent requests.
+    OverBackoff,
     /// An instance that was killed is not started again.
     NotBack,
 }
@@ -54,6 +58,8 @@
             "overspent" => Self::Overspent,
             "uncounted" => Self::Uncounted,
             "over-limit" => Self::OverLimit,
+            "unseen-leaving" => Self::UnseenLeaving,
+            "over-backoff" => Self::OverBackoff,
             "not-back" => Self::NotBack,
             other => return Err(Error::Flag(format!("no such sabotage: {other}"))),
         })
