Let backend servers behind our own interface ask for backoff

A refusal may say retry_after_ms: the instance that made the call sends that server nothing until then, by the same book as on the users' platform. One place cuts times at an hour. Servers that back off are listed as backing_off by the admin interface. The stand-in asks for it with the fault retry_after_ms.

a_server_that_asks_for_backoff_gets_no_call_until_that_has_ended is of code that is new.

--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -288,7 +288,11 @@
             match output {
                 Output::Refuse { job, reason } => {
                     let attempt = job.id.attempt;
-                    let event = Event::Refused { attempt, reason };
+                    let event = Event::Refused {
+                        attempt,
+                        reason,
+                        retry_after_ms: None,
+                    };
                     self.answer(server, job.instance, job.request, event);
                 }
                 Output::Answer {
--- a/crates/core/src/execution.rs
+++ b/crates/core/src/execution.rs
@@ -74,6 +74,8 @@
         attempt: u64,
         /// Why.
         reason: RefusalReason,
+        /// Time for which the server wants no calls from this instance, in ms.
+        retry_after_ms: Option<u64>,
     },
     /// The backend server answered.
     Answered(StageEvent),
@@ -279,7 +281,11 @@
             Event::Start => {}
             Event::Timer => self.timer_at_ms = None,
             Event::NotSent { attempt } => self.on_not_sent(attempt, turn),
-            Event::Refused { attempt, reason } => self.on_refused(attempt, reason, turn),
+            Event::Refused {
+                attempt,
+                reason,
+                retry_after_ms,
+            } => self.on_refused(attempt, reason, retry_after_ms, turn),
             Event::Answered(answer) => self.on_answer(answer, turn),
             Event::Lost { attempt } => self.on_lost(attempt, turn),
             Event::Silent { attempt } => self.on_silent(attempt, turn),
--- a/crates/core/src/execution/repeat.rs
+++ b/crates/core/src/execution/repeat.rs
@@ -42,10 +42,20 @@
         self.try_again(why, Charge::Free, turn);
     }
 
-    pub(super) fn on_refused(&mut self, number: u64, reason: RefusalReason, turn: &mut Turn<'_>) {
+    pub(super) fn on_refused(
+        &mut self,
+        number: u64,
+        reason: RefusalReason,
+        retry_after_ms: Option<u64>,
+        turn: &mut Turn<'_>,
+    ) {
         let Some(attempt) = self.take_live(number) else {
             return;
         };
+        if let Some(backoff_ms) = retry_after_ms {
+            let backoffs = turn.fleet.backoffs();
+            backoffs.on_request(turn.now_ms, &attempt.backend, backoff_ms);
+        }
         self.take_back_effect();
         self.usage_mut().calls += 1;
         turn.fleet
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -246,7 +246,7 @@
     pub fn statuses(&self, now_ms: u64) -> impl Iterator<Item = BackendStatus> {
         self.backends
             .iter()
-            .map(move |backend| backend.status(now_ms))
+            .map(move |backend| backend.status(now_ms, self.backoffs.until_ms(&backend.name)))
     }
 
     /// Names the backend servers that this instance uses, pool by pool.
--- a/crates/core/src/fleet/known.rs
+++ b/crates/core/src/fleet/known.rs
@@ -16,6 +16,8 @@
     Leaving,
     /// It failed too often and is left alone for a while.
     Ejected,
+    /// It has asked this instance for backoff and gets nothing until that ends.
+    BackingOff,
     /// Nothing was heard of it yet; it gets new work.
     Unknown,
 }
@@ -27,6 +29,7 @@
             Self::Serving => "serving",
             Self::Leaving => "leaving",
             Self::Ejected => "ejected",
+            Self::BackingOff => "backing_off",
             Self::Unknown => "unknown",
         }
     }
@@ -109,12 +112,19 @@
         }
     }
 
-    pub(super) fn status(&self, now_ms: u64) -> BackendStatus {
+    /// Describes it, with the end of its backoff in ms.
+    pub(super) fn status(&self, now_ms: u64, backoff_until_ms: u64) -> BackendStatus {
+        let state = match self.state(now_ms) {
+            BackendState::Serving | BackendState::Unknown if backoff_until_ms > now_ms => {
+                BackendState::BackingOff
+            }
+            state => state,
+        };
         BackendStatus {
             name: self.name.clone(),
             pool: self.pool.clone(),
             zone: self.zone.clone(),
-            state: self.state(now_ms),
+            state,
             in_flight: self.in_flight,
             reported: self.report.as_ref().map(|report| report.load),
             age_ms: self
--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -22,7 +22,7 @@
 mod table;
 mod timeouts;
 
-pub use backoff::ServerBackoffs;
+pub use backoff::{MAX_BACKOFF_MS, ServerBackoffs};
 pub use budget::{BudgetSettings, RepeatBudgets};
 pub use cold::{ARRIVAL_MS, ColdServers, WINDOW_MS};
 pub use directory::Directory;
--- a/crates/core/src/forwarding/backoff.rs
+++ b/crates/core/src/forwarding/backoff.rs
@@ -12,6 +12,10 @@
 /// largest fleet that is planned for.
 const MAX_SERVERS: usize = 4_096;
 
+/// Longest backoff that a server is granted, in ms: a larger value is more likely a mistake,
+/// and the server is lost to callers until it ends.
+pub const MAX_BACKOFF_MS: u64 = 3_600_000;
+
 /// The servers that want no requests from this instance, by their runs.
 #[derive(Debug, Default)]
 pub struct ServerBackoffs {
@@ -23,7 +27,7 @@
     /// Notes that `server` asks for no requests for `backoff_ms`; returns whether its backoff
     /// lasts longer than was known. Answers may overtake each other, so that none shortens it.
     pub fn on_request(&mut self, now_ms: u64, server: &BackendName, backoff_ms: u64) -> bool {
-        let until_ms = now_ms.saturating_add(backoff_ms);
+        let until_ms = now_ms + backoff_ms.min(MAX_BACKOFF_MS);
         if until_ms <= now_ms.max(self.until_ms(server)) {
             return false;
         }
--- a/crates/core/tests/execution_interleavings.rs
+++ b/crates/core/tests/execution_interleavings.rs
@@ -141,7 +141,11 @@
             .insert(attempt, Fate::NeverRan { reached_socket });
         let reason = RefusalReason::Full;
         if reached_socket {
-            Event::Refused { attempt, reason }
+            Event::Refused {
+                attempt,
+                reason,
+                retry_after_ms: None,
+            }
         } else {
             Event::NotSent { attempt }
         }
--- a/crates/core/tests/execution_outcomes.rs
+++ b/crates/core/tests/execution_outcomes.rs
@@ -52,13 +52,20 @@
     assert_eq!(driver.sends().len(), 1);
 }
 
+fn refused(attempt: u64, reason: RefusalReason) -> Event {
+    Event::Refused {
+        attempt,
+        reason,
+        retry_after_ms: None,
+    }
+}
+
 #[test]
 fn a_call_that_did_not_run_goes_elsewhere_even_if_not_idempotent() {
     let mut driver = Driver::new(vec![stage("pay", false)]);
     let (first, call) = driver.start();
-    let reason = RefusalReason::Full;
     let attempt = call.id.attempt;
-    driver.on(5, Event::Refused { attempt, reason });
+    driver.on(5, refused(attempt, RefusalReason::Full));
     let (second, call) = driver.last_send();
     assert_ne!(first, second);
     let attempt = call.id.attempt;
@@ -83,8 +90,7 @@
     driver.start();
     while driver.completion().is_none() {
         let attempt = driver.last_send().1.id.attempt;
-        let reason = RefusalReason::Full;
-        driver.on(1, Event::Refused { attempt, reason });
+        driver.on(1, refused(attempt, RefusalReason::Full));
     }
     assert_eq!(outcome(&driver), Some(Outcome::Failed));
 }
--- a/crates/core/tests/execution_refusals.rs
+++ b/crates/core/tests/execution_refusals.rs
@@ -28,6 +28,17 @@
 }
 
 fn run(fleet: &mut Fleet, now_ms: u64, pool: &str, refusing: &[&str], why: RefusalReason) -> Ran {
+    run_with_backoff(fleet, now_ms, pool, refusing, (why, None))
+}
+
+/// Runs one request; those that refuse ask for backoff, if they do, for a time in ms.
+fn run_with_backoff(
+    fleet: &mut Fleet,
+    now_ms: u64,
+    pool: &str,
+    refusing: &[&str],
+    (why, retry_after_ms): (RefusalReason, Option<u64>),
+) -> Ran {
     let spec = ExecutionSpec {
         deadline_at_ms: now_ms + DEADLINE_MS,
         ..spec(vec![stage(pool, pool != "pay")])
@@ -41,6 +52,7 @@
             true => Event::Refused {
                 attempt,
                 reason: why,
+                retry_after_ms,
             },
             false => done(&call.id, "found", 0),
         };
@@ -57,6 +69,24 @@
     }
 }
 
+#[test]
+fn a_server_that_asks_for_backoff_gets_no_call_until_that_has_ended() {
+    const BACKOFF_MS: u64 = 3_000;
+    let mut fleet = fleet(PolicySettings::default());
+    let refusal = (RefusalReason::Full, Some(BACKOFF_MS));
+    let mut tried_ms = Vec::new();
+    for now_ms in (0..10_000).step_by(5) {
+        let ran = run_with_backoff(&mut fleet, now_ms, "search", &["search-0"], refusal);
+        assert_eq!(ran.completion.outcome, Outcome::Complete);
+        let is_tried = ran.tried.iter().any(|tried| tried.as_str() == "search-0");
+        tried_ms.extend(is_tried.then_some(now_ms));
+    }
+    assert!(tried_ms.len() > 1, "it is tried again");
+    for pair in tried_ms.windows(2) {
+        assert!(pair[1] >= pair[0] + BACKOFF_MS, "{tried_ms:?}");
+    }
+}
+
 #[test]
 fn a_refusal_costs_no_request_while_another_server_is_free() {
     for why in [
--- a/crates/server/src/calls.rs
+++ b/crates/server/src/calls.rs
@@ -268,7 +268,11 @@
         .ok()
         .and_then(|body| serde_json::from_slice::<Refusal>(&body.to_bytes()).ok());
     match refusal {
-        Some(Refusal { reason }) => Event::Refused { attempt, reason },
+        Some(refusal) => Event::Refused {
+            attempt,
+            reason: refusal.reason,
+            retry_after_ms: refusal.retry_after_ms,
+        },
         None => Event::Lost { attempt },
     }
 }
--- a/crates/standins/src/backend.rs
+++ b/crates/standins/src/backend.rs
@@ -196,7 +196,7 @@
 
     async fn answer_run(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let Ok(call) = body::read_json::<StageCall, _>(request.into_body()).await else {
-            return refuse(RefusalReason::BadCall);
+            return refuse(RefusalReason::BadCall, None);
         };
         if self.ends_under(&call) {
             // The connection is gone before an answer to it is.
@@ -204,7 +204,10 @@
         }
         let place = match self.admit(&call) {
             Ok(place) => place,
-            Err(reason) => return refuse(reason),
+            Err(reason) => {
+                let retry_after_ms = self.faults.borrow().retry_after_ms;
+                return refuse(reason, retry_after_ms);
+            }
         };
         let (chunks, body) = body::chunked(STREAM_CAPACITY);
         let (cancel, cancelled) = oneshot::channel();
@@ -326,11 +329,15 @@
     }
 }
 
-fn refuse(reason: RefusalReason) -> Response<Body> {
+fn refuse(reason: RefusalReason, retry_after_ms: Option<u64>) -> Response<Body> {
     let status = match reason {
         RefusalReason::Full => StatusCode::TOO_MANY_REQUESTS,
         RefusalReason::Leaving | RefusalReason::NoModel => StatusCode::SERVICE_UNAVAILABLE,
         RefusalReason::BadCall => StatusCode::BAD_REQUEST,
     };
-    json(status, &Refusal { reason })
+    let refusal = Refusal {
+        reason,
+        retry_after_ms,
+    };
+    json(status, &refusal)
 }
--- a/crates/standins/src/backend_faults.rs
+++ b/crates/standins/src/backend_faults.rs
@@ -25,6 +25,8 @@
     pub fail_per_mille: u32,
     /// Refuses every call for this reason.
     pub refuse: Option<RefusalReason>,
+    /// Time for which it asks for backoff in each refusal, in ms.
+    pub retry_after_ms: Option<u64>,
     /// Takes no new work and finishes what it has.
     pub leaving: bool,
     /// Holds every event until the fault is lifted; the work goes on.
@@ -55,6 +57,7 @@
             slow_per_mille: 1000,
             fail_per_mille: 0,
             refuse: None,
+            retry_after_ms: None,
             leaving: false,
             freeze: false,
             silence_established: false,
--- a/crates/wire/src/backend.rs
+++ b/crates/wire/src/backend.rs
@@ -2,7 +2,7 @@
 //!
 //! - `POST /v1/run`, body [`StageCall`]; answers 200 with one JSON
 //!   [`StageEvent`] a line, 429 [`Refusal`] when full, 503 [`Refusal`] when
-//!   leaving; a refused call has not run.
+//!   leaving; a refused call has not run. A refusal may ask for backoff.
 //! - `POST /v1/cancel`, body [`Cancel`]; answers 204.
 //! - `GET /v1/load`; answers 200 [`LoadReport`].
 //! - `GET /v1/cache-events?from=N`; answers 200 [`CacheEvents`].
@@ -21,6 +21,9 @@
 pub struct Refusal {
     /// Why the call was refused.
     pub reason: RefusalReason,
+    /// Time for which the server wants no calls from the instance that made this one, in ms.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
 }
 
 /// Gives up a call; events that follow are not wanted.
