--- a/crates/server/src/gateway/knowledge.rs
+++ b/crates/server/src/gateway/knowledge.rs
@@ -1,7 +1,7 @@
 //! What an instance knows of routes and backend servers.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashSet},
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering},
@@ -9,6 +9,7 @@
 };
 
 use arc_swap::ArcSwapOption;
+use http::HeaderName;
 use savoryvane_core::{
     fleet::Fleet,
     forwarding::{
@@ -53,6 +54,8 @@
     deadlines: Mutex<UsualDeadlines>,
     answer_times: Mutex<AnswerTimes>,
     fetch_times: Mutex<FetchTimes>,
+    /// Headers of servers' answers that were noted as unknown.
+    pub(super) unknown_headers: Mutex<HashSet<HeaderName>>,
     /// Told after every change of routes or servers.
     changed: Notify,
     /// Told after every change of a server's limit.
@@ -84,6 +87,7 @@
             deadlines: Mutex::default(),
             answer_times: Mutex::default(),
             fetch_times: Mutex::default(),
+            unknown_headers: Mutex::default(),
             changed: Notify::new(),
             limits_changed: Notify::new(),
         }
--- a/crates/server/src/gateway/signals.rs
+++ b/crates/server/src/gateway/signals.rs
@@ -1,5 +1,6 @@
 //! Takes in what backend servers say of themselves in their answers.
 
+use http::HeaderName;
 use savoryvane_core::{
     forwarding::{BackoffRequest, Departure},
     ids::{BackendName, RequestId},
@@ -9,6 +10,10 @@
 use slog::{info, warn};
 
 use super::knowledge::Knowledge;
+use crate::lock::lock;
+
+/// Most names of unknown headers that are noted.
+const MAX_UNKNOWN_HEADERS: usize = 64;
 
 /// What an answer is an answer to.
 #[derive(Clone, Copy, Debug)]
@@ -66,6 +71,7 @@
         answered: Answered<'_>,
         head: &AnswerHead,
     ) {
+        self.note_unknown(server, &head.unknown);
         if head.is_misdirected {
             // Another run has the address, and speaks of itself.
             self.on_leaving(server, "another run at its address");
@@ -133,6 +139,21 @@
         }
     }
 
+    /// Notes headers that the platform's pages did not name, once for each.
+    fn note_unknown(&self, server: &BackendName, names: &[HeaderName]) {
+        for name in names {
+            let is_new = {
+                let mut noted = lock(&self.unknown_headers);
+                noted.len() < MAX_UNKNOWN_HEADERS && noted.insert(name.clone())
+            };
+            if is_new {
+                warn!(self.log, "unknown header of a server"; "server" => %server,
+                    "header" => name.as_str());
+                metrics::counter!("savoryvane_unknown_headers_total").increment(1);
+            }
+        }
+    }
+
     pub(super) fn note_unreadable(&self, server: &BackendName, signal: &'static str) {
         warn!(self.log, "signal not understood"; "server" => %server, "signal" => signal);
         metrics::counter!("savoryvane_signals_unreadable_total", "signal" => signal).increment(1);
