--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,7 @@
 //! and a fault switch. Events run on a simulated clock, so that a run repeats
 //! exactly. [`peer_net`] joins many membership cores in the same way.
 
+pub mod backoff_load;
 pub mod deployment;
 pub mod figures;
 pub mod limit_load;
