--- a/crates/bench/src/limit_load.rs
+++ b/crates/bench/src/limit_load.rs
@@ -291,10 +291,10 @@
             GrantState::Granted(granted) => {
                 self.servers.iter().position(|server| *server == granted)
             }
-            GrantState::Closed { opens_in_ms, .. } => {
+            GrantState::Closed { retry_in_ms, .. } => {
                 let asker = &mut self.instances[instance].limits;
                 for (server, _) in &query.servers {
-                    asker.on_closed(now_ms, server, opens_in_ms);
+                    asker.on_closed(now_ms, server, retry_in_ms);
                 }
                 None
             }
--- a/crates/core/src/forwarding/backoff.rs
+++ b/crates/core/src/forwarding/backoff.rs
@@ -1,6 +1,6 @@
-//! Keeps the backoff that servers have asked this instance for.
+//! Tracks the backoff that backend servers request from this instance.
 //!
-//! The load that it answers: some servers of a service reject what they get for seconds, and
+//! The load that it answers: some servers of a service reject all requests for seconds, and
 //! sessions have their home there. Each request that is sent to one of them is rejected, and
 //! uses up a repeat.
 
@@ -8,15 +8,13 @@
 
 use crate::ids::BackendName;
 
-/// Most servers whose backoff is remembered, about 100 bytes each: twice the servers of the
-/// largest fleet that is planned for.
+/// Most servers whose backoff is tracked, about 100 bytes each; twice the largest fleet.
 const MAX_SERVERS: usize = 4_096;
 
-/// Longest backoff that a server is granted, in ms: a larger value is more likely a mistake,
-/// and the server is lost to callers until it ends.
+/// Upper bound of a backoff, in ms; limits the damage of a bad value.
 pub const MAX_BACKOFF_MS: u64 = 3_600_000;
 
-/// The servers that want no requests from this instance, by their runs.
+/// Backoffs by the run of the server.
 #[derive(Debug, Default)]
 pub struct ServerBackoffs {
     /// End of each backoff, in ms.
@@ -24,8 +22,8 @@
 }
 
 impl ServerBackoffs {
-    /// Notes that `server` asks for no requests for `backoff_ms`; returns whether its backoff
-    /// lasts longer than was known. Answers may overtake each other, so that none shortens it.
+    /// Notes that `server` requests a backoff of `backoff_ms`; returns whether that extends its
+    /// current one. No request shortens it, since answers may arrive out of order.
     pub fn on_request(&mut self, now_ms: u64, server: &BackendName, backoff_ms: u64) -> bool {
         let until_ms = now_ms + backoff_ms.min(MAX_BACKOFF_MS);
         if until_ms <= now_ms.max(self.until_ms(server)) {
@@ -38,7 +36,7 @@
         true
     }
 
-    /// Forgets backoffs that have ended, and the one that ends first where that is not enough.
+    /// Evicts backoffs that have ended, or else the one that ends first.
     fn make_room(&mut self, now_ms: u64) {
         if self.until_ms.len() < MAX_SERVERS {
             return;
@@ -53,17 +51,17 @@
         }
     }
 
-    /// Returns the end of the last backoff of `server`, in ms; 0 where it has asked for none.
+    /// Returns the end of the last backoff of `server`, in ms; 0 if there was none.
     pub fn until_ms(&self, server: &BackendName) -> u64 {
         self.until_ms.get(server).copied().unwrap_or_default()
     }
 
-    /// Tells whether `server` takes requests, as far as it has asked for backoff.
+    /// Tells whether `server` is not backing off.
     pub fn allows(&self, now_ms: u64, server: &BackendName) -> bool {
         now_ms >= self.until_ms(server)
     }
 
-    /// Returns the servers whose backoff has not ended.
+    /// Returns the number of servers that are backing off.
     pub fn count(&self, now_ms: u64) -> usize {
         let ends = self.until_ms.values();
         ends.filter(|until_ms| **until_ms > now_ms).count()
--- a/crates/core/src/forwarding/grants.rs
+++ b/crates/core/src/forwarding/grants.rs
@@ -1,19 +1,18 @@
-//! Gives out what servers with a limit take, one request at a time.
+//! Grants requests to rate-limited backend servers.
 //!
 //! The load that this answers: an overloaded server names a limit as low as one request a
 //! second for all instances together. Sessions have their home there, so that up to
-//! hundreds of instances go on sending to it, each of which sees only its own requests.
-//! A fixed part for each leaves most of the limit unused, as few of those that have a part
+//! hundreds of instances send to it, each of which sees only its own requests. With a fixed
+//! share each, most of the limit stays unused, as few of the instances that hold a share
 //! have a request for just that server.
 //!
-//! So the instance that schedules gives a grant for each send. Beside a partition there are
-//! several that schedule: each gives out the part of the limit that the instances it hears
-//! from are of all that live. One that begins to schedule has given out nothing and starts
-//! with nothing, so that it does not give again what another one has just given.
+//! So the scheduler grants each send. During a partition there are several schedulers: each
+//! uses the share of the limit that the instances it has seen lately are of all live ones. A
+//! scheduler starts with an empty bucket, since another one may just have granted the same.
 //!
-//! Where all servers of a service name limits, a request is admitted before its stages, at
-//! the rate of all limits together; who is not is told at once when to come back. The most
-//! urgent ones go first.
+//! Where all servers of a service are limited, requests are admitted before their stages, at
+//! the rate of all limits together and the most urgent first. Other requests are rejected
+//! immediately with `Retry-After`.
 
 use std::{collections::HashMap, hash::Hash};
 
@@ -25,41 +24,38 @@
     quota::Rate,
 };
 
-/// Lowest limit that is reckoned with, in requests a second: nobody would learn otherwise
-/// that a server which took nothing at all takes requests again. It is tried every 4 s, with
-/// what is stored up four times in that time at most, where five are allowed.
+/// Floor for rate limits, in requests per second; keeps servers with a limit of zero probed.
 pub(crate) const MIN_LIMIT_PER_S: f64 = 0.25;
-/// Highest limit that is reckoned with, in requests a second; no server takes as many.
+/// Ceiling for rate limits, in requests per second.
 const MAX_LIMIT_PER_S: f64 = 1e6;
 /// A request a second, as a [`Rate`].
 const REQUEST_PER_S: f64 = 1e6;
-/// Time since an instance asked last within which it counts as reached, in ms: six questions.
+/// Time since the last query of an instance within which it counts as reached, in ms; six
+/// queries.
 const SEEN_WITHIN_MS: u64 = 1_500;
-/// Time since an instance asked last after which it has left, in ms: partitions heal or
-/// instances start again within that.
+/// Time since the last query of an instance after which it counts as gone, in ms; partitions
+/// heal and instances restart sooner.
 const LEFT_MS: u64 = 60_000;
-/// Time for which a kind of request that came counts as one that may come again, in ms.
+/// Time for which capacity is reserved for requests of a priority after the last one, in ms.
 const URGENT_MS: u64 = 10_000;
-/// Shortest time until a grant is asked for again, in ms.
-const MIN_OPENS_IN_MS: u64 = 50;
-/// Longest such time, in ms: a part grows as soon as more instances are seen.
-const MAX_OPENS_IN_MS: u64 = 1_000;
-/// Shortest time to come back after, in ms.
+/// Lower bound of the time until the next grant query, in ms.
+const MIN_RETRY_IN_MS: u64 = 50;
+/// Upper bound of that time, in ms; the share grows as soon as more instances are seen.
+const MAX_RETRY_IN_MS: u64 = 1_000;
+/// Lower bound of `Retry-After`, in ms.
 const MIN_RETRY_AFTER_MS: u64 = 200;
-/// Longest time to come back after, in ms: limits seldom hold for longer.
+/// Upper bound of `Retry-After`, in ms.
 const MAX_RETRY_AFTER_MS: u64 = 10_000;
-/// Time after which what was given out for a server is forgotten, in ms.
+/// Time after which the bucket of an idle server is evicted, in ms.
 const IDLE_MS: u64 = 60_000;
-/// Most servers or services for which grants are given; beyond it none is.
+/// Most buckets of servers or services; grants for further ones are refused.
 const MAX_BUCKETS: usize = 4_096;
 
 /// A request, in thousandths of a request.
 const ONE_MILLI: u64 = 1_000;
-/// What may be given out at once beside that by all instances together, in thousandths of
-/// a request: requests come unevenly, and with one at a time a third of a limit of one
-/// request in two seconds is not used.
+/// Burst allowance shared by all instances, in thousandths of a request.
 const SPARE_MILLI: f64 = 2_000.0;
-/// The same as a time of the limit, in ms.
+/// Burst allowance as the time in which a limit refills it, in ms.
 const SPARE_MS: f64 = 500.0;
 
 /// What a grant is for.
@@ -84,7 +80,7 @@
     }
 }
 
-/// Asks for a grant.
+/// Requests a grant.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct GrantQuery {
     /// Service of the servers.
@@ -98,16 +94,16 @@
     pub priority: u8,
 }
 
-/// Answer to that.
+/// Response to a [`GrantQuery`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GrantState {
     /// The request may be sent to this server; for an admission, to any.
     Granted(BackendName),
     /// It may not.
     Closed {
-        /// Time until one of the servers may be asked for again, in ms.
-        opens_in_ms: u64,
-        /// Time after which the caller is to come back if no other server takes it, in ms.
+        /// Time until a grant for one of the servers may be requested again, in ms.
+        retry_in_ms: u64,
+        /// `Retry-After` of the caller if no other server takes the request, in ms.
         retry_after_ms: u64,
     },
 }
@@ -131,15 +127,15 @@
 
 /// What was given out of one limit.
 #[derive(Clone, Copy, Debug)]
-struct Given {
+struct IssuedPermits {
     bucket: Bucket,
-    asked_ms: u64,
+    last_request_ms: u64,
 }
 
 /// The admission of one service.
 #[derive(Clone, Copy, Debug)]
 struct Admission {
-    given: Given,
+    given: IssuedPermits,
     /// When the last refused caller was told to come back, in ms.
     returns_at_ms: u64,
     /// Most urgent rank that came, and when, in ms.
@@ -151,7 +147,7 @@
 pub struct LimitGrants {
     instance: InstanceName,
     last_seen: HashMap<InstanceName, LastSeen>,
-    servers: HashMap<BackendName, Given>,
+    servers: HashMap<BackendName, IssuedPermits>,
     services: HashMap<PoolName, Admission>,
 }
 
@@ -222,7 +218,7 @@
                 GrantState::Granted(best.clone())
             }
             (GrantPurpose::Admission | GrantPurpose::ReturnTime, _) => {
-                self.closed(now_ms, query, all, MIN_OPENS_IN_MS)
+                self.closed(now_ms, query, all, MIN_RETRY_IN_MS)
             }
         }
     }
@@ -234,7 +230,7 @@
         parts: &[(&BackendName, Part)],
         all: Part,
     ) -> GrantState {
-        let mut opens_in_ms = MAX_OPENS_IN_MS;
+        let mut retry_in_ms = MAX_RETRY_IN_MS;
         for (server, part) in parts {
             let Some(given) = self.given(now_ms, server) else {
                 continue;
@@ -243,9 +239,9 @@
             if given.bucket.take() {
                 return GrantState::Granted((*server).clone());
             }
-            opens_in_ms = opens_in_ms.min(given.bucket.wait_ms(part.flow));
+            retry_in_ms = retry_in_ms.min(given.bucket.wait_ms(part.flow));
         }
-        self.closed(now_ms, query, all, opens_in_ms.max(MIN_OPENS_IN_MS))
+        self.closed(now_ms, query, all, retry_in_ms.max(MIN_RETRY_IN_MS))
     }
 
     /// Admits a request to a service of which all servers name limits; a less urgent one
@@ -279,7 +275,7 @@
         now_ms: u64,
         query: &GrantQuery,
         all: Part,
-        opens_in_ms: u64,
+        retry_in_ms: u64,
     ) -> GrantState {
         let step_ms = (REQUEST_PER_S * 1_000.0 / all.flow.rate.0.max(1) as f64) as u64;
         let (earliest_ms, latest_ms) = (now_ms + MIN_RETRY_AFTER_MS, now_ms + MAX_RETRY_AFTER_MS);
@@ -292,37 +288,37 @@
             }
         };
         GrantState::Closed {
-            opens_in_ms,
+            retry_in_ms,
             retry_after_ms: returns_at_ms - now_ms,
         }
     }
 
     fn admission(&mut self, now_ms: u64, service: &PoolName) -> Option<&mut Admission> {
         let new = Admission {
-            given: Given::new(now_ms),
+            given: IssuedPermits::new(now_ms),
             returns_at_ms: now_ms,
             most_urgent: (u8::MAX, now_ms),
         };
-        let asked_ms = |admission: &Admission| admission.given.asked_ms;
-        let admission = remembered(&mut self.services, now_ms, service, new, asked_ms)?;
-        admission.given.asked_ms = now_ms;
+        let last_request_ms = |admission: &Admission| admission.given.last_request_ms;
+        let admission = remembered(&mut self.services, now_ms, service, new, last_request_ms)?;
+        admission.given.last_request_ms = now_ms;
         Some(admission)
     }
 
-    fn given(&mut self, now_ms: u64, server: &BackendName) -> Option<&mut Given> {
-        let new = Given::new(now_ms);
-        let asked_ms = |given: &Given| given.asked_ms;
-        let given = remembered(&mut self.servers, now_ms, server, new, asked_ms)?;
-        given.asked_ms = now_ms;
+    fn given(&mut self, now_ms: u64, server: &BackendName) -> Option<&mut IssuedPermits> {
+        let new = IssuedPermits::new(now_ms);
+        let last_request_ms = |given: &IssuedPermits| given.last_request_ms;
+        let given = remembered(&mut self.servers, now_ms, server, new, last_request_ms)?;
+        given.last_request_ms = now_ms;
         Some(given)
     }
 }
 
-impl Given {
+impl IssuedPermits {
     fn new(now_ms: u64) -> Self {
         Self {
             bucket: Bucket::empty(now_ms),
-            asked_ms: now_ms,
+            last_request_ms: now_ms,
         }
     }
 }
@@ -334,11 +330,11 @@
     now_ms: u64,
     key: &K,
     new: V,
-    asked_ms: impl Fn(&V) -> u64,
+    last_request_ms: impl Fn(&V) -> u64,
 ) -> Option<&'a mut V> {
     if !entries.contains_key(key) {
         if entries.len() >= MAX_BUCKETS {
-            entries.retain(|_, entry| asked_ms(entry) + IDLE_MS > now_ms);
+            entries.retain(|_, entry| last_request_ms(entry) + IDLE_MS > now_ms);
         }
         if entries.len() >= MAX_BUCKETS {
             return None;
--- a/crates/core/src/forwarding/limits.rs
+++ b/crates/core/src/forwarding/limits.rs
@@ -1,8 +1,8 @@
-//! Knows the limits that servers name.
+//! Tracks the rate limits of backend servers.
 //!
-//! An overloaded server tells by its answers how many requests a second it takes from all
-//! instances together. An instance learns of that by the answers that it gets, and from
-//! the others. Before it sends to such a server it asks for a grant, see
+//! An overloaded server names in its answers the requests a second that it takes from all
+//! instances together. An instance learns of limits from answers and from the reports of
+//! peers. It requests a grant before it sends to a limited server, see
 //! [`LimitGrants`](super::LimitGrants).
 
 use std::collections::HashMap;
@@ -33,7 +33,7 @@
     }
 }
 
-/// What an instance knows of a server's limit, for another instance.
+/// Report of a server's limit, sent to peers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitReport {
     /// The server.
@@ -104,7 +104,7 @@
         self.set(now_ms, server, after, true)
     }
 
-    /// Takes over what another instance tells, as far as it is newer; returns what changed.
+    /// Merges newer reports from a peer; returns what changed.
     pub fn on_reports(
         &mut self,
         now_ms: u64,
@@ -210,10 +210,10 @@
             .count()
     }
 
-    /// Notes that no grant for `server` is to be had for `opens_in_ms`.
-    pub fn on_closed(&mut self, now_ms: u64, server: &BackendName, opens_in_ms: u64) {
+    /// Notes that no grant for `server` is to be had for `retry_in_ms`.
+    pub fn on_closed(&mut self, now_ms: u64, server: &BackendName, retry_in_ms: u64) {
         if let Some(limited) = self.servers.get_mut(server) {
-            limited.closed_until_ms = now_ms + opens_in_ms;
+            limited.closed_until_ms = now_ms + retry_in_ms;
         }
     }
 
--- a/crates/core/src/stages/admission.rs
+++ b/crates/core/src/stages/admission.rs
@@ -57,7 +57,7 @@
     /// The same without any queue.
     own_ms: u64,
     /// Time until each service has a server that takes work, in ms.
-    pub(super) opens_in_ms: u64,
+    pub(super) available_in_ms: u64,
     /// Whether a service has no server that takes work or will after its backoff.
     pub(super) has_gap: bool,
 }
@@ -82,7 +82,7 @@
 ) -> Forecast {
     let mut ends_ms: Vec<f64> = Vec::with_capacity(submission.stages.len());
     let mut own_ends_ms: Vec<f64> = Vec::with_capacity(submission.stages.len());
-    let mut opens_in_ms = 0;
+    let mut available_in_ms = 0;
     let mut has_gap = false;
     for stage in &submission.stages {
         let ready_ms = latest(&stage.after, &ends_ms);
@@ -105,18 +105,19 @@
         let idle_ms = if is_begun { 0.0 } else { ready_ms };
         let ahead = service.committed.ahead(late_weight) + pieces as f64;
         let waiting = (ahead - service.taken_at_once(now_ms) as f64).max(0.0);
-        let opening_ms = service.opens_in_ms(now_ms);
-        let (Some(drain_ms), Some(opening_ms)) = (service.drain_ms(now_ms, waiting), opening_ms)
+        let available_ms = service.available_in_ms(now_ms);
+        let (Some(drain_ms), Some(available_ms)) =
+            (service.drain_ms(now_ms, waiting), available_ms)
         else {
             has_gap = true;
             ends_ms.push(ready_ms);
             own_ends_ms.push(own_ready_ms);
             continue;
         };
-        opens_in_ms = opens_in_ms.max(opening_ms);
+        available_in_ms = available_in_ms.max(available_ms);
         let backlog_ms = idle_ms + drain_ms;
         let turn_ms = turn_ms(now_ms, service, ready_ms);
-        let begin_ms = (ready_ms + turn_ms).max(opening_ms as f64);
+        let begin_ms = (ready_ms + turn_ms).max(available_ms as f64);
         let own_ms = service
             .batching
             .duration_ms(pieces.min(service.batching.batch_pieces));
@@ -126,7 +127,7 @@
     Forecast {
         stages_ms: ends_ms.into_iter().fold(0.0, f64::max) as u64,
         own_ms: own_ends_ms.into_iter().fold(0.0, f64::max) as u64,
-        opens_in_ms,
+        available_in_ms,
         has_gap,
     }
 }
@@ -236,9 +237,11 @@
     let usual_ms = SHORTEST_RETRY_AFTER_MS + excess_ms + refusals.remaining_ms(now_ms);
     let usual_ms = usual_ms.min(LONGEST_RETRY_AFTER_MS);
     let hash = xxh3_64(submission.request.as_str().as_bytes());
-    match forecast.opens_in_ms {
+    match forecast.available_in_ms {
         0 => usual_ms - usual_ms / 4 + hash % (usual_ms / 2),
         // No server takes a piece before the first backoff ends.
-        opens_in_ms => opens_in_ms + hash % (opens_in_ms / 4).max(SHORTEST_RETRY_AFTER_MS),
+        available_in_ms => {
+            available_in_ms + hash % (available_in_ms / 4).max(SHORTEST_RETRY_AFTER_MS)
+        }
     }
 }
--- a/crates/core/src/stages/server.rs
+++ b/crates/core/src/stages/server.rs
@@ -81,7 +81,7 @@
 
     /// Tells whether it takes work at all.
     pub(super) fn is_open(&self, now_ms: u64) -> bool {
-        !self.is_closed && now_ms >= self.opens_at_ms()
+        !self.is_closed && now_ms >= self.available_at_ms()
     }
 
     /// Tells whether it can begin a call at once.
@@ -97,9 +97,9 @@
     }
 
     /// Returns when it takes work again, in ms, while it is registered and not leaving.
-    fn opens_at_ms(&self) -> u64 {
-        let opens_at_ms = self.paused_until_ms.max(self.slow_until_ms);
-        opens_at_ms.max(self.backoff_until_ms)
+    fn available_at_ms(&self) -> u64 {
+        let available_at_ms = self.paused_until_ms.max(self.slow_until_ms);
+        available_at_ms.max(self.backoff_until_ms)
     }
 
     /// Returns the rest of its backoff, in ms, if that is all that keeps work from it.
@@ -111,7 +111,7 @@
 
     /// Returns when it is to be looked at again, if it is paused, in ms.
     pub(super) fn paused_until_ms(&self, now_ms: u64) -> Option<u64> {
-        let until_ms = self.opens_at_ms().max(self.next_call_ms());
+        let until_ms = self.available_at_ms().max(self.next_call_ms());
         (!self.is_closed && until_ms > now_ms).then_some(until_ms)
     }
 
--- a/crates/core/src/stages/service.rs
+++ b/crates/core/src/stages/service.rs
@@ -197,7 +197,7 @@
 
     /// Returns the time until the first server takes work, in ms; 0 where one does, none where
     /// none will by itself.
-    pub(super) fn opens_in_ms(&self, now_ms: u64) -> Option<u64> {
+    pub(super) fn available_in_ms(&self, now_ms: u64) -> Option<u64> {
         if self.open_servers(now_ms) > 0 {
             return Some(0);
         }
--- a/crates/core/tests/forwarding_limits.rs
+++ b/crates/core/tests/forwarding_limits.rs
@@ -230,10 +230,10 @@
     let mut grants = LimitGrants::new(InstanceName::new("entry-0"));
     grants.set_listed(0, &names(300));
     let state = grants.grant(0, &query(GrantPurpose::Send, 0), as_reported);
-    let GrantState::Closed { opens_in_ms, .. } = state else {
+    let GrantState::Closed { retry_in_ms, .. } = state else {
         panic!("a grant");
     };
-    assert!(opens_in_ms <= 1_000, "{opens_in_ms}");
+    assert!(retry_in_ms <= 1_000, "{retry_in_ms}");
 }
 
 #[test]
--- a/crates/server/src/gateway/knowledge.rs
+++ b/crates/server/src/gateway/knowledge.rs
@@ -388,12 +388,12 @@
         (revision, unknown)
     }
 
-    /// Notes that no grant for `servers` is to be had for `opens_in_ms`.
-    pub(super) fn on_limits_closed(&self, servers: &[BackendName], opens_in_ms: u64) {
+    /// Notes that no grant for `servers` is to be had for `retry_in_ms`.
+    pub(super) fn on_limits_closed(&self, servers: &[BackendName], retry_in_ms: u64) {
         let now_ms = self.clock.now_ms();
         let mut fleet = self.fleet();
         for server in servers {
-            fleet.limits().on_closed(now_ms, server, opens_in_ms);
+            fleet.limits().on_closed(now_ms, server, retry_in_ms);
         }
     }
 
--- a/crates/server/src/gateway/limits.rs
+++ b/crates/server/src/gateway/limits.rs
@@ -1,8 +1,8 @@
-//! Shares with the other instances which servers name a limit, and what these take.
+//! Exchanges rate limits of backend servers with the scheduler, and requests its grants.
 //!
-//! The instance that schedules gathers what servers have said to all others. They ask it
-//! whenever it knows more than it has told them, or they know more than they have told it,
-//! and for a grant before they send to a server that names a limit.
+//! The scheduler collects the limits that servers have named to any instance. An instance
+//! queries it whenever either side has changes that the other has not seen, and requests a
+//! grant before it sends to a rate-limited server.
 
 use std::{
     sync::{Arc, Mutex, MutexGuard},
@@ -27,30 +27,28 @@
 };
 use crate::lock::lock;
 
-/// Shortest time between two questions for what is new.
-const ASK_INTERVAL: Duration = Duration::from_millis(400);
-/// Time for a question to be answered: a way there and back takes a few ms.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Shortest time between two exchanges.
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(400);
+/// Timeout of a query; a round trip takes a few ms.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Questions for a grant before one request is refused: for the best server, and twice for
-/// any.
-const MAX_QUESTIONS: u32 = 3;
-/// What is reckoned with where the instance that schedules gives no answer: the next one is
-/// known within this time.
-const NOT_ASKED: GrantState = GrantState::Closed {
-    opens_in_ms: 250,
+/// Grant queries before a request is rejected: one for the best server, two for any.
+const MAX_GRANT_QUERIES: u32 = 3;
+/// Response assumed when the scheduler cannot be reached; the next one is known by then.
+const SCHEDULER_UNREACHABLE: GrantState = GrantState::Closed {
+    retry_in_ms: 250,
     retry_after_ms: 500,
 };
 
-/// How far this instance and the one that schedules know what the other does.
+/// Revisions up to which this instance and the scheduler know each other's reports.
 #[derive(Clone, Copy, Debug)]
 struct Exchanged {
-    /// Run of the other instance.
+    /// Run of the scheduler.
     incarnation: Incarnation,
-    /// Revision up to which it was asked.
-    theirs: u64,
-    /// Own revision up to which it was told.
-    ours: u64,
+    /// Revision of the scheduler that was received last.
+    remote_revision: u64,
+    /// Own revision that was sent last.
+    local_revision: u64,
     at: Instant,
 }
 
@@ -78,60 +76,61 @@
         self.knowledge.fleet().limits().revision()
     }
 
-    /// Exchanges what is new with the run `incarnation` of the instance that schedules,
-    /// which is at the revision `theirs`.
+    /// Exchanges changes with the run `incarnation` of the scheduler, which is at
+    /// `remote_revision`.
     pub(super) async fn follow(
         &self,
         members: &Members,
         scheduler: &InstanceName,
         incarnation: Incarnation,
-        theirs: u64,
+        remote_revision: u64,
     ) {
         let last = *lock(&self.last);
         let last = last.filter(|last| last.incarnation == incarnation);
-        let (known, told) = last.map_or((0, 0), |last| (last.theirs, last.ours));
-        let is_recent = last.is_some_and(|last| last.at.elapsed() < ASK_INTERVAL);
-        let (ours, reports) = self.own_since(told);
-        if is_recent || (known == theirs && reports.is_empty()) {
+        let (received, sent) =
+            last.map_or((0, 0), |last| (last.remote_revision, last.local_revision));
+        let is_recent = last.is_some_and(|last| last.at.elapsed() < EXCHANGE_INTERVAL);
+        let (local_revision, reports) = self.own_since(sent);
+        if is_recent || (received == remote_revision && reports.is_empty()) {
             return;
         }
-        let question = LimitQuery {
-            known_revision: known,
+        let query = LimitQuery {
+            known_revision: received,
             reports,
         };
-        let answer = members
+        let response = members
             .peers()
             .request(
                 scheduler,
                 Some(incarnation),
-                &Message::LimitQuery(question),
-                ANSWER_TIMEOUT,
+                &Message::LimitQuery(query),
+                RESPONSE_TIMEOUT,
             )
             .await;
-        match answer {
+        match response {
             Ok(Message::LimitState(state)) => {
                 *lock(&self.last) = Some(Exchanged {
                     incarnation,
-                    theirs: state.revision,
-                    ours,
+                    remote_revision: state.revision,
+                    local_revision,
                     at: Instant::now(),
                 });
                 self.knowledge.update_limits(state.reports);
             }
             Ok(_) => {}
             Err(err) => {
-                // The next look asks again.
+                // Retried at the next look.
                 info!(self.log, "limits not exchanged"; "with" => %scheduler, "error" => %err);
             }
         }
     }
 
-    /// Takes over what a peer tells, and tells it what it does not know.
-    pub(super) fn on_query(&self, question: LimitQuery) -> LimitState {
+    /// Merges the reports of a peer, and returns those that it has not seen.
+    pub(super) fn on_query(&self, query: LimitQuery) -> LimitState {
         let LimitQuery {
             known_revision,
             reports,
-        } = question;
+        } = query;
         let (revision, reports) = self.knowledge.exchange_limits(known_revision, reports);
         LimitState { revision, reports }
     }
@@ -148,17 +147,17 @@
         self.grants().set_listed(self.knowledge.now_ms(), instances);
     }
 
-    /// Notes that an instance has asked whether this one schedules.
+    /// Notes a query of an instance.
     pub(super) fn on_seen(&self, instance: &InstanceName) {
         self.grants().on_seen(self.knowledge.now_ms(), instance);
     }
 
-    /// Returns the part of all limits that this instance gives out.
+    /// Returns the share of all limits that this instance grants.
     pub(super) fn share(&self) -> f64 {
         self.grants().share(self.knowledge.now_ms())
     }
 
-    /// Gives a grant by what this instance knows and has given out.
+    /// Decides on a grant by the limits and buckets of this instance.
     pub(super) fn grant(&self, query: &GrantQuery) -> GrantState {
         let now_ms = self.knowledge.now_ms();
         let mut fleet = self.knowledge.fleet();
@@ -169,23 +168,23 @@
             })
     }
 
-    /// Asks the instance that schedules for a grant, or gives it here where none does.
-    async fn ask(&self, members: &Members, query: GrantQuery) -> GrantState {
+    /// Requests a grant from the scheduler, or decides on it here where there is none.
+    async fn request_grant(&self, members: &Members, query: GrantQuery) -> GrantState {
         let scheduler = members.scheduler();
         let Some(scheduler) = scheduler.filter(|name| !members.is_me(name)) else {
             return self.grant(&query);
         };
         let message = Message::GrantQuery(query);
         let peers = members.peers();
-        let answer = peers
-            .request(&scheduler, None, &message, ANSWER_TIMEOUT)
+        let response = peers
+            .request(&scheduler, None, &message, RESPONSE_TIMEOUT)
             .await;
-        match answer {
+        match response {
             Ok(Message::GrantState(state)) => state,
-            Ok(_) => NOT_ASKED,
+            Ok(_) => SCHEDULER_UNREACHABLE,
             Err(err) => {
                 info!(self.log, "grant not asked"; "of" => %scheduler, "error" => %err);
-                NOT_ASKED
+                SCHEDULER_UNREACHABLE
             }
         }
     }
@@ -227,11 +226,11 @@
     ) -> Result<BackendName, Why> {
         let placement = placement(caller, inputs, tried, permit);
         let mut refusal = Why::NoServer;
-        for question in 0..MAX_QUESTIONS {
+        for query in 0..MAX_GRANT_QUERIES {
             let Some(chosen) = self.choose(caller, inputs, tried, permit) else {
                 break;
             };
-            let servers = self.grant_candidates(&placement, &chosen, question > 0);
+            let servers = self.grant_candidates(&placement, &chosen, query > 0);
             if servers.is_empty() {
                 return Ok(chosen);
             }
@@ -241,10 +240,10 @@
             match state.await {
                 GrantState::Granted(server) => return Ok(server),
                 GrantState::Closed {
-                    opens_in_ms,
+                    retry_in_ms,
                     retry_after_ms,
                 } => {
-                    self.knowledge.on_limits_closed(&asked, opens_in_ms);
+                    self.knowledge.on_limits_closed(&asked, retry_in_ms);
                     refusal = Why::Limited(retry_after_ms);
                 }
             }
@@ -255,7 +254,7 @@
         Err(refusal)
     }
 
-    /// Returns the servers that a grant is asked for; none where `chosen` needs none.
+    /// Returns the servers to request a grant for; none where `chosen` needs none.
     fn grant_candidates(
         &self,
         placement: &Placement<'_>,
@@ -308,17 +307,17 @@
             servers,
             priority: caller.matched.priority,
         };
-        let state = self.limits.ask(&self.members, query).await;
-        let (granted, opens_in_ms, retry_after_ms) = match &state {
+        let state = self.limits.request_grant(&self.members, query).await;
+        let (granted, retry_in_ms, retry_after_ms) = match &state {
             GrantState::Granted(server) => (Some(server.to_string()), None, None),
             GrantState::Closed {
-                opens_in_ms,
+                retry_in_ms,
                 retry_after_ms,
-            } => (None, Some(*opens_in_ms), Some(*retry_after_ms)),
+            } => (None, Some(*retry_in_ms), Some(*retry_after_ms)),
         };
         info!(self.log, "grant asked"; "request" => %caller.id, "purpose" => purpose.as_str(),
             "service" => %caller.service, "servers" => asked, "granted" => granted,
-            "opens_in_ms" => opens_in_ms, "retry_after_ms" => retry_after_ms,
+            "retry_in_ms" => retry_in_ms, "retry_after_ms" => retry_after_ms,
             "elapsed_ms" => caller.elapsed_ms());
         let outcome = match state {
             GrantState::Granted(_) => "granted",
--- a/crates/server/src/gateway/signals.rs
+++ b/crates/server/src/gateway/signals.rs
@@ -1,4 +1,4 @@
-//! Takes in what backend servers say of themselves in their answers.
+//! Applies the signals of backend servers about themselves, from the heads of all answers.
 
 use http::HeaderName;
 use savoryvane_core::{
@@ -26,14 +26,14 @@
     Free,
 }
 
-/// Whether a server takes what is sent to it.
+/// Whether something may be sent to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Sendable {
-    /// It does.
+    /// It may.
     Yes,
     /// It leaves, is gone, or its availability zone is evacuated.
     Closed,
-    /// It wants nothing until a time, in ms.
+    /// The server is backing off until a time, in ms.
     BackingOff(u64),
 }
 
@@ -62,8 +62,8 @@
 }
 
 impl Knowledge {
-    /// Takes in what the head of an answer says of `server`, to which the request or call was
-    /// sent at `sent_at_ms`.
+    /// Applies the signals in the head of an answer of `server`, to which the request or call
+    /// was sent at `sent_at_ms`.
     pub(super) fn on_answer_head(
         &self,
         server: &BackendName,
@@ -122,7 +122,7 @@
         }
     }
 
-    /// Tells whether a server takes what is sent to it now.
+    /// Tells whether something may be sent to a server now.
     pub(super) fn sendable(&self, server: &BackendName) -> Sendable {
         let is_closed = {
             let directory = self.directory();
@@ -139,7 +139,7 @@
         }
     }
 
-    /// Notes headers that the platform's pages did not name, once for each.
+    /// Logs unknown headers, once for each name.
     fn note_unknown(&self, server: &BackendName, names: &[HeaderName]) {
         for name in names {
             let is_new = {
--- a/crates/wire/src/peer/server_limits.rs
+++ b/crates/wire/src/peer/server_limits.rs
@@ -1,9 +1,9 @@
-//! What instances tell each other of the limits that backend servers name.
+//! Exchange of rate limits of backend servers between instances.
 
 use savoryvane_core::forwarding::LimitReport;
 use serde::{Deserialize, Serialize};
 
-/// Tells the receiver what servers have said of their limits, and asks for what it knows.
+/// Reports the limits that servers have named, and queries those of the receiver.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitQuery {
     /// Revision of the receiver up to which the sender knows it.
@@ -12,11 +12,11 @@
     pub reports: Vec<LimitReport>,
 }
 
-/// Answer to that.
+/// Response to a [`LimitQuery`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitState {
-    /// Revision up to which the asker knows with this.
+    /// Revision up to which the sender of the query is up to date with this.
     pub revision: u64,
-    /// What it does not know yet.
+    /// Reports that it has not seen.
     pub reports: Vec<LimitReport>,
 }
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -149,7 +149,7 @@
         Message::GrantQuery(grant_query(1.5)),
         Message::GrantState(GrantState::Granted("i-1".into())),
         Message::GrantState(GrantState::Closed {
-            opens_in_ms: 700,
+            retry_in_ms: 700,
             retry_after_ms: 1_500,
         }),
         Message::RoutingQuery(RoutingQuery {
