Learn from a peer that a server leaves, also at an older position or after a copy of the store

Found by a new property test over schedules of records, listings, outages, copies and peers: what a run says in an answer was lost at this instance where the store had come back from a copy after its entry was removed once (the entry counted as older than the removal), and was not learnt from a peer by one that knew a newer record of the run. Leaving holds for good, so it is noted without looking at positions, and each entry that a peer tells as leaving counts for its run.

--- a/crates/core/src/forwarding/directory.rs
+++ b/crates/core/src/forwarding/directory.rs
@@ -258,17 +258,18 @@
     /// Notes that a run says in an answer that it is leaving, which holds for good. Returns
     /// whether that was unknown of a registered run.
     pub fn on_leaving(&mut self, id: &BackendName) -> bool {
-        let Some(mut entry) = self.entry(id).cloned() else {
-            // Its entry may have lapsed, and may be back.
-            self.note_left(id);
+        // Its entry may have lapsed, and may be back.
+        self.note_left(id);
+        let Some(registered_as) = self.runs.get(id).cloned() else {
             return false;
         };
-        if entry.state == ServerState::Leaving {
+        let entry = self.entries.get_mut(&registered_as);
+        let Some(entry) = entry.filter(|entry| entry.state == ServerState::Ready) else {
             return false;
-        }
+        };
         entry.state = ServerState::Leaving;
-        let registered_as = entry.registered_as.clone();
-        self.apply(&registered_as, Some(entry), None)
+        self.note_change(&registered_as, None);
+        true
     }
 
     /// Replaces all entries by a whole listing. Returns whether anything changed.
@@ -392,8 +393,9 @@
     /// Takes over what the register, or another instance that knows it up to
     /// `cursor`, tells. Returns whether anything changed.
     pub fn update_to(&mut self, update: DirectoryUpdate, cursor: Cursor) -> bool {
+        let is_leaving_learnt = self.learn_leaving(&update);
         if cursor < self.cursor {
-            return self.take_newer(update);
+            return self.take_newer(update) || is_leaving_learnt;
         }
         let has_changed = match update {
             DirectoryUpdate::Whole(listing) => {
@@ -412,7 +414,19 @@
             }
         };
         self.on_known_to(cursor);
-        has_changed
+        has_changed || is_leaving_learnt
+    }
+
+    /// Learns which runs leave from entries at any position, since that holds for good.
+    /// Returns whether it was unknown of any.
+    fn learn_leaving(&mut self, update: &DirectoryUpdate) -> bool {
+        let before = self.revision;
+        for entry in update.entries() {
+            if entry.state == ServerState::Leaving {
+                self.on_leaving(&entry.id);
+            }
+        }
+        self.revision != before
     }
 
     /// Takes over the entries that are newer than what is known, from one that does not
--- a/crates/core/src/forwarding/entry.rs
+++ b/crates/core/src/forwarding/entry.rs
@@ -67,6 +67,18 @@
     Changes(Vec<(BackendName, Option<ServerEntry>)>),
 }
 
+impl DirectoryUpdate {
+    /// Iterates over the entries that it has.
+    pub(super) fn entries(&self) -> impl Iterator<Item = &ServerEntry> {
+        let (whole, changes): (&[ServerEntry], &[_]) = match self {
+            Self::Whole(listing) => (listing, &[]),
+            Self::Changes(changes) => (&[], changes),
+        };
+        let changed = changes.iter().filter_map(|(_, entry)| entry.as_ref());
+        whole.iter().chain(changed)
+    }
+}
+
 /// How far one that asks for an update knows the register.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum KnownUpTo {
--- a/crates/core/tests/forwarding_runs.rs
+++ b/crates/core/tests/forwarding_runs.rs
@@ -271,3 +271,133 @@
         of(&source) == of(&told)
     }
 }
+
+/// A step of a schedule of the register, of peers and of the store.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// The server writes that it is ready.
+    Ready,
+    /// Its entry is removed.
+    Removed,
+    /// The register is read anew, with an entry of it that says that it is ready.
+    Listed,
+    /// The register is read anew, and lacks it.
+    Lacking,
+    /// The first listing after an outage lacks it.
+    LackingAfterOutage,
+    /// Servers that have lapsed count as gone.
+    Lapsed,
+    /// A peer that knows less of the register tells that it is ready.
+    ToldByPeer,
+    /// The store comes back from a copy that has its entry.
+    Copied,
+}
+
+const STEPS: [Step; 8] = [
+    Step::Ready,
+    Step::Removed,
+    Step::Listed,
+    Step::Lacking,
+    Step::LackingAfterOutage,
+    Step::Lapsed,
+    Step::ToldByPeer,
+    Step::Copied,
+];
+
+/// A register as one directory reads it, in its era.
+#[derive(Default)]
+struct Register {
+    directory: Directory,
+    cursor: Cursor,
+    now_ms: u64,
+}
+
+impl Register {
+    /// Returns an entry of the server that says that it is ready, at the next position.
+    fn ready(&mut self) -> ServerEntry {
+        let position = self.cursor.position();
+        self.cursor.offset += 1;
+        ServerEntry {
+            position,
+            ..run(Some(1_000), 0, ServerState::Ready)
+        }
+    }
+
+    fn take(&mut self, step: Step) {
+        self.now_ms += 1_000;
+        let gone_at_ms = self.now_ms + 1_500;
+        match step {
+            Step::Ready => {
+                let entry = self.ready();
+                let at = entry.position;
+                self.directory
+                    .apply_record(&name(), Some(entry), at, self.cursor);
+            }
+            Step::Removed => {
+                let at = self.cursor.position();
+                self.cursor.offset += 1;
+                self.directory.apply_record(&name(), None, at, self.cursor);
+            }
+            Step::Listed => {
+                let listing = DirectoryUpdate::Whole(vec![self.ready()]);
+                self.directory.update_to(listing, self.cursor);
+            }
+            Step::Lacking => {
+                let listing = DirectoryUpdate::Whole(Vec::new());
+                self.directory.update_to(listing, self.cursor);
+            }
+            Step::LackingAfterOutage => {
+                self.directory
+                    .update_after_outage(Vec::new(), self.cursor, gone_at_ms);
+            }
+            Step::Lapsed => {
+                self.directory.remove_lapsed(self.now_ms);
+            }
+            Step::ToldByPeer => {
+                let entry = run(Some(1_000), 0, ServerState::Ready);
+                let told = DirectoryUpdate::Changes(vec![(name(), Some(entry))]);
+                self.directory.update_to(told, Cursor::default());
+            }
+            Step::Copied => {
+                self.cursor = Cursor {
+                    era: self.cursor.era + 1,
+                    before: self.cursor.offset + 1,
+                    offset: 0,
+                };
+                let listing = vec![self.ready()];
+                self.directory
+                    .update_after_outage(listing, self.cursor, gone_at_ms);
+            }
+        }
+    }
+}
+
+fn is_ready(directory: &Directory) -> bool {
+    state_of(directory, "i-1 1000") == Some(ServerState::Ready)
+}
+
+quickcheck! {
+    /// Whatever comes before and after the answer in which a run says that it leaves, it takes
+    /// nothing new from then on, at the instance that got the answer and at one that it tells.
+    fn a_run_that_says_that_it_leaves_is_never_ready_again(
+        before: Vec<u8>,
+        after: Vec<u8>,
+        peer_steps: Vec<u8>
+    ) -> bool {
+        let step = |number: &u8| STEPS[usize::from(*number) % STEPS.len()];
+        let (mut own, mut peer) = (Register::default(), Register::default());
+        before.iter().map(step).for_each(|step| own.take(step));
+        peer_steps.iter().map(step).for_each(|step| peer.take(step));
+        let revision = own.directory.revision();
+        let is_known = own.directory.entry(&BackendName::new("i-1 1000")).is_some();
+        own.directory.on_leaving(&BackendName::new("i-1 1000"));
+        let told = own.directory.update_for(KnownUpTo::Revision(revision));
+        peer.directory.update_to(told, own.directory.cursor());
+        let is_told = !is_known || !is_ready(&peer.directory);
+        let is_kept = after.iter().map(step).all(|step| {
+            own.take(step);
+            !is_ready(&own.directory)
+        });
+        is_told && is_kept
+    }
+}
