--- a/crates/server/src/gateway.rs
+++ b/crates/server/src/gateway.rs
@@ -4,6 +4,7 @@
 mod admitting;
 mod answers;
 mod attempt;
+mod batch;
 mod calls;
 mod catch_up;
 mod crashes;
@@ -12,6 +13,7 @@
 mod follow;
 mod forward;
 mod freshness;
+mod granting;
 mod ingress;
 mod instance;
 mod keeping;
--- a/crates/server/src/gateway/follow.rs
+++ b/crates/server/src/gateway/follow.rs
@@ -2,15 +2,16 @@
 
 use std::{sync::Arc, time::Duration};
 
-use savoryvane_core::forwarding::{Cursor, Position, Reader};
+use savoryvane_core::forwarding::{Position, Reader};
 use savoryvane_platform::{
     configuration,
-    store::{CONFIGURATION_KEY, Record, Topic},
+    store::{CONFIGURATION_KEY, Topic},
 };
 use slog::{Logger, info, warn};
 use tokio::time::{self, Instant};
 
 use super::{
+    batch::Batch,
     freshness::Freshness,
     knowledge::Knowledge,
     members::Members,
@@ -49,32 +50,6 @@
     pub(super) log: Logger,
 }
 
-/// What a read of a topic gave.
-pub(super) struct Batch {
-    pub(super) records: Vec<Record>,
-    /// Whether it is the newest of every key and not what has changed.
-    pub(super) is_whole: bool,
-    /// Era of the store that they are of.
-    pub(super) era: u64,
-    /// Offset up to which the topic is known after it.
-    pub(super) next: u64,
-}
-
-impl Batch {
-    /// Returns how far the topic is known after it where it was known up to `before`.
-    pub(super) fn cursor(&self, before: Cursor) -> Cursor {
-        before.advanced_to(self.era, self.next)
-    }
-
-    /// Returns the position of one of its records.
-    pub(super) fn position(&self, record: &Record) -> Position {
-        Position {
-            era: self.era,
-            offset: record.offset,
-        }
-    }
-}
-
 /// A topic that is followed, and how its calls go.
 pub(super) struct Topical {
     topic: Topic,
--- a/crates/server/src/gateway/knowledge.rs
+++ b/crates/server/src/gateway/knowledge.rs
@@ -24,7 +24,7 @@
 use slog::{Logger, info};
 use tokio::sync::Notify;
 
-use super::{follow::Batch, settings::GatewaySettings};
+use super::{batch::Batch, settings::GatewaySettings};
 use crate::{clock::Clock, lock::lock};
 
 /// Servers of a service and availability zone that one instance uses: all, so
--- a/crates/server/src/gateway/members.rs
+++ b/crates/server/src/gateway/members.rs
@@ -21,7 +21,7 @@
 use tokio::{sync::watch, time::Instant};
 
 use super::{
-    follow::Batch, knowledge::Knowledge, limits::LimitSharing, listing::Listing,
+    batch::Batch, knowledge::Knowledge, limits::LimitSharing, listing::Listing,
     settings::GatewaySettings, store::StoreClient,
 };
 use crate::{
--- a/crates/server/src/gateway/register.rs
+++ b/crates/server/src/gateway/register.rs
@@ -14,7 +14,8 @@
 use tokio::time::{self, Instant};
 
 use super::{
-    follow::{Batch, StoreFollower, TOLD_INTERVAL, Topical},
+    batch::Batch,
+    follow::{StoreFollower, TOLD_INTERVAL, Topical},
     knowledge::Knowledge,
 };
 
