Simplify what the changes on signals of servers wrote again

take_newer and learn_leaving iterate over an update's entries in the same way, and whether anything changed follows from the revision in one place. Cold and backing off servers pass one gate in both lists of members. The time of draining without backoffs is the general case. Callers' return is spread by one function. The head of an answer to a call with pieces is decoded once.

--- a/crates/core/src/fleet/route.rs
+++ b/crates/core/src/fleet/route.rs
@@ -86,13 +86,16 @@
         };
         let can_serve = |index: &usize| {
             let backend = &self.backends[*index];
-            takes_work(now_ms, backend, query)
-                && self.cold.allows(now_ms, &backend.name)
-                && self.backoffs.allows(now_ms, &backend.name)
+            takes_work(now_ms, backend, query) && self.allows(now_ms, &backend.name)
         };
         pool.members.iter().copied().filter(can_serve).collect()
     }
 
+    /// Tells whether a server may be sent a call, as far as it is cold or backs off.
+    fn allows(&self, now_ms: u64, server: &BackendName) -> bool {
+        self.cold.allows(now_ms, server) && self.backoffs.allows(now_ms, server)
+    }
+
     /// Returns the members that can take the call and their limits, if all of them name one.
     pub(crate) fn all_limited(
         &self,
@@ -138,8 +141,7 @@
             let backend = &self.backends[*index];
             backend.state(now_ms) != BackendState::Leaving
                 && has_model(backend, query.model)
-                && self.cold.allows(now_ms, &backend.name)
-                && self.backoffs.allows(now_ms, &backend.name)
+                && self.allows(now_ms, &backend.name)
                 && self.limits.is_open(now_ms, &backend.name)
         };
         pool.members.iter().copied().filter(can_serve).collect()
--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -22,6 +22,7 @@
 mod table;
 mod timeouts;
 
+pub(crate) use backoff::return_after_ms;
 pub use backoff::{MAX_BACKOFF_MS, ServerBackoffs};
 pub use budget::{BudgetSettings, RepeatBudgets};
 pub use cold::{ARRIVAL_MS, ColdServers, WINDOW_MS};
--- a/crates/core/src/forwarding/backoff.rs
+++ b/crates/core/src/forwarding/backoff.rs
@@ -14,6 +14,16 @@
 /// Upper bound of a backoff, in ms; limits the damage of a bad value.
 pub const MAX_BACKOFF_MS: u64 = 3_600_000;
 
+/// Part of a backoff over which the return of callers is spread after its end, as a divisor.
+const RETURN_SPREAD_DIVISOR: u64 = 4;
+
+/// Returns when a caller may return after a backoff that ends in `ends_in_ms`, in ms. `draw`
+/// spreads callers over a part of the backoff, and over `min_spread_ms` at least.
+pub(crate) fn return_after_ms(ends_in_ms: u64, min_spread_ms: u64, draw: u64) -> u64 {
+    let spread_ms = (ends_in_ms / RETURN_SPREAD_DIVISOR).max(min_spread_ms);
+    ends_in_ms + draw % spread_ms
+}
+
 /// Backoffs by the run of the server.
 #[derive(Debug, Default)]
 pub struct ServerBackoffs {
--- a/crates/core/src/forwarding/directory.rs
+++ b/crates/core/src/forwarding/directory.rs
@@ -272,9 +272,8 @@
         true
     }
 
-    /// Replaces all entries by a whole listing. Returns whether anything changed.
-    fn replace(&mut self, listing: Vec<ServerEntry>, cursor: Cursor) -> bool {
-        let before = self.revision;
+    /// Replaces all entries by a whole listing.
+    fn replace(&mut self, listing: Vec<ServerEntry>, cursor: Cursor) {
         for registered_as in self.not_in(&listing) {
             // A server that has lapsed is gone at its time.
             if !self.lapsing.contains_key(&registered_as) {
@@ -285,7 +284,6 @@
             let registered_as = entry.registered_as.clone();
             self.apply(&registered_as, Some(entry), Some(cursor));
         }
-        self.revision != before
     }
 
     /// Returns the servers that `listing` lacks, by what they are registered as.
@@ -310,11 +308,12 @@
         cursor: Cursor,
         gone_at_ms: u64,
     ) -> bool {
+        let before = self.revision;
         if cursor < self.cursor {
-            return self.take_newer(DirectoryUpdate::Whole(listing));
+            self.take_newer(&DirectoryUpdate::Whole(listing));
+            return self.revision != before;
         }
         let is_from_copy = cursor.era > self.cursor.era;
-        let before = self.revision;
         for registered_as in self.not_in(&listing) {
             if !self.lapsing.contains_key(&registered_as) {
                 self.lapsing.insert(registered_as.clone(), gone_at_ms);
@@ -393,63 +392,51 @@
     /// Takes over what the register, or another instance that knows it up to
     /// `cursor`, tells. Returns whether anything changed.
     pub fn update_to(&mut self, update: DirectoryUpdate, cursor: Cursor) -> bool {
-        let is_leaving_learnt = self.learn_leaving(&update);
+        let before = self.revision;
+        self.learn_leaving(&update);
         if cursor < self.cursor {
-            return self.take_newer(update) || is_leaving_learnt;
+            self.take_newer(&update);
+            return self.revision != before;
         }
-        let has_changed = match update {
+        match update {
             DirectoryUpdate::Whole(listing) => {
                 // Who came and went since the last cursor is not told by it.
                 if cursor > self.cursor {
                     self.changes_from = cursor;
                 }
-                self.replace(listing, cursor)
+                self.replace(listing, cursor);
             }
             DirectoryUpdate::Changes(changes) => {
-                let before = self.revision;
                 for (registered_as, entry) in changes {
                     self.apply(&registered_as, entry, Some(cursor));
                 }
-                self.revision != before
             }
-        };
+        }
         self.on_known_to(cursor);
-        has_changed || is_leaving_learnt
+        self.revision != before
     }
 
     /// Learns which runs leave from entries at any position, since that holds for good.
-    /// Returns whether it was unknown of any.
-    fn learn_leaving(&mut self, update: &DirectoryUpdate) -> bool {
-        let before = self.revision;
+    fn learn_leaving(&mut self, update: &DirectoryUpdate) {
         for entry in update.entries() {
             if entry.state == ServerState::Leaving {
                 self.on_leaving(&entry.id);
             }
         }
-        self.revision != before
     }
 
     /// Takes over the entries that are newer than what is known, from one that does not
     /// know the register as far: after an outage it waits before it takes servers for
     /// gone, and knows more of the others.
-    fn take_newer(&mut self, update: DirectoryUpdate) -> bool {
-        let entries: Vec<ServerEntry> = match update {
-            DirectoryUpdate::Whole(listing) => listing,
-            DirectoryUpdate::Changes(changes) => {
-                let entries = changes.into_iter().filter_map(|(_, entry)| entry);
-                entries.collect()
-            }
-        };
-        let before = self.revision;
-        for entry in entries {
+    fn take_newer(&mut self, update: &DirectoryUpdate) {
+        for entry in update.entries() {
             let known = self.entries.get(&entry.registered_as);
             let known_to = known.map_or(self.cursor.position(), |known| known.position);
             if entry.position >= known_to {
-                let registered_as = entry.registered_as.clone();
-                self.apply(&registered_as, Some(entry), Some(Cursor::default()));
+                let newer = Some(entry.clone());
+                self.apply(&entry.registered_as, newer, Some(Cursor::default()));
             }
         }
-        self.revision != before
     }
 
     /// Returns what one does not know that knows the register up to `known`;
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -3,6 +3,7 @@
 use rand::RngExt;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::return_after_ms;
 use crate::{
     decision::DecisionReason,
     fleet::{CallEnd, Fault, Fleet, RouteQuery, Routed},
@@ -21,9 +22,7 @@
 /// prompt of 50 ms goes first.
 const REQUEST_US: f64 = 6_000.0;
 
-/// Part of a backoff over which the return of callers is spread after its end, as a divisor.
-const RETURN_SPREAD_DIVISOR: u64 = 4;
-/// Shortest time over which it is, in ms.
+/// Shortest time over which the return of callers is spread after a backoff, in ms.
 const MIN_RETURN_SPREAD_MS: u64 = 100;
 
 /// Most servers that one question for a grant names: some hundred bytes, and enough that
@@ -227,8 +226,8 @@
     /// another time for each caller.
     pub fn return_after_backoff_ms(&mut self, now_ms: u64, service: &PoolName) -> Option<u64> {
         let ends_in_ms = self.backoff_ends_in_ms(now_ms, &any_request(service))?;
-        let spread_ms = (ends_in_ms / RETURN_SPREAD_DIVISOR).max(MIN_RETURN_SPREAD_MS);
-        Some(ends_in_ms + self.rng.random_range(0..spread_ms))
+        let draw = self.rng.random();
+        Some(return_after_ms(ends_in_ms, MIN_RETURN_SPREAD_MS, draw))
     }
 
     /// Returns the availability zone of a session's home among the servers of
--- a/crates/core/src/stages/admission.rs
+++ b/crates/core/src/stages/admission.rs
@@ -13,7 +13,7 @@
     Submission,
     service::{StageService, Taken},
 };
-use crate::ids::PoolName;
+use crate::{forwarding::return_after_ms, ids::PoolName};
 
 /// Part of its slack that a request may be expected to wait, in per cent, by its
 /// rank; the slack is what its goal leaves beside the time that its stages need
@@ -240,8 +240,6 @@
     match forecast.available_in_ms {
         0 => usual_ms - usual_ms / 4 + hash % (usual_ms / 2),
         // No server takes a piece before the first backoff ends.
-        available_in_ms => {
-            available_in_ms + hash % (available_in_ms / 4).max(SHORTEST_RETRY_AFTER_MS)
-        }
+        available_in_ms => return_after_ms(available_in_ms, SHORTEST_RETRY_AFTER_MS, hash),
     }
 }
--- a/crates/core/src/stages/service.rs
+++ b/crates/core/src/stages/service.rs
@@ -172,9 +172,6 @@
         let full = self.batching.batch_pieces;
         let call_ms = self.batching.duration_ms(full);
         let mut rate = self.rate_per_ms(now_ms);
-        if rate > 0.0 && self.backing_off(now_ms).next().is_none() {
-            return Some(pieces / rate);
-        }
         let backing_off = self.backing_off(now_ms);
         let mut joining: Vec<(u64, f64)> = backing_off
             .map(|(left_ms, server)| (left_ms, full as f64 * server.calls_per_ms(call_ms)))
--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -309,39 +309,40 @@
         timeout: Duration,
         max_bytes: usize,
     ) -> Result<Response<Bytes>, SendError> {
-        self.exchange_with(addr, request, timeout, max_bytes, || true, |_| {})
-            .await
+        let exchange = self.exchange_with(addr, request, timeout, max_bytes, || true, |_| {});
+        let ((), response) = exchange.await?;
+        Ok(response)
     }
 
     /// Does the same as [`exchange`](Self::exchange) if `may_send` says so once a connection
     /// is there, and passes the head of the answer to `on_head` as soon as it has come, also
-    /// where the rest does not follow.
+    /// where the rest does not follow. Returns what that made of the head, too.
     ///
     /// # Errors
     ///
     /// Returns [`SendError::NotSent`] only when nothing of the request was
     /// handed to a socket.
-    pub(crate) async fn exchange_with(
+    pub(crate) async fn exchange_with<T>(
         self: &Arc<Self>,
         addr: SocketAddr,
         request: Request<Full<Bytes>>,
         timeout: Duration,
         max_bytes: usize,
         may_send: impl Fn() -> bool,
-        on_head: impl FnOnce(&response::Parts),
-    ) -> Result<Response<Bytes>, SendError> {
+        on_head: impl FnOnce(&response::Parts) -> T,
+    ) -> Result<(T, Response<Bytes>), SendError> {
         let not_after = Instant::now() + timeout;
         let whole = async {
             let sending = self.send_reusing(addr, request, not_after, Reuse::Any, may_send);
             let Exchange { response, lease } = sending.await?;
             let (head, body) = response.into_parts();
-            on_head(&head);
+            let seen = on_head(&head);
             let body = Limited::new(body, max_bytes)
                 .collect()
                 .await
                 .map_err(|err| SendError::Sent(err.to_string()))?;
             lease.keep().await;
-            Ok(Response::from_parts(head, body.to_bytes()))
+            Ok((seen, Response::from_parts(head, body.to_bytes())))
         };
         match time::timeout(timeout, whole).await {
             Ok(result) => result,
--- a/crates/server/src/gateway/calls.rs
+++ b/crates/server/src/gateway/calls.rs
@@ -11,7 +11,10 @@
     poison::{Fate, RequestDigest},
     stages::{CallEnd, ItemEnd, ItemInput, StageCall},
 };
-use savoryvane_platform::{answer, stages};
+use savoryvane_platform::{
+    answer::{self, AnswerHead},
+    stages,
+};
 use slog::{Logger, info, warn};
 use tokio::time::{self, Instant};
 
@@ -156,7 +159,7 @@
             answered: Answered::Call(call.id),
         };
         let answer = self.post(to, stages::RUN_PATH, body, timeout).await;
-        let answer = match answer {
+        let (head, answer) = match answer {
             Ok(answer) => answer,
             Err(SendError::NotSent(_)) => {
                 return self.not_sent(call).unwrap_or(CallEnd::Unreachable);
@@ -164,7 +167,6 @@
             Err(SendError::Sent(_)) => return CallEnd::Lost,
         };
         let status = answer.status();
-        let head = answer::decode(status, answer.headers());
         if head.is_misdirected {
             return CallEnd::Misdirected;
         }
@@ -193,14 +195,15 @@
         }
     }
 
-    /// Sends a call, and takes in what its answer says of the server.
+    /// Sends a call, and applies what its answer says of the server; returns the answer and
+    /// its decoded head.
     async fn post(
         &self,
         to: Addressee<'_>,
         path: &str,
         body: Vec<u8>,
         timeout: Duration,
-    ) -> Result<http::Response<Bytes>, SendError> {
+    ) -> Result<(AnswerHead, http::Response<Bytes>), SendError> {
         let mut request = request(Method::POST, to.addr, path, body.into());
         request.headers_mut().extend(stages::headers(to.server));
         let sent_at_ms = self.knowledge.now_ms();
@@ -208,6 +211,7 @@
             let head = answer::decode(head.status, &head.headers);
             self.knowledge
                 .on_answer_head(to.server, sent_at_ms, to.answered, &head);
+            head
         };
         self.servers
             .exchange_with(
