Plain words for grants, backoffs and their tests

Comments by the field's terms; given is issued, told is announced, untold is in_flight, learnt is received.

--- a/crates/bench/src/backoff_load.rs
+++ b/crates/bench/src/backoff_load.rs
@@ -17,7 +17,7 @@
 /// Whose requests a backoff keeps from a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Way {
-    /// Nobody's: the time is not read.
+    /// None: `Retry-After` is not read.
     Ignored,
     /// Those of the instance that was asked.
     Asked,
@@ -97,11 +97,11 @@
     way: Way,
     names: Vec<BackendName>,
     views: Vec<ServerBackoffs>,
-    /// What each instance has learnt from the others.
-    learnt: Vec<ServerBackoffs>,
+    /// Backoffs that each instance has received from the others.
+    received: Vec<ServerBackoffs>,
     capacities: Vec<Capacity>,
-    /// Backoffs that the others have not learnt of: when they do, and until when each is.
-    untold: Vec<(u64, usize, u64)>,
+    /// Backoffs in flight to the other instances: arrival, server and end.
+    in_flight: Vec<(u64, usize, u64)>,
     rng: Pcg64Mcg,
 }
 
@@ -118,7 +118,7 @@
             .map(|number| BackendName::new(format!("i-{number}")))
             .collect(),
         views: empty_views(load.instances),
-        learnt: empty_views(load.instances),
+        received: empty_views(load.instances),
         capacities: vec![
             Capacity {
                 per_ms,
@@ -127,7 +127,7 @@
             };
             load.shedding
         ],
-        untold: Vec::new(),
+        in_flight: Vec::new(),
         rng: Pcg64Mcg::seed_from_u64(load.seed),
     };
     play.run()
@@ -146,7 +146,7 @@
         let (mut served, mut rejected, mut repeated, mut used) = (0, 0, 0, 0);
         for number in 0..requests {
             let now_ms = (number as f64 / per_s * 1_000.0) as u64;
-            self.tell(now_ms);
+            self.deliver(now_ms);
             let instance = self.rng.random_range(0..self.load.instances);
             let home = self.rng.random_range(0..self.load.servers);
             let mut tried = None;
@@ -182,10 +182,10 @@
         home: usize,
         tried: Option<usize>,
     ) -> Option<usize> {
-        let (view, learnt) = (&self.views[instance], &self.learnt[instance]);
+        let (view, received) = (&self.views[instance], &self.received[instance]);
         let names = &self.names;
         let is_open = |at: &usize| Some(*at) != tried && view.allows(now_ms, &names[*at]);
-        let is_better = |at: &usize| is_open(at) && learnt.allows(now_ms, &names[*at]);
+        let is_better = |at: &usize| is_open(at) && received.allows(now_ms, &names[*at]);
         let first = self.rng.random_range(0..names.len());
         let others = (0..names.len()).map(|turn| (first + turn) % names.len());
         let mut in_order = std::iter::once(home).chain(others);
@@ -205,19 +205,19 @@
         let backoff_ms = self.load.backoff_ms;
         let is_new = self.views[instance].on_request(now_ms, &self.names[server], backoff_ms);
         if is_new && matches!(self.way, Way::Shared | Way::PassedOver) {
-            self.untold
+            self.in_flight
                 .push((now_ms + GOSSIP_MS, server, now_ms + backoff_ms));
         }
     }
 
-    /// Lets all instances learn of the backoffs whose time has come.
-    fn tell(&mut self, now_ms: u64) {
+    /// Delivers the backoffs that are due to all instances.
+    fn deliver(&mut self, now_ms: u64) {
         let names = &self.names;
         let views = match self.way {
-            Way::PassedOver => &mut self.learnt,
+            Way::PassedOver => &mut self.received,
             Way::Ignored | Way::Asked | Way::Shared => &mut self.views,
         };
-        self.untold.retain(|(at_ms, server, until_ms)| {
+        self.in_flight.retain(|(at_ms, server, until_ms)| {
             let is_due = *at_ms <= now_ms;
             if is_due {
                 for view in views.iter_mut() {
--- a/crates/core/src/forwarding/grants.rs
+++ b/crates/core/src/forwarding/grants.rs
@@ -65,7 +65,7 @@
     Admission,
     /// To send a request.
     Send,
-    /// To learn when to come back; nothing is granted.
+    /// Only to learn the `Retry-After`; nothing is granted.
     ReturnTime,
 }
 
@@ -87,8 +87,8 @@
     pub service: PoolName,
     /// What it is for.
     pub purpose: GrantPurpose,
-    /// Servers that will do, the best one first, and their limits as the asker knows them,
-    /// in requests a second.
+    /// Candidates, the best one first, with the limits that the sender knows, in requests per
+    /// second.
     pub servers: Vec<(BackendName, f64)>,
     /// Rank of the request, 0 being the most urgent.
     pub priority: u8,
@@ -113,19 +113,19 @@
 struct LastSeen {
     /// When it was listed, in ms.
     listed_ms: u64,
-    /// When it asked last, in ms.
+    /// Time of its last query, in ms.
     seen_ms: Option<u64>,
 }
 
-/// The part of one or several limits that an instance gives out.
+/// The share of one or several limits that an instance grants.
 #[derive(Clone, Copy, Debug)]
 struct Part {
     flow: Flow,
-    /// What is given out at once at most, in thousandths of a request.
+    /// Largest burst, in thousandths of a request.
     depth_milli: u64,
 }
 
-/// What was given out of one limit.
+/// Bucket of one limit.
 #[derive(Clone, Copy, Debug)]
 struct IssuedPermits {
     bucket: Bucket,
@@ -135,8 +135,8 @@
 /// The admission of one service.
 #[derive(Clone, Copy, Debug)]
 struct Admission {
-    given: IssuedPermits,
-    /// When the last refused caller was told to come back, in ms.
+    issued: IssuedPermits,
+    /// Return time of the last rejected caller, in ms.
     returns_at_ms: u64,
     /// Most urgent rank that came, and when, in ms.
     most_urgent: (u8, u64),
@@ -176,14 +176,14 @@
         self.last_seen = seen.collect();
     }
 
-    /// Notes that an instance has asked whether this one schedules.
+    /// Notes a query of an instance.
     pub fn on_seen(&mut self, now_ms: u64, instance: &InstanceName) {
         if let Some(seen) = self.last_seen.get_mut(instance) {
             seen.seen_ms = Some(now_ms);
         }
     }
 
-    /// Returns the part of all limits that this instance gives out.
+    /// Returns the share of all limits that this instance grants.
     pub fn share(&self, now_ms: u64) -> f64 {
         let is_within = |at_ms: u64, within_ms| at_ms + within_ms > now_ms;
         let others = self.last_seen.values();
@@ -195,8 +195,8 @@
         (seen.count() + 1) as f64 / (living.count() + 1) as f64
     }
 
-    /// Gives a grant, or tells when to ask again and when the caller is to come back.
-    /// `limit_per_s` gives what is known here of a server: its limit, or that it has none.
+    /// Returns a grant, or when to retry and the `Retry-After` of the caller. `limit_per_s`
+    /// returns the limit of a server that is known here, none if it has none.
     pub fn grant(
         &mut self,
         now_ms: u64,
@@ -232,14 +232,14 @@
     ) -> GrantState {
         let mut retry_in_ms = MAX_RETRY_IN_MS;
         for (server, part) in parts {
-            let Some(given) = self.given(now_ms, server) else {
+            let Some(issued) = self.issued(now_ms, server) else {
                 continue;
             };
-            given.bucket.fill_to(now_ms, part.flow, part.depth_milli);
-            if given.bucket.take() {
+            issued.bucket.fill_to(now_ms, part.flow, part.depth_milli);
+            if issued.bucket.take() {
                 return GrantState::Granted((*server).clone());
             }
-            retry_in_ms = retry_in_ms.min(given.bucket.wait_ms(part.flow));
+            retry_in_ms = retry_in_ms.min(issued.bucket.wait_ms(part.flow));
         }
         self.closed(now_ms, query, all, retry_in_ms.max(MIN_RETRY_IN_MS))
     }
@@ -255,7 +255,7 @@
         if is_most_urgent {
             admission.most_urgent = (query.priority, now_ms);
         }
-        let bucket = &mut admission.given.bucket;
+        let bucket = &mut admission.issued.bucket;
         bucket.fill_to(now_ms, all.flow, all.depth_milli + ONE_MILLI);
         if is_most_urgent {
             return bucket.take();
@@ -268,8 +268,8 @@
         leaves_a_place
     }
 
-    /// Tells callers one time after the other to come back, at the rate at which the
-    /// servers take requests.
+    /// Rejects a query; spaces the `Retry-After` of callers at the rate at which the servers
+    /// take requests.
     fn closed(
         &mut self,
         now_ms: u64,
@@ -295,22 +295,22 @@
 
     fn admission(&mut self, now_ms: u64, service: &PoolName) -> Option<&mut Admission> {
         let new = Admission {
-            given: IssuedPermits::new(now_ms),
+            issued: IssuedPermits::new(now_ms),
             returns_at_ms: now_ms,
             most_urgent: (u8::MAX, now_ms),
         };
-        let last_request_ms = |admission: &Admission| admission.given.last_request_ms;
+        let last_request_ms = |admission: &Admission| admission.issued.last_request_ms;
         let admission = remembered(&mut self.services, now_ms, service, new, last_request_ms)?;
-        admission.given.last_request_ms = now_ms;
+        admission.issued.last_request_ms = now_ms;
         Some(admission)
     }
 
-    fn given(&mut self, now_ms: u64, server: &BackendName) -> Option<&mut IssuedPermits> {
+    fn issued(&mut self, now_ms: u64, server: &BackendName) -> Option<&mut IssuedPermits> {
         let new = IssuedPermits::new(now_ms);
-        let last_request_ms = |given: &IssuedPermits| given.last_request_ms;
-        let given = remembered(&mut self.servers, now_ms, server, new, last_request_ms)?;
-        given.last_request_ms = now_ms;
-        Some(given)
+        let last_request_ms = |issued: &IssuedPermits| issued.last_request_ms;
+        let issued = remembered(&mut self.servers, now_ms, server, new, last_request_ms)?;
+        issued.last_request_ms = now_ms;
+        Some(issued)
     }
 }
 
@@ -323,8 +323,7 @@
     }
 }
 
-/// Returns the entry of `key`, `new` where there is none, if there is room to remember it:
-/// entries that were not asked for lately make room.
+/// Returns the entry of `key`, or inserts `new`; evicts idle entries where there is no room.
 fn remembered<'a, K: Clone + Eq + Hash, V>(
     entries: &'a mut HashMap<K, V>,
     now_ms: u64,
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -25,8 +25,7 @@
 /// Shortest time over which the return of callers is spread after a backoff, in ms.
 const MIN_RETURN_SPREAD_MS: u64 = 100;
 
-/// Most servers that one question for a grant names: some hundred bytes, and enough that
-/// one of them is likely to be free.
+/// Most candidates of one grant query, some hundred bytes; enough that one is likely free.
 pub const MAX_GRANT_CANDIDATES: usize = 32;
 
 /// One part of a prompt that other prompts may share.
@@ -188,7 +187,7 @@
         }
     }
 
-    /// Returns the servers to ask a grant for instead of `chosen`, which names a limit, and
+    /// Returns the servers to request a grant for instead of `chosen`, which names a limit, and
     /// their limits in requests a second: only that one while others need none, unless
     /// `is_any_wanted`.
     pub fn grant_candidates(
@@ -221,9 +220,8 @@
         limits
     }
 
-    /// Returns when a request that no server of `service` takes may come back, in ms, where
-    /// that is for the backoff that servers have asked for: after the first one ends, at
-    /// another time for each caller.
+    /// Returns the `Retry-After` of a request to `service`, in ms, if only backoffs keep its
+    /// servers from taking requests: the end of the first one and a random part of it.
     pub fn return_after_backoff_ms(&mut self, now_ms: u64, service: &PoolName) -> Option<u64> {
         let ends_in_ms = self.backoff_ends_in_ms(now_ms, &any_request(service))?;
         let draw = self.rng.random();
--- a/crates/core/src/stages/scheduler.rs
+++ b/crates/core/src/stages/scheduler.rs
@@ -42,8 +42,7 @@
     Answered(Vec<ItemEnd>),
     /// The server did not take it.
     Full,
-    /// The server wants nothing from this instance until a time, in ms; it did not take the
-    /// call, or was not sent it.
+    /// The server backs off until a time, in ms; it rejected the call, or was not sent it.
     BackingOff(u64),
     /// Another run of a server has the address.
     Misdirected,
--- a/crates/core/src/stages/server.rs
+++ b/crates/core/src/stages/server.rs
@@ -48,7 +48,7 @@
     fulls: u32,
     /// Time until which it gets nothing, in ms.
     paused_until_ms: u64,
-    /// Time until which it wants nothing from this instance, in ms.
+    /// End of its backoff, in ms.
     backoff_until_ms: u64,
     /// Time until which it gets nothing as it is slow, in ms.
     slow_until_ms: u64,
@@ -156,7 +156,7 @@
         self.fulls += 1;
     }
 
-    /// Notes that it wants nothing until a time, in ms.
+    /// Notes that it backs off until a time, in ms.
     pub(super) fn on_backoff(&mut self, until_ms: u64) {
         self.backoff_until_ms = self.backoff_until_ms.max(until_ms);
     }
--- a/crates/core/src/stages/service.rs
+++ b/crates/core/src/stages/service.rs
@@ -192,8 +192,8 @@
         (rate > 0.0).then(|| at_ms + left / rate)
     }
 
-    /// Returns the time until the first server takes work, in ms; 0 where one does, none where
-    /// none will by itself.
+    /// Returns the time until a server takes work, in ms: 0 if one does now, none if all are
+    /// unavailable for another reason than backoff.
     pub(super) fn available_in_ms(&self, now_ms: u64) -> Option<u64> {
         if self.open_servers(now_ms) > 0 {
             return Some(0);
@@ -208,8 +208,8 @@
         servers.filter_map(move |server| Some((server.backoff_left_ms(now_ms)?, server)))
     }
 
-    /// Returns the pieces that servers with a limit take now, however low it is: while they
-    /// are not called nobody learns that they take more again.
+    /// Returns the pieces that idle rate-limited servers take now, however low their limits;
+    /// keeps them probed.
     pub(super) fn taken_at_once(&self, now_ms: u64) -> usize {
         let servers = self.servers.values();
         let limited = servers.filter(|server| server.limit_per_s.is_some());
--- a/crates/server/src/gateway/answers.rs
+++ b/crates/server/src/gateway/answers.rs
@@ -50,8 +50,8 @@
     /// Servers would take it but for the limits that they name, and none has run it; when
     /// to come back, in ms.
     Limited(u64),
-    /// All servers that would take it have asked for backoff, and none has run it; when to
-    /// come back, in ms.
+    /// All servers that would take it are backing off, and none has run it; with the
+    /// `Retry-After`, in ms.
     BackingOff(u64),
     /// Its answer was lost; it may have run.
     Lost,
--- a/crates/server/src/gateway/calls.rs
+++ b/crates/server/src/gateway/calls.rs
@@ -148,7 +148,7 @@
                 return CallEnd::Unreachable;
             }
         };
-        // What has been learnt since its server was chosen.
+        // Signals may have arrived since the server was chosen.
         if let Some(end) = self.not_sent(call) {
             return end;
         }
--- a/crates/soak/src/signals.rs
+++ b/crates/soak/src/signals.rs
@@ -32,7 +32,7 @@
 impl SignalCheck<'_> {
     /// A server that has said so to an instance gets no requests that come later from it.
     pub(crate) fn leaving_is_kept(&self, broken: &mut Vec<String>) {
-        let told = self.told();
+        let announced = self.announced();
         for server in &self.deployment.servers {
             for seen in server.standin.arrived() {
                 let Some(asked) = self.by_id.get(id_of(&seen)) else {
@@ -40,7 +40,7 @@
                 };
                 let run = seen.header("expect-instance").unwrap_or_default();
                 let boot = (asked.instance, asked.boot);
-                let since = told.get(&(run, boot)).copied();
+                let since = announced.get(&(run, boot)).copied();
                 let is_late = since.is_some_and(|since| {
                     let frozen = Disturbed::Instance(asked.instance);
                     let disturbances = &self.deployment.disturbances;
@@ -58,8 +58,8 @@
     }
 
     /// Returns when each run of an instance had passed on that a server leaves.
-    fn told(&self) -> HashMap<(&str, Boot), Instant> {
-        let mut told: HashMap<(&str, Boot), Instant> = HashMap::new();
+    fn announced(&self) -> HashMap<(&str, Boot), Instant> {
+        let mut announced: HashMap<(&str, Boot), Instant> = HashMap::new();
         for asked in self.asked {
             let Ok(answer) = &asked.got else {
                 continue;
@@ -70,11 +70,11 @@
             };
             if answer.header(LEAVING) == Some("1") {
                 let key = (run, (asked.instance, asked.boot));
-                let first = told.entry(key).or_insert(asked.ended_at);
+                let first = announced.entry(key).or_insert(asked.ended_at);
                 *first = (*first).min(asked.ended_at);
             }
         }
-        told
+        announced
     }
 
     /// A server that has asked an instance for backoff gets hardly anything from it meanwhile.
