--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -3,6 +3,7 @@
 
 mod backoff;
 mod budget;
+mod cells;
 mod cold_servers;
 mod deadlines;
 mod directory;
@@ -25,6 +26,7 @@
 pub(crate) use backoff::return_after_ms;
 pub use backoff::{MAX_BACKOFF_MS, ServerBackoffs};
 pub use budget::{BudgetSettings, RepeatBudgets};
+pub use cells::{CellLayout, FleetSize, Scope};
 pub use cold_servers::{ColdServers, MAX_ARRIVAL_MS, WINDOW_MS};
 pub use deadlines::RouteDeadlines;
 pub use directory::Directory;
--- a/crates/core/src/forwarding/directory.rs
+++ b/crates/core/src/forwarding/directory.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 use super::{
-    Cursor, Position, RoutingConfig, Service,
+    Cursor, Position, RoutingConfig, Scope, Service,
     entry::{DirectoryUpdate, ExpiringServer, ServerEntry, ServerState, SyncPoint},
     removed_servers::RemovedServers,
 };
@@ -33,7 +33,11 @@
     entries: BTreeMap<BackendName, ServerEntry>,
     /// Identifier that the server of each run registers under.
     runs: HashMap<BackendName, BackendName>,
-    /// Cursor up to which the register is known.
+    /// Servers of which entries are kept.
+    scope: Scope,
+    /// Servers that the instance uses; `scope` covers them.
+    used: Scope,
+    /// Cursor up to which the register is known, as far as `scope` goes.
     cursor: Cursor,
     /// Availability zones that the operator has taken out of service.
     evacuated: BTreeSet<ZoneName>,
@@ -55,10 +59,11 @@
     departure_order: VecDeque<BackendName>,
 }
 
-/// Most tracked departed runs: an hour at one departure per second.
+/// Most tracked departed runs in a directory of few servers: an hour at one departure per
+/// second. In a larger one, as many as there are servers.
 const MAX_DEPARTED: usize = 4_096;
-/// Most changes retained for incremental updates: one of each server in a fleet of twice the
-/// largest planned size.
+/// Most changes retained for incremental updates in a directory of few servers; in a larger
+/// one, as many as there are servers.
 const MAX_CHANGES: usize = 4_096;
 
 impl Directory {
@@ -67,6 +72,34 @@
         self.revision
     }
 
+    /// Returns the servers of which entries are kept.
+    pub fn scope(&self) -> Scope {
+        self.scope
+    }
+
+    /// Sets of which servers entries are kept, and which of these the instance uses. If entries
+    /// are missing now, the register counts as unknown until a listing of it is merged; known
+    /// servers stay in use meanwhile. Returns whether anything changed.
+    pub fn set_scopes(&mut self, scope: Scope, used: Scope) -> bool {
+        if (scope, used) == (self.scope, self.used) {
+            return false;
+        }
+        if !self.scope.covers(scope) {
+            self.cursor = Cursor::default();
+            self.changes.clear();
+            self.changes_from = Cursor::default();
+        }
+        let outside = self.entries.keys().filter(|id| !scope.has_server(id));
+        let outside: Vec<BackendName> = outside.cloned().collect();
+        for registered_as in &outside {
+            self.remove(registered_as);
+        }
+        // Other instances have merged revisions of the former scope.
+        self.revision += 1;
+        (self.scope, self.used) = (scope, used);
+        true
+    }
+
     /// Returns the cursor up to which the register is known.
     pub fn cursor(&self) -> Cursor {
         self.cursor
@@ -126,6 +159,7 @@
     ) -> bool {
         let has_changed = match entry {
             Some(entry) => self.apply(registered_as, Some(entry), Some(cursor)),
+            None if !self.scope.has_server(registered_as) => false,
             None => self.remove_at(registered_as, at, cursor),
         };
         self.advance_cursor(cursor);
@@ -140,6 +174,9 @@
         entry: Option<ServerEntry>,
         cursor: Option<Cursor>,
     ) -> bool {
+        if !self.scope.has_server(registered_as) {
+            return false;
+        }
         let Some(entry) = entry else {
             let cursor = cursor.unwrap_or(self.cursor);
             return self.remove_at(registered_as, cursor.position(), cursor);
@@ -226,7 +263,7 @@
             return;
         }
         self.departure_order.push_back(run.clone());
-        if self.departure_order.len() <= MAX_DEPARTED {
+        if self.departure_order.len() <= MAX_DEPARTED.max(self.entries.len()) {
             return;
         }
         let mut order = self.departure_order.iter();
@@ -244,7 +281,7 @@
             cursor,
             registered_as: registered_as.clone(),
         });
-        if self.changes.len() <= MAX_CHANGES {
+        if self.changes.len() <= MAX_CHANGES.max(self.entries.len()) {
             return;
         }
         let dropped = self.changes.pop_front();
@@ -437,9 +474,16 @@
         }
     }
 
-    /// Returns the update for a receiver that knows the register up to `known`; a complete
-    /// listing if that is unknown or too old.
-    pub fn update_for(&self, known: SyncPoint) -> DirectoryUpdate {
+    /// Returns the update for a receiver that keeps the servers of `scope` and knows the register
+    /// up to `known`; a complete listing if that is unknown or too old. Returns `None` if this
+    /// directory does not have all these servers.
+    pub fn update_for(&self, known: SyncPoint, scope: Scope) -> Option<DirectoryUpdate> {
+        let is_complete = self.scope.covers(scope) && !self.cursor.is_start();
+        (is_complete || scope == Scope::ALL && self.scope == Scope::ALL)
+            .then(|| self.update_within(known, scope))
+    }
+
+    fn update_within(&self, known: SyncPoint, scope: Scope) -> DirectoryUpdate {
         let is_whole = match known {
             SyncPoint::Revision(since) => {
                 let oldest = self.changes.front();
@@ -449,7 +493,9 @@
             SyncPoint::Cursor(cursor) => cursor.is_start() || cursor < self.changes_from,
         };
         if is_whole {
-            return DirectoryUpdate::Whole(self.entries.values().cloned().collect());
+            let listed = self.entries.values();
+            let listed = listed.filter(|entry| scope.has_server(&entry.registered_as));
+            return DirectoryUpdate::Whole(listed.cloned().collect());
         }
         let is_new = |change: &&Change| match known {
             SyncPoint::Revision(since) => change.revision > since,
@@ -460,6 +506,7 @@
             .iter()
             .filter(is_new)
             .map(|change| &change.registered_as)
+            .filter(|registered_as| scope.has_server(registered_as))
             .collect();
         let changes = changed
             .into_iter()
@@ -467,14 +514,28 @@
         DirectoryUpdate::Changes(changes.collect())
     }
 
-    /// Returns the pools and backend servers for the fleet. Servers without a configured service
-    /// are omitted.
+    /// Iterates over the current runs that the instance uses.
+    pub fn used_entries(&self) -> impl Iterator<Item = &ServerEntry> {
+        let entries = self.entries.values();
+        entries.filter(|entry| self.used.has_server(&entry.registered_as))
+    }
+
+    /// Returns the number of servers of each service, of all that are kept.
+    pub fn counts_by_service(&self) -> HashMap<PoolName, usize> {
+        let mut counts = HashMap::new();
+        for entry in self.entries.values() {
+            *counts.entry(entry.service.clone()).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Returns the pools and backend servers that the instance uses, for the fleet. Servers
+    /// without a configured service are omitted.
     pub fn for_fleet(&self, config: &RoutingConfig) -> (Vec<Pool>, Vec<Backend>) {
         let pools: Vec<Pool> = config.services.iter().map(pool).collect();
         let known: HashSet<&PoolName> = config.services.iter().map(|s| &s.name).collect();
         let backends = self
-            .entries
-            .values()
+            .used_entries()
             .filter(|entry| known.contains(&entry.service))
             .map(backend);
         (pools, backends.collect())
@@ -496,9 +557,9 @@
         entry.state == ServerState::Leaving || self.evacuated.contains(&entry.zone)
     }
 
-    /// Returns the servers that get no new requests.
+    /// Returns the used servers that get no new requests.
     pub fn closed(&self) -> HashSet<BackendName> {
-        let closed = self.entries.values().filter(|entry| self.is_closed(entry));
+        let closed = self.used_entries().filter(|entry| self.is_closed(entry));
         closed.map(|entry| entry.id.clone()).collect()
     }
 }
--- a/crates/core/src/forwarding/store_reads.rs
+++ b/crates/core/src/forwarding/store_reads.rs
@@ -27,6 +27,8 @@
 /// faults, updates are up to 1.1 s old, 55 per cent of the shortest bound in use; at 50 per
 /// cent, the reserves of nine instances made 400 calls to the store in 34 s.
 const RESERVE_PERCENT: u64 = 60;
+/// The same for a member of a cell that does not read the store, and does not schedule.
+const CELL_MEMBER_PERCENT: u64 = 200;
 /// First and longest retry pause of the scheduler and the reserves, in ms; they notice within
 /// a second that the store has recovered.
 const EAGER_PAUSES_MS: [u64; 2] = [100, 800];
@@ -35,16 +37,23 @@
 /// three calls.
 const PATIENT_PAUSES_MS: [u64; 2] = [2_000, 8_000];
 
-/// Largest configuration that one instance sends to the others, in bytes: 300 instances
-/// receive it over a link of 200 Mbit/s in less than half a second. Each instance reads a
-/// larger one from the store: with 1,550 routes the link of the scheduler was saturated for
-/// three seconds, in which it called no server.
-const MAX_RELAYED_BYTES: usize = 32 << 10;
+/// Time in which the scheduler's link carries a configuration to all instances that it
+/// schedules for, at most, in ms. Each of them reads a larger one from the store, since the
+/// scheduler calls no server while its link is saturated.
+const RELAY_MS: u64 = 500;
+/// Largest configuration that one instance sends to the others, in bytes: it fits into a
+/// message together with a listing of the servers of a cell.
+const MAX_RELAYED_BYTES: usize = 256 << 10;
 /// Encoded size of a route without its names, in bytes.
 const ROUTE_BYTES: usize = 60;
 
-/// Tells whether `config` is sent to instances that reach the store themselves.
-pub fn is_relayed_to_peers(config: &RoutingConfig) -> bool {
+/// Tells whether `config` is sent to `receivers` instances that reach the store themselves, over
+/// a link of `link_bytes_per_s`.
+pub fn is_relayed_to_peers(
+    config: &RoutingConfig,
+    receivers: usize,
+    link_bytes_per_s: u64,
+) -> bool {
     let routes = config.routes.iter();
     let routes = routes.map(|route| {
         let names = [&route.name, &route.host, &route.path_prefix];
@@ -54,32 +63,46 @@
         .workspaces
         .iter()
         .flat_map(|workspace| &workspace.keys);
-    routes.sum::<usize>() + keys.map(String::len).sum::<usize>() <= MAX_RELAYED_BYTES
+    let bytes = routes.sum::<usize>() + keys.map(String::len).sum::<usize>();
+    let budget_bytes = link_bytes_per_s * RELAY_MS / 1_000;
+    bytes <= MAX_RELAYED_BYTES && (bytes * receivers) as u64 <= budget_bytes
 }
 
-/// Upper bound of the full listings that one instance sends, in bytes per second: less than
-/// half of the smallest link, which leaves room for its other traffic. Without it, hundreds of
-/// instances that start together and can't read the store request half a megabyte each from
-/// the same instance, and again until it arrives; with 3,000 servers none had it after 30 s.
-const LISTING_BYTES_PER_S: u64 = 1_000_000;
+/// Share of its link that an instance uses for full listings, in per cent, which leaves room
+/// for its other traffic. Without this bound, hundreds of instances that start together and
+/// can't read the store request a listing each from the same instance, and again until it
+/// arrives.
+const LISTING_PERCENT: u64 = 40;
+/// Most servers of one listing, which has to fit into a message.
+const MAX_LISTED_SERVERS: usize = 4_096;
 /// Encoded size of a server, in bytes.
 const SERVER_BYTES: u64 = 140;
 
 /// Limits the rate at which an instance sends full listings to instances without any state.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct ListingBudget {
+    bytes_per_s: u64,
     /// Time at which the listings sent so far are paid for, in ms.
     busy_until_ms: u64,
 }
 
 impl ListingBudget {
-    /// Takes a listing of `servers` out of the budget; returns false if it is used up.
+    /// Returns the budget of an instance with a link of `link_bytes_per_s`.
+    pub fn new(link_bytes_per_s: u64) -> Self {
+        Self {
+            bytes_per_s: (link_bytes_per_s * LISTING_PERCENT / 100).max(1),
+            busy_until_ms: 0,
+        }
+    }
+
+    /// Takes a listing of `servers` out of the budget; returns false if it is used up, or if the
+    /// listing does not fit into a message.
     pub fn try_take(&mut self, now_ms: u64, servers: usize) -> bool {
-        if self.busy_until_ms > now_ms + 1_000 {
+        if self.busy_until_ms > now_ms + 1_000 || servers > MAX_LISTED_SERVERS {
             return false;
         }
         let bytes = servers as u64 * SERVER_BYTES;
-        let duration_ms = bytes * 1_000 / LISTING_BYTES_PER_S;
+        let duration_ms = bytes * 1_000 / self.bytes_per_s;
         self.busy_until_ms = self.busy_until_ms.max(now_ms) + duration_ms;
         true
     }
@@ -110,6 +133,10 @@
     Reserve,
     /// It reads the store when neither the scheduler nor a reserve sends updates.
     Follower,
+    /// It belongs to a cell whose scheduler gets updates for all its members. It reads the store
+    /// only when that fails as well: if all members did, a large fleet would exceed the calls
+    /// that the store serves.
+    CellMember,
 }
 
 impl StoreRole {
@@ -137,6 +164,7 @@
             Self::Reserve if !has_store => 0,
             Self::Reserve => RESERVE_PERCENT,
             Self::Follower => FOLLOWER_PERCENT,
+            Self::CellMember => CELL_MEMBER_PERCENT,
         };
         in_force.shortest_ms() * percent / 100
     }
@@ -150,6 +178,7 @@
             Self::Scheduler | Self::Reserve | Self::Follower => {
                 in_force.shortest_ms() * RESERVE_PERCENT / 100
             }
+            Self::CellMember => in_force.shortest_ms() * CELL_MEMBER_PERCENT / 100,
         }
     }
 
@@ -157,7 +186,7 @@
     fn pause_ms(self, failures: u32) -> u64 {
         let [first_ms, longest_ms] = match self {
             Self::Scheduler | Self::Reserve => EAGER_PAUSES_MS,
-            Self::Follower => PATIENT_PAUSES_MS,
+            Self::Follower | Self::CellMember => PATIENT_PAUSES_MS,
         };
         let doubled_ms = first_ms.checked_shl(failures).unwrap_or(longest_ms);
         doubled_ms.min(longest_ms)
--- a/crates/core/src/stages/choice.rs
+++ b/crates/core/src/stages/choice.rs
@@ -12,6 +12,8 @@
 //! before one has responded, and gives candidates further ahead in the list time to
 //! start.
 
+use std::collections::HashMap;
+
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::InstanceName;
@@ -103,17 +105,14 @@
         let strongest = candidates.iter().fold(0.0, |max_cores: f64, candidate| {
             max_cores.max(candidate.cores)
         });
-        let mut previous = std::mem::take(&mut self.candidates);
-        let mut previous_state = |candidate: &Candidate| {
-            let is_same =
-                |(old, _): &(Candidate, CandidateState)| old.instance == candidate.instance;
-            let index = previous.iter().position(is_same)?;
-            Some(previous.swap_remove(index).1)
-        };
+        let previous = std::mem::take(&mut self.candidates).into_iter();
+        let mut previous: HashMap<InstanceName, CandidateState> = previous
+            .map(|(candidate, state)| (candidate.instance, state))
+            .collect();
         let mut listed: Vec<(Candidate, CandidateState)> = candidates
             .into_iter()
             .map(|candidate| {
-                let state = previous_state(&candidate).unwrap_or_default();
+                let state = previous.remove(&candidate.instance).unwrap_or_default();
                 (candidate, state)
             })
             .collect();
--- a/crates/core/tests/forwarding_copies.rs
+++ b/crates/core/tests/forwarding_copies.rs
@@ -7,7 +7,7 @@
 use savoryvane_core::{
     forwarding::{
         Cursor, Directory, DirectoryUpdate, Evacuations, MISSING_GRACE_MS, Position,
-        REINSTATE_DELAY_MS, ServerEntry, ServerState, SyncPoint,
+        REINSTATE_DELAY_MS, Scope, ServerEntry, ServerState, SyncPoint,
     },
     ids::{BackendName, PoolName, ZoneName},
 };
@@ -194,7 +194,9 @@
     source.update_after_outage(Vec::new(), up_to(0, 4), GRACE_MS);
     let mut receiver = Directory::default();
     receiver.update_to(
-        source.update_for(SyncPoint::Cursor(Cursor::default())),
+        source
+            .update_for(SyncPoint::Cursor(Cursor::default()), Scope::ALL)
+            .expect("a complete directory"),
         source.cursor(),
     );
     receiver.on_expiring(1_000, &source.expiring(1_000));
@@ -202,7 +204,9 @@
     assert_eq!(receiver.remove_expired(GRACE_MS).len(), 1);
     let mut informed = before_the_copy();
     informed.apply_record(&"i-2".into(), None, at(0, 3), up_to(0, 4));
-    let whole = source.update_for(SyncPoint::Cursor(Cursor::default()));
+    let whole = source
+        .update_for(SyncPoint::Cursor(Cursor::default()), Scope::ALL)
+        .expect("a complete directory");
     informed.update_to(whole, source.cursor());
     assert!(!has(&informed, "i-2"));
 }
@@ -217,7 +221,9 @@
     let renewed = server("i-2", at(0, 5));
     other.apply_record(&"i-2".into(), Some(renewed), at(0, 5), up_to(0, 6));
     let known = SyncPoint::Cursor(expiring.cursor());
-    let mut update = other.update_for(known);
+    let mut update = other
+        .update_for(known, Scope::ALL)
+        .expect("a complete directory");
     other.include_entries(&mut update, &expiring.expiring_names());
     expiring.update_to(update, other.cursor());
     assert!(expiring.remove_expired(GRACE_MS).is_empty());
--- a/crates/core/tests/forwarding_rules.rs
+++ b/crates/core/tests/forwarding_rules.rs
@@ -6,8 +6,8 @@
     forwarding::{
         AttemptEnd, BudgetSettings, Cursor, Directory, DirectoryUpdate, FinalResponse, NextStep,
         Position, RepeatBudgets, RepeatPolicy, Route, RouteDeadlines, RouteKind, RouteTable,
-        RoutingConfig, ServerEntry, ServerState, SyncPoint, Target, Unroutable, WorkspaceKeys,
-        next_step,
+        RoutingConfig, Scope, ServerEntry, ServerState, SyncPoint, Target, Unroutable,
+        WorkspaceKeys, next_step,
     },
     ids::{BackendName, PoolName, WorkspaceName, ZoneName},
 };
@@ -297,18 +297,24 @@
         );
     }
     let mut other = Directory::default();
-    let whole = directory.update_for(SyncPoint::Cursor(Cursor::default()));
+    let whole = directory
+        .update_for(SyncPoint::Cursor(Cursor::default()), Scope::ALL)
+        .expect("a complete directory");
     assert!(matches!(&whole, DirectoryUpdate::Whole(all) if all.len() == 3));
     other.update_to(whole, directory.cursor());
     let known = directory.revision();
     apply(&mut directory, &BackendName::new("i-2"), None);
     directory.on_leaving(&BackendName::new("i-3"));
-    let update = directory.update_for(SyncPoint::Revision(known));
+    let update = directory
+        .update_for(SyncPoint::Revision(known), Scope::ALL)
+        .expect("a complete directory");
     assert!(matches!(&update, DirectoryUpdate::Changes(changes) if changes.len() == 2));
     other.update_to(update, directory.cursor());
     assert_eq!(state_of(&other, "i-2"), None);
     assert_eq!(state_of(&other, "i-3"), Some(ServerState::Leaving));
-    let same = directory.update_for(SyncPoint::Revision(directory.revision()));
+    let same = directory
+        .update_for(SyncPoint::Revision(directory.revision()), Scope::ALL)
+        .expect("a complete directory");
     assert_eq!(same, DirectoryUpdate::Changes(Vec::new()));
 }
 
--- a/crates/core/tests/forwarding_runs.rs
+++ b/crates/core/tests/forwarding_runs.rs
@@ -3,7 +3,7 @@
 use quickcheck::quickcheck;
 use savoryvane_core::{
     forwarding::{
-        Cursor, Directory, DirectoryUpdate, Position, ServerEntry, ServerState, SyncPoint,
+        Cursor, Directory, DirectoryUpdate, Position, Scope, ServerEntry, ServerState, SyncPoint,
     },
     ids::{BackendName, PoolName, ZoneName},
 };
@@ -160,13 +160,22 @@
         let mut receiver = Directory::default();
         let listing = vec![run_of("i-1", Some(1), 1, ServerState::Ready)];
         receiver.update_to(DirectoryUpdate::Whole(listing), up_to(39));
-        assert!(receiver.update_to(source.update_for(known), source.cursor()));
+        assert!(
+            receiver.update_to(
+                source
+                    .update_for(known, Scope::ALL)
+                    .expect("a complete directory"),
+                source.cursor()
+            )
+        );
         assert_eq!(state_of(&receiver, "i-1 1"), Some(ServerState::Leaving));
     }
     // Servers that it does not know are not removed.
     let newer = run_of("i-2", Some(1), 38, ServerState::Ready);
     assert!(take(&mut receiver, newer));
-    let whole = source.update_for(SyncPoint::Cursor(up_to(0)));
+    let whole = source
+        .update_for(SyncPoint::Cursor(up_to(0)), Scope::ALL)
+        .expect("a complete directory");
     receiver.update_to(whole, source.cursor());
     assert_eq!(state_of(&receiver, "i-2 1"), Some(ServerState::Ready));
 }
@@ -184,7 +193,9 @@
     let mut started = Directory::default();
     let listing = vec![run_of("i-2", Some(1), 2, ServerState::Ready)];
     started.update_to(DirectoryUpdate::Whole(listing), up_to(362));
-    let update = started.update_for(SyncPoint::Cursor(known.cursor()));
+    let update = started
+        .update_for(SyncPoint::Cursor(known.cursor()), Scope::ALL)
+        .expect("a complete directory");
     known.update_to(update, started.cursor());
     assert_eq!(
         state_of(&known, "i-1 1"),
@@ -198,7 +209,10 @@
 /// Returns whether the update for an instance that knows the register up to `position` is a
 /// complete listing, and its number of servers.
 fn update_size(directory: &Directory, position: u64) -> (bool, usize) {
-    match directory.update_for(SyncPoint::Cursor(up_to(position))) {
+    match directory
+        .update_for(SyncPoint::Cursor(up_to(position)), Scope::ALL)
+        .expect("a complete directory")
+    {
         DirectoryUpdate::Whole(all) => (true, all.len()),
         DirectoryUpdate::Changes(changes) => (false, changes.len()),
     }
@@ -258,14 +272,14 @@
             };
             source.update_to(DirectoryUpdate::Changes(vec![record]), known_up_to);
             let known = SyncPoint::Cursor(receiver.cursor());
-            updates.push((source.update_for(known), source.cursor()));
+            updates.push((source.update_for(known, Scope::ALL).expect("a complete directory"), source.cursor()));
             // Some updates arrive late, after later ones.
             let picked = usize::from(pick) % updates.len();
             let (update, position) = updates[picked].clone();
             receiver.update_to(update, position);
         }
         source.advance_cursor(up_to(records.len() as u64 + 1));
-        let last = source.update_for(SyncPoint::Cursor(receiver.cursor()));
+        let last = source.update_for(SyncPoint::Cursor(receiver.cursor()), Scope::ALL).expect("a complete directory");
         receiver.update_to(last, source.cursor());
         let of = |directory: &Directory| -> Vec<(BackendName, ServerState)> {
             let entries = directory.entries();
@@ -394,7 +408,7 @@
         let revision = local.directory.revision();
         let is_known = local.directory.entry(&BackendName::new("i-1 1000")).is_some();
         local.directory.on_leaving(&BackendName::new("i-1 1000"));
-        let receiver = local.directory.update_for(SyncPoint::Revision(revision));
+        let receiver = local.directory.update_for(SyncPoint::Revision(revision), Scope::ALL).expect("a complete directory");
         peer.directory.update_to(receiver, local.directory.cursor());
         let holds_at_peer = !is_known || !is_ready(&peer.directory);
         let holds_locally = after.iter().map(step).all(|step| {
--- a/crates/core/tests/forwarding_store_reads.rs
+++ b/crates/core/tests/forwarding_store_reads.rs
@@ -156,8 +156,13 @@
             .collect(),
         ..RoutingConfig::default()
     };
-    assert!(is_relayed_to_peers(&config(40)));
-    assert!(!is_relayed_to_peers(&config(13_000)));
+    let relays =
+        |workspaces, receivers, link| is_relayed_to_peers(&config(workspaces), receivers, link);
+    assert!(relays(40, 300, 25_000_000));
+    assert!(!relays(13_000, 9, 125_000_000));
+    // A cell of 62 instances: a strong machine sends what a small one does not.
+    assert!(relays(1_000, 62, 125_000_000));
+    assert!(!relays(1_000, 62, 2_500_000));
 }
 
 /// 300 instances that start without the store query the same instance every 250 ms. It sends the
@@ -165,7 +170,7 @@
 #[test]
 fn starting_instances_get_listings_one_after_the_other() {
     for (servers, in_first_s) in [(294, 41..=49), (3_002, 3..=5)] {
-        let mut budget = ListingBudget::default();
+        let mut budget = ListingBudget::new(2_500_000);
         let mut listings = 0;
         for now_ms in (0..5_000).step_by(250) {
             if now_ms == 1_000 {
--- a/crates/server/src/gateway.rs
+++ b/crates/server/src/gateway.rs
@@ -5,6 +5,7 @@
 mod attempt;
 mod batch;
 mod catch_up;
+mod cell_layout;
 mod crashes;
 mod departure;
 mod dispatch;
@@ -32,6 +33,7 @@
 mod stage_submission;
 mod store;
 mod store_follower;
+mod upstream;
 
 pub use instance::Gateway;
 pub use settings::{GatewayDrain, GatewayListen, GatewaySettings};
--- a/crates/server/src/gateway/catch_up.rs
+++ b/crates/server/src/gateway/catch_up.rs
@@ -7,7 +7,9 @@
 };
 
 use savoryvane_core::{
-    forwarding::{DirectoryUpdate, ListingBudget, SyncPoint, is_relayed_to_peers},
+    forwarding::{
+        DirectoryUpdate, ListingBudget, RoutingConfig, Scope, SyncPoint, is_relayed_to_peers,
+    },
     ids::{Incarnation, InstanceName},
     membership::Contact,
 };
@@ -33,10 +35,21 @@
     incarnation: Incarnation,
     /// Whether the store was empty when this instance started.
     is_first_start: bool,
-    /// Run whose directory was copied last, and its revision.
-    source: Mutex<Option<(Incarnation, u64)>>,
+    source: Mutex<Option<CopySource>>,
     clock: Clock,
-    snapshot_budget: Mutex<ListingBudget>,
+    link_bytes_per_s: u64,
+    listing_budget: Mutex<ListingBudget>,
+}
+
+/// Where servers were copied from last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct CopySource {
+    /// Run whose directory was copied.
+    incarnation: Incarnation,
+    /// Revision of that directory.
+    revision: u64,
+    /// Servers that were copied.
+    scope: Scope,
 }
 
 impl CatchUp {
@@ -46,6 +59,7 @@
         store: StoreClient,
         incarnation: Incarnation,
         is_first_start: bool,
+        link_bytes_per_s: u64,
         clock: Clock,
     ) -> Self {
         Self {
@@ -56,7 +70,8 @@
             is_first_start,
             source: Mutex::default(),
             clock,
-            snapshot_budget: Mutex::default(),
+            link_bytes_per_s,
+            listing_budget: Mutex::new(ListingBudget::new(link_bytes_per_s)),
         }
     }
 
@@ -66,12 +81,17 @@
             let directory = self.view.directory();
             (directory.revision(), directory.cursor())
         };
+        // Without a listing, the age of the former servers says nothing.
+        let servers_age_ms = match servers.is_start() {
+            true => u64::MAX,
+            false => self.freshness.servers_age_ms(),
+        };
         KnownState {
             version: self.view.version(),
             version_age_ms: self.freshness.configuration_age_ms(),
             incarnation: self.incarnation,
             revision,
-            servers_age_ms: self.freshness.servers_age_ms(),
+            servers_age_ms,
             servers,
             instances: members.list_cursor(),
             evacuations: self.view.evacuations_cursor(),
@@ -89,12 +109,16 @@
         self.freshness.on_scheduler_state(remote.has_store);
         let local = self.known(members);
         let has_read = local.version_age_ms < u64::MAX && local.servers_age_ms < u64::MAX;
-        if !has_read && !self.is_first_start && !self.store.is_failing() {
+        let starts_from_store = !self.is_first_start && !self.freshness.relies_on_peers();
+        if !has_read && starts_from_store && !self.store.is_failing() {
             // This instance is reading everything from the store now; hundreds that start
             // together would overload the scheduler's link.
             return;
         }
-        let is_current = self.source() == Some((remote.incarnation, remote.revision))
+        let copied = self
+            .source()
+            .map(|source| (source.incarnation, source.revision));
+        let is_current = copied == Some((remote.incarnation, remote.revision))
             && local.version >= remote.version
             && local.instances >= remote.instances
             && local.evacuations >= remote.evacuations;
@@ -102,13 +126,14 @@
             return self.record_synced(remote);
         }
         let query = self.build_query(members, Some(remote.incarnation));
+        let scope = query.scope;
         let query = Message::RoutingQuery(query);
         let response = members
             .peers()
             .request(instance, None, &query, QUERY_TIMEOUT)
             .await;
         if let Ok(Message::RoutingState(state)) = response {
-            self.apply(members, state);
+            self.apply(members, state, scope);
         }
     }
 
@@ -127,34 +152,46 @@
     /// Returns the query for everything that the run `of` knows beyond this instance.
     fn build_query(&self, members: &Members, of: Option<Incarnation>) -> RoutingQuery {
         let source = self.source();
-        let source = source.filter(|(incarnation, _)| Some(*incarnation) == of);
-        let (servers, lapsing) = {
+        let (servers, lapsing, scope) = {
             let directory = self.view.directory();
-            (directory.cursor(), directory.expiring_names())
+            let lapsing = directory.expiring_names();
+            (directory.cursor(), lapsing, directory.scope())
         };
+        let source = source.filter(|source| Some(source.incarnation) == of);
+        let source = source.filter(|source| source.scope == scope && !servers.is_start());
         RoutingQuery {
             version: self.view.version(),
-            revision: source.map(|(_, revision)| revision),
+            revision: source.map(|source| source.revision),
             servers,
             instances: members.list_cursor(),
             has_store: !self.store.is_failing(),
             lapsing,
+            scope,
         }
     }
 
-    /// Merges a peer's state, as far as it is newer.
-    fn apply(&self, members: &Members, state: RoutingState) {
+    /// Merges a peer's state, as far as it is newer. Its servers are those of `scope`.
+    fn apply(&self, members: &Members, state: RoutingState, scope: Scope) {
         let remote = state.known;
-        members.merge_list(state.instances, remote.instances);
+        members.merge_list(state.instances, state.layout, remote.instances);
         if let Some(config) = state.config {
             self.view.apply_config(config, "peer");
         }
         self.view.on_version_advertised(remote.version);
-        self.view
-            .update_servers(state.servers, remote.servers, "peer");
-        self.view.on_lapsing_advertised(&state.lapsing);
         self.view.update_evacuations(state.evacuations);
-        *lock(&self.source) = Some((remote.incarnation, remote.revision));
+        self.freshness.on_configuration(remote.version_age_ms);
+        let Some(servers) = state.servers else {
+            return;
+        };
+        if !self.view.update_servers(servers, remote.servers, scope) {
+            return;
+        }
+        self.view.on_lapsing_advertised(&state.lapsing);
+        *lock(&self.source) = Some(CopySource {
+            incarnation: remote.incarnation,
+            revision: remote.revision,
+            scope,
+        });
         self.record_synced(remote);
     }
 
@@ -166,42 +203,50 @@
         self.freshness.on_synced(age_ms);
     }
 
-    fn source(&self) -> Option<(Incarnation, u64)> {
+    fn source(&self) -> Option<CopySource> {
         *lock(&self.source)
     }
 
-    /// Returns what this instance knows beyond a peer, or `None` if snapshots already
-    /// sent have used up the bandwidth budget.
-    pub(super) fn respond(&self, members: &Members, query: RoutingQuery) -> Option<RoutingState> {
+    /// Returns what this instance knows beyond a peer.
+    pub(super) fn respond(&self, members: &Members, query: RoutingQuery) -> RoutingState {
         let known_up_to = query
             .revision
             .map_or(SyncPoint::Cursor(query.servers), SyncPoint::Revision);
         let known = self.known(members);
+        let now_ms = self.clock.now_ms();
         let (servers, lapsing) = {
             let directory = self.view.directory();
-            let mut servers = directory.update_for(known_up_to);
-            directory.include_entries(&mut servers, &query.lapsing);
-            (servers, directory.expiring(self.clock.now_ms()))
+            let mut servers = directory.update_for(known_up_to, query.scope);
+            if let Some(servers) = &mut servers {
+                directory.include_entries(servers, &query.lapsing);
+            }
+            (servers, directory.expiring(now_ms))
         };
-        if let DirectoryUpdate::Whole(listing) = &servers {
-            let mut snapshot_budget = lock(&self.snapshot_budget);
-            if !snapshot_budget.try_take(self.clock.now_ms(), listing.len()) {
-                return None;
+        let servers = servers.filter(|servers| match servers {
+            DirectoryUpdate::Whole(listing) => {
+                lock(&self.listing_budget).try_take(now_ms, listing.len())
             }
-        }
+            DirectoryUpdate::Changes(_) => true,
+        });
         let table = self.view.table();
         let config = table
             .filter(|table| table.version() > query.version)
-            .filter(|table| !query.has_store || is_relayed_to_peers(table.config()))
+            .filter(|table| !query.has_store || self.relays(members, table.config()))
             .map(|table| (**table.config()).clone());
-        Some(RoutingState {
+        RoutingState {
             known,
             config,
             servers,
             lapsing,
             instances: members.entries_since(query.instances),
             evacuations: self.view.evacuation_state(),
-        })
+            layout: members.listed_layout(),
+        }
+    }
+
+    /// Returns whether this instance sends `config` to those that reach the store themselves.
+    fn relays(&self, members: &Members, config: &RoutingConfig) -> bool {
+        is_relayed_to_peers(config, members.receivers(), self.link_bytes_per_s)
     }
 }
 
@@ -227,7 +272,9 @@
 }
 
 async fn query_peer(members: &Members, catch_up: &CatchUp, contact: &Contact) {
-    let query = Message::RoutingQuery(catch_up.build_query(members, None));
+    let query = catch_up.build_query(members, None);
+    let scope = query.scope;
+    let query = Message::RoutingQuery(query);
     let response = members
         .peers()
         .request_at(contact, &query, QUERY_TIMEOUT)
@@ -235,6 +282,6 @@
     if let Ok(Message::RoutingState(state)) = response
         && state.known.servers_age_ms < catch_up.freshness.servers_age_ms()
     {
-        catch_up.apply(members, state);
+        catch_up.apply(members, state, scope);
     }
 }
--- a/crates/server/src/gateway/freshness.rs
+++ b/crates/server/src/gateway/freshness.rs
@@ -16,6 +16,8 @@
     /// Latest time at which this instance had everything that a peer or the store knew,
     /// in ms.
     synced_ms: AtomicU64,
+    /// Whether this instance gets its first state from peers instead of the store.
+    relies_on_peers: AtomicBool,
     /// Whether the scheduler reaches the store, as it last reported.
     scheduler_has_store: AtomicBool,
     /// Time of its last report that it does not, in ms.
@@ -30,6 +32,7 @@
             configuration_ms: AtomicU64::new(0),
             servers_ms: AtomicU64::new(0),
             synced_ms: AtomicU64::new(0),
+            relies_on_peers: AtomicBool::new(false),
             scheduler_has_store: AtomicBool::new(true),
             scheduler_lost_store_ms: AtomicU64::new(0),
         }
@@ -51,6 +54,18 @@
         self.record(&self.synced_ms, age_ms);
     }
 
+    /// Records that this instance gets its first state from peers, which it expects within the
+    /// time for which it relies on any update.
+    pub(super) fn rely_on_peers(&self) {
+        self.relies_on_peers.store(true, Ordering::Relaxed);
+        self.on_synced(0);
+    }
+
+    /// Returns whether this instance gets its first state from peers.
+    pub(super) fn relies_on_peers(&self) -> bool {
+        self.relies_on_peers.load(Ordering::Relaxed)
+    }
+
     /// Records whether the scheduler reaches the store.
     pub(super) fn on_scheduler_state(&self, has_store: bool) {
         self.scheduler_has_store.store(has_store, Ordering::Relaxed);
@@ -100,7 +115,11 @@
         }
     }
 
+    /// Records that something was so `age_ms` ago; `u64::MAX` stands for never.
     fn record(&self, at: &AtomicU64, age_ms: u64) {
+        if age_ms == u64::MAX {
+            return;
+        }
         let at_ms = self.clock.now_ms().saturating_sub(age_ms).max(1);
         at.fetch_max(at_ms, Ordering::Relaxed);
     }
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -6,6 +6,7 @@
 use slog::{Logger, info, warn};
 use tokio::{
     net::TcpListener,
+    sync::Notify,
     task::JoinSet,
     time::{self, Instant},
 };
@@ -13,6 +14,7 @@
 
 use super::{
     catch_up::{self, CatchUp},
+    cell_layout::CellPlanner,
     crashes::{self, CrashDetector},
     departure::ShutdownDeadline,
     dispatch::{self, Dispatch},
@@ -32,6 +34,7 @@
     stage_submission::StageSubmitter,
     store::StoreClient,
     store_follower::{self, StoreFollower},
+    upstream::UpstreamWatch,
 };
 use crate::{
     clock::Clock,
@@ -227,6 +230,7 @@
             store.clone(),
             incarnation,
             settings.is_first_start,
+            settings.link_bytes_per_s(),
             clock,
         ));
         let quarantine = Arc::new(Quarantine::new(
@@ -284,6 +288,7 @@
             quarantine: Arc::clone(&quarantine),
             limits: Arc::clone(&limits),
             phases: Arc::clone(phases),
+            store: store.clone(),
             started: Instant::now(),
         });
         Self {
@@ -332,7 +337,25 @@
         tasks.spawn(store_follower::configuration(follower.clone()));
         tasks.spawn(server_register::follow(follower.clone()));
         tasks.spawn(server_register::remove_expired(Arc::clone(&self.view)));
-        tasks.spawn(store_follower::instances(follower));
+        let list_written = Arc::new(Notify::new());
+        tasks.spawn(store_follower::instances(
+            follower,
+            Arc::clone(&list_written),
+        ));
+        let planner = CellPlanner {
+            members: Arc::clone(&self.members),
+            view: Arc::clone(&self.view),
+            store: self.store.clone(),
+            list_written,
+            log: self.log.clone(),
+        };
+        tasks.spawn(planner.run());
+        let upstream = UpstreamWatch {
+            members: Arc::clone(&self.members),
+            catch_up: Arc::clone(&self.catch_up),
+            quarantine: Arc::clone(&self.quarantine),
+        };
+        tasks.spawn(Arc::new(upstream).run());
         let watch = SchedulerWatch {
             members: Arc::clone(&self.members),
             catch_up: Arc::clone(&self.catch_up),
--- a/crates/server/src/gateway/members.rs
+++ b/crates/server/src/gateway/members.rs
@@ -7,18 +7,22 @@
         Arc, Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use savoryvane_core::{
-    forwarding::{Cursor, StoreRole},
+    forwarding::{CellLayout, Cursor, Position, Scope, StoreRole},
     ids::{Incarnation, InstanceName, ZoneName},
     membership::Contact,
     stages::{Candidate, SchedulerSelector},
 };
 use savoryvane_platform::store::{self, InstanceRecord};
-use savoryvane_wire::peer::ListedPeer;
+use savoryvane_wire::peer::{ListedLayout, ListedPeer};
 use slog::{Logger, info, warn};
-use tokio::{sync::watch, time::Instant};
+use tokio::{
+    sync::watch,
+    time::{self, Instant},
+};
 
 use super::{
     batch::Batch, instance_list::InstanceList, limits::LimitSharing, routing_view::RoutingView,
@@ -47,11 +51,17 @@
     list: Mutex<InstanceList>,
     /// Store era in which this instance has written its entry again.
     entry_rewritten_in_era: AtomicU64,
+    /// Choice of the scheduler of this instance's cell.
     choice: Mutex<SchedulerSelector>,
+    /// Choice of the scheduler of the cell that reads the store, by the scheduler of another
+    /// cell.
+    upstream: Mutex<SchedulerSelector>,
     /// When another instance replaced this one as the scheduler, and which one.
     pub(super) replacement: Mutex<Option<(Instant, InstanceName)>>,
     /// Notified when the reachability of an instance is updated.
     pub(super) reachability_changed: watch::Sender<()>,
+    /// Whether the list has been read or received.
+    is_listed: watch::Sender<bool>,
 }
 
 impl Members {
@@ -81,8 +91,10 @@
             list: Mutex::default(),
             entry_rewritten_in_era: AtomicU64::new(0),
             choice: Mutex::default(),
+            upstream: Mutex::default(),
             replacement: Mutex::default(),
             reachability_changed: watch::Sender::new(()),
+            is_listed: watch::Sender::new(false),
         }
     }
 
@@ -100,7 +112,13 @@
     pub(super) fn reader(&self) -> StoreRole {
         let scheduler = self.scheduler();
         let list = self.list();
-        StoreRole::of(&self.me, scheduler.as_ref(), list.reserves())
+        if list.layout().reading_cell().has_instance(&self.me) {
+            return StoreRole::of(&self.me, scheduler.as_ref(), list.reserves());
+        }
+        match scheduler {
+            Some(scheduler) if scheduler != self.me => StoreRole::CellMember,
+            _ => StoreRole::Follower,
+        }
     }
 
     /// Returns whether `instance` is this one.
@@ -118,8 +136,13 @@
     /// Applies a read of the list.
     pub(super) fn apply_batch(&self, batch: Batch) {
         let mut peers = Vec::with_capacity(batch.records.len());
+        let mut layout = None;
         for record in &batch.records {
             let Some(value) = &record.value else { continue };
+            if record.key == store::CELLS_KEY {
+                layout = self.decode_layout(value, batch.position(record));
+                continue;
+            }
             match store::decode_instance(value) {
                 Ok(decoded) => peers.push(ListedPeer {
                     instance: InstanceName::new(&record.key),
@@ -135,15 +158,34 @@
             }
         }
         let cursor = batch.cursor(self.list_cursor());
-        self.merge_list(peers, cursor);
+        self.merge_list(peers, layout, cursor);
+    }
+
+    fn decode_layout(&self, value: &[u8], position: Position) -> Option<ListedLayout> {
+        match store::decode_cells(value) {
+            Ok(layout) => Some(ListedLayout { layout, position }),
+            Err(err) => {
+                warn!(self.log, "invalid number of cells"; "error" => %err);
+                None
+            }
+        }
     }
 
-    /// Merges entries from the store or from a peer that knows the list up to `cursor`.
-    pub(super) fn merge_list(&self, peers: Vec<ListedPeer>, cursor: Cursor) {
-        let has_changed = self.list().update(peers, cursor);
+    /// Merges entries and the number of cells from the store or from a peer that knows the
+    /// list up to `cursor`.
+    pub(super) fn merge_list(
+        &self,
+        peers: Vec<ListedPeer>,
+        layout: Option<ListedLayout>,
+        cursor: Cursor,
+    ) {
+        let has_changed = self.list().update(peers, layout, cursor);
         if has_changed {
             self.on_list_changed();
         }
+        if !cursor.is_start() {
+            self.is_listed.send_replace(true);
+        }
     }
 
     /// Returns the position up to which the list is known.
@@ -193,17 +235,14 @@
         let count = u32::try_from(list.peers().count()).unwrap_or(u32::MAX);
         info!(self.log, "instances listed"; "instances" => count, "position" => %list.cursor());
         self.view.budgets().on_listed(count);
-        let names = list.peers().map(|peer| peer.instance.clone());
+        let (layout, cell) = (list.layout(), list.layout().cell_of(&self.me));
+        let names = list.peers_in(cell).map(|peer| peer.instance.clone());
         let names: Vec<InstanceName> = names.collect();
         self.view.fleet().cold().set_listed(&names);
         self.limits.set_listed(&names);
         let others = list.peers().filter(|peer| peer.instance != self.me);
         self.peers.set_addrs(others.map(contact));
-        let candidates = list.peers().map(|peer| Candidate {
-            instance: peer.instance.clone(),
-            cores: peer.cores,
-        });
-        let mut candidates: Vec<Candidate> = candidates.collect();
+        let mut candidates: Vec<Candidate> = list.peers_in(cell).map(candidate).collect();
         if list.peer(&self.me).is_none() {
             // An instance that could not write its entry yet and reaches no other is its
             // own scheduler.
@@ -212,7 +251,12 @@
                 cores: self.own_record.cores,
             });
         }
+        let reading = list.peers_in(layout.reading_cell()).map(candidate);
+        let reading: Vec<Candidate> = reading.collect();
         self.choice().set_candidates(candidates);
+        self.upstream().set_candidates(reading);
+        metrics::gauge!("savoryvane_cells").set(f64::from(layout.cells()));
+        metrics::gauge!("savoryvane_cell_instances").set(names.len() as f64);
     }
 
     fn list(&self) -> MutexGuard<'_, InstanceList> {
@@ -222,6 +266,56 @@
     pub(super) fn choice(&self) -> MutexGuard<'_, SchedulerSelector> {
         lock(&self.choice)
     }
+
+    pub(super) fn upstream(&self) -> MutexGuard<'_, SchedulerSelector> {
+        lock(&self.upstream)
+    }
+}
+
+/// Cells of the fleet.
+impl Members {
+    /// Returns the number of cells.
+    pub(super) fn layout(&self) -> CellLayout {
+        self.list().layout()
+    }
+
+    /// Returns the number of cells as listed in the store.
+    pub(super) fn listed_layout(&self) -> Option<ListedLayout> {
+        self.list().listed_layout()
+    }
+
+    /// Returns the cell of this instance.
+    pub(super) fn cell(&self) -> Scope {
+        self.layout().cell_of(&self.me)
+    }
+
+    /// Returns whether this instance schedules for a cell that does not read the store, so
+    /// that it gets updates from the scheduler of the cell that does.
+    pub(super) fn needs_upstream(&self) -> bool {
+        let layout = self.layout();
+        layout.cell_of(&self.me) != layout.reading_cell()
+            && self.scheduler().is_some_and(|name| self.is_self(&name))
+    }
+
+    /// Returns the number of listed instances.
+    pub(super) fn count(&self) -> usize {
+        self.list().peers().count()
+    }
+
+    /// Returns the number of instances that may query this one for updates: those of its cell,
+    /// and the schedulers of the others.
+    pub(super) fn receivers(&self) -> usize {
+        let cell = self.cell();
+        let list = self.list();
+        list.peers_in(cell).count() + list.layout().cells() as usize - 1
+    }
+
+    /// Waits until the list of instances has been read or received, for `timeout` at most.
+    pub(super) async fn listed(&self, timeout: Duration) {
+        let mut is_listed = self.is_listed.subscribe();
+        // The sender lives as long as `self`.
+        let _ = time::timeout(timeout, is_listed.wait_for(|is_listed| *is_listed)).await;
+    }
 }
 
 impl Members {
@@ -252,6 +346,13 @@
     }
 }
 
+fn candidate(peer: &ListedPeer) -> Candidate {
+    Candidate {
+        instance: peer.instance.clone(),
+        cores: peer.cores,
+    }
+}
+
 fn contact(peer: &ListedPeer) -> Contact {
     Contact {
         instance: peer.instance.clone(),
--- a/crates/server/src/gateway/peer_messages.rs
+++ b/crates/server/src/gateway/peer_messages.rs
@@ -8,7 +8,7 @@
 
 use super::{
     catch_up::CatchUp, dispatch::Dispatch, limits::LimitSharing, members::Members,
-    quarantine::Quarantine,
+    quarantine::Quarantine, store::StoreClient,
 };
 use crate::{
     peer::{PeerAnswer, PeerHandler, PeerId},
@@ -19,6 +19,10 @@
 /// servers some ms after it becomes reachable, and the others need not choose another
 /// scheduler.
 const STARTUP_WINDOW: Duration = Duration::from_millis(1_000);
+/// The same for an instance that reaches the store: the register of thousands of servers takes
+/// more than a second. If every starting instance declined meanwhile, each would schedule for
+/// itself and read the whole register.
+const LOADING_WINDOW: Duration = Duration::from_millis(5_000);
 
 /// Routes messages from peers to the components that handle them.
 pub(super) struct PeerMessageRouter {
@@ -29,19 +33,33 @@
     pub(super) quarantine: Arc<Quarantine>,
     pub(super) limits: Arc<LimitSharing>,
     pub(super) phases: Arc<Phases>,
+    pub(super) store: StoreClient,
 }
 
 impl PeerMessageRouter {
     /// Returns whether this instance schedules for others, or will in a moment.
     fn is_taking(&self) -> bool {
         match self.phases.current() {
-            Phase::Starting => self.started.elapsed() < STARTUP_WINDOW,
+            Phase::Starting => Instant::now() < self.starting_until(),
             Phase::Serving => true,
             Phase::Leaving | Phase::Draining => false,
         }
     }
 }
 
+impl PeerMessageRouter {
+    /// Returns until when this instance accepts stages of others although it is starting.
+    fn starting_until(&self) -> Instant {
+        let is_loading = !self.store.is_failing();
+        self.started
+            + if is_loading {
+                LOADING_WINDOW
+            } else {
+                STARTUP_WINDOW
+            }
+    }
+}
+
 impl PeerHandler for PeerMessageRouter {
     fn on_gossip(&self, _from: &PeerId, _message: Message) {
         metrics::counter!("savoryvane_peer_unexpected_total").increment(1);
@@ -59,7 +77,7 @@
                 }
                 let dispatch = Arc::clone(&self.dispatch);
                 let phases = Arc::clone(&self.phases);
-                let starting_until = self.started + STARTUP_WINDOW;
+                let starting_until = self.starting_until();
                 return Box::pin(async move {
                     let serving = phases.reached(Phase::Serving);
                     let _ = time::timeout_at(starting_until, serving).await;
@@ -82,8 +100,7 @@
                 })
             }
             Message::RoutingQuery(query) => {
-                let response = self.catch_up.respond(&self.members, query);
-                response.map_or(Message::Declined(Declined::NotMine), Message::RoutingState)
+                Message::RoutingState(self.catch_up.respond(&self.members, query))
             }
             Message::CrashQuery(query) => {
                 let response = self.quarantine.on_query(query);
--- a/crates/server/src/gateway/quarantine.rs
+++ b/crates/server/src/gateway/quarantine.rs
@@ -273,6 +273,8 @@
         let scheduler = self.members.scheduler();
         match scheduler.filter(|name| !self.members.is_self(name)) {
             Some(scheduler) => self.exchange(&scheduler, None).await,
+            // The scheduler of the reading cell is told with the next query to it.
+            None if self.members.needs_upstream() => {}
             // This instance is the scheduler or knows none; its own tracker counts.
             None => self.unreported().clear(),
         }
@@ -328,6 +330,9 @@
     /// Merges a peer's crash reports, and returns those that it lacks; `None` before the
     /// crashes known before this instance's start are loaded.
     pub(super) fn on_query(&self, query: CrashQuery) -> Option<CrashState> {
+        if self.members.needs_upstream() {
+            self.queue_reports(query.records.clone());
+        }
         self.merge_reports(query.records, "peer");
         if !*self.is_loaded.borrow() {
             return None;
--- a/crates/server/src/gateway/routing_view.rs
+++ b/crates/server/src/gateway/routing_view.rs
@@ -15,7 +15,7 @@
     forwarding::{
         ColdServers, ColdStart, Cursor, Directory, DirectoryUpdate, EvacuationState, Evacuations,
         ExpiringServer, FetchTimes, LimitChange, LimitReport, NamedLimit, Position, RepeatBudgets,
-        ResponseTimes, RouteDeadlines, RouteTable, RoutingConfig, ServerEntry,
+        ResponseTimes, RouteDeadlines, RouteTable, RoutingConfig, Scope, ServerEntry,
     },
     ids::{BackendName, PoolName},
     settings::PolicySettings,
@@ -316,14 +316,36 @@
         self.directory().on_expiring(now_ms, lapsing);
     }
 
-    /// Applies the register of servers, from the store or from a peer that knows it up to
-    /// `cursor`.
+    /// Sets of which servers entries are kept, and which of these this instance uses.
+    pub(super) fn set_scopes(&self, scope: Scope, used: Scope) {
+        let has_changed = self.directory().set_scopes(scope, used);
+        if has_changed {
+            info!(self.log, "cell changed"; "cell" => used.cell(), "keeps_all" => scope == Scope::ALL);
+            self.configure_fleet();
+        }
+    }
+
+    /// Applies the register of servers from the store, which knows it up to `cursor`.
+    pub(super) fn update_servers_from_store(&self, listing: Vec<ServerEntry>, cursor: Cursor) {
+        self.merge_servers(DirectoryUpdate::Whole(listing), cursor, "store");
+    }
+
+    /// Applies the servers of `scope` from a peer that knows the register up to `cursor`.
+    /// Returns false if this instance keeps the entries of other servers by now.
     pub(super) fn update_servers(
         &self,
         update: DirectoryUpdate,
         cursor: Cursor,
-        source: &'static str,
-    ) {
+        scope: Scope,
+    ) -> bool {
+        if self.directory().scope() != scope {
+            return false;
+        }
+        self.merge_servers(update, cursor, "peer");
+        true
+    }
+
+    fn merge_servers(&self, update: DirectoryUpdate, cursor: Cursor, source: &'static str) {
         let (count, is_snapshot) = match &update {
             DirectoryUpdate::Whole(listing) => (listing.len(), true),
             DirectoryUpdate::Changes(changes) => (changes.len(), false),
@@ -449,7 +471,7 @@
         let mut fleet = self.fleet();
         let cold = fleet.cold();
         cold.retain(|server| directory.entry(server).is_some());
-        for entry in directory.entries() {
+        for entry in directory.used_entries() {
             if let Some(cold_start) = cold_starts.get(&entry.service) {
                 visit(cold, now_ms, entry, *cold_start);
             }
--- a/crates/server/src/gateway/scheduler_watch.rs
+++ b/crates/server/src/gateway/scheduler_watch.rs
@@ -6,7 +6,6 @@
 };
 
 use savoryvane_core::ids::InstanceName;
-use savoryvane_wire::peer::{Message, SchedulerQuery};
 use slog::{info, warn};
 use tokio::time::{self, Instant};
 
@@ -22,11 +21,11 @@
 
 /// Interval between two queries to the scheduler: two misses mark it as lost within a
 /// second.
-const QUERY_INTERVAL: Duration = Duration::from_millis(250);
+pub(super) const QUERY_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval while the scheduler is unknown: requests wait for it.
-const SEARCH_INTERVAL: Duration = Duration::from_millis(50);
+pub(super) const SEARCH_INTERVAL: Duration = Duration::from_millis(50);
 /// Timeout of these queries.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(400);
+pub(super) const QUERY_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest time that a request waits for the scheduler to be known: twice as long as it
 /// takes when all instances start at once. If that is exceeded, no other instance is
 /// reachable, and an isolated instance is its own scheduler.
@@ -185,33 +184,7 @@
 
     async fn query_instance(self: Arc<Self>, instance: InstanceName) {
         let members = &self.members;
-        let query = Message::SchedulerQuery(SchedulerQuery);
-        let response = members
-            .peers()
-            .request(&instance, None, &query, QUERY_TIMEOUT)
-            .await;
-        let now_ms = members.clock.now_ms();
-        let state = {
-            let mut choice = members.choice();
-            match response {
-                Ok(Message::SchedulerState(state)) if state.is_taking => {
-                    choice.on_response(&instance);
-                    Some(state)
-                }
-                Ok(_) => {
-                    choice.on_declined(now_ms, &instance);
-                    None
-                }
-                Err(err) => {
-                    if err.is_not_processed() {
-                        choice.on_unreachable(now_ms, &instance);
-                    } else {
-                        choice.on_no_response(now_ms, &instance);
-                    }
-                    None
-                }
-            }
-        };
+        let state = members.query_candidate(&instance, Members::choice).await;
         members.reachability_changed.send_replace(());
         // The next candidate is queried too; it has its state from the scheduler.
         let schedules = members.scheduler().as_ref() == Some(&instance);
--- a/crates/server/src/gateway/server_register.rs
+++ b/crates/server/src/gateway/server_register.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use savoryvane_core::{
-    forwarding::{DirectoryUpdate, Position, ServerEntry},
+    forwarding::{Position, Scope, ServerEntry, StoreRole},
     ids::BackendName,
 };
 use savoryvane_platform::{
@@ -16,7 +16,7 @@
 use super::{
     batch::Batch,
     routing_view::RoutingView,
-    store_follower::{StoreFollower, TopicReader, UPDATE_CHECK_INTERVAL},
+    store_follower::{LIST_WAIT, StoreFollower, TopicReader, UPDATE_CHECK_INTERVAL},
 };
 
 /// Interval between two reads of the register of servers. Heartbeats add records all the
@@ -38,10 +38,14 @@
     let mut topic_reader = TopicReader::new(Topic::Servers, "servers", &follower.log);
     let mut unreadable = UnreadableEntries::new(&follower.log);
     let mut has_read = false;
+    follower.members.listed(LIST_WAIT).await;
     loop {
         let began = Instant::now();
-        let skips_store = follower.freshness.skips_store(follower.members.reader());
-        if skips_store && (has_read || follower.is_first_start) {
+        let reader = follower.members.reader();
+        let skips_store =
+            follower.freshness.skips_store(reader) && (has_read || follower.starts_from_peers());
+        set_scopes(&follower, reader, skips_store);
+        if skips_store {
             time::sleep(UPDATE_CHECK_INTERVAL).await;
             continue;
         }
@@ -71,6 +75,18 @@
     }
 }
 
+/// Sets of which servers this instance keeps entries: of all while it reads the register for
+/// other cells, else of those of its cell.
+fn set_scopes(follower: &StoreFollower, reader: StoreRole, skips_store: bool) {
+    let cell = follower.members.cell();
+    let reads_for_all = match reader {
+        StoreRole::Scheduler | StoreRole::Reserve => !skips_store,
+        StoreRole::Follower | StoreRole::CellMember => false,
+    };
+    let scope = if reads_for_all { Scope::ALL } else { cell };
+    follower.view.set_scopes(scope, cell);
+}
+
 /// Periodically removes servers and evacuations that were not written again in time after
 /// the store lost them.
 pub(super) async fn remove_expired(view: Arc<RoutingView>) {
@@ -106,8 +122,7 @@
     if had_outage || is_from_copy {
         view.update_servers_after_outage(listing, cursor);
     } else {
-        let listing = DirectoryUpdate::Whole(listing);
-        view.update_servers(listing, cursor, "store");
+        view.update_servers_from_store(listing, cursor);
     }
 }
 
--- a/crates/server/src/gateway/settings.rs
+++ b/crates/server/src/gateway/settings.rs
@@ -34,6 +34,10 @@
 /// that reads it.
 const MIN_IN_FORCE_MS: u64 = 1_000;
 
+/// Default bandwidth of an instance's network link, in Mbit/s: that of the smallest machines in
+/// use.
+const DEFAULT_LINK_MBPS: f64 = 20.0;
+
 /// Settings of a gateway instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -54,6 +58,8 @@
     pub is_first_start: bool,
     /// Number of CPU cores that it has; may be a fraction.
     pub cores: f64,
+    /// Bandwidth of its network link, in Mbit/s.
+    pub link_mbps: f64,
     /// Retry budget of all instances together.
     pub repeats: BudgetSettings,
     /// Times within which changes from the platform have to be in force.
@@ -103,6 +109,11 @@
 }
 
 impl GatewaySettings {
+    /// Returns the bandwidth of the instance's network link, in bytes per second.
+    pub(crate) fn link_bytes_per_s(&self) -> u64 {
+        (self.link_mbps * 1_000_000.0 / 8.0) as u64
+    }
+
     /// Reads and checks the settings in the file at `path`.
     ///
     /// # Errors
@@ -132,6 +143,9 @@
     let seeds = fields.list("seeds", 0..=MAX_SEEDS, |item| item.addr());
     let is_first_start = fields.or("first_start", false, |fields, at| fields.bool(at));
     let cores = fields.f64("cores", 0.01..=1_024.0);
+    let link_mbps = fields.or("link_mbps", DEFAULT_LINK_MBPS, |fields, at| {
+        fields.f64(at, 0.01..=1_000_000.0)
+    });
     let repeats = fields.section("repeats", read_repeats);
     let in_force = fields.section("in_force", read_in_force);
     let quarantine = fields.section("quarantine", read_quarantine);
@@ -146,6 +160,7 @@
         seeds: seeds?,
         is_first_start: is_first_start?,
         cores: cores?,
+        link_mbps: link_mbps?,
         repeats: repeats?,
         in_force: in_force?,
         quarantine: quarantine?,
--- a/crates/server/src/gateway/store_follower.rs
+++ b/crates/server/src/gateway/store_follower.rs
@@ -2,13 +2,16 @@
 
 use std::{sync::Arc, time::Duration};
 
-use savoryvane_core::forwarding::{Position, StoreRole};
+use savoryvane_core::forwarding::{CellLayout, Position, StoreRole};
 use savoryvane_platform::{
     configuration,
     store::{CONFIGURATION_KEY, Topic},
 };
 use slog::{Logger, info, warn};
-use tokio::time::{self, Instant};
+use tokio::{
+    sync::Notify,
+    time::{self, Instant},
+};
 
 use super::{
     batch::Batch,
@@ -35,6 +38,9 @@
 /// Longest random delay before an instance that the store has lost writes itself again,
 /// in ms: hundreds that are lost together spread their writes.
 const MAX_REWRITE_DELAY_MS: u64 = 1_000;
+/// Time for which a starting instance waits for the list, which says whether it starts from the
+/// store or from the scheduler of its cell: several calls of a slow store.
+pub(super) const LIST_WAIT: Duration = Duration::from_millis(1_000);
 /// Number of reads of the list at the shorter interval.
 const STARTUP_INSTANCES_READS: u32 = 4;
 
@@ -50,6 +56,13 @@
     pub(super) log: Logger,
 }
 
+impl StoreFollower {
+    /// Returns whether this instance gets its first state from peers.
+    pub(super) fn starts_from_peers(&self) -> bool {
+        self.is_first_start || self.freshness.relies_on_peers()
+    }
+}
+
 /// Reads one topic, and tracks whether its reads fail.
 pub(super) struct TopicReader {
     topic: Topic,
@@ -142,14 +155,15 @@
         view,
         freshness,
         members,
-        is_first_start,
         log,
-    } = follower;
+        ..
+    } = follower.clone();
     let mut topic_reader = TopicReader::new(Topic::Operator, "configuration", &log);
     let mut next = None;
+    members.listed(LIST_WAIT).await;
     loop {
         let skips_store = freshness.skips_store(members.reader()) && !view.is_behind();
-        if skips_store && (next.is_some() || is_first_start) {
+        if skips_store && (next.is_some() || follower.starts_from_peers()) {
             time::sleep(UPDATE_CHECK_INTERVAL).await;
             continue;
         }
@@ -188,8 +202,8 @@
 }
 
 /// Follows the list of instances, and writes this instance's entry where it is missing or
-/// outdated.
-pub(super) async fn instances(follower: StoreFollower) {
+/// outdated. `list_written` is notified when this instance has written another entry.
+pub(super) async fn instances(follower: StoreFollower, list_written: Arc<Notify>) {
     let StoreFollower {
         store,
         freshness,
@@ -229,13 +243,16 @@
             continue;
         }
         members.apply_batch(batch);
+        if reads == 0 && members.layout() != CellLayout::SINGLE {
+            freshness.rely_on_peers();
+        }
         reads += 1;
         let interval = if reads <= STARTUP_INSTANCES_READS {
             STARTUP_INSTANCES_INTERVAL
         } else {
             INSTANCES_INTERVAL
         };
-        time::sleep(interval).await;
+        let _ = time::timeout(interval, list_written.notified()).await;
     }
 }
 
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -19,7 +19,8 @@
 pub use poison::{CrashQuery, CrashState, KnownCrashes, PermitQuery, PermitReturn};
 use quick_error::quick_error;
 pub use routing::{
-    KnownState, ListedPeer, RoutingQuery, RoutingState, SchedulerQuery, SchedulerState,
+    KnownState, ListedLayout, ListedPeer, RoutingQuery, RoutingState, SchedulerQuery,
+    SchedulerState,
 };
 pub use savoryvane_core::forwarding::{GrantQuery, GrantState};
 use savoryvane_core::ids::{
@@ -299,9 +300,9 @@
     /// Response to [`SchedulerQuery`].
     36 SchedulerState(SchedulerState),
     /// Request for routes, servers and instances.
-    37 RoutingQuery(RoutingQuery),
+    43 RoutingQuery(RoutingQuery),
     /// Response to [`RoutingQuery`].
-    38 RoutingState(RoutingState),
+    44 RoutingState(RoutingState),
     /// Request that exchanges reports of servers that crashed while they ran requests.
     30 CrashQuery(CrashQuery),
     /// Response to [`CrashQuery`].
--- a/crates/wire/src/peer/limits.rs
+++ b/crates/wire/src/peer/limits.rs
@@ -2,7 +2,7 @@
 
 use savoryvane_core::{
     digest::{DigestBatch, Leaver, ZoneDigest},
-    forwarding::{DirectoryUpdate, LimitReport, MAX_GRANT_CANDIDATES, MAX_ZONES},
+    forwarding::{CellLayout, DirectoryUpdate, LimitReport, MAX_GRANT_CANDIDATES, MAX_ZONES},
     ids::{BackendName, MAX_NAME_BYTES},
     poison::CrashReport,
     quota::QuotaClaimant,
@@ -36,7 +36,9 @@
         Message::StageSubmission(submission) => is_submission_bounded(submission),
         Message::StageRelease(key) => is_name_bounded(key.instance.as_str()),
         Message::StageOutcome(StageOutcome::Ready(results)) => results.len() <= MAX_ENTRIES,
-        Message::RoutingQuery(query) => query.lapsing.len() <= MAX_ENTRIES,
+        Message::RoutingQuery(query) => {
+            query.lapsing.len() <= MAX_ENTRIES && query.scope.is_valid()
+        }
         Message::RoutingState(state) => is_routing_bounded(state),
         Message::CrashQuery(query) => are_crash_reports_bounded(&query.records),
         Message::CrashState(state) => are_crash_reports_bounded(&state.records),
@@ -155,10 +157,13 @@
 
 fn is_routing_bounded(state: &RoutingState) -> bool {
     let server_count = match &state.servers {
-        DirectoryUpdate::Whole(listing) => listing.len(),
-        DirectoryUpdate::Changes(changes) => changes.len(),
+        None => 0,
+        Some(DirectoryUpdate::Whole(listing)) => listing.len(),
+        Some(DirectoryUpdate::Changes(changes)) => changes.len(),
     };
+    let layout = state.layout.map(|listed| listed.layout.cells());
     server_count <= MAX_ENTRIES
+        && layout.is_none_or(|cells| CellLayout::new(cells).is_some())
         && state.lapsing.len() <= MAX_ENTRIES
         && state.instances.len() <= MAX_ENTRIES
         && state.evacuations.zones.len() <= MAX_ZONES
--- a/crates/wire/src/peer/routing.rs
+++ b/crates/wire/src/peer/routing.rs
@@ -5,7 +5,8 @@
 
 use savoryvane_core::{
     forwarding::{
-        Cursor, DirectoryUpdate, EvacuationState, ExpiringServer, Position, RoutingConfig,
+        CellLayout, Cursor, DirectoryUpdate, EvacuationState, ExpiringServer, Position,
+        RoutingConfig, Scope,
     },
     ids::{BackendName, Incarnation, InstanceName, ZoneName},
 };
@@ -65,6 +66,8 @@
     /// Servers that the sender regards as expired. The response includes their entries
     /// even if they are unchanged.
     pub lapsing: Vec<BackendName>,
+    /// Servers of which the sender keeps entries.
+    pub scope: Scope,
 }
 
 /// An entry instance as the store lists it.
@@ -82,6 +85,15 @@
     pub position: Position,
 }
 
+/// The number of cells as the store lists it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedLayout {
+    /// Number of cells.
+    pub layout: CellLayout,
+    /// Position of its record in the list of instances.
+    pub position: Position,
+}
+
 /// Response to a [`RoutingQuery`]: routes, servers and instances.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RoutingState {
@@ -90,12 +102,15 @@
     /// The routing configuration, if it is a newer version and the sender of the query
     /// need not read it from the store.
     pub config: Option<RoutingConfig>,
-    /// Servers that the sender of the query does not know yet.
-    pub servers: DirectoryUpdate,
+    /// Servers that the sender of the query does not know yet; `None` if the responder does not
+    /// have all of them, or has sent as many listings as its link allows.
+    pub servers: Option<DirectoryUpdate>,
     /// Servers that were missing from the registry after an outage of the store.
     pub lapsing: Vec<ExpiringServer>,
     /// Listed instances that the sender of the query does not know yet.
     pub instances: Vec<ListedPeer>,
     /// Evacuations of availability zones.
     pub evacuations: EvacuationState,
+    /// Number of cells, if the responder has read one.
+    pub layout: Option<ListedLayout>,
 }
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -4,8 +4,8 @@
 use savoryvane_core::ids::{Incarnation, Offset, RegionName, ZoneName};
 use savoryvane_core::{
     forwarding::{
-        Cursor, DirectoryUpdate, EvacuationState, ExpiringServer, GrantPurpose, LimitReport,
-        RoutingConfig, ZoneOrder,
+        CellLayout, Cursor, DirectoryUpdate, EvacuationState, ExpiringServer, GrantPurpose,
+        LimitReport, RoutingConfig, ZoneOrder,
     },
     poison::{Evidence, Permit, RequestDigest},
     stages::{DonePiece, ResultRef, StageWork},
@@ -159,6 +159,7 @@
             instances: cursor(12),
             has_store: true,
             lapsing: vec!["i-3".into()],
+            scope: layout().cell_of(&"entry-1".into()),
         }),
         Message::RoutingState(RoutingState {
             known: known(),
@@ -166,7 +167,11 @@
                 version: 5,
                 ..RoutingConfig::default()
             }),
-            servers: DirectoryUpdate::Changes(vec![("i-1".into(), None)]),
+            servers: Some(DirectoryUpdate::Changes(vec![("i-1".into(), None)])),
+            layout: Some(ListedLayout {
+                layout: layout(),
+                position: cursor(4).position(),
+            }),
             instances: vec![ListedPeer {
                 instance: "entry-1".into(),
                 addr: "127.0.0.1:7000".parse().unwrap(),
@@ -241,6 +246,10 @@
     }
 }
 
+fn layout() -> CellLayout {
+    CellLayout::new(16).expect("a power of two")
+}
+
 fn known() -> KnownState {
     KnownState {
         version: 5,
