Schedule stages only on the servers of the own cell

Cause: the scheduler of the cell that reads the store keeps all servers, and configured its stages with all of them.

Ruled out: late releases of the results (calls without contention end in time at 40 ms), weak machines as schedulers (all 16 have a whole core).

Change: stages are configured with the servers in use. The test of the cells now looks at the calls of pieces as well; it failed before.

--- a/crates/server/src/gateway/dispatch.rs
+++ b/crates/server/src/gateway/dispatch.rs
@@ -299,8 +299,8 @@
             let evacuated = directory.evacuated();
             dispatch
                 .scheduler()
-                .configure(table.config(), directory.entries(), evacuated);
-            let current = directory.entries();
+                .configure(table.config(), directory.used_entries(), evacuated);
+            let current = directory.used_entries();
             let current = current.map(|entry| (entry.id.clone(), entry.addr));
             let before = std::mem::replace(&mut addrs, current.collect());
             drop(directory);
