Use few of many engines, so that shared parts of prompts stay cached

Ruled out: bounded loads by what an instance observes of its engines (it sends one request in two seconds); a number that changes with each estimate (sessions move, results between zones 0.7 to 4.5 GB).

Change: as many engines of a fixed order are in use as process the observed prompts in a tenth of their time, a power of two with hysteresis; the head of a prompt has the root of that number of them. With less than twice as many engines as needed nothing changes.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -10,7 +10,7 @@
 use crate::{
     call::{LoadReport, RefusalReason, ServingState},
     cost::CostLedger,
-    forwarding::{ColdServers, ServerBackoffs, ServerLimits},
+    forwarding::{ColdServers, EngineDemand, ServerBackoffs, ServerLimits},
     ids::{BackendName, InstanceName, PoolName, ZoneName},
     objects::{Backend, Pool},
     quantile::Quantiles,
@@ -83,6 +83,7 @@
     cold: ColdServers,
     pub(crate) limits: ServerLimits,
     pub(crate) backoffs: ServerBackoffs,
+    pub(crate) demand: EngineDemand,
     pub(crate) retry_budget: RetryBudget,
     pub(crate) costs: CostLedger,
 }
@@ -100,6 +101,7 @@
             cold: ColdServers::new(instance.clone()),
             limits: ServerLimits::default(),
             backoffs: ServerBackoffs::default(),
+            demand: EngineDemand::default(),
             instance,
             zone,
             retry_budget: RetryBudget::new(&settings),
@@ -189,6 +191,11 @@
     /// Returns the rate limits that servers declare.
     pub fn limits(&mut self) -> &mut ServerLimits {
         &mut self.limits
+    /// Returns the estimate of the demand for engines.
+    pub fn demand(&mut self) -> &mut EngineDemand {
+        &mut self.demand
+    }
+
     }
 
     /// Returns the backoffs that servers have requested from this instance.
--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -7,6 +7,7 @@
 mod cold_servers;
 mod deadlines;
 mod directory;
+mod engine_demand;
 mod entry;
 mod evacuation;
 mod fetch_times;
@@ -30,6 +31,7 @@
 pub use cold_servers::{ColdServers, MAX_ARRIVAL_MS, WINDOW_MS};
 pub use deadlines::RouteDeadlines;
 pub use directory::Directory;
+pub use engine_demand::EngineDemand;
 pub use entry::{DirectoryUpdate, ExpiringServer, ServerEntry, ServerState, SyncPoint};
 pub use evacuation::{
     EvacuationState, Evacuations, MAX_ZONES, MISSING_GRACE_MS, REINSTATE_DELAY_MS, ZoneOrder,
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -12,7 +12,7 @@
 };
 
 /// Uncached prompt tokens that an engine processes in a ms, from the engines' data sheets.
-const PROMPT_TOKENS_PER_MS: f64 = 57.0;
+pub(super) const PROMPT_TOKENS_PER_MS: f64 = 57.0;
 /// Cost of fetching a byte of results from another zone, in µs of engine time: by the
 /// platform's prices, 1.5 MB cost as much as processing 550 prompt tokens.
 const CROSS_ZONE_BYTE_US: f64 = 0.0065;
@@ -20,6 +20,9 @@
 /// all others there by 3 per cent, and in one of ten cases its prompt of 50 ms runs first.
 const RUNNING_REQUEST_US: f64 = 6_000.0;
 
+/// Key of the order in which engines are put to use.
+const IN_USE_KEY: u64 = 0;
+
 /// Shortest time over which the return of callers is spread after a backoff, in ms.
 const MIN_RETURN_SPREAD_MS: u64 = 100;
 
@@ -60,6 +63,11 @@
         self.shared().iter().map(|part| part.tokens).sum()
     }
 
+    /// Returns the first shared part, which the most other prompts have too.
+    fn head(&self) -> Option<PromptPart> {
+        self.shared().first().copied()
+    }
+
     fn shared(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
@@ -142,7 +150,8 @@
 
     /// Chooses the engine with the lowest expected cost. Each session has a home engine by
     /// rendezvous hash, which has its shared parts cached; any other engine has to process them
-    /// again. Results from other zones have to be fetched.
+    /// again, those that the head of the prompt belongs to without the head. Results from other
+    /// zones have to be fetched.
     fn choose_engine(
         &mut self,
         now_ms: u64,
@@ -151,11 +160,9 @@
         inputs: &[(ZoneName, u64)],
     ) -> ServerChoice {
         let eligible = self.eligible(now_ms, query);
-        let session = prompt.session().unwrap_or_default();
-        let home = eligible
-            .iter()
-            .copied()
-            .max_by_key(|index| rendezvous(&self.backends[*index].name, session));
+        let tokens = prompt.input_tokens;
+        self.demand.on_prompt(now_ms, query.pool, tokens);
+        let (home, with_head) = self.home(query.pool, prompt, &eligible);
         let score_us = |index: usize| {
             let backend = &self.backends[index];
             let cross_zone_bytes: u64 = inputs
@@ -163,11 +170,16 @@
                 .filter(|(zone, _)| *zone != backend.zone)
                 .map(|(_, bytes)| *bytes)
                 .sum();
-            let prompt_us = if Some(index) == home {
-                0.0
+            let uncached_tokens = if Some(index) == home {
+                0
+            } else if with_head.contains(&index) {
+                let head_tokens = prompt.head().map_or(0, |head| head.tokens);
+                // The home is preferred among equals.
+                (prompt.shared_tokens() - head_tokens).max(1)
             } else {
-                f64::from(prompt.shared_tokens()) / PROMPT_TOKENS_PER_MS * 1_000.0
+                prompt.shared_tokens()
             };
+            let prompt_us = f64::from(uncached_tokens) / PROMPT_TOKENS_PER_MS * 1_000.0;
             let load_us = self.load(now_ms, backend) * RUNNING_REQUEST_US;
             prompt_us + cross_zone_bytes as f64 * CROSS_ZONE_BYTE_US + load_us
         };
@@ -234,12 +246,45 @@
     /// Returns the availability zone of a session's home engine among the servers of `service`
     /// that accept requests.
     pub fn home_zone(&self, now_ms: u64, service: &PoolName, prompt: &Prompt) -> Option<ZoneName> {
-        let session = prompt.session()?;
-        self.eligible(now_ms, &any_request(service))
-            .into_iter()
-            .map(|index| &self.backends[index])
-            .max_by_key(|backend| rendezvous(&backend.name, session))
-            .map(|backend| backend.zone.clone())
+        prompt.session()?;
+        let eligible = self.eligible(now_ms, &any_request(service));
+        let (home, _) = self.home(service, prompt, &eligible);
+        home.map(|index| self.backends[index].zone.clone())
+    }
+
+    /// Returns the home engine of a prompt's session among `eligible`. Where there are more
+    /// engines than the demand needs, also returns those that have the head of the prompt
+    /// cached, which the home is one of.
+    fn home(
+        &self,
+        service: &PoolName,
+        prompt: &Prompt,
+        eligible: &[usize],
+    ) -> (Option<usize>, Vec<usize>) {
+        let session = prompt.session().unwrap_or_default();
+        let highest = |among: &[usize], key: u64| {
+            let among = among.iter().copied();
+            among.max_by_key(|index| rendezvous(&self.backends[*index].name, key))
+        };
+        let in_use = self.demand.engines_in_use(service, eligible.len());
+        let Some(head) = prompt.head().filter(|_| in_use < eligible.len()) else {
+            return (highest(eligible, session), Vec::new());
+        };
+        let in_use = self.first_by_rank(eligible, IN_USE_KEY, in_use);
+        // A head on few engines is rarely processed again, one on many balances the load.
+        let spread = (in_use.len() as f64).sqrt().ceil() as usize;
+        let with_head = self.first_by_rank(&in_use, head.hash, spread);
+        (highest(&with_head, session), with_head)
+    }
+
+    /// Returns the `count` engines with the highest rank for `key`.
+    fn first_by_rank(&self, among: &[usize], key: u64, count: usize) -> Vec<usize> {
+        let ranked = among.iter().copied();
+        let ranked = ranked.map(|index| (rendezvous(&self.backends[index].name, key), index));
+        let mut ranked: Vec<(u64, usize)> = ranked.collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        ranked.truncate(count);
+        ranked.into_iter().map(|(_, index)| index).collect()
     }
 
     /// Records that a request was sent to `server`.
--- a/crates/server/src/gateway/members.rs
+++ b/crates/server/src/gateway/members.rs
@@ -238,7 +238,11 @@
         let (layout, cell) = (list.layout(), list.layout().cell_of(&self.me));
         let names = list.peers_in(cell).map(|peer| peer.instance.clone());
         let names: Vec<InstanceName> = names.collect();
-        self.view.fleet().cold().set_listed(&names);
+        {
+            let mut fleet = self.view.fleet();
+            fleet.cold().set_listed(&names);
+            fleet.demand().set_instances(names.len());
+        }
         self.limits.set_listed(&names);
         let others = list.peers().filter(|peer| peer.instance != self.me);
         self.peers.set_addrs(others.map(contact));
