Avoid a zone that is cut off in stages, and at all instances of the cell

Change: once two servers of a zone were not reached, and none has responded for 250 ms, its pieces go elsewhere, and a connection probes the zone. The scheduler names such zones in its answers, and the instances of its cell avoid them for a second. The state machine for engines is shared.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -15,6 +15,7 @@
     objects::{Backend, Pool},
     quantile::Quantiles,
     settings::PolicySettings,
+    zone_reach::ZonesReach,
 };
 
 mod admission;
@@ -37,7 +38,7 @@
 pub use known::{BackendState, BackendStatus};
 pub(crate) use known::{KnownBackend, KnownPool, Report};
 use prefixes::Prefixes;
-use reach::ZoneReach;
+use reach::CutOffAdvice;
 pub(crate) use retry_budget::RetryBudget;
 pub(crate) use route::{RouteQuery, Routed};
 use shares::Shares;
@@ -74,16 +75,17 @@
     /// Time outside of work, by availability zone of the backend server.
     network_times: BTreeMap<ZoneName, Quantiles>,
     /// Availability zones with recent connection failures.
-    reach: BTreeMap<ZoneName, ZoneReach>,
+    reach: ZonesReach,
+    cut_off_advice: CutOffAdvice,
     /// Number of other instances that use the same backend servers.
     peers: u32,
     prefixes: Prefixes,
     overload: Overload,
     shares: Shares,
     cold: ColdServers,
+    pub(crate) demand: EngineDemand,
     pub(crate) limits: ServerLimits,
     pub(crate) backoffs: ServerBackoffs,
-    pub(crate) demand: EngineDemand,
     pub(crate) retry_budget: RetryBudget,
     pub(crate) costs: CostLedger,
 }
@@ -99,9 +101,9 @@
     ) -> Self {
         Self {
             cold: ColdServers::new(instance.clone()),
+            demand: EngineDemand::default(),
             limits: ServerLimits::default(),
             backoffs: ServerBackoffs::default(),
-            demand: EngineDemand::default(),
             instance,
             zone,
             retry_budget: RetryBudget::new(&settings),
@@ -111,7 +113,8 @@
             by_name: HashMap::new(),
             pools: BTreeMap::new(),
             network_times: BTreeMap::new(),
-            reach: BTreeMap::new(),
+            reach: ZonesReach::default(),
+            cut_off_advice: CutOffAdvice::default(),
             peers: 0,
             prefixes: Prefixes::default(),
             overload: Overload::default(),
@@ -188,14 +191,14 @@
         &mut self.cold
     }
 
-    /// Returns the rate limits that servers declare.
-    pub fn limits(&mut self) -> &mut ServerLimits {
-        &mut self.limits
     /// Returns the estimate of the demand for engines.
     pub fn demand(&mut self) -> &mut EngineDemand {
         &mut self.demand
     }
 
+    /// Returns the rate limits that servers declare.
+    pub fn limits(&mut self) -> &mut ServerLimits {
+        &mut self.limits
     }
 
     /// Returns the backoffs that servers have requested from this instance.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,4 +38,5 @@
 pub mod ticket;
 pub mod topology;
 pub mod usage;
+mod zone_reach;
 pub mod zones;
--- a/crates/core/src/stages.rs
+++ b/crates/core/src/stages.rs
@@ -21,6 +21,7 @@
 mod server;
 mod service;
 mod types;
+mod unreachable;
 
 pub use choice::{Candidate, SchedulerSelector};
 pub use scheduler::{CallOutcome, ItemOutcome, StageScheduler};
--- a/crates/core/src/stages/calls.rs
+++ b/crates/core/src/stages/calls.rs
@@ -62,6 +62,7 @@
             if matches!(outcome, CallOutcome::Answered(_)) {
                 server.on_accepted();
             }
+            let zone = server.zone.clone();
             match outcome {
                 // Under contention the duration does not reflect the server's speed.
                 CallOutcome::Answered(_) if !is_sole_scheduler => {}
@@ -78,9 +79,21 @@
                     self.actions.push(StageAction::Probe { server, addr });
                 }
             }
+            match outcome {
+                CallOutcome::Answered(_) | CallOutcome::Full => {
+                    self.on_zone_response(now_ms, &zone);
+                }
+                CallOutcome::Unreachable => {
+                    self.on_zone_failure(now_ms, &zone, &call.server);
+                }
+                CallOutcome::Lost
+                | CallOutcome::BackingOff(_)
+                | CallOutcome::Misdirected
+                | CallOutcome::ServerEnded(_) => {}
+            }
         }
         if let Some(service) = self.services.get_mut(&call.service) {
-            service.use_slow_if_no_other(now_ms);
+            service.use_any_if_no_other(now_ms);
         }
         match outcome {
             CallOutcome::Answered(items) => {
@@ -142,14 +155,6 @@
         Isolation::new(self.calls.values(), requests)
     }
 
-    /// Handles a successful connection to a server that was probed.
-    pub fn on_reachable(&mut self, server: &BackendName) {
-        let mut services = self.services.values_mut();
-        if let Some(server) = services.find_map(|service| service.servers.get_mut(server)) {
-            server.on_reachable();
-        }
-    }
-
     pub(super) fn start_call(&mut self, now_ms: u64, name: &PoolName, batch: Batch) {
         self.last_call_number += 1;
         let id = CallId(self.last_call_number);
@@ -303,27 +308,45 @@
             .map(|(id, _)| *id)
             .collect();
         for id in overdue {
-            let Some(call) = self.calls.get_mut(&id) else {
-                continue;
-            };
-            if call.was_checked_late(now_ms) {
-                self.contention.on_contention_sign(now_ms);
-            }
-            call.is_overdue = true;
-            let pieces = call.pieces.clone();
-            let (service, server) = (call.service.clone(), call.server.clone());
-            let elapsed_ms = now_ms.saturating_sub(call.started_at_ms) as f64;
-            let expected_ms = call.expected_ms;
-            if self.contention.is_sole_scheduler(now_ms)
-                && let Some(service) = self.services.get_mut(&service)
-                && let Some(server) = service.servers.get_mut(&server)
-            {
-                server.record_latency(now_ms, elapsed_ms, expected_ms);
-                service.use_slow_if_no_other(now_ms);
-            }
-            for waiting in &pieces {
-                self.requeue_piece(now_ms, id, waiting, true);
-            }
+            self.repeat_call(now_ms, id);
+            self.on_overdue(now_ms, id);
+        }
+    }
+
+    /// Judges the server of an overdue call, and its zone, by the time it has taken.
+    fn on_overdue(&mut self, now_ms: u64, id: CallId) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let (service, server) = (call.service.clone(), call.server.clone());
+        let elapsed_ms = now_ms.saturating_sub(call.started_at_ms) as f64;
+        let expected_ms = call.expected_ms;
+        if !self.contention.is_sole_scheduler(now_ms) {
+            return;
+        }
+        let Some(service) = self.services.get_mut(&service) else {
+            return;
+        };
+        let Some(known) = service.servers.get_mut(&server) else {
+            return;
+        };
+        known.record_latency(now_ms, elapsed_ms, expected_ms);
+        let zone = known.zone.clone();
+        service.use_any_if_no_other(now_ms);
+        self.on_zone_failure(now_ms, &zone, &server);
+    }
+
+    /// Queues the pieces of a running call for other servers.
+    pub(super) fn repeat_call(&mut self, now_ms: u64, id: CallId) {
+        let Some(call) = self.calls.get_mut(&id).filter(|call| !call.is_overdue) else {
+            return;
+        };
+        if call.was_checked_late(now_ms) {
+            self.contention.on_contention_sign(now_ms);
+        }
+        call.is_overdue = true;
+        for waiting in call.pieces.clone() {
+            self.requeue_piece(now_ms, id, &waiting, true);
         }
     }
 
--- a/crates/core/src/stages/scheduler.rs
+++ b/crates/core/src/stages/scheduler.rs
@@ -18,6 +18,7 @@
     forwarding::{MIN_LIMIT_PER_S, RoutingConfig, ServerEntry, ServerState},
     ids::{BackendName, InstanceName, PoolName, ZoneName},
     poison::RequestDigest,
+    zone_reach::ZonesReach,
 };
 
 /// The outcome of one piece of a call.
@@ -92,6 +93,10 @@
     pub(super) refusals: RefusalHistory,
     /// The scheduler that requests are handed over to.
     pub(super) successor: Option<InstanceName>,
+    /// Reachability of the zones of servers.
+    pub(super) reach: ZonesReach,
+    /// Time of the last response from each zone, in ms.
+    pub(super) zone_responded_ms: BTreeMap<ZoneName, u64>,
     /// Requests that were or became suspects here; includes ended ones.
     pub(super) suspects: HashSet<RequestKey>,
     pub(super) actions: Vec<StageAction>,
--- a/crates/core/src/stages/server.rs
+++ b/crates/core/src/stages/server.rs
@@ -51,6 +51,8 @@
     backoff_until_ms: u64,
     /// End of its pause for slowness, in ms.
     slow_until_ms: u64,
+    /// Time until which its availability zone is avoided, in ms.
+    zone_avoided_until_ms: u64,
     /// Duration of its calls as a multiple of the expected duration.
     pub(super) slowness: f64,
     /// Calls a second that it accepts, if it sets a limit.
@@ -72,6 +74,7 @@
             paused_until_ms: 0,
             backoff_until_ms: 0,
             slow_until_ms: 0,
+            zone_avoided_until_ms: 0,
             slowness: 1.0,
             limit_per_s: None,
             last_call_ms: None,
@@ -97,14 +100,20 @@
 
     /// Returns when it accepts work again, in ms, provided that it is not excluded.
     fn available_at_ms(&self) -> u64 {
-        let available_at_ms = self.paused_until_ms.max(self.slow_until_ms);
+        let available_at_ms = self.paused_until_ms.max(self.preferred_at_ms());
         available_at_ms.max(self.backoff_until_ms)
     }
 
+    /// Returns when it is as good as others, in ms: neither slow nor in a zone that is avoided.
+    fn preferred_at_ms(&self) -> u64 {
+        self.slow_until_ms.max(self.zone_avoided_until_ms)
+    }
+
     /// Returns the rest of its backoff, in ms, if nothing else keeps it from getting
     /// work.
     pub(super) fn backoff_left_ms(&self, now_ms: u64) -> Option<u64> {
-        let is_all = !self.is_excluded && now_ms >= self.paused_until_ms.max(self.slow_until_ms);
+        let is_all =
+            !self.is_excluded && now_ms >= self.paused_until_ms.max(self.preferred_at_ms());
         let left_ms = self.backoff_until_ms.saturating_sub(now_ms);
         (is_all && left_ms > 0).then_some(left_ms)
     }
@@ -124,15 +133,26 @@
         }
     }
 
-    /// Returns whether nothing but its slowness keeps it from getting work.
-    pub(super) fn is_paused_only_as_slow(&self, now_ms: u64) -> bool {
+    /// Returns whether nothing but its slowness or its zone keeps it from getting work.
+    pub(super) fn is_only_not_preferred(&self, now_ms: u64) -> bool {
         let others_ms = self.paused_until_ms.max(self.backoff_until_ms);
-        !self.is_excluded && now_ms >= others_ms && now_ms < self.slow_until_ms
+        !self.is_excluded && now_ms >= others_ms && now_ms < self.preferred_at_ms()
     }
 
-    /// Ends its pause for slowness.
-    pub(super) fn clear_slow_pause(&mut self) {
+    /// Ends its pause for slowness or its zone.
+    pub(super) fn clear_preference(&mut self) {
         self.slow_until_ms = 0;
+        self.zone_avoided_until_ms = 0;
+    }
+
+    /// Returns whether its availability zone is avoided.
+    pub(super) fn is_zone_avoided(&self, now_ms: u64) -> bool {
+        now_ms < self.zone_avoided_until_ms
+    }
+
+    /// Avoids it until `until_ms`, since its availability zone seems unreachable; 0 ends that.
+    pub(super) fn avoid_zone(&mut self, until_ms: u64) {
+        self.zone_avoided_until_ms = until_ms;
     }
 
     /// Returns the memory for results, out of `total_bytes`.
@@ -197,6 +217,6 @@
     /// Handles a successful connection.
     pub(super) fn on_reachable(&mut self) {
         self.paused_until_ms = 0;
-        self.slow_until_ms = 0;
+        self.clear_preference();
     }
 }
--- a/crates/core/src/stages/service.rs
+++ b/crates/core/src/stages/service.rs
@@ -142,15 +142,15 @@
         self.mean_latency_ms += LATENCY_EWMA_WEIGHT * (elapsed_ms - self.mean_latency_ms);
     }
 
-    /// Uses the slow servers if no other server is available: the service is slow then,
-    /// rather than some of its servers.
-    pub(super) fn use_slow_if_no_other(&mut self, now_ms: u64) {
+    /// Uses the slow servers and those in zones that are avoided if no other server is
+    /// available: the service is slow then, rather than some of its servers.
+    pub(super) fn use_any_if_no_other(&mut self, now_ms: u64) {
         if self.available_servers(now_ms) > 0 {
             return;
         }
         let servers = self.servers.values_mut();
-        for server in servers.filter(|server| server.is_paused_only_as_slow(now_ms)) {
-            server.clear_slow_pause();
+        for server in servers.filter(|server| server.is_only_not_preferred(now_ms)) {
+            server.clear_preference();
         }
     }
 
--- a/crates/core/tests/forwarding_reach.rs
+++ b/crates/core/tests/forwarding_reach.rs
@@ -141,3 +141,22 @@
         assert!(!simulation.fleet.is_cut_off(simulation.now_ms, &gouda));
     }
 }
+
+/// An instance that sends little avoids a zone as soon as its scheduler does not reach it, and
+/// uses it again a second after the scheduler has last said so.
+#[test]
+fn a_zone_that_the_scheduler_does_not_reach_is_avoided() {
+    let mut simulation = Simulation::new();
+    let is_cut = |server: &BackendName| server.as_str().starts_with("gouda");
+    let now_ms = simulation.now_ms;
+    let zones = [ZONES[0], "gouda"].map(ZoneName::new);
+    simulation.fleet.on_cut_off_advised(now_ms, zones.into());
+    for _ in 0..5 {
+        assert_eq!(simulation.send(is_cut), 0);
+    }
+    let own = ZoneName::new(ZONES[0]);
+    assert!(!simulation.fleet.is_cut_off(now_ms, &own), "its own zone");
+    let gouda = ZoneName::new("gouda");
+    assert!(simulation.fleet.is_cut_off(now_ms + 999, &gouda));
+    assert!(!simulation.fleet.is_cut_off(now_ms + 1_000, &gouda));
+}
--- a/crates/core/tests/stages_world/mod.rs
+++ b/crates/core/tests/stages_world/mod.rs
@@ -69,6 +69,8 @@
     pub out_of_memory_pieces: usize,
     /// Servers that accept calls and never respond.
     pub silent: BTreeSet<BackendName>,
+    /// Servers that never respond, and that no connection can be made to.
+    pub cut_off: BTreeSet<BackendName>,
     /// Factors by which the calls of servers take longer.
     pub slowdown_factors: BTreeMap<BackendName, u64>,
     /// Time until which every server is busy with calls of another scheduler, in ms.
@@ -167,6 +169,7 @@
             violations: Vec::new(),
             out_of_memory_pieces: 0,
             silent: BTreeSet::new(),
+            cut_off: BTreeSet::new(),
             slowdown_factors: BTreeMap::new(),
             busy_until_ms: 0,
             backoffs: BTreeMap::new(),
@@ -190,6 +193,10 @@
         world
     }
 
+    fn is_silent(&self, server: &BackendName) -> bool {
+        self.silent.contains(server) || self.cut_off.contains(server)
+    }
+
     pub fn configure(&mut self) {
         self.scheduler
             .configure(&self.config, &self.servers, &self.evacuated);
@@ -317,7 +324,7 @@
             } = running_call;
             if self.crashing.contains(&call.server) || self.is_poisoned(&call) {
                 self.crash_server(&call);
-            } else if self.silent.contains(&call.server) {
+            } else if self.is_silent(&call.server) {
                 let end = CallOutcome::Lost;
                 self.scheduler.on_call_ended(now_ms, call.id, &end);
             } else if self.should_fail() {
@@ -408,10 +415,10 @@
             .partition(|(at_ms, _)| *at_ms <= now_ms);
         self.pending_probes = later;
         for (_, server) in due {
-            if self.unreachable.contains(&server) {
+            if self.unreachable.contains(&server) || self.cut_off.contains(&server) {
                 self.pending_probes.push((now_ms + 300, server));
             } else {
-                self.scheduler.on_reachable(&server);
+                self.scheduler.on_reachable(now_ms, &server);
                 self.perform_actions();
             }
         }
@@ -485,7 +492,7 @@
             .running_calls
             .iter()
             .filter(|running_call| running_call.call.server == call.server);
-        if calls_at_server.count() > 0 && !self.silent.contains(&call.server) {
+        if calls_at_server.count() > 0 && !self.is_silent(&call.server) {
             self.violations
                 .push(format!("{} has a call already", call.server));
         }
@@ -499,7 +506,7 @@
             .unwrap_or(1);
         let lasts_ms = if self.is_poisoned(&call) {
             CRASH_AFTER_MS
-        } else if self.silent.contains(&call.server) {
+        } else if self.is_silent(&call.server) {
             call.timeout_ms
         } else {
             batching.duration_ms(call.items.len()) as u64 * slowdown_factor
--- a/crates/server/src/gateway/dispatch.rs
+++ b/crates/server/src/gateway/dispatch.rs
@@ -9,7 +9,7 @@
 };
 
 use savoryvane_core::{
-    ids::{BackendName, InstanceName, RequestId},
+    ids::{BackendName, InstanceName, RequestId, ZoneName},
     poison::QuarantineStatus,
     stages::{
         Refusal, RequestKey, StageAction, StageCall, StageOutcome, StageScheduler, Submission,
@@ -194,11 +194,19 @@
         self.poll_needed.notify_one();
     }
 
+    /// Returns the availability zones whose servers this instance does not reach.
+    pub(super) fn cut_off_zones(&self) -> Vec<ZoneName> {
+        let now_ms = self.clock.now_ms();
+        let mut zones = self.scheduler().avoided_zones(now_ms);
+        zones.extend(self.view.fleet().cut_off_zones(now_ms));
+        zones.into_iter().collect()
+    }
+
     /// Reports an unreachable server to the scheduler once it accepts connections again,
     /// so that no piece has to probe it.
     async fn probe(self: Arc<Self>, server: &BackendName, addr: SocketAddr) {
         if self.calls.wait_until_reachable(server, addr).await {
-            self.scheduler().on_reachable(server);
+            self.scheduler().on_reachable(self.clock.now_ms(), server);
             self.execute_actions();
         }
     }
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -364,6 +364,7 @@
             dispatch: Arc::clone(&self.dispatch),
             phases: Arc::clone(&self.phases),
             store: self.store.clone(),
+            view: Arc::clone(&self.view),
         };
         tasks.spawn(Arc::new(watch).run());
         let quarantine_store = Arc::new(QuarantineStore {
--- a/crates/server/src/gateway/peer_messages.rs
+++ b/crates/server/src/gateway/peer_messages.rs
@@ -97,6 +97,7 @@
                     is_taking: self.is_taking(),
                     known: self.catch_up.known(&self.members),
                     limits_revision: self.limits.revision(),
+                    cut_off_zones: self.dispatch.cut_off_zones(),
                 })
             }
             Message::RoutingQuery(query) => {
--- a/crates/server/src/gateway/scheduler_watch.rs
+++ b/crates/server/src/gateway/scheduler_watch.rs
@@ -11,7 +11,7 @@
 
 use super::{
     catch_up::CatchUp, dispatch::Dispatch, limits::LimitSharing, members::Members,
-    quarantine::Quarantine, store::StoreClient,
+    quarantine::Quarantine, routing_view::RoutingView, store::StoreClient,
 };
 use crate::{
     lock::lock,
@@ -132,6 +132,7 @@
     pub(super) dispatch: Arc<Dispatch>,
     pub(super) phases: Arc<Phases>,
     pub(super) store: StoreClient,
+    pub(super) view: Arc<RoutingView>,
 }
 
 impl SchedulerWatch {
@@ -191,6 +192,9 @@
         let Some(state) = state.filter(|_| schedules) else {
             return;
         };
+        let now_ms = members.clock.now_ms();
+        let zones = state.cut_off_zones;
+        self.view.fleet().on_cut_off_advised(now_ms, zones);
         let incarnation = state.known.incarnation;
         tokio::join!(
             self.catch_up
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -298,7 +298,7 @@
     /// Request for the receiver's scheduler state.
     26 SchedulerQuery(SchedulerQuery),
     /// Response to [`SchedulerQuery`].
-    36 SchedulerState(SchedulerState),
+    45 SchedulerState(SchedulerState),
     /// Request for routes, servers and instances.
     43 RoutingQuery(RoutingQuery),
     /// Response to [`RoutingQuery`].
--- a/crates/wire/src/peer/limits.rs
+++ b/crates/wire/src/peer/limits.rs
@@ -36,6 +36,10 @@
         Message::StageSubmission(submission) => is_submission_bounded(submission),
         Message::StageRelease(key) => is_name_bounded(key.instance.as_str()),
         Message::StageOutcome(StageOutcome::Ready(results)) => results.len() <= MAX_ENTRIES,
+        Message::SchedulerState(state) => {
+            let zones = &state.cut_off_zones;
+            zones.len() <= MAX_ZONES && zones.iter().all(|zone| is_name_bounded(zone.as_str()))
+        }
         Message::RoutingQuery(query) => {
             query.lapsing.len() <= MAX_ENTRIES && query.scope.is_valid()
         }
@@ -61,7 +65,6 @@
         | Message::StageOutcome(_)
         | Message::Ack(_)
         | Message::SchedulerQuery(_)
-        | Message::SchedulerState(_)
         | Message::PermitQuery(_)
         | Message::PermitState(_)
         | Message::PermitReturn(_)
--- a/crates/wire/src/peer/routing.rs
+++ b/crates/wire/src/peer/routing.rs
@@ -17,7 +17,7 @@
 pub struct SchedulerQuery;
 
 /// Response to a [`SchedulerQuery`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SchedulerState {
     /// Whether it schedules for others, or will as soon as it knows routes and servers.
     pub is_taking: bool,
@@ -25,6 +25,8 @@
     pub known: KnownState,
     /// Revision of its collection of the rate limits that servers state.
     pub limits_revision: u64,
+    /// Availability zones whose servers it does not reach.
+    pub cut_off_zones: Vec<ZoneName>,
 }
 
 /// How current an instance's routes, servers and instances are.
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -137,6 +137,7 @@
             is_taking: true,
             known: known(),
             limits_revision: 3,
+            cut_off_zones: vec!["hal-gouda".into()],
         }),
         Message::LimitQuery(LimitQuery {
             known_revision: 7,
