Renew the slack of repeats with each window

Cause: an instance's part of the slack was a bucket that only its own requests refilled.

Change: each instance keeps the platform's own bound, in any window, for its requests and its part of the slack; what does not divide evenly goes to the first instances by name, so that more than 1,040 instances still use all of it. The window is the setting repeats.window_s. At a first start an instance writes itself into the list before it reads it.

--- a/crates/core/src/fleet/retry_budget.rs
+++ b/crates/core/src/fleet/retry_budget.rs
@@ -30,12 +30,6 @@
         }
     }
 
-    /// Sets the maximum balance to `burst` retries.
-    pub(crate) fn set_burst(&mut self, burst: u32) {
-        self.max_balance = u64::from(burst) * UNITS_PER_RETRY;
-        self.balance = self.balance.min(self.max_balance);
-    }
-
     pub(crate) fn on_first_attempt(&mut self) {
         self.balance = (self.balance + self.earned_per_attempt).min(self.max_balance);
     }
--- a/crates/core/tests/forwarding_rules.rs
+++ b/crates/core/tests/forwarding_rules.rs
@@ -137,6 +137,9 @@
     assert!(AttemptEnd::NotRun.counts() && AttemptEnd::Lost.counts());
 }
 
+/// Time at which budgets are used, in ms.
+const NOW_MS: u64 = 50_000;
+
 /// In any window, all instances together stay within the ratio and the slack without coordination.
 #[test]
 fn all_instances_together_stay_within_the_budget() {
@@ -144,6 +147,7 @@
         ratio: 0.2,
         slack: 58.0,
         instances: 16,
+        window_ms: 10_000,
     };
     let service = PoolName::new("s");
     let mut repeats = 0;
@@ -151,9 +155,9 @@
     for instance in 0..16 {
         let mut budgets = RepeatBudgets::new(settings);
         for _ in 0..(instance * 10) {
-            budgets.on_request(&service);
+            budgets.on_request(NOW_MS, &service);
             requests += 1;
-            while budgets.try_spend(&service) {
+            while budgets.try_spend(NOW_MS, &service) {
                 repeats += 1;
             }
         }
@@ -163,7 +167,7 @@
     assert!(repeats > 100, "the budget can be used: {repeats}");
     let mut other = RepeatBudgets::new(settings);
     assert!(
-        other.try_spend(&PoolName::new("t")),
+        other.try_spend(NOW_MS, &PoolName::new("t")),
         "each service has its own budget"
     );
 }
@@ -176,27 +180,88 @@
         ratio: 0.2,
         slack: 176.0,
         instances: 16,
+        window_ms: 10_000,
     };
     let service = PoolName::new("s");
     let mut repeats = 0;
-    for _ in 0..75 {
+    for rank in 0..75 {
         let mut budgets = RepeatBudgets::new(settings);
-        budgets.on_request(&service);
-        budgets.on_listed(75);
-        while budgets.try_spend(&service) {
+        budgets.on_request(NOW_MS, &service);
+        budgets.on_listed(75, rank);
+        while budgets.try_spend(NOW_MS, &service) {
             repeats += 1;
         }
     }
     assert!(f64::from(repeats) <= 176.0 + 0.2 * 75.0, "{repeats}");
     let mut few = RepeatBudgets::new(settings);
-    few.on_listed(3);
-    let spent = (0..100).filter(|_| few.try_spend(&service)).count();
+    few.on_listed(3, 0);
+    let spent = (0..100).filter(|_| few.try_spend(NOW_MS, &service)).count();
     assert_eq!(
         spent, 11,
         "the share never exceeds that for the configured instances"
     );
 }
 
+/// A thousand instances have one repeat each in a window, and have it again in the next: 139 of
+/// 305 requests that servers failed were repeated when a share was used up for good.
+#[test]
+fn the_slack_of_a_thousand_instances_returns_with_each_window() {
+    let settings = BudgetSettings {
+        ratio: 0.2,
+        slack: 1_040.0,
+        instances: 16,
+        window_ms: 10_000,
+    };
+    let service = PoolName::new("s");
+    let mut all: Vec<RepeatBudgets> = (0..985)
+        .map(|rank| {
+            let mut budgets = RepeatBudgets::new(settings);
+            budgets.on_listed(985, rank);
+            budgets
+        })
+        .collect();
+    for window in 0..3 {
+        let now_ms = NOW_MS + window * 10_001;
+        let mut repeats = 0;
+        for budgets in &mut all {
+            while budgets.try_spend(now_ms, &service) {
+                repeats += 1;
+            }
+        }
+        assert_eq!(repeats, 1_040);
+    }
+}
+
+quickcheck::quickcheck! {
+    /// Whenever requests and failures come, no window has more repeats than the bound allows.
+    fn no_window_has_more_repeats_than_allowed(events: Vec<(u16, bool)>, slack: u8) -> bool {
+        let settings = BudgetSettings {
+            ratio: 0.2,
+            slack: f64::from(slack),
+            instances: 1,
+            window_ms: 10_000,
+        };
+        let service = PoolName::new("s");
+        let mut budgets = RepeatBudgets::new(settings);
+        let mut now_ms = NOW_MS;
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        for (pause_ms, fails) in events {
+            now_ms += u64::from(pause_ms) % 3_000;
+            budgets.on_request(now_ms, &service);
+            requests.push(now_ms);
+            while fails && budgets.try_spend(now_ms, &service) {
+                repeats.push(now_ms);
+            }
+        }
+        repeats.iter().all(|end_ms| {
+            let in_window = |at_ms: &&u64| **at_ms + 10_000 > *end_ms && **at_ms <= *end_ms;
+            let requests = requests.iter().filter(in_window).count() as f64;
+            let repeats = repeats.iter().filter(in_window).count() as f64;
+            repeats <= 0.2 * requests + f64::from(slack)
+        })
+    }
+}
+
 fn entry(id: &str, state: ServerState) -> ServerEntry {
     ServerEntry {
         id: BackendName::new(id),
--- a/crates/server/src/gateway/failover.rs
+++ b/crates/server/src/gateway/failover.rs
@@ -35,7 +35,9 @@
         mut inputs: Inputs,
         mut permit: Option<PermitGuard>,
     ) -> Result<Response<Body>, FailureReason> {
-        self.view.budgets().on_request(&caller.service);
+        self.view
+            .budgets()
+            .on_request(self.view.now_ms(), &caller.service);
         let mut tried: Vec<BackendName> = Vec::new();
         let mut sends = 0;
         let mut may_have_run = false;
@@ -104,7 +106,7 @@
                 && tried.len() < MAX_TRIED_SERVERS
                 && !caller.time_left().is_zero()
                 && (end == AttemptEnd::InputsGone || has_server());
-            let spend = || self.view.budgets().try_spend(&caller.service);
+            let spend = || self.try_spend_repeat(&caller);
             let next = next_step(end, caller.repeats(), may_have_run, has_room, spend);
             info!(self.log, "send ended"; "request" => %caller.id, "server" => %server,
                 "end" => ?end, "next" => ?next, "sends" => sends,
@@ -208,7 +210,13 @@
     ) -> bool {
         !caller.time_left().is_zero()
             && self.find_server(caller, inputs, tried, None).0.is_some()
-            && self.view.budgets().try_spend(&caller.service)
+            && self.try_spend_repeat(caller)
+    }
+
+    /// Takes a repeat from the budget of the service; returns false if none is left.
+    fn try_spend_repeat(&self, caller: &CallerRequest) -> bool {
+        let now_ms = self.view.now_ms();
+        self.view.budgets().try_spend(now_ms, &caller.service)
     }
 
     /// Records that a server was abandoned because it stayed silent.
--- a/crates/server/src/gateway/members.rs
+++ b/crates/server/src/gateway/members.rs
@@ -234,7 +234,9 @@
         let list = self.list();
         let count = u32::try_from(list.peers().count()).unwrap_or(u32::MAX);
         info!(self.log, "instances listed"; "instances" => count, "position" => %list.cursor());
-        self.view.budgets().on_listed(count);
+        let before = list.peers().take_while(|peer| peer.instance < self.me);
+        let rank = u32::try_from(before.count()).unwrap_or(u32::MAX);
+        self.view.budgets().on_listed(count, rank);
         let (layout, cell) = (list.layout(), list.layout().cell_of(&self.me));
         let names = list.peers_in(cell).map(|peer| peer.instance.clone());
         let names: Vec<InstanceName> = names.collect();
--- a/crates/server/src/gateway/settings.rs
+++ b/crates/server/src/gateway/settings.rs
@@ -34,6 +34,8 @@
 /// that reads it.
 const MIN_IN_FORCE_MS: u64 = 1_000;
 
+/// Default length of the window of the retry budget, in s.
+const DEFAULT_WINDOW_S: f64 = 10.0;
 /// Default bandwidth of an instance's network link, in Mbit/s: that of the smallest machines in
 /// use.
 const DEFAULT_LINK_MBPS: f64 = 20.0;
@@ -186,7 +188,11 @@
     let ratio = fields.f64("ratio", 0.0..=1.0);
     let slack = fields.f64("slack", 0.0..=1_000_000.0);
     let instances = fields.u32("instances", 1..=100_000);
+    let window_s = fields.or("window_s", DEFAULT_WINDOW_S, |fields, at| {
+        fields.f64(at, 0.1..=MAX_DURATION_S)
+    });
     Some(BudgetSettings {
+        window_ms: (window_s? * 1_000.0) as u64,
         ratio: ratio?,
         slack: slack?,
         instances: instances?,
--- a/crates/server/src/gateway/store_follower.rs
+++ b/crates/server/src/gateway/store_follower.rs
@@ -208,10 +208,15 @@
         store,
         freshness,
         members,
+        is_first_start,
         log,
         ..
     } = follower;
     let mut topic_reader = TopicReader::new(Topic::Instances, "instances", &log);
+    if is_first_start {
+        // The store is empty, so this instance is not listed.
+        write_first_entry(&members, &store, &log).await;
+    }
     let mut reads = 0;
     loop {
         let reader = members.reader();
@@ -234,12 +239,7 @@
             continue;
         };
         if reads == 0 && !members.is_own_entry_current(&batch) {
-            match members.write_own_entry(&store).await {
-                // Other starting instances write their entries too: with half a list,
-                // each of them would become its own scheduler.
-                Ok(()) => time::sleep(FIRST_READ_DELAY).await,
-                Err(err) => warn!(log, "instance entry not written yet"; "error" => %err),
-            }
+            write_first_entry(&members, &store, &log).await;
             continue;
         }
         members.apply_batch(batch);
@@ -256,6 +256,15 @@
     }
 }
 
+/// Writes this instance's entry, and gives other starting instances time to write theirs: with
+/// half a list, each of them would become its own scheduler.
+async fn write_first_entry(members: &Members, store: &StoreClient, log: &Logger) {
+    match members.write_own_entry(store).await {
+        Ok(()) => time::sleep(FIRST_READ_DELAY).await,
+        Err(err) => warn!(log, "instance entry not written yet"; "error" => %err),
+    }
+}
+
 /// Writes this instance's entry again after the store was restored from a copy that lacks
 /// it.
 async fn rewrite_entry(members: &Members, store: &StoreClient, log: &Logger) {
