Give a live instance two seconds in the test of one that is unresponsive

Cause: the live fake of the test and the unresponsive one share the timeout of 100 ms, which a busy machine exceeded once.

--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::{Duration, Instant};
+
 use common::{
     CREDENTIAL, FakeInstance, Reply, TestDir, error, run, run_with_env, status, unused_addr,
 };
@@ -117,8 +119,16 @@
     let unresponsive = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let live = FakeInstance::with(&[(OBJECTS, json!([]))]);
     let admins = [unresponsive.local_addr().unwrap(), live.addr];
-    let result = dir.ctl(&admins, &["--timeout-ms", "100", "pools"]);
+    let began = Instant::now();
+    // The live instance has this time too, on a busy machine.
+    let result = dir.ctl(&admins, &["--timeout-ms", "2000", "pools"]);
     assert_eq!(result.code, 0, "{result:?}");
+    let elapsed = began.elapsed();
+    let waits = Duration::from_millis(2_000)..Duration::from_millis(8_000);
+    assert!(
+        waits.contains(&elapsed),
+        "waits for the timeout only: {elapsed:?}"
+    );
 }
 
 #[test]
