--- a/crates/core/src/forwarding/directory.rs
+++ b/crates/core/src/forwarding/directory.rs
@@ -1,21 +1,21 @@
 //! Directory of the registered backend servers.
 
+mod expiry;
+mod updates;
+mod used;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 use super::{
-    Cursor, Position, RoutingConfig, Scope, Service,
-    entry::{DirectoryUpdate, ExpiringServer, ServerEntry, ServerState, SyncPoint},
+    Cursor, Position, Scope,
+    entry::{DirectoryUpdate, ServerEntry, ServerState},
     removed_servers::RemovedServers,
 };
 use crate::{
-    ids::{BackendName, PoolName, ZoneName},
-    objects::{Backend, Fencing, Pool, StageKind},
+    ids::{BackendName, ZoneName},
     poison::{Registered, sample_evenly},
 };
 
-/// Minimum number of concurrent calls of a server.
-const MIN_SLOTS: u32 = 1;
-
 /// One change of a directory.
 #[derive(Clone, Debug)]
 struct Change {
@@ -72,34 +72,6 @@
         self.revision
     }
 
-    /// Returns the servers of which entries are kept.
-    pub fn scope(&self) -> Scope {
-        self.scope
-    }
-
-    /// Sets of which servers entries are kept, and which of these the instance uses. If entries
-    /// are missing now, the register counts as unknown until a listing of it is merged; known
-    /// servers stay in use meanwhile. Returns whether anything changed.
-    pub fn set_scopes(&mut self, scope: Scope, used: Scope) -> bool {
-        if (scope, used) == (self.scope, self.used) {
-            return false;
-        }
-        if !self.scope.covers(scope) {
-            self.cursor = Cursor::default();
-            self.changes.clear();
-            self.changes_from = Cursor::default();
-        }
-        let outside = self.entries.keys().filter(|id| !scope.has_server(id));
-        let outside: Vec<BackendName> = outside.cloned().collect();
-        for registered_as in &outside {
-            self.remove(registered_as);
-        }
-        // Other instances have merged revisions of the former scope.
-        self.revision += 1;
-        (self.scope, self.used) = (scope, used);
-        true
-    }
-
     /// Returns the cursor up to which the register is known.
     pub fn cursor(&self) -> Cursor {
         self.cursor
@@ -331,99 +303,6 @@
         missing.cloned().collect()
     }
 
-    /// Merges the first listing of the register after an outage of the store, during which
-    /// entries of running servers may have expired. These servers are removed at
-    /// `expires_at_ms` unless they register again. Returns whether anything changed.
-    ///
-    /// A store that was restored from a copy lists known entries at other positions, and may
-    /// list servers that have left. So known servers stay unchanged until their next record.
-    pub fn update_after_outage(
-        &mut self,
-        listing: Vec<ServerEntry>,
-        cursor: Cursor,
-        expires_at_ms: u64,
-    ) -> bool {
-        let before = self.revision;
-        if cursor < self.cursor {
-            self.merge_newer(&DirectoryUpdate::Whole(listing));
-            return self.revision != before;
-        }
-        let is_from_copy = cursor.era > self.cursor.era;
-        for registered_as in self.missing_from(&listing) {
-            if !self.expiring.contains_key(&registered_as) {
-                self.expiring.insert(registered_as.clone(), expires_at_ms);
-                self.record_change(&registered_as, Some(cursor));
-            }
-        }
-        for entry in listing {
-            let registered_as = entry.registered_as.clone();
-            if is_from_copy && self.removed.contains(&registered_as) {
-                // The copy contains an entry from before the removal.
-                self.removed.insert(&registered_as, cursor.position());
-            }
-            let is_known = self.entries.contains_key(&registered_as);
-            if !(is_from_copy && is_known) {
-                self.apply(&registered_as, Some(entry), Some(cursor));
-            }
-        }
-        self.changes_from = cursor;
-        self.advance_cursor(cursor);
-        self.revision != before
-    }
-
-    /// Returns the expiring servers with the time until each is removed.
-    pub fn expiring(&self, now_ms: u64) -> Vec<ExpiringServer> {
-        let expiring = self.expiring.iter().filter_map(|(registered_as, at_ms)| {
-            Some(ExpiringServer {
-                position: self.entries.get(registered_as)?.position,
-                registered_as: registered_as.clone(),
-                left_ms: at_ms.saturating_sub(now_ms),
-            })
-        });
-        expiring.collect()
-    }
-
-    /// Returns the identifiers that the expiring servers register under.
-    pub fn expiring_names(&self) -> Vec<BackendName> {
-        self.expiring.keys().cloned().collect()
-    }
-
-    /// Adds the entries of `servers` to an incremental update even if they have not changed.
-    pub fn include_entries(&self, update: &mut DirectoryUpdate, servers: &[BackendName]) {
-        let DirectoryUpdate::Changes(changes) = update else {
-            return;
-        };
-        for registered_as in servers {
-            if let Some(entry) = self.entries.get(registered_as) {
-                changes.push((registered_as.clone(), Some(entry.clone())));
-            }
-        }
-    }
-
-    /// Merges the expiring servers of another instance.
-    pub fn on_expiring(&mut self, now_ms: u64, expiring: &[ExpiringServer]) {
-        for server in expiring {
-            let known = self.entries.get(&server.registered_as);
-            if known.is_none_or(|known| known.position > server.position) {
-                continue;
-            }
-            let expires_at_ms = now_ms + server.left_ms;
-            let known_ms = self.expiring.entry(server.registered_as.clone());
-            let known_ms = known_ms.or_insert(expires_at_ms);
-            *known_ms = expires_at_ms.min(*known_ms);
-        }
-    }
-
-    /// Removes the servers that have not registered again in time; returns them.
-    pub fn remove_expired(&mut self, now_ms: u64) -> Vec<BackendName> {
-        let expired = self.expiring.iter().filter(|(_, at_ms)| **at_ms <= now_ms);
-        let expired: Vec<BackendName> = expired.map(|(id, _)| id.clone()).collect();
-        for registered_as in &expired {
-            self.apply(registered_as, None, Some(self.cursor));
-        }
-        expired
-    }
-
     /// Applies an update by the register, or by an instance that knows it up to `cursor`. Returns
     /// whether anything changed.
     pub fn update_to(&mut self, update: DirectoryUpdate, cursor: Cursor) -> bool {
@@ -473,115 +352,4 @@
             }
         }
     }
-
-    /// Returns the update for a receiver that keeps the servers of `scope` and knows the register
-    /// up to `known`; a complete listing if that is unknown or too old. Returns `None` if this
-    /// directory does not have all these servers.
-    pub fn update_for(&self, known: SyncPoint, scope: Scope) -> Option<DirectoryUpdate> {
-        let is_complete = self.scope.covers(scope) && !self.cursor.is_start();
-        (is_complete || scope == Scope::ALL && self.scope == Scope::ALL)
-            .then(|| self.update_within(known, scope))
-    }
-
-    fn update_within(&self, known: SyncPoint, scope: Scope) -> DirectoryUpdate {
-        let is_whole = match known {
-            SyncPoint::Revision(since) => {
-                let oldest = self.changes.front();
-                let oldest = oldest.map_or(self.revision, |change| change.revision - 1);
-                !(oldest..=self.revision).contains(&since)
-            }
-            SyncPoint::Cursor(cursor) => cursor.is_start() || cursor < self.changes_from,
-        };
-        if is_whole {
-            let listed = self.entries.values();
-            let listed = listed.filter(|entry| scope.has_server(&entry.registered_as));
-            return DirectoryUpdate::Whole(listed.cloned().collect());
-        }
-        let is_new = |change: &&Change| match known {
-            SyncPoint::Revision(since) => change.revision > since,
-            SyncPoint::Cursor(known) => change.cursor.is_none_or(|cursor| cursor > known),
-        };
-        let changed: BTreeSet<&BackendName> = self
-            .changes
-            .iter()
-            .filter(is_new)
-            .map(|change| &change.registered_as)
-            .filter(|registered_as| scope.has_server(registered_as))
-            .collect();
-        let changes = changed
-            .into_iter()
-            .map(|id| (id.clone(), self.entries.get(id).cloned()));
-        DirectoryUpdate::Changes(changes.collect())
-    }
-
-    /// Iterates over the current runs that the instance uses.
-    pub fn used_entries(&self) -> impl Iterator<Item = &ServerEntry> {
-        let entries = self.entries.values();
-        entries.filter(|entry| self.used.has_server(&entry.registered_as))
-    }
-
-    /// Returns the number of servers of each service, of all that are kept.
-    pub fn counts_by_service(&self) -> HashMap<PoolName, usize> {
-        let mut counts = HashMap::new();
-        for entry in self.entries.values() {
-            *counts.entry(entry.service.clone()).or_default() += 1;
-        }
-        counts
-    }
-
-    /// Returns the pools and backend servers that the instance uses, for the fleet. Servers
-    /// without a configured service are omitted.
-    pub fn for_fleet(&self, config: &RoutingConfig) -> (Vec<Pool>, Vec<Backend>) {
-        let pools: Vec<Pool> = config.services.iter().map(pool).collect();
-        let known: HashSet<&PoolName> = config.services.iter().map(|s| &s.name).collect();
-        let backends = self
-            .used_entries()
-            .filter(|entry| known.contains(&entry.service))
-            .map(backend);
-        (pools, backends.collect())
-    }
-
-    /// Sets the evacuated availability zones.
-    pub fn set_evacuated(&mut self, zones: BTreeSet<ZoneName>) {
-        self.evacuated = zones;
-    }
-
-    /// Returns the evacuated availability zones.
-    pub fn evacuated(&self) -> &BTreeSet<ZoneName> {
-        &self.evacuated
-    }
-
-    /// Tells whether a server gets no new requests: it is leaving, or its availability zone is
-    /// evacuated.
-    pub fn is_closed(&self, entry: &ServerEntry) -> bool {
-        entry.state == ServerState::Leaving || self.evacuated.contains(&entry.zone)
-    }
-
-    /// Returns the used servers that get no new requests.
-    pub fn closed(&self) -> HashSet<BackendName> {
-        let closed = self.used_entries().filter(|entry| self.is_closed(entry));
-        closed.map(|entry| entry.id.clone()).collect()
-    }
-}
-
-fn pool(service: &Service) -> Pool {
-    Pool {
-        name: service.name.clone(),
-        kind: match (service.engine, service.batching) {
-            (Some(_), _) => StageKind::Generate,
-            (None, _) => StageKind::Call,
-        },
-        price_micros_per_s: 0,
-        fencing: Fencing::Ignored,
-    }
-}
-
-fn backend(entry: &ServerEntry) -> Backend {
-    Backend {
-        name: entry.id.clone(),
-        pool: entry.service.clone(),
-        zone: entry.zone.clone(),
-        addr: entry.addr,
-        slots: entry.slots.max(MIN_SLOTS),
-    }
 }
--- /dev/null
+++ b/crates/core/src/forwarding/directory/expiry.rs
@@ -0,0 +1,105 @@
+//! Servers whose entries the register lacks after an outage of the store.
+
+use super::Directory;
+use crate::{
+    forwarding::{
+        Cursor,
+        entry::{DirectoryUpdate, ExpiringServer, ServerEntry},
+    },
+    ids::BackendName,
+};
+
+impl Directory {
+    /// Merges the first listing of the register after an outage of the store, during which
+    /// entries of running servers may have expired. These servers are removed at
+    /// `expires_at_ms` unless they register again. Returns whether anything changed.
+    ///
+    /// A store that was restored from a copy lists known entries at other positions, and may
+    /// list servers that have left. So known servers stay unchanged until their next record.
+    pub fn update_after_outage(
+        &mut self,
+        listing: Vec<ServerEntry>,
+        cursor: Cursor,
+        expires_at_ms: u64,
+    ) -> bool {
+        let before = self.revision;
+        if cursor < self.cursor {
+            self.merge_newer(&DirectoryUpdate::Whole(listing));
+            return self.revision != before;
+        }
+        let is_from_copy = cursor.era > self.cursor.era;
+        for registered_as in self.missing_from(&listing) {
+            if !self.expiring.contains_key(&registered_as) {
+                self.expiring.insert(registered_as.clone(), expires_at_ms);
+                self.record_change(&registered_as, Some(cursor));
+            }
+        }
+        for entry in listing {
+            let registered_as = entry.registered_as.clone();
+            if is_from_copy && self.removed.contains(&registered_as) {
+                // The copy contains an entry from before the removal.
+                self.removed.insert(&registered_as, cursor.position());
+            }
+            let is_known = self.entries.contains_key(&registered_as);
+            if !(is_from_copy && is_known) {
+                self.apply(&registered_as, Some(entry), Some(cursor));
+            }
+        }
+        self.changes_from = cursor;
+        self.advance_cursor(cursor);
+        self.revision != before
+    }
+
+    /// Returns the expiring servers with the time until each is removed.
+    pub fn expiring(&self, now_ms: u64) -> Vec<ExpiringServer> {
+        let expiring = self.expiring.iter().filter_map(|(registered_as, at_ms)| {
+            Some(ExpiringServer {
+                position: self.entries.get(registered_as)?.position,
+                registered_as: registered_as.clone(),
+                left_ms: at_ms.saturating_sub(now_ms),
+            })
+        });
+        expiring.collect()
+    }
+
+    /// Returns the identifiers that the expiring servers register under.
+    pub fn expiring_names(&self) -> Vec<BackendName> {
+        self.expiring.keys().cloned().collect()
+    }
+
+    /// Adds the entries of `servers` to an incremental update even if they have not changed.
+    pub fn include_entries(&self, update: &mut DirectoryUpdate, servers: &[BackendName]) {
+        let DirectoryUpdate::Changes(changes) = update else {
+            return;
+        };
+        for registered_as in servers {
+            if let Some(entry) = self.entries.get(registered_as) {
+                changes.push((registered_as.clone(), Some(entry.clone())));
+            }
+        }
+    }
+
+    /// Merges the expiring servers of another instance.
+    pub fn on_expiring(&mut self, now_ms: u64, expiring: &[ExpiringServer]) {
+        for server in expiring {
+            let known = self.entries.get(&server.registered_as);
+            if known.is_none_or(|known| known.position > server.position) {
+                continue;
+            }
+            let expires_at_ms = now_ms + server.left_ms;
+            let known_ms = self.expiring.entry(server.registered_as.clone());
+            let known_ms = known_ms.or_insert(expires_at_ms);
+            *known_ms = expires_at_ms.min(*known_ms);
+        }
+    }
+
+    /// Removes the servers that have not registered again in time; returns them.
+    pub fn remove_expired(&mut self, now_ms: u64) -> Vec<BackendName> {
+        let expired = self.expiring.iter().filter(|(_, at_ms)| **at_ms <= now_ms);
+        let expired: Vec<BackendName> = expired.map(|(id, _)| id.clone()).collect();
+        for registered_as in &expired {
+            self.apply(registered_as, None, Some(self.cursor));
+        }
+        expired
+    }
+}
--- a/crates/server/src/gateway/routing_view.rs
+++ b/crates/server/src/gateway/routing_view.rs
@@ -14,13 +14,12 @@
     fleet::Fleet,
     forwarding::{
         ColdServers, ColdStart, Cursor, Directory, DirectoryUpdate, EvacuationState, Evacuations,
-        ExpiringServer, FetchTimes, LimitChange, LimitReport, NamedLimit, Position, RepeatBudgets,
-        ResponseTimes, RouteDeadlines, RouteTable, RoutingConfig, Scope, ServerEntry,
+        ExpiringServer, FetchTimes, Position, RepeatBudgets, ResponseTimes, RouteDeadlines,
+        RouteTable, RoutingConfig, Scope, ServerEntry,
     },
     ids::{BackendName, PoolName},
     settings::PolicySettings,
 };
-use savoryvane_platform::store;
 use slog::{Logger, info};
 use tokio::sync::Notify;
 
@@ -49,7 +48,7 @@
     /// Latest version of the routes that another instance has advertised.
     advertised_version: AtomicU64,
     directory: Mutex<Directory>,
-    evacuations: Mutex<Evacuations>,
+    pub(super) evacuations: Mutex<Evacuations>,
     fleet: Mutex<Fleet>,
     budgets: Mutex<RepeatBudgets>,
     deadlines: Mutex<RouteDeadlines>,
@@ -60,7 +59,7 @@
     /// Notified after every change of routes or servers.
     changed: Notify,
     /// Notified after every change of a server's rate limit.
-    limits_changed: Notify,
+    pub(super) limits_changed: Notify,
 }
 
 impl RoutingView {
@@ -185,69 +184,6 @@
         self.configure_fleet();
     }
 
-    /// Applies a read of the operator's records to the evacuations.
-    pub(super) fn apply_evacuations(&self, batch: &Batch) {
-        let records = batch.records.iter().filter_map(|record| {
-            let zone = store::evacuated_zone(&record.key)?;
-            Some((zone, record.value.is_some(), batch.position(record)))
-        });
-        let now_ms = self.clock.now_ms();
-        self.change_evacuations("store", |evacuations| {
-            let cursor = batch.cursor(evacuations.cursor());
-            if batch.is_snapshot {
-                let listed = records.filter(|(_, is_evacuated, _)| *is_evacuated);
-                let listed = listed.map(|(zone, _, position)| (zone, position));
-                evacuations.apply_listing(now_ms, listed, cursor);
-            } else if batch.era == evacuations.cursor().era {
-                for (zone, is_evacuated, position) in records {
-                    evacuations.apply(zone, is_evacuated, position);
-                }
-                evacuations.advance_cursor(cursor);
-            }
-        });
-    }
-
-    /// Merges a peer's evacuations, if it knows more.
-    pub(super) fn update_evacuations(&self, state: EvacuationState) {
-        let now_ms = self.clock.now_ms();
-        self.change_evacuations("peer", |evacuations| evacuations.update(now_ms, state));
-    }
-
-    fn change_evacuations(&self, source: &'static str, change: impl FnOnce(&mut Evacuations)) {
-        let (before, after, cursor) = {
-            let mut evacuations = lock(&self.evacuations);
-            let before = evacuations.zones();
-            change(&mut evacuations);
-            let after = evacuations.zones();
-            if after != before {
-                // Under the lock, so that the register gets the changes in order.
-                self.directory().set_evacuated(after.clone());
-            }
-            (before, after, evacuations.cursor())
-        };
-        if before == after {
-            return;
-        }
-        for zone in after.difference(&before) {
-            info!(self.log, "availability zone evacuated"; "evacuated" => %zone,
-                "position" => %cursor, "source" => source);
-        }
-        for zone in before.difference(&after) {
-            info!(self.log, "availability zone no longer evacuated"; "returned" => %zone,
-                "position" => %cursor, "source" => source);
-        }
-        metrics::counter!("savoryvane_evacuation_changes_total").increment(1);
-        metrics::gauge!("savoryvane_evacuated_zones").set(after.len() as f64);
-        self.configure_fleet();
-        // Servers that received no requests meanwhile may have become cold.
-        self.for_each_cold_start(|cold, now_ms, entry, cold_start| {
-            if before.contains(&entry.zone) && !after.contains(&entry.zone) {
-                let left_ms = cold_start.duration_ms;
-                cold.on_cold(now_ms, &entry.id, left_ms, cold_start.requests_per_s);
-            }
-        });
-    }
-
     /// Removes the servers and evacuations that were not written again in time after an
     /// outage.
     pub(super) fn remove_expired(&self) {
@@ -371,79 +307,6 @@
         }
     }
 
-    /// Applies the rate limit named in the response to a request sent at `sent_at_ms`.
-    pub(super) fn on_limit(&self, server: &BackendName, sent_at_ms: u64, named: NamedLimit) {
-        if named == NamedLimit::Unreadable {
-            self.log_unreadable_signal(server, "server-limit");
-        }
-        let now_ms = self.clock.now_ms();
-        let change = {
-            let mut fleet = self.fleet();
-            fleet
-                .limits()
-                .on_response(now_ms, sent_at_ms, server, named)
-        };
-        if let Some(change) = change {
-            self.log_limit_change(server, change, "response");
-        }
-    }
-
-    /// Merges another instance's reports of rate limits.
-    pub(super) fn update_limits(&self, reports: Vec<LimitReport>) {
-        let now_ms = self.clock.now_ms();
-        let changes = self.fleet().limits().on_reports(now_ms, reports);
-        self.log_limit_changes(&changes);
-    }
-
-    /// Merges the rate limit reports of another instance, which knows this one's up to
-    /// `known_revision`. Returns the reports that it lacks, and the revision up to which
-    /// it has them all then.
-    pub(super) fn exchange_limits(
-        &self,
-        known_revision: u64,
-        reports: Vec<LimitReport>,
-    ) -> (u64, Vec<LimitReport>) {
-        let now_ms = self.clock.now_ms();
-        let (unknown, changes, revision) = {
-            let mut fleet = self.fleet();
-            let limits = fleet.limits();
-            let unknown = limits.reports_since(now_ms, known_revision);
-            let changes = limits.on_reports(now_ms, reports);
-            (unknown, changes, limits.revision())
-        };
-        self.log_limit_changes(&changes);
-        (revision, unknown)
-    }
-
-    /// Records that no grant for `servers` is available for `retry_in_ms`.
-    pub(super) fn on_limits_closed(&self, servers: &[BackendName], retry_in_ms: u64) {
-        let now_ms = self.clock.now_ms();
-        let mut fleet = self.fleet();
-        for server in servers {
-            fleet.limits().on_closed(now_ms, server, retry_in_ms);
-        }
-    }
-
-    fn log_limit_changes(&self, changes: &[(BackendName, LimitChange)]) {
-        for (server, change) in changes {
-            self.log_limit_change(server, *change, "peer");
-        }
-    }
-
-    fn log_limit_change(&self, server: &BackendName, change: LimitChange, source: &'static str) {
-        let limited = self.fleet().limits().count();
-        info!(self.log, "server limit changed"; "server" => %server,
-            "limit_per_s" => change.after, "before" => change.before, "source" => source,
-            "limited" => limited);
-        metrics::gauge!("savoryvane_limited_servers").set(limited as f64);
-        self.limits_changed.notify_one();
-    }
-
-    /// Waits for the next change of a server's limit.
-    pub(super) async fn limits_changed(&self) {
-        self.limits_changed.notified().await;
-    }
-
     /// Records that a run of a server is leaving or gone.
     pub(super) fn on_leaving(&self, id: &BackendName, source: &'static str) {
         if self.directory().on_leaving(id) {
@@ -455,7 +318,10 @@
 
     /// Calls `visit` for each server whose service limits the request rate of cold
     /// servers.
-    fn for_each_cold_start(&self, visit: impl Fn(&mut ColdServers, u64, &ServerEntry, ColdStart)) {
+    pub(super) fn for_each_cold_start(
+        &self,
+        visit: impl Fn(&mut ColdServers, u64, &ServerEntry, ColdStart),
+    ) {
         let Some(table) = self.table() else {
             return;
         };
@@ -479,7 +345,7 @@
         metrics::gauge!("savoryvane_cold_servers").set(cold.count(now_ms) as f64);
     }
 
-    fn configure_fleet(&self) {
+    pub(super) fn configure_fleet(&self) {
         let Some(table) = self.table() else {
             return;
         };
