Read the list before the first write again

The trial of the commit on repeats, to write the entry of an instance at a first start before reading the list, is taken back: the store appends to the list in 2 ms each, so that 985 writes at one moment queue for 2 s, where some time out and are repeated.

--- a/crates/server/src/gateway/store_follower.rs
+++ b/crates/server/src/gateway/store_follower.rs
@@ -208,15 +208,10 @@
         store,
         freshness,
         members,
-        is_first_start,
         log,
         ..
     } = follower;
     let mut topic_reader = TopicReader::new(Topic::Instances, "instances", &log);
-    if is_first_start {
-        // The store is empty, so this instance is not listed.
-        write_first_entry(&members, &store, &log).await;
-    }
     let mut reads = 0;
     loop {
         let reader = members.reader();
