--- a/crates/core/src/forwarding/cells.rs
+++ b/crates/core/src/forwarding/cells.rs
@@ -16,8 +16,7 @@
 
 use crate::ids::{BackendName, InstanceName};
 
-/// Upper bound of the instances of one cell. Its scheduler then handles 256 queries a second,
-/// which take a twentieth of the smallest machines in use.
+/// Upper bound of the instances of one cell. Its scheduler then handles 256 queries a second.
 const MAX_INSTANCES: usize = 64;
 /// Fewest instances of a cell, so that another one replaces a scheduler that is lost, also in
 /// an availability zone that is cut off.
--- a/crates/core/src/forwarding/directory/updates.rs
+++ b/crates/core/src/forwarding/directory/updates.rs
@@ -44,6 +44,7 @@
     /// up to `known`; a complete listing if that is unknown or too old. Returns `None` if this
     /// directory does not have all these servers.
     pub fn update_for(&self, known: SyncPoint, scope: Scope) -> Option<DirectoryUpdate> {
+        // Without cells, what is known so far is sent before the first listing as well.
         let is_complete = self.scope.covers(scope) && !self.cursor.is_start();
         (is_complete || scope == Scope::ALL && self.scope == Scope::ALL)
             .then(|| self.update_within(known, scope))
--- a/crates/server/src/gateway/quarantine.rs
+++ b/crates/server/src/gateway/quarantine.rs
@@ -273,7 +273,7 @@
         let scheduler = self.members.scheduler();
         match scheduler.filter(|name| !self.members.is_self(name)) {
             Some(scheduler) => self.exchange(&scheduler, None).await,
-            // The scheduler of the reading cell is told with the next query to it.
+            // The next query to the scheduler of the reading cell reports them.
             None if self.members.needs_upstream() => {}
             // This instance is the scheduler or knows none; its own tracker counts.
             None => self.unreported().clear(),
