Say how a stream was framed and whether it stopped inside an event

The line `stream ended` and savoryvane_streams_total now say the framing and whether the last bytes lie inside an event. core::forwarding::EventPosition finds the ends of events, for every kind of line end; nothing is decided by it yet but where a resumable stream is split, as before.

--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -10,6 +10,7 @@
 mod engine_demand;
 mod entry;
 mod evacuation;
+mod event_stream;
 mod fetch_times;
 mod grants;
 mod limits;
@@ -36,6 +37,7 @@
 pub use evacuation::{
     EvacuationState, Evacuations, MAX_ZONES, MISSING_GRACE_MS, REINSTATE_DELAY_MS, ZoneOrder,
 };
+pub use event_stream::{EventPosition, last_event_id};
 pub use fetch_times::FetchTimes;
 pub(crate) use grants::MIN_LIMIT_PER_S;
 pub use grants::{GrantPurpose, GrantQuery, GrantState, LimitGrants};
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -17,7 +17,10 @@
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
-use savoryvane_core::{forwarding::event_timeout_ms, ids::BackendName};
+use savoryvane_core::{
+    forwarding::{EventPosition, event_timeout_ms, last_event_id},
+    ids::BackendName,
+};
 use savoryvane_platform::response;
 use slog::{info, warn};
 use tokio::{
@@ -31,7 +34,10 @@
     quarantine::PermitGuard,
     request::CallerRequest,
 };
-use crate::{connections::Lease, http_body::Body};
+use crate::{
+    connections::Lease,
+    http_body::{Body, Framing},
+};
 
 /// Number of frames that are buffered for a slow caller.
 const FRAME_BUFFER_LEN: usize = 16;
@@ -48,6 +54,7 @@
     permit: Option<PermitGuard>,
 ) -> Response<Body> {
     let (sender, frames) = mpsc::channel(FRAME_BUFFER_LEN);
+    let framing = Framing::of(stream.response.headers());
     let (mut parts, body) = stream.response.into_parts();
     parts.headers = response::forward(&parts.headers);
     parts.headers.remove(http::header::CONTENT_LENGTH);
@@ -63,6 +70,7 @@
         sender,
         source: Source {
             body,
+            framing,
             lease: Some(stream.lease),
             server: Some(stream.server),
             head: stream.head,
@@ -92,6 +100,7 @@
 /// The server connection that events are read from.
 struct Source {
     body: Incoming,
+    framing: Framing,
     lease: Option<Lease>,
     server: Option<InFlight>,
     head: response::ResponseHead,
@@ -147,6 +156,20 @@
     Silent,
 }
 
+impl StreamEnd {
+    /// Returns its name in metrics.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::CallerGone => "caller_gone",
+            Self::Overdue => "overdue",
+            Self::Leaving => "leaving",
+            Self::Broken => "broken",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 impl Relay {
     async fn run(mut self) {
         let stream_end = loop {
@@ -166,20 +189,17 @@
         info!(self.forwarder.log, "stream ended"; "request" => %self.caller.id,
             "digest" => %self.caller.digest,
             "route" => &self.caller.route().name, "end" => ?stream_end,
-            "servers" => self.tried.len(), "events" => self.events.count,
+            "servers" => self.tried.len(), "events" => self.events.position.events(),
+            "framing" => self.source.framing.as_str(),
+            "inside_event" => self.events.position.is_inside_event(),
             "goal_ms" => self.caller.route().goal_ms,
             "gap_goal_ms" => self.caller.route().event_gap_ms,
             "first_event_ms" => self.timing.first_event_ms,
             "longest_gap_ms" => self.timing.longest_gap_ms,
             "elapsed_ms" => self.caller.elapsed_ms());
-        metrics::counter!("savoryvane_streams_total", "end" => match stream_end {
-            StreamEnd::Whole => "whole",
-            StreamEnd::CallerGone => "caller_gone",
-            StreamEnd::Overdue => "overdue",
-            StreamEnd::Leaving => "leaving",
-            StreamEnd::Broken => "broken",
-            StreamEnd::Silent => "silent",
-        })
+        metrics::counter!("savoryvane_streams_total", "end" => stream_end.as_str(),
+            "framing" => self.source.framing.as_str(),
+            "inside_event" => self.events.position.is_inside_event().to_string())
         .increment(1);
         match stream_end {
             StreamEnd::Whole => {
@@ -223,7 +243,7 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 Some(Err(err)) => {
                     warn!(self.forwarder.log, "stream broke off"; "request" => %self.caller.id,
-                        "events" => self.events.count, "error" => %err);
+                        "events" => self.events.position.events(), "error" => %err);
                     if let Some(server) = self.source.server.take() {
                         self.forwarder
                             .on_connection_lost(&self.caller, server)
@@ -328,6 +348,7 @@
         info!(self.forwarder.log, "stream resumed"; "request" => %caller.id,
             "server" => %server, "last_event" => last);
         self.source = Source {
+            framing: Framing::of(stream.response.headers()),
             body: stream.response.into_body(),
             lease: Some(stream.lease),
             server: Some(stream.server),
@@ -342,7 +363,8 @@
     /// Whether only complete events are forwarded.
     is_buffering: bool,
     buffer: BytesMut,
-    count: u64,
+    /// Position after the bytes received.
+    position: EventPosition,
     last_id: Option<String>,
 }
 
@@ -351,32 +373,29 @@
         Self {
             is_buffering,
             buffer: BytesMut::new(),
-            count: 0,
+            position: EventPosition::default(),
             last_id: None,
         }
     }
 
     /// Adds bytes, and returns those that can be forwarded.
     fn push(&mut self, bytes: Bytes) -> Bytes {
+        let outside_len = self.position.advance(&bytes);
         if !self.is_buffering {
-            self.count += 1;
             return bytes;
         }
+        let buffered_len = self.buffer.len();
         self.buffer.extend_from_slice(&bytes);
-        let Some(end) = last_event_end(&self.buffer) else {
+        if outside_len == 0 {
             if self.buffer.len() > MAX_EVENT_BYTES {
                 self.is_buffering = false;
                 return self.buffer.split().freeze();
             }
             return Bytes::new();
-        };
-        let complete = self.buffer.split_to(end).freeze();
-        for line in complete.split(|byte| *byte == b'\n') {
-            if let Some(id) = line.strip_prefix(b"id:") {
-                let id = String::from_utf8_lossy(id).trim().to_owned();
-                self.last_id = Some(id);
-                self.count += 1;
-            }
+        }
+        let complete = self.buffer.split_to(buffered_len + outside_len).freeze();
+        if let Some(id) = last_event_id(&complete) {
+            self.last_id = Some(id);
         }
         complete
     }
@@ -388,12 +407,6 @@
 
     fn discard_partial(&mut self) {
         self.buffer.clear();
+        self.position.discard_partial();
     }
 }
-
-/// Returns the end of the last complete event.
-fn last_event_end(buffer: &[u8]) -> Option<usize> {
-    let lf_end = buffer.windows(2).rposition(|pair| pair == b"\n\n");
-    let crlf_end = buffer.windows(4).rposition(|four| four == b"\r\n\r\n");
-    lf_end.map(|at| at + 2).max(crlf_end.map(|at| at + 4))
-}
--- a/crates/server/src/http_body.rs
+++ b/crates/server/src/http_body.rs
@@ -3,7 +3,7 @@
 use std::{io, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderValue, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody};
 use hyper::body::Incoming;
 use serde::Serialize;
@@ -18,6 +18,39 @@
 /// Media type of newline-delimited JSON.
 pub(crate) const NDJSON: &str = "application/x-ndjson";
 
+/// What marks the end of a response body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// Its length is announced.
+    Length,
+    /// Its last chunk.
+    Chunked,
+    /// The end of the connection, which can't be told from a connection that breaks off.
+    Connection,
+}
+
+impl Framing {
+    /// Returns the framing of a response with these headers.
+    pub(crate) fn of(headers: &HeaderMap) -> Self {
+        if headers.contains_key(header::TRANSFER_ENCODING) {
+            Self::Chunked
+        } else if headers.contains_key(header::CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::Connection
+        }
+    }
+
+    /// Returns its name in logs and metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::Connection => "connection",
+        }
+    }
+}
+
 /// Error of reading a request body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BodyError {
