Break off streams whose servers end them inside an event

Callers got a 200 that was framed as complete and was not: the server had broken its stream off and closed the connection, or sent its last chunk, in the middle of an event.

Cause: the relay took the end of the body for the end of the stream. A body with neither a length nor chunks ends with its connection, and the HTTP library reports a server that closes it in an orderly way like one that is done. So the caller's own chunked body was ended, the server counted as having answered, and a resumable stream was not resumed but ended with its partial event.

core::forwarding::BodyEnd now says what is known of a body that has ended: complete, truncated (inside an event, however it is framed), or unmarked (between two events, by the end of the connection only). A truncated one goes the way of a lost connection: resumed at another server after the last whole event, or the caller's connection is aborted.

Ruled out: a channel to the caller that ends without an error (the relay itself logged Whole); a wrong order of pieces (one server in each case).

--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -2,6 +2,7 @@
 //! a server and decides what follows a failure.
 
 mod backoff;
+mod body_end;
 mod budget;
 mod cells;
 mod cold_servers;
@@ -27,6 +28,7 @@
 
 pub(crate) use backoff::return_after_ms;
 pub use backoff::{MAX_BACKOFF_MS, ServerBackoffs};
+pub use body_end::{BodyEnd, Framing};
 pub use budget::{BudgetSettings, RepeatBudgets};
 pub use cells::{CellLayout, FleetSize, Scope};
 pub use cold_servers::{ColdServers, MAX_ARRIVAL_MS, WINDOW_MS};
--- /dev/null
+++ b/crates/core/src/forwarding/body_end.rs
@@ -0,0 +1,54 @@
+//! Whether a response body is complete, once it has ended without an error of its connection.
+
+use super::event_stream::EventPosition;
+
+/// What marks the end of a response body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// Its length is announced.
+    Length,
+    /// Its last chunk.
+    Chunked,
+    /// The end of the connection, which looks the same if the server broke the body off.
+    Connection,
+}
+
+impl Framing {
+    /// Returns its name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::Connection => "connection",
+        }
+    }
+}
+
+/// What is known about a body that has ended without an error of its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// It is complete.
+    Complete,
+    /// It ended with its connection, and nothing in it shows whether it is complete.
+    Unmarked,
+    /// The server broke it off.
+    Truncated,
+}
+
+impl BodyEnd {
+    /// Judges an event stream by its last position.
+    pub fn of_stream(framing: Framing, position: &EventPosition) -> Self {
+        if position.is_inside_event() {
+            return Self::Truncated;
+        }
+        Self::of_body(framing)
+    }
+
+    /// Judges a body that does not show by itself where it ends.
+    pub fn of_body(framing: Framing) -> Self {
+        match framing {
+            Framing::Length | Framing::Chunked => Self::Complete,
+            Framing::Connection => Self::Unmarked,
+        }
+    }
+}
--- a/crates/core/tests/forwarding_event_stream.rs
+++ b/crates/core/tests/forwarding_event_stream.rs
@@ -1,7 +1,7 @@
 //! Where the events of an event stream end.
 
 use quickcheck::{TestResult, quickcheck};
-use savoryvane_core::forwarding::{EventPosition, last_event_id};
+use savoryvane_core::forwarding::{BodyEnd, EventPosition, Framing, last_event_id};
 
 const LINE_ENDS: [&str; 3] = ["\n", "\r\n", "\r"];
 
@@ -103,3 +103,19 @@
         )
     }
 }
+
+#[test]
+fn only_a_length_or_chunks_show_that_a_stream_is_complete() {
+    let framings = [Framing::Length, Framing::Chunked, Framing::Connection];
+    for framing in framings {
+        for partial in ["id: 0", "id: 0\n\nid: 1\n", "id: 0\n\n: pi"] {
+            let end = BodyEnd::of_stream(framing, &after(partial));
+            assert_eq!(end, BodyEnd::Truncated, "{framing:?} {partial:?}");
+        }
+    }
+    let ends = framings.map(|framing| BodyEnd::of_stream(framing, &after("id: 0\n\n")));
+    assert_eq!(
+        ends,
+        [BodyEnd::Complete, BodyEnd::Complete, BodyEnd::Unmarked]
+    );
+}
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -18,7 +18,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
 use savoryvane_core::{
-    forwarding::{EventPosition, event_timeout_ms, last_event_id},
+    forwarding::{BodyEnd, EventPosition, Framing, event_timeout_ms, last_event_id},
     ids::BackendName,
 };
 use savoryvane_platform::response;
@@ -36,7 +36,7 @@
 };
 use crate::{
     connections::Lease,
-    http_body::{Body, Framing},
+    http_body::{self, Body},
 };
 
 /// Number of frames that are buffered for a slow caller.
@@ -54,7 +54,7 @@
     permit: Option<PermitGuard>,
 ) -> Response<Body> {
     let (sender, frames) = mpsc::channel(FRAME_BUFFER_LEN);
-    let framing = Framing::of(stream.response.headers());
+    let framing = http_body::framing(stream.response.headers());
     let (mut parts, body) = stream.response.into_parts();
     parts.headers = response::forward(&parts.headers);
     parts.headers.remove(http::header::CONTENT_LENGTH);
@@ -241,25 +241,8 @@
             };
             let bytes = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                Some(Err(err)) => {
-                    warn!(self.forwarder.log, "stream broke off"; "request" => %self.caller.id,
-                        "events" => self.events.position.events(), "error" => %err);
-                    if let Some(server) = self.source.server.take() {
-                        self.forwarder
-                            .on_connection_lost(&self.caller, server)
-                            .await;
-                    }
-                    return StreamEnd::Broken;
-                }
-                None => {
-                    self.forwarder.quarantine.on_answered(self.caller.digest);
-                    self.record_outcome(ServerOutcome::Answered);
-                    let remaining = self.events.take_remaining();
-                    return self
-                        .send_to_caller(remaining)
-                        .await
-                        .map_or(StreamEnd::CallerGone, |()| StreamEnd::Whole);
-                }
+                Some(Err(err)) => return self.on_broken_off(&err.to_string()).await,
+                None => return self.on_body_end().await,
             };
             // An engine that responds with events has read its inputs.
             self.inputs.guard = None;
@@ -273,6 +256,31 @@
         }
     }
 
+    /// Handles the end of the server's body.
+    async fn on_body_end(&mut self) -> StreamEnd {
+        match BodyEnd::of_stream(self.source.framing, &self.events.position) {
+            BodyEnd::Truncated => self.on_broken_off("ended inside an event").await,
+            BodyEnd::Complete | BodyEnd::Unmarked => {
+                self.forwarder.quarantine.on_answered(self.caller.digest);
+                self.record_outcome(ServerOutcome::Answered);
+                StreamEnd::Whole
+            }
+        }
+    }
+
+    /// Handles a body that the server broke off.
+    async fn on_broken_off(&mut self, error: &str) -> StreamEnd {
+        warn!(self.forwarder.log, "stream broke off"; "request" => %self.caller.id,
+            "events" => self.events.position.events(),
+            "framing" => self.source.framing.as_str(), "error" => error);
+        if let Some(server) = self.source.server.take() {
+            self.forwarder
+                .on_connection_lost(&self.caller, server)
+                .await;
+        }
+        StreamEnd::Broken
+    }
+
     async fn send_to_caller(&self, bytes: Bytes) -> Option<()> {
         if bytes.is_empty() {
             return Some(());
@@ -348,7 +356,7 @@
         info!(self.forwarder.log, "stream resumed"; "request" => %caller.id,
             "server" => %server, "last_event" => last);
         self.source = Source {
-            framing: Framing::of(stream.response.headers()),
+            framing: http_body::framing(stream.response.headers()),
             body: stream.response.into_body(),
             lease: Some(stream.lease),
             server: Some(stream.server),
@@ -400,11 +408,6 @@
         complete
     }
 
-    /// Returns the remaining bytes after the end of the stream.
-    fn take_remaining(&mut self) -> Bytes {
-        self.buffer.split().freeze()
-    }
-
     fn discard_partial(&mut self) {
         self.buffer.clear();
         self.position.discard_partial();
--- a/crates/server/src/http_body.rs
+++ b/crates/server/src/http_body.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody};
 use hyper::body::Incoming;
+use savoryvane_core::forwarding::Framing;
 use serde::Serialize;
 use tokio::time;
 
@@ -18,39 +19,6 @@
 /// Media type of newline-delimited JSON.
 pub(crate) const NDJSON: &str = "application/x-ndjson";
 
-/// What marks the end of a response body.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Framing {
-    /// Its length is announced.
-    Length,
-    /// Its last chunk.
-    Chunked,
-    /// The end of the connection, which can't be told from a connection that breaks off.
-    Connection,
-}
-
-impl Framing {
-    /// Returns the framing of a response with these headers.
-    pub(crate) fn of(headers: &HeaderMap) -> Self {
-        if headers.contains_key(header::TRANSFER_ENCODING) {
-            Self::Chunked
-        } else if headers.contains_key(header::CONTENT_LENGTH) {
-            Self::Length
-        } else {
-            Self::Connection
-        }
-    }
-
-    /// Returns its name in logs and metrics.
-    pub(crate) fn as_str(self) -> &'static str {
-        match self {
-            Self::Length => "length",
-            Self::Chunked => "chunked",
-            Self::Connection => "connection",
-        }
-    }
-}
-
 /// Error of reading a request body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BodyError {
@@ -95,6 +63,17 @@
     }
 }
 
+/// Returns the framing of a response body with these headers.
+pub(crate) fn framing(headers: &HeaderMap) -> Framing {
+    if headers.contains_key(header::TRANSFER_ENCODING) {
+        Framing::Chunked
+    } else if headers.contains_key(header::CONTENT_LENGTH) {
+        Framing::Length
+    } else {
+        Framing::Connection
+    }
+}
+
 /// Wraps `bytes` as a body.
 pub(crate) fn full(bytes: impl Into<Bytes>) -> Body {
     Full::new(bytes.into())
