Frame the caller's body by our own HTTP version

Cause: the head of the server's response was passed on with its version, and the HTTP library frames a body of a response of version 1.0 by the end of the connection. The caller then gets an orderly close whatever ended the stream, also where the server's connection was reset.

The version now belongs to each connection alone, for streams and plain responses.

--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{Response, StatusCode};
+use http::{Response, StatusCode, Version, response::Parts};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use savoryvane_core::{
@@ -223,7 +223,7 @@
                 head,
             }));
         }
-        let (mut parts, body) = response.into_parts();
+        let (parts, body) = response.into_parts();
         let body = match Limited::new(body, MAX_BUFFERED_BYTES).collect().await {
             Ok(body) => body.to_bytes(),
             Err(err) => {
@@ -234,8 +234,7 @@
             }
         };
         return_to_pool(lease, &head);
-        parts.headers = response::forward(&parts.headers);
-        let response = Response::from_parts(parts, body);
+        let response = Response::from_parts(to_caller(parts), body);
         if head.is_not_run {
             in_flight.finish(ServerOutcome::Full);
             let end = match (head.is_misdirected, head.is_input_gone) {
@@ -259,6 +258,15 @@
     names.join(",")
 }
 
+/// Converts the head of a server's response to that of the caller's response.
+pub(super) fn to_caller(mut head: Parts) -> Parts {
+    head.headers = response::forward(&head.headers);
+    // The version of the server's connection must not frame the caller's body: HTTP/1.0 has
+    // no chunks, so that a body that breaks off looks complete.
+    head.version = Version::default();
+    head
+}
+
 /// Returns a connection to the pool after its response was read.
 pub(super) fn return_to_pool(lease: Lease, head: &ResponseHead) {
     let limit = head
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -29,7 +29,7 @@
 };
 
 use super::{
-    attempt::{InFlight, SendOutcome, ServerOutcome, Stream, return_to_pool},
+    attempt::{InFlight, SendOutcome, ServerOutcome, Stream, return_to_pool, to_caller},
     forward::{Forwarder, Inputs},
     quarantine::PermitGuard,
     request::CallerRequest,
@@ -55,8 +55,8 @@
 ) -> Response<Body> {
     let (sender, frames) = mpsc::channel(FRAME_BUFFER_LEN);
     let framing = http_body::framing(stream.response.headers());
-    let (mut parts, body) = stream.response.into_parts();
-    parts.headers = response::forward(&parts.headers);
+    let (parts, body) = stream.response.into_parts();
+    let mut parts = to_caller(parts);
     parts.headers.remove(http::header::CONTENT_LENGTH);
     let events = EventSplitter::new(caller.is_resumable());
     let relay = Relay {
