Move the splitter of event streams into the core

No change of behaviour but one: after an event that is too large to be held back, bytes are held back again from its end on, where it had stopped for good.

The splitter is a state machine without input or output now, so that any cut of a stream into reads can be tested, and each byte is looked at once; the server only forwards what it returns.

--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -11,6 +11,7 @@
 mod engine_demand;
 mod entry;
 mod evacuation;
+mod event_splitter;
 mod event_stream;
 mod fetch_times;
 mod grants;
@@ -39,6 +40,7 @@
 pub use evacuation::{
     EvacuationState, Evacuations, MAX_ZONES, MISSING_GRACE_MS, REINSTATE_DELAY_MS, ZoneOrder,
 };
+pub use event_splitter::{EventSplitter, MAX_EVENT_BYTES, ResumePoint};
 pub use event_stream::{EventPosition, last_event_id};
 pub use fetch_times::FetchTimes;
 pub(crate) use grants::MIN_LIMIT_PER_S;
--- /dev/null
+++ b/crates/core/src/forwarding/event_splitter.rs
@@ -0,0 +1,106 @@
+//! Splits an event stream into parts that can be forwarded.
+
+use bytes::{Bytes, BytesMut};
+
+use super::event_stream::{EventPosition, last_event_id};
+
+/// Largest event that is held back until it is complete, in bytes.
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Which bytes of a stream are held back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Holding {
+    /// None.
+    Nothing,
+    /// Those of the event that has begun, until it is complete.
+    PartialEvents,
+    /// None until the event that has begun is complete, since it is too large.
+    NothingUntilEventEnd,
+}
+
+/// Where another server can resume a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ResumePoint {
+    /// At its start: no event has been forwarded.
+    Start,
+    /// After the event with this identifier, the last one forwarded.
+    After(String),
+    /// Nowhere: what has been forwarded can't be named to another server.
+    None,
+}
+
+/// Splits a stream into parts that can be forwarded.
+#[derive(Debug)]
+pub struct EventSplitter {
+    holding: Holding,
+    /// Bytes held back.
+    held: BytesMut,
+    /// Position after all bytes received.
+    position: EventPosition,
+    resume_point: ResumePoint,
+}
+
+impl EventSplitter {
+    /// Creates the splitter of a stream. Only a resumable stream is split between events.
+    pub fn new(is_resumable: bool) -> Self {
+        let (holding, resume_point) = if is_resumable {
+            (Holding::PartialEvents, ResumePoint::Start)
+        } else {
+            (Holding::Nothing, ResumePoint::None)
+        };
+        Self {
+            holding,
+            held: BytesMut::new(),
+            position: EventPosition::default(),
+            resume_point,
+        }
+    }
+
+    /// Adds the next bytes of the stream, and returns those that can be forwarded.
+    pub fn push(&mut self, bytes: Bytes) -> Bytes {
+        let outside_len = self.position.advance(&bytes);
+        match self.holding {
+            Holding::Nothing => bytes,
+            Holding::PartialEvents => self.push_held(&bytes, outside_len),
+            Holding::NothingUntilEventEnd if outside_len == 0 => bytes,
+            Holding::NothingUntilEventEnd => {
+                self.holding = Holding::PartialEvents;
+                self.held.extend_from_slice(&bytes[outside_len..]);
+                bytes.slice(..outside_len)
+            }
+        }
+    }
+
+    /// Returns the position after all bytes received.
+    pub fn position(&self) -> &EventPosition {
+        &self.position
+    }
+
+    /// Returns where another server can resume the stream.
+    pub fn resume_point(&self) -> &ResumePoint {
+        &self.resume_point
+    }
+
+    /// Drops what is held back, before another server resumes the stream.
+    pub fn discard_partial(&mut self) {
+        self.held.clear();
+        self.position.discard_partial();
+    }
+
+    fn push_held(&mut self, bytes: &[u8], outside_len: usize) -> Bytes {
+        let held_len = self.held.len();
+        self.held.extend_from_slice(bytes);
+        if outside_len > 0 {
+            let complete = self.held.split_to(held_len + outside_len).freeze();
+            if let Some(id) = last_event_id(&complete) {
+                self.resume_point = ResumePoint::After(id);
+            }
+            return complete;
+        }
+        if self.held.len() <= MAX_EVENT_BYTES {
+            return Bytes::new();
+        }
+        self.holding = Holding::NothingUntilEventEnd;
+        self.held.split().freeze()
+    }
+}
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -13,12 +13,12 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
 use savoryvane_core::{
-    forwarding::{BodyEnd, EventPosition, Framing, event_timeout_ms, last_event_id},
+    forwarding::{BodyEnd, EventSplitter, Framing, ResumePoint, event_timeout_ms},
     ids::BackendName,
 };
 use savoryvane_platform::response;
@@ -41,8 +41,6 @@
 
 /// Number of frames that are buffered for a slow caller.
 const FRAME_BUFFER_LEN: usize = 16;
-/// Largest event that is buffered, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// Starts to forward a stream, and returns the response that carries it.
 pub(super) fn start(
@@ -189,9 +187,9 @@
         info!(self.forwarder.log, "stream ended"; "request" => %self.caller.id,
             "digest" => %self.caller.digest,
             "route" => &self.caller.route().name, "end" => ?stream_end,
-            "servers" => self.tried.len(), "events" => self.events.position.events(),
+            "servers" => self.tried.len(), "events" => self.events.position().events(),
             "framing" => self.source.framing.as_str(),
-            "inside_event" => self.events.position.is_inside_event(),
+            "inside_event" => self.events.position().is_inside_event(),
             "goal_ms" => self.caller.route().goal_ms,
             "gap_goal_ms" => self.caller.route().event_gap_ms,
             "first_event_ms" => self.timing.first_event_ms,
@@ -199,7 +197,7 @@
             "elapsed_ms" => self.caller.elapsed_ms());
         metrics::counter!("savoryvane_streams_total", "end" => stream_end.as_str(),
             "framing" => self.source.framing.as_str(),
-            "inside_event" => self.events.position.is_inside_event().to_string())
+            "inside_event" => self.events.position().is_inside_event().to_string())
         .increment(1);
         match stream_end {
             StreamEnd::Whole => {
@@ -258,7 +256,7 @@
 
     /// Handles the end of the server's body.
     async fn on_body_end(&mut self) -> StreamEnd {
-        match BodyEnd::of_stream(self.source.framing, &self.events.position) {
+        match BodyEnd::of_stream(self.source.framing, self.events.position()) {
             BodyEnd::Truncated => self.on_broken_off("ended inside an event").await,
             BodyEnd::Complete | BodyEnd::Unmarked => {
                 self.forwarder.quarantine.on_answered(self.caller.digest);
@@ -271,7 +269,7 @@
     /// Handles a body that the server broke off.
     async fn on_broken_off(&mut self, error: &str) -> StreamEnd {
         warn!(self.forwarder.log, "stream broke off"; "request" => %self.caller.id,
-            "events" => self.events.position.events(),
+            "events" => self.events.position().events(),
             "framing" => self.source.framing.as_str(), "error" => error);
         if let Some(server) = self.source.server.take() {
             self.forwarder
@@ -346,7 +344,10 @@
             return false;
         };
         self.tried.push(server.clone());
-        let last = self.events.last_id.clone();
+        let last = match self.events.resume_point() {
+            ResumePoint::After(id) => Some(id.clone()),
+            ResumePoint::Start | ResumePoint::None => None,
+        };
         let sent = self
             .forwarder
             .send_once(caller, &self.inputs, &server, last.as_deref());
@@ -365,51 +366,3 @@
         true
     }
 }
-
-/// Splits a stream into events if it is resumable.
-struct EventSplitter {
-    /// Whether only complete events are forwarded.
-    is_buffering: bool,
-    buffer: BytesMut,
-    /// Position after the bytes received.
-    position: EventPosition,
-    last_id: Option<String>,
-}
-
-impl EventSplitter {
-    fn new(is_buffering: bool) -> Self {
-        Self {
-            is_buffering,
-            buffer: BytesMut::new(),
-            position: EventPosition::default(),
-            last_id: None,
-        }
-    }
-
-    /// Adds bytes, and returns those that can be forwarded.
-    fn push(&mut self, bytes: Bytes) -> Bytes {
-        let outside_len = self.position.advance(&bytes);
-        if !self.is_buffering {
-            return bytes;
-        }
-        let buffered_len = self.buffer.len();
-        self.buffer.extend_from_slice(&bytes);
-        if outside_len == 0 {
-            if self.buffer.len() > MAX_EVENT_BYTES {
-                self.is_buffering = false;
-                return self.buffer.split().freeze();
-            }
-            return Bytes::new();
-        }
-        let complete = self.buffer.split_to(buffered_len + outside_len).freeze();
-        if let Some(id) = last_event_id(&complete) {
-            self.last_id = Some(id);
-        }
-        complete
-    }
-
-    fn discard_partial(&mut self) {
-        self.buffer.clear();
-        self.position.discard_partial();
-    }
-}
