Resume a stream only after an event with an identifier

EventPosition now knows the identifier of the last event itself, whatever reads it was cut into, and the splitter names the point at which another server can resume: the start, after an event, or none. Without one, no repeat is spent and the stream is broken off.

--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -41,7 +41,7 @@
     EvacuationState, Evacuations, MAX_ZONES, MISSING_GRACE_MS, REINSTATE_DELAY_MS, ZoneOrder,
 };
 pub use event_splitter::{EventSplitter, MAX_EVENT_BYTES, ResumePoint};
-pub use event_stream::{EventPosition, last_event_id};
+pub use event_stream::EventPosition;
 pub use fetch_times::FetchTimes;
 pub(crate) use grants::MIN_LIMIT_PER_S;
 pub use grants::{GrantPurpose, GrantQuery, GrantState, LimitGrants};
--- a/crates/core/src/forwarding/event_splitter.rs
+++ b/crates/core/src/forwarding/event_splitter.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-use super::event_stream::{EventPosition, last_event_id};
+use super::event_stream::EventPosition;
 
 /// Largest event that is held back until it is complete, in bytes.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -19,13 +19,13 @@
 }
 
 /// Where another server can resume a stream.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ResumePoint {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResumePoint<'a> {
     /// At its start: no event has been forwarded.
     Start,
     /// After the event with this identifier, the last one forwarded.
-    After(String),
-    /// Nowhere: what has been forwarded can't be named to another server.
+    After(&'a str),
+    /// Nowhere: it is not resumable, or what has been forwarded can't be named.
     None,
 }
 
@@ -37,22 +37,19 @@
     held: BytesMut,
     /// Position after all bytes received.
     position: EventPosition,
-    resume_point: ResumePoint,
 }
 
 impl EventSplitter {
     /// Creates the splitter of a stream. Only a resumable stream is split between events.
     pub fn new(is_resumable: bool) -> Self {
-        let (holding, resume_point) = if is_resumable {
-            (Holding::PartialEvents, ResumePoint::Start)
-        } else {
-            (Holding::Nothing, ResumePoint::None)
-        };
         Self {
-            holding,
+            holding: if is_resumable {
+                Holding::PartialEvents
+            } else {
+                Holding::Nothing
+            },
             held: BytesMut::new(),
             position: EventPosition::default(),
-            resume_point,
         }
     }
 
@@ -77,8 +74,13 @@
     }
 
     /// Returns where another server can resume the stream.
-    pub fn resume_point(&self) -> &ResumePoint {
-        &self.resume_point
+    pub fn resume_point(&self) -> ResumePoint<'_> {
+        match (self.holding, self.position.last_id()) {
+            (Holding::Nothing, _) => ResumePoint::None,
+            (_, Some(id)) => ResumePoint::After(id),
+            (_, None) if self.position.events() == 0 => ResumePoint::Start,
+            (_, None) => ResumePoint::None,
+        }
     }
 
     /// Drops what is held back, before another server resumes the stream.
@@ -91,11 +93,7 @@
         let held_len = self.held.len();
         self.held.extend_from_slice(bytes);
         if outside_len > 0 {
-            let complete = self.held.split_to(held_len + outside_len).freeze();
-            if let Some(id) = last_event_id(&complete) {
-                self.resume_point = ResumePoint::After(id);
-            }
-            return complete;
+            return self.held.split_to(held_len + outside_len).freeze();
         }
         if self.held.len() <= MAX_EVENT_BYTES {
             return Bytes::new();
--- a/crates/core/src/forwarding/event_stream.rs
+++ b/crates/core/src/forwarding/event_stream.rs
@@ -3,7 +3,9 @@
 //! A line ends with LF, CR or CRLF, and a blank line ends an event. A line that begins with
 //! a colon is a comment, which belongs to no event.
 
-const FIELD_ID: &[u8] = b"id:";
+const ID_FIELD: &[u8] = b"id:";
+/// Longest event identifier that is kept, in bytes; a longer one counts as none.
+const MAX_ID_BYTES: usize = 1_024;
 
 /// Position in an event stream, moved forward by the bytes of the stream.
 #[derive(Clone, Debug, Default)]
@@ -11,6 +13,10 @@
     line: Line,
     /// Whether the current event has a field already.
     has_fields: bool,
+    /// Identifier of the current event, as far as it has been read.
+    id: Option<Vec<u8>>,
+    /// Identifier of the last event that has ended.
+    last_id: Option<String>,
     events: u64,
 }
 
@@ -23,7 +29,11 @@
     /// Before its first byte, but an LF still belongs to the end of the line before.
     StartAfterCr,
     Comment,
-    Field,
+    /// After this many bytes of [`ID_FIELD`].
+    IdField(usize),
+    /// In the value of the identifier.
+    Id,
+    OtherField,
 }
 
 impl EventPosition {
@@ -32,7 +42,7 @@
     pub fn advance(&mut self, bytes: &[u8]) -> usize {
         let mut outside_len = 0;
         for (index, byte) in bytes.iter().enumerate() {
-            self.advance_byte(*byte);
+            self.line = self.next_line(*byte);
             if !self.is_inside_event() {
                 outside_len = index + 1;
             }
@@ -42,7 +52,7 @@
 
     /// Returns whether an event or a comment has begun and has not ended.
     pub fn is_inside_event(&self) -> bool {
-        self.has_fields || matches!(self.line, Line::Comment | Line::Field)
+        self.has_fields || !matches!(self.line, Line::Start | Line::StartAfterCr)
     }
 
     /// Returns the number of events that have ended.
@@ -50,14 +60,20 @@
         self.events
     }
 
+    /// Returns the identifier of the last event that has ended, if that event has one.
+    pub fn last_id(&self) -> Option<&str> {
+        self.last_id.as_deref()
+    }
+
     /// Forgets the event that has begun and has not ended.
     pub fn discard_partial(&mut self) {
         self.line = Line::Start;
         self.has_fields = false;
+        self.id = None;
     }
 
-    fn advance_byte(&mut self, byte: u8) {
-        self.line = match (byte, self.line) {
+    fn next_line(&mut self, byte: u8) -> Line {
+        match (byte, self.line) {
             (b'\n', Line::StartAfterCr) => Line::Start,
             (b'\n', _) => {
                 self.end_line();
@@ -70,10 +86,36 @@
             (b':', Line::Start | Line::StartAfterCr) => Line::Comment,
             (_, Line::Start | Line::StartAfterCr) => {
                 self.has_fields = true;
-                Line::Field
+                self.next_in_field_name(byte, 0)
+            }
+            (_, Line::IdField(matched)) => self.next_in_field_name(byte, matched),
+            (_, Line::Id) => self.next_in_id(byte),
+            (_, Line::Comment | Line::OtherField) => self.line,
+        }
+    }
+
+    fn next_in_field_name(&mut self, byte: u8, matched: usize) -> Line {
+        if ID_FIELD.get(matched) != Some(&byte) {
+            return Line::OtherField;
+        }
+        if matched + 1 < ID_FIELD.len() {
+            return Line::IdField(matched + 1);
+        }
+        self.id = Some(Vec::new());
+        Line::Id
+    }
+
+    fn next_in_id(&mut self, byte: u8) -> Line {
+        match &mut self.id {
+            Some(id) if id.len() < MAX_ID_BYTES => {
+                id.push(byte);
+                Line::Id
+            }
+            _ => {
+                self.id = None;
+                Line::OtherField
             }
-            (_, Line::Comment | Line::Field) => self.line,
-        };
+        }
     }
 
     fn end_line(&mut self) {
@@ -81,13 +123,17 @@
         if is_blank && self.has_fields {
             self.has_fields = false;
             self.events += 1;
+            self.last_id = self.id.take().and_then(decode_id);
         }
     }
 }
 
-/// Returns the last event identifier in `events`, which are complete.
-pub fn last_event_id(events: &[u8]) -> Option<String> {
-    let mut lines = events.rsplit(|byte| matches!(byte, b'\n' | b'\r'));
-    let id = lines.find_map(|line| line.strip_prefix(FIELD_ID))?;
-    Some(String::from_utf8_lossy(id).trim().to_owned())
+/// Decodes an identifier; one that is empty or that a header can't carry counts as none.
+fn decode_id(bytes: Vec<u8>) -> Option<String> {
+    let id = bytes.trim_ascii();
+    let is_usable = !id.is_empty()
+        && id
+            .iter()
+            .all(|byte| byte.is_ascii_graphic() || *byte == b' ');
+    is_usable.then(|| String::from_utf8_lossy(id).into_owned())
 }
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -296,7 +296,7 @@
     /// budget if so.
     fn try_spend_resume(&self) -> bool {
         let caller = &self.caller;
-        caller.is_resumable()
+        self.events.resume_point() != ResumePoint::None
             && (self.tried.len() as u32) < caller.route().max_servers
             && self
                 .forwarder
@@ -345,7 +345,7 @@
         };
         self.tried.push(server.clone());
         let last = match self.events.resume_point() {
-            ResumePoint::After(id) => Some(id.clone()),
+            ResumePoint::After(id) => Some(id.to_owned()),
             ResumePoint::Start | ResumePoint::None => None,
         };
         let sent = self
