Do not resume a stream inside an event that was forwarded in parts

A third way: an event of more than 1 MiB is not held back until it is complete. When its server broke off in the middle, the next one was asked to go on after the event before, and its events were joined to the part that the caller had.

There is no point to resume at until such an event has ended; the stream is broken off. Its identifier is known by then, so that later events can be resumed again.

--- a/crates/core/src/forwarding/event_splitter.rs
+++ b/crates/core/src/forwarding/event_splitter.rs
@@ -76,7 +76,7 @@
     /// Returns where another server can resume the stream.
     pub fn resume_point(&self) -> ResumePoint<'_> {
         match (self.holding, self.position.last_id()) {
-            (Holding::Nothing, _) => ResumePoint::None,
+            (Holding::Nothing | Holding::NothingUntilEventEnd, _) => ResumePoint::None,
             (_, Some(id)) => ResumePoint::After(id),
             (_, None) if self.position.events() == 0 => ResumePoint::Start,
             (_, None) => ResumePoint::None,
