End a caller's stream as complete only where the relay says so

The body now ends as complete only if its sender finishes it. StreamBody replaces the relay's own channel of results.

--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -5,28 +5,18 @@
 //! breaks off, the caller's connection is aborted, so that the stream can't be mistaken
 //! for a complete one.
 
-use std::{
-    io,
-    pin::Pin,
-    sync::Arc,
-    task::{Context, Poll},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Incoming;
 use savoryvane_core::{
     forwarding::{BodyEnd, EventSplitter, Framing, ResumePoint, event_timeout_ms},
     ids::BackendName,
 };
 use savoryvane_platform::response;
 use slog::{info, warn};
-use tokio::{
-    sync::mpsc,
-    time::{self, Instant},
-};
+use tokio::time::{self, Instant};
 
 use super::{
     attempt::{InFlight, SendOutcome, ServerOutcome, Stream, return_to_pool, to_caller},
@@ -37,11 +27,9 @@
 use crate::{
     connections::Lease,
     http_body::{self, Body},
+    stream_body::{StreamSender, stream_body},
 };
 
-/// Number of frames that are buffered for a slow caller.
-const FRAME_BUFFER_LEN: usize = 16;
-
 /// Starts to forward a stream, and returns the response that carries it.
 pub(super) fn start(
     forwarder: Arc<Forwarder>,
@@ -51,7 +39,7 @@
     tried: Vec<BackendName>,
     permit: Option<PermitGuard>,
 ) -> Response<Body> {
-    let (sender, frames) = mpsc::channel(FRAME_BUFFER_LEN);
+    let (sender, caller_body) = stream_body();
     let framing = http_body::framing(stream.response.headers());
     let (parts, body) = stream.response.into_parts();
     let mut parts = to_caller(parts);
@@ -75,24 +63,7 @@
         },
     };
     tokio::spawn(relay.run());
-    Response::from_parts(parts, Frames(frames).boxed_unsync())
-}
-
-/// Response body with the frames that the relay sends.
-struct Frames(mpsc::Receiver<Result<Bytes, io::Error>>);
-
-impl hyper::body::Body for Frames {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        self.0
-            .poll_recv(cx)
-            .map(|bytes| bytes.map(|bytes| bytes.map(Frame::data)))
-    }
+    Response::from_parts(parts, caller_body.boxed_unsync())
 }
 
 /// The server connection that events are read from.
@@ -113,7 +84,7 @@
     permit: Option<PermitGuard>,
     events: EventSplitter,
     timing: EventTiming,
-    sender: mpsc::Sender<Result<Bytes, io::Error>>,
+    sender: StreamSender,
     source: Source,
 }
 
@@ -199,18 +170,11 @@
             "framing" => self.source.framing.as_str(),
             "inside_event" => self.events.position().is_inside_event().to_string())
         .increment(1);
-        match stream_end {
-            StreamEnd::Whole => {
-                if let Some(lease) = self.source.lease.take() {
-                    return_to_pool(lease, &self.source.head);
-                }
-            }
-            StreamEnd::CallerGone => {}
-            StreamEnd::Overdue | StreamEnd::Leaving | StreamEnd::Broken | StreamEnd::Silent => {
-                let broken = io::Error::new(io::ErrorKind::ConnectionAborted, "stream broke off");
-                // The caller may have disconnected meanwhile.
-                let _ = self.sender.send(Err(broken)).await;
+        if stream_end == StreamEnd::Whole {
+            if let Some(lease) = self.source.lease.take() {
+                return_to_pool(lease, &self.source.head);
             }
+            self.sender.finish().await;
         }
     }
 
@@ -248,7 +212,7 @@
             if !complete.is_empty() {
                 self.timing.on_events(self.caller.elapsed_ms());
             }
-            if self.send_to_caller(complete).await.is_none() {
+            if self.sender.send(complete).await.is_none() {
                 return StreamEnd::CallerGone;
             }
         }
@@ -279,13 +243,6 @@
         StreamEnd::Broken
     }
 
-    async fn send_to_caller(&self, bytes: Bytes) -> Option<()> {
-        if bytes.is_empty() {
-            return Some(());
-        }
-        self.sender.send(Ok(bytes)).await.ok()
-    }
-
     fn record_outcome(&mut self, outcome: ServerOutcome) {
         if let Some(server) = self.source.server.take() {
             server.finish(outcome);
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -46,6 +46,7 @@
 mod shared_stream;
 mod sharing;
 mod snapshot;
+mod stream_body;
 mod suspects;
 mod tickets;
 
@@ -57,4 +58,5 @@
     settings::{
         Backends, Claims, Drain, Limits, Listen, Log, LogForm, LogLevel, Platform, Settings,
     },
+    stream_body::{StreamBody, StreamSender, stream_body},
 };
