Reset the connection of an HTTP/1.0 caller whose body breaks off

A stream that broke off was followed by an orderly close and looked complete.

Such a connection is reset when it ends with an error. What is lost when the process is killed can't be told apart there: the kernel closes in an orderly way.

--- a/crates/server/src/listener.rs
+++ b/crates/server/src/listener.rs
@@ -138,11 +138,14 @@
     async fn serve(&self, stream: TcpStream, service: impl Handler) {
         let _ = stream.set_nodelay(true);
         let has_request = Arc::new(AtomicBool::new(false));
+        let knows_chunks = Arc::new(AtomicBool::new(true));
         let phases = Arc::clone(&self.phases);
         let handler = service_fn({
             let has_request = Arc::clone(&has_request);
+            let knows_chunks = Arc::clone(&knows_chunks);
             move |request: Request<Incoming>| {
                 has_request.store(true, Ordering::Relaxed);
+                knows_chunks.store(request.version() > Version::HTTP_10, Ordering::Relaxed);
                 let service = service.clone();
                 let phases = Arc::clone(&phases);
                 async move {
@@ -168,6 +171,10 @@
                 ended = connection.as_mut() => {
                     let Err(err) = ended else { return };
                     debug!(self.log, "connection ended early"; "error" => %err);
+                    if !knows_chunks.load(Ordering::Relaxed) {
+                        // An orderly close is the end of a complete body in HTTP/1.0.
+                        stream.reset_when_dropped();
+                    }
                     if is_timeout(&*err) && !has_request.load(Ordering::Relaxed) {
                         refuse_slow(&stream);
                     }
--- a/crates/server/src/shared_stream.rs
+++ b/crates/server/src/shared_stream.rs
@@ -27,6 +27,12 @@
         // Errors are ignored: a closed peer does not need the bytes.
         let _ = self.0.try_write(bytes);
     }
+
+    /// Makes the last handle reset the connection instead of closing it.
+    pub(crate) fn reset_when_dropped(&self) {
+        // Errors are ignored: the connection is closed in any case.
+        let _ = self.0.set_zero_linger();
+    }
 }
 
 impl AsyncRead for SharedStream {
