Check for a crash after a response that nothing marks as complete

A request that crashes each server just there was never quarantined.

The caller gets such a response as before: a ready answer is not held back or broken off on a suspicion, and a server that finishes a stream and exits looks the same. Whether the server crashed is found out afterwards, as after a lost connection; its probe fills the pool with the connection that the next request needs in any case, and only where a server closes one after each response. The request is cleared only if the server still runs.

Weighed: asking the server before the caller's stream ends (one round trip more on each such stream, and a whole answer broken off where a server exits after it); counting nothing (what stood).

--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -7,8 +7,9 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use savoryvane_core::{
-    forwarding::{AttemptEnd, RepeatPolicy, Route, ServerEntry},
+    forwarding::{AttemptEnd, BodyEnd, RepeatPolicy, Route, ServerEntry},
     ids::{BackendName, ZoneName},
+    poison::LostServerStatus,
 };
 use savoryvane_platform::response::{self, ResponseHead};
 use slog::{info, warn};
@@ -20,7 +21,10 @@
     request::CallerRequest,
     signals::{ResponseTo, Sendable},
 };
-use crate::connections::{Exchange, Lease, Reuse, SendError};
+use crate::{
+    connections::{Exchange, Lease, Reuse, SendError},
+    http_body,
+};
 
 /// Largest response that is buffered before it is forwarded, in bytes: a response that
 /// breaks off may still be replaced by one from another server.
@@ -180,6 +184,39 @@
         }
     }
 
+    /// Records the response of a server once its body has ended without an error.
+    pub(super) async fn on_body_end(
+        &self,
+        caller: &CallerRequest,
+        in_flight: InFlight,
+        end: BodyEnd,
+    ) {
+        match end {
+            BodyEnd::Truncated => return self.on_connection_lost(caller, in_flight).await,
+            BodyEnd::Complete => self.quarantine.on_answered(caller.digest),
+            BodyEnd::Unmarked => self.check_unmarked_end(caller, in_flight.server.clone()),
+        }
+        in_flight.finish(ServerOutcome::Answered);
+    }
+
+    /// Finds out, while the caller has the response already, whether a server crashed instead
+    /// of ending the response.
+    fn check_unmarked_end(&self, caller: &CallerRequest, server: ServerEntry) {
+        let lost = LostConnection {
+            has_ended_response: true,
+            ..self.lost_connection(caller, server)
+        };
+        let crash_detector = Arc::clone(&self.crash_detector);
+        let quarantine = Arc::clone(&self.quarantine);
+        let digest = caller.digest;
+        tokio::spawn(async move {
+            let status = crash_detector.on_connection_lost(lost).await;
+            if status == LostServerStatus::NotToBlame {
+                quarantine.on_answered(digest);
+            }
+        });
+    }
+
     /// Describes the loss of the connection that carried a caller's request.
     pub(super) fn lost_connection(
         &self,
@@ -191,6 +228,7 @@
             server,
             requests: vec![(caller.id.clone(), caller.digest)],
             other_requests: in_flight_requests.saturating_sub(1),
+            has_ended_response: false,
         }
     }
 
@@ -223,6 +261,7 @@
                 head,
             }));
         }
+        let framing = http_body::framing(response.headers());
         let (parts, body) = response.into_parts();
         let body = match Limited::new(body, MAX_BUFFERED_BYTES).collect().await {
             Ok(body) => body.to_bytes(),
@@ -244,8 +283,8 @@
             };
             return SendOutcome::Ended(end, None);
         }
-        self.quarantine.on_answered(caller.digest);
-        in_flight.finish(ServerOutcome::Answered);
+        self.on_body_end(caller, in_flight, BodyEnd::of_body(framing))
+            .await;
         if status.is_success() || status.is_client_error() {
             return SendOutcome::Complete(response);
         }
--- a/crates/server/src/gateway/crashes.rs
+++ b/crates/server/src/gateway/crashes.rs
@@ -62,6 +62,8 @@
     pub(super) requests: Vec<(RequestId, RequestDigest)>,
     /// Number of other requests of this instance that the server was running.
     pub(super) other_requests: u32,
+    /// Whether the connection ended a response, so that it may have been closed on purpose.
+    pub(super) has_ended_response: bool,
 }
 
 /// A loss that has to be checked again.
@@ -110,7 +112,8 @@
         let registered = self.view.directory().registered(&lost.server);
         let fate = status_at_loss(registered, probe, neighbour);
         info!(self.log, "connection to server lost"; "server" => %lost.server.id,
-            "requests" => lost.requests.len(), "registered" => ?registered, "probe" => ?probe,
+            "requests" => lost.requests.len(), "has_ended_response" => lost.has_ended_response,
+            "registered" => ?registered, "probe" => ?probe,
             "neighbour" => ?neighbour, "fate" => ?fate);
         match fate {
             LostServerStatus::Ended(evidence) => self.on_ended(lost, evidence).await,
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -19,7 +19,7 @@
 use tokio::time::{self, Instant};
 
 use super::{
-    attempt::{InFlight, SendOutcome, ServerOutcome, Stream, return_to_pool, to_caller},
+    attempt::{InFlight, SendOutcome, Stream, return_to_pool, to_caller},
     forward::{Forwarder, Inputs},
     quarantine::PermitGuard,
     request::CallerRequest,
@@ -203,7 +203,7 @@
             };
             let bytes = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                Some(Err(err)) => return self.on_broken_off(&err.to_string()).await,
+                Some(Err(err)) => return self.on_connection_lost(&err).await,
                 None => return self.on_body_end().await,
             };
             // An engine that responds with events has read its inputs.
@@ -220,21 +220,23 @@
 
     /// Handles the end of the server's body.
     async fn on_body_end(&mut self) -> StreamEnd {
-        match BodyEnd::of_stream(self.source.framing, self.events.position()) {
-            BodyEnd::Truncated => self.on_broken_off("ended inside an event").await,
-            BodyEnd::Complete | BodyEnd::Unmarked => {
-                self.forwarder.quarantine.on_answered(self.caller.digest);
-                self.record_outcome(ServerOutcome::Answered);
-                StreamEnd::Whole
+        let end = BodyEnd::of_stream(self.source.framing, self.events.position());
+        let stream_end = match end {
+            BodyEnd::Truncated => {
+                self.log_broken_off("ended inside an event");
+                StreamEnd::Broken
             }
+            BodyEnd::Complete | BodyEnd::Unmarked => StreamEnd::Whole,
+        };
+        if let Some(server) = self.source.server.take() {
+            self.forwarder.on_body_end(&self.caller, server, end).await;
         }
+        stream_end
     }
 
-    /// Handles a body that the server broke off.
-    async fn on_broken_off(&mut self, error: &str) -> StreamEnd {
-        warn!(self.forwarder.log, "stream broke off"; "request" => %self.caller.id,
-            "events" => self.events.position().events(),
-            "framing" => self.source.framing.as_str(), "error" => error);
+    /// Handles an error of the connection to the server.
+    async fn on_connection_lost(&mut self, error: &hyper::Error) -> StreamEnd {
+        self.log_broken_off(&error.to_string());
         if let Some(server) = self.source.server.take() {
             self.forwarder
                 .on_connection_lost(&self.caller, server)
@@ -243,10 +245,10 @@
         StreamEnd::Broken
     }
 
-    fn record_outcome(&mut self, outcome: ServerOutcome) {
-        if let Some(server) = self.source.server.take() {
-            server.finish(outcome);
-        }
+    fn log_broken_off(&self, error: &str) {
+        warn!(self.forwarder.log, "stream broke off"; "request" => %self.caller.id,
+            "events" => self.events.position().events(),
+            "framing" => self.source.framing.as_str(), "error" => error);
     }
 
     /// Returns whether another server may resume the stream, and takes a retry from the
--- a/crates/server/src/gateway/stage_calls.rs
+++ b/crates/server/src/gateway/stage_calls.rs
@@ -108,6 +108,7 @@
             server: server.clone(),
             requests: lost_requests.collect(),
             other_requests: 0,
+            has_ended_response: false,
         };
         let fate = self.crash_detector.on_connection_lost(lost).await;
         let digests = requests.into_keys();
