Break off a stream without events whose end nothing marks

A server that has run a request has an event for it, so that such a stream counts as broken off: resumed elsewhere, or aborted. With a length or a last chunk it stays complete.

--- a/crates/core/src/forwarding/body_end.rs
+++ b/crates/core/src/forwarding/body_end.rs
@@ -37,11 +37,16 @@
 
 impl BodyEnd {
     /// Judges an event stream by its last position.
+    ///
+    /// A stream without any event is complete only if its framing says so: a server that has
+    /// run a request has at least one event for it.
     pub fn of_stream(framing: Framing, position: &EventPosition) -> Self {
-        if position.is_inside_event() {
+        let end = Self::of_body(framing);
+        let has_events = position.events() > 0;
+        if position.is_inside_event() || (end == Self::Unmarked && !has_events) {
             return Self::Truncated;
         }
-        Self::of_body(framing)
+        end
     }
 
     /// Judges a body that does not show by itself where it ends.
--- a/crates/core/tests/forwarding_event_stream.rs
+++ b/crates/core/tests/forwarding_event_stream.rs
@@ -116,6 +116,16 @@
     }
 }
 
+#[test]
+fn a_stream_without_events_is_complete_only_if_its_framing_says_so() {
+    for text in ["", "\n", ": ping\n\n"] {
+        let ends = [Framing::Length, Framing::Chunked, Framing::Connection]
+            .map(|framing| BodyEnd::of_stream(framing, &after(text)));
+        let expected = [BodyEnd::Complete, BodyEnd::Complete, BodyEnd::Truncated];
+        assert_eq!(ends, expected, "{text:?}");
+    }
+}
+
 #[test]
 fn only_a_length_or_chunks_show_that_a_stream_is_complete() {
     let framings = [Framing::Length, Framing::Chunked, Framing::Connection];
