Forward responses that are too large to be buffered

Up to 1 MiB a response is still buffered, so that one that breaks off can be replaced by another server's. A larger one is forwarded as it arrives from there on, by the relay of streams: with its length if it has one, and broken off towards the caller if it breaks off.

Test: a_large_response_reaches_its_caller_whole (with a length, without one, and cut short), which failed before.

--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode, Version, response::Parts};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use savoryvane_core::{
     forwarding::{AttemptEnd, BodyEnd, RepeatPolicy, Route, ServerEntry},
@@ -26,8 +26,8 @@
     http_body,
 };
 
-/// Largest response that is buffered before it is forwarded, in bytes: a response that
-/// breaks off may still be replaced by one from another server.
+/// Largest response that is buffered before it is forwarded, in bytes: until then, a response
+/// that breaks off may still be replaced by one from another server.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 /// Idle time up to which a pooled connection may carry a request that must not be
 /// repeated; servers close idle connections at any moment.
@@ -39,15 +39,18 @@
 pub(super) enum SendOutcome {
     /// A complete response.
     Complete(Response<Bytes>),
-    /// An event stream whose head has arrived.
+    /// A response that is forwarded as it arrives.
     Stream(Box<Stream>),
     /// No usable response, except possibly an error response of the server.
     Ended(AttemptEnd, Option<Response<Bytes>>),
 }
 
-/// An event stream whose head has arrived.
+/// A response that is forwarded as it arrives: an event stream whose head has arrived, or a
+/// response that is too large to be buffered.
 pub(super) struct Stream {
     pub(super) response: Response<Incoming>,
+    /// Part of the body that has been read.
+    pub(super) prefix: Bytes,
     pub(super) lease: Lease,
     pub(super) server: InFlight,
     pub(super) head: ResponseHead,
@@ -256,15 +259,16 @@
         if status.is_success() && head.is_event_stream {
             return SendOutcome::Stream(Box::new(Stream {
                 response,
+                prefix: Bytes::new(),
                 lease,
                 server: in_flight,
                 head,
             }));
         }
         let framing = http_body::framing(response.headers());
-        let (parts, body) = response.into_parts();
-        let body = match Limited::new(body, MAX_BUFFERED_BYTES).collect().await {
-            Ok(body) => body.to_bytes(),
+        let (parts, mut body) = response.into_parts();
+        let (bytes, is_whole) = match read_up_to(&mut body, MAX_BUFFERED_BYTES).await {
+            Ok(read) => read,
             Err(err) => {
                 warn!(self.log, "response broke off"; "request" => %caller.id,
                     "server" => %in_flight.server.id, "error" => %err);
@@ -272,8 +276,19 @@
                 return SendOutcome::Ended(AttemptEnd::Lost, None);
             }
         };
-        return_to_pool(lease, &head);
-        let response = Response::from_parts(to_caller(parts), body);
+        if !is_whole && !head.is_not_run {
+            return SendOutcome::Stream(Box::new(Stream {
+                response: Response::from_parts(parts, body),
+                prefix: bytes,
+                lease,
+                server: in_flight,
+                head,
+            }));
+        }
+        if is_whole {
+            return_to_pool(lease, &head);
+        }
+        let response = Response::from_parts(to_caller(parts), bytes);
         if head.is_not_run {
             in_flight.finish(ServerOutcome::Full);
             let end = match (head.is_misdirected, head.is_input_gone) {
@@ -297,6 +312,30 @@
     names.join(",")
 }
 
+/// Reads a body until it ends or exceeds `max_bytes`. Returns what has been read, and whether
+/// that is the whole body.
+async fn read_up_to(body: &mut Incoming, max_bytes: usize) -> hyper::Result<(Bytes, bool)> {
+    let mut parts: Vec<Bytes> = Vec::new();
+    let mut length = 0;
+    while length <= max_bytes {
+        let Some(frame) = body.frame().await else {
+            return Ok((join(parts), true));
+        };
+        if let Ok(part) = frame?.into_data() {
+            length += part.len();
+            parts.push(part);
+        }
+    }
+    Ok((join(parts), false))
+}
+
+fn join(mut parts: Vec<Bytes>) -> Bytes {
+    match parts.len() {
+        1 => parts.swap_remove(0),
+        _ => parts.concat().into(),
+    }
+}
+
 /// Converts the head of a server's response to that of the caller's response.
 pub(super) fn to_caller(mut head: Parts) -> Parts {
     head.headers = response::forward(&head.headers);
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -7,6 +7,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -43,8 +44,12 @@
     let framing = http_body::framing(stream.response.headers());
     let (parts, body) = stream.response.into_parts();
     let mut parts = to_caller(parts);
-    parts.headers.remove(http::header::CONTENT_LENGTH);
-    let events = EventSplitter::new(caller.is_resumable());
+    let is_event_stream = stream.head.is_event_stream;
+    if is_event_stream {
+        // With its length reached, a stream that ends inside an event would look complete.
+        parts.headers.remove(http::header::CONTENT_LENGTH);
+    }
+    let events = EventSplitter::new(is_event_stream && caller.is_resumable());
     let relay = Relay {
         forwarder,
         caller,
@@ -62,7 +67,7 @@
             head: stream.head,
         },
     };
-    tokio::spawn(relay.run());
+    tokio::spawn(relay.run(stream.prefix));
     Response::from_parts(parts, caller_body.boxed_unsync())
 }
 
@@ -140,9 +145,10 @@
 }
 
 impl Relay {
-    async fn run(mut self) {
+    async fn run(mut self, prefix: Bytes) {
+        let mut next = prefix;
         let stream_end = loop {
-            let stream_end = self.forward_events().await;
+            let stream_end = self.forward_body(std::mem::take(&mut next)).await;
             let is_resumed = match stream_end {
                 StreamEnd::Broken => self.try_spend_resume() && self.resume().await,
                 StreamEnd::Silent => self.resume().await,
@@ -178,8 +184,11 @@
         }
     }
 
-    /// Forwards events until the stream stops.
-    async fn forward_events(&mut self) -> StreamEnd {
+    /// Forwards `prefix` and the rest of the server's body until it stops.
+    async fn forward_body(&mut self, prefix: Bytes) -> StreamEnd {
+        if self.forward(prefix).await.is_none() {
+            return StreamEnd::CallerGone;
+        }
         let event_timeout = Duration::from_millis(event_timeout_ms());
         let mut is_timer_armed = true;
         let shutdown = Arc::clone(&self.forwarder.shutdown);
@@ -208,19 +217,29 @@
             };
             // An engine that responds with events has read its inputs.
             self.inputs.guard = None;
-            let complete = self.events.push(bytes);
-            if !complete.is_empty() {
-                self.timing.on_events(self.caller.elapsed_ms());
-            }
-            if self.sender.send(complete).await.is_none() {
+            if self.forward(bytes).await.is_none() {
                 return StreamEnd::CallerGone;
             }
         }
     }
 
+    /// Forwards bytes of the server's body as far as they are complete; returns `None` if the
+    /// caller has disconnected.
+    async fn forward(&mut self, bytes: Bytes) -> Option<()> {
+        let complete = self.events.push(bytes);
+        if !complete.is_empty() {
+            self.timing.on_events(self.caller.elapsed_ms());
+        }
+        self.sender.send(complete).await
+    }
+
     /// Handles the end of the server's body.
     async fn on_body_end(&mut self) -> StreamEnd {
-        let end = BodyEnd::of_stream(self.source.framing, self.events.position());
+        let end = if self.source.head.is_event_stream {
+            BodyEnd::of_stream(self.source.framing, self.events.position())
+        } else {
+            BodyEnd::of_body(self.source.framing)
+        };
         let stream_end = match end {
             BodyEnd::Truncated => {
                 self.log_broken_off("ended inside an event");
