Soak: servers whose framing hides how a response ends

The promise is the one that compares, byte by byte, a complete body with what the server had to say.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -95,6 +95,9 @@
     BreaksOff,
     BreaksStreams,
     SilencesStreams,
+    EndsWithConnection,
+    ClosesInsideEvent,
+    EndsInsideEvent,
 }
 
 const MISDEEDS: [Misdeed; 9] = [
@@ -108,6 +111,12 @@
     Misdeed::BreaksStreams,
     Misdeed::SilencesStreams,
 ];
+/// Misdeeds that the framing of a response hides.
+const FRAMING_MISDEEDS: [Misdeed; 3] = [
+    Misdeed::EndsWithConnection,
+    Misdeed::ClosesInsideEvent,
+    Misdeed::EndsInsideEvent,
+];
 const HARMS: [Harm; 4] = [Harm::Cut, Harm::Reset, Harm::Silence, Harm::Delay];
 
 /// Limits that servers announce.
@@ -116,6 +125,8 @@
 const MEAN_LIMIT_GAP_MS: u64 = 2_500;
 /// Mean pause between two series of servers that leave or request backoff.
 const MEAN_SIGNAL_GAP_MS: u64 = 3_000;
+/// Mean pause between two series of servers whose framing hides how a response ends.
+const MEAN_FRAMING_GAP_MS: u64 = 1_500;
 
 /// Draws the faults of `seed`, sorted by their start times. All faults end within a few
 /// seconds after `duration`.
@@ -142,6 +153,7 @@
     }
     faults.extend(draw_limits(seed, servers, duration));
     faults.extend(draw_signals(seed, servers, duration));
+    faults.extend(draw_framings(seed, servers, duration));
     faults.sort_by_key(|(at, _)| *at);
     faults
 }
@@ -199,6 +211,28 @@
     signals
 }
 
+/// Draws series of servers whose framing hides how a response ends. Uses a separate generator,
+/// as `draw_limits` does.
+fn draw_framings(seed: u64, servers: usize, duration: Duration) -> Vec<(Duration, Fault)> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(16) ^ 2);
+    let mut framings = Vec::new();
+    let mut at_ms = rng.random_range(0..MEAN_FRAMING_GAP_MS);
+    while at_ms < duration.as_millis() as u64 {
+        let first = rng.random_range(0..servers);
+        let misdeed = FRAMING_MISDEEDS[rng.random_range(0..FRAMING_MISDEEDS.len())];
+        for offset in 0..rng.random_range(SERIES_LENGTH) as usize {
+            let fault = Fault::Server {
+                server: (first + offset) % servers,
+                misdeed,
+                lasts: Duration::from_millis(rng.random_range(300..2_000)),
+            };
+            framings.push((Duration::from_millis(at_ms), fault));
+        }
+        at_ms += rng.random_range(0..2 * MEAN_FRAMING_GAP_MS);
+    }
+    framings
+}
+
 fn draw_fault(rng: &mut Pcg64Mcg, kind: u32, instance: usize, server: usize) -> Fault {
     let lasts = Duration::from_millis(rng.random_range(100..3_000));
     let harm = HARMS[rng.random_range(0..HARMS.len())];
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -22,7 +22,7 @@
 use crate::{
     caller::{self, Callers},
     client::{self, Connection},
-    config::{HOST, Kind, POISON_PATH, servers_of},
+    config::{EVENTS_PER_STREAM, HOST, Kind, POISON_PATH, servers_of},
     deployment::Deployment,
     disturbances::DisturbanceTarget,
     error::{Error, Result},
@@ -423,6 +423,15 @@
         Misdeed::Unsigned => Behaviour::Unsigned,
         Misdeed::BreaksStreams if is_stream_service => Behaviour::StreamsThenAborts(3),
         Misdeed::SilencesStreams if is_stream_service => Behaviour::StreamsThenStalls(3),
+        Misdeed::EndsWithConnection if is_stream_service => {
+            Behaviour::StreamsToConnectionEnd(EVENTS_PER_STREAM)
+        }
+        Misdeed::ClosesInsideEvent if is_stream_service => Behaviour::StreamsThenCloses(3),
+        Misdeed::EndsInsideEvent if is_stream_service => Behaviour::StreamsThenEndsInsideEvent(3),
+        // A plain response that is cut there can't be told from a whole one.
+        Misdeed::EndsWithConnection | Misdeed::ClosesInsideEvent | Misdeed::EndsInsideEvent => {
+            Behaviour::RespondsToConnectionEnd
+        }
         Misdeed::BreaksOff | Misdeed::BreaksStreams | Misdeed::SilencesStreams => {
             Behaviour::TruncatesResponse
         }
