Drop a length that stands beside chunks

Found by the test of misframed responses: a server that sends both a length and chunks had its length passed on with the body of the chunks. Where they differ, the caller's connection is misframed: the rest of the body reads as the next response.

Chunks override a length (RFC 9112, section 6.3); the length is dropped.

Test: a_misframed_response_reaches_its_own_caller_whole_or_not_at_all (both, two lengths, bytes beyond the length, a second response, trailers, an interim response, 204 with a body), which failed before at its first case: 'payload claims content-length of 5, custom content-length header claims 3'. The other cases passed before.

--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -3,11 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{Response, StatusCode, Version, response::Parts};
+use http::{Response, StatusCode, Version, header, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use savoryvane_core::{
-    forwarding::{AttemptEnd, BodyEnd, RepeatPolicy, Route, ServerEntry},
+    forwarding::{AttemptEnd, BodyEnd, Framing, RepeatPolicy, Route, ServerEntry},
     ids::{BackendName, ZoneName},
     poison::LostServerStatus,
 };
@@ -338,6 +338,10 @@
 
 /// Converts the head of a server's response to that of the caller's response.
 pub(super) fn to_caller(mut head: Parts) -> Parts {
+    if http_body::framing(&head.headers) == Framing::Chunked {
+        // Chunks override a length, which may differ from that of the body.
+        head.headers.remove(header::CONTENT_LENGTH);
+    }
     head.headers = response::forward(&head.headers);
     // The version of the server's connection must not frame the caller's body: HTTP/1.0 has
     // no chunks, so that a body that breaks off looks complete.
