--- a/crates/bench/benches/decisions.rs
+++ b/crates/bench/benches/decisions.rs
@@ -7,7 +7,8 @@
     time::{Duration, Instant},
 };
 
-use criterion::{BenchmarkId, Criterion};
+use bytes::Bytes;
+use criterion::{BenchmarkId, Criterion, Throughput};
 use savoryvane_core::{
     call::{LoadReport, ServingState},
     change::{Change, ChangeOp},
@@ -16,6 +17,7 @@
     config::{Applied, ConfigRecord, State, change_id},
     execution::{Event, Execution, ExecutionSpec},
     fleet::Fleet,
+    forwarding::EventSplitter,
     ids::{IdempotencyKey, Incarnation, Offset, WorkspaceName},
     objects::{Backend, Fencing, Object, Objective, Pipeline, Pool, Stage, StageKind, Workspace},
     settings::{Admission, PolicySettings},
@@ -259,10 +261,32 @@
     group.finish();
 }
 
+/// Splits one event that arrives in reads of 8 KiB.
+fn split_event(criterion: &mut Criterion) {
+    const READ_LEN: usize = 8 << 10;
+    let mut group = criterion.benchmark_group("split_event");
+    for event_len in [100, 10_000, 1_000_000] {
+        let event = format!("id: 1\ndata: {}\n\n", "x".repeat(event_len));
+        let event = Bytes::from(event);
+        group.throughput(Throughput::Bytes(event.len() as u64));
+        group.bench_function(BenchmarkId::from_parameter(event_len), |bencher| {
+            bencher.iter(|| {
+                let mut splitter = EventSplitter::new(true);
+                for begin in (0..event.len()).step_by(READ_LEN) {
+                    let end = (begin + READ_LEN).min(event.len());
+                    black_box(splitter.push(event.slice(begin..end)));
+                }
+            });
+        });
+    }
+    group.finish();
+}
+
 fn main() {
     let mut criterion = Criterion::default().configure_from_args();
     route_and_admit(&mut criterion);
     config_apply(&mut criterion);
     claim_check(&mut criterion);
+    split_event(&mut criterion);
     criterion.final_summary();
 }
