--- a/crates/core/src/forwarding/body_end.rs
+++ b/crates/core/src/forwarding/body_end.rs
@@ -49,7 +49,7 @@
         end
     }
 
-    /// Judges a body that does not show by itself where it ends.
+    /// Judges a body whose content has no end mark of its own.
     pub fn of_body(framing: Framing) -> Self {
         match framing {
             Framing::Length | Framing::Chunked => Self::Complete,
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -1,9 +1,9 @@
-//! Forwards an event stream as it arrives.
+//! Forwards an event stream, or a response that is too large to be buffered, as it arrives.
 //!
 //! A resumable stream is forwarded event by event: an event that a server broke off is
-//! dropped, and the next server resumes after the last complete one. If any other stream
-//! breaks off, the caller's connection is aborted, so that the stream can't be mistaken
-//! for a complete one.
+//! dropped, and the next server resumes after the last complete one. If any other body
+//! breaks off, the caller's connection is aborted, so that it can't be mistaken for a
+//! complete one.
 
 use std::{sync::Arc, time::Duration};
 
@@ -174,7 +174,7 @@
             "elapsed_ms" => self.caller.elapsed_ms());
         metrics::counter!("savoryvane_streams_total", "end" => stream_end.as_str(),
             "framing" => self.source.framing.as_str(),
-            "inside_event" => self.events.position().is_inside_event().to_string())
+            "inside_event" => if self.events.position().is_inside_event() { "true" } else { "false" })
         .increment(1);
         if stream_end == StreamEnd::Whole {
             if let Some(lease) = self.source.lease.take() {
@@ -242,7 +242,7 @@
         };
         let stream_end = match end {
             BodyEnd::Truncated => {
-                self.log_broken_off("ended inside an event");
+                self.log_broken_off("ended before its last event was complete");
                 StreamEnd::Broken
             }
             BodyEnd::Complete | BodyEnd::Unmarked => StreamEnd::Whole,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -428,7 +428,7 @@
         }
         Misdeed::ClosesInsideEvent if is_stream_service => Behaviour::StreamsThenCloses(3),
         Misdeed::EndsInsideEvent if is_stream_service => Behaviour::StreamsThenEndsInsideEvent(3),
-        // A plain response that is cut there can't be told from a whole one.
+        // Nothing in a plain response shows that it is incomplete.
         Misdeed::EndsWithConnection | Misdeed::ClosesInsideEvent | Misdeed::EndsInsideEvent => {
             Behaviour::RespondsToConnectionEnd
         }
