Count connection attempts to servers by outcome, and the servers that failed in a row

Whether an instance reached one server, one zone or none, and whether connections were refused or timed out, could not be told. The line 'no connection to server' now has the number of servers that failed since the last success, and savoryvane_server_connects_total counts attempts by outcome.

The network towards servers can be replaced (Gateway::start_over), so that a test can partition one instance of several from all servers.

--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -26,6 +26,7 @@
 mod store_reads;
 mod table;
 mod timeouts;
+mod unreached;
 
 pub(crate) use backoff::return_after_ms;
 pub use backoff::{MAX_BACKOFF_MS, ServerBackoffs};
@@ -60,3 +61,4 @@
 };
 pub use table::{Matched, RouteTable, Unroutable};
 pub use timeouts::{event_timeout_ms, response_timeout_ms};
+pub use unreached::UnreachedServers;
--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -23,7 +23,6 @@
 use quick_error::quick_error;
 use savoryvane_core::poison::Probe;
 use tokio::{
-    net::TcpStream,
     task::AbortHandle,
     time::{self, Instant},
 };
@@ -31,6 +30,7 @@
 use crate::{
     gate::{Gate, GateSlot, GatedStream},
     lock::lock,
+    network::{Network, TcpNetwork, Transport},
 };
 
 /// Maximum size of the head of a response.
@@ -76,6 +76,7 @@
 #[derive(Debug)]
 pub(crate) struct Connections {
     settings: ConnectionSettings,
+    network: Arc<dyn Network>,
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
 }
 
@@ -138,10 +139,16 @@
 }
 
 impl Connections {
-    /// Creates an empty pool.
+    /// Creates an empty pool of TCP connections.
     pub(crate) fn new(settings: ConnectionSettings) -> Arc<Self> {
+        Self::over(TcpNetwork::shared(), settings)
+    }
+
+    /// Creates an empty pool of connections over `network`.
+    pub(crate) fn over(network: Arc<dyn Network>, settings: ConnectionSettings) -> Arc<Self> {
         Arc::new(Self {
             settings,
+            network,
             idle: Mutex::default(),
         })
     }
@@ -260,7 +267,7 @@
     /// Probes with one connection attempt whether a process listens at `addr`. Adds an
     /// established connection to the pool.
     pub(crate) async fn probe(&self, addr: SocketAddr) -> Probe {
-        match self.connect_tcp(addr).await {
+        match self.open(addr).await {
             Ok(stream) => {
                 // The server may have accepted the connection and closed it at once.
                 if let Ok(connection) = self.handshake(stream).await {
@@ -380,22 +387,19 @@
     }
 
     async fn connect(&self, addr: SocketAddr) -> Result<Connection, SendError> {
-        let stream = self.connect_tcp(addr).await;
+        let stream = self.open(addr).await;
         let stream = stream.map_err(|err| SendError::NotSent(err.to_string()))?;
         self.handshake(stream).await
     }
 
-    async fn connect_tcp(&self, addr: SocketAddr) -> io::Result<TcpStream> {
-        let connecting = time::timeout(self.settings.connect_timeout, TcpStream::connect(addr));
+    async fn open(&self, addr: SocketAddr) -> io::Result<Box<dyn Transport>> {
+        let connecting = time::timeout(self.settings.connect_timeout, self.network.connect(addr));
         let timeout = || io::Error::new(io::ErrorKind::TimedOut, "connect timeout");
         connecting.await.unwrap_or_else(|_| Err(timeout()))
     }
 
     /// Establishes an HTTP connection over a stream.
-    async fn handshake(&self, stream: TcpStream) -> Result<Connection, SendError> {
-        // Without TCP_NODELAY, small writes wait for acknowledgements. The call may
-        // fail on a closed socket; the exchange then fails as well.
-        let _ = stream.set_nodelay(true);
+    async fn handshake(&self, stream: Box<dyn Transport>) -> Result<Connection, SendError> {
         let gates = GateSlot::default();
         let stream = GatedStream::new(stream, gates.clone());
         let (sender, driver) = http1::Builder::new()
--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -15,12 +15,9 @@
     claimant::Permit,
     progress::{CallKind, Retraction},
 };
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use crate::{lock::lock, run_right::RunRight};
+use crate::{lock::lock, network::Transport, run_right::RunRight};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
@@ -114,16 +111,16 @@
     }
 }
 
-/// A TCP stream that checks a gate before each write.
+/// A connection that checks a gate before each write.
 #[derive(Debug)]
 pub(crate) struct GatedStream {
-    stream: TcpStream,
+    stream: Box<dyn Transport>,
     slot: GateSlot,
 }
 
 impl GatedStream {
     /// Wraps `stream` so that its writes check the gate in `slot`.
-    pub(crate) fn new(stream: TcpStream, slot: GateSlot) -> Self {
+    pub(crate) fn new(stream: Box<dyn Transport>, slot: GateSlot) -> Self {
         Self { stream, slot }
     }
 }
--- a/crates/server/src/gateway.rs
+++ b/crates/server/src/gateway.rs
@@ -8,6 +8,7 @@
 mod cell_layout;
 mod crashes;
 mod departure;
+mod dialer;
 mod dispatch;
 mod evacuations;
 mod failover;
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -17,6 +17,7 @@
     cell_layout::CellPlanner,
     crashes::{self, CrashDetector},
     departure::ShutdownDeadline,
+    dialer::ServerDialer,
     dispatch::{self, Dispatch},
     forward::Forwarder,
     freshness::Freshness,
@@ -44,13 +45,13 @@
     listener::{self, Acceptor},
     logging,
     meters::Meters,
+    network::{Network, TcpNetwork},
     peer::{PeerHandle, PeerServer},
     phase::{Phase, Phases},
 };
 
-/// Timeout for connecting to a backend server: servers accept within some ms, and one
-/// that does not is replaced by another.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum time to connect to a backend server.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Maximum number of idle connections to one backend server.
 const MAX_IDLE_PER_SERVER: usize = 4;
 /// Time after which an idle connection is closed.
@@ -106,7 +107,20 @@
     /// # Errors
     ///
     /// Returns [`crate::Error::Listen`] when an address can't be listened on.
-    pub async fn start(mut settings: GatewaySettings) -> Result<Self> {
+    pub async fn start(settings: GatewaySettings) -> Result<Self> {
+        Self::start_over(TcpNetwork::shared(), settings).await
+    }
+
+    /// Starts an instance like [`start`](Self::start) that reaches backend servers over
+    /// `network`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`crate::Error::Listen`] when an address can't be listened on.
+    pub async fn start_over(
+        network: Arc<dyn Network>,
+        mut settings: GatewaySettings,
+    ) -> Result<Self> {
         let listeners = Listeners::bind(&settings).await?;
         settings.listen = listeners.addresses()?;
         let (instance, zone) = (&settings.instance, &settings.zone);
@@ -118,7 +132,14 @@
         let phases = Arc::new(Phases::new());
         let connections = TaskTracker::new();
         let shutdown = Arc::new(ShutdownDeadline::new());
-        let components = Components::new(&settings, incarnation, &phases, &shutdown, log.clone());
+        let components = Components::new(
+            network,
+            &settings,
+            incarnation,
+            &phases,
+            &shutdown,
+            log.clone(),
+        );
         let background = components.spawn(listeners, &connections);
         Ok(Self {
             log,
@@ -191,6 +212,7 @@
 
 impl Components {
     fn new(
+        network: Arc<dyn Network>,
         settings: &GatewaySettings,
         incarnation: Incarnation,
         phases: &Arc<Phases>,
@@ -199,11 +221,13 @@
     ) -> Self {
         let clock = Clock::start();
         let view = Arc::new(RoutingView::new(settings, clock, log.clone()));
-        let servers = Connections::new(ConnectionSettings {
+        let dialer = ServerDialer::new(network, clock, log.clone());
+        let server_settings = ConnectionSettings {
             connect_timeout: CONNECT_TIMEOUT,
             max_idle: MAX_IDLE_PER_SERVER,
             idle_timeout: IDLE_TIMEOUT,
-        });
+        };
+        let servers = Connections::over(Arc::new(dialer), server_settings);
         let store = StoreClient::new(settings.store, clock);
         let me = members::peer_id(settings, incarnation);
         let (peers, _linked) = PeerHandle::new(me.clone(), log.clone());
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -27,6 +27,7 @@
 mod logging;
 mod members;
 mod meters;
+mod network;
 mod orders;
 pub mod peer;
 mod peering;
@@ -54,6 +55,7 @@
     error::{Error, Result},
     gateway::{Gateway, GatewayDrain, GatewayListen, GatewaySettings},
     instance::{Addresses, DrainOutcome, Instance},
+    network::{Connecting, Network, TcpNetwork, Transport},
     placement_settings::Placement,
     settings::{
         Backends, Claims, Drain, Limits, Listen, Log, LogForm, LogLevel, Platform, Settings,
--- /dev/null
+++ b/crates/server/src/network.rs
@@ -0,0 +1,49 @@
+//! Connections to other processes, as far as they can be replaced.
+
+use std::{fmt, future::Future, io, net::SocketAddr, pin::Pin, sync::Arc};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+};
+
+/// An established connection that carries bytes in order.
+pub trait Transport: AsyncRead + AsyncWrite + fmt::Debug + Send + Unpin {}
+
+impl<T: AsyncRead + AsyncWrite + fmt::Debug + Send + Unpin> Transport for T {}
+
+/// Future of a connection attempt.
+pub type Connecting<'a> = Pin<Box<dyn Future<Output = io::Result<Box<dyn Transport>>> + Send + 'a>>;
+
+/// The network between this process and others.
+pub trait Network: fmt::Debug + Send + Sync + 'static {
+    /// Establishes a connection to `addr`; dropping the future abandons the attempt.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can be established.
+    fn connect(&self, addr: SocketAddr) -> Connecting<'_>;
+}
+
+/// Establishes TCP connections.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TcpNetwork;
+
+impl Network for TcpNetwork {
+    fn connect(&self, addr: SocketAddr) -> Connecting<'_> {
+        Box::pin(async move {
+            let stream = TcpStream::connect(addr).await?;
+            // Without TCP_NODELAY, small writes wait for acknowledgements. The call may fail on
+            // a closed socket; the exchange then fails as well.
+            let _ = stream.set_nodelay(true);
+            Ok(Box::new(stream) as Box<dyn Transport>)
+        })
+    }
+}
+
+impl TcpNetwork {
+    /// Returns the network as a shared object.
+    pub(crate) fn shared() -> Arc<dyn Network> {
+        Arc::new(Self)
+    }
+}
