Have a listing that a directory waited for read in whole by those who copied it before

Cause: a directory whose cell grew does not know the register (its cursor is at the start) until a listing is merged, but hands out what it has. A member that copied it then remembers the revision. If the listing lacks a server that neither it nor the directory has, nothing changes in the directory, so that the member is told that nothing is new and keeps the server for good.

Change: a listing merged into a directory that did not know the register starts a new revision without changes, so that earlier copies get a whole listing. In the fleet this happens where the number of cells falls.

--- a/crates/core/src/forwarding/directory.rs
+++ b/crates/core/src/forwarding/directory.rs
@@ -335,6 +335,12 @@
                 if cursor > self.cursor {
                     self.changes_from = cursor;
                 }
+                if self.cursor.is_start() {
+                    // Instances that merged an earlier revision may have entries that neither
+                    // the listing nor this directory has.
+                    self.changes.clear();
+                    self.revision += 1;
+                }
                 self.replace(listing, cursor);
             }
             DirectoryUpdate::Changes(changes) => {
--- a/crates/core/tests/forwarding_cells.rs
+++ b/crates/core/tests/forwarding_cells.rs
@@ -180,6 +180,72 @@
     );
 }
 
+/// Plays changes of the register and of the number of cells; returns whether members and
+/// schedulers of all cells end with the register's servers of their cell.
+fn end_with_their_servers(steps: &[(u16, bool, bool, u8)], names: &[u16]) -> bool {
+    let mut reader = Directory::default();
+    let mut current = CellLayout::SINGLE;
+    let names: Vec<InstanceName> = names
+        .iter()
+        .take(6)
+        .map(|name| InstanceName::new(format!("entry-{name}")))
+        .collect();
+    let mut schedulers: Vec<Copier> = names.iter().map(|_| Copier::default()).collect();
+    let mut members: Vec<Copier> = names.iter().map(|_| Copier::default()).collect();
+    for (index, (id, is_gone, is_leaving, action)) in steps.iter().enumerate() {
+        let position = index as u64 + 1;
+        let state = if *is_leaving {
+            ServerState::Leaving
+        } else {
+            ServerState::Ready
+        };
+        let record = entry(id % 50, position, state);
+        let name = record.registered_as.clone();
+        let at = record.position;
+        reader.apply_record(&name, (!is_gone).then_some(record), at, up_to(position + 1));
+        if action % 11 == 0 {
+            current = layout(1 << (action / 11 % 4));
+        }
+        for (index, name) in names.iter().enumerate() {
+            let cell = current.cell_of(name);
+            if action % 3 != 0 {
+                schedulers[index].directory.set_scopes(cell, cell);
+            }
+            if action % 5 != 0 {
+                members[index].directory.set_scopes(cell, cell);
+            }
+            if action % 2 == 0 {
+                schedulers[index].copy(&reader);
+            }
+            if action % 7 != 0 {
+                members[index].copy(&schedulers[index].directory);
+            }
+        }
+    }
+    reader.advance_cursor(up_to(steps.len() as u64 + 2));
+    names.iter().enumerate().all(|(index, name)| {
+        let cell = current.cell_of(name);
+        let (scheduler, member) = (&mut schedulers[index], &mut members[index]);
+        scheduler.directory.set_scopes(cell, cell);
+        member.directory.set_scopes(cell, cell);
+        scheduler.copy(&reader);
+        member.copy(&scheduler.directory);
+        states(&member.directory, Scope::ALL) == states(&reader, cell)
+    })
+}
+
+#[test]
+fn a_member_that_copied_an_incomplete_directory_learns_of_removals() {
+    let steps = [
+        (0, false, false, 0),
+        (0, false, false, 165),
+        (0, false, false, 35),
+        (0, false, false, 0),
+        (0, true, false, 59),
+    ];
+    assert!(end_with_their_servers(&steps, &[3]));
+}
+
 quickcheck! {
     /// Each server and each instance belongs to exactly one cell, and splitting the cells again
     /// keeps each in one of the two halves of its cell.
@@ -201,48 +267,6 @@
         steps: Vec<(u16, bool, bool, u8)>,
         names: Vec<u16>
     ) -> bool {
-        let mut reader = Directory::default();
-        let mut current = CellLayout::SINGLE;
-        let names: Vec<InstanceName> = names.iter().take(6)
-            .map(|name| InstanceName::new(format!("entry-{name}")))
-            .collect();
-        let mut schedulers: Vec<Copier> = names.iter().map(|_| Copier::default()).collect();
-        let mut members: Vec<Copier> = names.iter().map(|_| Copier::default()).collect();
-        for (index, (id, is_gone, is_leaving, action)) in steps.iter().enumerate() {
-            let position = index as u64 + 1;
-            let state = if *is_leaving { ServerState::Leaving } else { ServerState::Ready };
-            let record = entry(id % 50, position, state);
-            let name = record.registered_as.clone();
-            let at = record.position;
-            reader.apply_record(&name, (!is_gone).then_some(record), at, up_to(position + 1));
-            if action % 11 == 0 {
-                current = layout(1 << (action / 11 % 4));
-            }
-            for (index, name) in names.iter().enumerate() {
-                let cell = current.cell_of(name);
-                if action % 3 != 0 {
-                    schedulers[index].directory.set_scopes(cell, cell);
-                }
-                if action % 5 != 0 {
-                    members[index].directory.set_scopes(cell, cell);
-                }
-                if action % 2 == 0 {
-                    schedulers[index].copy(&reader);
-                }
-                if action % 7 != 0 {
-                    members[index].copy(&schedulers[index].directory);
-                }
-            }
-        }
-        reader.advance_cursor(up_to(steps.len() as u64 + 2));
-        names.iter().enumerate().all(|(index, name)| {
-            let cell = current.cell_of(name);
-            let (scheduler, member) = (&mut schedulers[index], &mut members[index]);
-            scheduler.directory.set_scopes(cell, cell);
-            member.directory.set_scopes(cell, cell);
-            scheduler.copy(&reader);
-            member.copy(&scheduler.directory);
-            states(&member.directory, Scope::ALL) == states(&reader, cell)
-        })
+        end_with_their_servers(&steps, &names)
     }
 }
