Bound the rejections of servers that say that they fail under too many

Change: platform/ decodes it (ServerSignals::brittleness). core::forwarding::BrittleServers gives an instance no more requests in doubt at such a server, sent and not known to be accepted, than its part of half the bound, one at least; an accepted one makes room at once, a rejected one by the other half each second. A request that no other server takes waits for room, for half of its latency goal at most.

Where there are more than half as many instances as rejections, each may still have one in doubt, so that the bound is kept by the load alone. Calls with pieces come from one scheduler, which pauses after each rejection; they have no bound of their own.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -10,7 +10,7 @@
 use crate::{
     call::{LoadReport, RefusalReason, ServingState},
     cost::CostLedger,
-    forwarding::{ColdServers, EngineDemand, ServerBackoffs, ServerLimits},
+    forwarding::{BrittleServers, ColdServers, EngineDemand, ServerBackoffs, ServerLimits},
     ids::{BackendName, InstanceName, PoolName, ZoneName},
     objects::{Backend, Pool},
     quantile::Quantiles,
@@ -86,6 +86,7 @@
     pub(crate) demand: EngineDemand,
     pub(crate) limits: ServerLimits,
     pub(crate) backoffs: ServerBackoffs,
+    pub(crate) brittle: BrittleServers,
     pub(crate) retry_budget: RetryBudget,
     pub(crate) costs: CostLedger,
 }
@@ -104,6 +105,7 @@
             demand: EngineDemand::default(),
             limits: ServerLimits::default(),
             backoffs: ServerBackoffs::default(),
+            brittle: BrittleServers::default(),
             instance,
             zone,
             retry_budget: RetryBudget::new(&settings),
@@ -160,6 +162,7 @@
             .collect();
         let by_name = &self.by_name;
         self.limits.retain(|server| by_name.contains_key(server));
+        self.brittle.retain(|server| by_name.contains_key(server));
         self.assign_subsets();
     }
 
@@ -206,6 +209,11 @@
         &mut self.backoffs
     }
 
+    /// Returns the servers that fail when they have to reject too many requests.
+    pub fn brittle(&mut self) -> &mut BrittleServers {
+        &mut self.brittle
+    }
+
     /// Sets how many other instances use the same backend servers.
     pub fn set_peers(&mut self, peers: u32) {
         self.peers = peers;
--- a/crates/core/src/fleet/route.rs
+++ b/crates/core/src/fleet/route.rs
@@ -91,10 +91,26 @@
         pool.members.iter().copied().filter(can_serve).collect()
     }
 
-    /// Returns whether cold start limits and backoffs permit a call to a
-    /// server.
+    /// Returns whether cold start limits, backoffs and the bound on rejections
+    /// permit a call to a server.
     fn allows(&self, now_ms: u64, server: &BackendName) -> bool {
-        self.cold.allows(now_ms, server) && self.backoffs.allows(now_ms, server)
+        self.cold.allows(now_ms, server)
+            && self.backoffs.allows(now_ms, server)
+            && self.brittle.allows(now_ms, server)
+    }
+
+    /// Returns whether a member would take the call but for the bound on its
+    /// rejections, which ends as soon as requests in doubt are accepted.
+    pub(crate) fn awaits_brittle(&self, now_ms: u64, query: &RouteQuery<'_>) -> bool {
+        let Some(pool) = self.pools.get(query.pool) else {
+            return false;
+        };
+        let mut members = pool.members.iter().map(|index| &self.backends[*index]);
+        members.any(|backend| {
+            takes_work(now_ms, backend, query)
+                && self.backoffs.allows(now_ms, &backend.name)
+                && !self.brittle.allows(now_ms, &backend.name)
+        })
     }
 
     /// Returns the members that can take the call and their rate limits, if all
--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -3,6 +3,7 @@
 
 mod backoff;
 mod body_end;
+mod brittle;
 mod budget;
 mod cells;
 mod cold_servers;
@@ -32,6 +33,7 @@
 pub(crate) use backoff::return_after_ms;
 pub use backoff::{MAX_BACKOFF_MS, ServerBackoffs};
 pub use body_end::{BodyEnd, Framing};
+pub use brittle::{BrittleServers, Brittleness};
 pub use budget::{BudgetSettings, RepeatBudgets};
 pub use cells::{CellLayout, FleetSize, Scope};
 pub use cold_servers::{ColdServers, MAX_ARRIVAL_MS, WINDOW_MS};
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -198,6 +198,13 @@
         }
     }
 
+    /// Returns whether no server may be sent the request now, but a brittle one may be as soon as
+    /// it has accepted others that are in doubt.
+    pub fn awaits_room(&self, now_ms: u64, placement: &Placement<'_>) -> bool {
+        let query = placement.query();
+        self.awaits_brittle(now_ms, &query) && self.eligible(now_ms, &query).is_empty()
+    }
+
     /// Returns the servers to request a grant for in place of the limited server `chosen`, and
     /// their limits in requests per second: only `chosen` while some servers have no limit,
     /// unless `include_all`.
--- a/crates/core/src/forwarding/signals.rs
+++ b/crates/core/src/forwarding/signals.rs
@@ -1,6 +1,6 @@
 //! Signals of a backend server about itself, from the headers of a response.
 
-use super::NamedLimit;
+use super::{Brittleness, NamedLimit};
 
 /// Signals in one response about the server that sent it.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -11,6 +11,8 @@
     pub backoff: BackoffRequest,
     /// Rate limit that it announces for all instances together.
     pub limit: NamedLimit,
+    /// Whether it fails when it has to reject too many requests.
+    pub brittleness: Brittleness,
 }
 
 /// Whether a response says that its server is leaving.
--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -64,6 +64,8 @@
     route: Arc<Route>,
     began: Instant,
     sent_at_ms: u64,
+    /// Whether the server may still reject the request.
+    is_in_doubt: bool,
     has_ended: bool,
 }
 
@@ -78,8 +80,22 @@
 }
 
 impl InFlight {
+    /// Records that the server has accepted the request, or that it no longer matters.
+    fn settle(&mut self) {
+        if std::mem::take(&mut self.is_in_doubt) {
+            let mut fleet = self.forwarder.view.fleet();
+            fleet.brittle().on_settled(&self.server.id);
+        }
+    }
+
     pub(super) fn finish(mut self, outcome: ServerOutcome) {
         self.has_ended = true;
+        if outcome == ServerOutcome::Full && std::mem::take(&mut self.is_in_doubt) {
+            let now_ms = self.forwarder.clock.now_ms();
+            let mut fleet = self.forwarder.view.fleet();
+            fleet.brittle().on_rejected(now_ms, &self.server.id);
+        }
+        self.settle();
         if outcome == ServerOutcome::Answered {
             let elapsed_ms = self.began.elapsed().as_millis() as u64;
             let mut times = self.forwarder.view.response_times();
@@ -108,6 +124,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        self.settle();
         if !self.has_ended {
             let now_ms = self.forwarder.clock.now_ms();
             let mut fleet = self.forwarder.view.fleet();
@@ -132,13 +149,18 @@
             return SendOutcome::Ended(AttemptEnd::NotSent, None);
         };
         let now_ms = self.clock.now_ms();
-        self.view.fleet().on_forwarded(now_ms, server);
+        {
+            let mut fleet = self.view.fleet();
+            fleet.on_forwarded(now_ms, server);
+            fleet.brittle().on_sent(server);
+        }
         let in_flight = InFlight {
             forwarder: Arc::clone(self),
             server: entry,
             route: Arc::clone(&caller.matched.route),
             began: Instant::now(),
             sent_at_ms: now_ms,
+            is_in_doubt: true,
             has_ended: false,
         };
         let reuse = match caller.repeats() {
@@ -239,7 +261,7 @@
         &self,
         caller: &CallerRequest,
         exchange: Exchange,
-        in_flight: InFlight,
+        mut in_flight: InFlight,
     ) -> SendOutcome {
         let Exchange { response, lease } = exchange;
         let status = response.status();
@@ -250,6 +272,9 @@
             ResponseTo::Request(&caller.id),
             &head,
         );
+        if !head.is_not_run {
+            in_flight.settle();
+        }
         if let Some(fault) = response_fault(caller, status, &head) {
             warn!(self.log, "unusable response"; "request" => %caller.id,
                 "server" => %in_flight.server.id, "status" => status.as_u16(), "fault" => fault);
--- a/crates/server/src/gateway/grants.rs
+++ b/crates/server/src/gateway/grants.rs
@@ -1,11 +1,14 @@
 //! Obtains the grants that a request needs for rate-limited servers, and explains why no
 //! server accepts it.
 
+use std::time::Duration;
+
 use savoryvane_core::{
     forwarding::{GrantPurpose, GrantQuery, GrantState, Placement},
     ids::BackendName,
 };
 use slog::info;
+use tokio::time::{self, Instant};
 
 use super::{
     forward::{Forwarder, Inputs, placement},
@@ -16,6 +19,11 @@
 
 /// Grant queries before a request is rejected: one for the best server, two for any.
 const MAX_GRANT_QUERIES: u32 = 3;
+/// Interval at which a request checks whether brittle servers have room for it.
+const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Part of a request's latency goal for which it waits for brittle servers, as a divisor.
+const ROOM_WAIT_DIVISOR: u64 = 2;
+
 impl Forwarder {
     /// Rejects a request before its stages run if all servers of its service have rate
     /// limits and none has capacity for it.
@@ -54,6 +62,7 @@
         let placement = placement(caller, inputs, tried, permit);
         let mut reason = FailureReason::NoServer;
         for query in 0..MAX_GRANT_QUERIES {
+            self.wait_for_room(caller, &placement).await;
             let Some(chosen) = self.choose_server(caller, inputs, tried, permit) else {
                 break;
             };
@@ -81,6 +90,20 @@
         Err(reason)
     }
 
+    /// Waits while no server may be sent the request but a brittle one may be soon, for a part of
+    /// the latency goal at most.
+    async fn wait_for_room(&self, caller: &CallerRequest, placement: &Placement<'_>) {
+        let max_wait = Duration::from_millis(caller.route().goal_ms / ROOM_WAIT_DIVISOR);
+        let until = Instant::now() + max_wait.min(caller.time_left());
+        while Instant::now() < until {
+            let now_ms = self.clock.now_ms();
+            if !self.view.fleet().awaits_room(now_ms, placement) {
+                return;
+            }
+            time::sleep(ROOM_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Returns the rate-limited servers to request a grant for; empty if `chosen` needs
     /// none. While some servers need no grant, these are only `chosen`, unless
     /// `includes_all`.
--- a/crates/server/src/gateway/members.rs
+++ b/crates/server/src/gateway/members.rs
@@ -244,6 +244,7 @@
             let mut fleet = self.view.fleet();
             fleet.cold().set_listed(&names);
             fleet.demand().set_instances(names.len());
+            fleet.brittle().set_instances(names.len());
         }
         self.limits.set_listed(&names);
         let others = list.peers().filter(|peer| peer.instance != self.me);
--- a/crates/server/src/gateway/signals.rs
+++ b/crates/server/src/gateway/signals.rs
@@ -3,7 +3,7 @@
 
 use http::HeaderName;
 use savoryvane_core::{
-    forwarding::{BackoffRequest, Departure},
+    forwarding::{BackoffRequest, Brittleness, Departure},
     ids::{BackendName, RequestId},
     stages::CallId,
 };
@@ -119,11 +119,30 @@
             }
             BackoffRequest::Unreadable => self.log_unreadable_signal(server, "retry-after"),
         }
+        self.on_brittleness(server, signals.brittleness, head.is_success);
         if signals.limit.is_meaningful(head.is_success) {
             self.on_limit(server, sent_at_ms, signals.limit);
         }
     }
 
+    fn on_brittleness(&self, server: &BackendName, said: Brittleness, is_success: bool) {
+        if said == Brittleness::Unreadable {
+            self.log_unreadable_signal(server, "server-brittle");
+        }
+        let now_ms = self.now_ms();
+        let (has_changed, count) = {
+            let mut fleet = self.fleet();
+            let brittle = fleet.brittle();
+            let has_changed = brittle.on_response(now_ms, server, said, is_success);
+            (has_changed, brittle.count())
+        };
+        if has_changed {
+            info!(self.log, "server brittleness changed"; "server" => %server, "said" => ?said,
+                "brittle" => count);
+            metrics::gauge!("savoryvane_brittle_servers").set(count as f64);
+        }
+    }
+
     /// Returns whether a request or call may be sent to a server now.
     pub(super) fn sendable(&self, server: &BackendName) -> Sendable {
         let is_closed = {
