Give up a server that no instance reaches as soon as before

A server that is down on both paths took 450 ms to give up instead of 300, as an instance that is asked waits as long as one that asks. It now waits 150 ms; servers accept within some ms.

--- a/crates/server/src/gateway/dialer.rs
+++ b/crates/server/src/gateway/dialer.rs
@@ -30,8 +30,10 @@
 /// Timeout for connecting to a backend server: servers accept within some ms, and one
 /// that does not is replaced by another.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// The same for another instance, which waits for the answer.
+const CONNECT_FOR_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout for connecting through another instance: its own timeout, and the way there and back.
-const TUNNEL_TIMEOUT: Duration = Duration::from_millis(400);
+const TUNNEL_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time after which the next instance is tried beside one that has not answered.
 const NEXT_RELAY_AFTER: Duration = Duration::from_millis(50);
 /// Answers of instances that don't reach a server after which no other one is asked.
@@ -85,7 +87,7 @@
 
     /// Connects to the server at `addr` for the instance `peer`.
     pub(super) async fn connect_for(&self, peer: &InstanceName, addr: SocketAddr) -> Connected {
-        let connected = self.connect_directly(addr).await;
+        let connected = self.connect_within(addr, CONNECT_FOR_TIMEOUT).await;
         let outcome = outcome_of(&connected);
         info!(self.log, "connected for instance"; "peer" => %peer, "addr" => %addr,
             "outcome" => outcome);
@@ -106,9 +108,13 @@
     }
 
     async fn connect_directly(&self, addr: SocketAddr) -> Connected {
-        let connecting = time::timeout(CONNECT_TIMEOUT, self.network.connect(addr));
-        let timeout = || io::Error::new(io::ErrorKind::TimedOut, "connect timeout");
-        let connected = connecting.await.unwrap_or_else(|_| Err(timeout()));
+        self.connect_within(addr, CONNECT_TIMEOUT).await
+    }
+
+    async fn connect_within(&self, addr: SocketAddr, timeout: Duration) -> Connected {
+        let connecting = time::timeout(timeout, self.network.connect(addr));
+        let timed_out = || io::Error::new(io::ErrorKind::TimedOut, "connect timeout");
+        let connected = connecting.await.unwrap_or_else(|_| Err(timed_out()));
         metrics::counter!("savoryvane_server_connects_total", "outcome" => outcome_of(&connected))
             .increment(1);
         if connected.is_ok() {
