Try a server that is probed all the time through other instances again

Found by reading: each direct failure extended the second in which no other path is tried, so that the scheduler's probes of a server of stages, closer together than that, kept it on the direct path for good where the first attempt failed on both paths. The time runs from the first failure now; the test failed before.

--- a/crates/core/src/forwarding/server_paths.rs
+++ b/crates/core/src/forwarding/server_paths.rs
@@ -99,11 +99,13 @@
         }
     }
 
-    /// Records that the server at `addr` was connected to on no path.
+    /// Records that the server at `addr` was connected to on no path that was tried. Direct
+    /// failures alone don't extend the time in which no other path is tried.
     pub fn on_failed(&mut self, now_ms: u64, addr: SocketAddr) {
         self.relayed.remove(&addr);
         self.failed.retain(|_, until| now_ms < *until);
-        self.failed.insert(addr, now_ms + DIRECT_ONLY_MS);
+        let until_ms = now_ms + DIRECT_ONLY_MS;
+        self.failed.entry(addr).or_insert(until_ms);
     }
 
     /// Returns whether the server at `addr` is reached through other instances only.
--- a/crates/core/tests/forwarding_paths.rs
+++ b/crates/core/tests/forwarding_paths.rs
@@ -66,6 +66,15 @@
     assert!(is_direct_first(&paths, 500, 2));
 }
 
+#[test]
+fn a_server_that_is_probed_all_the_time_is_tried_through_others_again() {
+    let mut paths = ServerPaths::default();
+    for now_ms in (0..1_000).step_by(250) {
+        paths.on_failed(now_ms, addr(1));
+    }
+    assert!(is_direct_first(&paths, 1_000, 1));
+}
+
 #[test]
 fn a_path_through_others_that_is_not_used_is_forgotten() {
     let mut paths = ServerPaths::default();
--- a/crates/server/src/gateway/dialer.rs
+++ b/crates/server/src/gateway/dialer.rs
@@ -24,7 +24,7 @@
     clock::Clock,
     lock::lock,
     network::{Connecting, Network, Transport},
-    peer::{TunnelError, TunnelRefusal, open_tunnel},
+    peer::{PeerId, TunnelError, TunnelRefusal, TunnelStream, open_tunnel},
 };
 
 /// Timeout for connecting to a backend server: servers accept within some ms, and one
@@ -43,6 +43,21 @@
 
 type Connected = io::Result<Box<dyn Transport>>;
 
+/// An attempt to connect through another instance that has ended.
+struct RelayAttempt {
+    instance: InstanceName,
+    opened: Result<TunnelStream, TunnelError>,
+    elapsed: Duration,
+}
+
+/// Why there is no connection through another instance.
+enum RelayFailure {
+    /// The instance does not reach the server either.
+    ServerUnreached(io::Error),
+    /// The instance was not reached or does not relay.
+    Unavailable(io::Error),
+}
+
 /// Opens connections to backend servers.
 #[derive(Debug)]
 pub(super) struct ServerDialer {
@@ -113,8 +128,7 @@
 
     async fn connect_within(&self, addr: SocketAddr, timeout: Duration) -> Connected {
         let connecting = time::timeout(timeout, self.network.connect(addr));
-        let timed_out = || io::Error::new(io::ErrorKind::TimedOut, "connect timeout");
-        let connected = connecting.await.unwrap_or_else(|_| Err(timed_out()));
+        let connected = connecting.await.unwrap_or_else(|_| Err(connect_timeout()));
         metrics::counter!("savoryvane_server_connects_total", "outcome" => outcome_of(&connected))
             .increment(1);
         if connected.is_ok() {
@@ -153,53 +167,66 @@
         let mut attempts = JoinSet::new();
         let mut unreached_answers = 0;
         let mut last_error = io::Error::other("no instance to connect through");
-        loop {
+        while unreached_answers < MAX_UNREACHED_ANSWERS {
             if let Some((instance, peer_addr)) = candidates.next() {
                 let me = self.members.peers().me().clone();
-                attempts.spawn(async move {
-                    let began = Instant::now();
-                    let opened = open_tunnel(&me, &instance, peer_addr, addr, TUNNEL_TIMEOUT);
-                    let opened = opened.await;
-                    (instance, opened, began.elapsed())
-                });
+                attempts.spawn(attempt(me, instance, peer_addr, addr));
             }
-            let is_last = candidates.len() == 0;
+            let has_next = candidates.len() > 0;
             let ended = tokio::select! {
                 ended = attempts.join_next() => ended,
-                () = time::sleep(NEXT_RELAY_AFTER), if !is_last => continue,
+                () = time::sleep(NEXT_RELAY_AFTER), if has_next => continue,
             };
-            let Some(Ok((instance, opened, elapsed))) = ended else {
-                return Err(last_error);
+            let Some(Ok(ended)) = ended else {
+                break;
             };
-            info!(self.log, "connected through instance"; "addr" => %addr, "peer" => %instance,
-                "error" => opened.as_ref().err().map(ToString::to_string),
-                "elapsed_ms" => elapsed.as_millis() as u64);
-            let now_ms = self.clock.now_ms();
-            match opened {
-                Ok(stream) => {
-                    lock(&self.relays).on_connected(&instance);
-                    let change = self.paths().on_relayed(now_ms, addr);
-                    self.on_change(change);
-                    return Ok(Box::new(stream));
-                }
-                Err(TunnelError::Refused(TunnelRefusal::ServerRefused)) => {
+            match self.on_attempt_ended(addr, ended) {
+                Ok(transport) => return Ok(transport),
+                Err(RelayFailure::ServerUnreached(err)) => {
                     unreached_answers += 1;
-                    last_error = io::ErrorKind::ConnectionRefused.into();
-                }
-                Err(TunnelError::Refused(TunnelRefusal::ServerUnreachable)) => {
-                    unreached_answers += 1;
-                    last_error = io::Error::new(io::ErrorKind::TimedOut, "connect timeout");
-                }
-                Err(err @ TunnelError::Refused(TunnelRefusal::Declined)) => {
-                    last_error = io::Error::other(err.to_string());
-                }
-                Err(err @ TunnelError::Peer(_)) => {
-                    lock(&self.relays).on_failed(now_ms, &instance);
-                    last_error = io::Error::other(err.to_string());
+                    last_error = err;
                 }
+                Err(RelayFailure::Unavailable(err)) => last_error = err,
             }
-            if unreached_answers == MAX_UNREACHED_ANSWERS {
-                return Err(last_error);
+        }
+        Err(last_error)
+    }
+
+    /// Records the end of an attempt to connect to `addr` through another instance.
+    fn on_attempt_ended(
+        &self,
+        addr: SocketAddr,
+        ended: RelayAttempt,
+    ) -> Result<Box<dyn Transport>, RelayFailure> {
+        let RelayAttempt {
+            instance,
+            opened,
+            elapsed,
+        } = ended;
+        info!(self.log, "connected through instance"; "addr" => %addr, "peer" => %instance,
+            "error" => opened.as_ref().err().map(ToString::to_string),
+            "elapsed_ms" => elapsed.as_millis() as u64);
+        let now_ms = self.clock.now_ms();
+        match opened {
+            Ok(stream) => {
+                lock(&self.relays).on_connected(&instance);
+                let change = self.paths().on_relayed(now_ms, addr);
+                self.on_change(change);
+                Ok(Box::new(stream))
+            }
+            Err(TunnelError::Refused(TunnelRefusal::ServerRefused)) => {
+                let refused = io::ErrorKind::ConnectionRefused.into();
+                Err(RelayFailure::ServerUnreached(refused))
+            }
+            Err(TunnelError::Refused(TunnelRefusal::ServerUnreachable)) => {
+                Err(RelayFailure::ServerUnreached(connect_timeout()))
+            }
+            Err(err @ TunnelError::Refused(TunnelRefusal::Declined)) => {
+                Err(RelayFailure::Unavailable(io::Error::other(err.to_string())))
+            }
+            Err(err @ TunnelError::Peer(_)) => {
+                lock(&self.relays).on_failed(now_ms, &instance);
+                Err(RelayFailure::Unavailable(io::Error::other(err.to_string())))
             }
         }
     }
@@ -245,6 +272,26 @@
     }
 }
 
+/// Connects to `server` through `instance`, which listens at `peer_addr`.
+async fn attempt(
+    me: PeerId,
+    instance: InstanceName,
+    peer_addr: SocketAddr,
+    server: SocketAddr,
+) -> RelayAttempt {
+    let began = Instant::now();
+    let opened = open_tunnel(&me, &instance, peer_addr, server, TUNNEL_TIMEOUT).await;
+    RelayAttempt {
+        instance,
+        opened,
+        elapsed: began.elapsed(),
+    }
+}
+
+fn connect_timeout() -> io::Error {
+    io::Error::new(io::ErrorKind::TimedOut, "connect timeout")
+}
+
 /// Returns the connection of the attempt that succeeds first. The second one starts after
 /// `join_after_ms`, or once the first has failed. If both fail, returns the error of the second.
 async fn first_connected(
--- a/crates/server/src/peer.rs
+++ b/crates/server/src/peer.rs
@@ -12,4 +12,4 @@
 pub use link::PeerId;
 pub use server::{PeerAnswer, PeerHandler, PeerServer, ServerConnecting, ServerConnection};
 pub use tunnel::TunnelRefusal;
-pub(crate) use tunnel::{TunnelError, open as open_tunnel};
+pub(crate) use tunnel::{TunnelError, TunnelStream, open as open_tunnel};
