Don't connect other instances to a server that is leaving

Found by reading the change again: an instance connected others to any registered server, also to one that it knew to be leaving, so that what holds at one end of the hop (nothing new to such a server) did not hold at the other. It declines now; Directory::is_open_at has a test.

With it, from the same reading: requests to services without brittle servers no longer look at each server before they are sent, instances that failed to relay are forgotten after a minute, and some comments and names say what they mean.

--- a/crates/core/src/fleet/route.rs
+++ b/crates/core/src/fleet/route.rs
@@ -105,6 +105,9 @@
         let Some(pool) = self.pools.get(query.pool) else {
             return false;
         };
+        if self.brittle.count() == 0 {
+            return false;
+        }
         let mut members = pool.members.iter().map(|index| &self.backends[*index]);
         members.any(|backend| {
             takes_work(now_ms, backend, query)
--- a/crates/core/src/forwarding/brittle.rs
+++ b/crates/core/src/forwarding/brittle.rs
@@ -137,7 +137,7 @@
         }
     }
 
-    /// Records that `server` rejected a request for want of room.
+    /// Records that `server` rejected a request.
     pub fn on_rejected(&mut self, now_ms: u64, server: &BackendName) {
         let Some(mut known) = self.servers.get(server).copied() else {
             return;
--- a/crates/core/src/forwarding/directory.rs
+++ b/crates/core/src/forwarding/directory.rs
@@ -110,6 +110,12 @@
         self.entry_at(addr).map(|entry| &entry.service)
     }
 
+    /// Returns whether the server that is registered at `addr` gets new requests.
+    pub fn is_open_at(&self, addr: SocketAddr) -> bool {
+        self.entry_at(addr)
+            .is_some_and(|entry| !self.is_closed(entry))
+    }
+
     fn entry_at(&self, addr: SocketAddr) -> Option<&ServerEntry> {
         self.entries.values().find(|entry| entry.addr == addr)
     }
--- a/crates/core/src/forwarding/relays.rs
+++ b/crates/core/src/forwarding/relays.rs
@@ -16,6 +16,8 @@
 const FIRST_AVOID_MS: u64 = 500;
 /// Maximum doublings of that time.
 const MAX_DOUBLINGS: u32 = 4;
+/// Time after which an instance that has failed is forgotten, in ms.
+const FORGET_AFTER_MS: u64 = 60_000;
 
 /// An instance that may relay connections.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,7 +34,7 @@
     count: u32,
 }
 
-/// The instances that have failed to relay connections.
+/// The instances that were not reached when they were asked for a connection.
 #[derive(Clone, Debug, Default)]
 pub struct Relays {
     failures: HashMap<InstanceName, Failures>,
@@ -44,8 +46,10 @@
         self.failures.remove(instance);
     }
 
-    /// Records that `instance` was not reached or reaches no server itself.
+    /// Records that `instance` was not reached.
     pub fn on_failed(&mut self, now_ms: u64, instance: &InstanceName) {
+        self.failures
+            .retain(|_, failures| now_ms < failures.avoided_until_ms + FORGET_AFTER_MS);
         let failures = self.failures.entry(instance.clone()).or_default();
         failures.avoided_until_ms = now_ms + (FIRST_AVOID_MS << failures.count);
         failures.count = (failures.count + 1).min(MAX_DOUBLINGS);
@@ -75,10 +79,12 @@
         }
         let mut ordered = Vec::new();
         for (zone, mut instances) in by_zone {
-            let zone_rank = match () {
-                () if Some(&zone) == server_zone => 0,
-                () if zone == *own_zone => 1,
-                () => 2 + rank(me.as_str(), zone.as_str()),
+            let zone_rank = if Some(&zone) == server_zone {
+                0
+            } else if zone == *own_zone {
+                1
+            } else {
+                2 + rank(me.as_str(), zone.as_str())
             };
             instances.sort_by_key(|instance| rank(me.as_str(), instance.as_str()));
             let first = instances.into_iter().take(MAX_PER_ZONE).enumerate();
@@ -95,7 +101,7 @@
     }
 }
 
-/// Returns the rank of `name` for `me`, below half of the range.
+/// Returns the rank of `name` for `me`, which leaves room above it for an offset.
 fn rank(me: &str, name: &str) -> u64 {
     xxh3_64_with_seed(name.as_bytes(), xxh3_64_with_seed(me.as_bytes(), 0)) >> 1
 }
--- a/crates/core/tests/forwarding_cells.rs
+++ b/crates/core/tests/forwarding_cells.rs
@@ -155,6 +155,20 @@
     }
 }
 
+#[test]
+fn a_server_that_is_leaving_is_not_open_at_its_address() {
+    let mut directory = Directory::default();
+    let ready = entry(1, 1, ServerState::Ready);
+    let addr = ready.addr;
+    assert!(!directory.is_open_at(addr), "not registered");
+    let (name, id) = (ready.registered_as.clone(), ready.id.clone());
+    let at = ready.position;
+    directory.apply_record(&name, Some(ready), at, up_to(2));
+    assert!(directory.is_open_at(addr));
+    directory.on_leaving(&id);
+    assert!(!directory.is_open_at(addr));
+}
+
 #[test]
 fn a_directory_of_one_cell_has_no_update_for_another() {
     let mut directory = Directory::default();
--- a/crates/server/src/gateway/dialer.rs
+++ b/crates/server/src/gateway/dialer.rs
@@ -34,7 +34,7 @@
 const CONNECT_FOR_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout for connecting through another instance: its own timeout, and the way there and back.
 const TUNNEL_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time after which the next instance is tried beside one that has not answered.
+/// Delay before the next instance is asked while the previous one has not answered.
 const NEXT_RELAY_AFTER: Duration = Duration::from_millis(50);
 /// Answers of instances that don't reach a server after which no other one is asked.
 const MAX_UNREACHED_ANSWERS: usize = 2;
@@ -170,7 +170,7 @@
         while unreached_answers < MAX_UNREACHED_ANSWERS {
             if let Some((instance, peer_addr)) = candidates.next() {
                 let me = self.members.peers().me().clone();
-                attempts.spawn(attempt(me, instance, peer_addr, addr));
+                attempts.spawn(connect_through(me, instance, peer_addr, addr));
             }
             let has_next = candidates.len() > 0;
             let ended = tokio::select! {
@@ -273,7 +273,7 @@
 }
 
 /// Connects to `server` through `instance`, which listens at `peer_addr`.
-async fn attempt(
+async fn connect_through(
     me: PeerId,
     instance: InstanceName,
     peer_addr: SocketAddr,
--- a/crates/server/src/gateway/peer_messages.rs
+++ b/crates/server/src/gateway/peer_messages.rs
@@ -62,11 +62,12 @@
         Arc::new(Semaphore::new(MAX_TUNNELS))
     }
 
-    /// Returns whether this instance connects other instances to the server at `addr`.
+    /// Returns whether this instance connects other instances to the server at `addr`: not to one
+    /// that is leaving, which the other instance may not know yet.
     fn relays_to(&self, addr: SocketAddr) -> bool {
         self.phases.current() == Phase::Serving
             && !self.dialer.is_relayed(addr)
-            && self.view.directory().zone_at(addr).is_some()
+            && self.view.directory().is_open_at(addr)
     }
 
     /// Returns until when this instance accepts stages of others although it is starting.
--- a/crates/server/src/peer/tunnel.rs
+++ b/crates/server/src/peer/tunnel.rs
@@ -38,7 +38,7 @@
 }
 
 impl TunnelRefusal {
-    /// Returns the status that tells the refusal to the other instance.
+    /// Returns the status of the response to the other instance.
     pub(super) fn status(self) -> StatusCode {
         match self {
             Self::Declined => StatusCode::SERVICE_UNAVAILABLE,
