Log the software version of servers, and what a caller's stream resumes

No decision changes. Entries of servers have a field more, so that the messages that carry them have new numbers; an instance of an older release declines and each reads the store meanwhile.

--- a/crates/bench/src/bin/stage-ways.rs
+++ b/crates/bench/src/bin/stage-ways.rs
@@ -160,6 +160,7 @@
             registered_as: BackendName::new(format!("{service}-{index}")),
             started_ms: None,
             position: Position::default(),
+            software: None,
             service: PoolName::new(service),
             addr: ([127, 0, 0, 1], 1).into(),
             zone: ZoneName::new(zone),
--- a/crates/bench/src/stage_load.rs
+++ b/crates/bench/src/stage_load.rs
@@ -459,6 +459,7 @@
                 registered_as: BackendName::new(format!("{}-{index}", service.name)),
                 started_ms: None,
                 position: Position::default(),
+                software: None,
                 service: PoolName::new(service.name),
                 addr: ([127, 0, 0, 1], 1).into(),
                 zone: ZoneName::new(zones[index % zones.len()]),
--- a/crates/core/src/forwarding/entry.rs
+++ b/crates/core/src/forwarding/entry.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Cursor, Position};
-use crate::ids::{BackendName, PoolName, ZoneName};
+use crate::ids::{BackendName, PoolName, SoftwareVersion, ZoneName};
 
 /// State that a server reports in its register entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,6 +31,8 @@
     pub position: Position,
     /// Service that it belongs to.
     pub service: PoolName,
+    /// Version of its software, if reported.
+    pub software: Option<SoftwareVersion>,
     /// Address that it listens on; another run may reuse it later.
     pub addr: SocketAddr,
     /// Availability zone of the server.
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -68,6 +68,8 @@
     RegionName;
     /// Name of a model.
     ModelName;
+    /// Version of a backend server's software, not of its weights. Versions have no order.
+    SoftwareVersion;
     /// Identifier of a request, unique within its workspace.
     RequestId;
     /// Idempotency key of a caller, scoped to its workspace.
--- a/crates/core/tests/forwarding_cells.rs
+++ b/crates/core/tests/forwarding_cells.rs
@@ -108,6 +108,7 @@
             offset: position,
         },
         service: PoolName::new("s"),
+        software: None,
         addr: "10.0.0.1:80".parse().unwrap(),
         zone: ZoneName::new("z"),
         slots: 4,
--- a/crates/core/tests/forwarding_cold.rs
+++ b/crates/core/tests/forwarding_cold.rs
@@ -152,6 +152,7 @@
         started_ms: None,
         position: Position { era: 0, offset: 5 },
         service: PoolName::new("s"),
+        software: None,
         addr: "10.0.0.1:80".parse().unwrap(),
         zone: ZoneName::new("z"),
         slots: 4,
--- a/crates/core/tests/forwarding_copies.rs
+++ b/crates/core/tests/forwarding_copies.rs
@@ -127,6 +127,7 @@
         started_ms: None,
         position,
         service: PoolName::new("s"),
+        software: None,
         addr: "10.0.0.1:80".parse().unwrap(),
         zone: ZoneName::new("z"),
         slots: 4,
--- a/crates/core/tests/forwarding_rules.rs
+++ b/crates/core/tests/forwarding_rules.rs
@@ -269,6 +269,7 @@
         started_ms: None,
         position: Position::default(),
         service: PoolName::new("s"),
+        software: None,
         addr: "10.0.0.1:80".parse().unwrap(),
         zone: ZoneName::new("z"),
         slots: 4,
--- a/crates/core/tests/forwarding_runs.rs
+++ b/crates/core/tests/forwarding_runs.rs
@@ -20,6 +20,7 @@
         registered_as: BackendName::new(id),
         started_ms,
         position: at(position),
+        software: None,
         service: PoolName::new("s"),
         addr: "10.0.0.1:80".parse().unwrap(),
         zone: ZoneName::new("z"),
--- a/crates/core/tests/stages_world/mod.rs
+++ b/crates/core/tests/stages_world/mod.rs
@@ -133,6 +133,7 @@
         registered_as: BackendName::new(id),
         started_ms: None,
         position: Position::default(),
+        software: None,
         service: PoolName::new(service),
         addr: "127.0.0.1:1".parse().unwrap(),
         zone: ZoneName::new(zone),
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use savoryvane_core::{
     forwarding::{Placement, RepeatPolicy, Route, ServerChoice},
-    ids::{BackendName, RequestId, ZoneName},
+    ids::{BackendName, RequestId, SoftwareVersion, ZoneName},
     poison::DigestBuilder,
     stages::{Refusal, StageOutcome, StageWork, Submission},
 };
@@ -266,13 +266,21 @@
         permit: Option<&PermitGuard>,
     ) -> Option<BackendName> {
         let (server, chosen) = self.find_server(caller, inputs, tried, permit);
+        let software = server.as_ref().and_then(|server| self.software_of(server));
         info!(self.log, "server chosen"; "request" => %caller.id, "service" => %caller.service,
             "server" => server.as_ref().map(ToString::to_string),
+            "software" => software.as_ref().map(ToString::to_string),
+            "resumes" => caller.head.resumes.as_ref().map(ToString::to_string),
             "reason" => chosen.reason.as_str(), "considered" => chosen.considered,
             "version" => self.view.version(), "elapsed_ms" => caller.elapsed_ms());
         server
     }
 
+    fn software_of(&self, server: &BackendName) -> Option<SoftwareVersion> {
+        let directory = self.view.directory();
+        directory.entry(server)?.software.clone()
+    }
+
     /// Finds the server for a send, and the reason for the choice.
     pub(super) fn find_server(
         &self,
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -333,7 +333,8 @@
             return false;
         };
         info!(self.forwarder.log, "stream resumed"; "request" => %caller.id,
-            "server" => %server, "last_event" => last);
+            "server" => %server, "last_event" => last,
+            "software" => stream.server.server.software.as_ref().map(ToString::to_string));
         self.source = Source {
             framing: http_body::framing(stream.response.headers()),
             body: stream.response.into_body(),
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -307,9 +307,9 @@
     /// Response to [`SchedulerQuery`].
     45 SchedulerState(SchedulerState),
     /// Request for routes, servers and instances.
-    43 RoutingQuery(RoutingQuery),
+    46 RoutingQuery(RoutingQuery),
     /// Response to [`RoutingQuery`].
-    44 RoutingState(RoutingState),
+    47 RoutingState(RoutingState),
     /// Request that exchanges reports of servers that crashed while they ran requests.
     30 CrashQuery(CrashQuery),
     /// Response to [`CrashQuery`].
