Resume a broken stream only at its software version

What was kept with the stream was the last event and the servers tried, not the version that had written the events.

A stream is now bound to the version of its server with the first event that is complete; until then every version may take it. The choice of a server, the check for room before a repeat is spent, grants, backoffs and the moment of the send ask for the binding. A stream without another server of its version ends broken; no connection is tried and no repeat spent. A server without a version can't be told from others, so that its streams go on nowhere.

Pipelines resume a generation at any backend as before, since their backends declare no version.

--- a/crates/core/src/execution/attempt.rs
+++ b/crates/core/src/execution/attempt.rs
@@ -6,6 +6,7 @@
     cost::StageUsage,
     decision::{Decision, DecisionKind, DecisionReason},
     fleet::{AdmitQuery, Admitted, RouteQuery, Routed},
+    forwarding::SoftwareBinding,
     ids::BackendName,
     objects::{Stage, StageKind},
 };
@@ -91,6 +92,8 @@
             prefix: self.spec.prefix.filter(|_| stage.max_tokens > 0),
             idempotent: stage.idempotent,
             objective: self.spec.objective,
+            // Backend servers of pipelines declare no version.
+            software: &SoftwareBinding::Free,
         }
     }
 
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -11,7 +11,7 @@
     call::{LoadReport, RefusalReason, ServingState},
     cost::CostLedger,
     forwarding::{BrittleServers, ColdServers, EngineDemand, ServerBackoffs, ServerLimits},
-    ids::{BackendName, InstanceName, PoolName, ZoneName},
+    ids::{BackendName, InstanceName, PoolName, SoftwareVersion, ZoneName},
     objects::{Backend, Pool},
     quantile::Quantiles,
     settings::PolicySettings,
@@ -252,6 +252,13 @@
         }
     }
 
+    /// Sets the versions of the backend servers' software by the platform's list.
+    pub fn on_listed_software(&mut self, versions: &HashMap<BackendName, SoftwareVersion>) {
+        for backend in &mut self.backends {
+            backend.software = versions.get(&backend.name).cloned();
+        }
+    }
+
     /// Marks a backend server as leaving, as reported by a peer or by its own
     /// response; it gets no new calls. A later load report of the server can
     /// revoke this.
--- a/crates/core/src/fleet/known.rs
+++ b/crates/core/src/fleet/known.rs
@@ -2,7 +2,7 @@
 
 use super::{health::Health, in_flight::InFlightHistory, refusals::Refusals};
 use crate::{
-    ids::{BackendName, ModelName, PoolName, ZoneName},
+    ids::{BackendName, ModelName, PoolName, SoftwareVersion, ZoneName},
     objects::{Backend, Pool},
     quantile::Quantiles,
 };
@@ -68,6 +68,8 @@
     pub(crate) pool: PoolName,
     pub(crate) zone: ZoneName,
     pub(crate) slots: u32,
+    /// Version of its software, if the platform's list has one.
+    pub(crate) software: Option<SoftwareVersion>,
     pub(crate) leaving: bool,
     /// Whether the platform's list marks it as leaving.
     pub(crate) listed_leaving: bool,
@@ -89,6 +91,7 @@
             pool: backend.pool.clone(),
             zone: backend.zone.clone(),
             slots: backend.slots.max(1),
+            software: None,
             leaving: false,
             listed_leaving: false,
             is_confirmed: false,
--- a/crates/core/src/fleet/route.rs
+++ b/crates/core/src/fleet/route.rs
@@ -5,6 +5,7 @@
 use super::{BackendState, Fleet, KnownBackend};
 use crate::{
     decision::{Candidate, DecisionReason},
+    forwarding::SoftwareBinding,
     ids::{BackendName, ModelName, PoolName},
     objects::Objective,
     settings::{Affinity, Routing, Spill},
@@ -23,6 +24,7 @@
     pub(crate) idempotent: bool,
     /// Objective that the operator prioritises.
     pub(crate) objective: Objective,
+    pub(crate) software: &'a SoftwareBinding,
 }
 
 /// The result of a routing decision.
@@ -143,7 +145,9 @@
         }
         let pool = self.pools.get(query.pool)?;
         let members = pool.members.iter().map(|index| &self.backends[*index]);
-        let staying = members.filter(|backend| backend.state(now_ms) != BackendState::Leaving);
+        let staying = members.filter(|backend| {
+            backend.state(now_ms) != BackendState::Leaving && has_software(backend, query)
+        });
         let ends_in = staying.map(|backend| {
             let until_ms = self.backoffs.until_ms(&backend.name);
             until_ms.saturating_sub(now_ms)
@@ -151,6 +155,19 @@
         ends_in.filter(|ends_in_ms| *ends_in_ms > 0).min()
     }
 
+    /// Returns whether the call is bound to a software version that no member has that stays.
+    pub(crate) fn lacks_software(&self, now_ms: u64, query: &RouteQuery<'_>) -> bool {
+        if *query.software == SoftwareBinding::Free {
+            return false;
+        }
+        let pool = self.pools.get(query.pool);
+        let mut members = pool.into_iter().flat_map(|pool| &pool.members);
+        !members.any(|index| {
+            let backend = &self.backends[*index];
+            backend.state(now_ms) != BackendState::Leaving && has_software(backend, query)
+        })
+    }
+
     /// Returns the members that can take the call regardless of their health:
     /// without a healthy one, an idempotent call is still worth an attempt, and
     /// a slow or unlucky server continues to serve when the others leave.
@@ -162,6 +179,7 @@
             let backend = &self.backends[*index];
             backend.state(now_ms) != BackendState::Leaving
                 && has_model(backend, query.model)
+                && has_software(backend, query)
                 && self.allows(now_ms, &backend.name)
                 && self.limits.is_open(now_ms, &backend.name)
         };
@@ -291,7 +309,14 @@
         backend.state(now_ms),
         BackendState::Serving | BackendState::Unknown
     );
-    is_serving && backend.may_get_call(now_ms) && has_model(backend, query.model)
+    is_serving
+        && backend.may_get_call(now_ms)
+        && has_model(backend, query.model)
+        && has_software(backend, query)
+}
+
+fn has_software(backend: &KnownBackend, query: &RouteQuery<'_>) -> bool {
+    query.software.allows(backend.software.as_ref())
 }
 
 fn has_model(backend: &KnownBackend, model: Option<&ModelName>) -> bool {
--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -25,6 +25,7 @@
 mod response_times;
 mod server_paths;
 mod signals;
+mod software;
 mod steps;
 mod store_reads;
 mod table;
@@ -60,6 +61,7 @@
 pub use response_times::ResponseTimes;
 pub use server_paths::{ConnectPlan, PathChange, ServerPaths};
 pub use signals::{BackoffRequest, Departure, ServerSignals};
+pub use software::SoftwareBinding;
 pub use steps::{AttemptEnd, FinalResponse, NextStep, RepeatPolicy, next_step};
 pub use store_reads::{
     ListingBudget, PropagationBounds, StoreRetry, StoreRole, is_relayed_to_peers, reserves,
--- a/crates/core/src/forwarding/directory/used.rs
+++ b/crates/core/src/forwarding/directory/used.rs
@@ -8,7 +8,7 @@
         RoutingConfig, Service,
         entry::{ServerEntry, ServerState},
     },
-    ids::{BackendName, PoolName, ZoneName},
+    ids::{BackendName, PoolName, SoftwareVersion, ZoneName},
     objects::{Backend, Fencing, Pool, StageKind},
 };
 
@@ -43,6 +43,14 @@
         (pools, backends.collect())
     }
 
+    /// Returns the versions of the used servers' software, as far as they are known.
+    pub fn software(&self) -> HashMap<BackendName, SoftwareVersion> {
+        let versions = self.used_entries();
+        let versions =
+            versions.filter_map(|entry| Some((entry.id.clone(), entry.software.clone()?)));
+        versions.collect()
+    }
+
     /// Sets the evacuated availability zones.
     pub fn set_evacuated(&mut self, zones: BTreeSet<ZoneName>) {
         self.evacuated = zones;
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -3,7 +3,7 @@
 use rand::RngExt;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::return_after_ms;
+use super::{SoftwareBinding, return_after_ms};
 use crate::{
     decision::DecisionReason,
     fleet::{CallEnd, Fault, Fleet, RouteQuery, Routed},
@@ -90,6 +90,8 @@
     /// are running. It goes to the server at this index in the order of load, so that a crash
     /// interrupts few other requests.
     pub isolation_index: Option<u32>,
+    /// Servers that it may be sent to, by the version of their software.
+    pub software: &'a SoftwareBinding,
 }
 
 impl<'a> Placement<'a> {
@@ -101,6 +103,7 @@
             prefix: None,
             idempotent: self.is_repeatable,
             objective: Objective::Attainment,
+            software: self.software,
         }
     }
 }
@@ -230,31 +233,55 @@
         limited
     }
 
-    /// Returns the servers of `service` that accept requests and their limits in requests per
-    /// second, if all of them are limited.
+    /// Returns the servers of `service` that `software` allows and that accept requests, and their
+    /// limits in requests per second, if all of them are limited.
     pub fn limits_if_all_limited(
         &self,
         now_ms: u64,
         service: &PoolName,
+        software: &SoftwareBinding,
     ) -> Vec<(BackendName, f64)> {
-        let mut limits = self.all_limited(now_ms, &any_request(service));
+        let mut limits = self.all_limited(now_ms, &any_request(service, software));
         limits.truncate(MAX_GRANT_CANDIDATES);
         limits
     }
 
-    /// Returns the `Retry-After` of a request to `service`, in ms, if its servers reject requests
-    /// only because of backoffs: the end of the first backoff plus a random spread.
-    pub fn return_after_backoff_ms(&mut self, now_ms: u64, service: &PoolName) -> Option<u64> {
-        let ends_in_ms = self.backoff_ends_in_ms(now_ms, &any_request(service))?;
+    /// Returns the `Retry-After` of a request to `service`, in ms, if the servers that `software`
+    /// allows reject requests only because of backoffs: the end of the first backoff plus a random
+    /// spread.
+    pub fn return_after_backoff_ms(
+        &mut self,
+        now_ms: u64,
+        service: &PoolName,
+        software: &SoftwareBinding,
+    ) -> Option<u64> {
+        let ends_in_ms = self.backoff_ends_in_ms(now_ms, &any_request(service, software))?;
         let draw = self.rng.random();
         Some(return_after_ms(ends_in_ms, MIN_RETURN_SPREAD_MS, draw))
     }
 
+    /// Returns whether a request to `service` is bound to a software version that no registered
+    /// server has, apart from those that are leaving.
+    pub fn lacks_version(
+        &self,
+        now_ms: u64,
+        service: &PoolName,
+        software: &SoftwareBinding,
+    ) -> bool {
+        self.lacks_software(now_ms, &any_request(service, software))
+    }
+
     /// Returns the availability zone of a session's home engine among the servers of `service`
-    /// that accept requests.
-    pub fn home_zone(&self, now_ms: u64, service: &PoolName, prompt: &Prompt) -> Option<ZoneName> {
+    /// that `software` allows and that accept requests.
+    pub fn home_zone(
+        &self,
+        now_ms: u64,
+        service: &PoolName,
+        prompt: &Prompt,
+        software: &SoftwareBinding,
+    ) -> Option<ZoneName> {
         prompt.session()?;
-        let eligible = self.eligible(now_ms, &any_request(service));
+        let eligible = self.eligible(now_ms, &any_request(service, software));
         let (home, _) = self.home(service, prompt, &eligible);
         home.map(|index| self.backends[index].zone.clone())
     }
@@ -350,10 +377,11 @@
     }
 }
 
-/// Returns the query for any server of `service`.
-fn any_request(service: &PoolName) -> RouteQuery<'_> {
+/// Returns the query for any server of `service` that `software` allows.
+fn any_request<'a>(service: &'a PoolName, software: &'a SoftwareBinding) -> RouteQuery<'a> {
     RouteQuery {
         pool: service,
+        software,
         model: None,
         tried: &[],
         prefix: None,
--- a/crates/core/tests/forwarding_backoff.rs
+++ b/crates/core/tests/forwarding_backoff.rs
@@ -3,7 +3,7 @@
 use quickcheck::quickcheck;
 use savoryvane_core::{
     fleet::Fleet,
-    forwarding::{Placement, Prompt, PromptPart, ServerBackoffs},
+    forwarding::{Placement, Prompt, PromptPart, ServerBackoffs, SoftwareBinding},
     ids::{BackendName, InstanceName, PoolName, ZoneName},
     objects::{Backend, Fencing, Pool, StageKind},
     settings::PolicySettings,
@@ -65,6 +65,7 @@
         prompt: Some(&prompt),
         inputs: &[],
         isolation_index,
+        software: &SoftwareBinding::Free,
     };
     fleet.choose(now_ms, &placement).server
 }
@@ -144,12 +145,16 @@
     let service = PoolName::new("engines");
     fleet.backoffs().on_request(0, &name(0), BACKOFF_MS);
     assert_eq!(
-        fleet.return_after_backoff_ms(0, &service),
+        fleet.return_after_backoff_ms(0, &service, &SoftwareBinding::Free),
         None,
         "one server accepts requests"
     );
     fleet.backoffs().on_request(0, &name(1), 2 * BACKOFF_MS);
-    let times = (0..200).map(|_| fleet.return_after_backoff_ms(1_000, &service).unwrap());
+    let times = (0..200).map(|_| {
+        fleet
+            .return_after_backoff_ms(1_000, &service, &SoftwareBinding::Free)
+            .unwrap()
+    });
     let times: Vec<u64> = times.collect();
     let ends_in_ms = BACKOFF_MS - 1_000;
     assert!(
--- a/crates/core/tests/forwarding_engine_demand.rs
+++ b/crates/core/tests/forwarding_engine_demand.rs
@@ -9,7 +9,7 @@
 use rand_pcg::Pcg64Mcg;
 use savoryvane_core::{
     fleet::Fleet,
-    forwarding::{Placement, Prompt, PromptPart},
+    forwarding::{Placement, Prompt, PromptPart, SoftwareBinding},
     ids::{BackendName, InstanceName, PoolName, ZoneName},
     objects::{Backend, Fencing, Pool, StageKind},
     settings::PolicySettings,
@@ -121,6 +121,7 @@
                 prompt: Some(&prompt),
                 inputs: &[],
                 isolation_index: None,
+                software: &SoftwareBinding::Free,
             },
         );
         let engine = choice.server.expect("an engine");
--- a/crates/core/tests/forwarding_reach.rs
+++ b/crates/core/tests/forwarding_reach.rs
@@ -2,7 +2,7 @@
 
 use savoryvane_core::{
     fleet::Fleet,
-    forwarding::{Placement, Prompt, PromptPart},
+    forwarding::{Placement, Prompt, PromptPart, SoftwareBinding},
     ids::{BackendName, InstanceName, PoolName, ZoneName},
     objects::{Backend, Fencing, Pool, StageKind},
     settings::PolicySettings,
@@ -84,6 +84,7 @@
                 is_repeatable: false,
                 prompt: Some(&prompt),
                 inputs: &[],
+                software: &SoftwareBinding::Free,
             };
             let chosen = self.fleet.choose(self.now_ms, &placement);
             let server = chosen.server.expect("there is always an engine");
--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -143,7 +143,11 @@
         server: &BackendName,
         last_event: Option<&str>,
     ) -> SendOutcome {
-        let may_send = || self.view.sendable(server) == Sendable::Yes;
+        // The server may be registered again with another version meanwhile.
+        let may_send = || {
+            let software = self.software_of(server);
+            caller.software.allows(software.as_ref()) && self.view.sendable(server) == Sendable::Yes
+        };
         let entry = self.view.directory().entry(server).cloned();
         let Some(entry) = entry.filter(|_| may_send()) else {
             return SendOutcome::Ended(AttemptEnd::NotSent, None);
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -5,7 +5,7 @@
 use http::{Request, Response, StatusCode, uri::PathAndQuery};
 use hyper::body::Incoming;
 use savoryvane_core::{
-    forwarding::{Placement, RepeatPolicy, Route, ServerChoice},
+    forwarding::{Placement, RepeatPolicy, Route, ServerChoice, SoftwareBinding},
     ids::{BackendName, RequestId, SoftwareVersion, ZoneName},
     poison::DigestBuilder,
     stages::{Refusal, StageOutcome, StageWork, Submission},
@@ -144,6 +144,7 @@
             digest: digest.finish(),
             matched,
             service,
+            software: SoftwareBinding::Free,
             arrived,
             deadline: arrived + caller_timeout.min(route_timeout),
         })
@@ -184,7 +185,8 @@
             priority: caller.matched.priority,
             home_zone: caller.prompt().and_then(|prompt| {
                 let now_ms = self.clock.now_ms();
-                self.view.fleet().home_zone(now_ms, &caller.service, prompt)
+                let fleet = self.view.fleet();
+                fleet.home_zone(now_ms, &caller.service, prompt, &caller.software)
             }),
             done: Vec::new(),
             digest: caller.digest,
@@ -276,7 +278,7 @@
         server
     }
 
-    fn software_of(&self, server: &BackendName) -> Option<SoftwareVersion> {
+    pub(super) fn software_of(&self, server: &BackendName) -> Option<SoftwareVersion> {
         let directory = self.view.directory();
         directory.entry(server)?.software.clone()
     }
@@ -342,6 +344,7 @@
         prompt: caller.prompt(),
         inputs: &inputs.bytes_by_zone,
         isolation_index: permit.and_then(PermitGuard::place),
+        software: &caller.software,
     }
 }
 
--- a/crates/server/src/gateway/grants.rs
+++ b/crates/server/src/gateway/grants.rs
@@ -37,7 +37,7 @@
         let now_ms = self.clock.now_ms();
         let servers = {
             let fleet = self.view.fleet();
-            fleet.limits_if_all_limited(now_ms, &caller.service)
+            fleet.limits_if_all_limited(now_ms, &caller.service, &caller.software)
         };
         if servers.is_empty() {
             return Ok(());
@@ -127,10 +127,10 @@
         let now_ms = self.clock.now_ms();
         let (servers, return_after_ms) = {
             let mut fleet = self.view.fleet();
-            let servers = fleet.limits_if_all_limited(now_ms, &caller.service);
+            let servers = fleet.limits_if_all_limited(now_ms, &caller.service, &caller.software);
             (
                 servers,
-                fleet.return_after_backoff_ms(now_ms, &caller.service),
+                fleet.return_after_backoff_ms(now_ms, &caller.service, &caller.software),
             )
         };
         if let Some(retry_after_ms) = return_after_ms {
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -12,7 +12,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use savoryvane_core::{
-    forwarding::{BodyEnd, EventSplitter, Framing, ResumePoint, event_timeout_ms},
+    forwarding::{BodyEnd, EventSplitter, Framing, ResumePoint, SoftwareBinding, event_timeout_ms},
     ids::BackendName,
 };
 use savoryvane_platform::response;
@@ -164,7 +164,9 @@
         info!(self.forwarder.log, "stream ended"; "request" => %self.caller.id,
             "digest" => %self.caller.digest,
             "route" => &self.caller.route().name, "end" => ?stream_end,
-            "servers" => self.tried.len(), "events" => self.events.position().events(),
+            "servers" => self.tried.len(),
+            "software" => self.caller.software.version().map(ToString::to_string),
+            "events" => self.events.position().events(),
             "framing" => self.source.framing.as_str(),
             "inside_event" => self.events.position().is_inside_event(),
             "goal_ms" => self.caller.route().goal_ms,
@@ -230,9 +232,21 @@
         if !complete.is_empty() {
             self.timing.on_events(self.caller.elapsed_ms());
         }
+        self.bind_software();
         self.sender.send(complete).await
     }
 
+    /// Binds the stream to the software version of its server once an event is complete.
+    fn bind_software(&mut self) {
+        let has_event = self.events.position().events() > 0;
+        if let Some(server) = &self.source.server
+            && has_event
+            && self.caller.software == SoftwareBinding::Free
+        {
+            self.caller.software = SoftwareBinding::to(server.server.software.clone());
+        }
+    }
+
     /// Handles the end of the server's body.
     async fn on_body_end(&mut self) -> StreamEnd {
         let end = if self.source.head.is_event_stream {
--- a/crates/server/src/gateway/request.rs
+++ b/crates/server/src/gateway/request.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, Method, Request, Uri, header, uri::PathAndQuery};
 use http_body_util::Full;
 use savoryvane_core::{
-    forwarding::{Matched, Prompt, RepeatPolicy, Route, RouteKind},
+    forwarding::{Matched, Prompt, RepeatPolicy, Route, RouteKind, SoftwareBinding},
     ids::{BackendName, PoolName, RequestId},
     poison::RequestDigest,
 };
@@ -28,6 +28,8 @@
     pub(super) matched: Matched,
     /// Service that it is sent to.
     pub(super) service: PoolName,
+    /// Servers of the service that it may be sent to, by the version of their software.
+    pub(super) software: SoftwareBinding,
     pub(super) arrived: Instant,
     /// Time by which it gets its final response.
     pub(super) deadline: Instant,
--- a/crates/server/src/gateway/routing_view.rs
+++ b/crates/server/src/gateway/routing_view.rs
@@ -349,14 +349,15 @@
         let Some(table) = self.table() else {
             return;
         };
-        let (pools, backends, closed) = {
+        let (pools, backends, closed, software) = {
             let directory = self.directory();
             let (pools, backends) = directory.for_fleet(table.config());
-            (pools, backends, directory.closed())
+            (pools, backends, directory.closed(), directory.software())
         };
         let mut fleet = self.fleet();
         fleet.configure(&pools, &backends);
         fleet.on_listed_leaving(&closed);
+        fleet.on_listed_software(&software);
         drop(fleet);
         self.for_each_cold_start(|cold, now_ms, entry, cold_start| {
             cold.on_entry(now_ms, entry, cold_start);
