Take a stream up again only at the software version that it began at

A caller that takes a stream up with `Last-Event-Id` and `Resumes` was a new request: its attempt went to any server, at a split route to any service. What the first instance knew of the stream was lost with it, which is when callers come back.

An instance keeps a record of each resumable stream with its first event: workspace, request, service and version, until the caller's deadline. While it can't tell that one version alone has served, it sends the record at once to three instances of its cell in different zones; the first event does not wait. The instance that gets `Resumes` asks four of each cell. Without a record the stream goes on only if an instance of each cell knows the register and the routes for longer than callers wait and has seen one version. Otherwise the attempt is refused at once, not run, without a time to come back. An instance that leaves hands its records over.

a_stream_taken_up_at_another_instance_does_not_change_its_software_version failed before. A model in forwarding_take_ups plays versions, cuts, lost records and restarts; 30,000 of its cases hold.

--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -20,15 +20,19 @@
 mod objects;
 mod placement;
 mod position;
+mod record_keepers;
 mod relays;
 mod removed_servers;
 mod response_times;
+mod served_software;
 mod server_paths;
 mod signals;
 mod software;
 mod steps;
 mod store_reads;
+mod stream_records;
 mod table;
+mod take_up;
 mod timeouts;
 
 pub(crate) use backoff::return_after_ms;
@@ -57,8 +61,10 @@
 };
 pub use placement::{MAX_GRANT_CANDIDATES, Placement, Prompt, PromptPart, ServerChoice};
 pub use position::{Cursor, Position};
+pub use record_keepers::{RECORD_READERS, RECORD_REPLICAS, record_keepers};
 pub use relays::{RelayCandidate, Relays};
 pub use response_times::ResponseTimes;
+pub use served_software::{ServedSoftware, ServedVersions};
 pub use server_paths::{ConnectPlan, PathChange, ServerPaths};
 pub use signals::{BackoffRequest, Departure, ServerSignals};
 pub use software::SoftwareBinding;
@@ -66,5 +72,10 @@
 pub use store_reads::{
     ListingBudget, PropagationBounds, StoreRetry, StoreRole, is_relayed_to_peers, reserves,
 };
+pub use stream_records::{
+    MAX_CALLER_WAIT_MS, RecordedOrigin, StreamKey, StreamOrigin, StreamRecord, StreamRecords,
+    record_left_ms,
+};
 pub use table::{Matched, RouteTable, Unroutable};
+pub use take_up::{StreamKnowledge, TakeUp, TakeUpSearch};
 pub use timeouts::{event_timeout_ms, response_timeout_ms};
--- a/crates/core/src/forwarding/cells.rs
+++ b/crates/core/src/forwarding/cells.rs
@@ -90,6 +90,14 @@
         }
     }
 
+    /// Returns the cell with this index, if there is one.
+    pub fn cell(self, index: u32) -> Option<Scope> {
+        (index < self.cells).then_some(Scope {
+            cells: self.cells,
+            cell: index,
+        })
+    }
+
     /// Returns the cell that reads the store for all others.
     pub fn reading_cell(self) -> Scope {
         Scope {
--- /dev/null
+++ b/crates/core/src/forwarding/served_software.rs
@@ -0,0 +1,117 @@
+//! Which software versions have served a service while callers of streams that began then may
+//! still come back.
+//!
+//! An instance that knows the register without a gap for that long, and has seen one version
+//! only, can tell the version of a stream that nobody recorded.
+
+use std::collections::{BTreeMap, HashMap};
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    RoutingConfig,
+    stream_records::{MAX_CALLER_WAIT_MS, RECORD_MARGIN_MS},
+};
+use crate::ids::{PoolName, SoftwareVersion};
+
+/// Age of the register from which it counts as unknown, in ms: a new version may serve already.
+const MAX_REGISTER_AGE_MS: u64 = 2_000;
+/// Time for which a version counts after it was seen last, and for which the register has to be
+/// known, in ms: a stream may begin somewhat later than its server was seen.
+const WINDOW_MS: u64 = MAX_CALLER_WAIT_MS + RECORD_MARGIN_MS + MAX_REGISTER_AGE_MS;
+
+/// Versions that have served a service, as far as an instance can tell.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ServedVersions {
+    /// Only this one.
+    One(SoftwareVersion),
+    /// More than one, or streams of a route may have begun at more than one service.
+    Several,
+    /// It can't tell: it has started recently, or did not know the register for a while.
+    Unknown,
+}
+
+/// Software versions and targets of routes that an instance has seen.
+#[derive(Debug, Default)]
+pub struct ServedSoftware {
+    /// Time of the last sight of each version, in ms; none stands for an unknown version.
+    services: HashMap<PoolName, BTreeMap<Option<SoftwareVersion>, u64>>,
+    /// Services that each route goes to.
+    routes: HashMap<String, Vec<PoolName>>,
+    /// Time of the last change of a route's services, in ms.
+    moved_at_ms: Option<u64>,
+    /// Since when the register is known without a gap, in ms.
+    known_since_ms: Option<u64>,
+}
+
+impl ServedSoftware {
+    /// Records that the register was current `register_age_ms` ago.
+    pub fn on_register_age(&mut self, now_ms: u64, register_age_ms: u64) {
+        if register_age_ms > MAX_REGISTER_AGE_MS {
+            self.known_since_ms = None;
+        } else {
+            self.known_since_ms.get_or_insert(now_ms);
+        }
+    }
+
+    /// Records the versions of the registered servers.
+    pub fn on_registered<'a>(
+        &mut self,
+        now_ms: u64,
+        servers: impl Iterator<Item = (&'a PoolName, Option<&'a SoftwareVersion>)>,
+    ) {
+        for (service, software) in servers {
+            let versions = self.services.entry(service.clone()).or_default();
+            versions.insert(software.cloned(), now_ms);
+        }
+        for versions in self.services.values_mut() {
+            versions.retain(|_, seen_at_ms| now_ms < *seen_at_ms + WINDOW_MS);
+        }
+        self.services.retain(|_, versions| !versions.is_empty());
+    }
+
+    /// Records the services of the routes of a new configuration.
+    pub fn on_routes(&mut self, now_ms: u64, config: &RoutingConfig) {
+        let routes = config.routes.iter().map(|route| {
+            let targets = route.targets.iter().filter(|target| target.weight > 0);
+            let services = targets.map(|target| target.service.clone());
+            (route.name.clone(), services.collect())
+        });
+        let routes: HashMap<String, Vec<PoolName>> = routes.collect();
+        let mut before = self.routes.iter();
+        let has_moved = before.any(|(name, services)| routes.get(name) != Some(services));
+        if has_moved || self.moved_at_ms.is_none() {
+            self.moved_at_ms = Some(now_ms);
+        }
+        self.routes = routes;
+    }
+
+    /// Returns the versions at which streams of `route` that go to `service` may have begun.
+    pub fn versions(&self, now_ms: u64, route: &str, service: &PoolName) -> ServedVersions {
+        match self.routes.get(route).map(Vec::as_slice) {
+            None => ServedVersions::Unknown,
+            Some([target]) if target == service => self.versions_of(now_ms, service),
+            Some(_) => ServedVersions::Several,
+        }
+    }
+
+    /// Returns the versions at which streams that began at `service` may have begun.
+    pub fn versions_of(&self, now_ms: u64, service: &PoolName) -> ServedVersions {
+        let served = self.services.get(service);
+        let mut versions = served.into_iter().flat_map(BTreeMap::keys);
+        let (first, second) = (versions.next(), versions.next());
+        if second.is_some() {
+            return ServedVersions::Several;
+        }
+        let is_covered =
+            |since_ms: Option<u64>| since_ms.is_some_and(|ms| now_ms >= ms + WINDOW_MS);
+        match first {
+            Some(Some(version))
+                if is_covered(self.known_since_ms) && is_covered(self.moved_at_ms) =>
+            {
+                ServedVersions::One(version.clone())
+            }
+            _ => ServedVersions::Unknown,
+        }
+    }
+}
--- a/crates/server/src/gateway.rs
+++ b/crates/server/src/gateway.rs
@@ -37,6 +37,8 @@
 mod stage_submission;
 mod store;
 mod store_follower;
+mod stream_origins;
+mod take_ups;
 mod upstream;
 
 pub use instance::Gateway;
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -24,6 +24,7 @@
     request::{CallerRequest, choose_service, request_host},
     routing_view::RoutingView,
     stage_submission::{ResultsGuard, StageSubmitter},
+    stream_origins::StreamOrigins,
 };
 use crate::{
     clock::Clock,
@@ -34,7 +35,7 @@
 /// Timeout for a caller's body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Deadline of a request that names none.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+pub(super) const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 /// Prompt tokens that an engine processes per ms, by the engines' data sheets.
 const TOKENS_PER_MS: u64 = 57;
 /// Time from sending a request to its first event without its prompt's processing, in ms:
@@ -54,6 +55,7 @@
     pub(super) quarantine: Arc<Quarantine>,
     pub(super) members: Arc<Members>,
     pub(super) limits: Arc<LimitSharing>,
+    pub(super) origins: Arc<StreamOrigins>,
 }
 
 /// Results of a request's stages, the inputs of its main call.
@@ -96,7 +98,11 @@
         }
     }
 
-    async fn run(self: &Arc<Self>, caller: CallerRequest) -> Result<Response<Body>, FailureReason> {
+    async fn run(
+        self: &Arc<Self>,
+        mut caller: CallerRequest,
+    ) -> Result<Response<Body>, FailureReason> {
+        self.bind_taken_up(&mut caller).await?;
         let mut permit = None;
         self.check_quarantine(&caller, &mut permit).await?;
         self.request_admission(&caller).await?;
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -36,6 +36,7 @@
     stage_submission::StageSubmitter,
     store::StoreClient,
     store_follower::{self, StoreFollower},
+    stream_origins::{self, StreamOrigins},
     upstream::UpstreamWatch,
 };
 use crate::{
@@ -66,6 +67,7 @@
     phases: Arc<Phases>,
     shutdown: Arc<ShutdownDeadline>,
     connections: TaskTracker,
+    origins: Arc<StreamOrigins>,
     /// Tasks that run as long as the instance; aborted when dropped.
     background: JoinSet<()>,
 }
@@ -139,10 +141,12 @@
             &shutdown,
             log.clone(),
         );
+        let origins = Arc::clone(&components.origins);
         let background = components.spawn(listeners, &connections);
         Ok(Self {
             log,
             settings,
+            origins,
             phases,
             shutdown,
             connections,
@@ -175,6 +179,7 @@
         let exit_at = Instant::now() + Duration::from_millis(drain.stop_after_ms());
         self.shutdown.set(exit_at);
         self.phases.advance(Phase::Leaving);
+        self.origins.hand_over();
         time::sleep(Duration::from_millis(drain.accept_for_ms())).await;
         self.phases.advance(Phase::Draining);
         info!(self.log, "draining"; "connections" => self.connections.len());
@@ -207,6 +212,7 @@
     crash_detector: Arc<CrashDetector>,
     quarantine: Arc<Quarantine>,
     limits: Arc<LimitSharing>,
+    origins: Arc<StreamOrigins>,
     forwarder: Arc<Forwarder>,
     peer_server: PeerServer<PeerMessageRouter>,
 }
@@ -301,6 +307,13 @@
             Arc::clone(&dispatch),
             log.clone(),
         );
+        let origins = Arc::new(StreamOrigins::new(
+            Arc::clone(&members),
+            Arc::clone(&view),
+            Arc::clone(&freshness),
+            clock,
+            log.clone(),
+        ));
         let forwarder = Arc::new(Forwarder {
             log: log.clone(),
             clock,
@@ -312,6 +325,7 @@
             quarantine: Arc::clone(&quarantine),
             members: Arc::clone(&members),
             limits: Arc::clone(&limits),
+            origins: Arc::clone(&origins),
         });
         let handler = Arc::new(PeerMessageRouter {
             members: Arc::clone(&members),
@@ -325,6 +339,7 @@
             view: Arc::clone(&view),
             dialer: Arc::clone(&dialer),
             tunnel_slots: PeerMessageRouter::tunnel_slots(),
+            origins: Arc::clone(&origins),
         });
         Self {
             phases: Arc::clone(phases),
@@ -340,6 +355,7 @@
             crash_detector,
             quarantine,
             limits,
+            origins,
             forwarder,
             peer_server: PeerServer {
                 me,
@@ -425,6 +441,7 @@
             view: Arc::clone(&self.view),
         };
         tasks.spawn(path_watch.run(self.path_changes));
+        tasks.spawn(stream_origins::watch(self.origins));
         tasks.spawn(become_ready(self.view, self.phases, self.log));
         tasks.spawn(prune_connections(self.servers));
         tasks
--- a/crates/server/src/gateway/local_reply.rs
+++ b/crates/server/src/gateway/local_reply.rs
@@ -53,6 +53,10 @@
     /// All eligible servers are backing off, and none has run it; with the `Retry-After`,
     /// in ms.
     BackingOff(u64),
+    /// It takes up a stream, and it is unknown at which software version that began.
+    StreamUnknown,
+    /// It takes up a stream of a software version that no server has any more.
+    VersionGone,
     /// Its response was lost; it may have run.
     Lost,
     /// Its deadline passed while a server had it; it may have run.
@@ -76,6 +80,8 @@
             Self::NoServer => "no_server",
             Self::Limited(_) => "servers_limited",
             Self::BackingOff(_) => "servers_backing_off",
+            Self::StreamUnknown => "stream_unknown",
+            Self::VersionGone => "version_gone",
             Self::Lost => "answer_lost",
             Self::Overdue => "overdue",
         }
@@ -95,6 +101,8 @@
             | Self::CopyRuns(_)
             | Self::Leaving
             | Self::NoServer
+            | Self::StreamUnknown
+            | Self::VersionGone
             | Self::Limited(_)
             | Self::BackingOff(_) => StatusCode::SERVICE_UNAVAILABLE,
             // The request has run, under this identifier or another.
--- a/crates/server/src/gateway/members.rs
+++ b/crates/server/src/gateway/members.rs
@@ -315,6 +315,19 @@
         candidates.collect()
     }
 
+    /// Returns the listed instances of `cell`, or of this instance's cell, with their availability
+    /// zones.
+    pub(super) fn listed_in_cell(&self, cell: Option<u32>) -> Vec<(InstanceName, ZoneName)> {
+        let list = self.list();
+        let layout = list.layout();
+        let scope = cell.and_then(|cell| layout.cell(cell));
+        let scope = scope.unwrap_or_else(|| layout.cell_of(&self.me));
+        let peers = list.peers_in(scope);
+        peers
+            .map(|peer| (peer.instance.clone(), peer.zone.clone()))
+            .collect()
+    }
+
     /// Returns the address at which `instance` serves other instances.
     pub(super) fn peer_addr(&self, instance: &InstanceName) -> Option<SocketAddr> {
         self.list().peer(instance).map(|peer| peer.addr)
--- a/crates/server/src/gateway/peer_messages.rs
+++ b/crates/server/src/gateway/peer_messages.rs
@@ -12,6 +12,7 @@
 use super::{
     catch_up::CatchUp, dialer::ServerDialer, dispatch::Dispatch, limits::LimitSharing,
     members::Members, quarantine::Quarantine, routing_view::RoutingView, store::StoreClient,
+    stream_origins::StreamOrigins,
 };
 use crate::{
     peer::{PeerAnswer, PeerHandler, PeerId, ServerConnecting, ServerConnection, TunnelRefusal},
@@ -43,6 +44,7 @@
     pub(super) view: Arc<RoutingView>,
     pub(super) dialer: Arc<ServerDialer>,
     pub(super) tunnel_slots: Arc<Semaphore>,
+    pub(super) origins: Arc<StreamOrigins>,
 }
 
 impl PeerMessageRouter {
@@ -136,6 +138,11 @@
                 self.quarantine.on_returned(permit);
                 Message::Ack(Ack)
             }
+            Message::StreamRecords(records) => {
+                self.origins.on_received(records);
+                Message::Ack(Ack)
+            }
+            Message::StreamQuery(query) => Message::StreamState(self.origins.on_query(&query)),
             _ => Message::Declined(Declined::Unsupported),
         };
         Box::pin(future::ready(response))
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -243,7 +243,11 @@
             && has_event
             && self.caller.software == SoftwareBinding::Free
         {
-            self.caller.software = SoftwareBinding::to(server.server.software.clone());
+            let software = server.server.software.clone();
+            self.caller.software = SoftwareBinding::to(software.clone());
+            if let Some(software) = software {
+                self.forwarder.on_stream_begun(&self.caller, software);
+            }
         }
     }
 
--- a/crates/server/src/gateway/request.rs
+++ b/crates/server/src/gateway/request.rs
@@ -54,6 +54,11 @@
         self.route().kind == RouteKind::Stream && self.route().is_resumable
     }
 
+    /// Returns whether its caller takes up a stream of which it has received events.
+    pub(super) fn takes_stream_up(&self) -> bool {
+        self.is_resumable() && self.head.last_event.is_some()
+    }
+
     /// Returns its prompt, if its route uses prompts.
     pub(super) fn prompt(&self) -> Option<&Prompt> {
         let has_prompts = self.route().has_prompts;
--- a/crates/server/src/gateway/routing_view.rs
+++ b/crates/server/src/gateway/routing_view.rs
@@ -15,7 +15,7 @@
     forwarding::{
         ColdServers, ColdStart, Cursor, Directory, DirectoryUpdate, EvacuationState, Evacuations,
         ExpiringServer, FetchTimes, Position, RepeatBudgets, ResponseTimes, RouteDeadlines,
-        RouteTable, RoutingConfig, Scope, ServerEntry,
+        RouteTable, RoutingConfig, Scope, ServedSoftware, ServerEntry,
     },
     ids::{BackendName, PoolName},
     settings::PolicySettings,
@@ -54,6 +54,7 @@
     deadlines: Mutex<RouteDeadlines>,
     response_times: Mutex<ResponseTimes>,
     fetch_times: Mutex<FetchTimes>,
+    served_software: Mutex<ServedSoftware>,
     /// Unknown header names in servers' responses that have been logged.
     pub(super) unknown_headers: Mutex<HashSet<HeaderName>>,
     /// Notified after every change of routes or servers.
@@ -87,6 +88,7 @@
             deadlines: Mutex::default(),
             response_times: Mutex::default(),
             fetch_times: Mutex::default(),
+            served_software: Mutex::default(),
             unknown_headers: Mutex::default(),
             changed: Notify::new(),
             limits_changed: Notify::new(),
@@ -165,6 +167,19 @@
         lock(&self.fetch_times)
     }
 
+    /// Locks the software versions that have served. Must not be held across an await.
+    pub(super) fn served_software(&self) -> MutexGuard<'_, ServedSoftware> {
+        lock(&self.served_software)
+    }
+
+    /// Records the software versions of the registered servers.
+    pub(super) fn observe_software(&self, directory: &Directory) {
+        let now_ms = self.clock.now_ms();
+        let servers = directory.entries();
+        let servers = servers.map(|entry| (&entry.service, entry.software.as_ref()));
+        self.served_software().on_registered(now_ms, servers);
+    }
+
     /// Waits for the next change of routes or servers.
     pub(super) async fn changed(&self) {
         self.changed.notified().await;
@@ -179,6 +194,8 @@
         info!(self.log, "configuration in force"; "version" => config.version,
             "before" => before, "routes" => config.routes.len(), "source" => source);
         metrics::gauge!("savoryvane_routing_version").set(config.version as f64);
+        self.served_software()
+            .on_routes(self.clock.now_ms(), &config);
         let table = RouteTable::new(Arc::new(config));
         self.table.store(Some(Arc::new(table)));
         self.configure_fleet();
@@ -351,6 +368,7 @@
         };
         let (pools, backends, closed, software) = {
             let directory = self.directory();
+            self.observe_software(&directory);
             let (pools, backends) = directory.for_fleet(table.config());
             (pools, backends, directory.closed(), directory.software())
         };
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -17,6 +17,7 @@
 mod poison;
 mod routing;
 mod server_limits;
+mod streams;
 
 use bincode::config::{Configuration, Limit, LittleEndian, Varint};
 pub use poison::{CrashQuery, CrashState, KnownCrashes, PermitQuery, PermitReturn};
@@ -25,7 +26,7 @@
     KnownState, ListedLayout, ListedPeer, RoutingQuery, RoutingState, SchedulerQuery,
     SchedulerState,
 };
-pub use savoryvane_core::forwarding::{GrantQuery, GrantState};
+pub use savoryvane_core::forwarding::{GrantQuery, GrantState, StreamKnowledge, StreamRecord};
 use savoryvane_core::ids::{
     IdempotencyKey, Incarnation, InstanceName, Offset, PipelineName, RequestId, WorkspaceName,
 };
@@ -37,6 +38,7 @@
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 pub use server_limits::{LimitQuery, LimitState};
+pub use streams::{MAX_STREAM_RECORDS, StreamQuery};
 
 use limits::is_within_limits;
 
@@ -330,6 +332,12 @@
     41 GrantQuery(GrantQuery),
     /// Response to [`GrantQuery`].
     42 GrantState(GrantState),
+    /// Request to keep records of streams.
+    48 StreamRecords(Vec<StreamRecord>),
+    /// Request for what the receiver knows of a stream.
+    49 StreamQuery(StreamQuery),
+    /// Response to [`StreamQuery`].
+    50 StreamState(StreamKnowledge),
 }
 
 /// Why the receiver declines a request.
--- a/crates/wire/src/peer/limits.rs
+++ b/crates/wire/src/peer/limits.rs
@@ -2,7 +2,10 @@
 
 use savoryvane_core::{
     digest::{DigestBatch, Leaver, ZoneDigest},
-    forwarding::{CellLayout, DirectoryUpdate, LimitReport, MAX_GRANT_CANDIDATES, MAX_ZONES},
+    forwarding::{
+        CellLayout, DirectoryUpdate, LimitReport, MAX_GRANT_CANDIDATES, MAX_ZONES, RecordedOrigin,
+        ServedVersions, StreamKey, StreamKnowledge, StreamOrigin, StreamRecord,
+    },
     ids::{BackendName, MAX_NAME_BYTES},
     poison::CrashReport,
     quota::QuotaClaimant,
@@ -10,8 +13,8 @@
 };
 
 use super::{
-    AnswerState, GrantState, MAX_ENTRIES, MAX_KEY_BYTES, MAX_PAYLOAD_BYTES, Message, PermitState,
-    RoutingState, StageOutcome, Submission, TicketRun,
+    AnswerState, GrantState, MAX_ENTRIES, MAX_KEY_BYTES, MAX_PAYLOAD_BYTES, MAX_STREAM_RECORDS,
+    Message, PermitState, RoutingState, StageOutcome, Submission, TicketRun,
 };
 
 pub(super) fn is_within_limits(message: &Message) -> bool {
@@ -56,6 +59,15 @@
                 && query.servers.iter().all(is_rate_limit_valid)
         }
         Message::GrantState(GrantState::Granted(server)) => is_name_bounded(server.as_str()),
+        Message::StreamRecords(records) => {
+            records.len() <= MAX_STREAM_RECORDS && records.iter().all(is_stream_record_bounded)
+        }
+        Message::StreamQuery(query) => {
+            query.key.as_ref().is_none_or(is_stream_key_bounded)
+                && is_key_bounded(&query.route)
+                && is_name_bounded(query.service.as_str())
+        }
+        Message::StreamState(state) => is_stream_knowledge_bounded(state),
         Message::ClaimAppend(append) => append.claims.len() <= MAX_ENTRIES,
         Message::AnswerState(_)
         | Message::ConfigHead(_)
@@ -73,6 +85,32 @@
     }
 }
 
+fn is_stream_key_bounded(key: &StreamKey) -> bool {
+    let workspace = key.workspace.as_ref();
+    is_key_bounded(key.request.as_str())
+        && workspace.is_none_or(|name| is_key_bounded(name.as_str()))
+}
+
+fn is_stream_origin_bounded(origin: &StreamOrigin) -> bool {
+    is_name_bounded(origin.service.as_str()) && is_name_bounded(origin.software.as_str())
+}
+
+fn is_stream_record_bounded(record: &StreamRecord) -> bool {
+    is_stream_key_bounded(&record.key) && is_stream_origin_bounded(&record.origin)
+}
+
+fn is_stream_knowledge_bounded(knowledge: &StreamKnowledge) -> bool {
+    let is_origin_bounded = match &knowledge.origin {
+        RecordedOrigin::Known(origin) => is_stream_origin_bounded(origin),
+        RecordedOrigin::Ambiguous | RecordedOrigin::Absent => true,
+    };
+    let is_version_bounded = match &knowledge.served {
+        ServedVersions::One(version) => is_name_bounded(version.as_str()),
+        ServedVersions::Several | ServedVersions::Unknown => true,
+    };
+    is_origin_bounded && is_version_bounded
+}
+
 fn is_name_bounded(name: &str) -> bool {
     name.len() <= MAX_NAME_BYTES
 }
