Play releases and callers that take streams up in the soak

Engines of the soak run up to three software versions, which releases change for some or all, also back, beside all other faults. Callers take broken streams up at other instances, up to twice. Two promises are new: no stream has events of two versions over its attempts, and 95 of 100 streams that are broken off and taken up in the calm phase go on.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -19,9 +19,9 @@
 
 use crate::{
     client::{self, Connection, NoResponse, Response},
-    config::{API_KEY, HOST, Kind, LEAVING_HEADER, POISON_PATH, TIMEOUT_MS},
+    config::{API_KEY, HOST, Kind, LEAVING_HEADER, POISON_PATH, TIMEOUT_MS, WORKSPACE},
     deployment::Deployment,
-    ledger::RequestRecord,
+    ledger::{ReceivedPart, RequestRecord},
     sabotage::Sabotage,
 };
 
@@ -33,6 +33,8 @@
 const RESEND_DELAY_MS: std::ops::Range<u64> = 30..300;
 /// Percentage of requests that use a new connection.
 const NEW_CONNECTION_PERCENT: u32 = 15;
+/// Most times that a caller takes a stream up.
+const MAX_TAKE_UPS: usize = 2;
 /// Interval between two readiness checks, and the timeout of each check.
 const READY_INTERVAL: Duration = Duration::from_millis(200);
 /// A sabotage tampers with one request or response out of this many.
@@ -90,10 +92,110 @@
             if record.outcome.is_err() {
                 connections.remove(&instance);
             }
+            if kind == Kind::Quote && !record.is_served() {
+                connections.remove(&instance);
+                self.take_up(&record, &mut rng).await;
+            }
             self.deployment.ledger.add(record);
         }
     }
 
+    /// Takes the stream of `broken` up at other instances as long as it breaks off and some
+    /// events have been received, a few times at most.
+    async fn take_up(&self, broken: &RequestRecord, rng: &mut Pcg64Mcg) {
+        let mut part = broken.received_part();
+        for _ in 0..MAX_TAKE_UPS {
+            let (Some(received), Some(instance)) = (part, self.deployment.draw_ready(rng)) else {
+                return;
+            };
+            let attempt = self.take_up_at(instance, broken, received).await;
+            let is_served = attempt.is_served();
+            part = attempt.received_part();
+            self.deployment.ledger.add(attempt);
+            if is_served {
+                return;
+            }
+        }
+    }
+
+    /// Takes the stream of `broken` up at `instance` after what has been received of it.
+    pub(crate) async fn take_up_at(
+        &self,
+        instance: usize,
+        broken: &RequestRecord,
+        received: ReceivedPart,
+    ) -> RequestRecord {
+        let number = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let id = format!("r{number}");
+        let start_number = self.deployment.start_number(instance);
+        let sent_at = Instant::now();
+        let deadline = sent_at + Duration::from_millis(CALLER_TIMEOUT_MS);
+        let mut request = build_request(&id, broken.kind, &broken.path, &broken.body);
+        let named = match self.sabotage {
+            Some(Sabotage::ForgottenStreams) => "unknown",
+            _ => &received.first_request,
+        };
+        insert_header(&mut request, "resumes", named);
+        let last_event = received.last_event.to_string();
+        insert_header(&mut request, "last-event-id", &last_event);
+        let connected = match self.sabotage {
+            Some(Sabotage::Joined) => {
+                request.headers_mut().remove("x-api-key");
+                insert_header(&mut request, "tenant", WORKSPACE);
+                client::connect(self.deployment.engine_of_another(&received.version)).await
+            }
+            _ => client::connect(self.deployment.addresses[instance].caller).await,
+        };
+        let outcome = match connected {
+            Ok(mut connection) => client::exchange(&mut connection, request, deadline).await,
+            Err(err) => Err(err),
+        };
+        RequestRecord {
+            id,
+            kind: broken.kind,
+            path: broken.path.clone(),
+            body: broken.body.clone(),
+            resumes: Some(received),
+            instance,
+            start_number,
+            sent_at,
+            ended_at: Instant::now(),
+            outcome,
+        }
+    }
+
+    /// Begins a stream at `instance`, and closes the connection after two events.
+    pub(crate) async fn begin_stream(&self, instance: usize) -> RequestRecord {
+        let number = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let id = format!("r{number}");
+        let path = format!("/{}/{id}", Kind::Quote.prefix());
+        let body = format!("body of {id}");
+        let start_number = self.deployment.start_number(instance);
+        let sent_at = Instant::now();
+        let deadline = sent_at + Duration::from_millis(CALLER_TIMEOUT_MS);
+        let request = build_request(&id, Kind::Quote, &path, &body);
+        let has_two_events =
+            |body: &[u8]| body.windows(2).filter(|pair| *pair == b"\n\n").count() >= 2;
+        let outcome = match client::connect(self.deployment.addresses[instance].caller).await {
+            Ok(mut connection) => {
+                client::exchange_until(&mut connection, request, deadline, has_two_events).await
+            }
+            Err(err) => Err(err),
+        };
+        RequestRecord {
+            id,
+            kind: Kind::Quote,
+            path,
+            body,
+            resumes: None,
+            instance,
+            start_number,
+            sent_at,
+            ended_at: Instant::now(),
+            outcome,
+        }
+    }
+
     /// Sends requests of one kind to random instances until the callers are stopped.
     pub(crate) async fn resend_until_stopped(self: Arc<Self>, kind: Kind, seed: u64) {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
@@ -161,6 +263,7 @@
             kind,
             path,
             body,
+            resumes: None,
             instance,
             start_number,
             sent_at,
@@ -220,6 +323,12 @@
     }
 }
 
+fn insert_header(request: &mut Request<Full<Bytes>>, name: &'static str, value: &str) {
+    if let Ok(value) = value.parse() {
+        request.headers_mut().insert(name, value);
+    }
+}
+
 fn build_request(id: &str, kind: Kind, path: &str, body: &str) -> Request<Full<Bytes>> {
     let mut request = Request::builder()
         .method(kind.method())
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -62,6 +62,16 @@
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
     deadline: time::Instant,
+) -> Result<Response, NoResponse> {
+    exchange_until(connection, request, deadline, |_| false).await
+}
+
+/// Sends a request and reads its response until `deadline`, or until `is_enough` of the body.
+pub(crate) async fn exchange_until(
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+    deadline: time::Instant,
+    is_enough: impl Fn(&[u8]) -> bool,
 ) -> Result<Response, NoResponse> {
     let sending = time::timeout_at(deadline, connection.send_request(request)).await;
     let response = match sending {
@@ -74,7 +84,12 @@
     let mut body = Vec::new();
     let is_complete = loop {
         match time::timeout_at(deadline, incoming.frame()).await {
-            Ok(Some(Ok(frame))) => body.extend(frame.into_data().unwrap_or_default()),
+            Ok(Some(Ok(frame))) => {
+                body.extend(frame.into_data().unwrap_or_default());
+                if is_enough(&body) {
+                    break false;
+                }
+            }
             Ok(Some(Err(_))) | Err(_) => break false,
             Ok(None) => break true,
         }
--- a/crates/soak/src/config.rs
+++ b/crates/soak/src/config.rs
@@ -23,7 +23,9 @@
 
 /// Services and their numbers of servers.
 pub(crate) const SERVICES: [(&str, usize); 4] =
-    [("desk", 3), ("engine", 3), ("archive", 2), ("invoices", 2)];
+    [("desk", 3), ("engine", 5), ("archive", 2), ("invoices", 2)];
+/// Versions of the software of engines.
+pub(crate) const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
 
 /// Returns the server indices of a service.
 pub(crate) fn servers_of(service: &str) -> Range<usize> {
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -1,10 +1,11 @@
 //! One deployment: platform stand-ins, relays in front of them, and instances as processes.
 
 use std::{
+    net::SocketAddr,
     path::Path,
     sync::{
         Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering},
     },
 };
 
@@ -15,7 +16,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    config::{self, EVENTS_PER_STREAM, FIRST_ZONE, RETRY_RATIO, RETRY_SLACK, SERVICES},
+    config::{self, EVENTS_PER_STREAM, FIRST_ZONE, RETRY_RATIO, RETRY_SLACK, SERVICES, VERSIONS},
     disturbances::Disturbances,
     error::Result,
     ledger::Ledger,
@@ -38,6 +39,8 @@
     zone: &'static str,
     /// Number of runs of the server so far.
     run_count: AtomicU32,
+    /// Index of the software version of its next run in [`VERSIONS`].
+    next_version: AtomicUsize,
 }
 
 impl Server {
@@ -49,6 +52,11 @@
         }
     }
 
+    /// Returns the software version of its next run.
+    pub(crate) fn version(&self) -> &'static str {
+        VERSIONS[self.next_version.load(Ordering::Relaxed) % VERSIONS.len()]
+    }
+
     /// Returns the ID of the current run.
     pub(crate) fn run_id(&self) -> String {
         format!(
@@ -100,6 +108,7 @@
                     service,
                     zone: ZONES[index % ZONES.len()],
                     run_count: AtomicU32::new(0),
+                    next_version: AtomicUsize::new(0),
                 });
             }
         }
@@ -208,10 +217,29 @@
         let server = &self.servers[index];
         server.run_count.fetch_add(1, Ordering::Relaxed);
         server.standin.restart_as(&server.run_id());
+        if server.service == "engine" {
+            server.standin.set_software(server.version());
+        }
         server.standin.set(server.default_behaviour());
         self.register(index, "ready");
     }
 
+    /// Replaces the run of a server by one with another software version.
+    pub(crate) fn release(&self, index: usize, version: usize) {
+        self.deregister(index);
+        self.servers[index]
+            .next_version
+            .store(version, Ordering::Relaxed);
+        self.start_server_run(index);
+    }
+
+    /// Returns the address of an engine whose software has another version.
+    pub(crate) fn engine_of_another(&self, version: &str) -> SocketAddr {
+        let mut engines = self.servers.iter().filter(|s| s.service == "engine");
+        let other = engines.find(|server| server.version() != version);
+        other.unwrap_or(&self.servers[0]).standin.addr
+    }
+
     /// Registers the current run of a server with a state.
     pub(crate) fn register(&self, index: usize, state: &str) {
         let server = &self.servers[index];
@@ -229,7 +257,7 @@
     }
 }
 
-async fn start_relay(to: std::net::SocketAddr) -> Result<Relay> {
+async fn start_relay(to: SocketAddr) -> Result<Relay> {
     let loopback = ([127, 0, 0, 1], 0).into();
     let settings = RelaySettings {
         addr: loopback,
--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -23,7 +23,8 @@
         optional --logs folder: PathBuf
         /// Breaks a promise on purpose, to verify that the soak detects it: twice, false-refusal,
         /// cut-short, mixed, unasked, regress, late-config, late-drain, cut-on-stop,
-        /// overspent, uncounted, over-limit, unseen-leaving, over-backoff, not-back.
+        /// overspent, uncounted, over-limit, unseen-leaving, over-backoff, joined,
+        /// forgotten-streams, not-back.
         optional --sabotage promise: String
     }
 }
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -9,6 +9,17 @@
     config::Kind,
 };
 
+/// What a caller has received of a stream that it takes up.
+#[derive(Clone, Debug)]
+pub(crate) struct ReceivedPart {
+    /// Request that brought the first event.
+    pub(crate) first_request: String,
+    /// Number of the last event.
+    pub(crate) last_event: u32,
+    /// Version that wrote the events.
+    pub(crate) version: String,
+}
+
 /// One request and its outcome.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestRecord {
@@ -17,6 +28,8 @@
     pub(crate) kind: Kind,
     pub(crate) path: String,
     pub(crate) body: String,
+    /// The stream that it takes up, if it does.
+    pub(crate) resumes: Option<ReceivedPart>,
     /// Instance that received the request, and the number of its start.
     pub(crate) instance: usize,
     pub(crate) start_number: u32,
@@ -33,6 +46,28 @@
             .map(|response| response.status.as_u16())
     }
 
+    /// Returns what the caller has received after this request of a stream that broke off.
+    pub(crate) fn received_part(&self) -> Option<ReceivedPart> {
+        let response = self.outcome.as_ref().ok()?;
+        if response.is_complete || !response.status.is_success() {
+            return self.resumes.clone();
+        }
+        let body = String::from_utf8_lossy(&response.body);
+        let whole_events = body.rfind("\n\n").map_or("", |end| &body[..end]);
+        let mut ids = whole_events
+            .lines()
+            .filter_map(|line| line.strip_prefix("id: "));
+        let Some(last_event) = ids.next_back().and_then(|id| id.parse().ok()) else {
+            return self.resumes.clone();
+        };
+        let first = self.resumes.as_ref().map(|part| part.first_request.clone());
+        Some(ReceivedPart {
+            first_request: first.unwrap_or_else(|| self.id.clone()),
+            last_event,
+            version: first_version(&body).to_owned(),
+        })
+    }
+
     /// Returns whether the response guarantees that the request has not run.
     pub(crate) fn is_refused(&self) -> bool {
         matches!(self.status(), Some(408 | 421 | 429 | 503))
@@ -46,6 +81,12 @@
     }
 }
 
+/// Returns the version that wrote the first event of a stream, or nothing if it has none.
+pub(crate) fn first_version(body: &str) -> &str {
+    let after = body.split_once(" by ").map_or("", |(_, after)| after);
+    after.split_once(' ').map_or("", |(version, _)| version)
+}
+
 /// All completed requests of one seed.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Ledger(Arc<Mutex<Vec<RequestRecord>>>);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -5,6 +5,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::config::{VERSIONS, servers_of};
+
 /// Mean pause between two series of faults.
 const MEAN_FAULT_GAP_MS: u64 = 600;
 /// Number of faults of one process or server in a series, which may overlap.
@@ -66,6 +68,13 @@
         backoff: Duration,
         lasts: Duration,
     },
+    /// Replaces engines one after the other by runs with another software version.
+    Release {
+        first: usize,
+        count: usize,
+        version: usize,
+        gap: Duration,
+    },
     /// Publishes a new configuration version with one more route.
     Configure,
 }
@@ -128,6 +137,9 @@
 /// Mean pause between two series of servers whose framing hides how a response ends.
 const MEAN_FRAMING_GAP_MS: u64 = 1_500;
 
+/// Mean pause between two releases of the engines.
+const MEAN_RELEASE_GAP_MS: u64 = 3_000;
+
 /// Draws the faults of `seed`, sorted by their start times. All faults end within a few
 /// seconds after `duration`.
 pub(crate) fn draw(
@@ -154,6 +166,7 @@
     faults.extend(draw_limits(seed, servers, duration));
     faults.extend(draw_signals(seed, servers, duration));
     faults.extend(draw_framings(seed, servers, duration));
+    faults.extend(draw_releases(seed, duration));
     faults.sort_by_key(|(at, _)| *at);
     faults
 }
@@ -233,6 +246,26 @@
     framings
 }
 
+/// Draws releases of some or all engines, also back to earlier versions. Uses a separate
+/// generator, as `draw_limits` does.
+fn draw_releases(seed: u64, duration: Duration) -> Vec<(Duration, Fault)> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(8) ^ 3);
+    let engines = servers_of("engine").len();
+    let mut releases = Vec::new();
+    let mut at_ms = rng.random_range(0..MEAN_RELEASE_GAP_MS);
+    while at_ms < duration.as_millis() as u64 {
+        let fault = Fault::Release {
+            first: rng.random_range(0..engines),
+            count: rng.random_range(1..=engines),
+            version: rng.random_range(0..VERSIONS.len()),
+            gap: Duration::from_millis(rng.random_range(50..800)),
+        };
+        releases.push((Duration::from_millis(at_ms), fault));
+        at_ms += rng.random_range(0..2 * MEAN_RELEASE_GAP_MS);
+    }
+    releases
+}
+
 fn draw_fault(rng: &mut Pcg64Mcg, kind: u32, instance: usize, server: usize) -> Fault {
     let lasts = Duration::from_millis(rng.random_range(100..3_000));
     let harm = HARMS[rng.random_range(0..HARMS.len())];
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -14,7 +14,7 @@
         SERVICES, TIMEOUT_MS, WORKSPACE,
     },
     deployment::Deployment,
-    ledger::RequestRecord,
+    ledger::{RequestRecord, first_version},
     run::CALM_LIMIT_REQUESTS_PER_S,
     signals::SignalCheck,
 };
@@ -35,6 +35,16 @@
 /// Minimum percentage of requests that are served in the calm phase.
 const CALM_SERVED_PERCENT: usize = 95;
 
+/// Minimum percentage of streams that go on of those that are taken up in the calm phase.
+const CALM_TAKE_UP_PERCENT: usize = 95;
+
+/// Streams that callers took up in the calm phase.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TakenUp {
+    pub(crate) total: usize,
+    pub(crate) gone_on: usize,
+}
+
 /// The calm phase at the end of a seed: planned operations and their results.
 #[derive(Debug)]
 pub(crate) struct CalmPhase {
@@ -52,6 +62,7 @@
     pub(crate) drained_from: Instant,
     /// Server that announces a limit.
     pub(crate) limited_server: usize,
+    pub(crate) taken_up: TakenUp,
     /// Instance that was stopped as planned.
     pub(crate) stopped_instance: usize,
     pub(crate) stopped_at: Instant,
@@ -118,6 +129,8 @@
     };
     signals.leaving_is_respected(&mut violations);
     signals.backoff_is_respected(&mut violations);
+    observations.streams_keep_their_version(&mut violations);
+    observations.taken_up_streams_go_on(calm, &mut violations);
     observations.check_calm_phase(calm, &mut violations);
     violations
 }
@@ -168,9 +181,9 @@
                 continue;
             }
             let signature = response.header("server-seal").unwrap_or_default();
-            let expected =
-                expected_body(record, signature.strip_prefix("seal.").unwrap_or_default());
             let body = String::from_utf8_lossy(&response.body);
+            let server = signature.strip_prefix("seal.").unwrap_or_default();
+            let expected = expected_body(record, server, first_version(&body));
             let is_expected = if response.is_complete {
                 body == expected
             } else {
@@ -185,6 +198,32 @@
         }
     }
 
+    /// Checks that no stream has events of two software versions over its caller's attempts.
+    fn streams_keep_their_version(&self, violations: &mut Vec<String>) {
+        for record in self.records {
+            let (Some(part), Ok(response)) = (&record.resumes, &record.outcome) else {
+                continue;
+            };
+            let body = String::from_utf8_lossy(&response.body);
+            let version = first_version(&body);
+            if response.status.is_success() && !version.is_empty() && version != part.version {
+                violations.push(format!(
+                    "{} joined events of {version} to the stream that {} began at {}",
+                    record.id, part.first_request, part.version
+                ));
+            }
+        }
+    }
+
+    fn taken_up_streams_go_on(&self, calm: &CalmPhase, violations: &mut Vec<String>) {
+        let TakenUp { total, gone_on } = calm.taken_up;
+        if gone_on * 100 < total * CALM_TAKE_UP_PERCENT {
+            violations.push(format!(
+                "only {gone_on} of {total} streams went on that were taken up"
+            ));
+        }
+    }
+
     fn only_caller_requests_ran(&self, violations: &mut Vec<String>) {
         for (service, seen) in &self.executions {
             let id = id_of(seen);
@@ -462,14 +501,23 @@
     }
 }
 
-/// Returns the body of a complete response of `server` to a request.
-fn expected_body(record: &RequestRecord, server: &str) -> String {
+/// Returns the body of a complete response of `server` to a request, if `version` wrote its first
+/// event.
+fn expected_body(record: &RequestRecord, server: &str, version: &str) -> String {
     let id = &record.id;
     if !record.kind.is_stream() {
         return format!("answer of {server} to {id}");
     }
-    let events = 0..EVENTS_PER_STREAM;
+    let by = match version {
+        "" => String::new(),
+        version => format!(" by {version}"),
+    };
+    let first = record
+        .resumes
+        .as_ref()
+        .map_or(0, |part| part.last_event + 1);
+    let events = first..EVENTS_PER_STREAM;
     events
-        .map(|number| format!("id: {number}\ndata: token {number} to {id}\n\n"))
+        .map(|number| format!("id: {number}\ndata: token {number}{by} to {id}\n\n"))
         .collect()
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -30,7 +30,7 @@
     ledger::Counts,
     plan::{self, Fault, Harm, Misdeed},
     presses,
-    promises::{self, CalmPhase},
+    promises::{self, CalmPhase, TakenUp},
     sabotage::Sabotage,
     signals::BACKOFF_REACTION_BOUND,
 };
@@ -58,6 +58,11 @@
 ];
 /// Request rate limit that one engine announces in the calm phase.
 pub(crate) const CALM_LIMIT_REQUESTS_PER_S: f64 = 1.0;
+/// Number of engines that have the first software version in the calm phase; the others have the
+/// second one.
+const CALM_ENGINES_OF_FIRST_VERSION: usize = 2;
+/// Number of streams that are broken off and taken up in the calm phase.
+const CALM_TAKE_UPS: usize = 24;
 /// Delay of links with [`Harm::Delay`].
 const LINK_DELAY_MS: u64 = 120;
 
@@ -145,6 +150,9 @@
     let faults = plan::draw(seed, options.instances, servers, options.fault_duration);
     write_plan(&folder, &faults)?;
     inject(&callers, &faults).await?;
+    for (number, engine) in servers_of("engine").enumerate() {
+        deployment.release(engine, usize::from(number >= CALM_ENGINES_OF_FIRST_VERSION));
+    }
     deployment.servers[limited_engine(seed)]
         .standin
         .set_limit(Some(CALM_LIMIT_REQUESTS_PER_S));
@@ -352,6 +360,21 @@
             server.standin.set(server.default_behaviour());
             Ok(())
         }
+        Fault::Release {
+            first,
+            count,
+            version,
+            gap,
+        } => {
+            let engines = servers_of("engine");
+            for offset in 0..count {
+                let server = engines.start + (first + offset) % engines.len();
+                deployment.register(server, "draining");
+                time::sleep(gap).await;
+                deployment.release(server, version);
+            }
+            Ok(())
+        }
         Fault::Configure => {
             deployment.configure();
             Ok(())
@@ -475,6 +498,7 @@
         }
         deployment.ledger.add(record);
     }
+    let taken_up = take_streams_up(callers).await;
     sabotage_servers(deployment, sabotage, leaving_server, limited_engine(seed)).await;
     let stopped_instance = (seed % deployment.addresses.len() as u64) as usize;
     let stopped_at = Instant::now();
@@ -493,12 +517,33 @@
         leaving_server,
         drained_from,
         limited_server: limited_engine(seed),
+        taken_up,
         stopped_instance,
         stopped_at,
         stop_completed_at: Instant::now(),
     })
 }
 
+/// Begins streams at all instances in turn, breaks them off and takes each up at the next
+/// instance. Returns the number of streams that were taken up and of those that went on.
+async fn take_streams_up(callers: &Callers) -> TakenUp {
+    let deployment = &callers.deployment;
+    let instances = deployment.addresses.len();
+    let mut taken_up = TakenUp::default();
+    for number in 0..CALM_TAKE_UPS {
+        let begun = callers.begin_stream(number % instances).await;
+        if let Some(received) = begun.received_part() {
+            let next = (number + 1) % instances;
+            let again = callers.take_up_at(next, &begun, received).await;
+            taken_up.total += 1;
+            taken_up.gone_on += usize::from(again.is_served());
+            deployment.ledger.add(again);
+        }
+        deployment.ledger.add(begun);
+    }
+    taken_up
+}
+
 /// Sends servers requests that no instance may send them, as the sabotage requires.
 async fn sabotage_servers(
     deployment: &Deployment,
--- a/crates/soak/src/sabotage.rs
+++ b/crates/soak/src/sabotage.rs
@@ -34,6 +34,10 @@
     UnseenLeaving,
     /// Sends requests to a server during the backoff that it requested.
     OverBackoff,
+    /// Takes streams up at a server of another software version.
+    Joined,
+    /// Names a request that never began a stream when a stream is taken up.
+    ForgottenStreams,
     /// Kills an instance and does not restart it.
     NotBack,
 }
@@ -60,6 +64,8 @@
             "over-limit" => Self::OverLimit,
             "unseen-leaving" => Self::UnseenLeaving,
             "over-backoff" => Self::OverBackoff,
+            "joined" => Self::Joined,
+            "forgotten-streams" => Self::ForgottenStreams,
             "not-back" => Self::NotBack,
             other => return Err(Error::InvalidFlag(format!("unknown sabotage: {other}"))),
         })
