Judge the stages of a stream that goes on as those of a new one

A caller that took its stream up was taken for one that had been refused before, because its deadline is shorter.

The stages of a stream whose caller has events have the route's whole goal from now on and no shortfall.

--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -176,17 +176,16 @@
         let usual_response_time = self.usual_response_time(caller);
         let left_ms = self.wait_budget(caller, usual_response_time)?.as_millis() as u64;
         let elapsed_ms = caller.elapsed_ms();
+        // The goal is for the first event, which the caller of a stream that goes on has.
+        let goal_elapsed_ms = if caller.has_events() { 0 } else { elapsed_ms };
         let submission = Submission {
             key: self.stages.next_key(),
             request: caller.id.clone(),
             stages,
             piece_key: caller.head.piece_key.clone(),
-            goal_left_ms: route.goal_ms.saturating_sub(elapsed_ms).min(left_ms),
+            goal_left_ms: route.goal_ms.saturating_sub(goal_elapsed_ms).min(left_ms),
             deadline_left_ms: left_ms,
-            missing_ms: caller.head.deadline_ms.map_or(0, |deadline_ms| {
-                let now_ms = self.clock.now_ms();
-                self.view.missing_ms(now_ms, &route.name, deadline_ms)
-            }),
+            missing_ms: self.missing_ms(caller),
             rest_ms: estimate_rest_ms(caller),
             priority: caller.matched.priority,
             home_zone: caller.prompt().and_then(|prompt| {
@@ -236,6 +235,16 @@
         }
     }
 
+    /// Returns by how much a caller's deadline is shorter than is usual on its route, in ms.
+    fn missing_ms(&self, caller: &CallerRequest) -> u64 {
+        let deadline_ms = caller.head.deadline_ms.filter(|_| !caller.has_events());
+        deadline_ms.map_or(0, |deadline_ms| {
+            let now_ms = self.clock.now_ms();
+            self.view
+                .missing_ms(now_ms, &caller.route().name, deadline_ms)
+        })
+    }
+
     /// Returns how long a response to a request of this route usually takes after the
     /// send.
     pub(super) fn usual_response_time(&self, caller: &CallerRequest) -> Duration {
--- a/crates/server/src/gateway/request.rs
+++ b/crates/server/src/gateway/request.rs
@@ -59,6 +59,11 @@
         self.is_resumable() && self.head.last_event.is_some()
     }
 
+    /// Returns whether its caller has received events of its stream.
+    pub(super) fn has_events(&self) -> bool {
+        self.software != SoftwareBinding::Free
+    }
+
     /// Returns its prompt, if its route uses prompts.
     pub(super) fn prompt(&self) -> Option<&Prompt> {
         let has_prompts = self.route().has_prompts;
