Explain a stream over all attempts of its caller

`savoryvanectl explain` showed one attempt. It follows `resumes` to the first request of the stream and to the other attempts, whose lines name their request. The messages of stream records have tests of their round trip and of their limits.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -1,7 +1,10 @@
 //! Explains a request from the log lines of all instances: what each instance
 //! decided, and its state at that time.
 
-use std::io::{BufRead, Write};
+use std::{
+    collections::HashSet,
+    io::{BufRead, Write},
+};
 
 use serde_json::Value;
 
@@ -38,13 +41,13 @@
 /// Maximum number of state lines per instance shown from before the request's first line.
 const MAX_STATE_LINES_BEFORE: usize = 5;
 /// Fields left out of the list of fields: they have their own column or add nothing.
-const OMITTED_FIELDS: [&str; 6] = ["msg", "level", "ts", "zone", "instance", "request"];
+const OMITTED_FIELDS: [&str; 5] = ["msg", "level", "ts", "zone", "instance"];
 
-/// Reads log lines, one JSON object each, and writes those that explain
-/// `request` in order of time: its own lines, and the state lines of the instances
-/// that handled it. For a request that was refused because servers crashed under it, the
-/// lines about these crashes are shown too, from any instance and for any identifier.
-/// Lines that are not log lines are skipped.
+/// Reads log lines, one JSON object each, and writes those that explain `request` in order of
+/// time: its own lines, those of the other requests of its stream if its caller took that up, and
+/// the state lines of the instances that handled them. For a request that was refused because
+/// servers crashed under it, the lines about these crashes are shown too, from any instance and
+/// for any identifier. Lines that are not log lines are skipped.
 ///
 /// # Errors
 ///
@@ -55,7 +58,9 @@
         lines.extend(LogLine::parse(&line?));
     }
     lines.sort_by(|a, b| a.sort_key().cmp(b.sort_key()));
-    let is_of_request = |line: &&LogLine| line.text("request") == Some(request);
+    let attempts = attempts_of_stream(&lines, request);
+    let is_of_request =
+        |line: &&LogLine| line.text("request").is_some_and(|id| attempts.contains(id));
     let request_lines: Vec<&LogLine> = lines.iter().filter(is_of_request).collect();
     let (Some(first), Some(last)) = (request_lines.first(), request_lines.last()) else {
         return Err(Error::NoSuchRequest(request.to_owned()));
@@ -83,11 +88,30 @@
     selected.extend(crash_lines_before(&lines, &request_lines));
     selected.sort_by(|a, b| a.sort_key().cmp(b.sort_key()));
     for line in selected {
-        writeln!(out, "{}", render(line))?;
+        writeln!(
+            out,
+            "{}",
+            render(line, |id| id != request && attempts.contains(id))
+        )?;
     }
     Ok(())
 }
 
+/// Returns all requests of the stream that `request` began or takes up, if its caller took it up
+/// at least once.
+fn attempts_of_stream<'a>(lines: &'a [LogLine], request: &'a str) -> HashSet<&'a str> {
+    let named = lines.iter().filter_map(|line| {
+        let resumes = line.text("resumes")?;
+        Some((line.text("request")?, resumes))
+    });
+    let named: Vec<(&str, &str)> = named.collect();
+    let own = named.iter().find(|(attempt, _)| *attempt == request);
+    let first = own.map_or(request, |(_, first)| *first);
+    let attempts = named.iter().filter(|(_, resumes)| *resumes == first);
+    let attempts = attempts.map(|(attempt, _)| *attempt);
+    attempts.chain([first]).collect()
+}
+
 /// Returns the lines about crashes that led to the refusal of a request, if it was refused
 /// for that reason.
 fn crash_lines_before<'a>(lines: &'a [LogLine], request_lines: &[&LogLine]) -> Vec<&'a LogLine> {
@@ -107,11 +131,16 @@
     lines.iter().filter(is_crash_line).collect()
 }
 
-fn render(line: &LogLine) -> String {
+/// Formats a line, with the request that it is about if `names_request`.
+fn render(line: &LogLine, names_request: impl Fn(&str) -> bool) -> String {
+    let is_omitted = |name: &str, value: &Value| match name {
+        "request" => !value.as_str().is_some_and(&names_request),
+        name => OMITTED_FIELDS.contains(&name),
+    };
     let listed_fields = line
         .fields
         .iter()
-        .filter(|(name, value)| !OMITTED_FIELDS.contains(&name.as_str()) && !value.is_null());
+        .filter(|(name, value)| !is_omitted(name, value) && !value.is_null());
     let fields: Vec<String> = listed_fields
         .map(|(name, value)| match value {
             Value::String(text) => format!("{name}={text}"),
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -55,6 +55,40 @@
     assert_eq!(printed, expected);
 }
 
+#[test]
+fn a_stream_is_explained_over_the_attempts_of_its_caller() {
+    let logs = br#"{"msg":"server chosen","ts":"2026-01-01T00:00:01Z","instance":"a","request":"r1","server":"i-1","software":"v1","resumes":null}
+{"msg":"stream taken up","ts":"2026-01-01T00:00:02Z","instance":"b","request":"r2","resumes":"r1","outcome":"same_version"}
+{"msg":"server chosen","ts":"2026-01-01T00:00:03Z","instance":"b","request":"r2","server":"i-2","software":"v1","resumes":"r1"}
+{"msg":"stream taken up","ts":"2026-01-01T00:00:04Z","instance":"c","request":"r3","resumes":"r1","outcome":"version_gone"}
+{"msg":"stream taken up","ts":"2026-01-01T00:00:04Z","instance":"c","request":"r9","resumes":"r8","outcome":"stream_unknown"}
+"#;
+    for (request, own_line) in [
+        (
+            "r1",
+            "2026-01-01T00:00:01Z  a  server chosen  server=i-1 software=v1",
+        ),
+        (
+            "r2",
+            "2026-01-01T00:00:02Z  b  stream taken up  outcome=same_version resumes=r1",
+        ),
+        (
+            "r3",
+            "2026-01-01T00:00:04Z  c  stream taken up  outcome=version_gone resumes=r1",
+        ),
+    ] {
+        let output = explain(request, logs);
+        let printed = String::from_utf8(output.stdout).unwrap();
+        assert_eq!(printed.lines().count(), 4, "{request}: {printed}");
+        assert!(printed.contains(own_line), "{request}: {printed}");
+        let others = printed.matches(" request=r").count();
+        assert_eq!(
+            others,
+            printed.lines().count() - if request == "r2" { 2 } else { 1 }
+        );
+    }
+}
+
 #[test]
 fn an_unknown_request_is_an_error() {
     let output = explain("r9", b"");
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -1,11 +1,12 @@
 //! Frames between instances: messages round-trip, and hostile bytes are refused.
 
 use quickcheck::{Gen, QuickCheck, Testable};
-use savoryvane_core::ids::{Incarnation, Offset, RegionName, ZoneName};
+use savoryvane_core::ids::{Incarnation, MAX_NAME_BYTES, Offset, RegionName, ZoneName};
 use savoryvane_core::{
     forwarding::{
         CellLayout, Cursor, DirectoryUpdate, EvacuationState, ExpiringServer, GrantPurpose,
-        LimitReport, RoutingConfig, ZoneOrder,
+        LimitReport, RecordedOrigin, RoutingConfig, ServedVersions, StreamKey, StreamOrigin,
+        ZoneOrder,
     },
     poison::{Evidence, Permit, RequestDigest},
     stages::{DonePiece, ResultRef, StageWork},
@@ -147,6 +148,16 @@
             revision: 9,
             reports: vec![limit_report(None)],
         }),
+        Message::StreamRecords(vec![stream_record()]),
+        Message::StreamQuery(StreamQuery {
+            key: Some(stream_record().key),
+            route: "quote".to_owned(),
+            service: "desk".into(),
+        }),
+        Message::StreamState(StreamKnowledge {
+            origin: RecordedOrigin::Known(stream_record().origin),
+            served: ServedVersions::One("v1".into()),
+        }),
         Message::GrantQuery(grant_query(1.5)),
         Message::GrantState(GrantState::Granted("i-1".into())),
         Message::GrantState(GrantState::Closed {
@@ -199,6 +210,20 @@
     ]
 }
 
+fn stream_record() -> StreamRecord {
+    StreamRecord {
+        key: StreamKey {
+            workspace: Some("one".into()),
+            request: "3186e43e8892c0b3".into(),
+        },
+        origin: StreamOrigin {
+            service: "desk".into(),
+            software: "v1".into(),
+        },
+        left_ms: 6_000,
+    }
+}
+
 fn limit_report(limit_per_s: Option<f64>) -> LimitReport {
     LimitReport {
         server: "i-1".into(),
@@ -423,3 +448,33 @@
     }
     check(property as fn(_, _));
 }
+
+#[test]
+fn records_of_streams_beyond_their_limits_are_neither_sent_nor_accepted() {
+    let record = stream_record();
+    let long_request = StreamKey {
+        request: "r".repeat(MAX_KEY_BYTES + 1).as_str().into(),
+        ..record.key.clone()
+    };
+    let long_version = StreamOrigin {
+        software: "v".repeat(MAX_NAME_BYTES + 1).as_str().into(),
+        ..record.origin.clone()
+    };
+    let too_long = [
+        StreamRecord {
+            key: long_request,
+            ..record.clone()
+        },
+        StreamRecord {
+            origin: long_version,
+            ..record.clone()
+        },
+    ];
+    for record in too_long {
+        assert!(encode(&Message::StreamRecords(vec![record])).is_err());
+    }
+    let most = vec![record; MAX_STREAM_RECORDS];
+    assert!(encode(&Message::StreamRecords(most.clone())).is_ok());
+    let too_many = [most, vec![stream_record()]].concat();
+    assert!(encode(&Message::StreamRecords(too_many)).is_err());
+}
