Refuse a take-up whose version left while its stages ran without a time to come back

The version of a stream may lose its last server after the take-up was admitted. The caller was told to come back in 500 ms, as if a server were only avoided for a moment. No such time is known, so that it gets `version_gone` without one.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod poison_day;
 pub mod policy;
 pub mod quota_net;
+pub mod record_load;
 pub mod report;
 pub mod scenario;
 pub mod server;
--- a/crates/core/src/forwarding/record_keepers.rs
+++ b/crates/core/src/forwarding/record_keepers.rs
@@ -14,7 +14,7 @@
 /// their records over when they leave.
 pub const RECORD_READERS: usize = RECORD_REPLICAS + 1;
 /// Most instances of a cell that keep records, which bounds the connections to them.
-const MAX_KEEPERS: usize = 12;
+const MAX_KEEPERS: usize = 24;
 /// Fewest of them in each availability zone.
 const MIN_KEEPERS_PER_ZONE: usize = 2;
 
--- a/crates/server/src/gateway/grants.rs
+++ b/crates/server/src/gateway/grants.rs
@@ -122,11 +122,15 @@
     }
 
     /// Returns why no server accepts a request, and when one will: after a backoff or, if
-    /// all servers have rate limits, when the scheduler expects capacity.
+    /// all servers have rate limits, when the scheduler expects capacity. No time is known for
+    /// a server of a software version that has none.
     pub(super) async fn no_server_reason(&self, caller: &CallerRequest) -> FailureReason {
         let now_ms = self.clock.now_ms();
         let (servers, return_after_ms) = {
             let mut fleet = self.view.fleet();
+            if fleet.lacks_version(now_ms, &caller.service, &caller.software) {
+                return FailureReason::VersionGone;
+            }
             let servers = fleet.limits_if_all_limited(now_ms, &caller.service, &caller.software);
             (
                 servers,
