Keep the versions that have served without looking at all servers five times a second

The times of the last sight were refreshed by going through all registered servers every 200 ms, also through those of other cells at the instances of the cell that reads the store: 10,000 of them in the whole fleet. A version that is registered counts until it no longer is, so that only changes of the register are looked at, and only the servers that the instance uses.

--- a/crates/core/src/forwarding/served_software.rs
+++ b/crates/core/src/forwarding/served_software.rs
@@ -31,11 +31,30 @@
     Unknown,
 }
 
+/// When a version was registered last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sight {
+    /// It is registered now.
+    Registered,
+    /// It was registered until this time, in ms.
+    Until(u64),
+}
+
+impl Sight {
+    /// Returns whether callers of streams that began at the version may still come back.
+    fn counts(self, now_ms: u64) -> bool {
+        match self {
+            Self::Registered => true,
+            Self::Until(until_ms) => now_ms < until_ms + WINDOW_MS,
+        }
+    }
+}
+
 /// Software versions and targets of routes that an instance has seen.
 #[derive(Debug, Default)]
 pub struct ServedSoftware {
-    /// Time of the last sight of each version, in ms; none stands for an unknown version.
-    services: HashMap<PoolName, BTreeMap<Option<SoftwareVersion>, u64>>,
+    /// Versions of each service; none stands for an unknown version.
+    services: HashMap<PoolName, BTreeMap<Option<SoftwareVersion>, Sight>>,
     /// Services that each route goes to.
     routes: HashMap<String, Vec<PoolName>>,
     /// Time of the last change of a route's services, in ms.
@@ -54,18 +73,26 @@
         }
     }
 
-    /// Records the versions of the registered servers.
+    /// Records the versions of all servers that are registered from now on.
     pub fn on_registered<'a>(
         &mut self,
         now_ms: u64,
         servers: impl Iterator<Item = (&'a PoolName, Option<&'a SoftwareVersion>)>,
     ) {
-        for (service, software) in servers {
-            let versions = self.services.entry(service.clone()).or_default();
-            versions.insert(software.cloned(), now_ms);
-        }
         for versions in self.services.values_mut() {
-            versions.retain(|_, seen_at_ms| now_ms < *seen_at_ms + WINDOW_MS);
+            for sight in versions.values_mut() {
+                if *sight == Sight::Registered {
+                    *sight = Sight::Until(now_ms);
+                }
+            }
+            versions.retain(|_, sight| sight.counts(now_ms));
+        }
+        for (service, software) in servers {
+            let versions = match self.services.get_mut(service) {
+                Some(versions) => versions,
+                None => self.services.entry(service.clone()).or_default(),
+            };
+            versions.insert(software.cloned(), Sight::Registered);
         }
         self.services.retain(|_, versions| !versions.is_empty());
     }
@@ -97,10 +124,10 @@
 
     /// Returns the versions at which streams that began at `service` may have begun.
     pub fn versions_of(&self, now_ms: u64, service: &PoolName) -> ServedVersions {
-        let served = self.services.get(service);
-        let mut versions = served.into_iter().flat_map(BTreeMap::keys);
-        let (first, second) = (versions.next(), versions.next());
-        if second.is_some() {
+        let served = self.services.get(service).into_iter().flatten();
+        let mut served = served.filter(|(_, sight)| sight.counts(now_ms));
+        let first = served.next().map(|(version, _)| version);
+        if served.next().is_some() {
             return ServedVersions::Several;
         }
         let is_covered =
--- a/crates/core/tests/forwarding_take_ups.rs
+++ b/crates/core/tests/forwarding_take_ups.rs
@@ -192,11 +192,10 @@
 fn a_version_that_left_counts_until_callers_of_its_streams_can_come_back_no_more() {
     let mut served = served(&[Some(1)]);
     register(&mut served, SETTLED_MS, &[Some(1), Some(2)]);
-    register(&mut served, SETTLED_MS + MAX_CALLER_WAIT_MS, &[Some(1)]);
-    let now_ms = SETTLED_MS + MAX_CALLER_WAIT_MS;
+    register(&mut served, SETTLED_MS + 1_000, &[Some(1)]);
+    let now_ms = SETTLED_MS + 1_000 + MAX_CALLER_WAIT_MS;
     assert_eq!(versions_at(&served, now_ms), ServedVersions::Several);
     let now_ms = now_ms + 10_000;
-    register(&mut served, now_ms, &[Some(1)]);
     assert_eq!(versions_at(&served, now_ms), ServedVersions::One(name(1)));
 }
 
--- a/crates/server/src/gateway/routing_view.rs
+++ b/crates/server/src/gateway/routing_view.rs
@@ -172,14 +172,6 @@
         lock(&self.served_software)
     }
 
-    /// Records the software versions of the registered servers.
-    pub(super) fn observe_software(&self, directory: &Directory) {
-        let now_ms = self.clock.now_ms();
-        let servers = directory.entries();
-        let servers = servers.map(|entry| (&entry.service, entry.software.as_ref()));
-        self.served_software().on_registered(now_ms, servers);
-    }
-
     /// Waits for the next change of routes or servers.
     pub(super) async fn changed(&self) {
         self.changed.notified().await;
@@ -368,7 +360,10 @@
         };
         let (pools, backends, closed, software) = {
             let directory = self.directory();
-            self.observe_software(&directory);
+            let servers = directory.used_entries();
+            let servers = servers.map(|entry| (&entry.service, entry.software.as_ref()));
+            self.served_software()
+                .on_registered(self.clock.now_ms(), servers);
             let (pools, backends) = directory.for_fleet(table.config());
             (pools, backends, directory.closed(), directory.software())
         };
--- a/crates/server/src/gateway/stream_origins.rs
+++ b/crates/server/src/gateway/stream_origins.rs
@@ -350,7 +350,6 @@
         checks.tick().await;
         let register_age_ms = origins.freshness.servers_age_ms();
         let now_ms = origins.clock.now_ms();
-        origins.view.observe_software(&origins.view.directory());
         origins
             .view
             .served_software()
