--- a/crates/core/src/fleet/route.rs
+++ b/crates/core/src/fleet/route.rs
@@ -24,6 +24,7 @@
     pub(crate) idempotent: bool,
     /// Objective that the operator prioritises.
     pub(crate) objective: Objective,
+    /// Backend servers that may take the call, by the version of their software.
     pub(crate) software: &'a SoftwareBinding,
 }
 
--- a/crates/server/src/gateway/stream_origins.rs
+++ b/crates/server/src/gateway/stream_origins.rs
@@ -32,7 +32,7 @@
 use super::{freshness::Freshness, members::Members, routing_view::RoutingView};
 use crate::{clock::Clock, lock::lock};
 
-/// Interval at which the register is checked for new versions.
+/// Interval at which the age of the register is checked, and which records are needed elsewhere.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Timeout for an instance to accept records.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(300);
@@ -64,20 +64,24 @@
     busy: HashSet<InstanceName>,
 }
 
-/// A record on its way to the instances that keep it.
+/// A record that is being sent to the instances that keep it.
 #[derive(Debug)]
 struct OutgoingRecord {
     record: StreamRecord,
-    keepers: Vec<InstanceName>,
-    /// Number of keepers that it has been sent to.
+    keepers: Keepers,
+}
+
+/// Instances that keep a record, each of which is sent to or asked once.
+#[derive(Debug)]
+struct Keepers {
+    instances: Vec<InstanceName>,
     tried: AtomicUsize,
 }
 
-impl OutgoingRecord {
-    /// Returns the next instance to send it to.
-    fn next_keeper(&self) -> Option<&InstanceName> {
+impl Keepers {
+    fn next(&self) -> Option<&InstanceName> {
         let index = self.tried.fetch_add(1, Ordering::Relaxed);
-        self.keepers.get(index).filter(|_| index < MAX_TRIED)
+        self.instances.get(index).filter(|_| index < MAX_TRIED)
     }
 }
 
@@ -173,12 +177,11 @@
         });
         let mut queries = JoinSet::new();
         for cell in 0..layout.cells() {
-            let keepers = self.keepers(stream.key.as_ref(), Some(cell));
-            let outgoing = Arc::new(QueryTurns::new(keepers));
+            let keepers = Arc::new(self.keepers(stream.key.as_ref(), Some(cell)));
             for _ in 0..RECORD_READERS {
                 let (origins, query) = (Arc::clone(self), Arc::clone(&query));
-                let outgoing = Arc::clone(&outgoing);
-                queries.spawn(async move { (cell, origins.ask(&outgoing, &query).await) });
+                let keepers = Arc::clone(&keepers);
+                queries.spawn(async move { (cell, origins.ask(&keepers, &query).await) });
             }
         }
         let until = time::Instant::now() + QUERY_TIMEOUT;
@@ -194,9 +197,9 @@
     }
 
     /// Asks the next instance that has not been asked, until one responds.
-    async fn ask(&self, turns: &QueryTurns, query: &StreamQuery) -> Option<StreamKnowledge> {
+    async fn ask(&self, keepers: &Keepers, query: &StreamQuery) -> Option<StreamKnowledge> {
         let message = Message::StreamQuery(query.clone());
-        while let Some(keeper) = turns.next() {
+        while let Some(keeper) = keepers.next() {
             let response = self
                 .members
                 .peers()
@@ -211,12 +214,15 @@
 
     /// Returns the other instances of `cell`, or of this instance's one, that keep the record of
     /// a stream.
-    fn keepers(&self, key: Option<&StreamKey>, cell: Option<u32>) -> Vec<InstanceName> {
+    fn keepers(&self, key: Option<&StreamKey>, cell: Option<u32>) -> Keepers {
         let listed = self.members.listed_in_cell(cell);
         let listed = listed.iter().map(|(instance, zone)| (instance, zone));
-        let mut keepers = record_keepers(key, listed);
-        keepers.retain(|instance| !self.members.is_self(instance));
-        keepers
+        let mut instances = record_keepers(key, listed);
+        instances.retain(|instance| !self.members.is_self(instance));
+        Keepers {
+            instances,
+            tried: AtomicUsize::new(0),
+        }
     }
 
     /// Sends each record to the first `copies` instances that keep it and respond.
@@ -225,7 +231,6 @@
             let outgoing = Arc::new(OutgoingRecord {
                 keepers: self.keepers(Some(&record.key), None),
                 record,
-                tried: AtomicUsize::new(0),
             });
             for _ in 0..copies {
                 self.send_to_next(&outgoing);
@@ -234,7 +239,7 @@
     }
 
     fn send_to_next(self: &Arc<Self>, outgoing: &Arc<OutgoingRecord>) {
-        let Some(keeper) = outgoing.next_keeper() else {
+        let Some(keeper) = outgoing.keepers.next() else {
             return;
         };
         let mut outbox = lock(&self.outbox);
@@ -321,28 +326,7 @@
     }
 }
 
-/// Instances to ask, each once.
-#[derive(Debug)]
-struct QueryTurns {
-    keepers: Vec<InstanceName>,
-    asked: AtomicUsize,
-}
-
-impl QueryTurns {
-    fn new(keepers: Vec<InstanceName>) -> Self {
-        Self {
-            keepers,
-            asked: AtomicUsize::new(0),
-        }
-    }
-
-    fn next(&self) -> Option<&InstanceName> {
-        let index = self.asked.fetch_add(1, Ordering::Relaxed);
-        self.keepers.get(index).filter(|_| index < MAX_TRIED)
-    }
-}
-
-/// Keeps track of the versions that serve, and sends records once there are several.
+/// Keeps track of the age of the register, and sends records once several versions may serve.
 pub(super) async fn watch(origins: Arc<StreamOrigins>) {
     let mut checks = time::interval(CHECK_INTERVAL);
     checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
