--- a/crates/bench/src/record_load.rs
+++ b/crates/bench/src/record_load.rs
@@ -22,9 +22,9 @@
 const STREAM_MS: f64 = 1_000.0;
 /// Delay of a message between two instances, in ms: the way and the processor's queue.
 const DELAY_MS: std::ops::Range<f64> = 1.0..6.0;
-/// Bytes of a request and its response beyond the frames: `h2` and TCP headers in both
-/// directions and acknowledgements.
-const OVERHEAD_BYTES: usize = 220;
+/// Bytes of a request and its response beyond their frames, as the group `peer_bytes` of
+/// `scripts/capacity` measures them; headers of TCP and IP are not counted.
+const OVERHEAD_BYTES: usize = 63;
 /// Timeout after which the next instance is tried in place of one that does not respond, in ms.
 const RETRY_MS: f64 = 300.0;
 
