--- a/crates/bench/src/bin/record-ways.rs
+++ b/crates/bench/src/bin/record-ways.rs
@@ -1,4 +1,4 @@
-//! Compares ways to tell other instances at which software version a stream began.
+//! Compares ways to inform other instances of the software version at which a stream began.
 
 use savoryvane_bench::record_load::{Loss, Outcome, Way, play};
 
--- a/crates/bench/src/record_load.rs
+++ b/crates/bench/src/record_load.rs
@@ -1,5 +1,5 @@
 //! Plays streams that begin at many instances, some of which are killed, and callers that take
-//! their streams up at others. Compares ways to tell other instances where a stream began.
+//! their streams up at others. Compares ways to inform other instances of where a stream began.
 
 use std::collections::HashSet;
 
@@ -28,10 +28,10 @@
 /// Timeout after which the next instance is tried in place of one that does not respond, in ms.
 const RETRY_MS: f64 = 300.0;
 
-/// Who is told where a stream began.
+/// Instances that are informed of where a stream began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Way {
-    /// Nobody; all instances are asked when a stream is taken up.
+    /// None; all are queried when a stream is taken up.
     AskedOfAll,
     /// All instances.
     ToldToAll,
--- a/crates/core/src/forwarding/record_keepers.rs
+++ b/crates/core/src/forwarding/record_keepers.rs
@@ -1,10 +1,8 @@
 //! Chooses the instances of a cell that keep the record of a stream.
 
-use std::collections::BTreeMap;
-
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::stream_records::StreamKey;
+use super::{store_reads::ranked_by_zone, stream_records::StreamKey};
 use crate::ids::{InstanceName, WorkspaceName, ZoneName};
 
 /// Number of instances that a record is sent to: a loss of one zone and of another instance
@@ -25,18 +23,13 @@
     key: Option<&StreamKey>,
     listed: impl IntoIterator<Item = (&'a InstanceName, &'a ZoneName)>,
 ) -> Vec<InstanceName> {
-    let mut zones: BTreeMap<&ZoneName, Vec<(u64, &InstanceName)>> = BTreeMap::new();
-    for (instance, zone) in listed {
-        let rank = xxh3_64(instance.as_str().as_bytes());
-        zones.entry(zone).or_default().push((rank, instance));
-    }
+    let zones = ranked_by_zone(listed);
     let per_zone = (MAX_KEEPERS / zones.len().max(1)).max(MIN_KEEPERS_PER_ZONE);
     let seed = key.map_or(0, key_hash);
     let mut ordered = Vec::new();
-    for keepers in zones.values_mut() {
-        keepers.sort_unstable();
-        keepers.truncate(per_zone);
-        let ranked = keepers.iter().map(|(_, instance)| {
+    for keepers in zones.values() {
+        let keepers = keepers.iter().take(per_zone);
+        let ranked = keepers.map(|(_, instance)| {
             let rank = xxh3_64_with_seed(instance.as_str().as_bytes(), seed);
             (rank, *instance)
         });
--- a/crates/core/src/forwarding/served_software.rs
+++ b/crates/core/src/forwarding/served_software.rs
@@ -1,8 +1,8 @@
-//! Which software versions have served a service while callers of streams that began then may
-//! still come back.
+//! Software versions that have served a service recently enough for callers to take up streams
+//! that began then.
 //!
-//! An instance that knows the register without a gap for that long, and has seen one version
-//! only, can tell the version of a stream that nobody recorded.
+//! An instance that has known the register without a gap for that long, and has seen one version
+//! only, knows the version of a stream that has no record.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -20,14 +20,14 @@
 /// known, in ms: a stream may begin somewhat later than its server was seen.
 const WINDOW_MS: u64 = MAX_CALLER_WAIT_MS + RECORD_MARGIN_MS + MAX_REGISTER_AGE_MS;
 
-/// Versions that have served a service, as far as an instance can tell.
+/// Versions that have served a service, as far as an instance knows.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServedVersions {
     /// Only this one.
     One(SoftwareVersion),
     /// More than one, or streams of a route may have begun at more than one service.
     Several,
-    /// It can't tell: it has started recently, or did not know the register for a while.
+    /// Unknown: it has started recently, or did not know the register for a while.
     Unknown,
 }
 
@@ -41,7 +41,7 @@
 }
 
 impl Sight {
-    /// Returns whether callers of streams that began at the version may still come back.
+    /// Returns whether callers may still take up streams that began at the version.
     fn counts(self, now_ms: u64) -> bool {
         match self {
             Self::Registered => true,
--- a/crates/core/src/forwarding/store_reads.rs
+++ b/crates/core/src/forwarding/store_reads.rs
@@ -198,18 +198,27 @@
 pub fn reserves<'a>(
     listed: impl IntoIterator<Item = (&'a InstanceName, &'a ZoneName)>,
 ) -> Vec<InstanceName> {
+    let mut reserves = Vec::new();
+    for ranked in ranked_by_zone(listed).values() {
+        let first = ranked.iter().take(RESERVES_PER_ZONE);
+        reserves.extend(first.map(|(_, instance)| (*instance).clone()));
+    }
+    reserves
+}
+
+/// Returns the instances of each availability zone in the order of a hash of their names.
+pub(super) fn ranked_by_zone<'a>(
+    listed: impl IntoIterator<Item = (&'a InstanceName, &'a ZoneName)>,
+) -> BTreeMap<&'a ZoneName, Vec<(u64, &'a InstanceName)>> {
     let mut zones: BTreeMap<&ZoneName, Vec<(u64, &InstanceName)>> = BTreeMap::new();
     for (instance, zone) in listed {
         let rank = xxh3_64(instance.as_str().as_bytes());
         zones.entry(zone).or_default().push((rank, instance));
     }
-    let mut reserves = Vec::new();
     for ranked in zones.values_mut() {
         ranked.sort_unstable();
-        let first = ranked.iter().take(RESERVES_PER_ZONE);
-        reserves.extend(first.map(|(_, instance)| (*instance).clone()));
     }
-    reserves
+    zones
 }
 
 /// Schedules retries of store calls after a failure: one call at a time, of any kind, until
--- a/crates/core/src/forwarding/stream_records.rs
+++ b/crates/core/src/forwarding/stream_records.rs
@@ -6,7 +6,7 @@
 
 use crate::ids::{PoolName, RequestId, SoftwareVersion, WorkspaceName};
 
-/// Longest time for which a caller may come back to a stream that is not recorded, in ms.
+/// Longest time after which a caller may take up a stream that is not recorded, in ms.
 pub const MAX_CALLER_WAIT_MS: u64 = 30_000;
 /// The same for a stream that is recorded; a longer deadline counts as this one.
 const MAX_RECORDED_WAIT_MS: u64 = 120_000;
@@ -41,13 +41,13 @@
     pub key: StreamKey,
     /// Where it began.
     pub origin: StreamOrigin,
-    /// Time for which its caller may still come back, in ms.
+    /// Time for which its caller may still take it up, in ms.
     pub left_ms: u64,
 }
 
 impl StreamRecord {
-    /// Returns whether its caller may come back only while an instance can tell the version of a
-    /// stream without a record.
+    /// Returns whether its caller may take it up only while its version can be known without a
+    /// record.
     pub fn is_short(&self) -> bool {
         self.left_ms <= record_left_ms(MAX_CALLER_WAIT_MS)
     }
@@ -83,7 +83,7 @@
     replication: Replication,
 }
 
-/// Records of streams whose callers may still come back. If there are too many, those that end
+/// Records of streams that their callers may still take up. If there are too many, those that end
 /// first are evicted.
 #[derive(Debug, Default)]
 pub struct StreamRecords {
@@ -92,7 +92,7 @@
     inserted: u64,
 }
 
-/// Returns the time for which the caller of a stream may come back, in ms, if `deadline_left_ms`
+/// Returns the time for which the caller of a stream may take it up, in ms, if `deadline_left_ms`
 /// are left until its deadline.
 pub fn record_left_ms(deadline_left_ms: u64) -> u64 {
     deadline_left_ms.min(MAX_RECORDED_WAIT_MS) + RECORD_MARGIN_MS
@@ -146,7 +146,7 @@
         Some(entry)
     }
 
-    /// Removes the records of streams whose callers can't come back any more.
+    /// Removes the records of streams that can no longer be taken up.
     pub fn remove_expired(&mut self, now_ms: u64) {
         while let Some(first) = self.by_end.first_entry() {
             if first.key().0 > now_ms {
--- a/crates/core/src/forwarding/take_up.rs
+++ b/crates/core/src/forwarding/take_up.rs
@@ -1,4 +1,4 @@
-//! Decides where a stream goes on that its caller takes up again.
+//! Decides at which servers a stream continues that its caller takes up again.
 //!
 //! A record of the stream decides. Without one, the stream may go on only if one software version
 //! alone has served the service, by the knowledge of an instance of each cell, since each cell
@@ -23,12 +23,12 @@
     pub served: ServedVersions,
 }
 
-/// Where a stream goes on.
+/// Servers at which a stream continues.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TakeUp {
-    /// At a server of this origin.
+    /// Those of this origin.
     At(StreamOrigin),
-    /// Nowhere: it is not known where it began.
+    /// None: it is not known where it began.
     Unknown,
 }
 
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -176,7 +176,7 @@
         let usual_response_time = self.usual_response_time(caller);
         let left_ms = self.wait_budget(caller, usual_response_time)?.as_millis() as u64;
         let elapsed_ms = caller.elapsed_ms();
-        // The goal is for the first event, which the caller of a stream that goes on has.
+        // The goal is for the first event, which the caller of a resumed stream has received.
         let goal_elapsed_ms = if caller.has_events() { 0 } else { elapsed_ms };
         let submission = Submission {
             key: self.stages.next_key(),
--- a/crates/server/src/gateway/stream_origins.rs
+++ b/crates/server/src/gateway/stream_origins.rs
@@ -1,9 +1,9 @@
-//! Knows where the streams of callers began, so that a stream that its caller takes up again goes
-//! on at the same software version.
+//! Records at which software versions the streams of callers began, so that a stream that its
+//! caller takes up again continues at the same version.
 //!
 //! An instance keeps a record of each resumable stream that it begins. While more than one version
 //! may serve, it also sends the record to a few instances of its cell as soon as the first event is
-//! forwarded, since callers come back to another instance mostly because the first one is gone.
+//! forwarded: callers use another instance mostly because the first one is gone.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -36,7 +36,7 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Timeout for an instance to accept records.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(300);
-/// Timeout for instances to tell what they know of a stream; its caller waits meanwhile.
+/// Timeout of a query to other instances about a stream, for which its caller waits.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 /// Most instances of a cell that a record is sent to or asked for, counting those that do not
 /// respond.
@@ -300,7 +300,7 @@
         self.send_to_keepers(records, RECORD_READERS);
     }
 
-    /// Sends the records of services for which this instance can't tell the version any more.
+    /// Sends the records of services whose version is no longer known without a record.
     fn send_pending(self: &Arc<Self>) {
         let now_ms = self.clock.now_ms();
         let pending = {
--- a/crates/server/src/gateway/take_ups.rs
+++ b/crates/server/src/gateway/take_ups.rs
@@ -71,7 +71,7 @@
         caller.service = origin.service.clone();
         caller.software = software;
         if let Some(key) = key {
-            // The caller may come back once more and names the same request.
+            // A further attempt of the caller names the same request.
             self.record_stream(caller, key, origin);
         }
         Ok(())
