--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -35,6 +35,8 @@
 /// Minimum percentage of requests that are served in the calm phase.
 const CALM_SERVED_PERCENT: usize = 95;
 
+/// Minimum number of streams that are taken up in the calm phase.
+const MIN_CALM_TAKE_UPS: usize = 12;
 /// Minimum percentage of streams that go on of those that are taken up in the calm phase.
 const CALM_TAKE_UP_PERCENT: usize = 95;
 
@@ -217,6 +219,9 @@
 
     fn taken_up_streams_go_on(&self, calm: &CalmPhase, violations: &mut Vec<String>) {
         let TakenUp { total, gone_on } = calm.taken_up;
+        if total < MIN_CALM_TAKE_UPS {
+            violations.push(format!("only {total} streams could be taken up"));
+        }
         if gone_on * 100 < total * CALM_TAKE_UP_PERCENT {
             violations.push(format!(
                 "only {gone_on} of {total} streams went on that were taken up"
