Tell runs of a server apart when the soak checks backoffs

By their plans a release replaced each of these engines within the backoff: the requests named the new run, which had asked for nothing. A restart ends a backoff, so that only requests to the run that asked are counted.

--- a/crates/soak/src/signals.rs
+++ b/crates/soak/src/signals.rs
@@ -100,6 +100,7 @@
                 let in_backoff = arrived.iter().filter(|seen| {
                     (from..until).contains(&seen.received_at)
                         && self.instance_run_of(seen) == Some(instance_run)
+                        && server_run_of(seen) == server_run_of(first)
                 });
                 let count = in_backoff.count();
                 if count > MAX_REQUESTS_IN_BACKOFF && !is_disturbed {
@@ -129,3 +130,9 @@
         Some((record.instance, record.start_number))
     }
 }
+
+/// Returns the run of the server that a request is for. Another run at the same address has
+/// requested no backoff.
+fn server_run_of(seen: &ReceivedRequest) -> Option<&str> {
+    seen.header("expect-instance")
+}
