--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -68,7 +68,8 @@
         self.shared().first().copied()
     }
 
-    fn shared(&self) -> &[PromptPart] {
+    /// Returns the parts that other requests may have too.
+    pub fn shared(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 }
--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use super::{
-    crashes::LostConnection,
+    crashes::{CarriedRequest, LostConnection},
     forward::{Forwarder, Inputs},
     request::CallerRequest,
     signals::{ResponseTo, Sendable},
@@ -66,6 +66,8 @@
     sent_at_ms: u64,
     /// Whether the server may still reject the request.
     is_in_doubt: bool,
+    /// Whether the body of the response has begun to arrive.
+    has_begun: bool,
     has_ended: bool,
 }
 
@@ -88,6 +90,15 @@
         }
     }
 
+    /// Records that bytes of the response's body have arrived.
+    pub(super) fn on_body_bytes(&mut self) {
+        self.has_begun = true;
+    }
+
+    pub(super) fn has_begun(&self) -> bool {
+        self.has_begun
+    }
+
     pub(super) fn finish(mut self, outcome: ServerOutcome) {
         self.has_ended = true;
         if outcome == ServerOutcome::Full && std::mem::take(&mut self.is_in_doubt) {
@@ -165,6 +176,7 @@
             began: Instant::now(),
             sent_at_ms: now_ms,
             is_in_doubt: true,
+            has_begun: false,
             has_ended: false,
         };
         let reuse = match caller.repeats() {
@@ -201,7 +213,7 @@
 
     /// Finds out whether a server whose connection broke crashed under the request.
     pub(super) async fn on_connection_lost(&self, caller: &CallerRequest, in_flight: InFlight) {
-        let lost = self.lost_connection(caller, in_flight.server.clone());
+        let lost = self.lost_connection(caller, in_flight.server.clone(), in_flight.has_begun);
         in_flight.finish(ServerOutcome::Silent);
         let ends = Arc::clone(&self.crash_detector);
         // Runs in a task of its own: the crash is recorded even if the caller disconnects
@@ -223,17 +235,17 @@
         match end {
             BodyEnd::Truncated => return self.on_connection_lost(caller, in_flight).await,
             BodyEnd::Complete => self.quarantine.on_answered(caller.digest),
-            BodyEnd::Unmarked => self.check_unmarked_end(caller, in_flight.server.clone()),
+            BodyEnd::Unmarked => self.check_unmarked_end(caller, &in_flight),
         }
         in_flight.finish(ServerOutcome::Answered);
     }
 
     /// Finds out, while the caller has the response already, whether a server crashed instead
     /// of ending the response.
-    fn check_unmarked_end(&self, caller: &CallerRequest, server: ServerEntry) {
+    fn check_unmarked_end(&self, caller: &CallerRequest, in_flight: &InFlight) {
         let lost = LostConnection {
             has_ended_response: true,
-            ..self.lost_connection(caller, server)
+            ..self.lost_connection(caller, in_flight.server.clone(), in_flight.has_begun)
         };
         let crash_detector = Arc::clone(&self.crash_detector);
         let quarantine = Arc::clone(&self.quarantine);
@@ -251,11 +263,17 @@
         &self,
         caller: &CallerRequest,
         server: ServerEntry,
+        has_begun: bool,
     ) -> LostConnection {
         let in_flight_requests = self.view.fleet().in_flight(&server.id);
         LostConnection {
             server,
-            requests: vec![(caller.id.clone(), caller.digest)],
+            requests: vec![CarriedRequest {
+                id: caller.id.clone(),
+                digest: caller.digest,
+                shared_parts: caller.shared_parts(),
+                has_begun,
+            }],
             other_requests: in_flight_requests.saturating_sub(1),
             has_ended_response: false,
         }
@@ -296,7 +314,8 @@
         }
         let framing = http_body::framing(response.headers());
         let (parts, mut body) = response.into_parts();
-        let (bytes, is_whole) = match read_up_to(&mut body, MAX_BUFFERED_BYTES).await {
+        let on_bytes = || in_flight.on_body_bytes();
+        let (bytes, is_whole) = match read_up_to(&mut body, MAX_BUFFERED_BYTES, on_bytes).await {
             Ok(read) => read,
             Err(err) => {
                 warn!(self.log, "response broke off"; "request" => %caller.id,
@@ -341,9 +360,13 @@
     names.join(",")
 }
 
-/// Reads a body until it ends or exceeds `max_bytes`. Returns what has been read, and whether
-/// that is the whole body.
-async fn read_up_to(body: &mut Incoming, max_bytes: usize) -> hyper::Result<(Bytes, bool)> {
+/// Reads a body until it ends or exceeds `max_bytes`, and calls `on_bytes` whenever bytes of it
+/// arrive. Returns what has been read, and whether that is the whole body.
+async fn read_up_to(
+    body: &mut Incoming,
+    max_bytes: usize,
+    mut on_bytes: impl FnMut(),
+) -> hyper::Result<(Bytes, bool)> {
     let mut parts: Vec<Bytes> = Vec::new();
     let mut length = 0;
     while length <= max_bytes {
@@ -351,6 +374,7 @@
             return Ok((join(parts), true));
         };
         if let Ok(part) = frame?.into_data() {
+            on_bytes();
             length += part.len();
             parts.push(part);
         }
--- a/crates/server/src/gateway/crashes.rs
+++ b/crates/server/src/gateway/crashes.rs
@@ -59,13 +59,24 @@
     /// The server's registration when its requests were sent.
     pub(super) server: ServerEntry,
     /// Requests that the connection carried.
-    pub(super) requests: Vec<(RequestId, RequestDigest)>,
+    pub(super) requests: Vec<CarriedRequest>,
     /// Number of other requests of this instance that the server was running.
     pub(super) other_requests: u32,
     /// Whether the connection ended a response, so that it may have been closed on purpose.
     pub(super) has_ended_response: bool,
 }
 
+/// A request that a lost connection carried.
+#[derive(Clone, Debug)]
+pub(super) struct CarriedRequest {
+    pub(super) id: RequestId,
+    pub(super) digest: RequestDigest,
+    /// Hashes of the shared parts of its prompt, each once.
+    pub(super) shared_parts: Vec<u64>,
+    /// Whether the server had begun to send the body of its response.
+    pub(super) has_begun: bool,
+}
+
 /// A loss that has to be checked again.
 #[derive(Clone, Debug)]
 struct WatchedLoss {
@@ -130,16 +141,17 @@
 
     async fn on_ended(&self, lost: LostConnection, evidence: Evidence) {
         let others = lost.other_requests + lost.requests.len().saturating_sub(1) as u32;
-        for (request, digest) in &lost.requests {
+        for request in &lost.requests {
             let crash_count = self.quarantine.on_crash(CrashReport {
-                digest: *digest,
+                digest: request.digest,
                 server: lost.server.id.clone(),
                 evidence,
                 age_ms: 0,
                 is_withdrawn: false,
             });
-            warn!(self.log, "server crashed under request"; "request" => %request,
-                "digest" => %digest, "server" => %lost.server.registered_as,
+            warn!(self.log, "server crashed under request"; "request" => %request.id,
+                "digest" => %request.digest, "parts" => format_parts(&request.shared_parts),
+                "has_begun" => request.has_begun, "server" => %lost.server.registered_as,
                 "started_ms" => lost.server.started_ms, "service" => %lost.server.service,
                 "others" => others, "evidence" => evidence.as_str(), "ends" => crash_count);
         }
@@ -190,8 +202,9 @@
         if item.evidence.is_some() {
             let is_fresh = self.freshness.servers_age_ms() < MAX_FRESH_AGE_MS;
             if is_fresh && item.is_still_running(registered) {
-                for (_, digest) in &item.lost.requests {
-                    self.quarantine.on_running(*digest, &item.lost.server.id);
+                for request in &item.lost.requests {
+                    self.quarantine
+                        .on_running(request.digest, &item.lost.server.id);
                 }
             } else if item.since.elapsed() < RECOVERY_WINDOW {
                 self.add_watched(item);
@@ -213,6 +226,12 @@
     }
 }
 
+/// Formats the hashes of prompt parts as callers send them.
+fn format_parts(hashes: &[u64]) -> String {
+    let hashes: Vec<String> = hashes.iter().map(|hash| format!("{hash:x}")).collect();
+    hashes.join(",")
+}
+
 /// Checks servers whose connections were lost until their fate is known.
 pub(super) async fn watch(crash_detector: Arc<CrashDetector>) {
     loop {
--- a/crates/server/src/gateway/failover.rs
+++ b/crates/server/src/gateway/failover.rs
@@ -193,7 +193,7 @@
             if self.try_repeat_elsewhere(caller, inputs, tried) {
                 // Closes the connection, so that the server cancels the request.
                 drop(sent);
-                self.on_server_abandoned(caller, server, silence_timeout);
+                self.on_server_abandoned(caller, server, false, silence_timeout);
                 return Some(SendOutcome::Ended(AttemptEnd::Silent, None));
             }
         }
@@ -219,11 +219,13 @@
         self.view.budgets().try_spend(now_ms, &caller.service)
     }
 
-    /// Records that a server was abandoned because it stayed silent.
+    /// Records that a server was abandoned because it stayed silent, before or after its
+    /// response had begun.
     pub(super) fn on_server_abandoned(
         &self,
         caller: &CallerRequest,
         server: &BackendName,
+        has_begun: bool,
         waited: Duration,
     ) {
         let now_ms = self.clock.now_ms();
@@ -232,7 +234,7 @@
         if let Some(entry) = entry {
             // Other pooled connections to it may be dead too.
             self.servers.close_idle(entry.addr);
-            let lost = self.lost_connection(caller, entry);
+            let lost = self.lost_connection(caller, entry, has_begun);
             self.crash_detector.on_silent(lost);
         }
         info!(self.log, "silent server abandoned"; "request" => %caller.id, "server" => %server,
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -217,6 +217,9 @@
                 Some(Err(err)) => return self.on_connection_lost(&err).await,
                 None => return self.on_body_end().await,
             };
+            if let Some(server) = &mut self.source.server {
+                server.on_body_bytes();
+            }
             // An engine that responds with events has read its inputs.
             self.inputs.guard = None;
             if self.forward(bytes).await.is_none() {
@@ -305,9 +308,10 @@
         self.source.lease = None;
         if let Some(server) = self.source.server.take() {
             let name = server.server.id.clone();
+            let has_begun = server.has_begun();
             drop(server);
             self.forwarder
-                .on_server_abandoned(&self.caller, &name, waited);
+                .on_server_abandoned(&self.caller, &name, has_begun, waited);
         }
     }
 
--- a/crates/server/src/gateway/request.rs
+++ b/crates/server/src/gateway/request.rs
@@ -70,6 +70,15 @@
         self.head.prompt.as_ref().filter(|_| has_prompts)
     }
 
+    /// Returns the hashes of the shared parts of its prompt, each once.
+    pub(super) fn shared_parts(&self) -> Vec<u64> {
+        let shared = self.prompt().map_or(&[][..], Prompt::shared);
+        let mut hashes: Vec<u64> = shared.iter().map(|part| part.hash).collect();
+        hashes.sort_unstable();
+        hashes.dedup();
+        hashes
+    }
+
     pub(super) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
--- a/crates/server/src/gateway/stage_calls.rs
+++ b/crates/server/src/gateway/stage_calls.rs
@@ -19,7 +19,7 @@
 use tokio::time::{self, Instant};
 
 use super::{
-    crashes::{CrashDetector, LostConnection},
+    crashes::{CarriedRequest, CrashDetector, LostConnection},
     quarantine::Quarantine,
     routing_view::RoutingView,
     signals::{ResponseTo, Sendable},
@@ -103,7 +103,13 @@
         let requests: BTreeMap<RequestDigest, RequestId> = requests
             .map(|item| (item.digest, item.request.clone()))
             .collect();
-        let lost_requests = requests.iter().map(|(digest, id)| (id.clone(), *digest));
+        let lost_requests = requests.iter().map(|(digest, id)| CarriedRequest {
+            id: id.clone(),
+            digest: *digest,
+            // Servers of stages get no prompts.
+            shared_parts: Vec::new(),
+            has_begun: false,
+        });
         let lost = LostConnection {
             server: server.clone(),
             requests: lost_requests.collect(),
