--- a/crates/bench/src/bin/poison.rs
+++ b/crates/bench/src/bin/poison.rs
@@ -1,5 +1,5 @@
-//! Plays the day of requests that end servers, with and without counting them, at three
-//! sizes; fails when a bound breaks.
+//! Plays days of requests and prompt parts that end servers, with and without counting them, at
+//! several sizes; fails when a bound breaks.
 
 use std::process::ExitCode;
 
@@ -11,15 +11,33 @@
 
 /// Instances and servers of the deployments that are played.
 const SIZES: [(usize, usize); 3] = [(8, 18), (30, 60), (295, 294)];
-/// Callers of poison requests.
-const POISON: u64 = 3;
+/// Days by their poison requests, poison parts, requests with each part in a second, and whether a
+/// third of the servers crash.
+const DAYS: [(u64, u64, f64, bool); 7] = [
+    (3, 0, 0.0, false),
+    (3, 0, 0.0, true),
+    (0, 0, 0.0, true),
+    (0, 1, 2.0, false),
+    (0, 1, 20.0, true),
+    (0, 2, 2.0, true),
+    (0, 2, 20.0, false),
+];
 /// Servers that may end under one request whose copies are sent one after the other.
 const MOST_ENDS: u32 = 3;
+/// Requests with a part that may run once five servers have ended under it and all instances have
+/// had time to know.
+const MOST_LATE_BY_PART: u32 = 3;
 /// Requests of others of which one may be refused wrongly where requests end servers or a
 /// third of them crash.
 const ONE_WRONG_IN: u32 = 1_000;
 /// Bytes that control may take of an instance in a second.
 const MOST_BYTES_PER_S: f64 = 26_000.0;
+const WAYS: [Counting; 4] = [
+    Counting::Off,
+    Counting::Requests,
+    Counting::PartsAnyRun,
+    Counting::Parts,
+];
 const SEEDS: u64 = 5;
 /// Requests that callers vary on purpose.
 const DISTINCT: u64 = 10_000;
@@ -32,16 +50,18 @@
     // First, while the memory of this process says nothing of other things.
     let mut broken = show_memory();
     println!(
-        "instances  servers  counting  poison  crashes  ended  most by one  asked  lost  wrongly  copies  \
-         B/s  B/s scheduler"
+        "instances  servers  counting     poison  parts  per s  crashes  ended  most by one  by part  late  \
+         asked  lost  wrongly  copies  B/s  B/s scheduler"
     );
     for (instances, servers) in SIZES {
-        for (poison, has_crashes) in [(POISON, false), (POISON, true), (0, true)] {
-            for counting in [Counting::Off, Counting::Shared] {
+        for (poison, parts, part_requests_per_s, has_crashes) in DAYS {
+            for counting in WAYS {
                 let day = PoisonDay {
                     instances,
                     servers,
                     poison,
+                    parts,
+                    part_requests_per_s,
                     has_crashes,
                     counting,
                 };
@@ -66,11 +86,12 @@
         book.on_crash(
             number,
             CrashReport {
-                digest: RequestDigest(u128::from(number).to_le_bytes()),
+                subject: RequestDigest(u128::from(number).to_le_bytes()).into(),
                 server: BackendName::new(format!("i-{number:010x} 1796000000000")),
                 evidence: Evidence::Refused,
                 age_ms: 0,
                 is_withdrawn: false,
+                is_isolated: false,
             },
         );
     }
@@ -98,6 +119,8 @@
         let figures = play(day, seed);
         sum.ended += figures.ended;
         sum.most_ended = sum.most_ended.max(figures.most_ended);
+        sum.most_ended_by_part = sum.most_ended_by_part.max(figures.most_ended_by_part);
+        sum.most_late_by_part = sum.most_late_by_part.max(figures.most_late_by_part);
         sum.asked += figures.asked;
         sum.lost += figures.lost;
         sum.refused_wrongly += figures.refused_wrongly;
@@ -106,14 +129,19 @@
         sum.scheduler_bytes_per_s += figures.scheduler_bytes_per_s / SEEDS as f64;
     }
     println!(
-        "{:9}  {:7}  {:>8}  {:6}  {:>7}  {:5}  {:11}  {:5}  {:4}  {:7}  {:6}  {:3.0}  {:13.0}",
+        "{:9}  {:7}  {:>11}  {:6}  {:5}  {:5}  {:>7}  {:5}  {:11}  {:7}  {:4}  {:5}  {:4}  {:7}  {:6}  \
+         {:4.0}  {:13.0}",
         day.instances,
         day.servers,
         format!("{:?}", day.counting),
         day.poison,
+        day.parts,
+        day.part_requests_per_s,
         day.has_crashes,
         sum.ended,
         sum.most_ended,
+        sum.most_ended_by_part,
+        sum.most_late_by_part,
         sum.asked,
         sum.lost,
         sum.refused_wrongly,
@@ -121,11 +149,12 @@
         sum.bytes_per_s,
         sum.scheduler_bytes_per_s,
     );
-    if day.counting == Counting::Off {
+    if day.counting != Counting::Parts {
         return 0;
     }
     let bounds = [
         sum.most_ended <= MOST_ENDS,
+        sum.most_late_by_part <= MOST_LATE_BY_PART,
         sum.refused_wrongly * ONE_WRONG_IN < sum.asked.max(1),
         sum.bytes_per_s <= MOST_BYTES_PER_S,
     ];
--- a/crates/bench/src/poison_day/sharing.rs
+++ b/crates/bench/src/poison_day/sharing.rs
@@ -4,8 +4,8 @@
 use savoryvane_core::{
     ids::{BackendName, Incarnation},
     poison::{
-        AdvertisedCrashes, CrashReport, CrashTracker, Evidence, Permit, PermitState, Permits,
-        QuarantineSettings, QuarantineStatus, RequestDigest,
+        AdvertisedCrashes, CrashReport, CrashSubject, CrashTracker, Evidence, Permit, PermitState,
+        Permits, QuarantineSettings, RequestStatus, RequestSubjects,
     },
 };
 use savoryvane_wire::peer::{self, CrashQuery, CrashState, KnownCrashes, Message};
@@ -15,24 +15,51 @@
 /// The instance that schedules.
 const SCHEDULER: usize = 0;
 
-/// Whether ends are counted by request.
+/// What crashes are counted for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Counting {
-    /// They are not, as before.
+    /// Nothing.
     Off,
-    /// They are, and shared.
-    Shared,
+    /// Whole requests.
+    Requests,
+    /// Whole requests and the parts of their prompts; three crashes quarantine a part however its
+    /// requests ran.
+    PartsAnyRun,
+    /// Whole requests and the parts of their prompts.
+    Parts,
+}
+
+impl Counting {
+    fn has_parts(self) -> bool {
+        matches!(self, Self::PartsAnyRun | Self::Parts)
+    }
 }
 
 /// What became of the question whether a request may be sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Admitted {
     Freely,
-    WithPermit(Permit),
+    WithPermit(HeldPermit),
     CopyRuns,
     Quarantined,
 }
 
+/// A permit and what it covers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct HeldPermit {
+    pub(super) permit: Permit,
+    covered: Vec<CrashSubject>,
+}
+
+/// A run that was lost with its server.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LostRun<'a> {
+    pub(super) server: &'a BackendName,
+    pub(super) held: Option<&'a HeldPermit>,
+    /// Whether the response had gone on after it had begun.
+    pub(super) is_alive: bool,
+}
+
 /// The books of all instances.
 #[derive(Debug)]
 pub(super) struct Sharing {
@@ -58,24 +85,35 @@
         }
     }
 
+    /// Returns what crashes under a request are counted for.
+    fn counted(&self, subjects: &RequestSubjects) -> RequestSubjects {
+        match self.counting {
+            Counting::PartsAnyRun | Counting::Parts => subjects.clone(),
+            Counting::Off | Counting::Requests => RequestSubjects::new(subjects.digest(), []),
+        }
+    }
+
     pub(super) fn admit(
         &mut self,
         now_ms: u64,
         instance: usize,
-        digest: RequestDigest,
+        subjects: &RequestSubjects,
         lease_ms: u64,
     ) -> Admitted {
         if self.counting == Counting::Off {
             return Admitted::Freely;
         }
-        match self.books[instance].status(now_ms, &digest) {
-            QuarantineStatus::Clear => return Admitted::Freely,
-            QuarantineStatus::Quarantined { .. } => return Admitted::Quarantined,
-            QuarantineStatus::Suspect { .. } => {}
+        let subjects = self.counted(subjects);
+        match self.books[instance].request_status(now_ms, &subjects) {
+            RequestStatus::Clear => return Admitted::Freely,
+            RequestStatus::Quarantined { .. } => return Admitted::Quarantined,
+            RequestStatus::Suspect { .. } => {}
         }
-        let book = &self.books[SCHEDULER];
-        match self.permits.grant(now_ms, book, digest, lease_ms) {
-            PermitState::Granted(permit) => Admitted::WithPermit(permit),
+        let book = &mut self.books[SCHEDULER];
+        match self.permits.grant(now_ms, book, &subjects, None, lease_ms) {
+            PermitState::Granted { permit, covered } => {
+                Admitted::WithPermit(HeldPermit { permit, covered })
+            }
             PermitState::Out { .. } => Admitted::CopyRuns,
             PermitState::Quarantined(records) => {
                 self.books[instance].on_reports(now_ms, records);
@@ -84,9 +122,30 @@
         }
     }
 
-    pub(super) fn give_back(&mut self, digest: &RequestDigest, permit: Option<Permit>) {
-        if let Some(permit) = permit {
-            self.permits.release(digest, permit);
+    pub(super) fn give_back(&mut self, held: Option<&HeldPermit>) {
+        if let Some(held) = held {
+            self.permits.release(&held.covered, held.permit);
+        }
+    }
+
+    /// A response goes on after it has begun.
+    pub(super) fn on_alive(
+        &mut self,
+        now_ms: u64,
+        instance: usize,
+        subjects: &RequestSubjects,
+        held: Option<&mut HeldPermit>,
+    ) {
+        if !self.counting.has_parts() {
+            return;
+        }
+        for part in subjects.parts() {
+            self.clear(now_ms, instance, part);
+        }
+        if let Some(held) = held {
+            let parts = held.covered.extract_if(.., |subject| subject.is_part());
+            let parts: Vec<CrashSubject> = parts.collect();
+            self.permits.release(&parts, held.permit);
         }
     }
 
@@ -96,26 +155,47 @@
         &mut self,
         now_ms: u64,
         instance: usize,
-        digest: RequestDigest,
-        server: &BackendName,
+        subjects: &RequestSubjects,
+        run: LostRun<'_>,
     ) {
-        let record = CrashReport {
-            digest,
-            server: server.clone(),
-            evidence: Evidence::Refused,
-            age_ms: 0,
-            is_withdrawn: false,
-        };
-        if self.counting == Counting::Shared
-            && self.books[instance].on_crash(now_ms, record.clone())
-        {
-            self.tell(now_ms, instance, vec![record]);
+        if self.counting == Counting::Off {
+            return;
+        }
+        let covered = run.held.map_or(&[][..], |held| &held.covered);
+        let mut records = Vec::new();
+        for subject in self.counted(subjects).iter() {
+            if run.is_alive && subject.is_part() {
+                continue;
+            }
+            let record = CrashReport {
+                subject,
+                server: run.server.clone(),
+                evidence: Evidence::Refused,
+                age_ms: 0,
+                is_withdrawn: false,
+                is_isolated: self.counting == Counting::PartsAnyRun || covered.contains(&subject),
+            };
+            if self.books[instance].on_crash(now_ms, record.clone()) {
+                records.push(record);
+            }
+        }
+        if !records.is_empty() {
+            self.tell(now_ms, instance, records);
+        }
+    }
+
+    pub(super) fn on_answered(&mut self, now_ms: u64, instance: usize, subjects: &RequestSubjects) {
+        if self.counting == Counting::Off {
+            return;
+        }
+        for subject in self.counted(subjects).iter() {
+            self.clear(now_ms, instance, subject);
         }
     }
 
-    pub(super) fn on_answered(&mut self, now_ms: u64, instance: usize, digest: RequestDigest) {
-        if self.counting == Counting::Shared && self.books[instance].on_answered(now_ms, digest) {
-            let records = self.books[instance].records(now_ms, &digest);
+    fn clear(&mut self, now_ms: u64, instance: usize, subject: CrashSubject) {
+        if self.books[instance].on_answered(now_ms, subject) {
+            let records = self.books[instance].records(now_ms, &subject);
             self.tell(now_ms, instance, records);
         }
     }
--- a/crates/bench/tests/poison_day.rs
+++ b/crates/bench/tests/poison_day.rs
@@ -16,6 +16,8 @@
         instances: 8,
         servers: 18,
         poison,
+        parts: 0,
+        part_requests_per_s: 0.0,
         has_crashes: true,
         counting,
     };
@@ -24,7 +26,7 @@
 
 #[test]
 fn three_servers_end_under_each_request_and_hardly_anyone_else_is_refused() {
-    let played = played(3, Counting::Shared);
+    let played = played(3, Counting::Parts);
     assert!(played.iter().all(|day| day.most_ended <= MOST_ENDS));
     let asked: u32 = played.iter().map(|day| day.asked).sum();
     let wrongly: u32 = played.iter().map(|day| day.refused_wrongly).sum();
@@ -33,7 +35,7 @@
 
 #[test]
 fn crashes_alone_refuse_nobody() {
-    for day in played(0, Counting::Shared) {
+    for day in played(0, Counting::Parts) {
         assert_eq!((day.refused_wrongly, day.ended), (0, 0));
     }
 }
--- a/crates/core/src/poison/recent.rs
+++ b/crates/core/src/poison/recent.rs
@@ -1,36 +1,43 @@
-//! Tracks which requests recently got a complete response.
+//! Tracks which requests recently got a complete response, and which prompt parts one that has
+//! begun, and when that was last.
 
-use std::collections::HashSet;
+use std::collections::HashMap;
 
-use super::RequestDigest;
+use super::CrashSubject;
 
 /// Time for which a response exonerates a request, in ms: long enough for a request that is sent
 /// every second or two, short enough that a request that crashes a new release of a server is
 /// soon detected.
 const RECENT_MS: u64 = 5_000;
-/// Most requests of one generation; beyond that, earlier ones are evicted sooner.
-const MAX_PER_GENERATION: usize = 1_024;
+/// Most subjects of one generation; beyond that, earlier ones are evicted sooner.
+const MAX_PER_GENERATION: usize = 4_096;
 
-/// Recently answered requests, in two generations.
+/// Recently answered subjects and the time of the last response, in two generations.
 #[derive(Debug, Default)]
 pub(super) struct RecentAnswers {
-    current: HashSet<RequestDigest>,
-    previous: HashSet<RequestDigest>,
+    current: HashMap<CrashSubject, u64>,
+    previous: HashMap<CrashSubject, u64>,
     generation_start_ms: u64,
 }
 
 impl RecentAnswers {
-    pub(super) fn add(&mut self, now_ms: u64, digest: RequestDigest) {
+    pub(super) fn add(&mut self, now_ms: u64, subject: CrashSubject) {
         self.rotate_if_due(now_ms);
         if self.current.len() >= MAX_PER_GENERATION {
             self.start_generation(now_ms);
         }
-        self.current.insert(digest);
+        self.current.insert(subject, now_ms);
     }
 
-    pub(super) fn contains(&mut self, now_ms: u64, digest: &RequestDigest) -> bool {
+    pub(super) fn contains(&mut self, now_ms: u64, subject: &CrashSubject) -> bool {
+        self.last_ms(now_ms, subject).is_some()
+    }
+
+    /// Returns the time of the last response, in ms, if that is recent.
+    pub(super) fn last_ms(&mut self, now_ms: u64, subject: &CrashSubject) -> Option<u64> {
         self.rotate_if_due(now_ms);
-        self.current.contains(digest) || self.previous.contains(digest)
+        let current = self.current.get(subject);
+        current.or_else(|| self.previous.get(subject)).copied()
     }
 
     fn rotate_if_due(&mut self, now_ms: u64) {
--- a/crates/core/src/poison/record.rs
+++ b/crates/core/src/poison/record.rs
@@ -2,14 +2,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Evidence, RequestDigest};
+use super::{CrashSubject, Evidence};
 use crate::ids::BackendName;
 
-/// The crash of one server run under one request.
+/// The crash of one server run under one subject.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
-    /// The request.
-    pub digest: RequestDigest,
+    /// The request, or a part of its prompt.
+    pub subject: CrashSubject,
     /// Run of the server.
     pub server: BackendName,
     /// Evidence of the crash.
@@ -19,6 +19,9 @@
     /// Whether the report no longer counts: the request has been answered since, or the server
     /// is still running.
     pub is_withdrawn: bool,
+    /// Whether the request ran with a permit for the subject, so that no other run of this
+    /// subject can have caused the crash.
+    pub is_isolated: bool,
 }
 
 /// Update of a crash tracker, relative to an earlier revision of it.
@@ -59,14 +62,37 @@
     }
 }
 
+/// Status of a request with regard to the crashes under itself and the parts of its prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RequestStatus {
+    /// It may be sent.
+    Clear,
+    /// It may be sent with a permit.
+    Suspect {
+        /// The subjects that the permit has to cover.
+        suspects: Vec<CrashSubject>,
+        /// Most crashes that count against one of them.
+        ends: u32,
+    },
+    /// It is refused.
+    Quarantined {
+        /// The subject that is quarantined.
+        subject: CrashSubject,
+        /// Number of crashes that count against it.
+        ends: u32,
+        /// Time until a trial run is allowed, in ms.
+        retry_after_ms: u64,
+    },
+}
+
 /// Settings of the quarantine: durations and limits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuarantineSettings {
-    /// Time for which a request is refused after the third crash under it, and for which one
-    /// with fewer crashes is tracked, in ms.
+    /// Time for which a request or prompt part is refused after the third crash under it, and for
+    /// which one with fewer crashes is tracked, in ms.
     pub quarantine_ms: u64,
-    /// Most tracked requests. Beyond that, requests with the fewest crashes are evicted first,
-    /// the oldest of them first.
+    /// Most tracked requests and prompt parts. Beyond that, those with the fewest crashes are
+    /// evicted first, the oldest of them first.
     pub max_requests: usize,
     /// Most reports in one message.
     pub told_at_once: usize,
--- a/crates/core/src/poison/stored.rs
+++ b/crates/core/src/poison/stored.rs
@@ -4,19 +4,20 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{CrashTracker, Evidence, RequestDigest};
+use super::{CrashSubject, CrashTracker, Evidence};
 use crate::ids::BackendName;
 
 /// Divisor of a log's retention time that gives the renewal interval of its records; two writes
 /// may fail before a record is lost.
 const RENEWAL_DIVISOR: u64 = 3;
 
-/// Persistent record of a quarantined request.
+/// Persistent record of a quarantined request or prompt part.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredCrashes {
-    /// The request.
-    pub digest: RequestDigest,
-    /// Crashes that count; empty to remove the request.
+    /// The request or prompt part.
+    #[serde(rename = "digest")]
+    pub subject: CrashSubject,
+    /// Crashes that count; empty to remove the subject.
     pub ends: Vec<StoredCrash>,
 }
 
@@ -29,13 +30,16 @@
     pub server: BackendName,
     /// Evidence of the crash.
     pub evidence: Evidence,
+    /// Whether it happened in an isolated run.
+    #[serde(default)]
+    pub is_isolated: bool,
 }
 
 impl StoredCrashes {
-    /// Creates the record that removes a request.
-    pub(super) fn empty(digest: RequestDigest) -> Self {
+    /// Creates the record that removes a subject.
+    pub(super) fn empty(subject: CrashSubject) -> Self {
         Self {
-            digest,
+            subject,
             ends: Vec::new(),
         }
     }
@@ -44,34 +48,34 @@
 /// Change by a record of the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoredChange {
-    /// The log has a request with all these crashes.
+    /// The log has a subject with all these crashes.
     Persisted(StoredCrashes),
-    /// The request was removed from the log, and these crashes no longer count.
+    /// The subject was removed from the log, and these crashes no longer count.
     Removed(StoredCrashes),
 }
 
 /// State that results from the records of a log, from the first to the last one read.
 #[derive(Debug, Default)]
-pub struct StoredRecords(BTreeMap<RequestDigest, Vec<StoredCrash>>);
+pub struct StoredRecords(BTreeMap<CrashSubject, Vec<StoredCrash>>);
 
 impl StoredRecords {
     /// Applies the next record. Instances may write concurrently, for example during a
-    /// partition, so that a record adds to the earlier ones of its request; a record without
-    /// crashes removes the request.
+    /// partition, so that a record adds to the earlier ones of its subject; a record without
+    /// crashes removes the subject.
     pub fn add(&mut self, stored: StoredCrashes) -> StoredChange {
-        let StoredCrashes { digest, ends } = stored;
+        let StoredCrashes { subject, ends } = stored;
         if ends.is_empty() {
-            let ends = self.0.remove(&digest).unwrap_or_default();
-            return StoredChange::Removed(StoredCrashes { digest, ends });
+            let ends = self.0.remove(&subject).unwrap_or_default();
+            return StoredChange::Removed(StoredCrashes { subject, ends });
         }
-        let known = self.0.entry(digest).or_default();
+        let known = self.0.entry(subject).or_default();
         for end in ends {
             if !known.iter().any(|known| known.server == end.server) {
                 known.push(end);
             }
         }
         StoredChange::Persisted(StoredCrashes {
-            digest,
+            subject,
             ends: known.clone(),
         })
     }
--- a/crates/core/src/poison/tracker.rs
+++ b/crates/core/src/poison/tracker.rs
@@ -1,138 +1,36 @@
-//! Tracks which servers have crashed under which requests.
+//! Tracks which servers have crashed under which requests and prompt parts.
 //!
 //! Trackers of different instances converge regardless of the order in which they merge reports:
 //! a crash is identified by the server run, and a withdrawal is final.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use super::{
-    AdvertisedCrashes, CrashReport, Evidence, QuarantineSettings, QuarantineStatus, RequestDigest,
-    StoredChange, StoredCrash, StoredCrashes, recent::RecentAnswers,
+    AdvertisedCrashes, CrashReport, CrashSubject, QuarantineSettings, QuarantineStatus,
+    RequestStatus, RequestSubjects, StoredChange, StoredCrashes,
+    entry::{Crash, Entry},
+    recent::RecentAnswers,
 };
 use crate::ids::BackendName;
 
-/// Number of crashes under a request after which it is quarantined.
+/// Number of crashes under a request or prompt part after which it is quarantined.
 pub const CRASHES_TO_QUARANTINE: u32 = 3;
-/// Number of crashes under a request after which it is isolated from the other suspects.
+/// Number of crashes under a request or prompt part after which it is isolated from the other
+/// suspects.
 pub const CRASHES_TO_ISOLATE: u32 = 2;
-/// Most doublings of the quarantine time, one for each further crash in a trial run: ten minutes
-/// become eleven hours.
-const MAX_DOUBLINGS: u32 = 6;
-/// Most tracked crashes of one request; with those of its trial runs, enough for the longest
-/// quarantine.
-const MAX_CRASHES: usize = 10;
-
-/// One crash of a server under a request.
-#[derive(Clone, Debug)]
-struct Crash {
-    server: BackendName,
-    evidence: Evidence,
-    at_ms: u64,
-    is_withdrawn: bool,
-    /// Whether this instance observed or withdrew it.
-    is_local: bool,
-}
-
-/// Tracked state of one request.
-#[derive(Clone, Debug, Default)]
-struct Entry {
-    crashes: Vec<Crash>,
-    /// Revision of the last change.
-    revision: u64,
-    /// Number of crashes in the persistent record.
-    stored_crashes: u32,
-}
-
-impl Entry {
-    /// Iterates over the crashes that count.
-    fn counting(&self) -> impl Iterator<Item = &Crash> {
-        self.crashes.iter().filter(|crash| !crash.is_withdrawn)
-    }
-
-    fn count(&self) -> u32 {
-        self.counting().count() as u32
-    }
-
-    fn last_crash_ms(&self) -> u64 {
-        let last = self.counting().map(|crash| crash.at_ms).max();
-        last.or(self.crashes.iter().map(|crash| crash.at_ms).max())
-            .unwrap_or(0)
-    }
-
-    fn quarantine_until_ms(&self, settings: &QuarantineSettings) -> Option<u64> {
-        let beyond = self.count().checked_sub(CRASHES_TO_QUARANTINE)?;
-        let quarantine_ms = settings.quarantine_ms << beyond.min(MAX_DOUBLINGS);
-        Some(self.last_crash_ms() + quarantine_ms)
-    }
-
-    /// Returns the time from which the request is no longer tracked, in ms. After a quarantine,
-    /// it is tracked for another `quarantine_ms`, so that a trial run can take place.
-    fn expires_at_ms(&self, settings: &QuarantineSettings) -> u64 {
-        let until_ms = self.quarantine_until_ms(settings);
-        until_ms.unwrap_or(self.last_crash_ms()) + settings.quarantine_ms
-    }
-
-    fn records(&self, now_ms: u64, digest: RequestDigest) -> impl Iterator<Item = CrashReport> {
-        self.crashes.iter().map(move |crash| CrashReport {
-            digest,
-            server: crash.server.clone(),
-            evidence: crash.evidence,
-            age_ms: now_ms.saturating_sub(crash.at_ms),
-            is_withdrawn: crash.is_withdrawn,
-        })
-    }
-
-    fn to_stored(&self, digest: RequestDigest) -> StoredCrashes {
-        let ends = self.counting().map(|crash| StoredCrash {
-            server: crash.server.clone(),
-            evidence: crash.evidence,
-        });
-        StoredCrashes {
-            digest,
-            ends: ends.collect(),
-        }
-    }
-
-    /// Merges a report; returns whether anything changed.
-    fn merge(&mut self, now_ms: u64, record: CrashReport, is_local: bool) -> bool {
-        let at_ms = now_ms.saturating_sub(record.age_ms);
-        let mut known = self.crashes.iter_mut();
-        if let Some(known) = known.find(|crash| crash.server == record.server) {
-            // The earliest observation is the closest to the crash.
-            known.at_ms = known.at_ms.min(at_ms);
-            let is_newly_withdrawn = record.is_withdrawn && !known.is_withdrawn;
-            known.is_withdrawn |= record.is_withdrawn;
-            known.is_local |= is_local;
-            return is_newly_withdrawn;
-        }
-        if self.crashes.len() >= MAX_CRASHES {
-            let Some(oldest) = self.crashes.iter().position(|crash| crash.is_withdrawn) else {
-                return false;
-            };
-            self.crashes.remove(oldest);
-        }
-        self.crashes.push(Crash {
-            server: record.server,
-            evidence: record.evidence,
-            at_ms,
-            is_withdrawn: record.is_withdrawn,
-            is_local,
-        });
-        true
-    }
-}
-
-/// Server crashes by request.
+/// Server crashes by subject.
 #[derive(Debug)]
 pub struct CrashTracker {
     settings: QuarantineSettings,
-    entries: HashMap<RequestDigest, Entry>,
-    /// Requests by the revision of their last change.
-    by_revision: BTreeMap<u64, RequestDigest>,
+    entries: HashMap<CrashSubject, Entry>,
+    /// Subjects by the revision of their last change.
+    by_revision: BTreeMap<u64, CrashSubject>,
     revision: u64,
     answered: RecentAnswers,
-    /// Requests that are no longer tracked and whose persistent records are to be removed.
-    to_remove: Vec<RequestDigest>,
+    /// Quarantined subjects.
+    quarantined: HashSet<CrashSubject>,
+    /// Subjects that are no longer tracked and whose persistent records are to be removed.
+    to_remove: Vec<CrashSubject>,
 }
 
 impl CrashTracker {
@@ -144,6 +42,7 @@
             by_revision: BTreeMap::new(),
             revision: 0,
             answered: RecentAnswers::default(),
+            quarantined: HashSet::new(),
             to_remove: Vec::new(),
         }
     }
@@ -153,19 +52,19 @@
         self.revision
     }
 
-    /// Returns the number of tracked requests.
+    /// Returns the number of tracked subjects.
     pub fn len(&self) -> usize {
         self.entries.len()
     }
 
-    /// Tells whether no request is tracked.
+    /// Tells whether no subject is tracked.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
 
-    /// Returns the status of a request.
-    pub fn status(&self, now_ms: u64, digest: &RequestDigest) -> QuarantineStatus {
-        let Some(entry) = self.entries.get(digest) else {
+    /// Returns the status of one subject.
+    pub fn status(&self, now_ms: u64, subject: &CrashSubject) -> QuarantineStatus {
+        let Some(entry) = self.entries.get(subject) else {
             return QuarantineStatus::Clear;
         };
         let ends = entry.count();
@@ -183,44 +82,108 @@
         QuarantineStatus::Suspect { ends }
     }
 
-    /// Returns the number of crashes that count against a request.
-    pub fn ends(&self, now_ms: u64, digest: &RequestDigest) -> u32 {
-        self.status(now_ms, digest).ends()
+    /// Returns the status of a request by all its subjects.
+    pub fn request_status(&mut self, now_ms: u64, subjects: &RequestSubjects) -> RequestStatus {
+        let mut suspects = Vec::new();
+        let mut most_ends = 0;
+        for subject in subjects.iter() {
+            let status = self.status(now_ms, &subject);
+            match status {
+                QuarantineStatus::Clear => continue,
+                QuarantineStatus::Quarantined {
+                    ends,
+                    retry_after_ms,
+                } if !self.is_explained_outside(&subject, subjects) => {
+                    return RequestStatus::Quarantined {
+                        subject,
+                        ends,
+                        retry_after_ms,
+                    };
+                }
+                QuarantineStatus::Suspect { ends } if self.is_exempt(now_ms, &subject, ends) => {
+                    continue;
+                }
+                QuarantineStatus::Quarantined { .. } | QuarantineStatus::Suspect { .. } => {}
+            }
+            most_ends = most_ends.max(status.ends());
+            suspects.push(subject);
+        }
+        match suspects.is_empty() {
+            true => RequestStatus::Clear,
+            false => RequestStatus::Suspect {
+                suspects,
+                ends: most_ends,
+            },
+        }
+    }
+
+    /// Returns whether the crashes of a quarantined subject are accounted for by a quarantined
+    /// prompt part or request that is not among `subjects`. Which of both crashes servers is
+    /// unknown until a request with only one of them runs.
+    fn is_explained_outside(&self, subject: &CrashSubject, subjects: &RequestSubjects) -> bool {
+        let Some(entry) = self.entries.get(subject).filter(|_| subject.is_part()) else {
+            return false;
+        };
+        let others = self.quarantined.iter();
+        let mut others = others.filter(|other| !subjects.contains(other));
+        others.any(|other| {
+            let other = self.entries.get(other);
+            other.is_some_and(|other| entry.is_explained_by(other))
+        })
+    }
+
+    /// Returns whether a suspect runs without a permit: a part that many requests share is at
+    /// most servers, so that one crash says little about it while responses keep beginning.
+    fn is_exempt(&mut self, now_ms: u64, subject: &CrashSubject, ends: u32) -> bool {
+        subject.is_part() && ends < CRASHES_TO_ISOLATE && self.answered.contains(now_ms, subject)
+    }
+
+    /// Returns the number of crashes that count against a subject.
+    pub fn ends(&self, now_ms: u64, subject: &CrashSubject) -> u32 {
+        self.status(now_ms, subject).ends()
     }
 
-    /// Records a crash that this instance observed, unless the request was answered recently: a
-    /// request that many callers send continuously is running on any server that crashes.
-    /// Returns whether the crash counts.
+    /// Records a crash that this instance observed. A request that was answered recently is not
+    /// counted, since one that many callers send continuously is running on any server that
+    /// crashes. Returns whether the crash counts.
     pub fn on_crash(&mut self, now_ms: u64, record: CrashReport) -> bool {
-        if self.answered.contains(now_ms, &record.digest) {
+        if !record.subject.is_part() && self.answered.contains(now_ms, &record.subject) {
             return false;
         }
         self.merge(now_ms, record, true);
         true
     }
 
-    /// Merges reports of other instances; returns whether anything changed.
+    /// Merges reports of other instances; returns whether anything changed. A crash under a part
+    /// to which a response has begun here since is withdrawn.
     pub fn on_reports(&mut self, now_ms: u64, records: Vec<CrashReport>) -> bool {
         let before = self.revision;
         for record in records {
+            let (subject, server) = (record.subject, record.server.clone());
+            let crashed_at_ms = now_ms.saturating_sub(record.age_ms);
             self.merge(now_ms, record, false);
+            let last_ms = self.answered.last_ms(now_ms, &subject);
+            if subject.is_part() && last_ms.is_some_and(|last_ms| last_ms > crashed_at_ms) {
+                self.withdraw(subject, |crash| crash.server == server);
+            }
         }
         self.revision != before
     }
 
     /// Merges persistent records.
     pub fn on_loaded(&mut self, now_ms: u64, stored: Vec<StoredCrashes>) {
-        for StoredCrashes { digest, ends } in stored {
+        for StoredCrashes { subject, ends } in stored {
             let stored_crashes = ends.len() as u32;
             let records = ends.into_iter().map(|crash| CrashReport {
-                digest,
+                subject,
                 server: crash.server,
                 evidence: crash.evidence,
                 age_ms: 0,
                 is_withdrawn: false,
+                is_isolated: crash.is_isolated,
             });
             self.on_reports(now_ms, records.collect());
-            if let Some(entry) = self.entries.get_mut(&digest) {
+            if let Some(entry) = self.entries.get_mut(&subject) {
                 // Crashes that the record lacks are still to be persisted.
                 entry.stored_crashes = stored_crashes;
             }
@@ -234,113 +197,109 @@
             StoredChange::Removed(stored) => {
                 let is_affected =
                     |crash: &Crash| stored.ends.iter().any(|s| s.server == crash.server);
-                self.withdraw(stored.digest, is_affected);
-                self.on_persisted(&StoredCrashes::empty(stored.digest));
+                self.withdraw(stored.subject, is_affected);
+                self.on_persisted(&StoredCrashes::empty(stored.subject));
             }
         }
     }
 
-    /// Records a complete response to a request, which clears it. Returns whether any crash
-    /// counted against it.
-    pub fn on_answered(&mut self, now_ms: u64, digest: RequestDigest) -> bool {
-        self.answered.add(now_ms, digest);
-        self.withdraw(digest, |_| true)
+    /// Records a complete response to a request, or one that has begun to a request with a
+    /// prompt part, which clears the subject. Returns whether any crash counted against it.
+    pub fn on_answered(&mut self, now_ms: u64, subject: CrashSubject) -> bool {
+        self.answered.add(now_ms, subject);
+        self.withdraw(subject, |_| true)
     }
 
     /// Records that a server is still running. Returns whether it was considered crashed.
-    pub fn on_still_running(&mut self, digest: RequestDigest, server: &BackendName) -> bool {
-        self.withdraw(digest, |crash| crash.server == *server)
+    pub fn on_still_running(&mut self, subject: CrashSubject, server: &BackendName) -> bool {
+        self.withdraw(subject, |crash| crash.server == *server)
     }
 
-    fn withdraw(&mut self, digest: RequestDigest, is_affected: impl Fn(&Crash) -> bool) -> bool {
-        let Some(entry) = self.entries.get_mut(&digest) else {
-            return false;
-        };
-        let mut has_changed = false;
-        for crash in entry.crashes.iter_mut().filter(|crash| is_affected(crash)) {
-            has_changed |= !crash.is_withdrawn;
-            crash.is_withdrawn = true;
-            crash.is_local = true;
-        }
+    fn withdraw(&mut self, subject: CrashSubject, is_affected: impl Fn(&Crash) -> bool) -> bool {
+        let entry = self.entries.get_mut(&subject);
+        let has_changed = entry.is_some_and(|entry| entry.withdraw(is_affected));
         if has_changed {
-            self.record_change(digest);
+            self.record_change(subject);
         }
         has_changed
     }
 
     fn merge(&mut self, now_ms: u64, record: CrashReport, is_local: bool) {
-        let digest = record.digest;
-        let entry = self.entries.entry(digest).or_default();
+        let subject = record.subject;
+        let entry = self.entries.entry(subject);
+        let entry = entry.or_insert_with(|| Entry::new(subject));
         if entry.merge(now_ms, record, is_local) {
-            self.record_change(digest);
+            self.record_change(subject);
             self.evict_excess();
         }
     }
 
-    fn record_change(&mut self, digest: RequestDigest) {
+    fn record_change(&mut self, subject: CrashSubject) {
         self.revision += 1;
-        if let Some(entry) = self.entries.get_mut(&digest) {
-            self.by_revision.remove(&entry.revision);
-            entry.revision = self.revision;
-            self.by_revision.insert(self.revision, digest);
-        }
+        let Some(entry) = self.entries.get_mut(&subject) else {
+            return;
+        };
+        self.by_revision.remove(&entry.revision);
+        entry.revision = self.revision;
+        self.by_revision.insert(self.revision, subject);
+        match entry.is_quarantined() {
+            true => self.quarantined.insert(subject),
+            false => self.quarantined.remove(&subject),
+        };
     }
 
-    /// Evicts the oldest request among those with the fewest crashes, if there are too many:
+    /// Evicts the oldest subject among those with the fewest crashes, if there are too many:
     /// callers that vary a request crash one server with each variant and never repeat it.
     fn evict_excess(&mut self) {
         if self.entries.len() <= self.settings.max_requests {
             return;
         }
         let entries = self.entries.iter();
-        let least =
-            entries.min_by_key(|(digest, entry)| (entry.count(), entry.last_crash_ms(), **digest));
-        if let Some(digest) = least.map(|(digest, _)| *digest) {
-            self.remove(&digest);
+        let least = entries
+            .min_by_key(|(subject, entry)| (entry.count(), entry.last_crash_ms(), **subject));
+        if let Some(subject) = least.map(|(subject, _)| *subject) {
+            self.remove(&subject);
         }
     }
 
-    fn remove(&mut self, digest: &RequestDigest) {
-        let Some(entry) = self.entries.remove(digest) else {
+    fn remove(&mut self, subject: &CrashSubject) {
+        let Some(entry) = self.entries.remove(subject) else {
             return;
         };
         self.by_revision.remove(&entry.revision);
+        self.quarantined.remove(subject);
         if entry.stored_crashes > 0 {
-            self.to_remove.push(*digest);
+            self.to_remove.push(*subject);
         }
     }
 
-    /// Removes the requests whose tracking time has passed.
+    /// Removes the subjects whose tracking time has passed.
     pub fn forget_expired(&mut self, now_ms: u64) {
         let settings = self.settings;
         let entries = self.entries.iter();
         let expired = entries.filter(|(_, entry)| now_ms >= entry.expires_at_ms(&settings));
-        let expired: Vec<RequestDigest> = expired.map(|(digest, _)| *digest).collect();
-        for digest in expired {
-            self.remove(&digest);
+        let expired: Vec<CrashSubject> = expired.map(|(subject, _)| *subject).collect();
+        for subject in expired {
+            self.remove(&subject);
         }
     }
 
     /// Returns the reports since `revision` that fit into one message. If they do not all fit,
-    /// requests with a single crash are omitted: hundreds of servers that crash together leave
+    /// subjects with a single crash are omitted: hundreds of servers that crash together leave
     /// thousands of these, none of which gets a second crash, and sending all of them to 295
     /// instances took 575 KB/s.
     pub fn reports_since(&self, now_ms: u64, revision: u64) -> AdvertisedCrashes {
         let max_records = self.settings.told_at_once;
         let changed = self.by_revision.range(revision + 1..);
-        let changed = changed.filter_map(|(changed_at, digest)| {
-            Some((*changed_at, *digest, self.entries.get(digest)?))
-        });
-        let changed: Vec<(u64, RequestDigest, &Entry)> = changed.collect();
-        let total: usize = changed
-            .iter()
-            .map(|(_, _, entry)| entry.crashes.len())
-            .sum();
+        let changed = changed
+            .filter_map(|(changed_at, subject)| Some((*changed_at, self.entries.get(subject)?)));
+        let changed: Vec<(u64, &Entry)> = changed.collect();
+        let total: usize = changed.iter().map(|(_, entry)| entry.crashes.len()).sum();
         let mut update = AdvertisedCrashes {
             records: Vec::new(),
             revision,
         };
-        for (changed_at, digest, entry) in changed {
+        for (changed_at, entry) in changed {
             if total > max_records && entry.crashes.len() == 1 {
                 continue;
             }
@@ -348,7 +307,7 @@
             if is_full && !update.records.is_empty() {
                 return update;
             }
-            update.records.extend(entry.records(now_ms, digest));
+            update.records.extend(entry.records(now_ms));
             update.revision = changed_at;
         }
         update.revision = self.revision;
@@ -357,9 +316,9 @@
 
     /// Returns the reports of crashes that this instance observed or withdrew.
     pub fn own_reports(&self, now_ms: u64) -> Vec<CrashReport> {
-        let entries = self.entries.iter();
-        let reports = entries.flat_map(|(digest, entry)| {
-            let records = entry.records(now_ms, *digest);
+        let entries = self.entries.values();
+        let reports = entries.flat_map(|entry| {
+            let records = entry.records(now_ms);
             let are_local = entry.crashes.iter().map(|crash| crash.is_local);
             records
                 .zip(are_local)
@@ -368,24 +327,24 @@
         reports.collect()
     }
 
-    /// Returns the reports of one request.
-    pub fn records(&self, now_ms: u64, digest: &RequestDigest) -> Vec<CrashReport> {
-        let entry = self.entries.get(digest);
-        entry.map_or_else(Vec::new, |entry| entry.records(now_ms, *digest).collect())
+    /// Returns the reports of one subject.
+    pub fn records(&self, now_ms: u64, subject: &CrashSubject) -> Vec<CrashReport> {
+        let entry = self.entries.get(subject);
+        entry.map_or_else(Vec::new, |entry| entry.records(now_ms).collect())
     }
 
-    /// Returns the records that are not persisted yet: quarantined requests with their crashes,
-    /// and expired or cleared requests without any. Each is confirmed with
+    /// Returns the records that are not persisted yet: quarantined subjects with their crashes,
+    /// and expired or cleared subjects without any. Each is confirmed with
     /// [`on_persisted`](Self::on_persisted) once it is written.
     pub fn unpersisted(&self) -> Vec<StoredCrashes> {
         let mut to_persist: Vec<StoredCrashes> = Vec::new();
-        for (digest, entry) in &self.entries {
-            let count = entry.count();
-            if count >= CRASHES_TO_QUARANTINE && entry.stored_crashes < count {
-                to_persist.push(entry.to_stored(*digest));
+        for (subject, entry) in &self.entries {
+            let is_quarantined = entry.is_quarantined();
+            if is_quarantined && entry.stored_crashes < entry.count() {
+                to_persist.push(entry.to_stored());
             }
-            if count < CRASHES_TO_QUARANTINE && entry.stored_crashes > 0 {
-                to_persist.push(StoredCrashes::empty(*digest));
+            if !is_quarantined && entry.stored_crashes > 0 {
+                to_persist.push(StoredCrashes::empty(*subject));
             }
         }
         to_persist.extend(self.to_remove.iter().copied().map(StoredCrashes::empty));
@@ -395,12 +354,10 @@
     /// Returns all records to persist, including those that are persisted already.
     pub fn all_persistable(&self) -> Vec<StoredCrashes> {
         let mut to_persist = self.unpersisted();
-        let entries = self.entries.iter();
-        let persisted = entries.filter(|(_, entry)| {
-            let count = entry.count();
-            count >= CRASHES_TO_QUARANTINE && entry.stored_crashes >= count
-        });
-        to_persist.extend(persisted.map(|(digest, entry)| entry.to_stored(*digest)));
+        let entries = self.entries.values();
+        let persisted =
+            entries.filter(|entry| entry.is_quarantined() && entry.stored_crashes >= entry.count());
+        to_persist.extend(persisted.map(Entry::to_stored));
         to_persist
     }
 
@@ -414,8 +371,8 @@
 
     /// Records that a record was persisted.
     pub fn on_persisted(&mut self, stored: &StoredCrashes) {
-        self.to_remove.retain(|digest| *digest != stored.digest);
-        if let Some(entry) = self.entries.get_mut(&stored.digest) {
+        self.to_remove.retain(|subject| *subject != stored.subject);
+        if let Some(entry) = self.entries.get_mut(&stored.subject) {
             entry.stored_crashes = stored.ends.len() as u32;
         }
     }
--- a/crates/core/tests/poison_stored.rs
+++ b/crates/core/tests/poison_stored.rs
@@ -3,8 +3,8 @@
 use savoryvane_core::{
     ids::BackendName,
     poison::{
-        CrashReport, CrashTracker, Evidence, QuarantineSettings, Renewal, RequestDigest,
-        StoredChange, StoredCrash, StoredCrashes, StoredRecords,
+        CrashReport, CrashSubject, CrashTracker, Evidence, QuarantineSettings, Renewal,
+        RequestDigest, StoredChange, StoredCrash, StoredCrashes, StoredRecords,
     },
 };
 
@@ -12,17 +12,18 @@
 /// Retention time of the log, in ms.
 const RETENTION_MS: u64 = 30 * MINUTE_MS;
 
-fn digest(number: u8) -> RequestDigest {
-    RequestDigest([number; 16])
+fn digest(number: u8) -> CrashSubject {
+    RequestDigest([number; 16]).into()
 }
 
 fn stored(number: u8, servers: &[&str]) -> StoredCrashes {
     let ends = servers.iter().map(|server| StoredCrash {
         server: BackendName::new(*server),
         evidence: Evidence::Refused,
+        is_isolated: false,
     });
     StoredCrashes {
-        digest: digest(number),
+        subject: digest(number),
         ends: ends.collect(),
     }
 }
@@ -32,11 +33,12 @@
     let mut tracker = CrashTracker::new(QuarantineSettings::default());
     for server in ["i-1", "i-2", "i-3"] {
         let record = CrashReport {
-            digest: digest(1),
+            subject: digest(1),
             server: BackendName::new(server),
             evidence: Evidence::Refused,
             age_ms: 0,
             is_withdrawn: false,
+            is_isolated: false,
         };
         tracker.on_crash(0, record);
     }
--- a/crates/core/tests/poison_tracker.rs
+++ b/crates/core/tests/poison_tracker.rs
@@ -4,9 +4,9 @@
 use savoryvane_core::{
     ids::{BackendName, WorkspaceName},
     poison::{
-        CrashReport, CrashTracker, DigestBuilder, Evidence, LostServerStatus, Permit, PermitState,
-        Permits, Probe, QuarantineSettings, QuarantineStatus, Registered, RequestDigest,
-        status_after_loss, status_at_loss,
+        CrashReport, CrashSubject, CrashTracker, DigestBuilder, Evidence, LostServerStatus, Permit,
+        PermitState, Permits, Probe, QuarantineSettings, QuarantineStatus, Registered,
+        RequestDigest, RequestSubjects, status_after_loss, status_at_loss,
     },
 };
 
@@ -17,17 +17,22 @@
     told_at_once: 8,
 };
 
-fn digest(number: u64) -> RequestDigest {
+fn request(number: u64) -> RequestDigest {
     RequestDigest(u128::from(number).to_le_bytes())
 }
 
+fn digest(number: u64) -> CrashSubject {
+    request(number).into()
+}
+
 fn crash(number: u64, server: &str) -> CrashReport {
     CrashReport {
-        digest: digest(number),
+        subject: digest(number),
         server: BackendName::new(server),
         evidence: Evidence::Refused,
         age_ms: 0,
         is_withdrawn: false,
+        is_isolated: false,
     }
 }
 
@@ -226,7 +231,7 @@
         update
             .records
             .iter()
-            .all(|record| record.digest == digest(3))
+            .all(|record| record.subject == digest(3))
     );
     assert_eq!(
         (update.records.len(), update.revision),
@@ -268,17 +273,17 @@
 #[test]
 fn one_copy_of_a_suspect_runs_at_a_time() {
     let mut permits = Permits::default();
-    let first = permits.take(0, digest(1), 1, 1_000).unwrap();
-    assert_eq!(permits.take(400, digest(1), 1, 1_000), Err(600));
-    assert!(permits.take(400, digest(2), 1, 1_000).is_ok());
-    permits.release(&digest(1), first);
-    let second = permits.take(500, digest(1), 1, 1_000).unwrap();
+    let first = permits.take(0, &[digest(1)], 1, None, 1_000).unwrap();
+    assert_eq!(permits.take(400, &[digest(1)], 1, None, 1_000), Err(600));
+    assert!(permits.take(400, &[digest(2)], 1, None, 1_000).is_ok());
+    permits.release(&[digest(1)], first);
+    let second = permits.take(500, &[digest(1)], 1, None, 1_000).unwrap();
     // Releasing an expired permit does not release the current one.
-    permits.release(&digest(1), first);
-    assert!(permits.take(600, digest(1), 1, 1_000).is_err());
-    assert!(permits.take(1_500, digest(1), 1, 1_000).is_ok());
-    permits.release(&digest(1), second);
-    assert!(permits.take(1_600, digest(1), 1, 1_000).is_err());
+    permits.release(&[digest(1)], first);
+    assert!(permits.take(600, &[digest(1)], 1, None, 1_000).is_err());
+    assert!(permits.take(1_500, &[digest(1)], 1, None, 1_000).is_ok());
+    permits.release(&[digest(1)], second);
+    assert!(permits.take(1_600, &[digest(1)], 1, None, 1_000).is_err());
 }
 
 /// A permit is decided by the tracker of the issuer, since the requester may not know of a third
@@ -286,20 +291,26 @@
 #[test]
 fn a_permit_is_decided_by_the_tracker_of_the_issuer() {
     let mut permits = Permits::default();
-    let mut grant = |tracker: &CrashTracker| permits.grant(0, tracker, digest(1), 1_000);
-    let first = grant(&tracker(&["a", "b"]));
-    let PermitState::Granted(Permit { place, .. }) = first else {
+    let subjects = RequestSubjects::new(request(1), []);
+    let mut grant =
+        |mut tracker: CrashTracker| permits.grant(0, &mut tracker, &subjects, None, 1_000);
+    let first = grant(tracker(&["a", "b"]));
+    let PermitState::Granted {
+        permit: Permit { place, .. },
+        covered,
+    } = first
+    else {
         panic!("{first:?}");
     };
-    assert_eq!(place, Some(0));
-    let copy = grant(&tracker(&["a", "b"]));
+    assert_eq!((place, covered), (Some(0), vec![digest(1)]));
+    let copy = grant(tracker(&["a", "b"]));
     assert_eq!(
         copy,
         PermitState::Out {
             lapses_in_ms: 1_000
         }
     );
-    let quarantined = grant(&tracker(&["a", "b", "c"]));
+    let quarantined = grant(tracker(&["a", "b", "c"]));
     let ends = vec![crash(1, "a"), crash(1, "b"), crash(1, "c")];
     assert_eq!(quarantined, PermitState::Quarantined(ends));
 }
@@ -309,7 +320,9 @@
 fn requests_with_two_ends_have_places_of_their_own() {
     let mut permits = Permits::default();
     let mut place = |number: u64, ends: u32| {
-        let permit = permits.take(0, digest(number), ends, 1_000).unwrap();
+        let permit = permits
+            .take(0, &[digest(number)], ends, None, 1_000)
+            .unwrap();
         (permit.place, permit)
     };
     assert_eq!(place(1, 1).0, None);
@@ -317,8 +330,8 @@
     let (second, permit) = place(3, 2);
     assert_eq!(second, Some(1));
     assert_eq!(place(4, 3).0, Some(2));
-    permits.release(&digest(3), permit);
-    let again = permits.take(0, digest(5), 2, 1_000).unwrap();
+    permits.release(&[digest(3)], permit);
+    let again = permits.take(0, &[digest(5)], 2, None, 1_000).unwrap();
     assert_eq!(again.place, Some(1));
 }
 
--- a/crates/core/tests/stages_world/mod.rs
+++ b/crates/core/tests/stages_world/mod.rs
@@ -368,11 +368,12 @@
         let digests: BTreeSet<RequestDigest> = call.items.iter().map(|item| item.digest).collect();
         for digest in &digests {
             let record = CrashReport {
-                digest: *digest,
+                subject: (*digest).into(),
                 server: call.server.clone(),
                 evidence: Evidence::Refused,
                 age_ms: 0,
                 is_withdrawn: false,
+                is_isolated: false,
             };
             self.crash_tracker.on_crash(now_ms, record);
         }
@@ -388,7 +389,7 @@
         }
         let ends = digests
             .iter()
-            .map(|digest| (*digest, self.crash_tracker.ends(now_ms, digest)));
+            .map(|digest| (*digest, self.crash_tracker.ends(now_ms, &(*digest).into())));
         let end = CallOutcome::ServerEnded(ends.collect());
         self.scheduler.on_call_ended(now_ms, call.id, &end);
     }
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -31,8 +31,8 @@
     "store regained",
     "zones passed over",
 ];
-/// Messages about crashes and quarantine of a request; matched by the request's digest,
-/// since copies of it may have other identifiers.
+/// Messages about crashes and quarantine of a request or prompt part; matched by what is
+/// quarantined, since other requests may have crashed the servers.
 const CRASH_MESSAGES: [&str; 3] = [
     "quarantine kept",
     "server crashed under request",
@@ -114,17 +114,25 @@
 
 /// Returns the lines about crashes that led to the refusal of a request, if it was refused
 /// for that reason.
-fn crash_lines_before<'a>(lines: &'a [LogLine], request_lines: &[&LogLine]) -> Vec<&'a LogLine> {
+fn crash_lines_before<'a>(lines: &'a [LogLine], request_lines: &[&'a LogLine]) -> Vec<&'a LogLine> {
     let refused = request_lines
         .iter()
         .find(|line| line.text("ends_from").is_some());
-    let Some((refused, digest)) = refused.and_then(|line| Some((line, line.text("digest")?)))
-    else {
+    let Some(refused) = refused else {
         return Vec::new();
     };
+    let Some(subject) = refused.text("subject").or(refused.text("digest")) else {
+        return Vec::new();
+    };
+    let is_about_subject = |line: &LogLine| {
+        let parts = line.text("parts").unwrap_or_default();
+        line.text("digest") == Some(subject)
+            || line.text("subject") == Some(subject)
+            || parts.split(',').any(|part| part == subject)
+    };
     let is_crash_line = |line: &&LogLine| {
         CRASH_MESSAGES.contains(&line.message.as_str())
-            && line.text("digest") == Some(digest)
+            && is_about_subject(line)
             && line.text("request") != refused.text("request")
             && line.sort_key() <= refused.sort_key()
     };
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -123,3 +123,21 @@
 ";
     assert_eq!(printed, expected);
 }
+
+/// The requests that crashed the servers share only a part of their prompts.
+#[test]
+fn a_quarantined_part_leads_to_the_servers_that_ended_under_other_requests() {
+    let logs = br#"{"msg":"server crashed under request","ts":"2026-01-01T00:00:01Z","instance":"a","request":"r1","digest":"d1","parts":"part-1,part-bad","server":"i-1","part_ends":"part-1:1,part-bad:1"}
+{"msg":"suspect cleared","ts":"2026-01-01T00:00:02Z","instance":"a","subject":"part-1","reason":"response has begun"}
+{"msg":"server crashed under request","ts":"2026-01-01T00:00:03Z","instance":"b","request":"r2","digest":"d2","parts":"part-1,part-bad2","server":"i-2"}
+{"msg":"quarantine kept","ts":"2026-01-01T00:00:04Z","instance":"b","subject":"part-bad","ends":3}
+{"msg":"quarantined request refused","ts":"2026-01-01T00:00:05Z","instance":"c","request":"r3","digest":"d3","subject":"part-bad","ends":3,"ends_from":"own"}
+"#;
+    let printed = String::from_utf8(explain("r3", logs).stdout).unwrap();
+    let expected = "\
+2026-01-01T00:00:01Z  a  server crashed under request  digest=d1 part_ends=part-1:1,part-bad:1 parts=part-1,part-bad server=i-1
+2026-01-01T00:00:04Z  b  quarantine kept  ends=3 subject=part-bad
+2026-01-01T00:00:05Z  c  quarantined request refused  digest=d3 ends=3 ends_from=own subject=part-bad
+";
+    assert_eq!(printed, expected);
+}
--- a/crates/server/src/crashes.rs
+++ b/crates/server/src/crashes.rs
@@ -26,7 +26,7 @@
     instance::Shared,
     lock::lock,
     probing,
-    suspects::{self, CountedBy},
+    suspects::{self, CountedBy, QuarantineRefusal},
 };
 
 /// Crash tracker of the requests known to this instance.
@@ -81,7 +81,7 @@
     digest: &RequestDigest,
 ) -> Option<u64> {
     let now_ms = shared.clock.now_ms();
-    let status = shared.ends.tracker().status(now_ms, digest);
+    let status = shared.ends.tracker().status(now_ms, &(*digest).into());
     let QuarantineStatus::Quarantined {
         ends,
         retry_after_ms,
@@ -90,7 +90,14 @@
         return None;
     };
     let retry = Some(retry_after_ms);
-    suspects::log_refusal(&shared.log, request, digest, ends, CountedBy::Own, retry);
+    let refusal = QuarantineRefusal {
+        digest,
+        subject: (*digest).into(),
+        ends,
+        counted_by: CountedBy::Own,
+        retry_after_ms: retry,
+    };
+    suspects::log_refusal(&shared.log, request, &refusal);
     Some(retry_after_ms)
 }
 
@@ -123,16 +130,17 @@
     let sequence = shared.ends.next_sequence.fetch_add(1, Ordering::Relaxed);
     let run = format!("{} {}.{sequence}", lost.backend, shared.incarnation);
     let record = CrashReport {
-        digest: lost.digest,
+        subject: lost.digest.into(),
         server: BackendName::new(run),
         evidence,
         age_ms: 0,
         is_withdrawn: false,
+        is_isolated: false,
     };
     let now_ms = shared.clock.now_ms();
     let others = shared.fleet().in_flight(lost.backend).saturating_sub(1);
     let counts = shared.ends.tracker().on_crash(now_ms, record.clone());
-    let ends = shared.ends.tracker().ends(now_ms, &lost.digest);
+    let ends = shared.ends.tracker().ends(now_ms, &lost.digest.into());
     warn!(shared.log, "server crashed under request"; "request" => %lost.request,
         "digest" => %lost.digest, "server" => %lost.backend, "others" => others,
         "evidence" => evidence.as_str(), "ends" => ends);
@@ -148,10 +156,10 @@
 /// Records a complete answer to a request, which clears it as a suspect.
 pub(crate) fn on_answered(shared: &Shared, digest: RequestDigest) {
     let now_ms = shared.clock.now_ms();
-    let was_suspect = shared.ends.tracker().on_answered(now_ms, digest);
+    let was_suspect = shared.ends.tracker().on_answered(now_ms, digest.into());
     if was_suspect {
         info!(shared.log, "suspect cleared"; "digest" => %digest, "reason" => "answered");
-        let records = shared.ends.tracker().records(now_ms, &digest);
+        let records = shared.ends.tracker().records(now_ms, &digest.into());
         shared
             .members
             .peers()
--- a/crates/server/src/gateway.rs
+++ b/crates/server/src/gateway.rs
@@ -22,6 +22,7 @@
 mod local_reply;
 mod members;
 mod peer_messages;
+mod permits;
 mod quarantine;
 mod quarantine_store;
 mod relay;
--- a/crates/server/src/gateway/admitting.rs
+++ b/crates/server/src/gateway/admitting.rs
@@ -1,18 +1,20 @@
 //! Decides whether a request may be sent to a server, by the number of servers that
-//! crashed under it.
+//! crashed under it and under the parts of its prompt.
 
 use std::time::Duration;
 
-use savoryvane_core::poison::QuarantineStatus;
+use savoryvane_core::poison::{
+    CrashReport, CrashSubject, QuarantineStatus, RequestStatus, format_subjects,
+};
 use slog::info;
 
 use super::{
     forward::Forwarder,
     local_reply::FailureReason,
-    quarantine::{PermitGuard, PermitOutcome},
+    permits::{PermitGuard, PermitOutcome},
     request::CallerRequest,
 };
-use crate::suspects::{self, CountedBy, RefusalReason};
+use crate::suspects::{self, CountedBy, QuarantineRefusal, RefusalReason};
 
 /// Longest time that a request waits for the known crashes at an instance that has just
 /// started; a few store calls take as long.
@@ -34,31 +36,35 @@
         // them, the first copies after a loss of all instances would crash three more
         // servers.
         self.quarantine.wait_loaded(LOAD_TIMEOUT).await;
-        match self.quarantine.standing(&caller.digest) {
-            QuarantineStatus::Clear => Ok(()),
-            QuarantineStatus::Quarantined { .. } => {
-                Err(self.reject_quarantined(caller, CountedBy::Own))
+        let (suspects, ends) = match self.quarantine.request_status(&caller.subjects) {
+            RequestStatus::Clear => return Ok(()),
+            RequestStatus::Quarantined { subject, .. } => {
+                return Err(self.reject_quarantined(caller, subject, CountedBy::Own));
+            }
+            RequestStatus::Suspect { suspects, ends } => (suspects, ends),
+        };
+        if permit.as_ref().is_some_and(|held| held.covers(&suspects)) {
+            return Ok(());
+        }
+        let outcome = self
+            .quarantine
+            .request_permit(&caller.subjects, permit.take(), caller.time_left())
+            .await;
+        match outcome {
+            PermitOutcome::Granted(granted) => {
+                info!(self.log, "suspect admitted"; "request" => %caller.id,
+                    "digest" => %caller.digest(), "ends" => ends,
+                    "suspects" => format_subjects(suspects),
+                    "isolated" => format_subjects(granted.covered().iter().copied()));
+                *permit = Some(granted);
+                Ok(())
+            }
+            PermitOutcome::CopyRunning(expires_in) => {
+                Err(self.reject_copy(caller, &suspects, ends, expires_in))
             }
-            QuarantineStatus::Suspect { .. } if permit.is_some() => Ok(()),
-            QuarantineStatus::Suspect { ends } => {
-                let outcome = self
-                    .quarantine
-                    .request_permit(caller.digest, caller.time_left())
-                    .await;
-                match outcome {
-                    PermitOutcome::Granted(granted) => {
-                        info!(self.log, "suspect admitted"; "request" => %caller.id,
-                            "digest" => %caller.digest, "ends" => ends);
-                        *permit = Some(granted);
-                        Ok(())
-                    }
-                    PermitOutcome::CopyRunning(expires_in) => {
-                        Err(self.reject_copy(caller, ends, expires_in))
-                    }
-                    PermitOutcome::Quarantined(counted_by) => {
-                        Err(self.reject_quarantined(caller, counted_by))
-                    }
-                }
+            PermitOutcome::Quarantined(records, counted_by) => {
+                let subject = quarantined_subject(caller, &records);
+                Err(self.reject_quarantined(caller, subject, counted_by))
             }
         }
     }
@@ -68,35 +74,47 @@
         // If a permit is granted after all, it is returned at once.
         let outcome = self
             .quarantine
-            .request_permit(caller.digest, Duration::ZERO)
+            .request_permit(&caller.subjects, None, Duration::ZERO)
             .await;
-        let counted_by = match outcome {
-            PermitOutcome::Quarantined(counted_by) => counted_by,
-            PermitOutcome::Granted(_) | PermitOutcome::CopyRunning(_) => CountedBy::Scheduler,
+        let (records, counted_by) = match outcome {
+            PermitOutcome::Quarantined(records, counted_by) => (records, counted_by),
+            PermitOutcome::Granted(_) | PermitOutcome::CopyRunning(_) => {
+                (Vec::new(), CountedBy::Scheduler)
+            }
         };
-        self.reject_quarantined(caller, counted_by)
+        let subject = quarantined_subject(caller, &records);
+        self.reject_quarantined(caller, subject, counted_by)
     }
 
-    fn reject_quarantined(&self, caller: &CallerRequest, counted_by: CountedBy) -> FailureReason {
-        let standing = self.quarantine.standing(&caller.digest);
-        let retry_after_ms = match standing {
+    fn reject_quarantined(
+        &self,
+        caller: &CallerRequest,
+        subject: CrashSubject,
+        counted_by: CountedBy,
+    ) -> FailureReason {
+        let status = self.quarantine.subject_status(&subject);
+        let retry_after_ms = match status {
             QuarantineStatus::Quarantined { retry_after_ms, .. } => Some(retry_after_ms),
             QuarantineStatus::Suspect { .. } | QuarantineStatus::Clear => None,
         };
-        suspects::log_refusal(
-            &self.log,
-            &caller.id,
-            &caller.digest,
-            standing.ends(),
+        let refusal = QuarantineRefusal {
+            digest: &caller.digest(),
+            subject,
+            ends: status.ends(),
             counted_by,
             retry_after_ms,
-        );
-        FailureReason::EndsServers(retry_after_ms)
+        };
+        suspects::log_refusal(&self.log, &caller.id, &refusal);
+        match subject {
+            CrashSubject::Request(_) => FailureReason::EndsServers(retry_after_ms),
+            CrashSubject::PromptPart(_) => FailureReason::PartEndsServers(retry_after_ms),
+        }
     }
 
     fn reject_copy(
         &self,
         caller: &CallerRequest,
+        suspects: &[CrashSubject],
         ends: u32,
         expires_in: Duration,
     ) -> FailureReason {
@@ -104,9 +122,16 @@
         let expires_in_ms = expires_in.as_millis() as u64;
         let retry_after_ms = usual_ms.max(MIN_RETRY_AFTER_MS).min(expires_in_ms);
         info!(self.log, "copy of suspect rejected"; "request" => %caller.id,
-            "digest" => %caller.digest, "ends" => ends, "ends_from" => CountedBy::Scheduler.as_str(),
+            "digest" => %caller.digest(), "suspects" => format_subjects(suspects.iter().copied()),
+            "ends" => ends, "ends_from" => CountedBy::Scheduler.as_str(),
             "retry_after_ms" => retry_after_ms);
         suspects::count_refusal(RefusalReason::CopyRuns);
         FailureReason::CopyRuns(retry_after_ms)
     }
 }
+
+/// Returns the subject that `records` are about; the request itself if there are none.
+fn quarantined_subject(caller: &CallerRequest, records: &[CrashReport]) -> CrashSubject {
+    let subject = records.first().map(|record| record.subject);
+    subject.unwrap_or_else(|| caller.digest().into())
+}
--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -9,7 +9,7 @@
 use savoryvane_core::{
     forwarding::{AttemptEnd, BodyEnd, Framing, RepeatPolicy, Route, ServerEntry},
     ids::{BackendName, ZoneName},
-    poison::LostServerStatus,
+    poison::{CrashSubject, LostServerStatus},
 };
 use savoryvane_platform::response::{self, ResponseHead};
 use slog::{info, warn};
@@ -18,6 +18,7 @@
 use super::{
     crashes::{CarriedRequest, LostConnection},
     forward::{Forwarder, Inputs},
+    permits::PermitGuard,
     request::CallerRequest,
     signals::{ResponseTo, Sendable},
 };
@@ -32,6 +33,10 @@
 /// Idle time up to which a pooled connection may carry a request that must not be
 /// repeated; servers close idle connections at any moment.
 const MAX_IDLE_UNREPEATABLE: Duration = Duration::from_millis(500);
+/// Time for which a server goes on with a response after its first bytes before the response
+/// counts as alive. A crash that the response causes closes the connection within some ms, but
+/// bytes may be on their way.
+const ALIVE_AFTER: Duration = Duration::from_millis(300);
 /// Margin by which a pooled connection is dropped before the server's keep-alive timeout.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 
@@ -66,8 +71,13 @@
     sent_at_ms: u64,
     /// Whether the server may still reject the request.
     is_in_doubt: bool,
-    /// Whether the body of the response has begun to arrive.
-    has_begun: bool,
+    /// Subjects of which no other run takes place.
+    isolated: Vec<CrashSubject>,
+    /// Whether the response is successful; `false` before its head.
+    is_success: bool,
+    /// When the body of a successful response began to arrive.
+    body_since: Option<Instant>,
+    is_alive: bool,
     has_ended: bool,
 }
 
@@ -90,13 +100,18 @@
         }
     }
 
-    /// Records that bytes of the response's body have arrived.
-    pub(super) fn on_body_bytes(&mut self) {
-        self.has_begun = true;
+    /// Records that bytes of the response's body have arrived; returns whether they are the first
+    /// ones that show it alive.
+    pub(super) fn on_body_bytes(&mut self) -> bool {
+        let now = Instant::now();
+        let since = *self.body_since.get_or_insert(now);
+        let is_alive = self.is_success && now.duration_since(since) >= ALIVE_AFTER;
+        is_alive && !std::mem::replace(&mut self.is_alive, true)
     }
 
-    pub(super) fn has_begun(&self) -> bool {
-        self.has_begun
+    /// Returns whether the server went on with the response after it had begun.
+    pub(super) fn is_alive(&self) -> bool {
+        self.is_alive
     }
 
     pub(super) fn finish(mut self, outcome: ServerOutcome) {
@@ -152,6 +167,7 @@
         caller: &CallerRequest,
         inputs: &Inputs,
         server: &BackendName,
+        permit: Option<&PermitGuard>,
         last_event: Option<&str>,
     ) -> SendOutcome {
         // The server may be registered again with another version meanwhile.
@@ -176,7 +192,10 @@
             began: Instant::now(),
             sent_at_ms: now_ms,
             is_in_doubt: true,
-            has_begun: false,
+            isolated: permit.map_or_else(Vec::new, |permit| permit.covered().to_vec()),
+            is_success: false,
+            body_since: None,
+            is_alive: false,
             has_ended: false,
         };
         let reuse = match caller.repeats() {
@@ -213,7 +232,7 @@
 
     /// Finds out whether a server whose connection broke crashed under the request.
     pub(super) async fn on_connection_lost(&self, caller: &CallerRequest, in_flight: InFlight) {
-        let lost = self.lost_connection(caller, in_flight.server.clone(), in_flight.has_begun);
+        let lost = self.lost_in_flight(caller, &in_flight);
         in_flight.finish(ServerOutcome::Silent);
         let ends = Arc::clone(&self.crash_detector);
         // Runs in a task of its own: the crash is recorded even if the caller disconnects
@@ -234,7 +253,7 @@
     ) {
         match end {
             BodyEnd::Truncated => return self.on_connection_lost(caller, in_flight).await,
-            BodyEnd::Complete => self.quarantine.on_answered(caller.digest),
+            BodyEnd::Complete => self.on_answered(caller, in_flight.is_success),
             BodyEnd::Unmarked => self.check_unmarked_end(caller, &in_flight),
         }
         in_flight.finish(ServerOutcome::Answered);
@@ -245,34 +264,51 @@
     fn check_unmarked_end(&self, caller: &CallerRequest, in_flight: &InFlight) {
         let lost = LostConnection {
             has_ended_response: true,
-            ..self.lost_connection(caller, in_flight.server.clone(), in_flight.has_begun)
+            ..self.lost_in_flight(caller, in_flight)
         };
         let crash_detector = Arc::clone(&self.crash_detector);
         let quarantine = Arc::clone(&self.quarantine);
-        let digest = caller.digest;
+        let subjects = caller.subjects.clone();
         tokio::spawn(async move {
             let status = crash_detector.on_connection_lost(lost).await;
             if status == LostServerStatus::NotToBlame {
-                quarantine.on_answered(digest);
+                quarantine.on_answered(subjects.digest());
+                quarantine.on_alive(subjects.parts());
             }
         });
     }
 
+    /// Records a complete response. An unsuccessful one tells nothing of the parts of the prompt,
+    /// since the server may not have come to respond to it.
+    fn on_answered(&self, caller: &CallerRequest, is_success: bool) {
+        self.quarantine.on_answered(caller.digest());
+        if is_success {
+            self.quarantine.on_alive(caller.subjects.parts());
+        }
+    }
+
+    /// Describes the loss of the connection that carried a request in flight.
+    fn lost_in_flight(&self, caller: &CallerRequest, in_flight: &InFlight) -> LostConnection {
+        let server = in_flight.server.clone();
+        self.lost_connection(caller, server, in_flight.is_alive, &in_flight.isolated)
+    }
+
     /// Describes the loss of the connection that carried a caller's request.
     pub(super) fn lost_connection(
         &self,
         caller: &CallerRequest,
         server: ServerEntry,
-        has_begun: bool,
+        is_alive: bool,
+        isolated: &[CrashSubject],
     ) -> LostConnection {
         let in_flight_requests = self.view.fleet().in_flight(&server.id);
         LostConnection {
             server,
             requests: vec![CarriedRequest {
                 id: caller.id.clone(),
-                digest: caller.digest,
-                shared_parts: caller.shared_parts(),
-                has_begun,
+                subjects: caller.subjects.clone(),
+                isolated: isolated.to_vec(),
+                is_alive,
             }],
             other_requests: in_flight_requests.saturating_sub(1),
             has_ended_response: false,
@@ -294,6 +330,7 @@
             ResponseTo::Request(&caller.id),
             &head,
         );
+        in_flight.is_success = status.is_success();
         if !head.is_not_run {
             in_flight.settle();
         }
@@ -314,7 +351,9 @@
         }
         let framing = http_body::framing(response.headers());
         let (parts, mut body) = response.into_parts();
-        let on_bytes = || in_flight.on_body_bytes();
+        let on_bytes = || {
+            in_flight.on_body_bytes();
+        };
         let (bytes, is_whole) = match read_up_to(&mut body, MAX_BUFFERED_BYTES, on_bytes).await {
             Ok(read) => read,
             Err(err) => {
--- a/crates/server/src/gateway/crashes.rs
+++ b/crates/server/src/gateway/crashes.rs
@@ -9,8 +9,8 @@
     forwarding::ServerEntry,
     ids::RequestId,
     poison::{
-        CrashReport, Evidence, LostServerStatus, Probe, Registered, RequestDigest,
-        status_after_loss, status_at_loss,
+        CrashReport, CrashSubject, Evidence, LostServerStatus, Probe, Registered, RequestSubjects,
+        format_subjects, status_after_loss, status_at_loss,
     },
 };
 use slog::{Logger, info, warn};
@@ -70,11 +70,21 @@
 #[derive(Clone, Debug)]
 pub(super) struct CarriedRequest {
     pub(super) id: RequestId,
-    pub(super) digest: RequestDigest,
-    /// Hashes of the shared parts of its prompt, each once.
-    pub(super) shared_parts: Vec<u64>,
-    /// Whether the server had begun to send the body of its response.
-    pub(super) has_begun: bool,
+    pub(super) subjects: RequestSubjects,
+    /// Subjects of which no other run took place.
+    pub(super) isolated: Vec<CrashSubject>,
+    /// Whether the server went on with the response after it had begun.
+    pub(super) is_alive: bool,
+}
+
+impl CarriedRequest {
+    /// Iterates over what may have crashed the server: the request, and the parts of its prompt
+    /// unless the server had gone on with the response.
+    fn suspects(&self) -> impl Iterator<Item = CrashSubject> {
+        let is_alive = self.is_alive;
+        let subjects = self.subjects.iter();
+        subjects.filter(move |subject| !(is_alive && subject.is_part()))
+    }
 }
 
 /// A loss that has to be checked again.
@@ -142,18 +152,29 @@
     async fn on_ended(&self, lost: LostConnection, evidence: Evidence) {
         let others = lost.other_requests + lost.requests.len().saturating_sub(1) as u32;
         for request in &lost.requests {
-            let crash_count = self.quarantine.on_crash(CrashReport {
-                digest: request.digest,
-                server: lost.server.id.clone(),
-                evidence,
-                age_ms: 0,
-                is_withdrawn: false,
-            });
+            let counts: Vec<(CrashSubject, u32)> = request
+                .suspects()
+                .map(|subject| {
+                    let report = CrashReport {
+                        subject,
+                        server: lost.server.id.clone(),
+                        evidence,
+                        age_ms: 0,
+                        is_withdrawn: false,
+                        is_isolated: request.isolated.contains(&subject),
+                    };
+                    (subject, self.quarantine.on_crash(report))
+                })
+                .collect();
             warn!(self.log, "server crashed under request"; "request" => %request.id,
-                "digest" => %request.digest, "parts" => format_parts(&request.shared_parts),
-                "has_begun" => request.has_begun, "server" => %lost.server.registered_as,
+                "digest" => %request.subjects.digest(),
+                "parts" => format_subjects(request.subjects.parts()),
+                "is_alive" => request.is_alive, "server" => %lost.server.registered_as,
                 "started_ms" => lost.server.started_ms, "service" => %lost.server.service,
-                "others" => others, "evidence" => evidence.as_str(), "ends" => crash_count);
+                "others" => others, "evidence" => evidence.as_str(),
+                "ends" => counts.first().map(|(_, ends)| *ends),
+                "part_ends" => format_counts(&counts[1..]),
+                "isolated" => format_subjects(request.isolated.iter().copied()));
         }
         suspects::count_crash(evidence);
         self.watch(lost, Some(evidence));
@@ -204,7 +225,7 @@
             if is_fresh && item.is_still_running(registered) {
                 for request in &item.lost.requests {
                     self.quarantine
-                        .on_running(request.digest, &item.lost.server.id);
+                        .on_running(&request.subjects, &item.lost.server.id);
                 }
             } else if item.since.elapsed() < RECOVERY_WINDOW {
                 self.add_watched(item);
@@ -226,10 +247,11 @@
     }
 }
 
-/// Formats the hashes of prompt parts as callers send them.
-fn format_parts(hashes: &[u64]) -> String {
-    let hashes: Vec<String> = hashes.iter().map(|hash| format!("{hash:x}")).collect();
-    hashes.join(",")
+/// Formats crash counts for a log line.
+fn format_counts(counts: &[(CrashSubject, u32)]) -> String {
+    let counts = counts.iter();
+    let texts = counts.map(|(subject, ends)| format!("{subject}:{ends}"));
+    texts.collect::<Vec<String>>().join(",")
 }
 
 /// Checks servers whose connections were lost until their fate is known.
--- a/crates/server/src/gateway/failover.rs
+++ b/crates/server/src/gateway/failover.rs
@@ -16,7 +16,7 @@
     attempt::SendOutcome,
     forward::{Forwarder, Inputs},
     local_reply::FailureReason,
-    quarantine::PermitGuard,
+    permits::PermitGuard,
     relay,
     request::CallerRequest,
     stage_submission::ResultsGuard,
@@ -64,7 +64,14 @@
                 && sends + 1 < caller.route().max_servers
                 && tried.len() < MAX_TRIED_SERVERS;
             let guard = inputs.guard.take();
-            let sending = self.send_to(&caller, &inputs, &tried, &server, may_fail_over);
+            let sending = self.send_to(
+                &caller,
+                &inputs,
+                &tried,
+                &server,
+                permit.as_ref(),
+                may_fail_over,
+            );
             let (sent, guard) = tokio::select! {
                 sent = self.release_once_fetched(&caller.service, guard, sending) => sent,
                 () = self.shutdown.wait_until_within(Duration::ZERO) =>
@@ -181,10 +188,11 @@
         inputs: &Inputs,
         tried: &[BackendName],
         server: &BackendName,
+        permit: Option<&PermitGuard>,
         may_fail_over: bool,
     ) -> Option<SendOutcome> {
         let silence_timeout = Duration::from_millis(response_timeout_ms(caller.route().goal_ms));
-        let mut sent = Box::pin(self.send_once(caller, inputs, server, None));
+        let mut sent = Box::pin(self.send_once(caller, inputs, server, permit, None));
         if may_fail_over {
             let until = (Instant::now() + silence_timeout).min(caller.deadline);
             if let Ok(sent) = time::timeout_at(until, &mut sent).await {
@@ -219,13 +227,13 @@
         self.view.budgets().try_spend(now_ms, &caller.service)
     }
 
-    /// Records that a server was abandoned because it stayed silent, before or after its
+    /// Records that a server was abandoned because it stayed silent; `is_alive` tells whether its
     /// response had begun.
     pub(super) fn on_server_abandoned(
         &self,
         caller: &CallerRequest,
         server: &BackendName,
-        has_begun: bool,
+        is_alive: bool,
         waited: Duration,
     ) {
         let now_ms = self.clock.now_ms();
@@ -234,7 +242,7 @@
         if let Some(entry) = entry {
             // Other pooled connections to it may be dead too.
             self.servers.close_idle(entry.addr);
-            let lost = self.lost_connection(caller, entry, has_begun);
+            let lost = self.lost_connection(caller, entry, is_alive, &[]);
             self.crash_detector.on_silent(lost);
         }
         info!(self.log, "silent server abandoned"; "request" => %caller.id, "server" => %server,
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -7,7 +7,7 @@
 use savoryvane_core::{
     forwarding::{Placement, RepeatPolicy, Route, ServerChoice, SoftwareBinding},
     ids::{BackendName, RequestId, SoftwareVersion, ZoneName},
-    poison::DigestBuilder,
+    poison::{DigestBuilder, RequestSubjects},
     stages::{Refusal, StageOutcome, StageWork, Submission},
 };
 use savoryvane_platform::request::{self, RequestHead};
@@ -20,8 +20,9 @@
     limits::LimitSharing,
     local_reply::{self, FailureReason},
     members::Members,
-    quarantine::{PermitGuard, Quarantine},
-    request::{CallerRequest, choose_service, request_host},
+    permits::PermitGuard,
+    quarantine::Quarantine,
+    request::{CallerRequest, choose_service, request_host, shared_part_hashes},
     routing_view::RoutingView,
     stage_submission::{ResultsGuard, StageSubmitter},
     stream_origins::StreamOrigins,
@@ -136,6 +137,8 @@
         let (parts, body) = request.into_parts();
         let on_part = |part: &[u8]| digest.update(part);
         let body = http_body::read_with(body, limits.body_bytes, BODY_TIMEOUT, on_part).await?;
+        let shared_parts = shared_part_hashes(&matched.route, &head);
+        let subjects = RequestSubjects::new(digest.finish(), shared_parts);
         let caller_timeout = head
             .deadline_ms
             .map_or(DEFAULT_DEADLINE, Duration::from_millis);
@@ -147,7 +150,7 @@
             path,
             headers: parts.headers,
             body,
-            digest: digest.finish(),
+            subjects,
             matched,
             service,
             software: SoftwareBinding::Free,
@@ -194,8 +197,8 @@
                 fleet.home_zone(now_ms, &caller.service, prompt, &caller.software)
             }),
             done: Vec::new(),
-            digest: caller.digest,
-            ends: self.quarantine.crash_count(&caller.digest),
+            digest: caller.digest(),
+            ends: self.quarantine.crash_count(&caller.digest()),
         };
         let ended = tokio::select! {
             ended = self.stages.run(submission) => ended,
@@ -321,7 +324,7 @@
         sends: u32,
     ) {
         info!(self.log, "request answered"; "request" => %caller.id,
-            "digest" => %caller.digest,
+            "digest" => %caller.digest(),
             "route" => &caller.route().name, "server" => %server, "status" => status.as_u16(),
             "sends" => sends, "goal_ms" => caller.route().goal_ms,
             "elapsed_ms" => caller.elapsed_ms());
--- a/crates/server/src/gateway/grants.rs
+++ b/crates/server/src/gateway/grants.rs
@@ -13,7 +13,7 @@
 use super::{
     forward::{Forwarder, Inputs, placement},
     local_reply::FailureReason,
-    quarantine::PermitGuard,
+    permits::PermitGuard,
     request::CallerRequest,
 };
 
--- a/crates/server/src/gateway/local_reply.rs
+++ b/crates/server/src/gateway/local_reply.rs
@@ -20,6 +20,11 @@
 const ENDS_SERVERS_TEXT: &str = "backend servers ended each time they ran this request, so \
     it is not sent again before the time given; other requests are served";
 
+/// Response text for a request with a quarantined prompt part.
+const PART_ENDS_SERVERS_TEXT: &str = "backend servers ended each time they began to answer a \
+    request with one of the parts of this prompt, so it was not sent; requests without that part \
+    are served";
+
 /// Why a request has no response from a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum FailureReason {
@@ -40,8 +45,11 @@
     /// Too many servers crashed under it; with the time for which it is not sent again,
     /// in ms, if that is known.
     EndsServers(Option<u64>),
-    /// A server crashed under it, and another copy of it is running; with the
-    /// `Retry-After`, in ms.
+    /// Too many servers crashed under a part of its prompt, and none has run it; with the
+    /// time for which no request with the part is sent, in ms, if that is known.
+    PartEndsServers(Option<u64>),
+    /// A server crashed under it or a part of its prompt, and another request with the same
+    /// is running; with the `Retry-After`, in ms.
     CopyRuns(u64),
     /// This instance exits before the request would complete; no server has it.
     Leaving,
@@ -75,6 +83,7 @@
             Self::BadBody => "bad_body",
             Self::Stages(refusal, _) => refusal.as_str(),
             Self::EndsServers(_) => "ends_servers",
+            Self::PartEndsServers(_) => "part_ends_servers",
             Self::CopyRuns(_) => "copy_runs",
             Self::Leaving => "leaving",
             Self::NoServer => "no_server",
@@ -98,6 +107,7 @@
             Self::BadBody => StatusCode::BAD_REQUEST,
             Self::Starting
             | Self::Stages(..)
+            | Self::PartEndsServers(_)
             | Self::CopyRuns(_)
             | Self::Leaving
             | Self::NoServer
@@ -115,7 +125,9 @@
         match self {
             Self::Starting => Some(STARTING_RETRY_AFTER_MS),
             Self::Stages(_, retry_after_ms) => Some(retry_after_ms),
-            Self::EndsServers(retry_after_ms) => retry_after_ms,
+            Self::EndsServers(retry_after_ms) | Self::PartEndsServers(retry_after_ms) => {
+                retry_after_ms
+            }
             Self::CopyRuns(retry_after_ms)
             | Self::Limited(retry_after_ms)
             | Self::BackingOff(retry_after_ms) => Some(retry_after_ms),
@@ -149,6 +161,9 @@
 pub(super) fn build(id: Option<&RequestId>, reason: FailureReason) -> Response<Body> {
     let text = match reason {
         FailureReason::EndsServers(_) => format!("{}: {ENDS_SERVERS_TEXT}\n", reason.as_str()),
+        FailureReason::PartEndsServers(_) => {
+            format!("{}: {PART_ENDS_SERVERS_TEXT}\n", reason.as_str())
+        }
         _ => format!("{}\n", reason.as_str()),
     };
     let mut response = http_body::with_type(reason.status(), "text/plain", text);
--- a/crates/server/src/gateway/peer_messages.rs
+++ b/crates/server/src/gateway/peer_messages.rs
@@ -133,9 +133,14 @@
             }
             Message::LimitQuery(query) => Message::LimitState(self.limits.on_query(query)),
             Message::GrantQuery(query) => Message::GrantState(self.limits.grant(&query)),
-            Message::PermitQuery(query) => Message::PermitState(self.quarantine.grant(query)),
+            Message::PermitQuery(query) => {
+                let quarantine = Arc::clone(&self.quarantine);
+                return Box::pin(async move {
+                    Message::PermitState(quarantine.on_permit_query(query).await)
+                });
+            }
             Message::PermitReturn(permit) => {
-                self.quarantine.on_returned(permit);
+                self.quarantine.on_permit_returned(&permit);
                 Message::Ack(Ack)
             }
             Message::StreamRecords(records) => {
--- a/crates/server/src/gateway/quarantine.rs
+++ b/crates/server/src/gateway/quarantine.rs
@@ -1,10 +1,11 @@
-//! Shares with the other instances which requests crash backend servers, and lets one
-//! copy of a suspect run at a time.
+//! Shares with the other instances which requests and prompt parts crash backend servers, and
+//! lets one run of a suspect take place at a time.
 //!
 //! The scheduler has the authoritative crash tracker and grants permits. The other
 //! instances report crashes to it at once, query it for updates every half second, and
 //! request a permit before they send a suspect. An instance that reaches no scheduler
-//! uses its own tracker.
+//! uses its own tracker. In a fleet of several cells, the scheduler of the cell that reads the
+//! store grants the permits of all.
 
 use std::{
     sync::{Arc, Mutex, MutexGuard},
@@ -14,41 +15,39 @@
 use savoryvane_core::{
     ids::{BackendName, Incarnation, InstanceName},
     poison::{
-        CRASHES_TO_QUARANTINE, CrashReport, CrashTracker, Permit, PermitState, Permits,
-        QuarantineSettings, QuarantineStatus, RequestDigest,
+        CRASHES_TO_QUARANTINE, CrashReport, CrashSubject, CrashTracker, Permits,
+        QuarantineSettings, QuarantineStatus, RequestDigest, RequestStatus, RequestSubjects,
     },
 };
-use savoryvane_wire::peer::{
-    CrashQuery, CrashState, KnownCrashes, Message, PermitQuery, PermitReturn,
-};
+use savoryvane_wire::peer::{CrashQuery, CrashState, KnownCrashes, Message};
 use slog::{Logger, info, warn};
 use tokio::{
     sync::{Notify, watch},
     time::{self, Instant},
 };
 
-use super::members::Members;
-use crate::{clock::Clock, lock::lock, suspects::CountedBy};
+use super::{members::Members, permits::RelayedPermits};
+use crate::{clock::Clock, lock::lock};
 
 /// Interval between two queries for updates. Only the first copies of a request can be
 /// sent by instances that do not know of its crashes yet; later ones need a permit.
 const SYNC_INTERVAL: Duration = Duration::from_millis(500);
 /// Timeout of a query: a round trip takes a few ms.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
-/// Margin added to the time left for a request, after which its permit expires.
-const LEASE_MARGIN: Duration = Duration::from_millis(500);
+pub(super) const RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum number of crash reports that are kept while no scheduler is reachable.
 const MAX_UNREPORTED: usize = 1_024;
 
-/// The requests that crash servers, as far as this instance knows.
+/// The requests and prompt parts that crash servers, as far as this instance knows.
 #[derive(Debug)]
 pub(super) struct Quarantine {
-    log: Logger,
-    clock: Clock,
+    pub(super) log: Logger,
+    pub(super) clock: Clock,
     incarnation: Incarnation,
-    members: Arc<Members>,
+    pub(super) members: Arc<Members>,
     tracker: Mutex<CrashTracker>,
     permits: Mutex<Permits>,
+    /// Permits of the scheduler of another cell that instances of this cell hold.
+    relayed: Mutex<RelayedPermits>,
     /// Run of the scheduler whose tracker was merged last, its revision, and when that
     /// was.
     source: Mutex<Option<(KnownCrashes, Instant)>>,
@@ -60,56 +59,6 @@
     pub(super) changed: Notify,
 }
 
-/// Permit to run one copy of a suspect; returned when dropped.
-#[derive(Debug)]
-pub(super) struct PermitGuard {
-    quarantine: Arc<Quarantine>,
-    /// Instance that granted it; `None` if this one did.
-    grantor: Option<InstanceName>,
-    digest: RequestDigest,
-    permit: Permit,
-}
-
-impl PermitGuard {
-    /// Returns its place among the requests that run on separate servers, if it has one.
-    pub(super) fn place(&self) -> Option<u32> {
-        self.permit.place
-    }
-}
-
-impl Drop for PermitGuard {
-    fn drop(&mut self) {
-        let (quarantine, digest, permit) = (&self.quarantine, self.digest, self.permit);
-        let Some(grantor) = self.grantor.take() else {
-            return quarantine.permits().release(&digest, permit);
-        };
-        let quarantine = Arc::clone(quarantine);
-        let message = Message::PermitReturn(PermitReturn { digest, permit });
-        tokio::spawn(async move {
-            let peers = quarantine.members.peers();
-            let response = peers
-                .request(&grantor, None, &message, RESPONSE_TIMEOUT)
-                .await;
-            if let Err(err) = response {
-                // The permit expires by itself.
-                info!(quarantine.log, "permit not returned"; "digest" => %digest,
-                    "to" => %grantor, "error" => %err);
-            }
-        });
-    }
-}
-
-/// Outcome of a request for a permit.
-#[derive(Debug)]
-pub(super) enum PermitOutcome {
-    /// The request may be sent.
-    Granted(PermitGuard),
-    /// Another copy is running; its permit expires after this time.
-    CopyRunning(Duration),
-    /// The request is quarantined; with the instance whose count decided that.
-    Quarantined(CountedBy),
-}
-
 impl Quarantine {
     pub(super) fn new(
         settings: QuarantineSettings,
@@ -125,6 +74,7 @@
             members,
             tracker: Mutex::new(CrashTracker::new(settings)),
             permits: Mutex::default(),
+            relayed: Mutex::default(),
             source: Mutex::default(),
             unreported: Mutex::default(),
             is_loaded: watch::Sender::new(false),
@@ -132,9 +82,20 @@
         }
     }
 
-    /// Returns the quarantine status of a request.
+    /// Returns the quarantine status of a request by its content, apart from its prompt.
     pub(super) fn standing(&self, digest: &RequestDigest) -> QuarantineStatus {
-        self.tracker().status(self.clock.now_ms(), digest)
+        self.subject_status(&(*digest).into())
+    }
+
+    /// Returns the quarantine status of one subject.
+    pub(super) fn subject_status(&self, subject: &CrashSubject) -> QuarantineStatus {
+        self.tracker().status(self.clock.now_ms(), subject)
+    }
+
+    /// Returns the quarantine status of a request by its content and the parts of its prompt.
+    pub(super) fn request_status(&self, subjects: &RequestSubjects) -> RequestStatus {
+        let now_ms = self.clock.now_ms();
+        self.tracker().request_status(now_ms, subjects)
     }
 
     /// Returns the number of servers that crashed under a request; capped below the
@@ -146,43 +107,57 @@
         }
     }
 
-    /// Records that a server crashed under a request. Returns the request's crash count,
+    /// Records that a server crashed under a request or prompt part. Returns its crash count,
     /// 0 if the request was answered recently and is not to blame.
     pub(super) fn on_crash(&self, record: CrashReport) -> u32 {
         let now_ms = self.clock.now_ms();
-        let digest = record.digest;
+        let subject = record.subject;
         let is_counted = self.tracker().on_crash(now_ms, record.clone());
         if !is_counted {
             return 0;
         }
         self.queue_reports(vec![record]);
         self.changed.notify_one();
-        self.crash_count(&digest)
+        self.subject_status(&subject).ends()
     }
 
     /// Records a complete response of a server to a request, which clears it of
     /// suspicion.
     pub(super) fn on_answered(self: &Arc<Self>, digest: RequestDigest) {
+        self.clear(digest.into(), "answered");
+    }
+
+    /// Records that a server went on with a response after it had begun, to a request with these
+    /// prompt parts, which clears them of suspicion.
+    pub(super) fn on_alive(self: &Arc<Self>, parts: impl Iterator<Item = CrashSubject>) {
+        for part in parts {
+            self.clear(part, "response has begun");
+        }
+    }
+
+    fn clear(self: &Arc<Self>, subject: CrashSubject, reason: &'static str) {
         let now_ms = self.clock.now_ms();
-        let was_suspect = self.tracker().on_answered(now_ms, digest);
+        let was_suspect = self.tracker().on_answered(now_ms, subject);
         if was_suspect {
-            info!(self.log, "suspect cleared"; "digest" => %digest, "reason" => "answered");
-            self.report_change(&digest);
+            info!(self.log, "suspect cleared"; "subject" => %subject, "reason" => reason);
+            self.report_change(&subject);
         }
     }
 
-    /// Records that a server is running that was judged crashed.
-    pub(super) fn on_running(self: &Arc<Self>, digest: RequestDigest, server: &BackendName) {
-        let was_ended = self.tracker().on_still_running(digest, server);
-        if was_ended {
-            info!(self.log, "suspect cleared"; "digest" => %digest, "server" => %server,
-                "reason" => "server is still running");
-            self.report_change(&digest);
+    /// Records that a server is running that was judged crashed under a request.
+    pub(super) fn on_running(self: &Arc<Self>, subjects: &RequestSubjects, server: &BackendName) {
+        for subject in subjects.iter() {
+            let was_ended = self.tracker().on_still_running(subject, server);
+            if was_ended {
+                info!(self.log, "suspect cleared"; "subject" => %subject, "server" => %server,
+                    "reason" => "server is still running");
+                self.report_change(&subject);
+            }
         }
     }
 
-    fn report_change(self: &Arc<Self>, digest: &RequestDigest) {
-        let records = self.tracker().records(self.clock.now_ms(), digest);
+    fn report_change(self: &Arc<Self>, subject: &CrashSubject) {
+        let records = self.tracker().records(self.clock.now_ms(), subject);
         self.queue_reports(records);
         self.changed.notify_one();
         let quarantine = Arc::clone(self);
@@ -196,78 +171,6 @@
         unreported.drain(..excess);
     }
 
-    /// Requests a permit to send a suspect.
-    pub(super) async fn request_permit(
-        self: &Arc<Self>,
-        digest: RequestDigest,
-        left: Duration,
-    ) -> PermitOutcome {
-        let lease_ms = (left + LEASE_MARGIN).as_millis() as u64;
-        let scheduler = self.members.scheduler();
-        let scheduler = scheduler.filter(|name| !self.members.is_self(name));
-        let response = match &scheduler {
-            Some(scheduler) => self.query_scheduler(scheduler, digest, lease_ms).await,
-            None => None,
-        };
-        let grantor = scheduler.filter(|_| response.is_some());
-        let counted_by = match grantor {
-            Some(_) => CountedBy::Scheduler,
-            None => CountedBy::Own,
-        };
-        match response.unwrap_or_else(|| self.grant(PermitQuery { digest, lease_ms })) {
-            PermitState::Granted(permit) => PermitOutcome::Granted(PermitGuard {
-                quarantine: Arc::clone(self),
-                grantor,
-                digest,
-                permit,
-            }),
-            PermitState::Out { lapses_in_ms } => {
-                PermitOutcome::CopyRunning(Duration::from_millis(lapses_in_ms))
-            }
-            PermitState::Quarantined(records) => {
-                self.merge_reports(records, "permit");
-                PermitOutcome::Quarantined(counted_by)
-            }
-        }
-    }
-
-    async fn query_scheduler(
-        &self,
-        scheduler: &InstanceName,
-        digest: RequestDigest,
-        lease_ms: u64,
-    ) -> Option<PermitState> {
-        let query = Message::PermitQuery(PermitQuery { digest, lease_ms });
-        let peers = self.members.peers();
-        let response = peers
-            .request(scheduler, None, &query, RESPONSE_TIMEOUT)
-            .await;
-        match response {
-            Ok(Message::PermitState(state)) => Some(state),
-            Ok(_) => None,
-            Err(err) => {
-                // Without the scheduler, this instance decides itself: a zone that is cut
-                // off still serves what it can.
-                info!(self.log, "permit query failed"; "digest" => %digest, "of" => %scheduler,
-                    "error" => %err);
-                None
-            }
-        }
-    }
-
-    /// Decides on a permit by this instance's own tracker.
-    pub(super) fn grant(&self, query: PermitQuery) -> PermitState {
-        let PermitQuery { digest, lease_ms } = query;
-        let now_ms = self.clock.now_ms();
-        self.permits()
-            .grant(now_ms, &self.tracker(), digest, lease_ms)
-    }
-
-    /// Takes back a permit that this instance granted.
-    pub(super) fn on_returned(&self, returned: PermitReturn) {
-        self.permits().release(&returned.digest, returned.permit);
-    }
-
     /// Reports the crashes that this instance detected to the scheduler.
     pub(super) async fn report(&self) {
         let scheduler = self.members.scheduler();
@@ -349,7 +252,7 @@
         Some(CrashState { known, records })
     }
 
-    fn merge_reports(&self, records: Vec<CrashReport>, source: &'static str) {
+    pub(super) fn merge_reports(&self, records: Vec<CrashReport>, source: &'static str) {
         if records.is_empty() {
             return;
         }
@@ -384,10 +287,17 @@
         lock(&self.tracker)
     }
 
-    fn permits(&self) -> MutexGuard<'_, Permits> {
+    /// Locks the permits that this instance issued. Must not be held across an await.
+    pub(super) fn permits(&self) -> MutexGuard<'_, Permits> {
         lock(&self.permits)
     }
 
+    /// Locks the permits of another scheduler that this one passed on. Must not be held across an
+    /// await.
+    pub(super) fn relayed(&self) -> MutexGuard<'_, RelayedPermits> {
+        lock(&self.relayed)
+    }
+
     fn source(&self) -> MutexGuard<'_, Option<(KnownCrashes, Instant)>> {
         lock(&self.source)
     }
--- a/crates/server/src/gateway/quarantine_store.rs
+++ b/crates/server/src/gateway/quarantine_store.rs
@@ -1,4 +1,4 @@
-//! Persists quarantined requests in the store, in case all instances are lost.
+//! Persists quarantined requests and prompt parts in the store, in case all instances are lost.
 
 use std::{sync::Arc, time::Duration};
 
@@ -25,7 +25,7 @@
 /// Delay after a wakeup, so that changes that arrive together are written together.
 const BATCH_DELAY: Duration = Duration::from_millis(50);
 
-/// Persists quarantined requests in the store. Only the scheduler reads and writes there:
+/// Persists quarantined requests and prompt parts in the store. Only the scheduler reads and writes there:
 /// one read when it becomes the scheduler and one write per request, with no polling in
 /// between.
 pub(super) struct QuarantineStore {
@@ -135,11 +135,11 @@
         let unpersisted = self.quarantine.tracker().unpersisted();
         for stored in unpersisted {
             if let Err(err) = self.write(&stored).await {
-                warn!(self.log, "quarantine not persisted"; "digest" => %stored.digest,
+                warn!(self.log, "quarantine not persisted"; "subject" => %stored.subject,
                     "error" => %err);
                 return false;
             }
-            info!(self.log, "quarantine kept"; "digest" => %stored.digest,
+            info!(self.log, "quarantine kept"; "subject" => %stored.subject,
                 "ends" => stored.ends.len());
             self.quarantine.tracker().on_persisted(&stored);
         }
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -22,7 +22,7 @@
 use super::{
     attempt::{InFlight, SendOutcome, Stream, return_to_pool, to_caller},
     forward::{Forwarder, Inputs},
-    quarantine::PermitGuard,
+    permits::PermitGuard,
     request::CallerRequest,
 };
 use crate::{
@@ -162,7 +162,7 @@
             }
         };
         info!(self.forwarder.log, "stream ended"; "request" => %self.caller.id,
-            "digest" => %self.caller.digest,
+            "digest" => %self.caller.digest(),
             "route" => &self.caller.route().name, "end" => ?stream_end,
             "servers" => self.tried.len(),
             "software" => self.caller.software.version().map(ToString::to_string),
@@ -217,9 +217,7 @@
                 Some(Err(err)) => return self.on_connection_lost(&err).await,
                 None => return self.on_body_end().await,
             };
-            if let Some(server) = &mut self.source.server {
-                server.on_body_bytes();
-            }
+            self.on_body_bytes();
             // An engine that responds with events has read its inputs.
             self.inputs.guard = None;
             if self.forward(bytes).await.is_none() {
@@ -254,6 +252,20 @@
         }
     }
 
+    /// Records that bytes of the server's body have arrived. Once the response is alive, the parts
+    /// of the prompt are no longer suspects.
+    fn on_body_bytes(&mut self) {
+        let server = self.source.server.as_mut();
+        if server.is_some_and(InFlight::on_body_bytes) {
+            self.forwarder
+                .quarantine
+                .on_alive(self.caller.subjects.parts());
+            if let Some(permit) = &mut self.permit {
+                permit.release_parts();
+            }
+        }
+    }
+
     /// Handles the end of the server's body.
     async fn on_body_end(&mut self) -> StreamEnd {
         let end = if self.source.head.is_event_stream {
@@ -308,10 +320,10 @@
         self.source.lease = None;
         if let Some(server) = self.source.server.take() {
             let name = server.server.id.clone();
-            let has_begun = server.has_begun();
+            let is_alive = server.is_alive();
             drop(server);
             self.forwarder
-                .on_server_abandoned(&self.caller, &name, has_begun, waited);
+                .on_server_abandoned(&self.caller, &name, is_alive, waited);
         }
     }
 
@@ -350,7 +362,7 @@
         };
         let sent = self
             .forwarder
-            .send_once(caller, &self.inputs, &server, last.as_deref());
+            .send_once(caller, &self.inputs, &server, permit, last.as_deref());
         let Ok(SendOutcome::Stream(stream)) = time::timeout_at(caller.deadline, sent).await else {
             return false;
         };
--- a/crates/server/src/gateway/request.rs
+++ b/crates/server/src/gateway/request.rs
@@ -8,7 +8,7 @@
 use savoryvane_core::{
     forwarding::{Matched, Prompt, RepeatPolicy, Route, RouteKind, SoftwareBinding},
     ids::{BackendName, PoolName, RequestId},
-    poison::RequestDigest,
+    poison::{RequestDigest, RequestSubjects},
 };
 use savoryvane_platform::request::{self, ForwardedRequest, RequestHead};
 use tokio::time::Instant;
@@ -23,8 +23,8 @@
     pub(super) path: PathAndQuery,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
-    /// Digest of its content, without the identifier.
-    pub(super) digest: RequestDigest,
+    /// Its content, without the identifier, and the shared parts of its prompt.
+    pub(super) subjects: RequestSubjects,
     pub(super) matched: Matched,
     /// Service that it is sent to.
     pub(super) service: PoolName,
@@ -64,21 +64,17 @@
         self.software != SoftwareBinding::Free
     }
 
+    /// Returns the digest of its content.
+    pub(super) fn digest(&self) -> RequestDigest {
+        self.subjects.digest()
+    }
+
     /// Returns its prompt, if its route uses prompts.
     pub(super) fn prompt(&self) -> Option<&Prompt> {
         let has_prompts = self.route().has_prompts;
         self.head.prompt.as_ref().filter(|_| has_prompts)
     }
 
-    /// Returns the hashes of the shared parts of its prompt, each once.
-    pub(super) fn shared_parts(&self) -> Vec<u64> {
-        let shared = self.prompt().map_or(&[][..], Prompt::shared);
-        let mut hashes: Vec<u64> = shared.iter().map(|part| part.hash).collect();
-        hashes.sort_unstable();
-        hashes.dedup();
-        hashes
-    }
-
     pub(super) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -109,6 +105,13 @@
     }
 }
 
+/// Returns the hashes of the shared parts of a request's prompt, if its route uses prompts.
+pub(super) fn shared_part_hashes(route: &Route, head: &RequestHead) -> impl Iterator<Item = u64> {
+    let prompt = head.prompt.as_ref().filter(|_| route.has_prompts);
+    let shared = prompt.map_or(&[][..], Prompt::shared);
+    shared.iter().map(|part| part.hash)
+}
+
 /// Chooses the service of a request by weight among the targets of its route: always the
 /// same one for a session, so that its prompts stay cached.
 pub(super) fn choose_service(route: &Route, head: &RequestHead) -> Option<PoolName> {
--- a/crates/server/src/gateway/stage_calls.rs
+++ b/crates/server/src/gateway/stage_calls.rs
@@ -8,7 +8,7 @@
 use savoryvane_core::{
     forwarding::ServerEntry,
     ids::{BackendName, RequestId},
-    poison::{LostServerStatus, RequestDigest},
+    poison::{LostServerStatus, RequestDigest, RequestSubjects},
     stages::{CallOutcome, ItemInput, ItemOutcome, StageCall},
 };
 use savoryvane_platform::{
@@ -105,10 +105,10 @@
             .collect();
         let lost_requests = requests.iter().map(|(digest, id)| CarriedRequest {
             id: id.clone(),
-            digest: *digest,
             // Servers of stages get no prompts.
-            shared_parts: Vec::new(),
-            has_begun: false,
+            subjects: RequestSubjects::new(*digest, []),
+            isolated: Vec::new(),
+            is_alive: false,
         });
         let lost = LostConnection {
             server: server.clone(),
--- a/crates/server/src/quarantine_log.rs
+++ b/crates/server/src/quarantine_log.rs
@@ -89,7 +89,7 @@
     let now_ms = shared.clock.now_ms();
     for stored in shared.ends.records_to_write(now_ms, &writer.renewal) {
         write(shared, &stored).await?;
-        info!(shared.log, "quarantine kept"; "digest" => %stored.digest,
+        info!(shared.log, "quarantine kept"; "subject" => %stored.subject,
             "ends" => stored.ends.len());
         shared.ends.on_persisted(&stored);
     }
--- a/crates/server/src/suspects.rs
+++ b/crates/server/src/suspects.rs
@@ -3,7 +3,7 @@
 
 use savoryvane_core::{
     ids::RequestId,
-    poison::{Evidence, RequestDigest},
+    poison::{CrashSubject, Evidence, RequestDigest},
 };
 use slog::{Logger, warn};
 
@@ -26,11 +26,13 @@
     }
 }
 
-/// Why a request under which servers crashed was refused.
+/// Why a request was refused since servers crashed under it or a part of its prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RefusalReason {
     /// The request is quarantined.
     Quarantined,
+    /// A part of its prompt is quarantined.
+    PartQuarantined,
     /// Another copy of the suspect is running.
     CopyRuns,
 }
@@ -40,6 +42,7 @@
     fn as_str(self) -> &'static str {
         match self {
             Self::Quarantined => "quarantined",
+            Self::PartQuarantined => "part_quarantined",
             Self::CopyRuns => "copy_runs",
         }
     }
@@ -56,18 +59,25 @@
         .increment(1);
 }
 
-/// Logs and counts the refusal of a quarantined request, under which `ends` servers have
-/// crashed.
-pub(crate) fn log_refusal(
-    log: &Logger,
-    request: &RequestId,
-    digest: &RequestDigest,
-    ends: u32,
-    counted_by: CountedBy,
-    retry_after_ms: Option<u64>,
-) {
+/// The refusal of a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct QuarantineRefusal<'a> {
+    pub(crate) digest: &'a RequestDigest,
+    /// What is quarantined: the request, or a part of its prompt.
+    pub(crate) subject: CrashSubject,
+    /// Number of servers that crashed under the subject.
+    pub(crate) ends: u32,
+    pub(crate) counted_by: CountedBy,
+    pub(crate) retry_after_ms: Option<u64>,
+}
+
+/// Logs and counts the refusal of a request.
+pub(crate) fn log_refusal(log: &Logger, request: &RequestId, refusal: &QuarantineRefusal<'_>) {
     warn!(log, "quarantined request refused"; "request" => %request,
-        "digest" => %digest, "ends" => ends, "ends_from" => counted_by.as_str(),
-        "retry_after_ms" => retry_after_ms);
-    count_refusal(RefusalReason::Quarantined);
+        "digest" => %refusal.digest, "subject" => %refusal.subject, "ends" => refusal.ends,
+        "ends_from" => refusal.counted_by.as_str(), "retry_after_ms" => refusal.retry_after_ms);
+    count_refusal(match refusal.subject {
+        CrashSubject::Request(_) => RefusalReason::Quarantined,
+        CrashSubject::PromptPart(_) => RefusalReason::PartQuarantined,
+    });
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -313,17 +313,17 @@
     /// Response to [`RoutingQuery`].
     47 RoutingState(RoutingState),
     /// Request that exchanges reports of servers that crashed while they ran requests.
-    30 CrashQuery(CrashQuery),
+    51 CrashQuery(CrashQuery),
     /// Response to [`CrashQuery`].
-    31 CrashState(CrashState),
+    52 CrashState(CrashState),
     /// Request for a permit to run a suspect request.
-    32 PermitQuery(PermitQuery),
+    53 PermitQuery(PermitQuery),
     /// Response to [`PermitQuery`].
-    33 PermitState(PermitState),
+    54 PermitState(PermitState),
     /// Request that returns a permit.
-    34 PermitReturn(PermitReturn),
+    55 PermitReturn(PermitReturn),
     /// Reports of servers that crashed while they ran requests.
-    35 CrashReports(Vec<CrashReport>),
+    56 CrashReports(Vec<CrashReport>),
     /// Request that exchanges the rate limits that servers state.
     39 LimitQuery(LimitQuery),
     /// Response to [`LimitQuery`].
--- a/crates/wire/src/peer/limits.rs
+++ b/crates/wire/src/peer/limits.rs
@@ -7,7 +7,7 @@
         ServedVersions, StreamKey, StreamKnowledge, StreamOrigin, StreamRecord,
     },
     ids::{BackendName, MAX_NAME_BYTES},
-    poison::CrashReport,
+    poison::{CrashReport, MAX_PARTS, RequestSubjects},
     quota::QuotaClaimant,
     topology::SHARDS,
 };
@@ -17,6 +17,9 @@
     Message, PermitState, RoutingState, StageOutcome, Submission, TicketRun,
 };
 
+/// Maximum number of subjects of a request: itself, and parts of its prompt.
+const MAX_SUBJECTS: usize = 1 + MAX_PARTS;
+
 pub(super) fn is_within_limits(message: &Message) -> bool {
     match message {
         Message::Hello(hello) => is_name_bounded(hello.instance.as_str()),
@@ -51,6 +54,9 @@
         Message::CrashState(state) => are_crash_reports_bounded(&state.records),
         Message::PermitState(PermitState::Quarantined(records))
         | Message::CrashReports(records) => are_crash_reports_bounded(records),
+        Message::PermitQuery(query) => are_subjects_bounded(&query.subjects),
+        Message::PermitState(PermitState::Granted { covered, .. }) => covered.len() <= MAX_SUBJECTS,
+        Message::PermitReturn(returned) => returned.subjects.len() <= MAX_SUBJECTS,
         Message::LimitQuery(query) => are_limit_reports_bounded(&query.reports),
         Message::LimitState(state) => are_limit_reports_bounded(&state.reports),
         Message::GrantQuery(query) => {
@@ -77,9 +83,7 @@
         | Message::StageOutcome(_)
         | Message::Ack(_)
         | Message::SchedulerQuery(_)
-        | Message::PermitQuery(_)
-        | Message::PermitState(_)
-        | Message::PermitReturn(_)
+        | Message::PermitState(PermitState::Out { .. })
         | Message::GrantState(_)
         | Message::Declined(_) => true,
     }
@@ -189,6 +193,10 @@
         && are_dependencies_earlier
 }
 
+fn are_subjects_bounded(subjects: &RequestSubjects) -> bool {
+    subjects.iter().count() <= MAX_SUBJECTS
+}
+
 fn are_crash_reports_bounded(records: &[CrashReport]) -> bool {
     records.len() <= MAX_ENTRIES
         && records
--- a/crates/wire/src/peer/poison.rs
+++ b/crates/wire/src/peer/poison.rs
@@ -1,8 +1,8 @@
-//! Messages between instances about requests that crash backend servers.
+//! Messages between instances about requests and prompt parts that crash backend servers.
 
 use savoryvane_core::{
     ids::Incarnation,
-    poison::{CrashReport, Permit, RequestDigest},
+    poison::{CrashReport, CrashSubject, Permit, RequestSubjects},
 };
 use serde::{Deserialize, Serialize};
 
@@ -34,20 +34,22 @@
     pub records: Vec<CrashReport>,
 }
 
-/// Requests a permit to run one copy of a suspect request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Requests a permit to run a suspect request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PermitQuery {
-    /// Digest of the request.
-    pub digest: RequestDigest,
+    /// The request and the shared parts of its prompt.
+    pub subjects: RequestSubjects,
+    /// Number of the permit that the receiver has issued to the request already.
+    pub held: Option<u64>,
     /// Time after which the permit expires unless it is returned, in ms.
     pub lease_ms: u64,
 }
 
 /// Returns a permit to its issuer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PermitReturn {
-    /// Digest of the request.
-    pub digest: RequestDigest,
+    /// Subjects that it no longer covers.
+    pub subjects: Vec<CrashSubject>,
     /// Permit to return.
     pub permit: Permit,
 }
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -8,7 +8,7 @@
         LimitReport, RecordedOrigin, RoutingConfig, ServedVersions, StreamKey, StreamOrigin,
         ZoneOrder,
     },
-    poison::{Evidence, Permit, RequestDigest},
+    poison::{CrashSubject, Evidence, Permit, RequestDigest, RequestSubjects},
     stages::{DonePiece, ResultRef, StageWork},
     topology::Shard,
 };
@@ -50,11 +50,12 @@
 
 fn crash_report() -> CrashReport {
     CrashReport {
-        digest: RequestDigest([7; 16]),
+        subject: RequestDigest([7; 16]).into(),
         server: "i-1 1796000000000".into(),
         evidence: Evidence::Lapsed,
         age_ms: 1_200,
         is_withdrawn: true,
+        is_isolated: true,
     }
 }
 
@@ -64,6 +65,7 @@
         revision: 12,
     };
     let digest = RequestDigest([7; 16]);
+    let covered = vec![digest.into(), CrashSubject::PromptPart(0x91bd_3f06)];
     let permit = Permit {
         number: 3,
         place: Some(1),
@@ -78,13 +80,20 @@
             records: vec![crash_report(), crash_report()],
         }),
         Message::PermitQuery(PermitQuery {
-            digest,
+            subjects: RequestSubjects::new(digest, [0x91bd_3f06, 0x5c1e_07a2]),
+            held: Some(2),
             lease_ms: 6_500,
         }),
-        Message::PermitState(PermitState::Granted(permit)),
+        Message::PermitState(PermitState::Granted {
+            permit,
+            covered: covered.clone(),
+        }),
         Message::PermitState(PermitState::Out { lapses_in_ms: 400 }),
         Message::PermitState(PermitState::Quarantined(vec![crash_report()])),
-        Message::PermitReturn(PermitReturn { digest, permit }),
+        Message::PermitReturn(PermitReturn {
+            subjects: covered,
+            permit,
+        }),
         Message::CrashReports(vec![crash_report()]),
         Message::Hello(Hello {
             version: PROTOCOL_VERSION,
@@ -402,7 +411,7 @@
     let mut report = crash_report();
     report.server = "x".repeat(MAX_KEY_BYTES + 1).as_str().into();
     let reports = Message::CrashReports(vec![report]);
-    assert_eq!(encode(&reports), Err(FrameError::OverLimit(35)));
+    assert_eq!(encode(&reports), Err(FrameError::OverLimit(56)));
 }
 
 #[test]
--- a/crates/wire/tests/quarantine.rs
+++ b/crates/wire/tests/quarantine.rs
@@ -14,9 +14,10 @@
     let crash = |number| StoredCrash {
         server: BackendName::new(format!("{name}-{number}")),
         evidence: Evidence::Refused,
+        is_isolated: false,
     };
     StoredCrashes {
-        digest: RequestDigest([7; 16]),
+        subject: RequestDigest([7; 16]).into(),
         ends: (0..crash_count).map(crash).collect(),
     }
 }
