--- a/crates/server/src/gateway/peer_messages.rs
+++ b/crates/server/src/gateway/peer_messages.rs
@@ -128,7 +128,12 @@
                 Message::RoutingState(self.catch_up.respond(&self.members, query))
             }
             Message::CrashQuery(query) => {
+                let has_reports = !query.records.is_empty();
                 let response = self.quarantine.on_query(query);
+                if has_reports && self.members.needs_upstream() {
+                    let quarantine = Arc::clone(&self.quarantine);
+                    tokio::spawn(async move { quarantine.report().await });
+                }
                 response.map_or(Message::Declined(Declined::NotMine), Message::CrashState)
             }
             Message::LimitQuery(query) => Message::LimitState(self.limits.on_query(query)),
--- a/crates/server/src/gateway/permits.rs
+++ b/crates/server/src/gateway/permits.rs
@@ -189,7 +189,7 @@
 
     /// Returns the instance that issues the permits for this one: the scheduler of its cell, or for
     /// that, the scheduler of the cell that reads the store. `None` for the latter.
-    fn permit_issuer(&self) -> Option<InstanceName> {
+    pub(super) fn permit_issuer(&self) -> Option<InstanceName> {
         let members = &self.members;
         if members.needs_upstream() {
             let now_ms = self.clock.now_ms();
--- a/crates/server/src/gateway/quarantine.rs
+++ b/crates/server/src/gateway/quarantine.rs
@@ -171,11 +171,12 @@
         unreported.drain(..excess);
     }
 
-    /// Reports the crashes that this instance detected to the scheduler.
+    /// Reports the crashes that this instance detected, or that were reported to it as the
+    /// scheduler of its cell, to the instance that issues its permits: by the time that a permit
+    /// is returned, the issuer knows of a crash under it.
     pub(super) async fn report(&self) {
-        let scheduler = self.members.scheduler();
-        match scheduler.filter(|name| !self.members.is_self(name)) {
-            Some(scheduler) => self.exchange(&scheduler, None).await,
+        match self.permit_issuer() {
+            Some(issuer) => self.exchange(&issuer, None).await,
             // The next query to the scheduler of the reading cell reports them.
             None if self.members.needs_upstream() => {}
             // This instance is the scheduler or knows none; its own tracker counts.
