Play prompt parts that crash servers in the soak

A caller sends requests that differ in all but a part that crashes press servers; sound ones share their first part and session. In the calm phase three at most may reach servers later than three seconds after the fifth crash, and no sound one may be refused for the part.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -338,6 +338,12 @@
         .header("deadline-ms", CALLER_TIMEOUT_MS.to_string())
         .header("x-api-key", API_KEY)
         .header(ECHO_HEADER, id);
+    let number = id.trim_start_matches('r').parse().unwrap_or_default();
+    if let Some(parts) = kind.prompt_parts(number) {
+        request = request
+            .header("token-count", "500,10")
+            .header("prefix-hash", parts);
+    }
     if kind == Kind::Staged {
         request = request.header("pieces", "1,3").header("piece-key", id);
     }
--- a/crates/soak/src/config.rs
+++ b/crates/soak/src/config.rs
@@ -2,6 +2,7 @@
 
 use std::ops::Range;
 
+use savoryvane_platform_standin::CRASH_PART;
 use serde_json::{Value, json};
 
 /// Host of all routes.
@@ -39,6 +40,8 @@
 pub(crate) const FIRST_ZONE: &str = "utrecht";
 /// Service whose servers crash under poison requests.
 pub(crate) const PRESS_SERVICE: &str = "press";
+/// Number of sessions of prompts at that service.
+const SESSIONS: u64 = 4;
 /// Path of poison requests, which crash the server that runs them.
 pub(crate) const POISON_PATH: &str = "/print/poison";
 
@@ -59,6 +62,9 @@
     Print,
     /// A poison request to that service: crashes each server that starts to run it.
     Poison,
+    /// A request to that service with a prompt part that crashes each server that begins to respond
+    /// to it; no two are alike in all else.
+    PoisonPart,
     /// A request to the route that this configuration version added.
     Added(u64),
 }
@@ -71,7 +77,12 @@
     pub(crate) fn is_stream(self) -> bool {
         matches!(
             self,
-            Self::Draft | Self::Quote | Self::Staged | Self::Print | Self::Poison
+            Self::Draft
+                | Self::Quote
+                | Self::Staged
+                | Self::Print
+                | Self::Poison
+                | Self::PoisonPart
         )
     }
 
@@ -83,7 +94,26 @@
             | Self::Quote
             | Self::Staged
             | Self::Print
-            | Self::Poison => "POST",
+            | Self::Poison
+            | Self::PoisonPart => "POST",
+        }
+    }
+
+    /// Returns whether it crashes servers.
+    pub(crate) fn is_poison(self) -> bool {
+        matches!(self, Self::Poison | Self::PoisonPart)
+    }
+
+    /// Returns the parts of the prompt of request `number`, if it has one. Sound requests share
+    /// all parts but one with those that crash servers.
+    pub(crate) fn prompt_parts(self, number: u64) -> Option<String> {
+        let session = number % SESSIONS;
+        match self {
+            Self::Print => Some(format!("c0:300,5e55{session:x}:100,{number:x}:20")),
+            Self::PoisonPart => Some(format!(
+                "c0:300,5e55{session:x}:100,{CRASH_PART}:80,{number:x}:20"
+            )),
+            _ => None,
         }
     }
 
@@ -94,7 +124,7 @@
             Self::Draft => "draft".to_owned(),
             Self::Quote => "quote".to_owned(),
             Self::Staged => "staged".to_owned(),
-            Self::Print | Self::Poison => "print".to_owned(),
+            Self::Print | Self::Poison | Self::PoisonPart => "print".to_owned(),
             Self::Added(version) => format!("added-{version}"),
         }
     }
@@ -111,6 +141,7 @@
         route(Kind::Print, "stream", PRESS_SERVICE),
     ];
     routes[3]["Resumable"] = true.into();
+    routes[5]["Sticky"] = true.into();
     routes[4]["Stages"] = json!([
         { "Service": "archive", "After": [], "SizeBytes": 8_000 },
         { "Service": "invoices", "After": [0], "SizeBytes": 6_000 },
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use savoryvane_platform_standin::{PARTIAL_EVENT, ReceivedRequest};
+use savoryvane_platform_standin::{CRASH_PART, PARTIAL_EVENT, ReceivedRequest};
 use tokio::time::Instant;
 
 use crate::{
@@ -30,6 +30,11 @@
 /// may receive in the window beyond 1.5 times its limit, by the platform's bound.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 const LIMIT_SLACK: f64 = 5.0;
+/// Crashes under a prompt part, and the time after the last of them, by which all instances know of
+/// it; and the requests with it that may still be sent, as the platform's rules state them.
+const CRASHES_UNTIL_SETTLED: usize = 5;
+const SETTLING_TIME: Duration = Duration::from_secs(3);
+const MAX_LATE_REQUESTS_PER_PART: usize = 3;
 /// Number of servers that may crash under one request.
 const MAX_CRASHES_PER_REQUEST: usize = 3;
 /// Minimum percentage of requests that are served in the calm phase.
@@ -350,7 +355,7 @@
         let is_for = |record: &&RequestRecord| match record.kind {
             Kind::Lookup | Kind::Booking | Kind::Added(_) => service == "desk",
             Kind::Draft | Kind::Quote | Kind::Staged => service == "engine",
-            Kind::Print | Kind::Poison => service == PRESS_SERVICE,
+            Kind::Print | Kind::Poison | Kind::PoisonPart => service == PRESS_SERVICE,
         };
         let shifts = [Duration::ZERO, RETRY_BUDGET_WINDOW / 2, RETRY_BUDGET_WINDOW];
         let counts = shifts.map(|shift| {
@@ -364,6 +369,28 @@
         counts.into_iter().max().unwrap_or(0)
     }
 
+    /// Checks that hardly any request with a prompt part that crashes servers is sent in the calm
+    /// phase once the part has crashed five servers and all instances have had time to know.
+    fn crashes_by_part_are_bounded(&self, calm: &CalmPhase, violations: &mut Vec<String>) {
+        let mut received: Vec<Instant> = self
+            .executions
+            .iter()
+            .filter(|(service, seen)| *service == PRESS_SERVICE && has_crash_part(seen))
+            .map(|(_, seen)| seen.received_at)
+            .collect();
+        received.sort_unstable();
+        let Some(fifth) = received.get(CRASHES_UNTIL_SETTLED - 1) else {
+            return;
+        };
+        let settled_at = (*fifth + SETTLING_TIME).max(calm.started_at);
+        let late = received.iter().filter(|at| **at > settled_at).count();
+        if late > MAX_LATE_REQUESTS_PER_PART {
+            violations.push(format!(
+                "{late} requests with a prompt part that crashes servers were sent in the calm phase"
+            ));
+        }
+    }
+
     /// Checks that a poison request crashes at most three servers once all instances are connected
     /// again, and that no other request is refused as a poison request.
     fn crashes_are_bounded(&self, calm: &CalmPhase, violations: &mut Vec<String>) {
@@ -381,10 +408,13 @@
         let others = self
             .records
             .iter()
-            .filter(|record| record.kind != Kind::Poison);
+            .filter(|record| !record.kind.is_poison());
         let wrongly_refused = others.filter(|record| {
             let response = record.outcome.as_ref().ok();
-            response.is_some_and(|response| response.body.starts_with(b"ends_servers"))
+            response.is_some_and(|response| {
+                response.body.starts_with(b"ends_servers")
+                    || response.body.starts_with(b"part_ends_servers")
+            })
         });
         violations.extend(
             wrongly_refused
@@ -407,13 +437,14 @@
                 "version {version} is not in force at instance {instance}: {status:?}"
             ));
         }
+        self.crashes_by_part_are_bounded(calm, violations);
         self.leaving_server_is_drained(calm, violations);
         self.limit_is_respected(calm, violations);
         self.planned_stop_cuts_nothing(calm, violations);
         let calm_records: Vec<&RequestRecord> = self
             .records
             .iter()
-            .filter(|record| record.sent_at >= calm.started_at && record.kind != Kind::Poison)
+            .filter(|record| record.sent_at >= calm.started_at && !record.kind.is_poison())
             .collect();
         let served = calm_records
             .iter()
@@ -480,7 +511,7 @@
         let callers_records = self
             .records
             .iter()
-            .filter(|record| record.kind != Kind::Poison);
+            .filter(|record| !record.kind.is_poison());
         for record in callers_records.filter(|record| record.instance == calm.stopped_instance) {
             let is_during =
                 record.ended_at >= calm.stopped_at && record.sent_at <= calm.stop_completed_at;
@@ -495,6 +526,12 @@
     }
 }
 
+/// Returns whether the prompt of a request shares the part that crashes servers.
+fn has_crash_part(seen: &ReceivedRequest) -> bool {
+    let parts = seen.header("prefix-hash").unwrap_or_default();
+    parts.contains(&format!(",{CRASH_PART}:"))
+}
+
 /// Returns a truncated body without the partial event that its server may have sent last.
 /// Partial events of resumable streams are never forwarded, so those bodies stay unchanged.
 fn strip_torn_event(kind: Kind, body: &str) -> &str {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -49,12 +49,13 @@
 const SUPERVISE_INTERVAL: Duration = Duration::from_millis(300);
 /// Kinds of requests of the callers of the press service. Two of the callers send the same poison
 /// request.
-const PRESS_CALLERS: [Kind; 5] = [
+const PRESS_CALLERS: [Kind; 6] = [
     Kind::Print,
     Kind::Print,
     Kind::Print,
     Kind::Poison,
     Kind::Poison,
+    Kind::PoisonPart,
 ];
 /// Request rate limit that one engine announces in the calm phase.
 pub(crate) const CALM_LIMIT_REQUESTS_PER_S: f64 = 1.0;
@@ -63,6 +64,10 @@
 const CALM_ENGINES_OF_FIRST_VERSION: usize = 2;
 /// Number of streams that are broken off and taken up in the calm phase.
 const CALM_TAKE_UPS: usize = 24;
+/// Requests with a prompt part that a sabotage sends, and the interval between two of them: some
+/// are later than the time after the fifth crash by which no instance sends any.
+const LATE_PART_REQUESTS: u64 = 24;
+const LATE_PART_INTERVAL: Duration = Duration::from_millis(250);
 /// Delay of links with [`Harm::Delay`].
 const LINK_DELAY_MS: u64 = 120;
 
@@ -551,8 +556,10 @@
     leaving_server: usize,
     limited_server: usize,
 ) {
-    if sabotage == Some(Sabotage::Uncounted) {
-        return crash_press_servers(deployment).await;
+    match sabotage {
+        Some(Sabotage::Uncounted) => return crash_press_servers(deployment).await,
+        Some(Sabotage::UncountedPart) => return crash_press_servers_by_part(deployment).await,
+        _ => {}
     }
     let (server, id, times) = match sabotage {
         Some(Sabotage::Unasked) => (0, "nobody", 1),
@@ -584,6 +591,21 @@
     }
 }
 
+/// Crashes press servers with requests that share a prompt part, which no instance has counted.
+async fn crash_press_servers_by_part(deployment: &Deployment) {
+    for number in 0..LATE_PART_REQUESTS {
+        let Some(addr) = deployment.press_servers.running_addr() else {
+            return;
+        };
+        if let Ok(mut connection) = client::connect(addr).await {
+            let parts = Kind::PoisonPart.prompt_parts(number).unwrap_or_default();
+            let request = Request::post(format!("/print/r{number}")).header("prefix-hash", parts);
+            send_directly(&mut connection, request, "r1", "").await;
+        }
+        time::sleep(LATE_PART_INTERVAL).await;
+    }
+}
+
 /// Sends a request to a server directly, without an instance.
 async fn send_directly(
     connection: &mut Connection,
--- a/crates/soak/src/sabotage.rs
+++ b/crates/soak/src/sabotage.rs
@@ -28,6 +28,8 @@
     Overspent,
     /// Crashes servers with requests that no instance counts.
     Uncounted,
+    /// Crashes servers with requests that share a prompt part, which no instance counts.
+    UncountedPart,
     /// Sends a server more requests than the limit that it announces.
     OverLimit,
     /// Marks responses as if their servers announced that they leave.
@@ -61,6 +63,7 @@
             "cut-on-stop" => Self::CutOnStop,
             "overspent" => Self::Overspent,
             "uncounted" => Self::Uncounted,
+            "uncounted-part" => Self::UncountedPart,
             "over-limit" => Self::OverLimit,
             "unseen-leaving" => Self::UnseenLeaving,
             "over-backoff" => Self::OverBackoff,
