--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # package uses the standard library only. The program itself is built as the deploy file says.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-cargo build --release --offline --manifest-path review/standin/Cargo.toml --target-dir target/review
+cargo build --release --locked --offline --manifest-path review/standin/Cargo.toml --target-dir target/review
--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -1,8 +1,8 @@
 //! A small deployment: the store, runners, gateway instances as processes, and their clients.
 
 use std::{
-    fs::{self, File},
-    io,
+    fs::{self, File, OpenOptions},
+    io::{self, Write},
     net::{SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command, Stdio},
@@ -141,6 +141,12 @@
                 .stderr(log.try_clone()?)
                 .stdout(log)
                 .spawn()?;
+            // For the script, which ends what is left if this process is ended.
+            let mut pids = OpenOptions::new()
+                .create(true)
+                .append(true)
+                .open(folder.join("pids"))?;
+            writeln!(pids, "{}", process.id())?;
             self.world.note(format!("{name} started at {}", own[0]));
             self.instances.push(Instance {
                 name,
--- a/review/standin/src/stage_answers.rs
+++ b/review/standin/src/stage_answers.rs
@@ -16,7 +16,7 @@
 };
 
 /// Length of the traffic.
-const TRAFFIC_S: f64 = 60.0;
+const TRAFFIC_S: f64 = 88.0;
 /// Requests a second of the route with three stages, and of the one with one stage.
 const OFFERTE_PER_S: f64 = 20.9;
 const LETTER_PER_S: f64 = 10.3;
@@ -25,7 +25,7 @@
 const GARBLING_TIME: Duration = Duration::from_secs(5);
 /// Service whose runners send second answers, and the starts of the disturbance.
 const GARBLING_SERVICE: &str = "archief";
-const DISTURBANCES_S: [u64; 6] = [4, 13, 22, 31, 40, 49];
+const DISTURBANCES_S: [u64; 12] = [4, 11, 18, 25, 32, 39, 46, 53, 60, 67, 74, 81];
 
 const CONFIG: &str = r#"{"Version":7,
 "Routes":[
