--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -13,8 +13,25 @@
 done
 REVIEW_TMP="$(mktemp -d)" || exit 2
 export REVIEW_TMP
-trap 'rm -rf "$REVIEW_TMP"' EXIT
-"$standin" last-keys "$folder/record.txt"
+
+# Ends what this script started: the stand-in, and the instances that it left behind.
+clean_up() {
+  kill "$pid" 2>/dev/null
+  if [ -f "$REVIEW_TMP/pids" ]; then
+    while read -r instance; do
+      if grep -qs "$REVIEW_TMP" "/proc/$instance/cmdline"; then
+        kill -9 "$instance" 2>/dev/null
+      fi
+    done <"$REVIEW_TMP/pids"
+  fi
+  rm -rf "$REVIEW_TMP"
+}
+
+"$standin" last-keys "$folder/record.txt" &
+pid=$!
+trap clean_up EXIT
+trap 'exit 2' INT TERM
+wait "$pid"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
