--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -44,7 +44,9 @@
     connections::{ConnectionSettings, Connections},
     error::Result,
     instance::{DrainOutcome, local_addr},
+    link_meter::MeteredNetwork,
     listener::{self, Acceptor},
+    load_monitor::LoadMonitor,
     logging,
     meters::Meters,
     network::{Network, TcpNetwork},
@@ -214,6 +216,7 @@
     limits: Arc<LimitSharing>,
     origins: Arc<StreamOrigins>,
     forwarder: Arc<Forwarder>,
+    monitor: Arc<LoadMonitor>,
     peer_server: PeerServer<PeerMessageRouter>,
 }
 
@@ -243,8 +246,11 @@
             log.clone(),
         );
         let members = Arc::new(members);
+        let monitor = LoadMonitor::new(log.clone(), Arc::default(), settings.link_bytes_per_s());
+        let monitor = Arc::new(monitor);
+        let metered = MeteredNetwork::new(network, Arc::clone(monitor.link()));
         let (dialer, path_changes) = ServerDialer::new(
-            network,
+            Arc::new(metered),
             Arc::clone(&members),
             Arc::clone(&view),
             clock,
@@ -357,6 +363,7 @@
             limits,
             origins,
             forwarder,
+            monitor,
             peer_server: PeerServer {
                 me,
                 handler,
@@ -371,7 +378,11 @@
     fn spawn(self, listeners: Listeners, connections: &TaskTracker) -> JoinSet<()> {
         let mut tasks = JoinSet::new();
         let callers = ingress::callers(Arc::clone(&self.forwarder));
-        let draining = self.acceptor(Arc::clone(&self.phases), connections.clone());
+        let draining = Acceptor {
+            monitor: Some(Arc::clone(&self.monitor)),
+            ..self.acceptor(Arc::clone(&self.phases), connections.clone())
+        };
+        tasks.spawn(self.monitor.clone().run());
         tasks.spawn(draining.run(listeners.caller, callers));
         // The readiness and metrics listeners stay available until the process exits.
         let ready = ingress::ready(Arc::clone(&self.phases));
@@ -453,6 +464,7 @@
             limits: ingress::LIMITS,
             phases,
             connections,
+            monitor: None,
         }
     }
 
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -345,6 +345,7 @@
         limits: shared.settings.limits,
         phases: Arc::clone(&shared.phases),
         connections: connections.clone(),
+        monitor: None,
     };
     // The operators' listener serves through the drain, until the process exits.
     let operators = Acceptor {
--- /dev/null
+++ b/crates/server/src/link_meter.rs
@@ -0,0 +1,134 @@
+//! Counts the bytes that an instance exchanges with callers and backend servers.
+
+use std::{
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    task::{Context, Poll, ready},
+};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use crate::network::{Connecting, Network, Transport};
+
+/// Bytes received and sent since the start, on all metered connections.
+#[derive(Debug, Default)]
+pub(crate) struct LinkMeter {
+    received_bytes: AtomicU64,
+    sent_bytes: AtomicU64,
+}
+
+/// Bytes that passed a meter in each direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct LinkBytes {
+    pub(crate) received: u64,
+    pub(crate) sent: u64,
+}
+
+impl LinkMeter {
+    /// Returns the bytes since the start.
+    pub(crate) fn total(&self) -> LinkBytes {
+        LinkBytes {
+            received: self.received_bytes.load(Ordering::Relaxed),
+            sent: self.sent_bytes.load(Ordering::Relaxed),
+        }
+    }
+
+    fn on_received(&self, bytes: usize) {
+        self.received_bytes
+            .fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    fn on_sent(&self, bytes: usize) {
+        self.sent_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+}
+
+/// A stream whose bytes are counted.
+#[derive(Debug)]
+pub(crate) struct MeteredStream<S> {
+    inner: S,
+    meter: Arc<LinkMeter>,
+}
+
+impl<S> MeteredStream<S> {
+    /// Counts the bytes of `inner` in `meter`.
+    pub(crate) fn new(inner: S, meter: Arc<LinkMeter>) -> Self {
+        Self { inner, meter }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for MeteredStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled_before = buf.filled().len();
+        ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+        self.meter.on_received(buf.filled().len() - filled_before);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for MeteredStream<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.inner).poll_write(cx, bytes))?;
+        self.meter.on_sent(written);
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.inner).poll_write_vectored(cx, slices))?;
+        self.meter.on_sent(written);
+        Poll::Ready(Ok(written))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
+
+/// A network whose connections are metered.
+#[derive(Debug)]
+pub(crate) struct MeteredNetwork {
+    inner: Arc<dyn Network>,
+    meter: Arc<LinkMeter>,
+}
+
+impl MeteredNetwork {
+    /// Counts the bytes on the connections of `inner` in `meter`.
+    pub(crate) fn new(inner: Arc<dyn Network>, meter: Arc<LinkMeter>) -> Self {
+        Self { inner, meter }
+    }
+}
+
+impl Network for MeteredNetwork {
+    fn connect(&self, addr: SocketAddr) -> Connecting<'_> {
+        Box::pin(async move {
+            let stream = self.inner.connect(addr).await?;
+            let stream = MeteredStream::new(stream, Arc::clone(&self.meter));
+            Ok(Box::new(stream) as Box<dyn Transport>)
+        })
+    }
+}
--- a/crates/server/src/listener.rs
+++ b/crates/server/src/listener.rs
@@ -29,6 +29,8 @@
 use crate::{
     error::{Error, Result},
     http_body::Body,
+    link_meter::{LinkMeter, MeteredStream},
+    load_monitor::LoadMonitor,
     phase::{Phase, Phases},
     settings::Limits,
     shared_stream::SharedStream,
@@ -89,6 +91,8 @@
     pub(crate) phases: Arc<Phases>,
     /// Tracker of the open connections.
     pub(crate) connections: TaskTracker,
+    /// Monitor that counts what callers send; none for operators and the platform.
+    pub(crate) monitor: Option<Arc<LoadMonitor>>,
 }
 
 impl Acceptor {
@@ -106,6 +110,9 @@
             let Some(stream) = self.accepted_stream(accepted).await else {
                 continue;
             };
+            if let Some(monitor) = &self.monitor {
+                monitor.on_accepted();
+            }
             match Arc::clone(&slots).try_acquire_owned() {
                 Ok(permit) => self.spawn(stream, permit, service.clone()),
                 Err(_) => refuse(stream),
@@ -140,11 +147,15 @@
         let has_request = Arc::new(AtomicBool::new(false));
         let knows_chunks = Arc::new(AtomicBool::new(true));
         let phases = Arc::clone(&self.phases);
+        let monitor = self.monitor.clone();
         let handler = service_fn({
             let has_request = Arc::clone(&has_request);
             let knows_chunks = Arc::clone(&knows_chunks);
             move |request: Request<Incoming>| {
                 has_request.store(true, Ordering::Relaxed);
+                if let Some(monitor) = &monitor {
+                    monitor.on_request();
+                }
                 knows_chunks.store(request.version() > Version::HTTP_10, Ordering::Relaxed);
                 let service = service.clone();
                 let phases = Arc::clone(&phases);
@@ -158,7 +169,8 @@
         });
         let stream = SharedStream::new(stream);
         let builder = self.builder();
-        let connection = builder.serve_connection(TokioIo::new(stream.clone()), handler);
+        let metered = MeteredStream::new(stream.clone(), self.link_meter());
+        let connection = builder.serve_connection(TokioIo::new(metered), handler);
         tokio::pin!(connection);
         let first_head = time::sleep(self.limits.header_timeout());
         tokio::pin!(first_head);
@@ -203,6 +215,12 @@
         }
     }
 
+    /// Returns the meter for the connections of this listener.
+    fn link_meter(&self) -> Arc<LinkMeter> {
+        let monitored = self.monitor.as_ref();
+        monitored.map_or_else(Arc::default, |monitor| Arc::clone(monitor.link()))
+    }
+
     fn builder(&self) -> auto::Builder<TokioExecutor> {
         let max_head_bytes = usize::try_from(self.limits.header_bytes).unwrap_or(usize::MAX);
         let mut builder = auto::Builder::new(TokioExecutor::new());
