Refuse new connections beyond what an instance's link and processor can serve

What callers saw: while most new connections of a region came to one small instance, it served 1 to 9 in 100 of their requests for eight seconds; the others ended at their deadlines or were refused.

Cause: an instance accepts and reads all that comes, up to a fixed 2,000 connections. Requests fill its link (10 Mbit/s) or its processor (0.12 cores), and everything else waits behind them: responses of servers, of the scheduler, readiness checks. Its timers then end early, it takes servers and the scheduler for lost, and refuses what it has read. Seen in the line 'instance under load': 0.89 to 1.00 of the link received, tasks 2 to 134 ms late.

Change: core::intake bounds the rate of requests over new connections by the bytes that a request has lately taken against the link as set (at any time, since bytes that wait on the link can't be seen), and by the delay of the instance's own tasks (cut while it grows, until the excess is worked off in about a second, then additive growth). Beyond the bound nobody listens on the callers' address for some 50 ms, so that connections are refused before their callers have sent anything: bytes of a connection that is closed unread would still fill the link. A second socket keeps the address bound. Requests on open connections are counted and never refused; where they alone exceed the bound their connections are closed after the response. A connection is taken at least every half second. link_mbps has no default any more; without it the link bounds nothing.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod fleet;
 pub mod forwarding;
 pub mod ids;
+pub mod intake;
 pub mod limiter;
 pub mod membership;
 pub mod objects;
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -42,7 +42,8 @@
 use crate::{
     clock::Clock,
     connections::{ConnectionSettings, Connections},
-    error::Result,
+    endpoint::Endpoint,
+    error::{Error, Result},
     instance::{DrainOutcome, local_addr},
     link_meter::MeteredNetwork,
     listener::{self, Acceptor},
@@ -76,6 +77,7 @@
 
 /// Listeners of an instance.
 struct Listeners {
+    caller_endpoint: Endpoint,
     caller: TcpListener,
     ready: TcpListener,
     peer: TcpListener,
@@ -85,8 +87,11 @@
 impl Listeners {
     async fn bind(settings: &GatewaySettings) -> Result<Self> {
         let listen = settings.listen;
+        let not_bound = |err| Error::Listen("callers", listen.caller, err);
+        let caller_endpoint = Endpoint::bind(listen.caller).map_err(not_bound)?;
         Ok(Self {
-            caller: listener::bind("callers", listen.caller).await?,
+            caller: caller_endpoint.listen().map_err(not_bound)?,
+            caller_endpoint,
             ready: listener::bind("readiness", listen.ready).await?,
             peer: listener::bind("peers", listen.peer).await?,
             admin: listener::bind("metrics", listen.admin).await?,
@@ -246,9 +251,9 @@
             log.clone(),
         );
         let members = Arc::new(members);
-        let monitor = LoadMonitor::new(log.clone(), Arc::default(), settings.link_bytes_per_s());
+        let monitor = LoadMonitor::new(log.clone(), clock, settings.link_bytes_per_s());
         let monitor = Arc::new(monitor);
-        let metered = MeteredNetwork::new(network, Arc::clone(monitor.link()));
+        let metered = MeteredNetwork::new(network, Arc::clone(monitor.servers()));
         let (dialer, path_changes) = ServerDialer::new(
             Arc::new(metered),
             Arc::clone(&members),
@@ -274,7 +279,7 @@
             store.clone(),
             incarnation,
             settings.is_first_start,
-            settings.link_bytes_per_s(),
+            settings.assumed_link_bytes_per_s(),
             clock,
         ));
         let quarantine = Arc::new(Quarantine::new(
@@ -383,7 +388,7 @@
             ..self.acceptor(Arc::clone(&self.phases), connections.clone())
         };
         tasks.spawn(self.monitor.clone().run());
-        tasks.spawn(draining.run(listeners.caller, callers));
+        tasks.spawn(draining.run_with_pauses(listeners.caller_endpoint, listeners.caller, callers));
         // The readiness and metrics listeners stay available until the process exits.
         let ready = ingress::ready(Arc::clone(&self.phases));
         self.spawn_until_exit(&mut tasks, listeners.ready, ready);
--- a/crates/server/src/gateway/settings.rs
+++ b/crates/server/src/gateway/settings.rs
@@ -36,9 +36,11 @@
 
 /// Default length of the window of the retry budget, in s.
 const DEFAULT_WINDOW_S: f64 = 10.0;
-/// Default bandwidth of an instance's network link, in Mbit/s: that of the smallest machines in
-/// use.
+/// Bandwidth of a network link that is assumed where none is set, in Mbit/s: that of the smallest
+/// machines in use.
 const DEFAULT_LINK_MBPS: f64 = 20.0;
+/// Bytes per second in one Mbit/s.
+const BYTES_PER_S_PER_MBPS: f64 = 1_000_000.0 / 8.0;
 
 /// Settings of a gateway instance.
 #[derive(Clone, Debug, PartialEq)]
@@ -60,8 +62,9 @@
     pub is_first_start: bool,
     /// Number of CPU cores that it has; may be a fraction.
     pub cores: f64,
-    /// Bandwidth of its network link, in Mbit/s.
-    pub link_mbps: f64,
+    /// Bandwidth of its network link in each direction, in Mbit/s. If it is not set, new
+    /// connections are not bounded by it.
+    pub link_mbps: Option<f64>,
     /// Retry budget of all instances together.
     pub repeats: BudgetSettings,
     /// Times within which changes from the platform have to be in force.
@@ -111,9 +114,17 @@
 }
 
 impl GatewaySettings {
-    /// Returns the bandwidth of the instance's network link, in bytes per second.
-    pub(crate) fn link_bytes_per_s(&self) -> u64 {
-        (self.link_mbps * 1_000_000.0 / 8.0) as u64
+    /// Returns the bandwidth of the instance's network link as set, in bytes per second.
+    pub(crate) fn link_bytes_per_s(&self) -> Option<u64> {
+        let link_mbps = self.link_mbps?;
+        Some((link_mbps * BYTES_PER_S_PER_MBPS) as u64)
+    }
+
+    /// Returns the bandwidth of the instance's network link, or a low one where none is set, in
+    /// bytes per second.
+    pub(crate) fn assumed_link_bytes_per_s(&self) -> u64 {
+        let default = (DEFAULT_LINK_MBPS * BYTES_PER_S_PER_MBPS) as u64;
+        self.link_bytes_per_s().unwrap_or(default)
     }
 
     /// Reads and checks the settings in the file at `path`.
@@ -145,8 +156,8 @@
     let seeds = fields.list("seeds", 0..=MAX_SEEDS, |item| item.addr());
     let is_first_start = fields.or("first_start", false, |fields, at| fields.bool(at));
     let cores = fields.f64("cores", 0.01..=1_024.0);
-    let link_mbps = fields.or("link_mbps", DEFAULT_LINK_MBPS, |fields, at| {
-        fields.f64(at, 0.01..=1_000_000.0)
+    let link_mbps = fields.or("link_mbps", None, |fields, at| {
+        fields.f64(at, 0.01..=1_000_000.0).map(Some)
     });
     let repeats = fields.section("repeats", read_repeats);
     let in_force = fields.section("in_force", read_in_force);
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -13,6 +13,7 @@
 mod controller;
 mod crashes;
 mod credential;
+mod endpoint;
 mod error;
 mod exclusive;
 mod follower;
--- a/crates/server/src/link_meter.rs
+++ b/crates/server/src/link_meter.rs
@@ -29,6 +29,16 @@
     pub(crate) sent: u64,
 }
 
+impl LinkBytes {
+    /// Returns the bytes since `before`.
+    pub(crate) fn since(self, before: Self) -> Self {
+        Self {
+            received: self.received - before.received,
+            sent: self.sent - before.sent,
+        }
+    }
+}
+
 impl LinkMeter {
     /// Returns the bytes since the start.
     pub(crate) fn total(&self) -> LinkBytes {
--- a/crates/server/src/listener.rs
+++ b/crates/server/src/listener.rs
@@ -27,6 +27,7 @@
 use tower::{Service, ServiceExt};
 
 use crate::{
+    endpoint::Endpoint,
     error::{Error, Result},
     http_body::Body,
     link_meter::{LinkMeter, MeteredStream},
@@ -96,10 +97,50 @@
 }
 
 impl Acceptor {
+    /// Accepts connections and serves `service` on each until the instance drains. While the
+    /// monitor asks for it, nobody listens on the endpoint, so that connections are refused
+    /// before callers have sent anything.
+    pub(crate) async fn run_with_pauses(
+        self,
+        endpoint: Endpoint,
+        mut listener: TcpListener,
+        service: impl Handler,
+    ) {
+        let slots = self.slots();
+        loop {
+            let pause = self.monitor.as_ref().map_or(Duration::ZERO, |m| m.pause());
+            if !pause.is_zero() {
+                drop(listener);
+                tokio::select! {
+                    () = time::sleep(pause) => {}
+                    () = self.phases.reached(Phase::Draining) => return,
+                }
+                listener = self.listen_again(&endpoint).await;
+            }
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                () = self.phases.reached(Phase::Draining) => return,
+            };
+            self.on_accepted(accepted, &slots, service.clone()).await;
+        }
+    }
+
+    async fn listen_again(&self, endpoint: &Endpoint) -> TcpListener {
+        loop {
+            match endpoint.listen() {
+                Ok(listener) => return listener,
+                Err(err) => {
+                    warn!(self.log, "not listening"; "addr" => %endpoint.addr(), "error" => %err);
+                    time::sleep(Duration::from_millis(ACCEPT_RETRY_DELAY_MS)).await;
+                }
+            }
+        }
+    }
+
     /// Accepts connections and serves `service` on each until the instance drains.
     pub(crate) async fn run(self, listener: TcpListener, service: impl Handler) {
-        let slots = usize::try_from(self.limits.max_connections).unwrap_or(Semaphore::MAX_PERMITS);
-        let slots = Arc::new(Semaphore::new(slots));
+        let slots = self.slots();
         loop {
             // Connections already in the backlog are accepted before the loop ends.
             let accepted = tokio::select! {
@@ -107,16 +148,30 @@
                 accepted = listener.accept() => accepted,
                 () = self.phases.reached(Phase::Draining) => return,
             };
-            let Some(stream) = self.accepted_stream(accepted).await else {
-                continue;
-            };
-            if let Some(monitor) = &self.monitor {
-                monitor.on_accepted();
-            }
-            match Arc::clone(&slots).try_acquire_owned() {
-                Ok(permit) => self.spawn(stream, permit, service.clone()),
-                Err(_) => refuse(stream),
-            }
+            self.on_accepted(accepted, &slots, service.clone()).await;
+        }
+    }
+
+    fn slots(&self) -> Arc<Semaphore> {
+        let slots = usize::try_from(self.limits.max_connections).unwrap_or(Semaphore::MAX_PERMITS);
+        Arc::new(Semaphore::new(slots))
+    }
+
+    async fn on_accepted(
+        &self,
+        accepted: io::Result<(TcpStream, SocketAddr)>,
+        slots: &Arc<Semaphore>,
+        service: impl Handler,
+    ) {
+        let Some(stream) = self.accepted_stream(accepted).await else {
+            return;
+        };
+        if let Some(monitor) = &self.monitor {
+            monitor.on_accepted();
+        }
+        match Arc::clone(slots).try_acquire_owned() {
+            Ok(permit) => self.spawn(stream, permit, service),
+            Err(_) => refuse(stream),
         }
     }
 
@@ -152,17 +207,18 @@
             let has_request = Arc::clone(&has_request);
             let knows_chunks = Arc::clone(&knows_chunks);
             move |request: Request<Incoming>| {
-                has_request.store(true, Ordering::Relaxed);
-                if let Some(monitor) = &monitor {
-                    monitor.on_request();
-                }
+                let is_first = !has_request.swap(true, Ordering::Relaxed);
+                let monitor = monitor.as_ref();
+                let closes = monitor.is_some_and(|monitor| monitor.on_request(is_first));
                 knows_chunks.store(request.version() > Version::HTTP_10, Ordering::Relaxed);
                 let service = service.clone();
                 let phases = Arc::clone(&phases);
                 async move {
                     let version = request.version();
                     let mut response = service.oneshot(request).await?;
-                    close_if_leaving(&phases, version, &mut response);
+                    if closes || phases.is_leaving() {
+                        close_after(version, &mut response);
+                    }
                     Ok::<_, Infallible>(response)
                 }
             }
@@ -218,7 +274,7 @@
     /// Returns the meter for the connections of this listener.
     fn link_meter(&self) -> Arc<LinkMeter> {
         let monitored = self.monitor.as_ref();
-        monitored.map_or_else(Arc::default, |monitor| Arc::clone(monitor.link()))
+        monitored.map_or_else(Arc::default, |monitor| Arc::clone(monitor.callers()))
     }
 
     fn builder(&self) -> auto::Builder<TokioExecutor> {
@@ -238,10 +294,10 @@
     }
 }
 
-/// Closes an HTTP/1.1 connection after this response if the instance is leaving.
-/// HTTP/2 connections get a GOAWAY frame instead.
-fn close_if_leaving(phases: &Phases, version: Version, response: &mut Response<Body>) {
-    if version < Version::HTTP_2 && phases.is_leaving() {
+/// Closes an HTTP/1.1 connection after this response. HTTP/2 connections get a GOAWAY frame
+/// when the instance drains.
+fn close_after(version: Version, response: &mut Response<Body>) {
+    if version < Version::HTTP_2 {
         response
             .headers_mut()
             .insert(header::CONNECTION, HeaderValue::from_static("close"));
