Bound the bytes of a backend server's response, of its head and of what precedes it

What callers would see: a server that sends interim heads or chunks without end holds a request until its deadline, and its bytes fill the link and the processor of the instance meanwhile: 28 MB and 24 MB on one connection in two seconds, 220 MB on four connections for responses of a declared length of 10^12 (debug build, loopback). A head is bounded by the HTTP library (64 KB), interim heads, chunk framing and bodies that are passed on were not.

Change: each connection of our HTTP/1.1 clients (requests, resumed streams, connections through other instances, calls of stages, the store, pipelines, orders) counts what it receives in response to one request. A response whose declared length exceeds the bound fails with its head, so that a request that may be repeated is.

The store, tunnels and the pipelines' clients have no test of their own.

--- a/crates/server/src/calls.rs
+++ b/crates/server/src/calls.rs
@@ -40,6 +40,8 @@
 const MAX_CONTROL_BODY_BYTES: usize = 64 * 1024;
 /// Maximum size of the body of a cache events response.
 const MAX_EVENTS_BODY_BYTES: usize = 1024 * 1024;
+/// Maximum size of a response with its framing: as large as a stored answer may be.
+const MAX_RESPONSE_BYTES: u64 = 64 << 20;
 /// Time for a load request to be answered before it is repeated over another
 /// connection, and for the first connection to respond once that one has.
 const CANARY_TIMEOUT: Duration = Duration::from_millis(300);
@@ -77,6 +79,7 @@
             connect_timeout: Duration::from_millis(settings.connect_timeout_ms),
             max_idle: usize::try_from(settings.idle_connections).unwrap_or(usize::MAX),
             idle_timeout: Duration::from_millis(settings.idle_timeout_ms),
+            max_response_bytes: MAX_RESPONSE_BYTES,
         };
         let canary_settings = ConnectionSettings {
             max_idle: 1,
--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -16,7 +16,7 @@
 use http::{Request, Response, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
-    body::Incoming,
+    body::{Body, Incoming},
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
@@ -31,10 +31,11 @@
     gate::{Gate, GateSlot, GatedStream},
     lock::lock,
     network::{Network, TcpNetwork, Transport},
+    response_budget::ResponseBudget,
 };
 
 /// Maximum size of the head of a response.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 quick_error! {
     /// Why an exchange has no response.
@@ -60,6 +61,8 @@
     pub(crate) max_idle: usize,
     /// Time after which an idle connection is closed.
     pub(crate) idle_timeout: Duration,
+    /// Maximum size of a response as it is sent, with its head and framing.
+    pub(crate) max_response_bytes: u64,
 }
 
 /// Which idle connections a request may reuse.
@@ -92,6 +95,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     gates: GateSlot,
+    budget: ResponseBudget,
     driver: AbortHandle,
 }
 
@@ -372,15 +376,23 @@
         mut connection: Connection,
         request: Request<Full<Bytes>>,
     ) -> Result<Exchange, SendFailure> {
+        connection.budget.begin();
         match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok(Exchange {
-                response,
-                lease: Lease {
-                    pool: Arc::clone(self),
-                    addr,
-                    connection,
-                },
-            }),
+            Ok(response) => {
+                connection.budget.on_head();
+                if declared_bytes(&response) > self.settings.max_response_bytes {
+                    let err = SendError::Sent("response is too large".to_owned());
+                    return Err(SendFailure::Sent(err));
+                }
+                Ok(Exchange {
+                    response,
+                    lease: Lease {
+                        pool: Arc::clone(self),
+                        addr,
+                        connection,
+                    },
+                })
+            }
             Err(mut err) => {
                 let reason = err.error().to_string();
                 Err(match err.take_message() {
@@ -406,7 +418,8 @@
     /// Establishes an HTTP connection over a stream.
     async fn handshake(&self, stream: Box<dyn Transport>) -> Result<Connection, SendError> {
         let gates = GateSlot::default();
-        let stream = GatedStream::new(stream, gates.clone());
+        let budget = ResponseBudget::new(self.settings.max_response_bytes);
+        let stream = GatedStream::new(stream, gates.clone(), budget.clone());
         let (sender, driver) = http1::Builder::new()
             .max_header_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
@@ -419,6 +432,7 @@
         Ok(Connection {
             sender,
             gates,
+            budget,
             driver: driver.abort_handle(),
         })
     }
@@ -463,6 +477,11 @@
     }
 }
 
+/// Returns the length of a response's body, as far as it is declared.
+fn declared_bytes(response: &Response<Incoming>) -> u64 {
+    response.body().size_hint().lower()
+}
+
 /// Why an exchange over one connection failed.
 enum SendFailure {
     /// The request was not sent and is returned.
--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -8,7 +8,7 @@
     io,
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard},
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 
 use savoryvane_core::{
@@ -17,7 +17,7 @@
 };
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use crate::{lock::lock, network::Transport, run_right::RunRight};
+use crate::{lock::lock, network::Transport, response_budget::ResponseBudget, run_right::RunRight};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
@@ -111,17 +111,23 @@
     }
 }
 
-/// A connection that checks a gate before each write.
+/// A connection that checks a gate before each write, and a bound after each read.
 #[derive(Debug)]
 pub(crate) struct GatedStream {
     stream: Box<dyn Transport>,
     slot: GateSlot,
+    budget: ResponseBudget,
 }
 
 impl GatedStream {
-    /// Wraps `stream` so that its writes check the gate in `slot`.
-    pub(crate) fn new(stream: Box<dyn Transport>, slot: GateSlot) -> Self {
-        Self { stream, slot }
+    /// Wraps `stream` so that its writes check the gate in `slot` and its reads are taken from
+    /// `budget`.
+    pub(crate) fn new(stream: Box<dyn Transport>, slot: GateSlot, budget: ResponseBudget) -> Self {
+        Self {
+            stream,
+            slot,
+            budget,
+        }
     }
 }
 
@@ -131,7 +137,10 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let filled_before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let received_bytes = buf.filled().len() - filled_before;
+        Poll::Ready(self.budget.spend(received_bytes))
     }
 }
 
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -266,6 +266,7 @@
             connect_timeout: MAX_CONNECT_TIME,
             max_idle: MAX_IDLE_PER_SERVER,
             idle_timeout: IDLE_TIMEOUT,
+            max_response_bytes: settings.max_response_bytes,
         };
         let servers = Connections::over(Arc::clone(&dialer) as Arc<dyn Network>, server_settings);
         let freshness = Arc::new(Freshness::new(clock, settings.in_force));
--- a/crates/server/src/gateway/settings.rs
+++ b/crates/server/src/gateway/settings.rs
@@ -34,6 +34,11 @@
 /// that reads it.
 const MIN_IN_FORCE_MS: u64 = 1_000;
 
+/// Default for the maximum size of a response, in bytes: that of a request's body.
+const DEFAULT_RESPONSE_BYTES: u64 = 8 << 20;
+/// Smallest such size, in bytes: a head and a small body.
+const MIN_RESPONSE_BYTES: u64 = 128 << 10;
+
 /// Default length of the window of the retry budget, in s.
 const DEFAULT_WINDOW_S: f64 = 10.0;
 /// Bandwidth of a network link that is assumed where none is set, in Mbit/s: that of the smallest
@@ -65,6 +70,8 @@
     /// Bandwidth of its network link in each direction, in Mbit/s. If it is not set, new
     /// connections are not bounded by it.
     pub link_mbps: Option<f64>,
+    /// Maximum size of a backend server's response, in bytes.
+    pub max_response_bytes: u64,
     /// Retry budget of all instances together.
     pub repeats: BudgetSettings,
     /// Times within which changes from the platform have to be in force.
@@ -159,6 +166,11 @@
     let link_mbps = fields.or("link_mbps", None, |fields, at| {
         fields.f64(at, 0.01..=1_000_000.0).map(Some)
     });
+    let max_response_bytes = fields.number(
+        "max_response_bytes",
+        MIN_RESPONSE_BYTES..=u64::MAX,
+        DEFAULT_RESPONSE_BYTES,
+    );
     let repeats = fields.section("repeats", read_repeats);
     let in_force = fields.section("in_force", read_in_force);
     let quarantine = fields.section("quarantine", read_quarantine);
@@ -174,6 +186,7 @@
         is_first_start: is_first_start?,
         cores: cores?,
         link_mbps: link_mbps?,
+        max_response_bytes,
         repeats: repeats?,
         in_force: in_force?,
         quarantine: quarantine?,
--- a/crates/server/src/gateway/store.rs
+++ b/crates/server/src/gateway/store.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     clock::Clock,
-    connections::{ConnectionSettings, Connections, SendError},
+    connections::{ConnectionSettings, Connections, MAX_HEAD_BYTES, SendError},
     lock::lock,
     platform::request,
 };
@@ -132,6 +132,7 @@
                 connect_timeout: CONNECT_TIMEOUT,
                 max_idle: MAX_IDLE_CONNECTIONS,
                 idle_timeout: IDLE_TIMEOUT,
+                max_response_bytes: (MAX_HEAD_BYTES + MAX_RESPONSE_BYTES) as u64,
             }),
         }
     }
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -44,6 +44,7 @@
 mod quarantine_log;
 mod refusal;
 mod relay;
+mod response_budget;
 mod run_right;
 mod runner;
 mod settings;
--- a/crates/server/src/orders.rs
+++ b/crates/server/src/orders.rs
@@ -10,7 +10,7 @@
 use tokio::time::{self, Instant};
 
 use crate::{
-    connections::{ConnectionSettings, Connections, Exchange, SendError},
+    connections::{ConnectionSettings, Connections, Exchange, MAX_HEAD_BYTES, SendError},
     platform::request,
     settings::Backends,
 };
@@ -34,6 +34,7 @@
             connect_timeout: Duration::from_millis(settings.connect_timeout_ms),
             max_idle: MAX_IDLE,
             idle_timeout: Duration::from_millis(settings.idle_timeout_ms),
+            max_response_bytes: (MAX_HEAD_BYTES + MAX_REPLY_BYTES) as u64,
         });
         Self {
             timeout: Duration::from_millis(timeout_ms),
--- a/crates/server/src/platform.rs
+++ b/crates/server/src/platform.rs
@@ -11,7 +11,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::{
-    connections::{ConnectionSettings, Connections, SendError},
+    connections::{ConnectionSettings, Connections, MAX_HEAD_BYTES, SendError},
     settings::Platform,
 };
 
@@ -76,6 +76,7 @@
             connect_timeout: Duration::from_millis(settings.timeout_ms),
             max_idle: MAX_IDLE,
             idle_timeout: Duration::from_millis(settings.wait_ms + settings.timeout_ms),
+            max_response_bytes: (MAX_HEAD_BYTES + MAX_RESPONSE_BYTES) as u64,
         });
         Self {
             settings,
