Bound new connections by the bytes of the last second's requests too

The larger of two averages counts now, over 1 s and over 20 s.

requests_that_are_larger_than_before_are_bounded_within_a_second fails without it.

--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -15,10 +15,12 @@
 const LINK_SHARE: f64 = 0.7;
 /// Least share of the link's bandwidth that requests may use, whatever other traffic it carries.
 const MIN_LINK_SHARE: f64 = 0.2;
-/// Time constant in which past requests lose their weight in the average bytes per request, in ms.
-const BYTES_AVERAGE_MS: f64 = 20_000.0;
-/// Number of requests from which on the average is used.
-const MIN_AVERAGED_REQUESTS: f64 = 50.0;
+/// Time constants of the two averages of the bytes per request, in ms. The larger average counts:
+/// requests may become larger from one second to the next, and smaller ones are rarely a reason to
+/// take more at once.
+const BYTES_AVERAGES_MS: [f64; 2] = [1_000.0, 20_000.0];
+/// Number of requests from which on an average is used.
+const MIN_AVERAGED_REQUESTS: f64 = 25.0;
 /// Time constant of the moving averages of the request rate and of other traffic, in ms.
 const RATE_AVERAGE_MS: f64 = 300.0;
 /// Delay of tasks from which on the processor counts as overloaded, in ms. Timers of a process
@@ -80,13 +82,20 @@
 #[derive(Debug)]
 struct LinkBudget {
     bytes_per_s: f64,
-    /// Requests and their bytes, weighted by age.
-    requests: f64,
-    request_bytes: f64,
+    averages: [RequestBytes; BYTES_AVERAGES_MS.len()],
     /// Bytes per second in the busier direction that are not due to callers' requests.
     other_per_s: f64,
 }
 
+/// Average of the bytes per request.
+#[derive(Clone, Copy, Debug)]
+struct RequestBytes {
+    time_constant_ms: f64,
+    /// Requests and their bytes, weighted by age.
+    requests: f64,
+    bytes: f64,
+}
+
 /// Bound by the delay of tasks.
 #[derive(Clone, Copy, Debug)]
 struct DelayBound {
@@ -122,11 +131,41 @@
     sampled_at_ms: u64,
 }
 
+impl RequestBytes {
+    fn new(time_constant_ms: f64) -> Self {
+        Self {
+            time_constant_ms,
+            requests: 0.0,
+            bytes: 0.0,
+        }
+    }
+
+    fn on_sample(&mut self, elapsed_ms: f64, requests: u64, bytes: u64) {
+        let kept = (-elapsed_ms / self.time_constant_ms).exp();
+        self.requests = self.requests * kept + requests as f64;
+        self.bytes = self.bytes * kept + bytes as f64;
+    }
+
+    /// Returns the average, once enough requests have been seen.
+    fn average(&self) -> Option<f64> {
+        let is_known = self.requests >= MIN_AVERAGED_REQUESTS;
+        is_known.then(|| (self.bytes / self.requests).max(1.0))
+    }
+}
+
 impl LinkBudget {
+    fn new(bytes_per_s: f64) -> Self {
+        Self {
+            bytes_per_s,
+            averages: BYTES_AVERAGES_MS.map(RequestBytes::new),
+            other_per_s: 0.0,
+        }
+    }
+
     fn on_sample(&mut self, elapsed_ms: f64, requests: u64, sample: LoadSample) {
-        let kept = (-elapsed_ms / BYTES_AVERAGE_MS).exp();
-        self.requests = self.requests * kept + requests as f64;
-        self.request_bytes = self.request_bytes * kept + sample.caller_bytes as f64;
+        for average in &mut self.averages {
+            average.on_sample(elapsed_ms, requests, sample.caller_bytes);
+        }
         let other = sample.link_bytes.saturating_sub(sample.caller_bytes) as f64;
         let other_per_s = other * 1_000.0 / elapsed_ms;
         self.other_per_s += (other_per_s - self.other_per_s) * average_weight(elapsed_ms);
@@ -134,12 +173,10 @@
 
     /// Returns the requests per second that the link carries, once requests have been seen.
     fn limit_per_s(&self) -> Option<f64> {
-        if self.requests < MIN_AVERAGED_REQUESTS {
-            return None;
-        }
+        let averages = self.averages.iter().filter_map(RequestBytes::average);
+        let request_bytes = averages.reduce(f64::max)?;
         let free = self.bytes_per_s * LINK_SHARE - self.other_per_s;
         let free = free.max(self.bytes_per_s * MIN_LINK_SHARE);
-        let request_bytes = (self.request_bytes / self.requests).max(1.0);
         Some((free / request_bytes).max(MIN_LIMIT_PER_S))
     }
 }
@@ -204,12 +241,7 @@
     /// Creates an intake of an instance whose link carries `link_bytes_per_s` in each direction,
     /// if that is known.
     pub fn new(now_ms: u64, link_bytes_per_s: Option<u64>) -> Self {
-        let link = link_bytes_per_s.map(|bytes_per_s| LinkBudget {
-            bytes_per_s: bytes_per_s as f64,
-            requests: 0.0,
-            request_bytes: 0.0,
-            other_per_s: 0.0,
-        });
+        let link = link_bytes_per_s.map(|bytes_per_s| LinkBudget::new(bytes_per_s as f64));
         Self {
             link,
             delay_bound: None,
--- a/crates/core/tests/intake.rs
+++ b/crates/core/tests/intake.rs
@@ -278,7 +278,7 @@
     let mut intake = Intake::new(0, Some(50_000));
     let mut last_taken_ms = 0;
     // Requests on open connections take more than the link carries.
-    for now_ms in 1..20_000 {
+    for now_ms in 1..20_000_u64 {
         if now_ms.is_multiple_of(5) {
             intake.on_request(now_ms, false);
         }
@@ -299,3 +299,30 @@
         assert!(now_ms - last_taken_ms <= 500);
     }
 }
+
+#[test]
+fn requests_that_are_larger_than_before_are_bounded_within_a_second() {
+    let mut intake = Intake::new(0, Some(500_000));
+    let mut now_ms = 0;
+    let mut send = |intake: &mut Intake, samples: u64, requests: u64, bytes: u64| {
+        for _ in 0..samples {
+            now_ms += SAMPLE_MS;
+            for _ in 0..requests {
+                intake.on_request(now_ms, true);
+            }
+            intake.on_sample(
+                now_ms,
+                LoadSample {
+                    delay_ms: 0,
+                    caller_bytes: requests * bytes,
+                    link_bytes: requests * bytes,
+                },
+            );
+        }
+        intake.limit_per_s().expect("a bound")
+    };
+    let small = send(&mut intake, 400, 3, 600);
+    assert!(small > 500.0, "{small} small requests per second");
+    let large = send(&mut intake, 20, 10, 3_500);
+    assert!(large < 150.0, "{large} large requests per second");
+}
