--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -35,6 +35,9 @@
 const NEW_CONNECTION_PERCENT: u32 = 15;
 /// Most times that a caller takes a stream up.
 const MAX_TAKE_UPS: usize = 2;
+/// Size of a header of the requests of a crowd: together they exceed what the link of an instance
+/// carries by its settings.
+const CROWD_FILLER_BYTES: usize = 3_000;
 /// Interval between two readiness checks, and the timeout of each check.
 const READY_INTERVAL: Duration = Duration::from_millis(200);
 /// A sabotage tampers with one request or response out of this many.
@@ -164,6 +167,33 @@
         }
     }
 
+    /// Sends a request of a crowd to `instance` over a new connection, and returns its record.
+    pub(crate) async fn send_in_crowd(&self, instance: usize) -> RequestRecord {
+        let number = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let id = format!("r{number}");
+        let path = format!("/{}/{id}", Kind::Lookup.prefix());
+        let start_number = self.deployment.start_number(instance);
+        let sent_at = Instant::now();
+        let deadline = sent_at + Duration::from_millis(CALLER_TIMEOUT_MS);
+        let mut request = build_request(&id, Kind::Lookup, &path, "");
+        insert_header(&mut request, "x-filler", &"x".repeat(CROWD_FILLER_BYTES));
+        let outcome = self
+            .send(instance, request, &mut HashMap::new(), deadline)
+            .await;
+        RequestRecord {
+            id,
+            kind: Kind::Lookup,
+            path,
+            body: String::new(),
+            resumes: None,
+            instance,
+            start_number,
+            sent_at,
+            ended_at: Instant::now(),
+            outcome,
+        }
+    }
+
     /// Begins a stream at `instance`, and closes the connection after two events.
     pub(crate) async fn begin_stream(&self, instance: usize) -> RequestRecord {
         let number = self.next_id.fetch_add(1, Ordering::Relaxed);
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -27,6 +27,9 @@
 
 /// Availability zones, assigned to instances and servers in rotation.
 const ZONES: [&str; 3] = [FIRST_ZONE, "amersfoort", "gouda"];
+/// Bandwidth of an instance's link by its settings, in Mbit/s: enough for the callers, and half of
+/// what a crowd sends in addition.
+const LINK_MBPS: f64 = 4.0;
 /// Number of instances that are configured as seeds for joining the group.
 const PEER_SEED_COUNT: usize = 3;
 
@@ -278,7 +281,7 @@
     let seeds: Vec<String> = seeds.map(|other| format!("\"{}\"", other.peer)).collect();
     format!(
         "instance: {name}\nzone: {}\nregion: one\nlisten:\n  caller: {}\n  ready: {}\n  \
-         peer: {}\n  admin: {}\nstore: {}\nseeds: [{}]\ncores: 0.25\nrepeats:\n  \
+         peer: {}\n  admin: {}\nstore: {}\nseeds: [{}]\ncores: 0.25\nlink_mbps: {LINK_MBPS}\nrepeats:\n  \
          ratio: {RETRY_RATIO}\n  slack: {RETRY_SLACK}\n  instances: {}\nlog:\n  form: json\n  \
          level: info\ndrain:\n  grace_ms: 700\n  kill_after_s: 5.2\n",
         ZONES[index % ZONES.len()],
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod client;
 mod config;
+mod crowd;
 mod deployment;
 mod disturbances;
 mod error;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -77,6 +77,12 @@
     },
     /// Publishes a new configuration version with one more route.
     Configure,
+    /// Sends most new connections to an instance.
+    Crowd {
+        instance: usize,
+        per_s: u32,
+        lasts: Duration,
+    },
 }
 
 /// Fault of a link.
@@ -140,6 +146,11 @@
 /// Mean pause between two releases of the engines.
 const MEAN_RELEASE_GAP_MS: u64 = 3_000;
 
+/// Mean pause between the beginnings of two crowds.
+const MEAN_CROWD_GAP_MS: u64 = 4_000;
+/// New connections a second in a crowd.
+const CROWD_PER_S: std::ops::RangeInclusive<u32> = 50..=200;
+
 /// Draws the faults of `seed`, sorted by their start times. All faults end within a few
 /// seconds after `duration`.
 pub(crate) fn draw(
@@ -167,6 +178,7 @@
     faults.extend(draw_signals(seed, servers, duration));
     faults.extend(draw_framings(seed, servers, duration));
     faults.extend(draw_releases(seed, duration));
+    faults.extend(draw_crowds(seed, instances, duration));
     faults.sort_by_key(|(at, _)| *at);
     faults
 }
@@ -266,6 +278,23 @@
     releases
 }
 
+/// Draws crowds at one instance after the other. Uses a separate generator, as `draw_limits` does.
+fn draw_crowds(seed: u64, instances: usize, duration: Duration) -> Vec<(Duration, Fault)> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(24) ^ 4);
+    let mut crowds = Vec::new();
+    let mut at_ms = rng.random_range(0..MEAN_CROWD_GAP_MS);
+    while at_ms < duration.as_millis() as u64 {
+        let fault = Fault::Crowd {
+            instance: rng.random_range(0..instances),
+            per_s: rng.random_range(CROWD_PER_S),
+            lasts: Duration::from_millis(rng.random_range(500..3_000)),
+        };
+        crowds.push((Duration::from_millis(at_ms), fault));
+        at_ms += rng.random_range(0..2 * MEAN_CROWD_GAP_MS);
+    }
+    crowds
+}
+
 fn draw_fault(rng: &mut Pcg64Mcg, kind: u32, instance: usize, server: usize) -> Fault {
     let lasts = Duration::from_millis(rng.random_range(100..3_000));
     let harm = HARMS[rng.random_range(0..HARMS.len())];
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -13,6 +13,7 @@
         API_KEY, EVENTS_PER_STREAM, Kind, POISON_PATH, PRESS_SERVICE, RETRY_RATIO, RETRY_SLACK,
         SERVICES, TIMEOUT_MS, WORKSPACE,
     },
+    crowd::CrowdCounts,
     deployment::Deployment,
     ledger::{RequestRecord, first_version},
     run::CALM_LIMIT_REQUESTS_PER_S,
@@ -39,6 +40,9 @@
 const MAX_CRASHES_PER_REQUEST: usize = 3;
 /// Minimum percentage of requests that are served in the calm phase.
 const CALM_SERVED_PERCENT: usize = 95;
+/// Minimum percentage of a crowd's requests that are served at the first attempt that is read, by
+/// the platform's rules.
+const CROWD_SERVED_PERCENT: usize = 75;
 
 /// Minimum number of streams that are taken up in the calm phase.
 const MIN_CALM_TAKE_UPS: usize = 12;
@@ -70,6 +74,8 @@
     /// Server that announces a limit.
     pub(crate) limited_server: usize,
     pub(crate) taken_up: TakenUp,
+    /// What became of the requests of a crowd at one instance.
+    pub(crate) crowd: CrowdCounts,
     /// Instance that was stopped as planned.
     pub(crate) stopped_instance: usize,
     pub(crate) stopped_at: Instant,
@@ -437,6 +443,7 @@
                 "version {version} is not in force at instance {instance}: {status:?}"
             ));
         }
+        self.crowd_is_served(calm, violations);
         self.crashes_by_part_are_bounded(calm, violations);
         self.leaving_server_is_drained(calm, violations);
         self.limit_is_respected(calm, violations);
@@ -464,6 +471,20 @@
         }
     }
 
+    /// Checks that the requests of a crowd are served at the first attempt that is read.
+    fn crowd_is_served(&self, calm: &CalmPhase, violations: &mut Vec<String>) {
+        let CrowdCounts {
+            sent,
+            served,
+            unread,
+        } = calm.crowd;
+        if served * 100 < sent * CROWD_SERVED_PERCENT {
+            violations.push(format!(
+                "only {served} of {sent} requests of a crowd were served, {unread} at another instance"
+            ));
+        }
+    }
+
     fn leaving_server_is_drained(&self, calm: &CalmPhase, violations: &mut Vec<String>) {
         let server = &self.deployment.servers[calm.leaving_server];
         let executions = server.standin.executed();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -23,6 +23,7 @@
     caller::{self, Callers},
     client::{self, Connection},
     config::{EVENTS_PER_STREAM, HOST, Kind, POISON_PATH, servers_of},
+    crowd::{self, Unread},
     deployment::Deployment,
     disturbances::DisturbanceTarget,
     error::{Error, Result},
@@ -234,7 +235,7 @@
     Ok(())
 }
 
-async fn apply_fault(callers: &Callers, fault: Fault) -> Result<()> {
+async fn apply_fault(callers: &Arc<Callers>, fault: Fault) -> Result<()> {
     let deployment = callers.deployment.as_ref();
     let started_at = Instant::now();
     match fault {
@@ -384,6 +385,14 @@
             deployment.configure();
             Ok(())
         }
+        Fault::Crowd {
+            instance,
+            per_s,
+            lasts,
+        } => {
+            crowd::send(callers, instance, per_s, lasts, Unread::Recorded).await;
+            Ok(())
+        }
     }
 }
 
@@ -474,7 +483,7 @@
 
 /// Performs planned operations: publishes a version, drains a server, and stops an instance.
 async fn run_calm_phase(
-    callers: &Callers,
+    callers: &Arc<Callers>,
     sabotage: Option<Sabotage>,
     seed: u64,
 ) -> Result<CalmPhase> {
@@ -506,6 +515,8 @@
     let taken_up = take_streams_up(callers).await;
     sabotage_servers(deployment, sabotage, leaving_server, limited_engine(seed)).await;
     let stopped_instance = (seed % deployment.addresses.len() as u64) as usize;
+    let crowded_instance = (stopped_instance + 1) % deployment.addresses.len();
+    let crowd = crowd::send_in_calm_phase(callers, crowded_instance).await;
     let stopped_at = Instant::now();
     match sabotage {
         Some(Sabotage::CutOnStop) => {
@@ -523,6 +534,7 @@
         drained_from,
         limited_server: limited_engine(seed),
         taken_up,
+        crowd,
         stopped_instance,
         stopped_at,
         stop_completed_at: Instant::now(),
--- a/crates/soak/src/sabotage.rs
+++ b/crates/soak/src/sabotage.rs
@@ -42,6 +42,8 @@
     ForgottenStreams,
     /// Kills an instance and does not restart it.
     NotBack,
+    /// Sends requests of a crowd that were not read to no other instance.
+    Unretried,
 }
 
 impl Sabotage {
@@ -70,6 +72,7 @@
             "joined" => Self::Joined,
             "forgotten-streams" => Self::ForgottenStreams,
             "not-back" => Self::NotBack,
+            "unretried" => Self::Unretried,
             other => return Err(Error::InvalidFlag(format!("unknown sabotage: {other}"))),
         })
     }
