Turn away nothing for delays that an instance usually gets, and from 50 ms on

Delays bound what comes beyond the usual now, the average rate of the last minute, and count from 50 ms on.

delays_turn_nothing_away_that_an_instance_usually_gets: written with the change, not seen failing.

--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -24,8 +24,9 @@
 /// Time constant of the moving averages of the request rate and of other traffic, in ms.
 const RATE_AVERAGE_MS: f64 = 300.0;
 /// Delay of tasks from which on the processor counts as overloaded, in ms. Timers of a process
-/// that is busy but not overloaded end a few ms late.
-const MAX_DELAY_MS: f64 = 30.0;
+/// that is busy but not overloaded end a few ms late; twice this delay, a connection to a server
+/// takes as long as one that is not established.
+const MAX_DELAY_MS: f64 = 50.0;
 /// Number of samples in a row that have to show a delay: one may be due to a single long task.
 const DELAY_SAMPLES: usize = 3;
 /// Time after a cut until it is checked whether delays have become shorter, in ms.
@@ -45,6 +46,9 @@
 /// Smallest bound, in requests per second: turning more away does not help an instance that can't
 /// serve as many.
 const MIN_LIMIT_PER_S: f64 = 20.0;
+/// Time constant of the average of the usual request rate, in ms. Delays don't make an instance
+/// turn away what it usually gets: others may be as busy.
+const USUAL_AVERAGE_MS: f64 = 60_000.0;
 /// Number of requests that may be taken at once, as a time at the rate of the bound, in ms.
 const BURST_MS: f64 = 250.0;
 /// Tokens for which a pause waits, as a time at the rate of the bound, in ms.
@@ -100,6 +104,7 @@
 #[derive(Clone, Copy, Debug)]
 struct DelayBound {
     limit_per_s: f64,
+    least_per_s: f64,
     /// Lowest rate of requests at which delays became longer, per second.
     excessive_per_s: f64,
     /// Time of the last check, in ms, and the delay at that time.
@@ -126,6 +131,8 @@
     taken_at_ms: u64,
     delays_ms: [u64; DELAY_SAMPLES],
     requests_per_s: f64,
+    /// Requests per second over a longer time, without those times at which delays were bounded.
+    usual_per_s: f64,
     /// Requests read since the last sample.
     requests: u64,
     sampled_at_ms: u64,
@@ -182,9 +189,10 @@
 }
 
 impl DelayBound {
-    fn new(now_ms: u64, delay_ms: f64, requests_per_s: f64) -> Self {
+    fn new(now_ms: u64, delay_ms: f64, requests_per_s: f64, least_per_s: f64) -> Self {
         let mut bound = Self {
             limit_per_s: requests_per_s,
+            least_per_s,
             excessive_per_s: requests_per_s,
             checked_at_ms: now_ms,
             checked_delay_ms: delay_ms,
@@ -203,7 +211,7 @@
         if fallen_ms <= 0.0 {
             self.cut(delay_ms, requests_per_s);
         } else if fallen_ms * DRAIN_MS < delay_ms * CHECK_INTERVAL_MS as f64 {
-            let least_per_s = (self.excessive_per_s * DRAIN_SHARE).max(MIN_LIMIT_PER_S);
+            let least_per_s = (self.excessive_per_s * DRAIN_SHARE).max(self.least_per_s);
             self.limit_per_s = (self.limit_per_s * CUT_RANGE.0).max(least_per_s);
         }
         self.checked_at_ms = now_ms;
@@ -214,7 +222,7 @@
         let (least, most) = CUT_RANGE;
         let factor = (MAX_DELAY_MS / delay_ms).clamp(least, most);
         self.excessive_per_s = requests_per_s.min(self.limit_per_s);
-        self.limit_per_s = (self.excessive_per_s * factor).max(MIN_LIMIT_PER_S);
+        self.limit_per_s = (self.excessive_per_s * factor).max(self.least_per_s);
     }
 
     fn grow(&mut self, elapsed_ms: f64) {
@@ -252,6 +260,7 @@
             taken_at_ms: now_ms,
             delays_ms: [0; DELAY_SAMPLES],
             requests_per_s: 0.0,
+            usual_per_s: 0.0,
             requests: 0,
             sampled_at_ms: now_ms,
         }
@@ -319,6 +328,10 @@
         }
         let requests_per_s = requests as f64 * 1_000.0 / elapsed_ms;
         self.requests_per_s += (requests_per_s - self.requests_per_s) * average_weight(elapsed_ms);
+        if self.delay_bound.is_none() {
+            let weight = 1.0 - (-elapsed_ms / USUAL_AVERAGE_MS).exp();
+            self.usual_per_s += (requests_per_s - self.usual_per_s) * weight;
+        }
         self.delays_ms.rotate_left(1);
         self.delays_ms[DELAY_SAMPLES - 1] = sample.delay_ms;
         self.adapt_to_delay(now_ms, elapsed_ms)
@@ -328,9 +341,10 @@
         let delay_ms = self.delays_ms.iter().min().copied().unwrap_or(0) as f64;
         let is_late = delay_ms > MAX_DELAY_MS;
         let requests_per_s = self.requests_per_s;
+        let least_per_s = self.usual_per_s.max(MIN_LIMIT_PER_S);
         match &mut self.delay_bound {
-            None if is_late && requests_per_s > MIN_LIMIT_PER_S => {
-                let bound = DelayBound::new(now_ms, delay_ms, requests_per_s);
+            None if is_late && requests_per_s > least_per_s => {
+                let bound = DelayBound::new(now_ms, delay_ms, requests_per_s, least_per_s);
                 self.delay_bound = Some(bound);
                 self.tokens.count = self.tokens.count.min(0.0);
                 IntakeChange::Bounded(bound.limit_per_s)
--- a/crates/core/tests/intake.rs
+++ b/crates/core/tests/intake.rs
@@ -326,3 +326,33 @@
     let large = send(&mut intake, 20, 10, 3_500);
     assert!(large < 150.0, "{large} large requests per second");
 }
+
+#[test]
+fn delays_turn_nothing_away_that_an_instance_usually_gets() {
+    let mut intake = Intake::new(0, None);
+    let mut now_ms = 0;
+    let mut run = |intake: &mut Intake, seconds: u64, delay_ms: u64| {
+        let mut turned_away = 0;
+        for _ in 0..seconds * 1_000 / SAMPLE_MS {
+            now_ms += SAMPLE_MS;
+            // 100 requests per second.
+            for _ in 0..5 {
+                if intake.pause_ms(now_ms) > 0 {
+                    turned_away += 1;
+                    continue;
+                }
+                intake.on_taken(now_ms);
+                intake.on_request(now_ms, true);
+            }
+            let sample = LoadSample {
+                delay_ms,
+                ..LoadSample::default()
+            };
+            intake.on_sample(now_ms, sample);
+        }
+        turned_away
+    };
+    assert_eq!(run(&mut intake, 300, 0), 0);
+    let turned_away = run(&mut intake, 20, 200);
+    assert!(turned_away < 100, "{turned_away} of 2,000");
+}
