--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -24,8 +24,8 @@
 /// Time constant of the moving averages of the request rate and of other traffic, in ms.
 const RATE_AVERAGE_MS: f64 = 300.0;
 /// Delay of tasks from which on the processor counts as overloaded, in ms. Timers of a process
-/// that is busy but not overloaded end a few ms late; twice this delay, a connection to a server
-/// takes as long as one that is not established.
+/// that is busy but not overloaded end a few ms late. At twice this delay, connections to servers
+/// seem not to be established in time.
 const MAX_DELAY_MS: f64 = 50.0;
 /// Number of samples in a row that have to show a delay: one may be due to a single long task.
 const DELAY_SAMPLES: usize = 3;
--- a/crates/server/src/listener.rs
+++ b/crates/server/src/listener.rs
@@ -98,8 +98,8 @@
 
 impl Acceptor {
     /// Accepts connections and serves `service` on each until the instance drains. While the
-    /// monitor asks for it, nobody listens on the endpoint, so that connections are refused
-    /// before callers have sent anything.
+    /// monitor asks for it, the endpoint has no listener, so that connections are refused before
+    /// callers have sent anything.
     pub(crate) async fn run_with_pauses(
         self,
         endpoint: Endpoint,
--- a/crates/soak/src/crowd.rs
+++ b/crates/soak/src/crowd.rs
@@ -34,7 +34,8 @@
 pub(crate) enum Unread {
     /// They are in the ledger, since a process may be killed when it has read them.
     Recorded,
-    /// They are in no ledger: a server that runs one runs a request that nobody has sent.
+    /// They are in no ledger, so that a server that runs one counts as running a request that no
+    /// caller has sent.
     MustNotRun,
 }
 
