Require a key wherever workspaces are configured, also once none has a key

Once the last key of the only workspace was revoked, requests with that key, with one never configured and without one were run: a key was required only if some workspace had one, so that a configuration whose workspaces have no keys was taken for one without workspaces. Class: nothing configured is taken for nothing demanded.

Looked for elsewhere: each is_empty() and default of core::forwarding, the gateway and platform/.

--- a/crates/core/src/forwarding/objects.rs
+++ b/crates/core/src/forwarding/objects.rs
@@ -13,7 +13,8 @@
     pub routes: Vec<Route>,
     /// Services that routes and stages refer to.
     pub services: Vec<Service>,
-    /// Workspaces with their keys; if empty, no request needs a key.
+    /// Workspaces with their keys; if there is no workspace, no request needs a key. A workspace
+    /// without keys admits no request.
     pub workspaces: Vec<WorkspaceKeys>,
     /// Limits for callers.
     pub limits: CallerLimits,
--- a/crates/core/src/forwarding/table.rs
+++ b/crates/core/src/forwarding/table.rs
@@ -101,7 +101,8 @@
             .find(|route| path.starts_with(&route.path_prefix))
             .ok_or(Unroutable::NoRoute)?;
         let owner = key.and_then(|key| self.key_owners.get(key));
-        if owner.is_none() && !route.is_public && !self.key_owners.is_empty() {
+        let needs_key = !route.is_public && !self.config.workspaces.is_empty();
+        if owner.is_none() && needs_key {
             return Err(Unroutable::UnknownKey);
         }
         Ok(Matched {
--- a/crates/core/tests/forwarding_rules.rs
+++ b/crates/core/tests/forwarding_rules.rs
@@ -79,6 +79,26 @@
     }
 }
 
+#[test]
+fn once_the_last_key_of_the_last_workspace_is_revoked_no_request_is_admitted() {
+    let mut config = (**table().config()).clone();
+    config.workspaces[0].keys.clear();
+    let table = RouteTable::new(Arc::new(config));
+    for key in [None, Some("k1"), Some("k3"), Some("")] {
+        let found = table.find("a.example", "/p/x", key).map(drop);
+        assert_eq!(found, Err(Unroutable::UnknownKey), "{key:?}");
+        assert!(table.find("a.example", "/open/x", key).is_ok());
+    }
+}
+
+#[test]
+fn without_workspaces_no_request_needs_a_key() {
+    let mut config = (**table().config()).clone();
+    config.workspaces.clear();
+    let table = RouteTable::new(Arc::new(config));
+    assert!(table.find("a.example", "/p/x", None).is_ok());
+}
+
 /// For every end of an attempt and both repeat policies: a request that may have run and may not be
 /// repeated is never sent again, and its caller never gets the response that it did not run.
 #[test]
