--- a/crates/soak/src/crowd.rs
+++ b/crates/soak/src/crowd.rs
@@ -19,6 +19,7 @@
 const STABLE_AFTER: Duration = Duration::from_secs(3);
 /// Time for which the requests of a crowd are counted.
 const COUNTED: Duration = Duration::from_secs(2);
+
 /// Requests of a crowd.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct CrowdCounts {
