Remove servers that left during a partition as soon as others know of it

What callers saw: nothing; requests were sent to servers up to 3.4 s after the store had acknowledged that they leave, where 2 s are allowed. A server that ends by then loses them.

Others read meanwhile that its servers' entries are gone (edge-hal-utrecht-3 at 7.194 s). After the partition edge-hal-gouda-1 reaches the store at 9.33 s, takes its own failed calls for an outage of the store ("servers listed after an outage", lapsing 7) and keeps the seven servers for 3.2 s, until 12.638 s; so does edge-hal-gouda-3, which copies it. Both choose them in that time.

Change: every instance tracks since when it knows, from the store or from others, that the store responds without a gap (core::forwarding::StoreUptime). Servers that the register lacks have 3.2 s from the begin of that span, not from the first read after a failure; an instance that was in touch does not keep what another one keeps. A scheduler that keeps servers asks reserves of all zones, which answer within the messages that exist. A restored copy begins a new span, since it loses entries although the store responds. In an outage of the store nobody has a span from before, so that servers are kept as before (gateway_lapses).

--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -30,6 +30,7 @@
 mod software;
 mod steps;
 mod store_reads;
+mod store_uptime;
 mod stream_records;
 mod table;
 mod take_up;
@@ -72,6 +73,7 @@
 pub use store_reads::{
     ListingBudget, PropagationBounds, StoreRetry, StoreRole, is_relayed_to_peers, reserves,
 };
+pub use store_uptime::{REWRITE_WINDOW_MS, StoreUptime};
 pub use stream_records::{
     MAX_CALLER_WAIT_MS, RecordedOrigin, StreamKey, StreamOrigin, StreamRecord, StreamRecords,
     record_left_ms,
--- a/crates/core/src/forwarding/directory/expiry.rs
+++ b/crates/core/src/forwarding/directory/expiry.rs
@@ -3,7 +3,7 @@
 use super::Directory;
 use crate::{
     forwarding::{
-        Cursor,
+        Cursor, Position,
         entry::{DirectoryUpdate, ExpiringServer, ServerEntry},
     },
     ids::BackendName,
@@ -62,6 +62,32 @@
         expiring.collect()
     }
 
+    /// Returns the servers among `asked` that the register lacks as far as it is known here, with
+    /// the time until `rewrites_end_ms`, up to which they might have registered again.
+    pub fn missing_among(
+        &self,
+        asked: &[BackendName],
+        now_ms: u64,
+        rewrites_end_ms: u64,
+    ) -> Vec<ExpiringServer> {
+        let Some(offset) = self.cursor.offset.checked_sub(1) else {
+            return Vec::new();
+        };
+        let last_known = Position {
+            offset,
+            ..self.cursor.position()
+        };
+        let missing = asked
+            .iter()
+            .filter(|id| self.scope.has_server(id) && !self.entries.contains_key(*id));
+        let missing = missing.map(|registered_as| ExpiringServer {
+            registered_as: registered_as.clone(),
+            position: last_known,
+            left_ms: rewrites_end_ms.saturating_sub(now_ms),
+        });
+        missing.collect()
+    }
+
     /// Returns the identifiers that the expiring servers register under.
     pub fn expiring_names(&self) -> Vec<BackendName> {
         self.expiring.keys().cloned().collect()
@@ -79,14 +105,22 @@
         }
     }
 
-    /// Merges the expiring servers of another instance.
-    pub fn on_expiring(&mut self, now_ms: u64, expiring: &[ExpiringServer]) {
+    /// Merges the expiring servers of another instance. They are removed at `rewrites_end_ms` at
+    /// the latest, until which they might have registered again as far as is known here.
+    pub fn on_expiring(
+        &mut self,
+        now_ms: u64,
+        expiring: &[ExpiringServer],
+        rewrites_end_ms: Option<u64>,
+    ) {
         for server in expiring {
             let known = self.entries.get(&server.registered_as);
             if known.is_none_or(|known| known.position > server.position) {
                 continue;
             }
             let expires_at_ms = now_ms + server.left_ms;
+            let expires_at_ms =
+                rewrites_end_ms.map_or(expires_at_ms, |end_ms| end_ms.min(expires_at_ms));
             let known_ms = self.expiring.entry(server.registered_as.clone());
             let known_ms = known_ms.or_insert(expires_at_ms);
             *known_ms = expires_at_ms.min(*known_ms);
--- a/crates/core/tests/forwarding_copies.rs
+++ b/crates/core/tests/forwarding_copies.rs
@@ -200,7 +200,7 @@
             .expect("a complete directory"),
         source.cursor(),
     );
-    receiver.on_expiring(1_000, &source.expiring(1_000));
+    receiver.on_expiring(1_000, &source.expiring(1_000), None);
     assert!(has(&receiver, "i-2"));
     assert_eq!(receiver.remove_expired(GRACE_MS).len(), 1);
     let mut informed = before_the_copy();
--- a/crates/server/src/gateway/catch_up.rs
+++ b/crates/server/src/gateway/catch_up.rs
@@ -8,12 +8,14 @@
 
 use savoryvane_core::{
     forwarding::{
-        DirectoryUpdate, ListingBudget, RoutingConfig, Scope, SyncPoint, is_relayed_to_peers,
+        DirectoryUpdate, ExpiringServer, ListingBudget, RoutingConfig, Scope, StoreRole, SyncPoint,
+        is_relayed_to_peers,
     },
-    ids::{Incarnation, InstanceName},
+    ids::{BackendName, Incarnation, InstanceName},
     membership::Contact,
 };
 use savoryvane_wire::peer::{KnownState, Message, RoutingQuery, RoutingState};
+use slog::info;
 use tokio::time;
 
 use super::{
@@ -149,6 +151,21 @@
         is_confirmed
     }
 
+    /// Merges the time that the lapsing servers `asked` have left at a peer, which may have been
+    /// in touch with the store while this instance was not.
+    fn confirm_missing(&self, asked: &[BackendName], remote: &[ExpiringServer], contact: &Contact) {
+        let known = remote.iter();
+        let known = known.filter(|server| asked.contains(&server.registered_as));
+        let known: Vec<ExpiringServer> = known.cloned().collect();
+        let longest_ms = known.iter().map(|server| server.left_ms).max();
+        let Some(longest_ms) = longest_ms else {
+            return;
+        };
+        info!(self.view.log, "lapsing servers confirmed missing"; "peer" => %contact.instance,
+            "asked" => asked.len(), "missing" => known.len(), "left_ms" => longest_ms);
+        self.view.on_lapsing_advertised(&known, None);
+    }
+
     /// Returns the query for everything that the run `of` knows beyond this instance.
     fn build_query(&self, members: &Members, of: Option<Incarnation>) -> RoutingQuery {
         let source = self.source();
@@ -186,7 +203,10 @@
         if !self.view.update_servers(servers, remote.servers, scope) {
             return;
         }
-        self.view.on_lapsing_advertised(&state.lapsing);
+        let (age_ms, era) = (remote.servers_age_ms, remote.servers.era);
+        self.freshness.on_servers(age_ms, era);
+        self.view
+            .on_lapsing_advertised(&state.lapsing, self.freshness.rewrites_end_ms());
         *lock(&self.source) = Some(CopySource {
             incarnation: remote.incarnation,
             revision: remote.revision,
@@ -198,7 +218,8 @@
     /// Records that this instance knows everything that a peer knows.
     fn record_synced(&self, remote: KnownState) {
         self.freshness.on_configuration(remote.version_age_ms);
-        self.freshness.on_servers(remote.servers_age_ms);
+        let (age_ms, era) = (remote.servers_age_ms, remote.servers.era);
+        self.freshness.on_servers(age_ms, era);
         let age_ms = remote.version_age_ms.max(remote.servers_age_ms);
         self.freshness.on_synced(age_ms);
     }
@@ -220,7 +241,11 @@
             if let Some(servers) = &mut servers {
                 directory.include_entries(servers, &query.lapsing);
             }
-            (servers, directory.expiring(now_ms))
+            let mut lapsing = directory.expiring(now_ms);
+            if let Some(end_ms) = self.freshness.rewrites_end_ms() {
+                lapsing.extend(directory.missing_among(&query.lapsing, now_ms, end_ms));
+            }
+            (servers, lapsing)
         };
         let servers = servers.filter(|servers| match servers {
             DirectoryUpdate::Whole(listing) => {
@@ -257,7 +282,9 @@
         time::sleep(CHECK_INTERVAL).await;
         let has_store = !catch_up.store.is_failing();
         let reader = members.reader();
-        if !catch_up.freshness.queries_reserves(reader, has_store) {
+        // Others may know that the store was available all the time.
+        let is_in_doubt = reader == StoreRole::Scheduler && catch_up.view.has_lapsing();
+        if !is_in_doubt && !catch_up.freshness.queries_reserves(reader, has_store) {
             continue;
         }
         let queries = members.catch_up_contacts().into_iter().map(|contact| {
@@ -273,15 +300,17 @@
 
 async fn query_peer(members: &Members, catch_up: &CatchUp, contact: &Contact) {
     let query = catch_up.build_query(members, None);
-    let scope = query.scope;
+    let (scope, lapsing) = (query.scope, query.lapsing.clone());
     let query = Message::RoutingQuery(query);
     let response = members
         .peers()
         .request_at(contact, &query, QUERY_TIMEOUT)
         .await;
-    if let Ok(Message::RoutingState(state)) = response
-        && state.known.servers_age_ms < catch_up.freshness.servers_age_ms()
-    {
+    let Ok(Message::RoutingState(state)) = response else {
+        return;
+    };
+    catch_up.confirm_missing(&lapsing, &state.lapsing, contact);
+    if state.known.servers_age_ms < catch_up.freshness.servers_age_ms() {
         catch_up.apply(members, state, scope);
     }
 }
--- a/crates/server/src/gateway/freshness.rs
+++ b/crates/server/src/gateway/freshness.rs
@@ -1,10 +1,13 @@
 //! Age of an instance's routes and servers.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{
+    Mutex,
+    atomic::{AtomicBool, AtomicU64, Ordering},
+};
 
-use savoryvane_core::forwarding::{PropagationBounds, StoreRole};
+use savoryvane_core::forwarding::{PropagationBounds, StoreRole, StoreUptime};
 
-use crate::clock::Clock;
+use crate::{clock::Clock, lock::lock};
 
 /// Records when an instance's routes and servers were last known to be current.
 #[derive(Debug)]
@@ -13,6 +16,8 @@
     in_force: PropagationBounds,
     configuration_ms: AtomicU64,
     servers_ms: AtomicU64,
+    /// Since when the store is known to have provided the servers without an outage.
+    store_uptime: Mutex<StoreUptime>,
     /// Latest time at which this instance had everything that a peer or the store knew,
     /// in ms.
     synced_ms: AtomicU64,
@@ -31,6 +36,7 @@
             in_force,
             configuration_ms: AtomicU64::new(0),
             servers_ms: AtomicU64::new(0),
+            store_uptime: Mutex::default(),
             synced_ms: AtomicU64::new(0),
             relies_on_peers: AtomicBool::new(false),
             scheduler_has_store: AtomicBool::new(true),
@@ -43,9 +49,19 @@
         self.record(&self.configuration_ms, age_ms);
     }
 
-    /// Records that the servers were current `age_ms` ago.
-    pub(super) fn on_servers(&self, age_ms: u64) {
+    /// Records that the servers were current `age_ms` ago, in an `era` of the store.
+    pub(super) fn on_servers(&self, age_ms: u64, era: u64) {
         self.record(&self.servers_ms, age_ms);
+        if age_ms < u64::MAX {
+            let at_ms = self.clock.now_ms().saturating_sub(age_ms);
+            lock(&self.store_uptime).on_response(at_ms, era);
+        }
+    }
+
+    /// Returns the time until which servers that the register lacks may register again, in ms,
+    /// as far as this instance knows of outages of the store.
+    pub(super) fn rewrites_end_ms(&self) -> Option<u64> {
+        lock(&self.store_uptime).rewrites_end_ms()
     }
 
     /// Records that this instance has everything that a peer or the store knew, which was
--- a/crates/server/src/gateway/routing_view.rs
+++ b/crates/server/src/gateway/routing_view.rs
@@ -14,8 +14,8 @@
     fleet::Fleet,
     forwarding::{
         ColdServers, ColdStart, Cursor, Directory, DirectoryUpdate, EvacuationState, Evacuations,
-        ExpiringServer, FetchTimes, Position, RepeatBudgets, ResponseTimes, RouteDeadlines,
-        RouteTable, RoutingConfig, Scope, ServedSoftware, ServerEntry,
+        ExpiringServer, FetchTimes, Position, REWRITE_WINDOW_MS, RepeatBudgets, ResponseTimes,
+        RouteDeadlines, RouteTable, RoutingConfig, Scope, ServedSoftware, ServerEntry,
     },
     ids::{BackendName, PoolName},
     settings::PolicySettings,
@@ -33,12 +33,6 @@
 /// more, the fault is more likely on the network path to them.
 const MAX_EJECTED_PERCENT: u32 = 50;
 
-/// Time for servers to write their entries again after the store was unavailable or was
-/// restored from a copy, in ms: the 2 s of the platform, and a read, a query to the
-/// reading instance and a response of a slow store, until the last entry written in that
-/// time is known to all.
-pub(super) const REWRITE_WINDOW_MS: u64 = 3_200;
-
 /// An instance's view of routes and backend servers.
 #[derive(Debug)]
 pub(super) struct RoutingView {
@@ -237,28 +231,43 @@
     }
 
     /// Applies the first listing of the register after an outage of the store: servers
-    /// that it lacks are removed after `REWRITE_WINDOW_MS` unless they write themselves
-    /// again.
-    pub(super) fn update_servers_after_outage(&self, listing: Vec<ServerEntry>, cursor: Cursor) {
+    /// that it lacks are removed at `rewrites_end_ms` unless they write themselves again.
+    pub(super) fn update_servers_after_outage(
+        &self,
+        listing: Vec<ServerEntry>,
+        cursor: Cursor,
+        rewrites_end_ms: Option<u64>,
+    ) {
         let count = listing.len();
         let now_ms = self.clock.now_ms();
+        let expires_at_ms = rewrites_end_ms.unwrap_or(now_ms + REWRITE_WINDOW_MS);
         let (has_changed, lapsing) = {
             let mut directory = self.directory();
-            let has_changed =
-                directory.update_after_outage(listing, cursor, now_ms + REWRITE_WINDOW_MS);
+            let has_changed = directory.update_after_outage(listing, cursor, expires_at_ms);
             (has_changed, directory.expiring(now_ms).len())
         };
         info!(self.log, "servers listed after an outage"; "servers" => count, "lapsing" => lapsing,
-            "position" => %cursor);
+            "left_ms" => expires_at_ms.saturating_sub(now_ms), "position" => %cursor);
         if has_changed {
             self.configure_fleet();
         }
     }
 
-    /// Merges a peer's set of lapsing servers.
-    pub(super) fn on_lapsing_advertised(&self, lapsing: &[ExpiringServer]) {
+    /// Merges a peer's set of lapsing servers, which may register again until
+    /// `rewrites_end_ms` as far as this instance knows.
+    pub(super) fn on_lapsing_advertised(
+        &self,
+        lapsing: &[ExpiringServer],
+        rewrites_end_ms: Option<u64>,
+    ) {
         let now_ms = self.clock.now_ms();
-        self.directory().on_expiring(now_ms, lapsing);
+        self.directory()
+            .on_expiring(now_ms, lapsing, rewrites_end_ms);
+    }
+
+    /// Returns whether servers are kept that the register lacks.
+    pub(super) fn has_lapsing(&self) -> bool {
+        !self.directory().expiring_names().is_empty()
     }
 
     /// Sets of which servers entries are kept, and which of these this instance uses.
--- a/crates/server/src/gateway/server_register.rs
+++ b/crates/server/src/gateway/server_register.rs
@@ -69,7 +69,7 @@
             .freshness
             .had_outage(follower.store.failed_ago_ms());
         has_read = true;
-        follower.freshness.on_servers(0);
+        follower.freshness.on_servers(0, batch.era);
         apply(&follower, &mut unreadable, batch, had_outage);
         time::sleep_until(began + READ_INTERVAL).await;
     }
@@ -120,7 +120,8 @@
     let cursor = batch.cursor(before);
     let is_from_copy = !before.is_start() && cursor.era > before.era;
     if had_outage || is_from_copy {
-        view.update_servers_after_outage(listing, cursor);
+        let rewrites_end_ms = follower.freshness.rewrites_end_ms();
+        view.update_servers_after_outage(listing, cursor, rewrites_end_ms);
     } else {
         view.update_servers_from_store(listing, cursor);
     }
