Reset connections to servers whose request was given up without a response

What callers saw: the 502 or 504 that they had been given was right at that time, but the request reached its server up to 5.2 s later, after the server had left. A request that may run once could run then.

Ruled out: a second send (one "server chosen" each), the view of the instance that sends (the server was registered when it was chosen), and instances that relay (both sent directly).

Change: a connection whose request has no response yet is reset when it is dropped, whatever gave the request up: deadline, caller, a silent server, a second path. It is one place for requests, calls with pieces and probes (connections.rs). A connection through another instance is reset towards that instance, which resets its own towards the server. Connections between instances that no longer respond to PING are reset as well. Connections whose response has begun, and idle ones, are closed as before. What became of such a request stays unknown; nothing is promised anew.

--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -2,7 +2,9 @@
 //!
 //! A connection is returned to the pool only after a complete response. The
 //! connection of an abandoned exchange is closed: it may no longer respond, and
-//! the rest of its response has no receiver.
+//! the rest of its response has no receiver. If the response has not begun, the
+//! connection is reset, so that a request which a partition holds up is not
+//! delivered once the partition ends.
 
 use std::{
     collections::HashMap,
@@ -28,7 +30,7 @@
 };
 
 use crate::{
-    gate::{Gate, GateSlot, GatedStream},
+    gate::{DiscardFlag, Gate, GateSlot, GatedStream},
     lock::lock,
     network::{Network, TcpNetwork, Transport},
     response_budget::ResponseBudget,
@@ -90,17 +92,22 @@
     expires_at: Instant,
 }
 
-/// A connection that is closed when dropped.
+/// A connection that is closed when dropped, or reset while its request has no response.
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     gates: GateSlot,
     budget: ResponseBudget,
+    discard: DiscardFlag,
+    awaits_response: bool,
     driver: AbortHandle,
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        if self.awaits_response {
+            self.discard.set();
+        }
         self.driver.abort();
     }
 }
@@ -377,9 +384,11 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Exchange, SendFailure> {
         connection.budget.begin();
+        connection.awaits_response = true;
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 connection.budget.on_head();
+                connection.awaits_response = false;
                 if declared_bytes(&response) > self.settings.max_response_bytes {
                     let err = SendError::Sent("response is too large".to_owned());
                     return Err(SendFailure::Sent(err));
@@ -419,7 +428,8 @@
     async fn handshake(&self, stream: Box<dyn Transport>) -> Result<Connection, SendError> {
         let gates = GateSlot::default();
         let budget = ResponseBudget::new(self.settings.max_response_bytes);
-        let stream = GatedStream::new(stream, gates.clone(), budget.clone());
+        let discard = DiscardFlag::default();
+        let stream = GatedStream::new(stream, gates.clone(), budget.clone(), discard.clone());
         let (sender, driver) = http1::Builder::new()
             .max_header_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
@@ -433,6 +443,8 @@
             sender,
             gates,
             budget,
+            discard,
+            awaits_response: false,
             driver: driver.abort_handle(),
         })
     }
--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -7,7 +7,10 @@
 use std::{
     io,
     pin::Pin,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll, ready},
 };
 
@@ -111,22 +114,48 @@
     }
 }
 
+/// Whether a connection discards the bytes that were not delivered when it is dropped.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct DiscardFlag(Arc<AtomicBool>);
+
+impl DiscardFlag {
+    /// Makes the connection discard them.
+    pub(crate) fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// A connection that checks a gate before each write, and a bound after each read.
 #[derive(Debug)]
 pub(crate) struct GatedStream {
     stream: Box<dyn Transport>,
     slot: GateSlot,
     budget: ResponseBudget,
+    discard: DiscardFlag,
+}
+
+impl Drop for GatedStream {
+    fn drop(&mut self) {
+        if self.discard.0.load(Ordering::Relaxed) {
+            self.stream.discard_when_dropped();
+        }
+    }
 }
 
 impl GatedStream {
     /// Wraps `stream` so that its writes check the gate in `slot` and its reads are taken from
-    /// `budget`.
-    pub(crate) fn new(stream: Box<dyn Transport>, slot: GateSlot, budget: ResponseBudget) -> Self {
+    /// `budget`, and so that `discard` decides how it is closed.
+    pub(crate) fn new(
+        stream: Box<dyn Transport>,
+        slot: GateSlot,
+        budget: ResponseBudget,
+        discard: DiscardFlag,
+    ) -> Self {
         Self {
             stream,
             slot,
             budget,
+            discard,
         }
     }
 }
--- a/crates/server/src/link_meter.rs
+++ b/crates/server/src/link_meter.rs
@@ -119,6 +119,12 @@
     }
 }
 
+impl<S: Transport> Transport for MeteredStream<S> {
+    fn discard_when_dropped(&mut self) {
+        self.inner.discard_when_dropped();
+    }
+}
+
 /// A network whose connections are metered.
 #[derive(Debug)]
 pub(crate) struct MeteredNetwork {
--- a/crates/server/src/network.rs
+++ b/crates/server/src/network.rs
@@ -3,14 +3,32 @@
 use std::{fmt, future::Future, io, net::SocketAddr, pin::Pin, sync::Arc};
 
 use tokio::{
-    io::{AsyncRead, AsyncWrite},
+    io::{AsyncRead, AsyncWrite, DuplexStream},
     net::TcpStream,
 };
 
 /// An established connection that carries bytes in order.
-pub trait Transport: AsyncRead + AsyncWrite + fmt::Debug + Send + Unpin {}
+pub trait Transport: AsyncRead + AsyncWrite + fmt::Debug + Send + Unpin {
+    /// Makes the connection discard the bytes that were not delivered when it is dropped.
+    /// Otherwise a partition delays them, and they arrive once it ends. Transports that hold
+    /// no such bytes need not implement it.
+    fn discard_when_dropped(&mut self) {}
+}
+
+impl Transport for TcpStream {
+    fn discard_when_dropped(&mut self) {
+        // Errors are ignored: the connection is closed in any case.
+        let _ = self.set_zero_linger();
+    }
+}
 
-impl<T: AsyncRead + AsyncWrite + fmt::Debug + Send + Unpin> Transport for T {}
+impl Transport for DuplexStream {}
+
+impl Transport for Box<dyn Transport> {
+    fn discard_when_dropped(&mut self) {
+        (**self).discard_when_dropped();
+    }
+}
 
 /// Future of a connection attempt.
 pub type Connecting<'a> = Pin<Box<dyn Future<Output = io::Result<Box<dyn Transport>>> + Send + 'a>>;
--- a/crates/server/src/peer/link.rs
+++ b/crates/server/src/peer/link.rs
@@ -25,6 +25,7 @@
 };
 
 use super::error::{PeerError, Result};
+use crate::shared_stream::SharedStream;
 
 /// Maximum time to establish a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -226,11 +227,12 @@
         .map_err(|_| PeerError::NotSent("timeout while connecting".to_owned()))?;
     let socket = connected.map_err(|err| PeerError::NotSent(err.to_string()))?;
     let _ = socket.set_nodelay(true);
+    let socket = SharedStream::new(socket);
     let (sender, mut connection) = client::Builder::new()
         .initial_window_size(WINDOW_BYTES)
         .initial_connection_window_size(WINDOW_BYTES)
         .enable_push(false)
-        .handshake::<_, Bytes>(socket)
+        .handshake::<_, Bytes>(socket.clone())
         .await
         .map_err(not_sent)?;
     let is_unresponsive = Arc::new(AtomicBool::new(false));
@@ -241,6 +243,8 @@
             _ = connection => {}
             () = until_unresponsive(pings) => {
                 metrics::counter!("savoryvane_peer_quiet_total").increment(1);
+                // Requests that a partition holds up must not arrive after it.
+                socket.reset_when_dropped();
             }
         }
         quiet.store(true, Ordering::Release);
--- a/crates/server/src/peer/server.rs
+++ b/crates/server/src/peer/server.rs
@@ -263,6 +263,7 @@
         let mut tunnel = TunnelStream::new(send, request.into_body());
         if let Err(err) = io::copy_bidirectional(&mut tunnel, &mut server.transport).await {
             tunnel.reset();
+            server.transport.discard_when_dropped();
             debug!(self.log, "tunnel broke off"; "server" => %addr, "error" => %err);
         }
         Ok(())
--- a/crates/server/src/peer/tunnel.rs
+++ b/crates/server/src/peer/tunnel.rs
@@ -22,6 +22,7 @@
 };
 
 use super::link::PeerId;
+use crate::{network::Transport, shared_stream::SharedStream};
 
 /// Most bytes that are handed to the HTTP library in one write.
 const MAX_WRITE_BYTES: usize = 16 << 10;
@@ -81,6 +82,8 @@
     /// Received bytes that have not been read.
     unread: Bytes,
     has_ended: bool,
+    /// The connection to the peer, at the end that opened it.
+    socket: Option<SharedStream>,
 }
 
 impl fmt::Debug for TunnelStream {
@@ -98,6 +101,7 @@
             recv,
             unread: Bytes::new(),
             has_ended: false,
+            socket: None,
         }
     }
 
@@ -130,7 +134,9 @@
 ) -> Result<TunnelStream, TunnelError> {
     let socket = TcpStream::connect(addr).await.map_err(TunnelError::Peer)?;
     let _ = socket.set_nodelay(true);
-    let (sender, connection) = client::handshake(socket).await.map_err(peer_error)?;
+    let socket = SharedStream::new(socket);
+    let handshake = client::handshake(socket.clone());
+    let (sender, connection) = handshake.await.map_err(peer_error)?;
     tokio::spawn(async move {
         // The stream gets the errors of its connection.
         let _ = connection.await;
@@ -146,7 +152,10 @@
     let (response, send) = sender.send_request(request, false).map_err(peer_error)?;
     let response = response.await.map_err(peer_error)?;
     match response.status() {
-        StatusCode::OK => Ok(TunnelStream::new(send, response.into_body())),
+        StatusCode::OK => Ok(TunnelStream {
+            socket: Some(socket),
+            ..TunnelStream::new(send, response.into_body())
+        }),
         status => Err(TunnelError::Refused(TunnelRefusal::from_status(status))),
     }
 }
@@ -204,6 +213,14 @@
     }
 }
 
+impl Transport for TunnelStream {
+    fn discard_when_dropped(&mut self) {
+        if let Some(socket) = &self.socket {
+            socket.reset_when_dropped();
+        }
+    }
+}
+
 fn peer_error(err: h2::Error) -> TunnelError {
     TunnelError::Peer(io::Error::other(err))
 }
