Bound the delivery of requests to servers by the time in which a leaving one is avoided

What callers saw: nothing; they waited for their deadline. A request that was written during a partition and that nobody gave up reached its server once the partition had ended, up to 7.6 s after it was sent, when the server had left.

The reset of given-up connections does not help here: the deadline of 8 s had not passed, and a request that may run once is sent to no second server. TCP keeps sending the bytes with growing pauses, so that they arrive up to some seconds after the partition.

Ruled out: the view (the server was registered when it was chosen).

Ways: resetting connections to servers that leave would break off requests that they are still running, since the process can't see which bytes were acknowledged. TCP_USER_TIMEOUT can: connections to servers get in_force.leaving_ms (2 s by default), after which bytes without acknowledgement are dropped and the request ends as lost. An answer that would have come after a longer partition is given up with it.

--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -116,7 +116,10 @@
     ///
     /// Returns [`crate::Error::Listen`] when an address can't be listened on.
     pub async fn start(settings: GatewaySettings) -> Result<Self> {
-        Self::start_over(TcpNetwork::shared(), settings).await
+        // A request that is delivered later would reach a server that has left.
+        let timeout = Duration::from_millis(settings.in_force.leaving_ms);
+        let network = TcpNetwork::with_delivery_timeout(timeout);
+        Self::start_over(Arc::new(network), settings).await
     }
 
     /// Starts an instance like [`start`](Self::start) that reaches backend servers over
--- a/crates/server/src/network.rs
+++ b/crates/server/src/network.rs
@@ -1,7 +1,9 @@
 //! Connections to other processes, as far as they can be replaced.
 
-use std::{fmt, future::Future, io, net::SocketAddr, pin::Pin, sync::Arc};
+use std::{fmt, future::Future, io, net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
 
+#[cfg(target_os = "linux")]
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, DuplexStream},
     net::TcpStream,
@@ -45,7 +47,9 @@
 
 /// Establishes TCP connections.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct TcpNetwork;
+pub struct TcpNetwork {
+    delivery_timeout: Option<Duration>,
+}
 
 impl Network for TcpNetwork {
     fn connect(&self, addr: SocketAddr) -> Connecting<'_> {
@@ -54,14 +58,34 @@
             // Without TCP_NODELAY, small writes wait for acknowledgements. The call may fail on
             // a closed socket; the exchange then fails as well.
             let _ = stream.set_nodelay(true);
+            if let Some(timeout) = self.delivery_timeout {
+                set_delivery_timeout(&stream, timeout);
+            }
             Ok(Box::new(stream) as Box<dyn Transport>)
         })
     }
 }
 
 impl TcpNetwork {
+    /// Returns a network whose connections break off when bytes are not acknowledged by the
+    /// other end within `timeout`, so that a partition can't delay them for longer.
+    pub fn with_delivery_timeout(timeout: Duration) -> Self {
+        Self {
+            delivery_timeout: Some(timeout),
+        }
+    }
+
     /// Returns the network as a shared object.
     pub(crate) fn shared() -> Arc<dyn Network> {
-        Arc::new(Self)
+        Arc::new(Self::default())
     }
 }
+
+#[cfg(target_os = "linux")]
+fn set_delivery_timeout(stream: &TcpStream, timeout: Duration) {
+    // Errors are ignored: the deadline of the request bounds its delivery as well.
+    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(timeout));
+}
+
+#[cfg(not(target_os = "linux"))]
+fn set_delivery_timeout(_stream: &TcpStream, _timeout: Duration) {}
