Admit no request once the last workspace is removed

What callers saw: a configuration with an explicit, empty list of workspaces admitted every request, with any key and without one.

Cause: absent and empty had one type, from the decoded configuration to the message between instances, so that "nobody" was read as "anybody".

Change: the list is optional. A configuration without one demands no key; an empty one admits nobody but on public routes.

--- a/crates/core/src/forwarding/objects.rs
+++ b/crates/core/src/forwarding/objects.rs
@@ -13,9 +13,9 @@
     pub routes: Vec<Route>,
     /// Services that routes and stages refer to.
     pub services: Vec<Service>,
-    /// Workspaces with their keys; if there is no workspace, no request needs a key. A workspace
-    /// without keys admits no request.
-    pub workspaces: Vec<WorkspaceKeys>,
+    /// Workspaces with their keys, which admit requests. An empty list and workspaces without
+    /// keys admit none; if there is no list, no request needs a key.
+    pub workspaces: Option<Vec<WorkspaceKeys>>,
     /// Limits for callers.
     pub limits: CallerLimits,
 }
--- a/crates/core/src/forwarding/store_reads.rs
+++ b/crates/core/src/forwarding/store_reads.rs
@@ -59,10 +59,8 @@
         let names = [&route.name, &route.host, &route.path_prefix];
         ROUTE_BYTES + names.map(String::len).into_iter().sum::<usize>()
     });
-    let keys = config
-        .workspaces
-        .iter()
-        .flat_map(|workspace| &workspace.keys);
+    let workspaces = config.workspaces.iter().flatten();
+    let keys = workspaces.flat_map(|workspace| &workspace.keys);
     let bytes = routes.sum::<usize>() + keys.map(String::len).sum::<usize>();
     let budget_bytes = link_bytes_per_s * RELAY_MS / 1_000;
     bytes <= MAX_RELAYED_BYTES && (bytes * receivers) as u64 <= budget_bytes
--- a/crates/core/src/forwarding/table.rs
+++ b/crates/core/src/forwarding/table.rs
@@ -53,7 +53,8 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        let key_owners = config.workspaces.iter().flat_map(|workspace| {
+        let workspaces = config.workspaces.iter().flatten();
+        let key_owners = workspaces.flat_map(|workspace| {
             let owner = KeyOwner {
                 name: workspace.name.clone(),
                 priority: workspace.priority,
@@ -101,7 +102,7 @@
             .find(|route| path.starts_with(&route.path_prefix))
             .ok_or(Unroutable::NoRoute)?;
         let owner = key.and_then(|key| self.key_owners.get(key));
-        let needs_key = !route.is_public && !self.config.workspaces.is_empty();
+        let needs_key = !route.is_public && self.config.workspaces.is_some();
         if owner.is_none() && needs_key {
             return Err(Unroutable::UnknownKey);
         }
--- a/crates/core/tests/forwarding_rules.rs
+++ b/crates/core/tests/forwarding_rules.rs
@@ -44,11 +44,11 @@
             route("long", "a.example", "/p/q/"),
             open,
         ],
-        workspaces: vec![WorkspaceKeys {
+        workspaces: Some(vec![WorkspaceKeys {
             name: WorkspaceName::new("w"),
             keys: vec!["k1".to_owned(), "k2".to_owned()],
             priority: Some(0),
-        }],
+        }]),
         ..RoutingConfig::default()
     }))
 }
@@ -82,7 +82,21 @@
 #[test]
 fn once_the_last_key_of_the_last_workspace_is_revoked_no_request_is_admitted() {
     let mut config = (**table().config()).clone();
-    config.workspaces[0].keys.clear();
+    config.workspaces.as_mut().expect("workspaces")[0]
+        .keys
+        .clear();
+    check_admits_none(config);
+}
+
+/// Guards against admitting every request once the operator has removed the last workspace.
+#[test]
+fn once_the_last_workspace_is_removed_no_request_is_admitted() {
+    let mut config = (**table().config()).clone();
+    config.workspaces = Some(Vec::new());
+    check_admits_none(config);
+}
+
+fn check_admits_none(config: RoutingConfig) {
     let table = RouteTable::new(Arc::new(config));
     for key in [None, Some("k1"), Some("k3"), Some("")] {
         let found = table.find("a.example", "/p/x", key).map(drop);
@@ -94,7 +108,7 @@
 #[test]
 fn without_workspaces_no_request_needs_a_key() {
     let mut config = (**table().config()).clone();
-    config.workspaces.clear();
+    config.workspaces = None;
     let table = RouteTable::new(Arc::new(config));
     assert!(table.find("a.example", "/p/x", None).is_ok());
 }
--- a/crates/core/tests/forwarding_store_reads.rs
+++ b/crates/core/tests/forwarding_store_reads.rs
@@ -147,13 +147,15 @@
 #[test]
 fn a_large_configuration_is_left_to_the_store() {
     let config = |workspaces: usize| RoutingConfig {
-        workspaces: (0..workspaces)
-            .map(|n| WorkspaceKeys {
-                name: WorkspaceName::new(format!("w{n}")),
-                keys: vec![format!("key-of-some-length-{n}"), format!("b{n}")],
-                priority: None,
-            })
-            .collect(),
+        workspaces: Some(
+            (0..workspaces)
+                .map(|n| WorkspaceKeys {
+                    name: WorkspaceName::new(format!("w{n}")),
+                    keys: vec![format!("key-of-some-length-{n}"), format!("b{n}")],
+                    priority: None,
+                })
+                .collect(),
+        ),
         ..RoutingConfig::default()
     };
     let relays =
