Renew no server by a record from before the listing that lacks it

What callers saw: nothing; a server that had left stayed in use at every instance until it was gone for good, 2.8 s and more after the ack.

The query that finds out what is missing makes this more frequent, but peers could tell such a record before.

Change: a server that a listing lacks keeps the position of that listing. Records from before it renew nothing.

Red before: an_entry_from_before_the_listing_does_not_renew_a_server_that_it_lacks fails without the change.

--- a/crates/core/src/forwarding/directory.rs
+++ b/crates/core/src/forwarding/directory.rs
@@ -29,6 +29,14 @@
     registered_as: BackendName,
 }
 
+/// When a server that the register lacks is removed unless it registers again.
+#[derive(Clone, Copy, Debug)]
+struct Expiry {
+    at_ms: u64,
+    /// Position before which the register has no entry of the server any more.
+    missing_from: Position,
+}
+
 /// The registered servers, each with its current run.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -44,9 +52,8 @@
     cursor: Cursor,
     /// Availability zones that the operator has taken out of service.
     evacuated: BTreeSet<ZoneName>,
-    /// Servers that the register lacks after an outage of the store, with the time in ms at
-    /// which they are removed unless they register again.
-    expiring: BTreeMap<BackendName, u64>,
+    /// Servers that the register lacks after an outage of the store.
+    expiring: BTreeMap<BackendName, Expiry>,
     /// Removed servers with the position of the removal; earlier entries are ignored.
     removed: RemovedServers,
     /// Number of changes so far.
@@ -223,6 +230,11 @@
             if entry.position < known.position {
                 return false;
             }
+            let expiry = self.expiring.get(&entry.registered_as);
+            if expiry.is_some_and(|expiry| entry.position < expiry.missing_from) {
+                // Another instance has not learnt yet that the register lacks it.
+                return false;
+            }
             if entry.position > known.position {
                 // Other instances have to learn that it no longer expires.
                 is_renewed = self.expiring.remove(&entry.registered_as).is_some();
--- a/crates/core/src/forwarding/directory/expiry.rs
+++ b/crates/core/src/forwarding/directory/expiry.rs
@@ -1,6 +1,6 @@
 //! Servers whose entries the register lacks after an outage of the store.
 
-use super::Directory;
+use super::{Directory, Expiry};
 use crate::{
     forwarding::{
         Cursor, Position,
@@ -30,7 +30,11 @@
         let is_from_copy = cursor.era > self.cursor.era;
         for registered_as in self.missing_from(&listing) {
             if !self.expiring.contains_key(&registered_as) {
-                self.expiring.insert(registered_as.clone(), expires_at_ms);
+                let expiry = Expiry {
+                    at_ms: expires_at_ms,
+                    missing_from: cursor.position(),
+                };
+                self.expiring.insert(registered_as.clone(), expiry);
                 self.record_change(&registered_as, Some(cursor));
             }
         }
@@ -52,11 +56,11 @@
 
     /// Returns the expiring servers with the time until each is removed.
     pub fn expiring(&self, now_ms: u64) -> Vec<ExpiringServer> {
-        let expiring = self.expiring.iter().filter_map(|(registered_as, at_ms)| {
+        let expiring = self.expiring.iter().filter_map(|(registered_as, expiry)| {
             Some(ExpiringServer {
                 position: self.entries.get(registered_as)?.position,
                 registered_as: registered_as.clone(),
-                left_ms: at_ms.saturating_sub(now_ms),
+                left_ms: expiry.at_ms.saturating_sub(now_ms),
             })
         });
         expiring.collect()
@@ -121,15 +125,19 @@
             let expires_at_ms = now_ms + server.left_ms;
             let expires_at_ms =
                 rewrites_end_ms.map_or(expires_at_ms, |end_ms| end_ms.min(expires_at_ms));
-            let known_ms = self.expiring.entry(server.registered_as.clone());
-            let known_ms = known_ms.or_insert(expires_at_ms);
-            *known_ms = expires_at_ms.min(*known_ms);
+            let expiry = self.expiring.entry(server.registered_as.clone());
+            let expiry = expiry.or_insert(Expiry {
+                at_ms: expires_at_ms,
+                missing_from: self.cursor.position(),
+            });
+            expiry.at_ms = expires_at_ms.min(expiry.at_ms);
         }
     }
 
     /// Removes the servers that have not registered again in time; returns them.
     pub fn remove_expired(&mut self, now_ms: u64) -> Vec<BackendName> {
-        let expired = self.expiring.iter().filter(|(_, at_ms)| **at_ms <= now_ms);
+        let expired = self.expiring.iter();
+        let expired = expired.filter(|(_, expiry)| expiry.at_ms <= now_ms);
         let expired: Vec<BackendName> = expired.map(|(id, _)| id.clone()).collect();
         for registered_as in &expired {
             self.apply(registered_as, None, Some(self.cursor));
--- a/crates/core/tests/forwarding_outages.rs
+++ b/crates/core/tests/forwarding_outages.rs
@@ -130,6 +130,21 @@
     assert!(!partitioned.has("i-1", HEALED_AT_MS + 100));
 }
 
+/// A server registered again and left during a partition. An instance that knows only the first
+/// of these records tells it to one that has listed the register after both: that one used the
+/// server for good.
+#[test]
+fn an_entry_from_before_the_listing_does_not_renew_a_server_that_it_lacks() {
+    let mut partitioned = Instance::in_touch(0, CUT_AT_MS);
+    partitioned.list_after_failures(HEALED_AT_MS, up_to(0, 4));
+    let renewed = server("i-1", at(0, 2));
+    let update = DirectoryUpdate::Changes(vec![("i-1".into(), Some(renewed))]);
+    partitioned.directory.update_to(update, up_to(0, 3));
+    let end_ms = HEALED_AT_MS + REWRITE_WINDOW_MS;
+    assert!(partitioned.has("i-1", end_ms - 1));
+    assert!(!partitioned.has("i-1", end_ms));
+}
+
 /// In an outage of the store, no instance has responses, and all keep the servers.
 #[test]
 fn servers_are_kept_by_all_after_an_outage_of_the_store() {
