Tell since when the store responds, and from where on a server is missing

What callers saw: nothing; requests were sent to servers up to 3.2 s after they had left, by instances that a partition had cut off and by others.

A server that is missing is told with the position of the listing that lacks it, not with that of its last entry.

Red before: a_server_that_another_instance_lists_as_missing_is_not_kept_for_a_newer_entry; the other two new tests use the new function.

--- a/crates/core/src/forwarding/directory.rs
+++ b/crates/core/src/forwarding/directory.rs
@@ -37,6 +37,16 @@
     missing_from: Position,
 }
 
+impl Expiry {
+    /// Returns the last position at which the register is known to lack the server.
+    fn missing_at(self) -> Position {
+        Position {
+            offset: self.missing_from.offset.saturating_sub(1),
+            ..self.missing_from
+        }
+    }
+}
+
 /// The registered servers, each with its current run.
 #[derive(Debug, Default)]
 pub struct Directory {
--- a/crates/core/src/forwarding/directory/expiry.rs
+++ b/crates/core/src/forwarding/directory/expiry.rs
@@ -56,13 +56,14 @@
 
     /// Returns the expiring servers with the time until each is removed.
     pub fn expiring(&self, now_ms: u64) -> Vec<ExpiringServer> {
-        let expiring = self.expiring.iter().filter_map(|(registered_as, expiry)| {
-            Some(ExpiringServer {
-                position: self.entries.get(registered_as)?.position,
+        let expiring = self
+            .expiring
+            .iter()
+            .map(|(registered_as, expiry)| ExpiringServer {
+                position: expiry.missing_at(),
                 registered_as: registered_as.clone(),
                 left_ms: expiry.at_ms.saturating_sub(now_ms),
-            })
-        });
+            });
         expiring.collect()
     }
 
@@ -109,7 +110,7 @@
         }
     }
 
-    /// Merges the expiring servers of another instance. They are removed at `rewrites_end_ms` at
+    /// Merges the expiring servers of another instance. All are removed at `rewrites_end_ms` at
     /// the latest, until which they might have registered again as far as is known here.
     pub fn on_expiring(
         &mut self,
@@ -117,6 +118,11 @@
         expiring: &[ExpiringServer],
         rewrites_end_ms: Option<u64>,
     ) {
+        if let Some(end_ms) = rewrites_end_ms {
+            for expiry in self.expiring.values_mut() {
+                expiry.at_ms = expiry.at_ms.min(end_ms);
+            }
+        }
         for server in expiring {
             let known = self.entries.get(&server.registered_as);
             if known.is_none_or(|known| known.position > server.position) {
@@ -128,7 +134,7 @@
             let expiry = self.expiring.entry(server.registered_as.clone());
             let expiry = expiry.or_insert(Expiry {
                 at_ms: expires_at_ms,
-                missing_from: self.cursor.position(),
+                missing_from: self.cursor.position().max(server.position.next()),
             });
             expiry.at_ms = expires_at_ms.min(expiry.at_ms);
         }
--- a/crates/core/src/forwarding/entry.rs
+++ b/crates/core/src/forwarding/entry.rs
@@ -93,7 +93,7 @@
 pub struct ExpiringServer {
     /// Identifier that it registers under.
     pub registered_as: BackendName,
-    /// Position of its last entry.
+    /// Last position at which the register is known to lack it.
     pub position: Position,
     /// Time until it is removed unless it registers again, in ms.
     pub left_ms: u64,
--- a/crates/core/src/forwarding/store_uptime.rs
+++ b/crates/core/src/forwarding/store_uptime.rs
@@ -25,20 +25,35 @@
 }
 
 impl StoreUptime {
-    /// Records that the store responded at `at_ms` with the register of `era`. A later era begins
-    /// a new span, since the store has lost entries.
+    /// Records that the store responded at `at_ms` with the register of `era`.
     pub fn on_response(&mut self, at_ms: u64, era: u64) {
+        self.merge(at_ms, at_ms, era);
+    }
+
+    /// Records that another instance knows that the store responded from `first_ms` to `last_ms`
+    /// in `era`. A later era begins a new span, since the store has lost entries.
+    pub fn merge(&mut self, first_ms: u64, last_ms: u64, era: u64) {
         if era < self.era {
             return;
         }
-        let continued = self
-            .span_ms
-            .filter(|(_, last_ms)| era == self.era && at_ms.saturating_sub(*last_ms) <= MAX_GAP_MS);
-        self.span_ms = Some(match continued {
-            Some((first_ms, last_ms)) => (first_ms, last_ms.max(at_ms)),
-            None => (at_ms, at_ms),
-        });
+        let known = self.span_ms.filter(|_| era == self.era);
         self.era = era;
+        self.span_ms = Some(match known {
+            Some((_, known_last_ms)) if first_ms > known_last_ms + MAX_GAP_MS => {
+                (first_ms, last_ms)
+            }
+            Some(known) if last_ms + MAX_GAP_MS < known.0 => known,
+            Some((known_first_ms, known_last_ms)) => {
+                (first_ms.min(known_first_ms), last_ms.max(known_last_ms))
+            }
+            None => (first_ms, last_ms),
+        });
+    }
+
+    /// Returns how long the store is known to have responded, in ms.
+    pub fn duration_ms(&self) -> u64 {
+        self.span_ms
+            .map_or(0, |(first_ms, last_ms)| last_ms - first_ms)
     }
 
     /// Returns the time at which servers that the register lacks have had long enough to write
--- a/crates/core/tests/forwarding_outages.rs
+++ b/crates/core/tests/forwarding_outages.rs
@@ -145,6 +145,44 @@
     assert!(!partitioned.has("i-1", end_ms));
 }
 
+/// The same record is known to an instance that gets the register from the one that listed it.
+#[test]
+fn a_server_that_another_instance_lists_as_missing_is_not_kept_for_a_newer_entry() {
+    let mut partitioned = Instance::in_touch(0, CUT_AT_MS);
+    partitioned.list_after_failures(HEALED_AT_MS, up_to(0, 4));
+    let mut other = Instance::in_touch(0, HEALED_AT_MS);
+    let renewed = server("i-1", at(0, 2));
+    other
+        .directory
+        .apply_record(&"i-1".into(), Some(renewed), at(0, 2), up_to(0, 3));
+    partitioned.tell(&mut other, HEALED_AT_MS + 50);
+    assert!(!other.has("i-1", HEALED_AT_MS + 50));
+}
+
+/// An instance that was partitioned learns from any other since when the store has responded.
+#[test]
+fn an_instance_adopts_the_uptime_that_others_know() {
+    let mut partitioned = Instance::in_touch(0, CUT_AT_MS);
+    let other = Instance::in_touch(0, HEALED_AT_MS);
+    partitioned.list_after_failures(HEALED_AT_MS, up_to(0, 3));
+    let last_ms = HEALED_AT_MS;
+    let first_ms = last_ms - other.uptime.duration_ms();
+    partitioned.uptime.merge(first_ms, last_ms, 0);
+    let end_ms = partitioned.uptime.rewrites_end_ms();
+    partitioned.directory.on_expiring(HEALED_AT_MS, &[], end_ms);
+    assert!(!partitioned.has("i-1", HEALED_AT_MS));
+}
+
+/// What another instance knew before an outage does not count after it.
+#[test]
+fn an_uptime_from_before_an_outage_is_not_adopted() {
+    let mut instance = Instance::in_touch(0, CUT_AT_MS);
+    instance.list_after_failures(HEALED_AT_MS, up_to(0, 3));
+    instance.uptime.merge(0, CUT_AT_MS, 0);
+    let end_ms = instance.uptime.rewrites_end_ms();
+    assert_eq!(end_ms, Some(HEALED_AT_MS + REWRITE_WINDOW_MS));
+}
+
 /// In an outage of the store, no instance has responses, and all keep the servers.
 #[test]
 fn servers_are_kept_by_all_after_an_outage_of_the_store() {
--- a/crates/server/src/gateway/catch_up.rs
+++ b/crates/server/src/gateway/catch_up.rs
@@ -153,17 +153,24 @@
 
     /// Merges the time that the lapsing servers `asked` have left at a peer, which may have been
     /// in touch with the store while this instance was not.
-    fn confirm_missing(&self, asked: &[BackendName], remote: &[ExpiringServer], contact: &Contact) {
-        let known = remote.iter();
+    fn confirm_missing(&self, asked: &[BackendName], state: &RoutingState, contact: &Contact) {
+        self.merge_uptime(state.known, state.store_uptime_ms);
+        let known = state.lapsing.iter();
         let known = known.filter(|server| asked.contains(&server.registered_as));
         let known: Vec<ExpiringServer> = known.cloned().collect();
-        let longest_ms = known.iter().map(|server| server.left_ms).max();
-        let Some(longest_ms) = longest_ms else {
-            return;
-        };
-        info!(self.view.log, "lapsing servers confirmed missing"; "peer" => %contact.instance,
-            "asked" => asked.len(), "missing" => known.len(), "left_ms" => longest_ms);
-        self.view.on_lapsing_advertised(&known, None);
+        if !asked.is_empty() {
+            info!(self.view.log, "lapsing servers confirmed missing";
+                "peer" => %contact.instance, "asked" => asked.len(), "missing" => known.len(),
+                "store_uptime_ms" => state.store_uptime_ms);
+        }
+        self.view
+            .on_lapsing_advertised(&known, self.freshness.rewrites_end_ms());
+    }
+
+    /// Merges since when a peer knows that the store responds.
+    fn merge_uptime(&self, remote: KnownState, uptime_ms: u64) {
+        let (age_ms, era) = (remote.servers_age_ms, remote.servers.era);
+        self.freshness.on_peer_uptime(age_ms, uptime_ms, era);
     }
 
     /// Returns the query for everything that the run `of` knows beyond this instance.
@@ -203,8 +210,7 @@
         if !self.view.update_servers(servers, remote.servers, scope) {
             return;
         }
-        let (age_ms, era) = (remote.servers_age_ms, remote.servers.era);
-        self.freshness.on_servers(age_ms, era);
+        self.merge_uptime(remote, state.store_uptime_ms);
         self.view
             .on_lapsing_advertised(&state.lapsing, self.freshness.rewrites_end_ms());
         *lock(&self.source) = Some(CopySource {
@@ -266,6 +272,7 @@
             instances: members.entries_since(query.instances),
             evacuations: self.view.evacuation_state(),
             layout: members.listed_layout(),
+            store_uptime_ms: self.freshness.store_uptime_ms(),
         }
     }
 
@@ -309,7 +316,7 @@
     let Ok(Message::RoutingState(state)) = response else {
         return;
     };
-    catch_up.confirm_missing(&lapsing, &state.lapsing, contact);
+    catch_up.confirm_missing(&lapsing, &state, contact);
     if state.known.servers_age_ms < catch_up.freshness.servers_age_ms() {
         catch_up.apply(members, state, scope);
     }
--- a/crates/server/src/gateway/freshness.rs
+++ b/crates/server/src/gateway/freshness.rs
@@ -58,6 +58,21 @@
         }
     }
 
+    /// Records that a peer's servers were current `age_ms` ago, and that it knows of no outage
+    /// of the store in the `uptime_ms` before.
+    pub(super) fn on_peer_uptime(&self, age_ms: u64, uptime_ms: u64, era: u64) {
+        if age_ms < u64::MAX {
+            let last_ms = self.clock.now_ms().saturating_sub(age_ms);
+            let first_ms = last_ms.saturating_sub(uptime_ms);
+            lock(&self.store_uptime).merge(first_ms, last_ms, era);
+        }
+    }
+
+    /// Returns how long the store is known to have responded without an outage, in ms.
+    pub(super) fn store_uptime_ms(&self) -> u64 {
+        lock(&self.store_uptime).duration_ms()
+    }
+
     /// Returns the time until which servers that the register lacks may register again, in ms,
     /// as far as this instance knows of outages of the store.
     pub(super) fn rewrites_end_ms(&self) -> Option<u64> {
--- a/crates/wire/src/peer/routing.rs
+++ b/crates/wire/src/peer/routing.rs
@@ -115,4 +115,7 @@
     pub evacuations: EvacuationState,
     /// Number of cells, if the responder has read one.
     pub layout: Option<ListedLayout>,
+    /// Time before the servers of `known` were current in which the responder knows of no outage
+    /// of the store, in ms.
+    pub store_uptime_ms: u64,
 }
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -189,6 +189,7 @@
                 ..RoutingConfig::default()
             }),
             servers: Some(DirectoryUpdate::Changes(vec![("i-1".into(), None)])),
+            store_uptime_ms: 9_000,
             layout: Some(ListedLayout {
                 layout: layout(),
                 position: cursor(4).position(),
