Tell on removals of servers that an instance never had

What callers saw: nothing; a server that had left stayed in use by instances that were never cut off, for 2.7 to 3.4 s and more after the ack.

One instance is told the first record, another one only the end of both; it had no entry, so that the removal was no change to it and was left out of what it tells on.

Change: a removal that is new by its position is recorded as a change, whether or not the entry was known.

Red before: the_removal_of_a_server_is_told_on_by_an_instance_that_never_had_it fails without the change.

--- a/crates/core/src/forwarding/directory.rs
+++ b/crates/core/src/forwarding/directory.rs
@@ -213,9 +213,10 @@
             // The server has registered again since.
             return false;
         }
-        self.removed.insert(registered_as, at);
+        let is_news = self.removed.insert(registered_as, at);
         let has_changed = self.remove(registered_as);
-        if has_changed {
+        // Instances that get updates from this one may know an entry that it never had.
+        if has_changed || is_news {
             self.record_change(registered_as, Some(cursor));
         }
         has_changed
--- a/crates/core/src/forwarding/removed_servers.rs
+++ b/crates/core/src/forwarding/removed_servers.rs
@@ -17,10 +17,12 @@
 }
 
 impl RemovedServers {
-    pub(super) fn insert(&mut self, registered_as: &BackendName, at: Position) {
+    /// Records a removal; returns whether no later one, nor the same, was known.
+    pub(super) fn insert(&mut self, registered_as: &BackendName, at: Position) -> bool {
         if let Some(known) = self.positions.get_mut(registered_as) {
+            let is_later = at > *known;
             *known = at.max(*known);
-            return;
+            return is_later;
         }
         self.positions.insert(registered_as.clone(), at);
         self.order.push_back(registered_as.clone());
@@ -29,6 +31,7 @@
         {
             self.positions.remove(&first);
         }
+        true
     }
 
     /// Tells whether the server was removed after it wrote `entry`.
--- a/crates/core/tests/forwarding_outages.rs
+++ b/crates/core/tests/forwarding_outages.rs
@@ -3,8 +3,8 @@
 
 use savoryvane_core::{
     forwarding::{
-        Cursor, Directory, DirectoryUpdate, Position, REWRITE_WINDOW_MS, ServerEntry, ServerState,
-        StoreUptime,
+        Cursor, Directory, DirectoryUpdate, Position, REWRITE_WINDOW_MS, Scope, ServerEntry,
+        ServerState, StoreUptime, SyncPoint,
     },
     ids::{BackendName, PoolName, ZoneName},
 };
@@ -183,6 +183,28 @@
     assert_eq!(end_ms, Some(HEALED_AT_MS + REWRITE_WINDOW_MS));
 }
 
+/// A server registers and leaves between two updates of an instance, which never has its entry.
+/// Another one has it, and gets the removal only from that instance: it used the server for good.
+#[test]
+fn the_removal_of_a_server_is_told_on_by_an_instance_that_never_had_it() {
+    let entry = server("i-3", at(0, 2));
+    let mut reader = Instance::in_touch(0, CUT_AT_MS).directory;
+    reader.apply_record(&"i-3".into(), Some(entry), at(0, 2), up_to(0, 3));
+    let mut behind = Directory::default();
+    let known = SyncPoint::Cursor(behind.cursor());
+    let update = reader.update_for(known, Scope::ALL).expect("a directory");
+    behind.update_to(update, reader.cursor());
+    reader.apply_record(&"i-3".into(), None, at(0, 3), up_to(0, 4));
+    let mut between = Instance::in_touch(0, CUT_AT_MS).directory;
+    let known = SyncPoint::Cursor(between.cursor());
+    let update = reader.update_for(known, Scope::ALL).expect("a directory");
+    between.update_to(update, reader.cursor());
+    let known = SyncPoint::Cursor(behind.cursor());
+    let update = between.update_for(known, Scope::ALL).expect("a directory");
+    behind.update_to(update, between.cursor());
+    assert!(behind.entry(&"i-3".into()).is_none());
+}
+
 /// In an outage of the store, no instance has responses, and all keep the servers.
 #[test]
 fn servers_are_kept_by_all_after_an_outage_of_the_store() {
