--- a/crates/core/src/forwarding/store_uptime.rs
+++ b/crates/core/src/forwarding/store_uptime.rs
@@ -7,8 +7,7 @@
 //! touch throughout knows which of the two happened.
 
 /// Longest interval between two responses that counts as no outage, in ms. Entries expire after
-/// three missed heartbeats, which takes longer; without faults, an instance learns of a
-/// response at least every 1.3 s.
+/// three missed heartbeats, which takes longer; updates without faults are younger.
 const MAX_GAP_MS: u64 = 1_500;
 
 /// Time for servers to write their entries again after the store was unavailable or was restored
