Keep a running server that registered again after a listing that lacks it

What callers would see: one instance stops using a server that runs, until that server's entry changes.

Cause: let an instance that is told of a missing server ignore entries from before its own cursor. A server that registers again with the same entry is no change where it never expired, so that the cursor passes its new position unnoticed; the entry that is asked for was then ignored as too old.

Change: what counts is the listing that lacks the server, which is sent, and not the cursor of the receiver.

Ruled out: the instance that lists, whose cursor is that of the listing.

Red before: a_running_server_is_not_dropped_for_a_listing_from_before_it_registered_again fails without the change (1 of 12 tests of forwarding_outages).

--- a/crates/core/src/forwarding/directory/expiry.rs
+++ b/crates/core/src/forwarding/directory/expiry.rs
@@ -134,7 +134,7 @@
             let expiry = self.expiring.entry(server.registered_as.clone());
             let expiry = expiry.or_insert(Expiry {
                 at_ms: expires_at_ms,
-                missing_from: self.cursor.position().max(server.position.next()),
+                missing_from: server.position.next(),
             });
             expiry.at_ms = expires_at_ms.min(expiry.at_ms);
         }
--- a/crates/core/tests/forwarding_outages.rs
+++ b/crates/core/tests/forwarding_outages.rs
@@ -205,6 +205,23 @@
     assert!(behind.entry(&"i-3".into()).is_none());
 }
 
+/// A server that registers again with the same entry is no change for an instance at which it never
+/// expired: that one knows the register beyond it without its new position. When it is told of an
+/// earlier listing that lacks the server, the new entry still counts.
+#[test]
+fn a_running_server_is_not_dropped_for_a_listing_from_before_it_registered_again() {
+    let mut partitioned = Instance::in_touch(0, CUT_AT_MS);
+    partitioned.list_after_failures(HEALED_AT_MS, up_to(0, 4));
+    let mut other = Instance::in_touch(0, HEALED_AT_MS);
+    other.directory.advance_cursor(up_to(0, 8));
+    other.uptime = StoreUptime::default();
+    partitioned.tell(&mut other, HEALED_AT_MS + 50);
+    let renewed = server("i-1", at(0, 5));
+    let update = DirectoryUpdate::Changes(vec![("i-1".into(), Some(renewed))]);
+    other.directory.update_to(update, up_to(0, 8));
+    assert!(other.has("i-1", HEALED_AT_MS + REWRITE_WINDOW_MS));
+}
+
 /// In an outage of the store, no instance has responses, and all keep the servers.
 #[test]
 fn servers_are_kept_by_all_after_an_outage_of_the_store() {
