--- a/crates/core/src/forwarding/directory.rs
+++ b/crates/core/src/forwarding/directory.rs
@@ -34,15 +34,15 @@
 struct Expiry {
     at_ms: u64,
     /// Position before which the register has no entry of the server any more.
-    missing_from: Position,
+    absent_before: Position,
 }
 
 impl Expiry {
     /// Returns the last position at which the register is known to lack the server.
-    fn missing_at(self) -> Position {
+    fn last_absent(self) -> Position {
         Position {
-            offset: self.missing_from.offset.saturating_sub(1),
-            ..self.missing_from
+            offset: self.absent_before.offset.saturating_sub(1),
+            ..self.absent_before
         }
     }
 }
@@ -242,7 +242,7 @@
                 return false;
             }
             let expiry = self.expiring.get(&entry.registered_as);
-            if expiry.is_some_and(|expiry| entry.position < expiry.missing_from) {
+            if expiry.is_some_and(|expiry| entry.position < expiry.absent_before) {
                 // Another instance has not learnt yet that the register lacks it.
                 return false;
             }
--- a/crates/core/src/forwarding/directory/expiry.rs
+++ b/crates/core/src/forwarding/directory/expiry.rs
@@ -32,7 +32,7 @@
             if !self.expiring.contains_key(&registered_as) {
                 let expiry = Expiry {
                     at_ms: expires_at_ms,
-                    missing_from: cursor.position(),
+                    absent_before: cursor.position(),
                 };
                 self.expiring.insert(registered_as.clone(), expiry);
                 self.record_change(&registered_as, Some(cursor));
@@ -60,7 +60,7 @@
             .expiring
             .iter()
             .map(|(registered_as, expiry)| ExpiringServer {
-                position: expiry.missing_at(),
+                position: expiry.last_absent(),
                 registered_as: registered_as.clone(),
                 left_ms: expiry.at_ms.saturating_sub(now_ms),
             });
@@ -134,7 +134,7 @@
             let expiry = self.expiring.entry(server.registered_as.clone());
             let expiry = expiry.or_insert(Expiry {
                 at_ms: expires_at_ms,
-                missing_from: server.position.next(),
+                absent_before: server.position.next(),
             });
             expiry.at_ms = expires_at_ms.min(expiry.at_ms);
         }
--- a/crates/core/tests/forwarding_outages.rs
+++ b/crates/core/tests/forwarding_outages.rs
@@ -91,7 +91,7 @@
         self.directory.on_expiring(now_ms, &missing, None);
     }
 
-    /// Tells `other`, which gets the register from this instance, which servers are missing.
+    /// Sends the expiring servers to `other`, which copies the register from this instance.
     fn tell(&self, other: &mut Self, now_ms: u64) {
         let expiring = self.directory.expiring(now_ms);
         let end_ms = other.uptime.rewrites_end_ms();
@@ -131,7 +131,7 @@
 }
 
 /// A server registered again and left during a partition. An instance that knows only the first
-/// of these records tells it to one that has listed the register after both: that one used the
+/// of these records sends it to one that has listed the register after both: that one used the
 /// server for good.
 #[test]
 fn an_entry_from_before_the_listing_does_not_renew_a_server_that_it_lacks() {
