Log what ties a rejection to its request

The logs could not tell a true rejection from a second copy of another one: send ended names neither the request that the response named nor what its connection had carried. 'request rejected' and savoryvane_rejections_total say both, and 'unusable response' too. No decision changes.

--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -1,6 +1,7 @@
 //! Forwards requests to backend servers as their callers sent them: matches a route, chooses
 //! a server and decides what follows a failure.
 
+mod attribution;
 mod backoff;
 mod body_end;
 mod brittle;
@@ -36,6 +37,7 @@
 mod take_up;
 mod timeouts;
 
+pub use attribution::{ConnectionHistory, NamedRequest};
 pub(crate) use backoff::return_after_ms;
 pub use backoff::{MAX_BACKOFF_MS, ServerBackoffs};
 pub use body_end::{BodyEnd, Framing};
--- a/crates/server/src/calls.rs
+++ b/crates/server/src/calls.rs
@@ -125,7 +125,10 @@
         let body = serde_json::to_vec(&Cancel { id }).unwrap_or_default();
         let request = request(Method::POST, addr, "/v1/cancel", Bytes::from(body));
         let sending = async {
-            if let Ok(Exchange { response, lease }) = self.send(addr, request).await {
+            if let Ok(Exchange {
+                response, lease, ..
+            }) = self.send(addr, request).await
+            {
                 let body = Limited::new(response.into_body(), MAX_CONTROL_BODY_BYTES);
                 if body.collect().await.is_ok() {
                     lease.release().await;
@@ -244,7 +247,9 @@
                 return Some(Event::Lost { attempt });
             }
         };
-        let Exchange { response, lease } = exchange;
+        let Exchange {
+            response, lease, ..
+        } = exchange;
         let status = response.status();
         if status != StatusCode::OK {
             let event = refusal(attempt, response.into_body()).await;
@@ -286,7 +291,9 @@
 
 /// Reads a complete JSON response and returns its connection to the pool.
 async fn read_json<T: DeserializeOwned>(exchange: Exchange, max_bytes: usize) -> Option<T> {
-    let Exchange { response, lease } = exchange;
+    let Exchange {
+        response, lease, ..
+    } = exchange;
     if response.status() != StatusCode::OK {
         return None;
     }
--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -23,7 +23,7 @@
 };
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
-use savoryvane_core::poison::Probe;
+use savoryvane_core::{forwarding::ConnectionHistory, poison::Probe};
 use tokio::{
     task::AbortHandle,
     time::{self, Instant},
@@ -100,6 +100,7 @@
     budget: ResponseBudget,
     discard: DiscardFlag,
     awaits_response: bool,
+    history: ConnectionHistory,
     driver: AbortHandle,
 }
 
@@ -117,6 +118,8 @@
 pub(crate) struct Exchange {
     /// The response.
     pub(crate) response: Response<Incoming>,
+    /// What the connection carried before the request.
+    pub(crate) history: ConnectionHistory,
     /// Connection that carries the response.
     pub(crate) lease: Lease,
 }
@@ -358,7 +361,9 @@
         let not_after = Instant::now() + timeout;
         let complete = async {
             let sending = self.send_reusing(addr, request, not_after, Reuse::Any, may_send);
-            let Exchange { response, lease } = sending.await?;
+            let Exchange {
+                response, lease, ..
+            } = sending.await?;
             let (head, body) = response.into_parts();
             let head_result = on_head(&head);
             let body = Limited::new(body, max_bytes)
@@ -385,6 +390,7 @@
     ) -> Result<Exchange, SendFailure> {
         connection.budget.begin();
         connection.awaits_response = true;
+        let history = std::mem::replace(&mut connection.history, ConnectionHistory::Kept);
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 connection.budget.on_head();
@@ -395,6 +401,7 @@
                 }
                 Ok(Exchange {
                     response,
+                    history,
                     lease: Lease {
                         pool: Arc::clone(self),
                         addr,
@@ -445,6 +452,7 @@
             budget,
             discard,
             awaits_response: false,
+            history: ConnectionHistory::New,
             driver: driver.abort_handle(),
         })
     }
--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -7,7 +7,10 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use savoryvane_core::{
-    forwarding::{AttemptEnd, BodyEnd, Framing, RepeatPolicy, Route, ServerEntry},
+    forwarding::{
+        AttemptEnd, BodyEnd, ConnectionHistory, Framing, NamedRequest, RepeatPolicy, Route,
+        ServerEntry,
+    },
     ids::{BackendName, ZoneName},
     poison::{CrashSubject, LostServerStatus},
 };
@@ -315,15 +318,37 @@
         }
     }
 
+    /// Logs that a server reports that it did not run a request, and what ties the report to it.
+    fn log_rejection(
+        &self,
+        caller: &CallerRequest,
+        server: &BackendName,
+        status: StatusCode,
+        named: NamedRequest,
+        history: ConnectionHistory,
+    ) {
+        info!(self.log, "request rejected"; "request" => %caller.id, "server" => %server,
+            "status" => status.as_u16(), "names" => named.as_str(),
+            "connection" => history.as_str(), "elapsed_ms" => caller.elapsed_ms());
+        metrics::counter!("savoryvane_rejections_total", "names" => named.as_str(),
+            "connection" => history.as_str())
+        .increment(1);
+    }
+
     async fn read_response(
         &self,
         caller: &CallerRequest,
         exchange: Exchange,
         mut in_flight: InFlight,
     ) -> SendOutcome {
-        let Exchange { response, lease } = exchange;
+        let Exchange {
+            response,
+            history,
+            lease,
+        } = exchange;
         let status = response.status();
         let head = response::decode(status, response.headers());
+        let named = head.named_request(&caller.id);
         self.view.on_response_head(
             &in_flight.server.id,
             in_flight.sent_at_ms,
@@ -334,9 +359,13 @@
         if !head.is_not_run {
             in_flight.settle();
         }
-        if let Some(fault) = response_fault(caller, status, &head) {
+        if head.is_not_run {
+            self.log_rejection(caller, &in_flight.server.id, status, named, history);
+        }
+        if let Some(fault) = response_fault(status, &head, named) {
             warn!(self.log, "unusable response"; "request" => %caller.id,
-                "server" => %in_flight.server.id, "status" => status.as_u16(), "fault" => fault);
+                "server" => %in_flight.server.id, "status" => status.as_u16(), "fault" => fault,
+                "names" => named.as_str(), "connection" => history.as_str());
             in_flight.finish(ServerOutcome::Failing);
             return SendOutcome::Ended(AttemptEnd::Lost, None);
         }
@@ -452,11 +481,11 @@
 
 /// Returns what makes a response unusable, judged by its head.
 fn response_fault(
-    caller: &CallerRequest,
     status: StatusCode,
     head: &ResponseHead,
+    named: NamedRequest,
 ) -> Option<&'static str> {
-    if head.id.as_ref().is_some_and(|id| *id != caller.id) {
+    if named == NamedRequest::Another {
         return Some("it responds to another request");
     }
     if !status.is_success() {
--- a/crates/server/src/orders.rs
+++ b/crates/server/src/orders.rs
@@ -67,12 +67,13 @@
         if Instant::now() >= not_after {
             return OrderResult::NotSent;
         }
-        let Exchange { response, lease } =
-            match self.connections.send(addr, request, not_after).await {
-                Ok(exchange) => exchange,
-                Err(SendError::NotSent(_)) => return OrderResult::NotSent,
-                Err(SendError::Sent(_)) => return OrderResult::Unanswered,
-            };
+        let Exchange {
+            response, lease, ..
+        } = match self.connections.send(addr, request, not_after).await {
+            Ok(exchange) => exchange,
+            Err(SendError::NotSent(_)) => return OrderResult::NotSent,
+            Err(SendError::Sent(_)) => return OrderResult::Unanswered,
+        };
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_REPLY_BYTES);
         let Ok(body) = body.collect().await else {
