Believe a response only of a request that something ties it to

What callers saw: a request that may run once ran at two servers; a stream ran at two servers for 0.6 s; a request was refused with 503 although it ran.

Cause: a head was compared with its request only if it named one. A second copy of a rejection without an identifier, read at the point where the response to the next request on the connection is expected, said 'not run' of a request that was running. The connection went back to the pool, so that this request's own response was read as the response to the one after it.

Now core::forwarding::Attribution decides: a response that names its request belongs to it, one that names none only on a new connection. Any other counts as lost, so that the request may have run, its connection is closed and its signals are ignored. A connection whose last response names no request is not kept, and a request without an identifier gets a connection of its own.

Still red: the head that stops anywhere.

--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -75,6 +75,8 @@
     /// A connection used within this time. A request that can't be repeated is
     /// lost if the server closes an older idle connection at the same moment.
     Within(Duration),
+    /// None.
+    Never,
 }
 
 /// Connection pool for any number of addresses.
@@ -465,6 +467,7 @@
             let is_recent = match reuse {
                 Reuse::Any => true,
                 Reuse::Within(age) => now.duration_since(newest.last_used_at) <= age,
+                Reuse::Never => false,
             };
             if !is_recent {
                 // The remaining connections were used even longer ago.
--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use savoryvane_core::{
     forwarding::{
-        AttemptEnd, BodyEnd, ConnectionHistory, Framing, NamedRequest, RepeatPolicy, Route,
+        AttemptEnd, Attribution, BodyEnd, ConnectionHistory, Framing, NamedRequest, Route,
         ServerEntry,
     },
     ids::{BackendName, ZoneName},
@@ -26,16 +26,13 @@
     signals::{ResponseTo, Sendable},
 };
 use crate::{
-    connections::{Exchange, Lease, Reuse, SendError},
+    connections::{Exchange, Lease, SendError},
     http_body,
 };
 
 /// Largest response that is buffered before it is forwarded, in bytes: until then, a response
 /// that breaks off may still be replaced by one from another server.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
-/// Idle time up to which a pooled connection may carry a request that must not be
-/// repeated; servers close idle connections at any moment.
-const MAX_IDLE_UNREPEATABLE: Duration = Duration::from_millis(500);
 /// Time for which a server goes on with a response after its first bytes before the response
 /// counts as alive. A crash that the response causes closes the connection within some ms, but
 /// bytes may be on their way.
@@ -201,15 +198,11 @@
             is_alive: false,
             has_ended: false,
         };
-        let reuse = match caller.repeats() {
-            RepeatPolicy::Allowed => Reuse::Any,
-            RepeatPolicy::Never => Reuse::Within(MAX_IDLE_UNREPEATABLE),
-        };
         let addr = in_flight.server.addr;
         let request = caller.to_server(server, &inputs.handles, last_event);
         let sent = self
             .servers
-            .send_reusing(addr, request, caller.deadline, reuse, may_send)
+            .send_reusing(addr, request, caller.deadline, caller.reuse(), may_send)
             .await;
         match sent {
             Ok(exchange) => self.read_response(caller, exchange, in_flight).await,
@@ -349,20 +342,23 @@
         let status = response.status();
         let head = response::decode(status, response.headers());
         let named = head.named_request(&caller.id);
-        self.view.on_response_head(
-            &in_flight.server.id,
-            in_flight.sent_at_ms,
-            ResponseTo::Request(&caller.id),
-            &head,
-        );
+        let attribution = Attribution::of(named, history);
+        if attribution == Attribution::Own {
+            self.view.on_response_head(
+                &in_flight.server.id,
+                in_flight.sent_at_ms,
+                ResponseTo::Request(&caller.id),
+                &head,
+            );
+        }
         in_flight.is_success = status.is_success();
-        if !head.is_not_run {
+        if !head.is_not_run || attribution != Attribution::Own {
             in_flight.settle();
         }
         if head.is_not_run {
             self.log_rejection(caller, &in_flight.server.id, status, named, history);
         }
-        if let Some(fault) = response_fault(status, &head, named) {
+        if let Some(fault) = response_fault(status, &head, attribution) {
             warn!(self.log, "unusable response"; "request" => %caller.id,
                 "server" => %in_flight.server.id, "status" => status.as_u16(), "fault" => fault,
                 "names" => named.as_str(), "connection" => history.as_str());
@@ -470,8 +466,12 @@
     head
 }
 
-/// Returns a connection to the pool after its response was read.
+/// Returns a connection to the pool after its response was read. Closes it instead if the response
+/// names no request: a second copy of it could not be told from the next response.
 pub(super) fn return_to_pool(lease: Lease, head: &ResponseHead) {
+    if head.id.is_none() {
+        return;
+    }
     let limit = head
         .keep_alive_s
         .map_or(Duration::MAX, Duration::from_secs)
@@ -483,10 +483,12 @@
 fn response_fault(
     status: StatusCode,
     head: &ResponseHead,
-    named: NamedRequest,
+    attribution: Attribution,
 ) -> Option<&'static str> {
-    if named == NamedRequest::Another {
-        return Some("it responds to another request");
+    match attribution {
+        Attribution::Own => {}
+        Attribution::Foreign => return Some("it responds to another request"),
+        Attribution::Untied => return Some("it names no request on a kept connection"),
     }
     if !status.is_success() {
         return None;
--- a/crates/server/src/gateway/request.rs
+++ b/crates/server/src/gateway/request.rs
@@ -14,6 +14,12 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::connections::Reuse;
+
+/// Idle time up to which a pooled connection may carry a request that must not be
+/// repeated; servers close idle connections at any moment.
+const MAX_IDLE_UNREPEATABLE: Duration = Duration::from_millis(500);
+
 /// A request as its caller sent it, with the route that it matched.
 #[derive(Debug)]
 pub(super) struct CallerRequest {
@@ -49,6 +55,19 @@
         }
     }
 
+    /// Returns which idle connections may carry it.
+    pub(super) fn reuse(&self) -> Reuse {
+        if self.head.id.is_none() {
+            // Its response can't name it, so that a response to another request on the
+            // connection could not be told from it.
+            return Reuse::Never;
+        }
+        match self.repeats() {
+            RepeatPolicy::Allowed => Reuse::Any,
+            RepeatPolicy::Never => Reuse::Within(MAX_IDLE_UNREPEATABLE),
+        }
+    }
+
     /// Returns whether its stream may be resumed at another server.
     pub(super) fn is_resumable(&self) -> bool {
         self.route().kind == RouteKind::Stream && self.route().is_resumable
--- a/crates/server/src/gateway/signals.rs
+++ b/crates/server/src/gateway/signals.rs
@@ -39,15 +39,6 @@
 }
 
 impl ResponseTo<'_> {
-    /// Returns whether a response belongs to the request or call, as far as its head
-    /// shows.
-    fn matches(self, head: &ResponseHead) -> bool {
-        match (self, &head.id) {
-            (Self::Request(id), Some(responds_to)) => id == responds_to,
-            (Self::Request(_) | Self::Call(_) | Self::Free, _) => true,
-        }
-    }
-
     fn request(self) -> Option<String> {
         match self {
             Self::Request(id) => Some(id.to_string()),
@@ -64,7 +55,7 @@
 }
 
 impl RoutingView {
-    /// Applies the signals in the head of a response of `server` to the request or call
+    /// Applies the signals in the head of the response of `server` to the request or call
     /// that was sent at `sent_at_ms`.
     pub(super) fn on_response_head(
         &self,
@@ -77,7 +68,7 @@
         if head.is_misdirected {
             // Another run has the address, and its signals describe that run.
             self.on_leaving(server, "another run at its address");
-        } else if responds_to.matches(head) {
+        } else {
             self.on_signals(server, sent_at_ms, responds_to, head);
         }
     }
