Turn down heads that are joined with one that stopped midway

Cause: a second copy of a rejection that stops inside its head takes the status line of the next response into its last line. The result is one sound head with the status and Not-Run of the copy and the identifier of the request that is running.

Now a head on a kept connection whose reason phrase or a header value holds a status line is an error of the connection: the request may have run, the connection is closed. It is checked where all responses are received, so that stages and the store are covered too. On a new connection there is nothing that could be joined.

--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -37,7 +37,7 @@
 mod take_up;
 mod timeouts;
 
-pub use attribution::{Attribution, ConnectionHistory, NamedRequest};
+pub use attribution::{Attribution, ConnectionHistory, NamedRequest, holds_status_line};
 pub(crate) use backoff::return_after_ms;
 pub use backoff::{MAX_BACKOFF_MS, ServerBackoffs};
 pub use body_end::{BodyEnd, Framing};
--- a/crates/core/tests/forwarding_attribution.rs
+++ b/crates/core/tests/forwarding_attribution.rs
@@ -3,7 +3,7 @@
 use savoryvane_core::forwarding::{
     Attribution,
     ConnectionHistory::{Kept, New},
-    NamedRequest,
+    NamedRequest, holds_status_line,
 };
 
 #[test]
@@ -21,3 +21,24 @@
         assert_eq!((own, foreign), (Attribution::Own, Attribution::Foreign));
     }
 }
+
+#[test]
+fn the_next_status_line_is_found_within_a_value() {
+    for joined in [
+        "1HTTP/1.1 200 OK",
+        "HTTP/1.0 503",
+        "a HTTP/1.HTTP/1.1 404 Not Found",
+    ] {
+        assert!(holds_status_line(joined.as_bytes()), "{joined}");
+    }
+    for sound in [
+        "",
+        "1.1 proxy",
+        "HTTP/1.1",
+        "HTTP/1.1 ok",
+        "HTTP/2 200 OK",
+        "HTTP/1.1 20",
+    ] {
+        assert!(!holds_status_line(sound.as_bytes()), "{sound}");
+    }
+}
--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -15,15 +15,19 @@
 };
 
 use bytes::Bytes;
-use http::{Request, Response, response};
+use http::{HeaderValue, Request, Response, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     body::{Body, Incoming},
     client::conn::http1::{self, SendRequest},
+    ext::ReasonPhrase,
 };
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
-use savoryvane_core::{forwarding::ConnectionHistory, poison::Probe};
+use savoryvane_core::{
+    forwarding::{ConnectionHistory, holds_status_line},
+    poison::Probe,
+};
 use tokio::{
     task::AbortHandle,
     time::{self, Instant},
@@ -401,6 +405,10 @@
                     let err = SendError::Sent("response is too large".to_owned());
                     return Err(SendFailure::Sent(err));
                 }
+                if history == ConnectionHistory::Kept && is_joined(&response) {
+                    let err = SendError::Sent("two heads are joined".to_owned());
+                    return Err(SendFailure::Sent(err));
+                }
                 Ok(Exchange {
                     response,
                     history,
@@ -505,6 +513,14 @@
     response.body().size_hint().lower()
 }
 
+/// Returns whether the head of a response is joined with one before it that stopped midway.
+fn is_joined(response: &Response<Incoming>) -> bool {
+    let reason = response.extensions().get::<ReasonPhrase>();
+    let values = response.headers().values().map(HeaderValue::as_bytes);
+    let mut texts = reason.map(ReasonPhrase::as_bytes).into_iter().chain(values);
+    texts.any(holds_status_line)
+}
+
 /// Why an exchange over one connection failed.
 enum SendFailure {
     /// The request was not sent and is returned.
