Send calls that may run once over connections of their own

A refusal names no call, so that a second copy of one, read on a kept connection, said 'not run' of the call that was running, which was then sent to another server.

Now the gate of a call that may run once keeps it off connections that have carried anything. Events name their call and were told apart before. Calls that may be repeated still use kept connections: a wrong refusal costs them a second run. Its cost: one connection for each call of a stage with idempotent: false.

--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -223,8 +223,14 @@
         not_after: Instant,
         gate: Option<&Arc<Gate>>,
     ) -> Result<Exchange, SendError> {
+        let reuse = match gate {
+            // The refusal of such a request is believed, so that it must not be a second copy
+            // of another one.
+            Some(gate) if gate.allows_one_run() => Reuse::Never,
+            _ => Reuse::Any,
+        };
         let sent = self
-            .try_send(addr, request, not_after, gate, Reuse::Any, || true)
+            .try_send(addr, request, not_after, gate, reuse, || true)
             .await;
         match (sent, gate) {
             // Once the gate is shut, a pending write does not happen.
--- a/crates/server/src/gate.rs
+++ b/crates/server/src/gate.rs
@@ -72,10 +72,15 @@
         *state == State::Open
     }
 
+    /// Returns whether the call must not run a second time.
+    pub(crate) fn allows_one_run(&self) -> bool {
+        self.kind == CallKind::NonIdempotent
+    }
+
     /// Withdraws the record that a non-idempotent call was sent, because the
     /// backend server refused it.
     pub(crate) fn on_refused(&self) {
-        if self.kind == CallKind::NonIdempotent {
+        if self.allows_one_run() {
             self.run_right.retract(Retraction::Refused);
         }
     }
