Keep records of streams past the loss of all instances

What callers saw: after all instances were killed at once, every stream that its caller took up again was refused for 34 s with 503 stream_unknown, although servers of its version served, while most new streams began.

Cause: records of streams lie with instances only, and a fleet that has just started can't tell which versions have served. Class: state that must last past all instances was replicated among them only.

Ruled out: a join of two versions (no take-up went on at all; a start, an old record and an absent one are refused).

Now the scheduler of a cell stores in the platform's store - the records of streams, together each 100 ms and more, whenever they are sent to other instances (topic streams-CELL, which expires); - which versions alone have served, with the position of the register and the version of the configuration for which that holds (keyed.software), where records are not sent. It counts only if the register's log shows all records since then, and none of another version, and the configuration and the era are the same. A scheduler that starts reads both before it answers; the others ask it. Without the store, or with anything missing, streams are refused as before.

Ruled out as ways (docs/design/software-versions.md): the register's own log alone, whose records may be deleted; the version of all servers by itself, since an old version may have left just before.

--- a/crates/core/src/forwarding/served_software.rs
+++ b/crates/core/src/forwarding/served_software.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    RoutingConfig,
+    Position, RoutingConfig,
     stream_records::{MAX_CALLER_WAIT_MS, RECORD_MARGIN_MS},
 };
 use crate::ids::{PoolName, SoftwareVersion};
@@ -61,6 +61,29 @@
     moved_at_ms: Option<u64>,
     /// Since when the register is known without a gap, in ms.
     known_since_ms: Option<u64>,
+    /// What an earlier instance knew.
+    inherited: Option<Inherited>,
+}
+
+/// Knowledge of an earlier instance, which holds as long as the register and the services of
+/// routes are known without a gap since.
+#[derive(Debug)]
+struct Inherited {
+    /// Version that alone had served each service.
+    services: BTreeMap<PoolName, SoftwareVersion>,
+    /// Time from which this instance knows what followed, in ms.
+    since_ms: u64,
+}
+
+/// Versions that alone have served, as an instance stores it for the ones after it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SoleVersions {
+    /// Version that alone has served each service.
+    pub services: BTreeMap<PoolName, SoftwareVersion>,
+    /// Version of the configuration that said which services the routes lead to.
+    pub config_version: u64,
+    /// Position of the first record of the register that was not known.
+    pub register: Position,
 }
 
 impl ServedSoftware {
@@ -134,11 +157,42 @@
             |since_ms: Option<u64>| since_ms.is_some_and(|ms| now_ms >= ms + WINDOW_MS);
         match first {
             Some(Some(version))
-                if is_covered(self.known_since_ms) && is_covered(self.moved_at_ms) =>
+                if (is_covered(self.known_since_ms) && is_covered(self.moved_at_ms))
+                    || self.inherits(service, version) =>
             {
                 ServedVersions::One(version.clone())
             }
             _ => ServedVersions::Unknown,
         }
     }
+
+    /// Returns the version that alone has served each service, where that is known.
+    pub fn sole_versions(&self, now_ms: u64) -> BTreeMap<PoolName, SoftwareVersion> {
+        let services = self.services.keys();
+        let sole = services.filter_map(|service| match self.versions_of(now_ms, service) {
+            ServedVersions::One(version) => Some((service.clone(), version)),
+            ServedVersions::Several | ServedVersions::Unknown => None,
+        });
+        sole.collect()
+    }
+
+    /// Takes over which versions alone had served up to now, from an instance whose knowledge
+    /// this one continues without a gap.
+    pub fn inherit(&mut self, now_ms: u64, services: BTreeMap<PoolName, SoftwareVersion>) {
+        self.inherited = Some(Inherited {
+            services,
+            since_ms: now_ms,
+        });
+    }
+
+    /// Returns whether `version` alone has served `service`, by what an earlier instance knew.
+    fn inherits(&self, service: &PoolName, version: &SoftwareVersion) -> bool {
+        self.inherited.as_ref().is_some_and(|inherited| {
+            let is_continued =
+                |since_ms: Option<u64>| since_ms.is_some_and(|ms| ms <= inherited.since_ms);
+            inherited.services.get(service) == Some(version)
+                && is_continued(self.known_since_ms)
+                && is_continued(self.moved_at_ms)
+        })
+    }
 }
--- a/crates/core/src/forwarding/take_up.rs
+++ b/crates/core/src/forwarding/take_up.rs
@@ -23,6 +23,13 @@
     pub served: ServedVersions,
 }
 
+impl StreamKnowledge {
+    /// Returns whether nothing is known of the stream, as at an instance that has just started.
+    pub fn is_empty(&self) -> bool {
+        self.origin == RecordedOrigin::Absent && self.served == ServedVersions::Unknown
+    }
+}
+
 /// Servers at which a stream continues.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TakeUp {
--- a/crates/core/tests/forwarding_take_ups.rs
+++ b/crates/core/tests/forwarding_take_ups.rs
@@ -5,9 +5,9 @@
 use quickcheck::quickcheck;
 use savoryvane_core::{
     forwarding::{
-        MAX_CALLER_WAIT_MS, RECORD_REPLICAS, RecordedOrigin, Route, RouteKind, RoutingConfig,
-        ServedSoftware, ServedVersions, StreamKey, StreamKnowledge, StreamOrigin, StreamRecord,
-        StreamRecords, TakeUp, TakeUpSearch, Target, record_keepers, record_left_ms,
+        MAX_CALLER_WAIT_MS, RECORD_REPLICAS, RecordBacklog, RecordedOrigin, Route, RouteKind,
+        RoutingConfig, ServedSoftware, ServedVersions, StreamKey, StreamKnowledge, StreamOrigin,
+        StreamRecord, StreamRecords, TakeUp, TakeUpSearch, Target, record_keepers, record_left_ms,
     },
     ids::{InstanceName, PoolName, SoftwareVersion, ZoneName},
 };
@@ -103,6 +103,59 @@
     TakeUpSearch::new(SERVICE.into(), cells)
 }
 
+/// Returns the knowledge of an instance that starts at 0 and inherits that version 1 alone had
+/// served.
+fn heir(versions: &[Option<u8>]) -> ServedSoftware {
+    let mut served = ServedSoftware::default();
+    served.on_routes(0, &route(&[(SERVICE, 100)]));
+    served.on_register_age(0, 0);
+    register(&mut served, 0, versions);
+    served.inherit(0, BTreeMap::from([(SERVICE.into(), name(1))]));
+    served
+}
+
+#[test]
+fn what_an_earlier_instance_knew_holds_at_once() {
+    let served = heir(&[Some(1)]);
+    assert_eq!(versions_at(&served, 0), ServedVersions::One(name(1)));
+    let sole = BTreeMap::from([(SERVICE.into(), name(1))]);
+    assert_eq!(served.sole_versions(0), sole);
+    assert_eq!(versions_at(&heir(&[Some(2)]), 0), ServedVersions::Unknown);
+    assert_eq!(versions_at(&heir(&[None]), 0), ServedVersions::Unknown);
+    let several = versions_at(&heir(&[Some(1), Some(2)]), 0);
+    assert_eq!(several, ServedVersions::Several);
+}
+
+#[test]
+fn what_an_earlier_instance_knew_ends_with_a_gap_or_a_move() {
+    let mut gap = heir(&[Some(1)]);
+    gap.on_register_age(1_000, 5_000);
+    gap.on_register_age(1_200, 0);
+    assert_eq!(versions_at(&gap, 1_200), ServedVersions::Unknown);
+    let mut moved = heir(&[Some(1)]);
+    moved.on_routes(1_000, &route(&[("other", 100)]));
+    moved.on_routes(2_000, &route(&[(SERVICE, 100)]));
+    assert_eq!(versions_at(&moved, 2_000), ServedVersions::Unknown);
+    let mut joined = heir(&[Some(1)]);
+    register(&mut joined, 1_000, &[Some(1), Some(2)]);
+    register(&mut joined, 2_000, &[Some(1)]);
+    assert_eq!(versions_at(&joined, 2_000), ServedVersions::Several);
+}
+
+#[test]
+fn a_backlog_has_each_stream_once_and_drops_the_earliest() {
+    let mut backlog = RecordBacklog::default();
+    assert_eq!(backlog.push(record(0, 1)) + backlog.push(record(0, 1)), 0);
+    assert_eq!(backlog.take(10).len(), 1);
+    let dropped: usize = (0..5_000)
+        .map(|request| backlog.push(record(request, 1)))
+        .sum();
+    assert!(dropped > 0);
+    assert_eq!(backlog.take(1)[0].key, key("one", dropped));
+    assert_eq!(backlog.take(5_000).len(), 5_000 - dropped - 1);
+    assert!(backlog.is_empty());
+}
+
 #[test]
 fn a_record_is_kept_until_its_caller_can_come_back_no_more() {
     let mut records = StreamRecords::default();
--- a/crates/server/src/gateway.rs
+++ b/crates/server/src/gateway.rs
@@ -39,6 +39,7 @@
 mod store;
 mod store_follower;
 mod stream_origins;
+mod stream_store;
 mod take_ups;
 mod upstream;
 
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -37,6 +37,7 @@
     store::StoreClient,
     store_follower::{self, StoreFollower},
     stream_origins::{self, StreamOrigins},
+    stream_store::StreamStore,
     upstream::UpstreamWatch,
 };
 use crate::{
@@ -399,6 +400,17 @@
         let metrics = ingress::metrics(Arc::new(Meters::install()));
         self.spawn_until_exit(&mut tasks, listeners.admin, metrics);
         tasks.spawn(self.peer_server.run(listeners.peer));
+        let stream_store = StreamStore {
+            origins: Arc::clone(&self.origins),
+            members: Arc::clone(&self.members),
+            view: Arc::clone(&self.view),
+            freshness: Arc::clone(&self.freshness),
+            store: self.store.clone(),
+            clock: self.clock,
+            is_first_start: self.is_first_start,
+            log: self.log.clone(),
+        };
+        tasks.spawn(stream_store.run());
         let follower = StoreFollower {
             store: self.store.clone(),
             view: Arc::clone(&self.view),
--- a/crates/server/src/gateway/members.rs
+++ b/crates/server/src/gateway/members.rs
@@ -108,6 +108,11 @@
         self.choice().settled(self.clock.now_ms()).cloned()
     }
 
+    /// Returns whether this instance is its own scheduler.
+    pub(super) fn is_scheduler(&self) -> bool {
+        self.scheduler().is_some_and(|name| self.is_self(&name))
+    }
+
     /// Returns this instance's role in reading the store.
     pub(super) fn reader(&self) -> StoreRole {
         let scheduler = self.scheduler();
@@ -300,8 +305,7 @@
     /// that it gets updates from the scheduler of the cell that does.
     pub(super) fn needs_upstream(&self) -> bool {
         let layout = self.layout();
-        layout.cell_of(&self.me) != layout.reading_cell()
-            && self.scheduler().is_some_and(|name| self.is_self(&name))
+        layout.cell_of(&self.me) != layout.reading_cell() && self.is_scheduler()
     }
 
     /// Returns the instances of this one's cell, which use the same servers.
--- a/crates/server/src/gateway/peer_messages.rs
+++ b/crates/server/src/gateway/peer_messages.rs
@@ -152,7 +152,12 @@
                 self.origins.on_received(records);
                 Message::Ack(Ack)
             }
-            Message::StreamQuery(query) => Message::StreamState(self.origins.on_query(&query)),
+            Message::StreamQuery(query) => {
+                let origins = Arc::clone(&self.origins);
+                return Box::pin(async move {
+                    Message::StreamState(origins.on_query(&query, &from.instance).await)
+                });
+            }
             _ => Message::Declined(Declined::Unsupported),
         };
         Box::pin(future::ready(response))
--- a/crates/server/src/gateway/store.rs
+++ b/crates/server/src/gateway/store.rs
@@ -184,14 +184,36 @@
             // The same offsets hold other records in another era.
             return Ok(ReadOutcome::Trimmed);
         }
-        match store::decode_read(from.offset, response.status, &response.body)? {
+        match store::decode_read(topic, from.offset, response.status, &response.body)? {
             ReadResponse::Records { next, records, .. } => {
                 Ok(ReadOutcome::Records { records, next })
             }
-            ReadResponse::Trimmed => Ok(ReadOutcome::Trimmed),
+            ReadResponse::Trimmed { .. } => Ok(ReadOutcome::Trimmed),
         }
     }
 
+    /// Reads all retained records of `topic` that were written before the read.
+    pub(super) async fn read_retained(&self, topic: Topic) -> Result<Vec<Record>> {
+        let mut retained = Vec::new();
+        let mut from = 0;
+        let mut until = None;
+        while until.is_none_or(|until| from < until) {
+            let call = store::read(topic, from, 0);
+            let response = self.call(call, PAGE_TIMEOUT).await?;
+            match store::decode_read(topic, from, response.status, &response.body)? {
+                ReadResponse::Records { end, next, records } => {
+                    retained.extend(records);
+                    from = next;
+                    until.get_or_insert(end);
+                }
+                // Records may expire while others are read.
+                ReadResponse::Trimmed { first: Some(first) } if first > from => from = first,
+                ReadResponse::Trimmed { .. } => break,
+            }
+        }
+        Ok(retained)
+    }
+
     /// Reads the latest record of each key of `topic`.
     pub(super) async fn newest(&self, topic: Topic) -> Result<TopicSnapshot> {
         let mut records: Vec<Record> = Vec::new();
--- a/crates/server/src/gateway/stream_origins.rs
+++ b/crates/server/src/gateway/stream_origins.rs
@@ -3,7 +3,8 @@
 //!
 //! An instance keeps a record of each resumable stream that it begins. While more than one version
 //! may serve, it also sends the record to a few instances of its cell as soon as the first event is
-//! forwarded: callers use another instance mostly because the first one is gone.
+//! forwarded: callers use another instance mostly because the first one is gone. The scheduler stores
+//! these records, so that they outlast all instances.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -16,7 +17,7 @@
 
 use savoryvane_core::{
     forwarding::{
-        RECORD_READERS, RECORD_REPLICAS, RecordedOrigin, ServedVersions, StreamKey,
+        RECORD_READERS, RECORD_REPLICAS, RecordBacklog, RecordedOrigin, ServedVersions, StreamKey,
         StreamKnowledge, StreamOrigin, StreamRecord, StreamRecords, TakeUp, TakeUpSearch,
         record_keepers,
     },
@@ -25,6 +26,7 @@
 use savoryvane_wire::peer::{MAX_STREAM_RECORDS, Message, StreamQuery};
 use slog::{Logger, info};
 use tokio::{
+    sync::{Notify, watch},
     task::JoinSet,
     time::{self, MissedTickBehavior},
 };
@@ -38,6 +40,13 @@
 const RECORD_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout of a query to other instances about a stream, for which its caller waits.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for a scheduler that has just been chosen to read the stored records: some calls of the
+/// store, after routes and servers.
+const STORED_RECORDS_TIMEOUT: Duration = Duration::from_millis(700);
+/// The same until the scheduler's answer, also while all instances start and it is not known yet.
+const SCHEDULER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Interval between two attempts to ask the scheduler.
+const SCHEDULER_RETRY_INTERVAL: Duration = Duration::from_millis(30);
 /// Most instances of a cell that a record is sent to or asked for, counting those that do not
 /// respond.
 const MAX_TRIED: usize = 8;
@@ -54,6 +63,12 @@
     freshness: Arc<Freshness>,
     records: Mutex<StreamRecords>,
     outbox: Mutex<Outbox>,
+    /// Records that wait to be stored.
+    backlog: Mutex<RecordBacklog>,
+    /// Notified when a record is added to the backlog.
+    pub(super) backlog_added: Notify,
+    /// Whether this instance is the scheduler and has read the stored records.
+    has_stored_records: watch::Sender<bool>,
 }
 
 /// Records that wait to be sent.
@@ -112,6 +127,9 @@
             freshness,
             records: Mutex::default(),
             outbox: Mutex::default(),
+            backlog: Mutex::default(),
+            backlog_added: Notify::new(),
+            has_stored_records: watch::Sender::new(false),
         }
     }
 
@@ -124,11 +142,20 @@
             return;
         }
         self.records().insert_shared(now_ms, record.clone());
+        self.add_to_backlog([record.clone()]);
         self.send_to_keepers(vec![record], RECORD_REPLICAS);
     }
 
-    /// Keeps records of other instances.
+    /// Keeps records of other instances, and stores them if this one is the scheduler.
     pub(super) fn on_received(&self, records: Vec<StreamRecord>) {
+        if self.members.is_scheduler() {
+            self.add_to_backlog(records.iter().cloned());
+        }
+        self.insert_shared(records);
+    }
+
+    /// Keeps records that other instances have, or that are stored.
+    pub(super) fn insert_shared(&self, records: Vec<StreamRecord>) {
         let now_ms = self.clock.now_ms();
         let mut kept = self.records();
         for record in records {
@@ -137,8 +164,42 @@
         metrics::gauge!("savoryvane_stream_records").set(kept.count() as f64);
     }
 
-    /// Returns what this instance knows of a stream.
-    pub(super) fn on_query(&self, query: &StreamQuery) -> StreamKnowledge {
+    pub(super) fn add_to_backlog(&self, records: impl IntoIterator<Item = StreamRecord>) {
+        let mut backlog = lock(&self.backlog);
+        let dropped: usize = records.into_iter().map(|record| backlog.push(record)).sum();
+        metrics::counter!("savoryvane_stream_records_dropped_total").increment(dropped as u64);
+        self.backlog_added.notify_one();
+    }
+
+    /// Takes up to `count` records that wait to be stored.
+    pub(super) fn take_from_backlog(&self, count: usize) -> Vec<StreamRecord> {
+        lock(&self.backlog).take(count)
+    }
+
+    /// Records whether this instance is the scheduler and has read the stored records.
+    pub(super) fn set_stored_records_read(&self, is_read: bool) {
+        self.has_stored_records.send_replace(is_read);
+    }
+
+    /// Returns what this instance knows of a stream. For an instance of another cell, which does
+    /// not know the scheduler of this one, it asks the scheduler if it has started recently.
+    pub(super) async fn on_query(
+        &self,
+        query: &StreamQuery,
+        from: &InstanceName,
+    ) -> StreamKnowledge {
+        if self.members.is_scheduler() {
+            self.wait_stored_records_read().await;
+        }
+        let knowledge = self.knowledge_for(query);
+        let is_from_other_cell = !self.members.cell().has_instance(from);
+        if is_from_other_cell && knowledge.is_empty() {
+            return self.ask_scheduler(query).await.unwrap_or(knowledge);
+        }
+        knowledge
+    }
+
+    fn knowledge_for(&self, query: &StreamQuery) -> StreamKnowledge {
         self.knowledge(&TakenUpStream {
             key: query.key.clone(),
             route: &query.route,
@@ -146,6 +207,35 @@
         })
     }
 
+    /// Waits until this instance has read the stored records, for a limited time.
+    async fn wait_stored_records_read(&self) {
+        let mut is_read = self.has_stored_records.subscribe();
+        // The sender lives as long as `self`.
+        let _ = time::timeout(STORED_RECORDS_TIMEOUT, is_read.wait_for(|is_read| *is_read)).await;
+    }
+
+    /// Asks the scheduler of this instance's cell, as soon as it is known and reachable.
+    async fn ask_scheduler(&self, query: &StreamQuery) -> Option<StreamKnowledge> {
+        let message = Message::StreamQuery(query.clone());
+        let until = time::Instant::now() + SCHEDULER_TIMEOUT;
+        while time::Instant::now() < until {
+            if self.members.is_scheduler() {
+                self.wait_stored_records_read().await;
+                return Some(self.knowledge_for(query));
+            }
+            if let Some(scheduler) = self.members.scheduler() {
+                let left = until.saturating_duration_since(time::Instant::now());
+                let peers = self.members.peers();
+                let response = peers.request(&scheduler, None, &message, left).await;
+                if let Ok(Message::StreamState(knowledge)) = response {
+                    return Some(knowledge);
+                }
+            }
+            time::sleep(SCHEDULER_RETRY_INTERVAL).await;
+        }
+        None
+    }
+
     fn knowledge(&self, stream: &TakenUpStream<'_>) -> StreamKnowledge {
         let now_ms = self.clock.now_ms();
         let key = stream.key.as_ref();
@@ -176,16 +266,22 @@
             service: stream.service.clone(),
         });
         let mut queries = JoinSet::new();
+        {
+            let (origins, query) = (Arc::clone(self), Arc::clone(&query));
+            queries.spawn(async move { (own_cell, origins.ask_scheduler(&query).await) });
+        }
         for cell in 0..layout.cells() {
             let keepers = Arc::new(self.keepers(stream.key.as_ref(), Some(cell)));
             for _ in 0..RECORD_READERS {
                 let (origins, query) = (Arc::clone(self), Arc::clone(&query));
                 let keepers = Arc::clone(&keepers);
-                queries.spawn(async move { (cell, origins.ask(&keepers, &query).await) });
+                queries.spawn(async move {
+                    let asked = time::timeout(QUERY_TIMEOUT, origins.ask(&keepers, &query));
+                    (cell, asked.await.ok().flatten())
+                });
             }
         }
-        let until = time::Instant::now() + QUERY_TIMEOUT;
-        while let Ok(Some(response)) = time::timeout_at(until, queries.join_next()).await {
+        while let Some(response) = queries.join_next().await {
             let Ok((cell, Some(knowledge))) = response else {
                 continue;
             };
@@ -317,6 +413,7 @@
         };
         if !pending.is_empty() {
             info!(self.log, "stream records sent"; "records" => pending.len());
+            self.add_to_backlog(pending.iter().cloned());
             self.send_to_keepers(pending, RECORD_REPLICAS);
         }
     }
