Take no empty response without a length for a whole one

Cause: the end of the connection marks the end of such a body, and a body without any byte was judged like one with content. A stream without an event was judged right.

Now it is truncated: a request that may be repeated is sent elsewhere, any other gets 502. Statuses without a body and responses to HEAD are whole. Its cost: a server that says nothing by 200 needs 'content-length: 0'.

--- a/crates/core/src/forwarding/body_end.rs
+++ b/crates/core/src/forwarding/body_end.rs
@@ -49,6 +49,17 @@
         end
     }
 
+    /// Judges a whole body like [`of_body`](Self::of_body).
+    ///
+    /// Without any content and framing, a server that stopped right after the head looks the same
+    /// as one that has nothing to say, and nothing of a response has shown.
+    pub fn of_whole_body(framing: Framing, is_empty: bool) -> Self {
+        match Self::of_body(framing) {
+            Self::Unmarked if is_empty => Self::Truncated,
+            end => end,
+        }
+    }
+
     /// Judges a body whose content has no end mark of its own.
     pub fn of_body(framing: Framing) -> Self {
         match framing {
--- a/crates/core/tests/forwarding_event_stream.rs
+++ b/crates/core/tests/forwarding_event_stream.rs
@@ -141,3 +141,13 @@
         [BodyEnd::Complete, BodyEnd::Complete, BodyEnd::Unmarked]
     );
 }
+
+#[test]
+fn an_empty_body_without_a_mark_of_its_end_is_truncated() {
+    let ends = [Framing::Length, Framing::Chunked, Framing::Connection]
+        .map(|framing| BodyEnd::of_whole_body(framing, true));
+    let expected = [BodyEnd::Complete, BodyEnd::Complete, BodyEnd::Truncated];
+    assert_eq!(ends, expected);
+    let end = BodyEnd::of_whole_body(Framing::Connection, false);
+    assert_eq!(end, BodyEnd::Unmarked);
+}
--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{Response, StatusCode, Version, header, response::Parts};
+use http::{Method, Response, StatusCode, Version, header, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use savoryvane_core::{
@@ -400,6 +400,11 @@
         if is_whole {
             return_to_pool(lease, &head);
         }
+        let end = if may_have_body(&caller.method, status) {
+            BodyEnd::of_whole_body(framing, bytes.is_empty())
+        } else {
+            BodyEnd::Complete
+        };
         let response = Response::from_parts(to_caller(parts), bytes);
         if head.is_not_run {
             in_flight.finish(ServerOutcome::Full);
@@ -410,8 +415,12 @@
             };
             return SendOutcome::Ended(end, None);
         }
-        self.on_body_end(caller, in_flight, BodyEnd::of_body(framing))
-            .await;
+        self.on_body_end(caller, in_flight, end).await;
+        if end == BodyEnd::Truncated {
+            warn!(self.log, "response broke off"; "request" => %caller.id,
+                "error" => "neither a length nor a body");
+            return SendOutcome::Ended(AttemptEnd::Lost, None);
+        }
         if status.is_success() || status.is_client_error() {
             return SendOutcome::Complete(response);
         }
@@ -419,6 +428,11 @@
     }
 }
 
+/// Returns whether a response with this status to a request with this method has a body.
+fn may_have_body(method: &Method, status: StatusCode) -> bool {
+    method != Method::HEAD && !matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
 fn zone_names(zones: &[ZoneName]) -> String {
     let names: Vec<&str> = zones.iter().map(ZoneName::as_str).collect();
     names.join(",")
