--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -2,7 +2,10 @@
 
 mod common;
 
-use std::time::{Duration, Instant};
+use std::{
+    io::{Read, Write},
+    time::{Duration, Instant},
+};
 
 use common::{
     CREDENTIAL, FakeInstance, Reply, TestDir, error, run, run_with_env, status, unused_addr,
@@ -131,6 +134,28 @@
     );
 }
 
+#[test]
+fn a_response_that_stops_anywhere_in_its_head_is_no_answer() {
+    let dir = TestDir::new();
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 2\r\n\r\n";
+    for length in (0..head.len())
+        .step_by(7)
+        .chain([head.len() - 1, head.len()])
+    {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let stopping = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let read = stream.read(&mut [0; 4_096]).unwrap();
+            stream.write_all(&head.as_bytes()[..length]).unwrap();
+            read
+        });
+        let result = dir.ctl(&[addr], &["pools"]);
+        assert!(stopping.join().unwrap() > 0);
+        assert_ne!(result.code, 0, "{length} bytes: {result:?}");
+    }
+}
+
 #[test]
 fn a_refused_credential_exits_6_and_is_not_printed() {
     let dir = TestDir::new();
