Tie the answers of stage calls to their calls

A second answer of a stage server was taken for the answer to the next call on the connection, whose own answer went to the call after it.

Calls named nothing that an answer could repeat.

Now each call has an identifier of its own, and an answer that names another one is turned down. An answer without results, or a rejection, that names no call closes its connection, since a copy of it could not be told from the answer to the next call.

--- a/crates/core/src/stages/scheduler.rs
+++ b/crates/core/src/stages/scheduler.rs
@@ -36,6 +36,13 @@
     Failed,
 }
 
+impl ItemOutcome {
+    /// Returns whether the piece has a result.
+    pub fn is_done(&self) -> bool {
+        matches!(self, Self::Done(_))
+    }
+}
+
 /// The outcome of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallOutcome {
--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -7,7 +7,7 @@
 //! delivered once the partition ends.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
@@ -33,6 +33,8 @@
     time::{self, Instant},
 };
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::{
     gate::{DiscardFlag, Gate, GateSlot, GatedStream},
     lock::lock,
@@ -40,6 +42,8 @@
     response_budget::ResponseBudget,
 };
 
+/// Bodies of which a second copy is recognised on a connection.
+const MAX_KNOWN_BODIES: usize = 8;
 /// Maximum size of the head of a response.
 pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -107,6 +111,8 @@
     discard: DiscardFlag,
     awaits_response: bool,
     history: ConnectionHistory,
+    /// Hashes of the last bodies received on it that had to be told from second copies.
+    bodies: VecDeque<u64>,
     driver: AbortHandle,
 }
 
@@ -119,6 +125,17 @@
     }
 }
 
+/// A complete response, and the connection that carried it.
+#[derive(Debug)]
+pub(crate) struct Answer<T> {
+    /// What was made of its head.
+    pub(crate) head: T,
+    /// The response.
+    pub(crate) response: Response<Bytes>,
+    /// Its connection.
+    pub(crate) lease: Lease,
+}
+
 /// A response whose body is still to be read.
 #[derive(Debug)]
 pub(crate) struct Exchange {
@@ -139,6 +156,21 @@
 }
 
 impl Lease {
+    /// Records a body that was received on the connection; returns whether the same one was
+    /// received before, so that it is a second copy.
+    pub(crate) fn is_copy(&mut self, body: &[u8]) -> bool {
+        let hash = xxh3_64(body);
+        let bodies = &mut self.connection.bodies;
+        if bodies.contains(&hash) {
+            return true;
+        }
+        if bodies.len() == MAX_KNOWN_BODIES {
+            bodies.pop_front();
+        }
+        bodies.push_back(hash);
+        false
+    }
+
     /// Returns the connection to the pool after the complete response was read.
     pub(crate) async fn release(self) {
         self.release_for(Duration::MAX).await;
@@ -348,14 +380,17 @@
         timeout: Duration,
         max_bytes: usize,
     ) -> Result<Response<Bytes>, SendError> {
-        let exchange = self.exchange_with(addr, request, timeout, max_bytes, || true, |_| {});
-        let ((), response) = exchange.await?;
-        Ok(response)
+        let accept = |_: &response::Parts, _: ConnectionHistory| Ok(());
+        let exchange = self.exchange_with(addr, request, timeout, max_bytes, || true, accept);
+        let answer = exchange.await?;
+        answer.lease.release().await;
+        Ok(answer.response)
     }
 
     /// Works like [`exchange`](Self::exchange), but before sending over a new connection
     /// `may_send` must return true. Calls `on_head` with the head of the response as soon
-    /// as it arrives, even if the body does not follow, and returns its result as well.
+    /// as it arrives, even if the body does not follow, and returns its result as well; a
+    /// response that it rejects, with a reason, counts as lost.
     ///
     /// # Errors
     ///
@@ -368,22 +403,28 @@
         timeout: Duration,
         max_bytes: usize,
         may_send: impl Fn() -> bool,
-        on_head: impl FnOnce(&response::Parts) -> T,
-    ) -> Result<(T, Response<Bytes>), SendError> {
+        on_head: impl FnOnce(&response::Parts, ConnectionHistory) -> Result<T, &'static str>,
+    ) -> Result<Answer<T>, SendError> {
         let not_after = Instant::now() + timeout;
         let complete = async {
             let sending = self.send_reusing(addr, request, not_after, Reuse::Any, may_send);
             let Exchange {
-                response, lease, ..
+                response,
+                history,
+                lease,
             } = sending.await?;
             let (head, body) = response.into_parts();
-            let head_result = on_head(&head);
+            let head_result =
+                on_head(&head, history).map_err(|reason| SendError::Sent(reason.to_owned()))?;
             let body = Limited::new(body, max_bytes)
                 .collect()
                 .await
                 .map_err(|err| SendError::Sent(err.to_string()))?;
-            lease.release().await;
-            Ok((head_result, Response::from_parts(head, body.to_bytes())))
+            Ok(Answer {
+                head: head_result,
+                response: Response::from_parts(head, body.to_bytes()),
+                lease,
+            })
         };
         match time::timeout(timeout, complete).await {
             Ok(result) => result,
@@ -469,6 +510,7 @@
             discard,
             awaits_response: false,
             history: ConnectionHistory::New,
+            bodies: VecDeque::new(),
             driver: driver.abort_handle(),
         })
     }
--- a/crates/server/src/gateway/stage_calls.rs
+++ b/crates/server/src/gateway/stage_calls.rs
@@ -1,12 +1,19 @@
 //! Calls backend servers to run pieces of stages and to free results that are no longer
 //! needed.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
-use bytes::Bytes;
 use http::{Method, StatusCode, response};
 use savoryvane_core::{
-    forwarding::ServerEntry,
+    forwarding::{ConnectionHistory, NamedRequest, ServerEntry},
     ids::{BackendName, RequestId},
     poison::{LostServerStatus, RequestDigest, RequestSubjects},
     stages::{CallOutcome, ItemInput, ItemOutcome, StageCall},
@@ -25,7 +32,7 @@
     signals::{ResponseTo, Sendable},
 };
 use crate::{
-    connections::{Connections, SendError},
+    connections::{Answer, Connections, SendError},
     platform::request,
 };
 
@@ -46,6 +53,8 @@
     servers: Arc<Connections>,
     crash_detector: Arc<CrashDetector>,
     quarantine: Arc<Quarantine>,
+    /// Number of the next call.
+    next_call: AtomicU64,
     log: Logger,
 }
 
@@ -70,6 +79,7 @@
             servers,
             crash_detector,
             quarantine,
+            next_call: AtomicU64::new(rand::random()),
             log,
         }
     }
@@ -167,9 +177,13 @@
             addr: call.addr,
             responds_to: ResponseTo::Call(call.id),
         };
-        let response = self.post(to, stages::RUN_PATH, body, timeout).await;
-        let (head, response) = match response {
-            Ok(response) => response,
+        let answer = self.post(to, stages::RUN_PATH, body, timeout).await;
+        let Answer {
+            head,
+            response,
+            mut lease,
+        } = match answer {
+            Ok(answer) => answer,
             Err(SendError::NotSent(_)) => {
                 return self.send_blocked(call).unwrap_or(CallOutcome::Unreachable);
             }
@@ -180,10 +194,24 @@
             return CallOutcome::Misdirected;
         }
         if head.is_not_run {
+            if head.id.is_some() {
+                lease.release().await;
+            }
             return self.send_blocked(call).unwrap_or(CallOutcome::Full);
         }
         match stages::decode_run(response.body()) {
             Ok(items) if status == StatusCode::OK && items.len() == call.items.len() => {
+                let has_results = items.iter().any(ItemOutcome::is_done);
+                if head.id.is_none() && has_results && lease.is_copy(response.body()) {
+                    warn!(self.log, "second copy of an answer"; "call" => call.id.0,
+                        "server" => %call.server);
+                    return CallOutcome::Lost;
+                }
+                // An answer without results looks like those of other calls, so that a second
+                // copy could not be told from the next one.
+                if head.id.is_some() || has_results {
+                    lease.release().await;
+                }
                 CallOutcome::Answered(items)
             }
             Ok(_) => CallOutcome::Lost,
@@ -205,6 +233,12 @@
         }
     }
 
+    /// Returns an identifier that no other call of this instance has.
+    fn next_id(&self) -> RequestId {
+        let number = self.next_call.fetch_add(1, Ordering::Relaxed);
+        RequestId::new(format!("{number:016x}"))
+    }
+
     /// Sends a call, and applies the signals in the response to the server's state;
     /// returns the response and its decoded head.
     async fn post(
@@ -213,15 +247,21 @@
         path: &str,
         body: Vec<u8>,
         timeout: Duration,
-    ) -> Result<(ResponseHead, http::Response<Bytes>), SendError> {
+    ) -> Result<Answer<ResponseHead>, SendError> {
+        let id = self.next_id();
         let mut request = request(Method::POST, to.addr, path, body.into());
-        request.headers_mut().extend(stages::headers(to.server));
+        request
+            .headers_mut()
+            .extend(stages::headers(to.server, &id));
         let sent_at_ms = self.view.now_ms();
-        let on_head = |head: &response::Parts| {
+        let on_head = |head: &response::Parts, _: ConnectionHistory| {
             let head = server_response::decode(head.status, &head.headers);
+            if head.named_request(&id) == NamedRequest::Another {
+                return Err("it responds to another call");
+            }
             self.view
                 .on_response_head(to.server, sent_at_ms, to.responds_to, &head);
-            head
+            Ok(head)
         };
         self.servers
             .exchange_with(
@@ -261,11 +301,15 @@
             addr,
             responds_to: ResponseTo::Free,
         };
-        let freed = self.post(to, stages::FREE_PATH, body, FREE_TIMEOUT).await;
-        if let Err(err) = freed {
+        match self.post(to, stages::FREE_PATH, body, FREE_TIMEOUT).await {
+            // Results belong to a second copy of the answer to another call.
+            Ok(answer) if stages::decode_run(answer.response.body()).is_ok() => {}
+            Ok(answer) => answer.lease.release().await,
             // The server drops them itself a little later.
-            warn!(self.log, "results not freed"; "server" => %server, "results" => handles.len(),
-                "error" => %err);
+            Err(err) => {
+                warn!(self.log, "results not freed"; "server" => %server,
+                    "results" => handles.len(), "error" => %err);
+            }
         }
         true
     }
