Store records of streams each 400 ms

Streams whose first event came in the last half second before all instances are lost are refused, in place of those of the last fifth.

--- a/crates/server/src/gateway/stream_store.rs
+++ b/crates/server/src/gateway/stream_store.rs
@@ -32,8 +32,11 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// The same while the stored records are to be read, for which callers wait.
 const READ_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// Delay after a record is added, so that records of the same time are stored together.
-const BATCH_DELAY: Duration = Duration::from_millis(100);
+/// Delay after a record is added, so that records of the same time go to the scheduler together.
+const FORWARD_DELAY: Duration = Duration::from_millis(100);
+/// The same until they are stored: the store's calls are few. What began in this time before all
+/// instances are lost is refused.
+const STORE_DELAY: Duration = Duration::from_millis(400);
 /// Most records in one write or message.
 const MAX_BATCH: usize = 256;
 /// Timeout for the scheduler to accept records.
@@ -86,7 +89,11 @@
             };
             let added = self.origins.backlog_added.notified();
             if time::timeout(check_interval, added).await.is_ok() {
-                time::sleep(BATCH_DELAY).await;
+                let delay = match self.members.is_scheduler() {
+                    true => STORE_DELAY,
+                    false => FORWARD_DELAY,
+                };
+                time::sleep(delay).await;
             }
             match self.members.scheduler() {
                 Some(scheduler) if self.members.is_self(&scheduler) => {
