Send no broken stream on once its caller has left

Cause: the relay watches its caller while it forwards, but not while it resumes, when stages may run again and another server be chosen and sent to. A wait that does not watch its caller.

Now the caller's leaving ends the resumption, and with it a send that has begun.

a_broken_stream_is_not_sent_again_once_its_caller_has_left failed before: a second server got the request 300 ms after the caller had left. A caller that stays gets its stream, before and after.

--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -149,14 +149,23 @@
         let mut next = prefix;
         let stream_end = loop {
             let stream_end = self.forward_body(std::mem::take(&mut next)).await;
-            let is_resumed = match stream_end {
-                StreamEnd::Broken => self.try_spend_resume() && self.resume().await,
-                StreamEnd::Silent => self.resume().await,
+            let may_resume = match stream_end {
+                StreamEnd::Broken => self.try_spend_resume(),
+                StreamEnd::Silent => true,
                 StreamEnd::Whole
                 | StreamEnd::CallerGone
                 | StreamEnd::Overdue
                 | StreamEnd::Leaving => false,
             };
+            if !may_resume {
+                break stream_end;
+            }
+            let caller_left = self.sender.watch_closed();
+            let is_resumed = tokio::select! {
+                biased;
+                () = caller_left => break StreamEnd::CallerGone,
+                is_resumed = self.resume() => is_resumed,
+            };
             if !is_resumed {
                 break stream_end;
             }
--- a/crates/server/src/stream_body.rs
+++ b/crates/server/src/stream_body.rs
@@ -57,6 +57,13 @@
         self.0.closed().await;
     }
 
+    /// Returns a future that waits until the body is dropped, and does not borrow the sender. The
+    /// body does not break off as long as the future exists.
+    pub fn watch_closed(&self) -> impl Future<Output = ()> + use<> {
+        let parts = self.0.clone();
+        async move { parts.closed().await }
+    }
+
     /// Ends the body as complete.
     pub async fn finish(self) {
         // The receiver may have disconnected meanwhile.
