Send second copies in the soak; take a server at its word whatever it responds to

The soak's links send the last response of a connection, or a rejection that names no request, in front of the response to the next request: whole, without its identifier, or stopped anywhere.

--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -343,7 +343,14 @@
         let head = response::decode(status, response.headers());
         let named = head.named_request(&caller.id);
         let attribution = Attribution::of(named, history);
-        if attribution == Attribution::Own {
+        // What a server says of itself holds whichever request it responds to, but for the run
+        // that a misdirected request was meant for.
+        let describes_server = match attribution {
+            Attribution::Own => true,
+            Attribution::Untied => !head.is_misdirected,
+            Attribution::Foreign => false,
+        };
+        if describes_server {
             self.view.on_response_head(
                 &in_flight.server.id,
                 in_flight.sent_at_ms,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -96,6 +96,8 @@
     Silence,
     /// All data is delayed.
     Delay,
+    /// Responses arrive a second time, whole or in part, in front of the next ones.
+    SecondCopies,
 }
 
 /// Misbehaviour of a server.
@@ -146,6 +148,9 @@
 /// Mean pause between two releases of the engines.
 const MEAN_RELEASE_GAP_MS: u64 = 3_000;
 
+/// Mean pause between two series of servers whose responses arrive a second time.
+const MEAN_COPIES_GAP_MS: u64 = 1_500;
+
 /// Mean pause between the beginnings of two crowds.
 const MEAN_CROWD_GAP_MS: u64 = 4_000;
 /// New connections a second in a crowd.
@@ -179,6 +184,7 @@
     faults.extend(draw_framings(seed, servers, duration));
     faults.extend(draw_releases(seed, duration));
     faults.extend(draw_crowds(seed, instances, duration));
+    faults.extend(draw_second_copies(seed, servers, duration));
     faults.sort_by_key(|(at, _)| *at);
     faults
 }
@@ -295,6 +301,27 @@
     crowds
 }
 
+/// Draws series of servers whose responses arrive a second time. Uses a separate generator, as
+/// `draw_limits` does.
+fn draw_second_copies(seed: u64, servers: usize, duration: Duration) -> Vec<(Duration, Fault)> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(40) ^ 5);
+    let mut copies = Vec::new();
+    let mut at_ms = rng.random_range(0..MEAN_COPIES_GAP_MS);
+    while at_ms < duration.as_millis() as u64 {
+        let first = rng.random_range(0..servers);
+        for offset in 0..rng.random_range(SERIES_LENGTH) as usize {
+            let fault = Fault::ServerLink {
+                server: (first + offset) % servers,
+                harm: Harm::SecondCopies,
+                lasts: Duration::from_millis(rng.random_range(500..3_000)),
+            };
+            copies.push((Duration::from_millis(at_ms), fault));
+        }
+        at_ms += rng.random_range(0..2 * MEAN_COPIES_GAP_MS);
+    }
+    copies
+}
+
 fn draw_fault(rng: &mut Pcg64Mcg, kind: u32, instance: usize, server: usize) -> Fault {
     let lasts = Duration::from_millis(rng.random_range(100..3_000));
     let harm = HARMS[rng.random_range(0..HARMS.len())];
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -69,6 +69,9 @@
 /// are later than the time after the fifth crash by which no instance sends any.
 const LATE_PART_REQUESTS: u64 = 24;
 const LATE_PART_INTERVAL: Duration = Duration::from_millis(250);
+/// Rejection that names no request, for links with [`Harm::SecondCopies`].
+const REJECTION: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
 /// Delay of links with [`Harm::Delay`].
 const LINK_DELAY_MS: u64 = 120;
 
@@ -446,6 +449,10 @@
             delay_ms: LINK_DELAY_MS,
             ..LinkFaults::default()
         },
+        Harm::SecondCopies => LinkFaults {
+            second_copies: Some(REJECTION.to_owned()),
+            ..LinkFaults::default()
+        },
     }
 }
 
