Check the age of the register when its versions are used, and notice gaps between checks

Now the age is recorded at each use, and a time at which the register was current counts as continuous only with one within 2 s before it.

a_freeze_between_two_checks_of_the_register_is_a_gap failed before (One, not Unknown).

--- a/crates/core/src/forwarding/served_software.rs
+++ b/crates/core/src/forwarding/served_software.rs
@@ -61,6 +61,8 @@
     moved_at_ms: Option<u64>,
     /// Since when the register is known without a gap, in ms.
     known_since_ms: Option<u64>,
+    /// Latest time at which the register is known to have been current, in ms.
+    current_at_ms: u64,
     /// What an earlier instance knew.
     inherited: Option<Inherited>,
 }
@@ -89,6 +91,12 @@
 impl ServedSoftware {
     /// Records that the register was current `register_age_ms` ago.
     pub fn on_register_age(&mut self, now_ms: u64, register_age_ms: u64) {
+        let current_at_ms = now_ms.saturating_sub(register_age_ms);
+        if current_at_ms > self.current_at_ms + MAX_REGISTER_AGE_MS {
+            // Nothing is known of the time in between, for example of a freeze.
+            self.known_since_ms = None;
+        }
+        self.current_at_ms = self.current_at_ms.max(current_at_ms);
         if register_age_ms > MAX_REGISTER_AGE_MS {
             self.known_since_ms = None;
         } else {
--- a/crates/core/tests/forwarding_take_ups.rs
+++ b/crates/core/tests/forwarding_take_ups.rs
@@ -142,6 +142,24 @@
     assert_eq!(versions_at(&joined, 2_000), ServedVersions::Several);
 }
 
+/// The register is current again at the first check after the freeze.
+#[test]
+fn a_freeze_between_two_checks_of_the_register_is_a_gap() {
+    let mut served = served(&[Some(1)]);
+    for at_ms in (0..=SETTLED_MS).step_by(200) {
+        served.on_register_age(at_ms, 100);
+    }
+    assert_eq!(
+        versions_at(&served, SETTLED_MS),
+        ServedVersions::One(name(1))
+    );
+    served.on_register_age(SETTLED_MS + 5_000, 100);
+    assert_eq!(
+        versions_at(&served, SETTLED_MS + 5_000),
+        ServedVersions::Unknown
+    );
+}
+
 #[test]
 fn a_backlog_has_each_stream_once_and_drops_the_earliest() {
     let mut backlog = RecordBacklog::default();
--- a/crates/server/src/gateway/stream_origins.rs
+++ b/crates/server/src/gateway/stream_origins.rs
@@ -248,10 +248,21 @@
     }
 
     fn served_versions(&self, route: &str, service: &PoolName) -> ServedVersions {
+        self.check_register_age();
         let now_ms = self.clock.now_ms();
         self.view.served_software().versions(now_ms, route, service)
     }
 
+    /// Records the age of the register. It is checked at each use, too: an instance that was frozen
+    /// may be asked before its timers run.
+    fn check_register_age(&self) {
+        let register_age_ms = self.freshness.servers_age_ms();
+        let now_ms = self.clock.now_ms();
+        self.view
+            .served_software()
+            .on_register_age(now_ms, register_age_ms);
+    }
+
     /// Finds out where a stream began that its caller takes up.
     pub(super) async fn find(self: &Arc<Self>, stream: TakenUpStream<'_>) -> TakeUp {
         let layout = self.members.layout();
@@ -429,12 +440,7 @@
     checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         checks.tick().await;
-        let register_age_ms = origins.freshness.servers_age_ms();
-        let now_ms = origins.clock.now_ms();
-        origins
-            .view
-            .served_software()
-            .on_register_age(now_ms, register_age_ms);
+        origins.check_register_age();
         origins.send_pending();
     }
 }
