--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -8,19 +8,18 @@
 use hyper::body::Incoming;
 use savoryvane_core::{
     forwarding::{
-        AttemptEnd, Attribution, BodyEnd, ConnectionHistory, Framing, NamedRequest, Route,
-        ServerEntry,
+        AttemptEnd, Attribution, BodyEnd, ConnectionHistory, Framing, NamedRequest, ServerEntry,
     },
-    ids::{BackendName, ZoneName},
+    ids::BackendName,
     poison::{CrashSubject, LostServerStatus},
 };
 use savoryvane_platform::response::{self, ResponseHead};
 use slog::{info, warn};
-use tokio::time::Instant;
 
 use super::{
     crashes::{CarriedRequest, LostConnection},
     forward::{Forwarder, Inputs},
+    in_flight::{InFlight, ServerOutcome},
     permits::PermitGuard,
     request::CallerRequest,
     signals::{ResponseTo, Sendable},
@@ -33,10 +32,6 @@
 /// Largest response that is buffered before it is forwarded, in bytes: until then, a response
 /// that breaks off may still be replaced by one from another server.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
-/// Time for which a server goes on with a response after its first bytes before the response
-/// counts as alive. A crash that the response causes closes the connection within some ms, but
-/// bytes may be on their way.
-const ALIVE_AFTER: Duration = Duration::from_millis(300);
 /// Margin by which a pooled connection is dropped before the server's keep-alive timeout.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 
@@ -61,104 +56,6 @@
     pub(super) head: ResponseHead,
 }
 
-/// Counts a request as in flight at a server until its outcome is known.
-pub(super) struct InFlight {
-    forwarder: Arc<Forwarder>,
-    /// The server's registration at the time of the send.
-    pub(super) server: ServerEntry,
-    route: Arc<Route>,
-    began: Instant,
-    sent_at_ms: u64,
-    /// Whether the server may still reject the request.
-    is_in_doubt: bool,
-    /// Subjects of which no other run takes place.
-    isolated: Vec<CrashSubject>,
-    /// Whether the response is successful; `false` before its head.
-    is_success: bool,
-    /// When the body of a successful response began to arrive.
-    body_since: Option<Instant>,
-    is_alive: bool,
-    has_ended: bool,
-}
-
-/// What the outcome of a request says about its server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ServerOutcome {
-    Answered,
-    Full,
-    Failing,
-    Silent,
-    Unreachable,
-}
-
-impl InFlight {
-    /// Records that the server has accepted the request, or that it no longer matters.
-    fn settle(&mut self) {
-        if std::mem::take(&mut self.is_in_doubt) {
-            let mut fleet = self.forwarder.view.fleet();
-            fleet.brittle().on_settled(&self.server.id);
-        }
-    }
-
-    /// Records that bytes of the response's body have arrived; returns whether they are the first
-    /// ones that show it alive.
-    pub(super) fn on_body_bytes(&mut self) -> bool {
-        let now = Instant::now();
-        let since = *self.body_since.get_or_insert(now);
-        let is_alive = self.is_success && now.duration_since(since) >= ALIVE_AFTER;
-        is_alive && !std::mem::replace(&mut self.is_alive, true)
-    }
-
-    /// Returns whether the server went on with the response after it had begun.
-    pub(super) fn is_alive(&self) -> bool {
-        self.is_alive
-    }
-
-    pub(super) fn finish(mut self, outcome: ServerOutcome) {
-        self.has_ended = true;
-        if outcome == ServerOutcome::Full && std::mem::take(&mut self.is_in_doubt) {
-            let now_ms = self.forwarder.clock.now_ms();
-            let mut fleet = self.forwarder.view.fleet();
-            fleet.brittle().on_rejected(now_ms, &self.server.id);
-        }
-        self.settle();
-        if outcome == ServerOutcome::Answered {
-            let elapsed_ms = self.began.elapsed().as_millis() as u64;
-            let mut times = self.forwarder.view.response_times();
-            times.record(&self.route.name, elapsed_ms);
-        }
-        let now_ms = self.forwarder.clock.now_ms();
-        let mut fleet = self.forwarder.view.fleet();
-        let before = fleet.cut_off_zones(now_ms);
-        match outcome {
-            ServerOutcome::Answered => {
-                let elapsed_us = self.began.elapsed().as_micros() as u64;
-                fleet.on_answered(now_ms, &self.server.id, elapsed_us);
-            }
-            ServerOutcome::Full => fleet.on_full(now_ms, &self.server.id),
-            ServerOutcome::Failing => fleet.on_failing(now_ms, &self.server.id),
-            ServerOutcome::Silent => fleet.on_silent(now_ms, &self.server.id),
-            ServerOutcome::Unreachable => fleet.on_unreachable(now_ms, &self.server.id),
-        }
-        let cut_off = fleet.cut_off_zones(now_ms);
-        if cut_off != before {
-            info!(self.forwarder.log, "zones passed over"; "zones" => zone_names(&cut_off),
-                "before" => zone_names(&before), "server" => %self.server.id, "end" => ?outcome);
-        }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.settle();
-        if !self.has_ended {
-            let now_ms = self.forwarder.clock.now_ms();
-            let mut fleet = self.forwarder.view.fleet();
-            fleet.on_abandoned(now_ms, &self.server.id);
-        }
-    }
-}
-
 impl Forwarder {
     /// Sends a request to one server and waits for its response, or for the head of a
     /// stream.
@@ -185,19 +82,8 @@
             fleet.on_forwarded(now_ms, server);
             fleet.brittle().on_sent(server);
         }
-        let in_flight = InFlight {
-            forwarder: Arc::clone(self),
-            server: entry,
-            route: Arc::clone(&caller.matched.route),
-            began: Instant::now(),
-            sent_at_ms: now_ms,
-            is_in_doubt: true,
-            isolated: permit.map_or_else(Vec::new, |permit| permit.covered().to_vec()),
-            is_success: false,
-            body_since: None,
-            is_alive: false,
-            has_ended: false,
-        };
+        let isolated = permit.map_or_else(Vec::new, |permit| permit.covered().to_vec());
+        let in_flight = InFlight::begin(self, entry, &caller.matched.route, isolated);
         let addr = in_flight.server.addr;
         let request = caller.to_server(server, &inputs.handles, last_event);
         let sent = self
@@ -286,7 +172,7 @@
     /// Describes the loss of the connection that carried a request in flight.
     fn lost_in_flight(&self, caller: &CallerRequest, in_flight: &InFlight) -> LostConnection {
         let server = in_flight.server.clone();
-        self.lost_connection(caller, server, in_flight.is_alive, &in_flight.isolated)
+        self.lost_connection(caller, server, in_flight.is_alive(), &in_flight.isolated)
     }
 
     /// Describes the loss of the connection that carried a caller's request.
@@ -440,11 +326,6 @@
     method != Method::HEAD && !matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
 }
 
-fn zone_names(zones: &[ZoneName]) -> String {
-    let names: Vec<&str> = zones.iter().map(ZoneName::as_str).collect();
-    names.join(",")
-}
-
 /// Reads a body until it ends or exceeds `max_bytes`, and calls `on_bytes` whenever bytes of it
 /// arrive. Returns what has been read, and whether that is the whole body.
 async fn read_up_to(
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -20,8 +20,9 @@
 use tokio::time::{self, Instant};
 
 use super::{
-    attempt::{InFlight, SendOutcome, Stream, return_to_pool, to_caller},
+    attempt::{SendOutcome, Stream, return_to_pool, to_caller},
     forward::{Forwarder, Inputs},
+    in_flight::InFlight,
     permits::PermitGuard,
     request::CallerRequest,
 };
--- a/crates/server/src/gateway/stream_origins.rs
+++ b/crates/server/src/gateway/stream_origins.rs
@@ -7,11 +7,7 @@
 //! these records, so that they outlast all instances.
 
 use std::{
-    collections::{HashMap, HashSet},
-    sync::{
-        Arc, Mutex, MutexGuard,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -19,11 +15,10 @@
     forwarding::{
         RECORD_READERS, RECORD_REPLICAS, RecordBacklog, RecordedOrigin, ServedVersions, StreamKey,
         StreamKnowledge, StreamOrigin, StreamRecord, StreamRecords, TakeUp, TakeUpSearch,
-        record_keepers,
     },
     ids::{InstanceName, PoolName},
 };
-use savoryvane_wire::peer::{MAX_STREAM_RECORDS, Message, StreamQuery};
+use savoryvane_wire::peer::{Message, StreamQuery};
 use slog::{Logger, info};
 use tokio::{
     sync::{Notify, watch},
@@ -31,13 +26,16 @@
     time::{self, MissedTickBehavior},
 };
 
-use super::{freshness::Freshness, members::Members, routing_view::RoutingView};
+use super::{
+    freshness::Freshness,
+    members::Members,
+    record_outbox::{Keepers, RecordOutbox},
+    routing_view::RoutingView,
+};
 use crate::{clock::Clock, lock::lock};
 
 /// Interval at which the age of the register is checked, and which records are needed elsewhere.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Timeout for an instance to accept records.
-const RECORD_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout of a query to other instances about a stream, for which its caller waits.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for a scheduler that has just been chosen to read the stored records: some calls of the
@@ -47,11 +45,6 @@
 const SCHEDULER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Interval between two attempts to ask the scheduler.
 const SCHEDULER_RETRY_INTERVAL: Duration = Duration::from_millis(30);
-/// Most instances of a cell that a record is sent to or asked for, counting those that do not
-/// respond.
-const MAX_TRIED: usize = 8;
-/// Most records that wait for one instance.
-const MAX_QUEUED: usize = 1_024;
 
 /// The records of this instance, and their exchange with others.
 #[derive(Debug)]
@@ -62,7 +55,7 @@
     view: Arc<RoutingView>,
     freshness: Arc<Freshness>,
     records: Mutex<StreamRecords>,
-    outbox: Mutex<Outbox>,
+    outbox: Arc<RecordOutbox>,
     /// Records that wait to be stored.
     backlog: Mutex<RecordBacklog>,
     /// Notified when a record is added to the backlog.
@@ -71,35 +64,6 @@
     has_stored_records: watch::Sender<bool>,
 }
 
-/// Records that wait to be sent.
-#[derive(Debug, Default)]
-struct Outbox {
-    queues: HashMap<InstanceName, Vec<Arc<OutgoingRecord>>>,
-    /// Instances that are being sent records.
-    busy: HashSet<InstanceName>,
-}
-
-/// A record that is being sent to the instances that keep it.
-#[derive(Debug)]
-struct OutgoingRecord {
-    record: StreamRecord,
-    keepers: Keepers,
-}
-
-/// Instances that keep a record, each of which is sent to or asked once.
-#[derive(Debug)]
-struct Keepers {
-    instances: Vec<InstanceName>,
-    tried: AtomicUsize,
-}
-
-impl Keepers {
-    fn next(&self) -> Option<&InstanceName> {
-        let index = self.tried.fetch_add(1, Ordering::Relaxed);
-        self.instances.get(index).filter(|_| index < MAX_TRIED)
-    }
-}
-
 /// A stream that its caller takes up.
 #[derive(Clone, Debug)]
 pub(super) struct TakenUpStream<'a> {
@@ -119,6 +83,7 @@
         clock: Clock,
         log: Logger,
     ) -> Self {
+        let outbox = Arc::new(RecordOutbox::new(Arc::clone(&members)));
         Self {
             log,
             clock,
@@ -126,7 +91,7 @@
             view,
             freshness,
             records: Mutex::default(),
-            outbox: Mutex::default(),
+            outbox,
             backlog: Mutex::default(),
             backlog_added: Notify::new(),
             has_stored_records: watch::Sender::new(false),
@@ -143,7 +108,7 @@
         }
         self.records().insert_shared(now_ms, record.clone());
         self.add_to_backlog([record.clone()]);
-        self.send_to_keepers(vec![record], RECORD_REPLICAS);
+        self.outbox.send(vec![record], RECORD_REPLICAS);
     }
 
     /// Keeps records of other instances, and stores them if this one is the scheduler.
@@ -236,6 +201,22 @@
         None
     }
 
+    /// Asks the next instance that has not been asked, until one responds.
+    async fn ask(&self, keepers: &Keepers, query: &StreamQuery) -> Option<StreamKnowledge> {
+        let message = Message::StreamQuery(query.clone());
+        while let Some(keeper) = keepers.next() {
+            let response = self
+                .members
+                .peers()
+                .request(keeper, None, &message, QUERY_TIMEOUT)
+                .await;
+            if let Ok(Message::StreamState(knowledge)) = response {
+                return Some(knowledge);
+            }
+        }
+        None
+    }
+
     fn knowledge(&self, stream: &TakenUpStream<'_>) -> StreamKnowledge {
         let now_ms = self.clock.now_ms();
         let key = stream.key.as_ref();
@@ -282,7 +263,7 @@
             queries.spawn(async move { (own_cell, origins.ask_scheduler(&query).await) });
         }
         for cell in 0..layout.cells() {
-            let keepers = Arc::new(self.keepers(stream.key.as_ref(), Some(cell)));
+            let keepers = Arc::new(self.outbox.keepers(stream.key.as_ref(), Some(cell)));
             for _ in 0..RECORD_READERS {
                 let (origins, query) = (Arc::clone(self), Arc::clone(&query));
                 let keepers = Arc::clone(&keepers);
@@ -303,108 +284,13 @@
         search.conclude()
     }
 
-    /// Asks the next instance that has not been asked, until one responds.
-    async fn ask(&self, keepers: &Keepers, query: &StreamQuery) -> Option<StreamKnowledge> {
-        let message = Message::StreamQuery(query.clone());
-        while let Some(keeper) = keepers.next() {
-            let response = self
-                .members
-                .peers()
-                .request(keeper, None, &message, QUERY_TIMEOUT)
-                .await;
-            if let Ok(Message::StreamState(knowledge)) = response {
-                return Some(knowledge);
-            }
-        }
-        None
-    }
-
-    /// Returns the other instances of `cell`, or of this instance's one, that keep the record of
-    /// a stream.
-    fn keepers(&self, key: Option<&StreamKey>, cell: Option<u32>) -> Keepers {
-        let listed = self.members.listed_in_cell(cell);
-        let listed = listed.iter().map(|(instance, zone)| (instance, zone));
-        let mut instances = record_keepers(key, listed);
-        instances.retain(|instance| !self.members.is_self(instance));
-        Keepers {
-            instances,
-            tried: AtomicUsize::new(0),
-        }
-    }
-
-    /// Sends each record to the first `copies` instances that keep it and respond.
-    fn send_to_keepers(self: &Arc<Self>, records: Vec<StreamRecord>, copies: usize) {
-        for record in records {
-            let outgoing = Arc::new(OutgoingRecord {
-                keepers: self.keepers(Some(&record.key), None),
-                record,
-            });
-            for _ in 0..copies {
-                self.send_to_next(&outgoing);
-            }
-        }
-    }
-
-    fn send_to_next(self: &Arc<Self>, outgoing: &Arc<OutgoingRecord>) {
-        let Some(keeper) = outgoing.keepers.next() else {
-            return;
-        };
-        let mut outbox = lock(&self.outbox);
-        let queue = outbox.queues.entry(keeper.clone()).or_default();
-        if queue.len() >= MAX_QUEUED {
-            metrics::counter!("savoryvane_stream_records_dropped_total").increment(1);
-            return;
-        }
-        queue.push(Arc::clone(outgoing));
-        if outbox.busy.insert(keeper.clone()) {
-            let (origins, keeper) = (Arc::clone(self), keeper.clone());
-            tokio::spawn(async move { origins.empty_queue(keeper).await });
-        }
-    }
-
-    /// Sends the records that wait for `keeper`, those that come meanwhile together.
-    async fn empty_queue(self: Arc<Self>, keeper: InstanceName) {
-        loop {
-            let batch = {
-                let mut outbox = lock(&self.outbox);
-                let queue = outbox.queues.entry(keeper.clone()).or_default();
-                let count = queue.len().min(MAX_STREAM_RECORDS);
-                let batch: Vec<Arc<OutgoingRecord>> = queue.drain(..count).collect();
-                if batch.is_empty() {
-                    outbox.queues.remove(&keeper);
-                    outbox.busy.remove(&keeper);
-                    return;
-                }
-                batch
-            };
-            let records = batch.iter().map(|outgoing| outgoing.record.clone());
-            let message = Message::StreamRecords(records.collect());
-            let response = self
-                .members
-                .peers()
-                .request(&keeper, None, &message, RECORD_TIMEOUT)
-                .await;
-            let outcome = match response {
-                Ok(Message::Ack(_)) => "kept",
-                Ok(_) | Err(_) => "failed",
-            };
-            metrics::counter!("savoryvane_stream_records_sent_total", "outcome" => outcome)
-                .increment(batch.len() as u64);
-            if outcome == "failed" {
-                batch
-                    .iter()
-                    .for_each(|outgoing| self.send_to_next(outgoing));
-            }
-        }
-    }
-
     /// Sends the records that others have to the instances that are asked for them, since this
     /// one leaves.
     pub(super) fn hand_over(self: &Arc<Self>) {
         let now_ms = self.clock.now_ms();
         let records = self.records().shared(now_ms);
         info!(self.log, "stream records handed over"; "records" => records.len());
-        self.send_to_keepers(records, RECORD_READERS);
+        self.outbox.send(records, RECORD_READERS);
     }
 
     /// Sends the records of services whose version is no longer known without a record.
@@ -425,7 +311,7 @@
         if !pending.is_empty() {
             info!(self.log, "stream records sent"; "records" => pending.len());
             self.add_to_backlog(pending.iter().cloned());
-            self.send_to_keepers(pending, RECORD_REPLICAS);
+            self.outbox.send(pending, RECORD_REPLICAS);
         }
     }
 
