--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -111,7 +111,7 @@
     discard: DiscardFlag,
     awaits_response: bool,
     history: ConnectionHistory,
-    /// Hashes of the last bodies received on it that had to be told from second copies.
+    /// Hashes of the last bodies received on it, by which second copies are recognised.
     bodies: VecDeque<u64>,
     driver: AbortHandle,
 }
--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -369,7 +369,7 @@
 }
 
 /// Returns a connection to the pool after its response was read. Closes it instead if the response
-/// names no request: a second copy of it could not be told from the next response.
+/// names no request: a second copy of it could be mistaken for the next response.
 pub(super) fn return_to_pool(lease: Lease, head: &ResponseHead) {
     if head.id.is_none() {
         return;
--- a/crates/server/src/gateway/request.rs
+++ b/crates/server/src/gateway/request.rs
@@ -59,7 +59,7 @@
     pub(super) fn reuse(&self) -> Reuse {
         if self.head.id.is_none() {
             // Its response can't name it, so that a response to another request on the
-            // connection could not be told from it.
+            // connection could be mistaken for it.
             return Reuse::Never;
         }
         match self.repeats() {
--- a/crates/server/src/gateway/stage_calls.rs
+++ b/crates/server/src/gateway/stage_calls.rs
@@ -208,7 +208,7 @@
                     return CallOutcome::Lost;
                 }
                 // An answer without results looks like those of other calls, so that a second
-                // copy could not be told from the next one.
+                // copy could be mistaken for the next one.
                 if head.id.is_some() || has_results {
                     lease.release().await;
                 }
