Count what a scheduler reads of versions from before the read

Found by reading the change: a route that moved, or a gap of the register, between the check of the configuration's version and the end of the read would have counted as before it. What is read holds from the moment at which the read began. Not seen, no test of its own; gateway_all_lost and gateway_software pass.

--- a/crates/server/src/gateway/stream_store.rs
+++ b/crates/server/src/gateway/stream_store.rs
@@ -219,6 +219,11 @@
         if self.store.try_begin().is_err() {
             return false;
         }
+        // Moves of routes and gaps of the register during the read end what it finds.
+        let began_ms = self.clock.now_ms();
+        self.view
+            .served_software()
+            .on_register_age(began_ms, self.freshness.servers_age_ms());
         let read = async {
             let records = self.read_records().await?;
             let sole = self.read_sole_versions().await?;
@@ -234,10 +239,7 @@
         info!(self.log, "stream records read"; "records" => records.len(),
             "sole_versions" => sole.len());
         self.origins.insert_shared(records);
-        let now_ms = self.clock.now_ms();
-        let mut served = self.view.served_software();
-        served.on_register_age(now_ms, self.freshness.servers_age_ms());
-        served.inherit(now_ms, sole);
+        self.view.served_software().inherit(began_ms, sole);
         true
     }
 
