Share the input of a request among its stage calls

Cause: each call of a stage held its own copy of the parsed input, which takes many times the bytes of its body. A request with several stages, or with repeats, multiplied it, and a request with the ticket of another instance copied it once more to forward it.

Change: the input is held once, behind a reference that calls share. A forwarded request is written from a borrowed view.

--- a/crates/bench/benches/decisions.rs
+++ b/crates/bench/benches/decisions.rs
@@ -134,7 +134,7 @@
         request: "request".into(),
         workspace: workspace.clone(),
         pipeline: Arc::clone(pipeline),
-        input: Value::Null,
+        input: Value::Null.into(),
         deadline_at_ms: now_ms + DEADLINE_MS,
         attempt_base: 0,
         objective: Objective::Attainment,
--- a/crates/bench/src/world/requests.rs
+++ b/crates/bench/src/world/requests.rs
@@ -32,7 +32,7 @@
             request: format!("r{number}").as_str().into(),
             workspace: workspace.name.clone(),
             pipeline: arrival.pipeline.clone(),
-            input: Value::Null,
+            input: Value::Null.into(),
             deadline_at_ms: (self.now_us + deadline_us) / US_PER_MS,
             attempt_base: 0,
             objective: workspace.objective,
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -1,5 +1,7 @@
 //! Calls to backend servers and the events of their responses.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -32,7 +34,7 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub model: Option<ModelName>,
     /// Input of the caller's request.
-    pub input: serde_json::Value,
+    pub input: Arc<serde_json::Value>,
     /// Output of the previous stage; `null` for the first.
     pub previous: serde_json::Value,
     /// Maximum tokens to generate.
--- a/crates/core/src/execution.rs
+++ b/crates/core/src/execution.rs
@@ -42,7 +42,7 @@
     /// Pipeline to run, as configured when the request arrived.
     pub pipeline: Arc<Pipeline>,
     /// Input from the caller.
-    pub input: Value,
+    pub input: Arc<Value>,
     /// Deadline for the complete response, in ms.
     pub deadline_at_ms: u64,
     /// Number preceding that of the first attempt. Attempt numbers are unique
--- a/crates/core/src/execution/attempt.rs
+++ b/crates/core/src/execution/attempt.rs
@@ -1,5 +1,7 @@
 //! Attempts at a stage: admitting the request, choosing servers, sending calls.
 
+use std::sync::Arc;
+
 use super::{Action, EventContext, Execution, State};
 use crate::{
     call::{CallId, StageCall},
@@ -155,7 +157,7 @@
             id: self.call_id(number),
             kind,
             model: stage.model.clone(),
-            input: self.spec.input.clone(),
+            input: Arc::clone(&self.spec.input),
             previous: self.previous.clone(),
             max_tokens: stage.max_tokens,
             resume_from: self.stream.len(),
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -70,7 +70,7 @@
             deadline_ms: DEADLINE_MS,
             stages,
         }),
-        input: json!({"prompt": "hello"}),
+        input: json!({"prompt": "hello"}).into(),
         deadline_at_ms: DEADLINE_MS,
         attempt_base: 100,
         objective: Objective::Attainment,
--- a/crates/server/src/controller.rs
+++ b/crates/server/src/controller.rs
@@ -140,7 +140,7 @@
         request: head.request,
         workspace: head.workspace,
         pipeline,
-        input,
+        input: Arc::new(input),
         deadline_at_ms,
         attempt_base: attempt_base(),
         objective,
--- a/crates/server/src/exclusive.rs
+++ b/crates/server/src/exclusive.rs
@@ -68,7 +68,7 @@
     guard: InFlight,
 ) -> mpsc::UnboundedReceiver<Update> {
     let (updates, receiver) = mpsc::unbounded_channel();
-    let input = serde_json::to_vec(&spec.input).unwrap_or_default();
+    let input = serde_json::to_vec(&*spec.input).unwrap_or_default();
     let request = Request {
         shared: Arc::clone(shared),
         fingerprint: Fingerprint::of(&spec.pipeline.name, &input),
--- a/crates/server/src/exclusive/ticketed.rs
+++ b/crates/server/src/exclusive/ticketed.rs
@@ -7,7 +7,7 @@
     ticket::{Redemption, TicketId},
 };
 use savoryvane_wire::{
-    caller::{Answer, Submission},
+    caller::{Answer, BorrowedSubmission},
     peer::{AnswerState, Message, TicketRun},
 };
 use tokio::time::Instant;
@@ -77,8 +77,8 @@
     /// Forwards the request to the instance that issued its ticket.
     async fn forward(&self, id: TicketId) -> Box<Answer> {
         let remaining = self.deadline.saturating_duration_since(Instant::now());
-        let submission = Submission {
-            input: self.spec.input.clone(),
+        let submission = BorrowedSubmission {
+            input: &self.spec.input,
         };
         let run = Message::TicketRun(TicketRun {
             ticket: id.to_string(),
--- a/crates/standins/src/job.rs
+++ b/crates/standins/src/job.rs
@@ -80,7 +80,7 @@
         let index = self.ran.begin(RanCall {
             id: call.id.clone(),
             kind: call.kind,
-            input: call.input.clone(),
+            input: serde_json::Value::clone(&call.input),
             resume_from: call.resume_from,
             state: RanState::Running,
         });
--- a/crates/standins/tests/backend.rs
+++ b/crates/standins/tests/backend.rs
@@ -27,7 +27,7 @@
         },
         kind,
         model: None,
-        input: json!({ "text": request }),
+        input: json!({ "text": request }).into(),
         previous: Value::Null,
         max_tokens: 0,
         resume_from: 0,
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -33,6 +33,13 @@
     pub input: serde_json::Value,
 }
 
+/// A [`Submission`] to be written, without a copy of its input.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct BorrowedSubmission<'a> {
+    /// Input of the pipeline's first stage.
+    pub input: &'a serde_json::Value,
+}
+
 /// Body of a response, for every outcome.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Answer {
