Decide which callers make room when memory or connections are short

Cause: each body, head, connection and stream of a caller is bounded, and nothing bounds their sum. 300 legal bodies of 1 MB that stop one byte short took 422 MB at a gateway and 412 MB at a pipelines instance, on machines of 160 MB.

Ruled out: a shorter timeout (memory is exhausted within 2 to 7 s, and callers at slow links need 10 s), a charge of the announced length (a client that announces 4 MB and sends nothing locks others out), refusing the newest (ten bodies lock all others out), evicting the one without progress for longest (a byte now and then keeps a body), the largest, or a share for each address (behind a balancer all callers have one).

Change: `caller_memory`, without I/O: one account of bytes, connections and requests. Holders of which no backend server has the request make room, those first that have held the most bytes for the longest time; a quarter is reserved for small holders. `json_cost` estimates what a parsed JSON value takes, up to the depth at which the parser stops. Nothing uses them yet.

Tests: decisions in any order of callers, without a network; random JSON values against the sizes of their parts.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod bucket;
 pub mod call;
+pub mod caller_memory;
 pub mod change;
 pub mod claim;
 pub mod claim_batcher;
@@ -20,6 +21,7 @@
 pub mod forwarding;
 pub mod ids;
 pub mod intake;
+pub mod json_cost;
 pub mod limiter;
 pub mod membership;
 pub mod objects;
