Tell the issuer of permits which crashes of prompt parts a later response refutes

Ruled out: lost reports; the reports arrive, the response that refutes them is known to one instance only.

Change: merging reports returns the parts of which this instance withdrew crashes, and a gateway reports these to the issuer of its permits. A second report changes nothing, so that instances do not answer each other for ever.

--- a/crates/bench/src/poison_day/sharing.rs
+++ b/crates/bench/src/poison_day/sharing.rs
@@ -66,6 +66,8 @@
     counting: Counting,
     books: Vec<CrashTracker>,
     known: Vec<u64>,
+    /// Withdrawals of each instance that the scheduler has not received yet.
+    untold: Vec<Vec<CrashReport>>,
     permits: Permits,
     /// Bytes that each instance sent and got.
     pub(super) bytes: Vec<u64>,
@@ -80,6 +82,7 @@
                 .map(|_| CrashTracker::new(settings))
                 .collect(),
             known: vec![0; instances],
+            untold: vec![Vec::new(); instances],
             permits: Permits::default(),
             bytes: vec![0; instances],
         }
@@ -116,7 +119,7 @@
             }
             PermitState::Out { .. } => Admitted::CopyRuns,
             PermitState::Quarantined(records) => {
-                self.books[instance].on_reports(now_ms, records);
+                self.merge(now_ms, instance, records);
                 Admitted::Quarantined
             }
         }
@@ -201,10 +204,11 @@
     }
 
     /// An instance asks the one that schedules for what is new, and tells it `records`.
-    pub(super) fn tell(&mut self, now_ms: u64, instance: usize, records: Vec<CrashReport>) {
+    pub(super) fn tell(&mut self, now_ms: u64, instance: usize, mut records: Vec<CrashReport>) {
         if self.counting == Counting::Off || instance == SCHEDULER {
             return;
         }
+        records.append(&mut self.untold[instance]);
         self.books[SCHEDULER].on_reports(now_ms, records.clone());
         let AdvertisedCrashes {
             records: told,
@@ -227,9 +231,18 @@
             + length(&Message::CrashState(state));
         self.bytes[instance] += bytes;
         self.bytes[SCHEDULER] += bytes;
-        self.books[instance].on_reports(now_ms, told);
+        self.merge(now_ms, instance, told);
         self.known[instance] = revision;
     }
+
+    /// Merges reports at an instance, whose next query reports what it withdraws.
+    fn merge(&mut self, now_ms: u64, instance: usize, records: Vec<CrashReport>) {
+        let merged = self.books[instance].on_reports(now_ms, records);
+        for part in merged.withdrawn {
+            let records = self.books[instance].records(now_ms, &part);
+            self.untold[instance].extend(records);
+        }
+    }
 }
 
 fn length(message: &Message) -> u64 {
--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -37,4 +37,4 @@
 };
 pub use stored::{Renewal, StoredChange, StoredCrash, StoredCrashes, StoredRecords};
 pub use subject::{CrashSubject, MAX_PARTS, RequestSubjects, format_subjects};
-pub use tracker::{CRASHES_TO_ISOLATE, CRASHES_TO_QUARANTINE, CrashTracker};
+pub use tracker::{CRASHES_TO_ISOLATE, CRASHES_TO_QUARANTINE, CrashTracker, MergedReports};
--- a/crates/core/src/poison/tracker.rs
+++ b/crates/core/src/poison/tracker.rs
@@ -18,6 +18,17 @@
 /// Number of crashes under a request or prompt part after which it is isolated from the other
 /// suspects.
 pub const CRASHES_TO_ISOLATE: u32 = 2;
+
+/// Result of merging the reports of other instances.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MergedReports {
+    /// Whether anything changed.
+    pub has_changed: bool,
+    /// Parts of which this instance withdrew crashes, as responses have begun here since. Only it
+    /// knows of these responses.
+    pub withdrawn: Vec<CrashSubject>,
+}
+
 /// Server crashes by subject.
 #[derive(Debug)]
 pub struct CrashTracker {
@@ -154,20 +165,29 @@
         true
     }
 
-    /// Merges reports of other instances; returns whether anything changed. A crash under a part
-    /// to which a response has begun here since is withdrawn.
-    pub fn on_reports(&mut self, now_ms: u64, records: Vec<CrashReport>) -> bool {
+    /// Merges reports of other instances. A crash under a part to which a response has begun here
+    /// since is withdrawn.
+    pub fn on_reports(&mut self, now_ms: u64, records: Vec<CrashReport>) -> MergedReports {
         let before = self.revision;
+        let mut withdrawn = Vec::new();
         for record in records {
             let (subject, server) = (record.subject, record.server.clone());
             let crashed_at_ms = now_ms.saturating_sub(record.age_ms);
             self.merge(now_ms, record, false);
             let last_ms = self.answered.last_ms(now_ms, &subject);
-            if subject.is_part() && last_ms.is_some_and(|last_ms| last_ms > crashed_at_ms) {
-                self.withdraw(subject, |crash| crash.server == server);
+            let is_refuted = last_ms.is_some_and(|last_ms| last_ms > crashed_at_ms);
+            if subject.is_part()
+                && is_refuted
+                && self.withdraw(subject, |crash| crash.server == server)
+                && !withdrawn.contains(&subject)
+            {
+                withdrawn.push(subject);
             }
         }
-        self.revision != before
+        MergedReports {
+            has_changed: self.revision != before,
+            withdrawn,
+        }
     }
 
     /// Merges persistent records.
--- a/crates/core/tests/poison_parts.rs
+++ b/crates/core/tests/poison_parts.rs
@@ -199,6 +199,24 @@
     assert_eq!(other.ends(2_100, &part(RARE)), 1);
 }
 
+/// The instance that has the response may be the only one that can refute the crash.
+#[test]
+fn an_instance_tells_that_it_withdrew_a_crash_of_which_it_heard_later() {
+    let mut observer = tracker();
+    observer.on_crash(1_000, crash(part(COMMON), "i-1", true));
+    let mut other = tracker();
+    other.on_answered(1_200, part(COMMON));
+    let reports = observer.records(1_500, &part(COMMON));
+
+    let merged = other.on_reports(1_500, reports.clone());
+    assert_eq!(merged.withdrawn, [part(COMMON)]);
+    observer.on_reports(1_500, other.records(1_500, &part(COMMON)));
+    assert_eq!(observer.ends(1_500, &part(COMMON)), 0);
+    // The second report changes nothing, so that instances do not answer each other for ever.
+    let merged = other.on_reports(1_600, reports);
+    assert!(merged.withdrawn.is_empty() && !merged.has_changed);
+}
+
 #[test]
 fn few_trial_runs_of_a_quarantined_part_take_place_in_a_day() {
     let mut world = World::new();
--- a/crates/server/src/crashes.rs
+++ b/crates/server/src/crashes.rs
@@ -170,8 +170,8 @@
 /// Applies the records of a neighbour, and forwards them if they are new.
 pub(crate) fn on_reports(shared: &Shared, records: Vec<CrashReport>) {
     let now_ms = shared.clock.now_ms();
-    let has_changed = shared.ends.tracker().on_reports(now_ms, records.clone());
-    if has_changed {
+    let merged = shared.ends.tracker().on_reports(now_ms, records.clone());
+    if merged.has_changed {
         info!(shared.log, "crashes advertised"; "ends" => records.len(), "source" => "peer");
         shared
             .members
--- a/crates/server/src/gateway/quarantine.rs
+++ b/crates/server/src/gateway/quarantine.rs
@@ -259,8 +259,15 @@
         }
         let count = records.len();
         let now_ms = self.clock.now_ms();
-        let has_changed = self.tracker().on_reports(now_ms, records);
-        if has_changed {
+        let merged = self.tracker().on_reports(now_ms, records);
+        // The issuer of permits may not have answered a request with these parts itself.
+        if self.permit_issuer().is_some() {
+            for part in &merged.withdrawn {
+                let records = self.tracker().records(now_ms, part);
+                self.queue_reports(records);
+            }
+        }
+        if merged.has_changed {
             info!(self.log, "crashes advertised"; "ends" => count, "source" => source,
                 "revision" => self.tracker().revision());
             self.changed.notify_one();
