Bound what an instance holds for callers by the memory and descriptors of its machine

What callers saw: an instance ended, as it ran out of memory, while other clients sent many legal bodies at once, most of them without an end; ordinary callers were refused while others kept connections without a request.

Cause: bounds on each of many things and none on their sum. Bodies were kept as slices of the buffers that they were read into, so that a chunk of one byte held far more; a body over the limit was read up to the limit before it was refused, although its length was announced; values parsed from JSON, heads, streams and windows of HTTP/2, descriptors of requests over HTTP/2, responses that are not read, and connections without a request had no bound together.

Ruled out: see the decisions in `caller_memory`. Timeouts stay as they are.

Change: one account for each listener (`memory_mb`, `max_descriptors`; `limits.memory_mb` for pipelines; 160 MB and 4,100 by default). Connections, heads, bodies by the capacity of their buffer, parsed values, unread responses and streams are charged before they are held; who makes room is decided by `core::caller_memory`. Bodies are copied into one piece. HTTP/2: 32 requests at a time on a connection, heads of 32 KB, windows of 64 KB. A connection whose caller takes no byte of a response is closed after `limits.write_timeout_ms`. A refused request gets 503 with `Retry-After` and has not run.

--- a/crates/server/src/admin.rs
+++ b/crates/server/src/admin.rs
@@ -19,8 +19,8 @@
 
 use self::failure::Failure;
 use crate::{
-    confirm, credential,
-    http_body::{self, Body},
+    confirm, connection_memory, credential,
+    http_body::{self, Body, BodyError},
     instance::Shared,
     phase::Phase,
     placement,
@@ -202,13 +202,16 @@
 
 async fn parse_body<T: DeserializeOwned>(
     shared: &Shared,
-    request: Request<Incoming>,
+    mut request: Request<Incoming>,
 ) -> Result<T, Failure> {
     let limits = &shared.settings.limits;
-    let bytes = http_body::read(
+    let memory = connection_memory::of_request(&mut request).ok_or(BodyError::Evicted)?;
+    let bytes = http_body::receive(
         request.into_body(),
         limits.body_bytes,
         limits.body_timeout(),
+        &memory,
+        |_| {},
     )
     .await?;
     serde_json::from_slice(&bytes).map_err(|err| {
--- a/crates/server/src/admin/failure.rs
+++ b/crates/server/src/admin/failure.rs
@@ -46,6 +46,11 @@
                 "the body did not arrive in time",
                 "send it again",
             ),
+            BodyError::Evicted => Self::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "there are too many requests",
+                "send it again",
+            ),
             BodyError::Broken => Self::new(
                 StatusCode::BAD_REQUEST,
                 "the body broke off",
--- a/crates/server/src/caller.rs
+++ b/crates/server/src/caller.rs
@@ -7,7 +7,7 @@
 
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use savoryvane_core::ids::RequestId;
+use savoryvane_core::{ids::RequestId, json_cost};
 use savoryvane_wire::caller::{Submission, Ticket};
 use tower::{ServiceBuilder, ServiceExt, load_shed::error::Overloaded, util::BoxCloneSyncService};
 
@@ -20,7 +20,8 @@
     },
 };
 use crate::{
-    controller, credential,
+    caller_memory::{Evicted, MemoryCharge},
+    connection_memory, controller, credential,
     http_body::{self, Body, BodyError},
     instance::Shared,
     phase::Phase,
@@ -102,10 +103,11 @@
 
 async fn run(
     shared: &Arc<Shared>,
-    request: Request<Incoming>,
+    mut request: Request<Incoming>,
     id: &RequestId,
     arrived_at_ms: u64,
 ) -> Result<Response<Body>, Refusal> {
+    let memory = connection_memory::of_request(&mut request).ok_or(Refusal::Overloaded)?;
     if request.uri().path() == TICKETS_PATH {
         return issue_ticket(shared, &request);
     }
@@ -115,18 +117,22 @@
     }
     let head = parse_head(request.headers(), pipeline, id, arrived_at_ms)?;
     let is_streamed = accepts_stream(request.headers());
-    let admitted = controller::admit(shared, head)?;
+    let mut admitted = controller::admit(shared, head)?;
     let limits = &shared.settings.limits;
     let mut digest = admitted.digest();
-    let body = http_body::read_with(
+    let body = http_body::receive(
         request.into_body(),
         limits.body_bytes,
         limits.body_timeout(),
+        &memory,
         |chunk| digest.update(chunk),
     )
     .await
     .map_err(body_refusal)?;
-    let submission: Submission = serde_json::from_slice(&body).map_err(|_| Refusal::BadBody)?;
+    let (submission, charge) = parse_submission(&body, memory.body_charge())?;
+    drop(body);
+    admitted.hold(memory);
+    admitted.hold_input(charge);
     let updates = controller::execute(shared, admitted, submission.input, digest.finish());
     Ok(if is_streamed {
         respond_stream(shared, id, updates).await
@@ -153,10 +159,27 @@
     Ok(http_body::json(StatusCode::CREATED, &ticket))
 }
 
+/// Parses a body, and charges what the value takes before it exists.
+pub(crate) fn parse_submission(
+    body: &[u8],
+    mut charge: MemoryCharge,
+) -> Result<(Submission, MemoryCharge), Refusal> {
+    let value_bytes = json_cost::value_bytes(body);
+    if !charge.can_hold(value_bytes + body.len() as u64) {
+        return Err(Refusal::LargeBody);
+    }
+    charge
+        .try_grow(value_bytes)
+        .map_err(|Evicted| Refusal::Overloaded)?;
+    let submission = serde_json::from_slice(body).map_err(|_| Refusal::BadBody)?;
+    Ok((submission, charge))
+}
+
 fn body_refusal(err: BodyError) -> Refusal {
     match err {
         BodyError::TooLarge => Refusal::LargeBody,
         BodyError::TooSlow => Refusal::SlowBody,
         BodyError::Broken => Refusal::BadBody,
+        BodyError::Evicted => Refusal::Overloaded,
     }
 }
--- a/crates/server/src/connections.rs
+++ b/crates/server/src/connections.rs
@@ -496,6 +496,7 @@
         let stream = GatedStream::new(stream, gates.clone(), budget.clone(), discard.clone());
         let (sender, driver) = http1::Builder::new()
             .max_header_size(MAX_HEAD_BYTES)
+            .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|err| SendError::NotSent(err.to_string()))?;
--- a/crates/server/src/controller.rs
+++ b/crates/server/src/controller.rs
@@ -16,6 +16,8 @@
 use tokio::sync::mpsc;
 
 use crate::{
+    caller_memory::MemoryCharge,
+    connection_memory::RequestMemory,
     credential,
     exclusive::{self, DedupKey},
     instance::{InFlight, Shared},
@@ -97,6 +99,16 @@
 }
 
 impl Admitted {
+    /// Holds the memory of the request until it ends.
+    pub(crate) fn hold(&mut self, memory: Arc<RequestMemory>) {
+        self.guard.hold(memory);
+    }
+
+    /// Holds the charge for the input of the request until it ends.
+    pub(crate) fn hold_input(&mut self, input: MemoryCharge) {
+        self.guard.hold_input(input);
+    }
+
     /// Starts the request digest with the head; the caller adds the body.
     pub(crate) fn digest(&self) -> DigestBuilder {
         let head = &self.head;
--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -26,7 +26,7 @@
 };
 use crate::{
     connections::{Exchange, Lease, SendError},
-    http_body,
+    http_body::{self, ChargedBuffer},
 };
 
 /// Largest response that is buffered before it is forwarded, in bytes: until then, a response
@@ -50,7 +50,7 @@
 pub(super) struct Stream {
     pub(super) response: Response<Incoming>,
     /// Part of the body that has been read.
-    pub(super) prefix: Bytes,
+    pub(super) prefix: Vec<Bytes>,
     pub(super) lease: Lease,
     pub(super) server: InFlight,
     pub(super) head: ResponseHead,
@@ -261,7 +261,7 @@
         if status.is_success() && head.is_event_stream {
             return SendOutcome::Stream(Box::new(Stream {
                 response,
-                prefix: Bytes::new(),
+                prefix: Vec::new(),
                 lease,
                 server: in_flight,
                 head,
@@ -272,7 +272,8 @@
         let on_bytes = || {
             in_flight.on_body_bytes();
         };
-        let (bytes, is_whole) = match read_up_to(&mut body, MAX_BUFFERED_BYTES, on_bytes).await {
+        let buffer = ChargedBuffer::new(caller.memory.response_charge(), MAX_BUFFERED_BYTES);
+        let (bytes, is_whole) = match read_up_to(&mut body, buffer, on_bytes).await {
             Ok(read) => read,
             Err(err) => {
                 warn!(self.log, "response broke off"; "request" => %caller.id,
@@ -294,10 +295,11 @@
             return_to_pool(lease, &head);
         }
         let end = if may_have_body(&caller.method, status) {
-            BodyEnd::of_whole_body(framing, bytes.is_empty())
+            BodyEnd::of_whole_body(framing, bytes.iter().all(Bytes::is_empty))
         } else {
             BodyEnd::Complete
         };
+        let bytes = bytes.into_iter().next().unwrap_or_default();
         let response = Response::from_parts(to_caller(parts), bytes);
         if head.is_not_run {
             in_flight.finish(ServerOutcome::Full);
@@ -326,33 +328,23 @@
     method != Method::HEAD && !matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
 }
 
-/// Reads a body until it ends or exceeds `max_bytes`, and calls `on_bytes` whenever bytes of it
-/// arrive. Returns what has been read, and whether that is the whole body.
+/// Reads a body into `buffer` until it ends or does not fit, and calls `on_bytes` whenever bytes of
+/// it arrive. Returns what has been read, and whether that is the whole body.
 async fn read_up_to(
     body: &mut Incoming,
-    max_bytes: usize,
+    mut buffer: ChargedBuffer,
     mut on_bytes: impl FnMut(),
-) -> hyper::Result<(Bytes, bool)> {
-    let mut parts: Vec<Bytes> = Vec::new();
-    let mut length = 0;
-    while length <= max_bytes {
-        let Some(frame) = body.frame().await else {
-            return Ok((join(parts), true));
+) -> hyper::Result<(Vec<Bytes>, bool)> {
+    while let Some(frame) = body.frame().await {
+        let Ok(part) = frame?.into_data() else {
+            continue;
         };
-        if let Ok(part) = frame?.into_data() {
-            on_bytes();
-            length += part.len();
-            parts.push(part);
+        on_bytes();
+        if !buffer.try_push(&part) {
+            return Ok((vec![buffer.finish(), part], false));
         }
     }
-    Ok((join(parts), false))
-}
-
-fn join(mut parts: Vec<Bytes>) -> Bytes {
-    match parts.len() {
-        1 => parts.swap_remove(0),
-        _ => parts.concat().into(),
-    }
+    Ok((vec![buffer.finish()], true))
 }
 
 /// Converts the head of a server's response to that of the caller's response.
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -29,6 +29,7 @@
 };
 use crate::{
     clock::Clock,
+    connection_memory,
     connections::Connections,
     http_body::{self, Body},
 };
@@ -114,10 +115,12 @@
     /// Finds the route of a request and reads its body.
     async fn read_request(
         &self,
-        request: Request<Incoming>,
+        mut request: Request<Incoming>,
         head: RequestHead,
         arrived: Instant,
     ) -> Result<CallerRequest, FailureReason> {
+        let memory =
+            connection_memory::of_request(&mut request).ok_or(FailureReason::Overloaded)?;
         let table = self.view.table().ok_or(FailureReason::Starting)?;
         let matched = table.find(
             request_host(&request),
@@ -136,7 +139,8 @@
         );
         let (parts, body) = request.into_parts();
         let on_part = |part: &[u8]| digest.update(part);
-        let body = http_body::read_with(body, limits.body_bytes, BODY_TIMEOUT, on_part).await?;
+        let max_bytes = limits.body_bytes;
+        let body = http_body::receive(body, max_bytes, BODY_TIMEOUT, &memory, on_part).await?;
         let shared_parts = shared_part_hashes(&matched.route, &head);
         let subjects = RequestSubjects::new(digest.finish(), shared_parts);
         let caller_timeout = head
@@ -150,6 +154,7 @@
             path,
             headers: parts.headers,
             body,
+            memory,
             subjects,
             matched,
             service,
--- a/crates/server/src/gateway/ingress.rs
+++ b/crates/server/src/gateway/ingress.rs
@@ -12,7 +12,7 @@
     http_body::{self, Body},
     meters::Meters,
     phase::{Phase, Phases},
-    settings::Limits,
+    settings::{DEFAULT_MEMORY_MB, Limits},
 };
 
 /// Service of a listener.
@@ -34,6 +34,8 @@
     max_in_flight: 4_096,
     max_connections: 2_000,
     max_deadline_ms: 120_000,
+    write_timeout_ms: 30_000,
+    memory_mb: DEFAULT_MEMORY_MB,
 };
 
 /// Builds the service of the callers' listener.
--- a/crates/server/src/gateway/instance.rs
+++ b/crates/server/src/gateway/instance.rs
@@ -2,7 +2,7 @@
 
 use std::{io, sync::Arc, time::Duration};
 
-use savoryvane_core::{forwarding::PathChange, ids::Incarnation};
+use savoryvane_core::{caller_memory::MemoryLimits, forwarding::PathChange, ids::Incarnation};
 use slog::{Logger, info, warn};
 use tokio::{
     net::TcpListener,
@@ -41,6 +41,7 @@
     upstream::UpstreamWatch,
 };
 use crate::{
+    caller_memory::SharedMemory,
     clock::Clock,
     connections::{ConnectionSettings, Connections},
     endpoint::Endpoint,
@@ -58,6 +59,13 @@
 
 /// Maximum number of idle connections to one backend server.
 const MAX_IDLE_PER_SERVER: usize = 4;
+/// Limits on what is held for the platform's readiness checks and for readers of metrics, each:
+/// there are a few of them, with requests without a body.
+const PLATFORM_LIMITS: MemoryLimits = MemoryLimits {
+    max_bytes: 4 << 20,
+    max_connections: 64,
+    max_requests: 64,
+};
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval between two checks for idle connections to close.
@@ -226,6 +234,7 @@
     origins: Arc<StreamOrigins>,
     forwarder: Arc<Forwarder>,
     monitor: Arc<LoadMonitor>,
+    caller_memory: Arc<SharedMemory>,
     peer_server: PeerServer<PeerMessageRouter>,
 }
 
@@ -374,6 +383,12 @@
             origins,
             forwarder,
             monitor,
+            caller_memory: SharedMemory::new(
+                "callers",
+                log.clone(),
+                clock,
+                settings.caller_memory(),
+            ),
             peer_server: PeerServer {
                 me,
                 handler,
@@ -390,15 +405,18 @@
         let callers = ingress::callers(Arc::clone(&self.forwarder));
         let draining = Acceptor {
             monitor: Some(Arc::clone(&self.monitor)),
-            ..self.acceptor(Arc::clone(&self.phases), connections.clone())
+            memory: Arc::clone(&self.caller_memory),
+            phases: Arc::clone(&self.phases),
+            connections: connections.clone(),
+            ..self.acceptor("callers")
         };
         tasks.spawn(self.monitor.clone().run());
         tasks.spawn(draining.run_with_pauses(listeners.caller_endpoint, listeners.caller, callers));
         // The readiness and metrics listeners stay available until the process exits.
         let ready = ingress::ready(Arc::clone(&self.phases));
-        self.spawn_until_exit(&mut tasks, listeners.ready, ready);
+        self.spawn_until_exit(&mut tasks, "readiness", listeners.ready, ready);
         let metrics = ingress::metrics(Arc::new(Meters::install()));
-        self.spawn_until_exit(&mut tasks, listeners.admin, metrics);
+        self.spawn_until_exit(&mut tasks, "metrics", listeners.admin, metrics);
         tasks.spawn(self.peer_server.run(listeners.peer));
         let stream_store = StreamStore {
             origins: Arc::clone(&self.origins),
@@ -479,19 +497,26 @@
         tasks
     }
 
-    fn acceptor(&self, phases: Arc<Phases>, connections: TaskTracker) -> Acceptor {
+    /// Returns an acceptor for a listener that the platform uses until the process exits.
+    fn acceptor(&self, listener: &'static str) -> Acceptor {
         Acceptor {
             log: self.log.clone(),
             limits: ingress::LIMITS,
-            phases,
-            connections,
+            memory: SharedMemory::new(listener, self.log.clone(), self.clock, PLATFORM_LIMITS),
+            phases: Arc::new(Phases::new()),
+            connections: TaskTracker::new(),
             monitor: None,
         }
     }
 
-    fn spawn_until_exit(&self, tasks: &mut JoinSet<()>, listener: TcpListener, service: Service) {
-        let acceptor = self.acceptor(Arc::new(Phases::new()), TaskTracker::new());
-        tasks.spawn(acceptor.run(listener, service));
+    fn spawn_until_exit(
+        &self,
+        tasks: &mut JoinSet<()>,
+        name: &'static str,
+        listener: TcpListener,
+        service: Service,
+    ) {
+        tasks.spawn(self.acceptor(name).run(listener, service));
     }
 }
 
--- a/crates/server/src/gateway/local_reply.rs
+++ b/crates/server/src/gateway/local_reply.rs
@@ -12,6 +12,9 @@
 /// `Retry-After` while this instance shuts down, in ms: short, as the balancer sends new
 /// connections to other instances.
 const LEAVING_RETRY_AFTER_MS: u64 = 50;
+/// `Retry-After` when there is no memory for a request, in ms: callers that stop midway are
+/// evicted at once, and others release theirs as soon as they are served.
+const OVERLOADED_RETRY_AFTER_MS: u64 = 500;
 /// `Retry-After` when no server accepts a request, in ms: about as long as a server is
 /// ejected after a failure.
 const NO_SERVER_RETRY_AFTER_MS: u64 = 500;
@@ -40,6 +43,8 @@
     SlowBody,
     /// Its body was truncated or its framing is invalid.
     BadBody,
+    /// There is no memory for it, or there are too many requests.
+    Overloaded,
     /// Its stages would miss the deadline, or failed; with the `Retry-After`, in ms.
     Stages(Refusal, u64),
     /// Too many servers crashed under it; with the time for which it is not sent again,
@@ -81,6 +86,7 @@
             Self::LargeBody => "large_body",
             Self::SlowBody => "slow_body",
             Self::BadBody => "bad_body",
+            Self::Overloaded => "overloaded",
             Self::Stages(refusal, _) => refusal.as_str(),
             Self::EndsServers(_) => "ends_servers",
             Self::PartEndsServers(_) => "part_ends_servers",
@@ -106,6 +112,7 @@
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::BadBody => StatusCode::BAD_REQUEST,
             Self::Starting
+            | Self::Overloaded
             | Self::Stages(..)
             | Self::PartEndsServers(_)
             | Self::CopyRuns(_)
@@ -131,6 +138,7 @@
             Self::CopyRuns(retry_after_ms)
             | Self::Limited(retry_after_ms)
             | Self::BackingOff(retry_after_ms) => Some(retry_after_ms),
+            Self::Overloaded => Some(OVERLOADED_RETRY_AFTER_MS),
             Self::Leaving => Some(LEAVING_RETRY_AFTER_MS),
             Self::NoServer => Some(NO_SERVER_RETRY_AFTER_MS),
             _ => None,
@@ -153,6 +161,7 @@
             BodyError::TooLarge => Self::LargeBody,
             BodyError::TooSlow => Self::SlowBody,
             BodyError::Broken => Self::BadBody,
+            BodyError::Evicted => Self::Overloaded,
         }
     }
 }
@@ -168,10 +177,13 @@
     };
     let mut response = http_body::with_type(reason.status(), "text/plain", text);
     request::insert_local_reply_headers(response.headers_mut(), id, reason.retry_after_ms());
-    if reason == FailureReason::BadBody
-        || reason == FailureReason::SlowBody
-        || reason == FailureReason::LargeBody
-    {
+    if matches!(
+        reason,
+        FailureReason::BadBody
+            | FailureReason::SlowBody
+            | FailureReason::LargeBody
+            | FailureReason::Overloaded
+    ) {
         // The rest of the body is not read.
         let close = http::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -27,9 +27,10 @@
     request::CallerRequest,
 };
 use crate::{
+    caller_memory::MemoryCharge,
     connections::Lease,
     http_body::{self, Body},
-    stream_body::{StreamSender, stream_body},
+    stream_body::{STREAM_BUFFER_BYTES, StreamSender, stream_body},
 };
 
 /// Starts to forward a stream, and returns the response that carries it.
@@ -50,6 +51,8 @@
         // With its length reached, a stream that ends inside an event would look complete.
         parts.headers.remove(http::header::CONTENT_LENGTH);
     }
+    let mut charge = caller.memory.response_charge();
+    charge.take(STREAM_BUFFER_BYTES);
     let events = EventSplitter::new(is_event_stream && caller.is_resumable());
     let relay = Relay {
         forwarder,
@@ -60,6 +63,7 @@
         events,
         timing: EventTiming::default(),
         sender,
+        _buffer_charge: charge,
         source: Source {
             body,
             framing,
@@ -91,6 +95,8 @@
     events: EventSplitter,
     timing: EventTiming,
     sender: StreamSender,
+    /// What is buffered of the stream for its caller.
+    _buffer_charge: MemoryCharge,
     source: Source,
 }
 
@@ -146,7 +152,7 @@
 }
 
 impl Relay {
-    async fn run(mut self, prefix: Bytes) {
+    async fn run(mut self, prefix: Vec<Bytes>) {
         let mut next = prefix;
         let stream_end = loop {
             let stream_end = self.forward_body(std::mem::take(&mut next)).await;
@@ -196,9 +202,16 @@
         }
     }
 
+    async fn forward_all(&mut self, parts: Vec<Bytes>) -> Option<()> {
+        for part in parts {
+            self.forward(part).await?;
+        }
+        Some(())
+    }
+
     /// Forwards `prefix` and the rest of the server's body until it stops.
-    async fn forward_body(&mut self, prefix: Bytes) -> StreamEnd {
-        if self.forward(prefix).await.is_none() {
+    async fn forward_body(&mut self, prefix: Vec<Bytes>) -> StreamEnd {
+        if self.forward_all(prefix).await.is_none() {
             return StreamEnd::CallerGone;
         }
         let event_timeout = Duration::from_millis(event_timeout_ms());
--- a/crates/server/src/gateway/request.rs
+++ b/crates/server/src/gateway/request.rs
@@ -1,6 +1,6 @@
 //! A caller's request while it is being processed.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri, header, uri::PathAndQuery};
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::connections::Reuse;
+use crate::{connection_memory::RequestMemory, connections::Reuse};
 
 /// Idle time up to which a pooled connection may carry a request that must not be
 /// repeated; servers close idle connections at any moment.
@@ -29,6 +29,8 @@
     pub(super) path: PathAndQuery,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// What is held for it.
+    pub(super) memory: Arc<RequestMemory>,
     /// Its content, without the identifier, and the shared parts of its prompt.
     pub(super) subjects: RequestSubjects,
     pub(super) matched: Matched,
--- a/crates/server/src/gateway/settings.rs
+++ b/crates/server/src/gateway/settings.rs
@@ -1,9 +1,10 @@
 //! Settings of a gateway instance, read from one YAML file.
 
-use std::{net::SocketAddr, path::Path};
+use std::{net::SocketAddr, ops::RangeInclusive, path::Path};
 
 use savoryvane_check::{self as check, Fields, Problems};
 use savoryvane_core::{
+    caller_memory::MemoryLimits,
     forwarding::{BudgetSettings, PropagationBounds},
     ids::{InstanceName, RegionName, ZoneName},
     poison::QuarantineSettings,
@@ -11,7 +12,10 @@
 
 use crate::{
     error::Result,
-    settings::{Log, file_limits, load, read_log, read_quarantine},
+    settings::{
+        DEFAULT_MEMORY_MB, Log, MEMORY_MB, caller_bytes, file_limits, load, read_log,
+        read_quarantine,
+    },
 };
 
 /// Maximum number of seeds.
@@ -39,6 +43,14 @@
 /// Smallest such size, in bytes: a head and a small body.
 const MIN_RESPONSE_BYTES: u64 = 128 << 10;
 
+/// Range of the number of descriptors.
+const DESCRIPTORS: RangeInclusive<u64> = 64..=1_048_576;
+/// Default of the number of descriptors: that of the smallest machines in use.
+const DEFAULT_DESCRIPTORS: u64 = 4_100;
+/// Descriptors that callers can't take: those for files, and for connections to other instances,
+/// the store, the platform's readiness checks, and idle ones to servers.
+const RESERVED_DESCRIPTORS: u64 = 500;
+
 /// Default length of the window of the retry budget, in s.
 const DEFAULT_WINDOW_S: f64 = 10.0;
 /// Bandwidth of a network link that is assumed where none is set, in Mbit/s: that of the smallest
@@ -70,6 +82,11 @@
     /// Bandwidth of its network link in each direction, in Mbit/s. If it is not set, new
     /// connections are not bounded by it.
     pub link_mbps: Option<f64>,
+    /// Memory of its machine, in MB; a part of it is held for callers at most.
+    pub memory_mb: u64,
+    /// Number of descriptors that it may open, which bounds the connections and requests of
+    /// callers.
+    pub max_descriptors: u64,
     /// Maximum size of a backend server's response, in bytes.
     pub max_response_bytes: u64,
     /// Retry budget of all instances together.
@@ -121,6 +138,18 @@
 }
 
 impl GatewaySettings {
+    /// Returns the limits on what is held for callers. A request takes a descriptor for its
+    /// caller's connection and one for that to a server.
+    pub(crate) fn caller_memory(&self) -> MemoryLimits {
+        let reserved = RESERVED_DESCRIPTORS.min(self.max_descriptors / 2);
+        let half = ((self.max_descriptors - reserved) / 2) as usize;
+        MemoryLimits {
+            max_bytes: caller_bytes(self.memory_mb),
+            max_connections: half,
+            max_requests: half,
+        }
+    }
+
     /// Returns the bandwidth of the instance's network link as set, in bytes per second.
     pub(crate) fn link_bytes_per_s(&self) -> Option<u64> {
         let link_mbps = self.link_mbps?;
@@ -166,6 +195,12 @@
     let link_mbps = fields.or("link_mbps", None, |fields, at| {
         fields.f64(at, 0.01..=1_000_000.0).map(Some)
     });
+    let memory_mb = fields.or("memory_mb", DEFAULT_MEMORY_MB, |fields, at| {
+        // The platform may state a fraction.
+        let range = *MEMORY_MB.start() as f64..=*MEMORY_MB.end() as f64;
+        fields.f64(at, range).map(|memory_mb| memory_mb as u64)
+    });
+    let max_descriptors = fields.number("max_descriptors", DESCRIPTORS, DEFAULT_DESCRIPTORS);
     let max_response_bytes = fields.number(
         "max_response_bytes",
         MIN_RESPONSE_BYTES..=u64::MAX,
@@ -186,6 +221,8 @@
         is_first_start: is_first_start?,
         cores: cores?,
         link_mbps: link_mbps?,
+        memory_mb: memory_mb?,
+        max_descriptors,
         max_response_bytes,
         repeats: repeats?,
         in_force: in_force?,
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -11,6 +11,7 @@
 
 use arc_swap::ArcSwapOption;
 use savoryvane_core::{
+    caller_memory::MemoryLimits,
     config::{Action, FollowerSettings},
     fleet::Fleet,
     ids::Incarnation,
@@ -30,10 +31,12 @@
     admin,
     answers::Answers,
     caller,
+    caller_memory::{MemoryCharge, SharedMemory},
     calls::BackendClient,
     claims::{self, Claims},
     clock::Clock,
     configuration::Configuration,
+    connection_memory::RequestMemory,
     crashes::SharedCrashTracker,
     error::{Error, Result},
     follower,
@@ -56,6 +59,14 @@
     tickets::Tickets,
 };
 
+/// Limits on what is held for operators' connections and readers of metrics. The bodies of their
+/// requests are read only with the operators' credential.
+const OPERATOR_LIMITS: MemoryLimits = MemoryLimits {
+    max_bytes: 16 << 20,
+    max_connections: 256,
+    max_requests: 256,
+};
+
 /// State shared by all tasks of an instance.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -95,6 +106,8 @@
     pub(crate) placement: Placement,
     /// Metrics recorder.
     pub(crate) meters: Meters,
+    /// Memory held for callers.
+    pub(crate) caller_memory: Arc<SharedMemory>,
     /// Request tasks; the shutdown waits for them.
     pub(crate) tasks: TaskTracker,
     fleet: Arc<Mutex<Fleet>>,
@@ -126,17 +139,38 @@
             })
             .map_err(|_| Refusal::Overloaded)?;
         metrics::gauge!("savoryvane_requests_in_flight").set(f64::from(previous + 1));
-        Ok(InFlight(Arc::clone(&self.in_flight)))
+        Ok(InFlight {
+            count: Arc::clone(&self.in_flight),
+            memory: None,
+            input: None,
+        })
     }
 }
 
 /// Guard that counts a request as in flight until it is dropped.
 #[derive(Debug)]
-pub(crate) struct InFlight(Arc<AtomicU32>);
+pub(crate) struct InFlight {
+    count: Arc<AtomicU32>,
+    /// What is held for the request, unless a peer forwarded it.
+    memory: Option<Arc<RequestMemory>>,
+    input: Option<MemoryCharge>,
+}
+
+impl InFlight {
+    /// Holds the memory of the request until the guard is dropped.
+    pub(crate) fn hold(&mut self, memory: Arc<RequestMemory>) {
+        self.memory = Some(memory);
+    }
+
+    /// Holds the charge for the input of the request until the guard is dropped.
+    pub(crate) fn hold_input(&mut self, input: MemoryCharge) {
+        self.input = Some(input);
+    }
+}
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        let previous = self.0.fetch_sub(1, Ordering::Relaxed);
+        let previous = self.count.fetch_sub(1, Ordering::Relaxed);
         metrics::gauge!("savoryvane_requests_in_flight").set(f64::from(previous.saturating_sub(1)));
     }
 }
@@ -281,10 +315,13 @@
         seed: rand::random(),
     };
     let (configuration, actions) = Configuration::new(follower, Arc::clone(&fleet));
+    let clock = Clock::start();
+    let caller_limits = settings.limits.caller_memory();
     let shared = Shared {
         incarnation,
         members,
-        clock: Clock::start(),
+        clock,
+        caller_memory: SharedMemory::new("callers", log.clone(), clock, caller_limits),
         phases: Arc::new(Phases::new()),
         configuration,
         snapshots: SnapshotCache::default(),
@@ -343,12 +380,19 @@
     let callers = Acceptor {
         log: shared.log.clone(),
         limits: shared.settings.limits,
+        memory: Arc::clone(&shared.caller_memory),
         phases: Arc::clone(&shared.phases),
         connections: connections.clone(),
         monitor: None,
     };
     // The operators' listener serves through the drain, until the process exits.
     let operators = Acceptor {
+        memory: SharedMemory::new(
+            "operators",
+            shared.log.clone(),
+            shared.clock,
+            OPERATOR_LIMITS,
+        ),
         phases: Arc::new(Phases::new()),
         connections: TaskTracker::new(),
         ..callers.clone()
--- a/crates/server/src/listener.rs
+++ b/crates/server/src/listener.rs
@@ -12,6 +12,7 @@
 };
 
 use http::{HeaderValue, Request, Response, Version, header};
+use http_body_util::BodyExt;
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -20,16 +21,18 @@
 use slog::{Logger, debug, warn};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore},
     time::{self, Instant},
 };
 use tokio_util::task::TaskTracker;
 use tower::{Service, ServiceExt};
 
 use crate::{
+    caller_memory::SharedMemory,
+    connection_memory::{self, ConnectionMemory},
     endpoint::Endpoint,
     error::{Error, Result},
-    http_body::Body,
+    held_stream::HeldStream,
+    http_body::{Body, WithGuard},
     link_meter::{LinkMeter, MeteredStream},
     load_monitor::LoadMonitor,
     phase::{Phase, Phases},
@@ -38,7 +41,12 @@
 };
 
 /// Maximum number of concurrent streams per HTTP/2 connection.
-const MAX_HTTP2_STREAMS: u32 = 256;
+const MAX_HTTP2_STREAMS: u32 = 32;
+/// Maximum size of a request head over HTTP/2, in bytes: many may be sent at once.
+const MAX_HTTP2_HEAD_BYTES: u32 = 32 << 10;
+/// Bytes that a caller may send over HTTP/2 before they are read, on one stream and on one
+/// connection: the smallest that the protocol allows for both. Bodies are read as they arrive.
+const HTTP2_WINDOW_BYTES: u32 = 65_535;
 /// Delay after a failed `accept` call, in ms.
 const ACCEPT_RETRY_DELAY_MS: u64 = 50;
 /// Time to wait for the first request of a connection that was opened just before
@@ -88,6 +96,8 @@
     pub(crate) log: Logger,
     /// Limits on what a connection may send.
     pub(crate) limits: Limits,
+    /// Memory held for the callers of the listener.
+    pub(crate) memory: Arc<SharedMemory>,
     /// Lifecycle phase of the instance.
     pub(crate) phases: Arc<Phases>,
     /// Tracker of the open connections.
@@ -106,7 +116,6 @@
         mut listener: TcpListener,
         service: impl Handler,
     ) {
-        let slots = self.slots();
         loop {
             let pause = self.monitor.as_ref().map_or(Duration::ZERO, |m| m.pause());
             if !pause.is_zero() {
@@ -122,7 +131,7 @@
                 accepted = listener.accept() => accepted,
                 () = self.phases.reached(Phase::Draining) => return,
             };
-            self.on_accepted(accepted, &slots, service.clone()).await;
+            self.on_accepted(accepted, service.clone()).await;
         }
     }
 
@@ -140,7 +149,6 @@
 
     /// Accepts connections and serves `service` on each until the instance drains.
     pub(crate) async fn run(self, listener: TcpListener, service: impl Handler) {
-        let slots = self.slots();
         loop {
             // Connections already in the backlog are accepted before the loop ends.
             let accepted = tokio::select! {
@@ -148,19 +156,13 @@
                 accepted = listener.accept() => accepted,
                 () = self.phases.reached(Phase::Draining) => return,
             };
-            self.on_accepted(accepted, &slots, service.clone()).await;
+            self.on_accepted(accepted, service.clone()).await;
         }
     }
 
-    fn slots(&self) -> Arc<Semaphore> {
-        let slots = usize::try_from(self.limits.max_connections).unwrap_or(Semaphore::MAX_PERMITS);
-        Arc::new(Semaphore::new(slots))
-    }
-
     async fn on_accepted(
         &self,
         accepted: io::Result<(TcpStream, SocketAddr)>,
-        slots: &Arc<Semaphore>,
         service: impl Handler,
     ) {
         let Some(stream) = self.accepted_stream(accepted).await else {
@@ -169,9 +171,9 @@
         if let Some(monitor) = &self.monitor {
             monitor.on_accepted();
         }
-        match Arc::clone(slots).try_acquire_owned() {
-            Ok(permit) => self.spawn(stream, permit, service),
-            Err(_) => refuse(stream),
+        match ConnectionMemory::open(&self.memory, self.limits.header_bytes).await {
+            Some(memory) => self.spawn(stream, memory, service),
+            None => refuse(stream),
         }
     }
 
@@ -189,15 +191,14 @@
         }
     }
 
-    fn spawn(&self, stream: TcpStream, permit: OwnedSemaphorePermit, service: impl Handler) {
+    fn spawn(&self, stream: TcpStream, memory: Arc<ConnectionMemory>, service: impl Handler) {
         let acceptor = self.clone();
         self.connections.spawn(async move {
-            acceptor.serve(stream, service).await;
-            drop(permit);
+            acceptor.serve(stream, memory, service).await;
         });
     }
 
-    async fn serve(&self, stream: TcpStream, service: impl Handler) {
+    async fn serve(&self, stream: TcpStream, memory: Arc<ConnectionMemory>, service: impl Handler) {
         let _ = stream.set_nodelay(true);
         let has_request = Arc::new(AtomicBool::new(false));
         let knows_chunks = Arc::new(AtomicBool::new(true));
@@ -206,7 +207,10 @@
         let handler = service_fn({
             let has_request = Arc::clone(&has_request);
             let knows_chunks = Arc::clone(&knows_chunks);
-            move |request: Request<Incoming>| {
+            let memory = Arc::clone(&memory);
+            move |mut request: Request<Incoming>| {
+                let in_progress = memory.on_request();
+                connection_memory::begin_request(&memory, &mut request);
                 let is_first = !has_request.swap(true, Ordering::Relaxed);
                 let monitor = monitor.as_ref();
                 let closes = monitor.is_some_and(|monitor| monitor.on_request(is_first));
@@ -219,14 +223,17 @@
                     if closes || phases.is_leaving() {
                         close_after(version, &mut response);
                     }
-                    Ok::<_, Infallible>(response)
+                    let end = |body| WithGuard::new(body, in_progress).boxed_unsync();
+                    Ok::<_, Infallible>(response.map(end))
                 }
             }
         });
         let stream = SharedStream::new(stream);
         let builder = self.builder();
         let metered = MeteredStream::new(stream.clone(), self.link_meter());
-        let connection = builder.serve_connection(TokioIo::new(metered), handler);
+        let write_timeout = self.limits.write_timeout();
+        let held = HeldStream::new(metered, Arc::clone(&memory), write_timeout);
+        let connection = builder.serve_connection(TokioIo::new(held), handler);
         tokio::pin!(connection);
         let first_head = time::sleep(self.limits.header_timeout());
         tokio::pin!(first_head);
@@ -248,6 +255,15 @@
                     }
                     return;
                 }
+                () = memory.evicted() => {
+                    if memory.may_close() {
+                        return;
+                    }
+                }
+                () = memory.closing(), if !is_shut_down => {
+                    is_shut_down = true;
+                    connection.as_mut().graceful_shutdown();
+                }
                 () = &mut first_head, if awaits_first_head => {
                     awaits_first_head = false;
                     if !has_request.load(Ordering::Relaxed) {
@@ -279,6 +295,9 @@
 
     fn builder(&self) -> auto::Builder<TokioExecutor> {
         let max_head_bytes = usize::try_from(self.limits.header_bytes).unwrap_or(usize::MAX);
+        let max_http2_head_bytes = u32::try_from(max_head_bytes)
+            .unwrap_or(u32::MAX)
+            .min(MAX_HTTP2_HEAD_BYTES);
         let mut builder = auto::Builder::new(TokioExecutor::new());
         builder
             .http1()
@@ -288,7 +307,9 @@
         builder
             .http2()
             .timer(TokioTimer::new())
-            .max_header_list_size(u32::try_from(max_head_bytes).unwrap_or(u32::MAX))
+            .max_header_list_size(max_http2_head_bytes)
+            .initial_stream_window_size(HTTP2_WINDOW_BYTES)
+            .initial_connection_window_size(HTTP2_WINDOW_BYTES)
             .max_concurrent_streams(MAX_HTTP2_STREAMS);
         builder
     }
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -1,9 +1,10 @@
 //! Settings of an entry instance, loaded from a YAML file.
 
-use std::{fs, net::SocketAddr, path::Path, time::Duration};
+use std::{fs, net::SocketAddr, ops::RangeInclusive, path::Path, time::Duration};
 
 use savoryvane_check::{self as check, Fields, Problems};
 use savoryvane_core::{
+    caller_memory::MemoryLimits,
     ids::{InstanceName, RegionName, ZoneName, is_sha256},
     poison::QuarantineSettings,
 };
@@ -29,6 +30,17 @@
 /// Default retention of an idempotency key, in ms.
 const DEFAULT_CLAIM_WINDOW_MS: u64 = 600_000;
 
+/// Range of the memory of a machine, in MB.
+pub(crate) const MEMORY_MB: RangeInclusive<u64> = 1..=1_048_576;
+/// Default of the memory of a machine, in MB: that of the smallest in use.
+pub(crate) const DEFAULT_MEMORY_MB: u64 = 160;
+/// Bytes in one MB.
+const BYTES_PER_MB: u64 = 1_000_000;
+/// Part of the memory that is held for callers at most, in percent. The rest is for the state of
+/// the instance, for what the allocator does not return, and for the buffers of connections to
+/// backend servers.
+const CALLER_SHARE_PERCENT: u64 = 35;
+
 /// Minimum time for which a request that crashes servers is quarantined, in ms. With a
 /// shorter time, its trial runs would crash servers about as often as they start.
 const MIN_QUARANTINE_MS: u64 = 10_000;
@@ -147,6 +159,10 @@
     pub max_connections: u64,
     /// Maximum deadline of a request, relative to its arrival, in ms.
     pub max_deadline_ms: u64,
+    /// Time after which a connection is closed whose caller takes no byte of a response, in ms.
+    pub write_timeout_ms: u64,
+    /// Memory of the machine, in MB; a part of it is held for callers at most.
+    pub memory_mb: u64,
 }
 
 /// Connections to backend servers.
@@ -214,12 +230,32 @@
         Duration::from_millis(self.header_timeout_ms)
     }
 
+    /// Returns the timeout for a caller to take bytes of a response.
+    pub(crate) fn write_timeout(&self) -> Duration {
+        Duration::from_millis(self.write_timeout_ms)
+    }
+
+    /// Returns the limits on what is held for callers.
+    pub(crate) fn caller_memory(&self) -> MemoryLimits {
+        let to_usize = |count| usize::try_from(count).unwrap_or(usize::MAX);
+        MemoryLimits {
+            max_bytes: caller_bytes(self.memory_mb),
+            max_connections: to_usize(self.max_connections),
+            max_requests: to_usize(self.max_in_flight),
+        }
+    }
+
     /// Returns the timeout for receiving a request body.
     pub(crate) fn body_timeout(&self) -> Duration {
         Duration::from_millis(self.body_timeout_ms)
     }
 }
 
+/// Returns the part of a machine's memory that may be held for callers, in bytes.
+pub(crate) fn caller_bytes(memory_mb: u64) -> u64 {
+    memory_mb * BYTES_PER_MB * CALLER_SHARE_PERCENT / 100
+}
+
 /// Loads and validates the file at `path` with the section reader `read`.
 ///
 /// # Errors
@@ -345,6 +381,8 @@
         max_in_flight: fields.number("max_in_flight", 1..=1_000_000, 2_048),
         max_connections: fields.number("max_connections", 1..=1_000_000, 8_192),
         max_deadline_ms: fields.number("max_deadline_ms", 1..=MAX_DURATION_MS, 120_000),
+        write_timeout_ms: fields.number("write_timeout_ms", 1_000..=MAX_DURATION_MS, 30_000),
+        memory_mb: fields.number("memory_mb", MEMORY_MB, DEFAULT_MEMORY_MB),
     })
 }
 
--- /dev/null
+++ b/crates/server/tests/clients_gateway.rs
@@ -0,0 +1,333 @@
+//! Clients that do not behave at a gateway process.
+
+mod clients;
+#[path = "common/process.rs"]
+#[allow(dead_code, reason = "each test file uses a part of it")]
+mod process;
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use clients::{
+    BODY_BYTES, CLIENTS, Crowd, HEAD_BYTES, HEAD_CLIENTS, RUNNING, Sending, TINY_CHUNK_CLIENTS,
+    Target, WHOLE_TINY_CHUNK_BODY_BYTES,
+    http2::{self, Requests},
+    send_whole,
+};
+use process::settings_file;
+use savoryvane_platform_standin::{
+    Behaviour, RawEnd, RawResponse, RawServerStandIn, ServerStandIn, StoreStandIn,
+};
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpSocket,
+    time,
+};
+
+const ZONE: &str = "hal-utrecht";
+const HOST: &str = "sign.example";
+const KEY: &str = "key-of-one";
+/// More clients than a gateway takes connections.
+const EXCESS_CLIENTS: usize = 2_100;
+/// Size of a response that clients do not read, in bytes.
+const UNREAD_BYTES: usize = 900_000;
+/// Receive buffer of such a client, in bytes.
+const SMALL_RECEIVE_BUFFER_BYTES: u32 = 4_096;
+/// Pieces of a body over the limit, a quarter of the limit each, and the pause after each.
+const OVERLONG_PIECES: usize = 6;
+const OVERLONG_PAUSE: Duration = Duration::from_millis(10);
+/// Bodies over the limit that one client sends one after the other.
+const REFUSED_BODIES: usize = 10;
+/// Time after which a response counts as lost.
+const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A gateway process with one route to one server.
+struct World {
+    target: Target,
+    server: ServerStandIn,
+    _large: RawServerStandIn,
+    _store: StoreStandIn,
+    gateway: Child,
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let _ = self.gateway.kill();
+        let _ = self.gateway.wait();
+    }
+}
+
+impl World {
+    async fn start() -> Self {
+        let store = StoreStandIn::start().await;
+        store.put("keyed.op", "config", &configuration());
+        let server = ServerStandIn::start("i-1").await;
+        store.put("keyed.servers", "i-1", &server.entry("desk", ZONE, "ready"));
+        let large = large_server().await;
+        store.put("keyed.servers", "i-2", &large.entry("large", ZONE));
+        let [caller, ready, peer, admin] = free_addresses();
+        let settings = format!(
+            "instance: entry-1\nzone: {ZONE}\nregion: nl-midden\n\
+             listen: {{caller: '{caller}', ready: '{ready}', peer: '{peer}', admin: '{admin}'}}\n\
+             store: {}\nseeds: []\ncores: 1\n\
+             repeats: {{ratio: 0.2, slack: 100, instances: 4}}\n\
+             log: {{level: error}}\ndrain: {{kill_after_s: 2.6}}\n",
+            store.addr,
+        );
+        let path = settings_file(&settings);
+        let gateway = Command::new(env!("CARGO_BIN_EXE_savoryvane"))
+            .args(["--gateway", path.to_str().unwrap()])
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        let target = Target {
+            process_id: gateway.id(),
+            addr: caller,
+            path: "/lookup/1",
+            headers: vec![
+                ("host", HOST.to_owned()),
+                ("deadline-ms", "30000".to_owned()),
+                ("x-api-key", KEY.to_owned()),
+            ],
+            id_header: "request-id",
+        };
+        let world = Self {
+            target,
+            server,
+            _large: large,
+            _store: store,
+            gateway,
+        };
+        world.wait_until_ready().await;
+        world
+    }
+
+    async fn wait_until_ready(&self) {
+        for _ in 0..500 {
+            let sent = self.target.send("early", b"{}".to_vec()).await;
+            if sent.is_ok_and(|(status, _)| status == http::StatusCode::OK) {
+                return;
+            }
+            time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("the gateway is not ready");
+    }
+}
+
+fn configuration() -> String {
+    let route = |name: &str, service: &str| {
+        json!({
+            "Name": name, "Host": HOST, "PathPrefix": format!("/{name}/"),
+            "RouteKind": "idempotent", "TimeoutMs": 30_000, "GoalMs": 500, "Priority": 0,
+            "Service": service, "Attempts": 2, "Public": false, "Sticky": false,
+            "Resumable": false,
+        })
+    };
+    let service =
+        |name: &str| json!({ "Name": name, "HealthPath": "/healthz", "MaxConns": 10_000 });
+    json!({
+        "Version": 3,
+        "Routes": [route("lookup", "desk"), route("large", "large")],
+        "Services": [service("desk"), service("large")],
+        "Tenants": [{ "Name": "one", "ApiKeys": [KEY] }],
+        "Limits": { "MaxHeaderBytes": 16_384, "MaxBodyBytes": BODY_BYTES,
+            "HeaderTimeoutMs": 5_000, "IdleTimeoutMs": 10_000 },
+    })
+    .to_string()
+}
+
+/// Starts a server with large responses.
+async fn large_server() -> RawServerStandIn {
+    let response = RawResponse {
+        status_line: "HTTP/1.1 200 OK",
+        headers: vec!["content-length: 900000"],
+        body: vec!["x".repeat(UNREAD_BYTES)],
+        end: RawEnd::KeepOpen,
+    };
+    RawServerStandIn::start("i-2", response).await
+}
+
+fn free_addresses() -> [SocketAddr; 4] {
+    // All are bound before the first is released, so that they differ.
+    let listeners = [(); 4].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    listeners.map(|listener| listener.local_addr().unwrap())
+}
+
+async fn check_crowd(count: usize, sending: Sending) {
+    let _running = RUNNING.lock().await;
+    let world = World::start().await;
+    let _crowd = Crowd::gather(&world.target, count, sending).await;
+    world.target.check().await;
+}
+
+async fn check_http2(requests: Requests) {
+    let _running = RUNNING.lock().await;
+    let world = World::start().await;
+    if requests == Requests::Whole {
+        world
+            .server
+            .set(Behaviour::PausesFor(Duration::from_secs(20)));
+    }
+    let _crowd = http2::gather(&world.target, requests).await;
+    world.server.set(Behaviour::Healthy);
+    world.target.check().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_bodies_one_byte_short_do_not_exhaust_memory() {
+    check_crowd(CLIENTS, Sending::OneByteShort).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_bodies_in_pieces_do_not_exhaust_memory() {
+    check_crowd(CLIENTS, Sending::InPieces).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_bodies_in_large_chunks_do_not_exhaust_memory() {
+    check_crowd(CLIENTS, Sending::LargeChunks).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_bodies_in_chunks_of_one_byte_do_not_exhaust_memory() {
+    check_crowd(TINY_CHUNK_CLIENTS, Sending::TinyChunks).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_bodies_announced_over_the_limit_do_not_exhaust_memory() {
+    check_crowd(CLIENTS, Sending::AnnouncedOverLimit).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_bodies_sent_over_the_limit_do_not_exhaust_memory() {
+    check_crowd(CLIENTS, Sending::SentOverLimit).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_heads_without_an_end_do_not_exhaust_memory() {
+    check_crowd(HEAD_CLIENTS, Sending::Head(HEAD_BYTES)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_connections_without_a_request_do_not_lock_callers_out() {
+    check_crowd(EXCESS_CLIENTS, Sending::StartOfHead).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_http2_bodies_one_byte_short_do_not_exhaust_memory() {
+    check_http2(Requests::OneByteShort).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_http2_bodies_in_frames_of_one_byte_do_not_exhaust_memory() {
+    check_http2(Requests::SmallFrames).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_http2_heads_do_not_exhaust_memory() {
+    check_http2(Requests::LargeHeads).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_http2_requests_in_flight_do_not_exhaust_descriptors() {
+    check_http2(Requests::Whole).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_responses_that_are_not_read_do_not_exhaust_memory() {
+    let _running = RUNNING.lock().await;
+    let world = World::start().await;
+    let mut crowd = Crowd::empty();
+    for index in 0..CLIENTS {
+        let target = Target {
+            path: "/large/1",
+            ..world.target.clone()
+        };
+        let progress = crowd.progress();
+        crowd.add(async move {
+            // Keeps the connection open without reading from it.
+            let _stream = request_without_reading(&target, index).await;
+            progress.on_bytes(1);
+            std::future::pending::<()>().await;
+        });
+    }
+    crowd.settle(&world.target).await;
+    world.target.check().await;
+}
+
+async fn request_without_reading(
+    target: &Target,
+    index: usize,
+) -> std::io::Result<tokio::net::TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(SMALL_RECEIVE_BUFFER_BYTES)?;
+    let mut stream = socket.connect(target.addr).await?;
+    let request = format!(
+        "{}content-length: 0\r\n\r\n",
+        target.head(&format!("crowd-{index}"))
+    );
+    stream.write_all(request.as_bytes()).await?;
+    Ok(stream)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_one_whole_body_of_the_largest_size_is_served() {
+    let _running = RUNNING.lock().await;
+    let world = World::start().await;
+    let sendings = [
+        (BODY_BYTES, None),
+        (BODY_BYTES, Some(64_000)),
+        (WHOLE_TINY_CHUNK_BODY_BYTES, Some(1)),
+    ];
+    for (body_bytes, chunk_bytes) in sendings {
+        let status = send_whole(&world.target, body_bytes, chunk_bytes).await;
+        assert_eq!(status, "HTTP/1.1 200 OK", "chunks of {chunk_bytes:?}");
+    }
+    let received = world.server.executed();
+    let received: Vec<&[u8]> = received.iter().map(|request| &request.body[..]).collect();
+    for (body_bytes, _) in sendings {
+        assert!(received.contains(&&clients::body_of(body_bytes)[..]));
+    }
+    world.target.check().await;
+}
+
+/// Sends a request with a body over the limit, and returns the status line of the response.
+async fn send_overlong(target: &Target, head: &str, piece: &[u8]) -> String {
+    let mut stream = tokio::net::TcpStream::connect(target.addr).await.unwrap();
+    let head = format!("{}{head}\r\n\r\n", target.head("overlong"));
+    stream.write_all(head.as_bytes()).await.unwrap();
+    for _ in 0..OVERLONG_PIECES {
+        // The response is read all the same, as ordinary clients do.
+        if stream.write_all(piece).await.is_err() {
+            break;
+        }
+        time::sleep(OVERLONG_PAUSE).await;
+    }
+    let mut response = Vec::new();
+    let _ = time::timeout(TEST_TIMEOUT, stream.read_to_end(&mut response)).await;
+    let text = String::from_utf8_lossy(&response).into_owned();
+    text.lines().next().unwrap_or_default().to_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_refusals_of_bodies_over_the_limit_reach_the_client() {
+    let _running = RUNNING.lock().await;
+    let world = World::start().await;
+    let piece = vec![b'x'; BODY_BYTES / 4];
+    let announced = format!("content-length: {}", OVERLONG_PIECES * piece.len());
+    let sendings = [
+        (announced.as_str(), piece.clone()),
+        ("transfer-encoding: chunked", clients::chunk(&piece)),
+    ];
+    for (head, piece) in &sendings {
+        for _ in 0..REFUSED_BODIES {
+            let status = send_overlong(&world.target, head, piece).await;
+            assert!(status.starts_with("HTTP/1.1 413"), "{status:?} to {head}");
+        }
+    }
+    world.target.check().await;
+}
--- a/crates/server/tests/common/process.rs
+++ b/crates/server/tests/common/process.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Returns the identifier of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
