Charge what a peer forwards with a ticket to the memory held for callers

Cause: the issuer of a ticket parsed what a peer forwarded without a charge. Each peer has an account of its own, and those of all peers together exceed the memory of one instance.

Change: the issuer charges the forwarded body and what it parses of it as a request of its own, and refuses it as overloaded where there is no room.

--- a/crates/server/src/exclusive/serving.rs
+++ b/crates/server/src/exclusive/serving.rs
@@ -3,9 +3,15 @@
 
 use std::{sync::Arc, time::Duration};
 
-use savoryvane_core::{claim::KeyHash, ids::RequestId, outcome::Outcome, ticket::TicketId};
+use savoryvane_core::{
+    caller_memory::{HolderState, Multiplexing},
+    claim::KeyHash,
+    ids::RequestId,
+    outcome::Outcome,
+    ticket::TicketId,
+};
 use savoryvane_wire::{
-    caller::{Answer, Submission},
+    caller::Answer,
     peer::{AnswerQuery, AnswerState, TicketRun},
 };
 use tokio::{sync::mpsc, time::Instant};
@@ -13,7 +19,8 @@
 use super::{DedupKey, plain_answer, ticketed::ISSUER_UNRESPONSIVE};
 use crate::{
     answers::{AnswerKey, Found},
-    caller::final_answer,
+    caller::{self, final_answer},
+    caller_memory::{Evicted, MemoryCharge},
     controller::{self, Head},
     instance::Shared,
     refusal::Refusal,
@@ -53,7 +60,8 @@
     let id = TicketId::parse(&run.ticket)
         .filter(|id| id.incarnation == shared.incarnation)
         .ok_or(Refusal::TicketNotValid)?;
-    let body: Submission = serde_json::from_slice(&run.body).map_err(|_| Refusal::BadBody)?;
+    let charge = charge_forwarded(shared, run.body.len())?;
+    let (body, charge) = caller::parse_submission(&run.body, charge)?;
     let head = Head {
         request: run.request,
         workspace: run.workspace,
@@ -63,7 +71,8 @@
         warrant: Some(DedupKey::Ticket(id)),
         arrived_at_ms: shared.clock.now_ms(),
     };
-    let admitted = controller::admit(shared, head)?;
+    let mut admitted = controller::admit(shared, head)?;
+    admitted.hold_input(charge);
     let mut digest = admitted.digest();
     digest.update(&run.body);
     Ok(controller::execute(
@@ -74,6 +83,19 @@
     ))
 }
 
+/// Charges a body that a peer forwarded. The peer has its own account, and those of all peers
+/// together may exceed the memory of this instance.
+fn charge_forwarded(shared: &Shared, body_bytes: usize) -> Result<MemoryCharge, Refusal> {
+    let held = shared.caller_memory.add_request(Multiplexing::Many);
+    let held = held.ok_or(Refusal::Overloaded)?;
+    held.set_state(HolderState::Serving);
+    let mut charge = MemoryCharge::new(&Arc::new(held));
+    charge
+        .try_grow(body_bytes as u64)
+        .map_err(|Evicted| Refusal::Overloaded)?;
+    Ok(charge)
+}
+
 async fn await_final_answer(
     mut updates: mpsc::UnboundedReceiver<Update>,
     request: &RequestId,
--- a/crates/server/tests/clients_pipelines.rs
+++ b/crates/server/tests/clients_pipelines.rs
@@ -24,6 +24,8 @@
 const EXCESS_CLIENTS: usize = 60;
 /// Number of clients that send whole bodies of many small values.
 const DENSE_CLIENTS: usize = 20;
+/// Size of a body that another instance forwards, in bytes: nearly the largest.
+const FORWARDED_BYTES: usize = 64_000;
 
 /// An entry process with a pipeline over stand-ins.
 struct World {
@@ -184,6 +186,31 @@
     world.target.check().await;
 }
 
+/// The requests come over another instance, whose machine has more memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelines_forwarded_bodies_of_many_small_values_do_not_exhaust_memory() {
+    let _running = RUNNING.lock().await;
+    let mut world = World::start("").await;
+    world.deployment.extra_settings = "limits: {memory_mb: 4000}".to_owned();
+    let other = start_entry(&world.deployment, "entry-2").await;
+    let other_target = target(&other);
+    wait_until_ready(&other_target).await;
+    let mut crowd = Crowd::empty();
+    for index in 0..CLIENTS {
+        let ticket = common::request_ticket(world.target.addr).await;
+        let (mut target, progress) = (other_target.clone(), crowd.progress());
+        target.path = "/v1/pipelines/hold/requests";
+        target.headers.push(("x-ticket", ticket));
+        crowd.add(async move {
+            let body = dense_body(FORWARDED_BYTES);
+            let _ = target.send(&format!("crowd-{index}"), body).await;
+            progress.on_bytes(1);
+        });
+    }
+    crowd.settle(&world.target).await;
+    world.target.check().await;
+}
+
 /// Returns a body of nearly `bytes` bytes in which every few bytes are a value.
 fn dense_body(bytes: usize) -> Vec<u8> {
     let value = r#"{"":0},"#;
