Count only complete heads and bodies as bytes of requests

Cause: all received bytes counted as those of requests, so that the crowd raised the bytes per request, by which new connections are bounded, to 120 KB.

Change: a head counts by its own size when it is complete, a body when it is. The rest counts as other traffic, whose average follows within a second.

Test: `gateway_bodies_one_byte_short_do_not_bound_later_connections`, at most 7 of 150 refused.

--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -64,8 +64,9 @@
 pub struct LoadSample {
     /// Delay of a task that was due at the end of the interval, in ms.
     pub delay_ms: u64,
-    /// Bytes exchanged with callers, in both directions. Each of them passes the link once more,
-    /// on a connection to a server.
+    /// Bytes exchanged with callers, in both directions, for heads and bodies that have arrived
+    /// whole. Each of them passes the link once more, on a connection to a server. What callers
+    /// send and don't complete does not show what the next request takes.
     pub caller_bytes: u64,
     /// Bytes that the link carried in the busier direction.
     pub link_bytes: u64,
--- a/crates/server/src/connection_memory.rs
+++ b/crates/server/src/connection_memory.rs
@@ -9,7 +9,10 @@
 use savoryvane_core::caller_memory::{HolderState, Multiplexing};
 use tokio::sync::Notify;
 
-use crate::caller_memory::{Held, MemoryCharge, SharedMemory};
+use crate::{
+    caller_memory::{Held, MemoryCharge, SharedMemory},
+    link_meter::ConnectionMeter,
+};
 
 /// What an open connection takes besides its buffers, in bytes: its task, and the state of the
 /// HTTP library.
@@ -50,6 +53,7 @@
     /// Records that the request has been received, and may be sent to a backend server.
     pub(crate) fn on_received(&self) {
         self.held.set_state(HolderState::Serving);
+        self.connection.meter.on_request();
     }
 }
 
@@ -57,6 +61,7 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionMemory {
     held: Arc<Held>,
+    meter: Arc<ConnectionMeter>,
     max_head_bytes: u64,
     /// Bytes charged for its buffers.
     buffer_bytes: AtomicU64,
@@ -69,13 +74,18 @@
 }
 
 impl ConnectionMemory {
-    /// Adds a connection. If there are too many, evicts one that serves no request; returns `None`
-    /// if there is none.
-    pub(crate) async fn open(memory: &Arc<SharedMemory>, max_head_bytes: u64) -> Option<Arc<Self>> {
+    /// Adds a connection whose bytes `meter` counts. If there are too many, evicts one that serves
+    /// no request; returns `None` if there is none.
+    pub(crate) async fn open(
+        memory: &Arc<SharedMemory>,
+        meter: ConnectionMeter,
+        max_head_bytes: u64,
+    ) -> Option<Arc<Self>> {
         let held = memory.add_connection().await?;
         held.take(CONNECTION_BYTES);
         Some(Arc::new(Self {
             held: Arc::new(held),
+            meter: Arc::new(meter),
             max_head_bytes,
             buffer_bytes: AtomicU64::new(0),
             head_bytes: AtomicU64::new(0),
@@ -86,6 +96,11 @@
         }))
     }
 
+    /// Returns the meter of the connection.
+    pub(crate) fn meter(&self) -> &Arc<ConnectionMeter> {
+        &self.meter
+    }
+
     /// Waits until the connection is evicted. Only one task may wait.
     pub(crate) async fn evicted(&self) {
         self.held.evicted().await;
@@ -199,6 +214,7 @@
 /// [`of_request`] returns. The head of a request that does not fit is dropped at once, but for a few
 /// short headers such as its identifier.
 pub(crate) fn begin_request<B>(connection: &Arc<ConnectionMemory>, request: &mut Request<B>) {
+    connection.meter.on_head(sent_bytes(request));
     match connection.add_request(request.version(), request.headers()) {
         Some(memory) => {
             request.extensions_mut().insert(memory);
@@ -227,6 +243,20 @@
     request.extensions_mut().remove()
 }
 
+/// Returns the size of a request's head as HTTP/1.1 sends it, in bytes.
+fn sent_bytes<B>(request: &Request<B>) -> u64 {
+    let target_bytes = request
+        .uri()
+        .path_and_query()
+        .map_or(1, |path| path.as_str().len());
+    let first_line_bytes = request.method().as_str().len() + target_bytes + "  HTTP/1.1\r\n".len();
+    let headers = request.headers().iter();
+    let header_bytes: usize = headers
+        .map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len())
+        .sum();
+    (first_line_bytes + header_bytes + "\r\n".len()) as u64
+}
+
 /// Returns what headers take in memory, in bytes.
 fn head_bytes(headers: &HeaderMap) -> u64 {
     let bytes = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
--- a/crates/server/src/listener.rs
+++ b/crates/server/src/listener.rs
@@ -33,7 +33,7 @@
     error::{Error, Result},
     held_stream::HeldStream,
     http_body::{Body, WithGuard},
-    link_meter::{LinkMeter, MeteredStream},
+    link_meter::{ConnectionMeter, LinkMeter, MeteredStream},
     load_monitor::LoadMonitor,
     phase::{Phase, Phases},
     settings::Limits,
@@ -171,7 +171,8 @@
         if let Some(monitor) = &self.monitor {
             monitor.on_accepted();
         }
-        match ConnectionMemory::open(&self.memory, self.limits.header_bytes).await {
+        let meter = ConnectionMeter::new(self.link_meter());
+        match ConnectionMemory::open(&self.memory, meter, self.limits.header_bytes).await {
             Some(memory) => self.spawn(stream, memory, service),
             None => refuse(stream),
         }
@@ -230,7 +231,7 @@
         });
         let stream = SharedStream::new(stream);
         let builder = self.builder();
-        let metered = MeteredStream::new(stream.clone(), self.link_meter());
+        let metered = MeteredStream::new(stream.clone(), Arc::clone(memory.meter()));
         let write_timeout = self.limits.write_timeout();
         let held = HeldStream::new(metered, Arc::clone(&memory), write_timeout);
         let connection = builder.serve_connection(TokioIo::new(held), handler);
--- a/crates/server/src/load_monitor.rs
+++ b/crates/server/src/load_monitor.rs
@@ -147,7 +147,7 @@
             totals = self.totals();
             self.on_sample(LoadSample {
                 delay_ms: delay.as_millis() as u64,
-                caller_bytes: carried.callers.received + carried.callers.sent,
+                caller_bytes: carried.callers.complete + carried.callers.sent,
                 link_bytes: carried.busier_direction(),
             });
             if period.began.elapsed() >= LOG_INTERVAL {
--- a/crates/server/tests/clients_gateway.rs
+++ b/crates/server/tests/clients_gateway.rs
@@ -12,8 +12,8 @@
 };
 
 use clients::{
-    BODY_BYTES, CLIENTS, Crowd, HEAD_BYTES, HEAD_CLIENTS, RUNNING, Sending, TINY_CHUNK_CLIENTS,
-    Target, WHOLE_TINY_CHUNK_BODY_BYTES,
+    BODY_BYTES, CLIENTS, Crowd, HEAD_BYTES, HEAD_CLIENTS, Progress, RUNNING, Sending,
+    TINY_CHUNK_CLIENTS, Target, WHOLE_TINY_CHUNK_BODY_BYTES,
     http2::{self, Requests},
     send_whole,
 };
@@ -37,6 +37,11 @@
 const UNREAD_BYTES: usize = 900_000;
 /// Receive buffer of such a client, in bytes.
 const SMALL_RECEIVE_BUFFER_BYTES: u32 = 4_096;
+/// Bandwidth of a link that carries several times the ordinary requests, in Mbit/s.
+const LINK_MBPS: u32 = 4;
+/// Ordinary requests that come over new connections, and the interval between two of them.
+const ORDINARY_REQUESTS: usize = 150;
+const ORDINARY_INTERVAL: Duration = Duration::from_millis(20);
 /// Pieces of a body over the limit, a quarter of the limit each, and the pause after each.
 const OVERLONG_PIECES: usize = 6;
 const OVERLONG_PAUSE: Duration = Duration::from_millis(10);
@@ -63,6 +68,11 @@
 
 impl World {
     async fn start() -> Self {
+        Self::start_with("").await
+    }
+
+    /// Starts the gateway with additional `settings`.
+    async fn start_with(settings: &str) -> Self {
         let store = StoreStandIn::start().await;
         store.put("keyed.op", "config", &configuration());
         let server = ServerStandIn::start("i-1").await;
@@ -75,7 +85,7 @@
              listen: {{caller: '{caller}', ready: '{ready}', peer: '{peer}', admin: '{admin}'}}\n\
              store: {}\nseeds: []\ncores: 1\n\
              repeats: {{ratio: 0.2, slack: 100, instances: 4}}\n\
-             log: {{level: error}}\ndrain: {{kill_after_s: 2.6}}\n",
+             log: {{level: error}}\ndrain: {{kill_after_s: 2.6}}\n{settings}",
             store.addr,
         );
         let path = settings_file(&settings);
@@ -116,6 +126,19 @@
         }
         panic!("the gateway is not ready");
     }
+
+    /// Sends ordinary requests over new connections, and returns how many were not served.
+    async fn refused_of_ordinary(&self) -> usize {
+        let mut refused = 0;
+        for number in 0..ORDINARY_REQUESTS {
+            time::sleep(ORDINARY_INTERVAL).await;
+            let id = format!("ordinary-{number}");
+            let sent = self.target.send(&id, b"{}".to_vec()).await;
+            let is_served = sent.is_ok_and(|(status, _)| status == http::StatusCode::OK);
+            refused += usize::from(!is_served);
+        }
+        refused
+    }
 }
 
 fn configuration() -> String {
@@ -259,6 +282,25 @@
     world.target.check().await;
 }
 
+/// Sends all but the last byte of a request.
+async fn all_but_one_byte(
+    target: &Target,
+    index: usize,
+    progress: &Progress,
+) -> std::io::Result<tokio::net::TcpStream> {
+    let mut stream = tokio::net::TcpStream::connect(target.addr).await?;
+    let head = target.head(&format!("crowd-{index}"));
+    let mut request = format!("{head}content-length: {BODY_BYTES}\r\n\r\n").into_bytes();
+    request.extend(&clients::body_of(BODY_BYTES)[..BODY_BYTES - 1]);
+    let mut unsent = &request[..];
+    while !unsent.is_empty() {
+        let count = stream.write(unsent).await?;
+        progress.on_bytes(count);
+        unsent = &unsent[count..];
+    }
+    Ok(stream)
+}
+
 async fn request_without_reading(
     target: &Target,
     index: usize,
@@ -295,6 +337,29 @@
     world.target.check().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_bodies_one_byte_short_do_not_bound_later_connections() {
+    let _running = RUNNING.lock().await;
+    let world = World::start_with(&format!("link_mbps: {LINK_MBPS}\n")).await;
+    assert_eq!(world.refused_of_ordinary().await, 0, "before the crowd");
+    let mut crowd = Crowd::empty();
+    for index in 0..CLIENTS {
+        let (target, progress) = (world.target.clone(), crowd.progress());
+        crowd.add(async move {
+            let _stream = all_but_one_byte(&target, index, &progress).await;
+            std::future::pending::<()>().await;
+        });
+    }
+    crowd.settle(&world.target).await;
+    drop(crowd);
+    time::sleep(Duration::from_secs(1)).await;
+    let refused = world.refused_of_ordinary().await;
+    assert!(
+        refused <= ORDINARY_REQUESTS / 20,
+        "{refused} of {ORDINARY_REQUESTS} after the crowd"
+    );
+}
+
 /// Sends a request with a body over the limit, and returns the status line of the response.
 async fn send_overlong(target: &Target, head: &str, piece: &[u8]) -> String {
     let mut stream = tokio::net::TcpStream::connect(target.addr).await.unwrap();
