Connect clients that stop midway in the soak

The soak had no clients that stop within a request. Instances have 64 MB by their settings, and no process may take more, nor more than 4,100 descriptors. The sabotage `unbounded-memory` breaks the promise.

--- a/crates/soak/src/config.rs
+++ b/crates/soak/src/config.rs
@@ -13,6 +13,11 @@
 pub(crate) const WORKSPACE: &str = "one";
 /// Response header in which servers announce that they leave.
 pub(crate) const LEAVING_HEADER: &str = "server-leaving";
+/// Maximum size of a request body, in bytes.
+pub(crate) const MAX_BODY_BYTES: usize = 1_000_000;
+/// Memory and descriptors of the machine of an instance, in MB and by number.
+pub(crate) const MEMORY_MB: u64 = 64;
+pub(crate) const MAX_DESCRIPTORS: usize = 4_100;
 /// Timeout of all routes.
 pub(crate) const TIMEOUT_MS: u64 = 2_000;
 /// Number of events of a complete stream.
@@ -163,7 +168,7 @@
     json!({
         "Version": version, "Routes": routes, "Services": services,
         "Tenants": [{ "Name": WORKSPACE, "ApiKeys": [API_KEY] }],
-        "Limits": { "MaxHeaderBytes": 16_384, "MaxBodyBytes": 1_000_000,
+        "Limits": { "MaxHeaderBytes": 16_384, "MaxBodyBytes": MAX_BODY_BYTES,
             "HeaderTimeoutMs": 5_000, "IdleTimeoutMs": 10_000 },
     })
 }
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -16,7 +16,10 @@
 use tokio::time::Instant;
 
 use crate::{
-    config::{self, EVENTS_PER_STREAM, FIRST_ZONE, RETRY_RATIO, RETRY_SLACK, SERVICES, VERSIONS},
+    config::{
+        self, EVENTS_PER_STREAM, FIRST_ZONE, MAX_DESCRIPTORS, RETRY_RATIO, RETRY_SLACK, SERVICES,
+        VERSIONS,
+    },
     disturbances::Disturbances,
     error::Result,
     ledger::Ledger,
@@ -92,13 +95,20 @@
     instances: Vec<Mutex<Instance>>,
     is_ready: Vec<AtomicBool>,
     applied_config: Mutex<AppliedConfig>,
+    /// Most memory and descriptors that a process was seen to take, in bytes and by number.
+    max_usage: Mutex<(u64, usize)>,
     /// Reserves the addresses for as long as instances may restart.
     _ports: Ports,
 }
 
 impl Deployment {
     /// Starts all parts of the deployment, without waiting for the instances to become ready.
-    pub(crate) async fn start(program: &Path, folder: &Path, instances: usize) -> Result<Self> {
+    pub(crate) async fn start(
+        program: &Path,
+        folder: &Path,
+        instances: usize,
+        memory_mb: u64,
+    ) -> Result<Self> {
         let store = StoreStandIn::start().await;
         let mut servers = Vec::new();
         for (service, count) in SERVICES {
@@ -123,7 +133,7 @@
         for (index, own) in addresses.iter().enumerate() {
             let relay = start_relay(store.addr).await?;
             let name = format!("entry-{index}");
-            let settings = settings_yaml(&name, index, own, &relay, &addresses);
+            let settings = settings_yaml(&name, index, own, &relay, &addresses, memory_mb);
             let instance = Instance::new(program, folder, &name, &settings)?;
             processes.push(Mutex::new(instance));
             store_relays.push(relay);
@@ -139,6 +149,7 @@
             disturbances: Disturbances::default(),
             instances: processes,
             applied_config: Mutex::default(),
+            max_usage: Mutex::default(),
             _ports: ports,
         };
         for server in 0..deployment.servers.len() {
@@ -151,6 +162,27 @@
         Ok(deployment)
     }
 
+    /// Records what the process of an instance takes now.
+    pub(crate) fn sample_usage(&self, index: usize) {
+        let Some((memory_bytes, descriptors)) = self.instance(index).usage() else {
+            return;
+        };
+        let mut max = self
+            .max_usage
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *max = (max.0.max(memory_bytes), max.1.max(descriptors));
+    }
+
+    /// Returns the most memory and descriptors that a process was seen to take, in bytes and by
+    /// number.
+    pub(crate) fn max_usage(&self) -> (u64, usize) {
+        *self
+            .max_usage
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn instance(&self, index: usize) -> MutexGuard<'_, Instance> {
         let instance = self.instances[index].lock();
         instance.unwrap_or_else(PoisonError::into_inner)
@@ -276,12 +308,14 @@
     own: &Addresses,
     store: &Relay,
     all: &[Addresses],
+    memory_mb: u64,
 ) -> String {
     let seeds = all.iter().take(PEER_SEED_COUNT);
     let seeds: Vec<String> = seeds.map(|other| format!("\"{}\"", other.peer)).collect();
     format!(
         "instance: {name}\nzone: {}\nregion: one\nlisten:\n  caller: {}\n  ready: {}\n  \
-         peer: {}\n  admin: {}\nstore: {}\nseeds: [{}]\ncores: 0.25\nlink_mbps: {LINK_MBPS}\nrepeats:\n  \
+         peer: {}\n  admin: {}\nstore: {}\nseeds: [{}]\ncores: 0.25\nlink_mbps: {LINK_MBPS}\n\
+         memory_mb: {memory_mb}\nmax_descriptors: {MAX_DESCRIPTORS}\nrepeats:\n  \
          ratio: {RETRY_RATIO}\n  slack: {RETRY_SLACK}\n  instances: {}\nlog:\n  form: json\n  \
          level: info\ndrain:\n  grace_ms: 700\n  kill_after_s: 5.2\n",
         ZONES[index % ZONES.len()],
--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -24,7 +24,7 @@
         /// Breaks a promise on purpose, to verify that the soak detects it: twice, false-refusal,
         /// cut-short, mixed, unasked, regress, late-config, late-drain, cut-on-stop,
         /// overspent, uncounted, over-limit, unseen-leaving, over-backoff, joined,
-        /// forgotten-streams, not-back.
+        /// forgotten-streams, not-back, unretried, unbounded-memory.
         optional --sabotage promise: String
     }
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -18,6 +18,7 @@
 mod run;
 mod sabotage;
 mod signals;
+mod stalled_clients;
 
 use std::process::ExitCode;
 
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -83,6 +83,12 @@
         per_s: u32,
         lasts: Duration,
     },
+    /// Connects clients to an instance that stop in the middle of a request.
+    StalledClients {
+        instance: usize,
+        clients: usize,
+        lasts: Duration,
+    },
 }
 
 /// Fault of a link.
@@ -156,6 +162,11 @@
 /// New connections a second in a crowd.
 const CROWD_PER_S: std::ops::RangeInclusive<u32> = 50..=200;
 
+/// Mean pause between two groups of clients that stop in the middle of a request.
+const MEAN_STALL_GAP_MS: u64 = 3_000;
+/// Number of clients in such a group: what they send is about the memory of an instance.
+const STALLED_CLIENTS: std::ops::RangeInclusive<usize> = 30..=60;
+
 /// Draws the faults of `seed`, sorted by their start times. All faults end within a few
 /// seconds after `duration`.
 pub(crate) fn draw(
@@ -184,6 +195,7 @@
     faults.extend(draw_framings(seed, servers, duration));
     faults.extend(draw_releases(seed, duration));
     faults.extend(draw_crowds(seed, instances, duration));
+    faults.extend(draw_stalled_clients(seed, instances, duration));
     faults.extend(draw_second_copies(seed, servers, duration));
     faults.sort_by_key(|(at, _)| *at);
     faults
@@ -284,6 +296,24 @@
     releases
 }
 
+/// Draws groups of clients that stop in the middle of a request. Uses a separate generator, as
+/// `draw_limits` does.
+fn draw_stalled_clients(seed: u64, instances: usize, duration: Duration) -> Vec<(Duration, Fault)> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(32) ^ 6);
+    let mut groups = Vec::new();
+    let mut at_ms = rng.random_range(0..MEAN_STALL_GAP_MS);
+    while at_ms < duration.as_millis() as u64 {
+        let fault = Fault::StalledClients {
+            instance: rng.random_range(0..instances),
+            clients: rng.random_range(STALLED_CLIENTS),
+            lasts: Duration::from_millis(rng.random_range(1_000..3_000)),
+        };
+        groups.push((Duration::from_millis(at_ms), fault));
+        at_ms += rng.random_range(0..2 * MEAN_STALL_GAP_MS);
+    }
+    groups
+}
+
 /// Draws crowds at one instance after the other. Uses a separate generator, as `draw_limits` does.
 fn draw_crowds(seed: u64, instances: usize, duration: Duration) -> Vec<(Duration, Fault)> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(24) ^ 4);
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -107,6 +107,17 @@
         Ok(())
     }
 
+    /// Returns the memory that the process has taken at most, in bytes, and the number of
+    /// descriptors that it has open; `None` if it is not running.
+    pub(crate) fn usage(&self) -> Option<(u64, usize)> {
+        let folder = format!("/proc/{}", self.child.as_ref()?.id());
+        let status = std::fs::read_to_string(format!("{folder}/status")).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+        let kilobytes: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+        let descriptors = std::fs::read_dir(format!("{folder}/fd")).ok()?.count();
+        Some((kilobytes * 1_024, descriptors))
+    }
+
     /// Takes the process out of the instance, to wait for its exit.
     pub(crate) fn take_process(&mut self) -> Option<StoppingProcess> {
         self.child.take().map(StoppingProcess)
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -10,8 +10,8 @@
 
 use crate::{
     config::{
-        API_KEY, EVENTS_PER_STREAM, Kind, POISON_PATH, PRESS_SERVICE, RETRY_RATIO, RETRY_SLACK,
-        SERVICES, TIMEOUT_MS, WORKSPACE,
+        API_KEY, EVENTS_PER_STREAM, Kind, MAX_DESCRIPTORS, MEMORY_MB, POISON_PATH, PRESS_SERVICE,
+        RETRY_RATIO, RETRY_SLACK, SERVICES, TIMEOUT_MS, WORKSPACE,
     },
     crowd::CrowdCounts,
     deployment::Deployment,
@@ -38,6 +38,8 @@
 const MAX_LATE_REQUESTS_PER_PART: usize = 3;
 /// Number of servers that may crash under one request.
 const MAX_CRASHES_PER_REQUEST: usize = 3;
+/// Bytes in one MB.
+const BYTES_PER_MB: u64 = 1_000_000;
 /// Minimum percentage of requests that are served in the calm phase.
 const CALM_SERVED_PERCENT: usize = 95;
 /// Minimum percentage of a crowd's requests that are served at the first attempt that is read, by
@@ -444,6 +446,7 @@
             ));
         }
         self.crowd_is_served(calm, violations);
+        self.usage_is_bounded(violations);
         self.crashes_by_part_are_bounded(calm, violations);
         self.leaving_server_is_drained(calm, violations);
         self.limit_is_respected(calm, violations);
@@ -485,6 +488,16 @@
         }
     }
 
+    /// Checks that each process has stayed within the memory and the descriptors of its machine.
+    fn usage_is_bounded(&self, violations: &mut Vec<String>) {
+        let (memory_bytes, descriptors) = self.deployment.max_usage();
+        if memory_bytes > MEMORY_MB * BYTES_PER_MB || descriptors > MAX_DESCRIPTORS {
+            violations.push(format!(
+                "a process took {memory_bytes} bytes of memory, one {descriptors} descriptors"
+            ));
+        }
+    }
+
     fn leaving_server_is_drained(&self, calm: &CalmPhase, violations: &mut Vec<String>) {
         let server = &self.deployment.servers[calm.leaving_server];
         let executions = server.standin.executed();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -22,7 +22,7 @@
 use crate::{
     caller::{self, Callers},
     client::{self, Connection},
-    config::{EVENTS_PER_STREAM, HOST, Kind, POISON_PATH, servers_of},
+    config::{EVENTS_PER_STREAM, HOST, Kind, MEMORY_MB, POISON_PATH, servers_of},
     crowd::{self, Unread},
     deployment::Deployment,
     disturbances::DisturbanceTarget,
@@ -34,8 +34,11 @@
     promises::{self, CalmPhase, TakenUp},
     sabotage::Sabotage,
     signals::BACKOFF_REACTION_BOUND,
+    stalled_clients,
 };
 
+/// Memory of the machine of an instance in the sabotage that leaves it unbounded, in MB.
+const UNBOUNDED_MEMORY_MB: u64 = 1_048_576;
 /// Time within which all instances must become ready after their first start.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time after the last fault until everything must have recovered. The platform allows 12 s for
@@ -131,7 +134,12 @@
         std::fs::remove_dir_all(&folder)?;
     }
     std::fs::create_dir_all(&folder)?;
-    let deployment = Deployment::start(&options.program, &folder, options.instances).await?;
+    let memory_mb = match options.sabotage {
+        Some(Sabotage::UnboundedMemory) => UNBOUNDED_MEMORY_MB,
+        _ => MEMORY_MB,
+    };
+    let starting = Deployment::start(&options.program, &folder, options.instances, memory_mb);
+    let deployment = starting.await?;
     let deployment = Arc::new(deployment);
     let mut background_tasks = JoinSet::new();
     background_tasks.spawn(caller::poll_readiness(Arc::clone(&deployment)));
@@ -215,6 +223,7 @@
     loop {
         time::sleep(SUPERVISE_INTERVAL).await;
         for index in 0..deployment.addresses.len() {
+            deployment.sample_usage(index);
             // A failed start is retried at the next check.
             if let Err(err) = deployment.instance(index).restart_if_exited() {
                 eprintln!("failed to start instance {index}: {err}");
@@ -396,6 +405,14 @@
             crowd::send(callers, instance, per_s, lasts, Unread::Recorded).await;
             Ok(())
         }
+        Fault::StalledClients {
+            instance,
+            clients,
+            lasts,
+        } => {
+            stalled_clients::connect(deployment, instance, clients, lasts).await;
+            Ok(())
+        }
     }
 }
 
--- a/crates/soak/src/sabotage.rs
+++ b/crates/soak/src/sabotage.rs
@@ -44,6 +44,8 @@
     NotBack,
     /// Sends requests of a crowd that were not read to no other instance.
     Unretried,
+    /// Sets the memory of instances to far more than their machines have.
+    UnboundedMemory,
 }
 
 impl Sabotage {
@@ -73,6 +75,7 @@
             "forgotten-streams" => Self::ForgottenStreams,
             "not-back" => Self::NotBack,
             "unretried" => Self::Unretried,
+            "unbounded-memory" => Self::UnboundedMemory,
             other => return Err(Error::InvalidFlag(format!("unknown sabotage: {other}"))),
         })
     }
