Discard the rest of a body that is refused, so that its caller receives the refusal

What callers saw: a client that was still sending a body over the limit, and took a failed write for the end of its request, never received the 413 with its promise.

Cause: the connection was closed with unread bytes, for which the system sends a reset.

Ruled out: a pause before the connection is closed, which leaves the bytes unread; reading the body to its end before the response, which lets a client without an end hold the request.

--- a/crates/server/src/connection_memory.rs
+++ b/crates/server/src/connection_memory.rs
@@ -6,6 +6,7 @@
 };
 
 use http::{HeaderMap, HeaderValue, Request, Version};
+use hyper::body::Body;
 use savoryvane_core::caller_memory::{HolderState, Multiplexing};
 use tokio::sync::Notify;
 
@@ -30,6 +31,7 @@
 pub(crate) struct RequestMemory {
     held: Arc<Held>,
     connection: Arc<ConnectionMemory>,
+    is_received: AtomicBool,
     _head: MemoryCharge,
 }
 
@@ -52,11 +54,20 @@
 
     /// Records that the request has been received, and may be sent to a backend server.
     pub(crate) fn on_received(&self) {
+        self.is_received.store(true, Ordering::Relaxed);
         self.held.set_state(HolderState::Serving);
         self.connection.meter.on_request();
     }
 }
 
+impl Drop for RequestMemory {
+    fn drop(&mut self) {
+        if !self.is_received.load(Ordering::Relaxed) {
+            self.connection.on_unread_body();
+        }
+    }
+}
+
 /// What is held for a connection.
 #[derive(Debug)]
 pub(crate) struct ConnectionMemory {
@@ -70,6 +81,8 @@
     requests: AtomicUsize,
     has_served: AtomicBool,
     is_stalled: AtomicBool,
+    /// Whether a request has ended before its body had arrived.
+    has_unread_body: AtomicBool,
     closing: Notify,
 }
 
@@ -92,6 +105,7 @@
             requests: AtomicUsize::new(0),
             has_served: AtomicBool::new(false),
             is_stalled: AtomicBool::new(false),
+            has_unread_body: AtomicBool::new(false),
             closing: Notify::new(),
         }))
     }
@@ -150,6 +164,16 @@
         }
     }
 
+    /// Records that a request ends before its body has arrived.
+    fn on_unread_body(&self) {
+        self.has_unread_body.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the caller may still be sending a body that is not read.
+    pub(crate) fn has_unread_body(&self) -> bool {
+        self.has_unread_body.load(Ordering::Relaxed)
+    }
+
     /// Records that a request has come; it ends when the returned guard is dropped.
     pub(crate) fn on_request(self: &Arc<Self>) -> RequestGuard {
         self.requests.fetch_add(1, Ordering::Relaxed);
@@ -171,16 +195,13 @@
 
     /// Adds a request. Returns `None` if there are too many or its head does not fit; the
     /// connection is then to be closed.
-    fn add_request(
-        self: &Arc<Self>,
-        version: Version,
-        headers: &HeaderMap,
-    ) -> Option<Arc<RequestMemory>> {
-        let (multiplexing, head_bytes) = if version == Version::HTTP_2 {
+    fn add_request<B: Body>(self: &Arc<Self>, request: &Request<B>) -> Option<Arc<RequestMemory>> {
+        let head_bytes = head_bytes(request.headers());
+        let (multiplexing, head_bytes) = if request.version() == Version::HTTP_2 {
             // The values were decoded into buffers of twice their length.
-            (Multiplexing::Many, 2 * head_bytes(headers))
+            (Multiplexing::Many, 2 * head_bytes)
         } else {
-            (Multiplexing::None, head_bytes(headers))
+            (Multiplexing::None, head_bytes)
         };
         let held = Arc::new(self.held.memory().add_request(multiplexing)?);
         let mut head = MemoryCharge::new(&held);
@@ -188,6 +209,7 @@
         Some(Arc::new(RequestMemory {
             held,
             connection: Arc::clone(self),
+            is_received: AtomicBool::new(request.body().is_end_stream()),
             _head: head,
         }))
     }
@@ -213,14 +235,15 @@
 /// Adds a request whose head has been read to what is held for `connection`, as an extension that
 /// [`of_request`] returns. The head of a request that does not fit is dropped at once, but for a few
 /// short headers such as its identifier.
-pub(crate) fn begin_request<B>(connection: &Arc<ConnectionMemory>, request: &mut Request<B>) {
+pub(crate) fn begin_request<B: Body>(connection: &Arc<ConnectionMemory>, request: &mut Request<B>) {
     connection.meter.on_head(sent_bytes(request));
-    match connection.add_request(request.version(), request.headers()) {
+    match connection.add_request(request) {
         Some(memory) => {
             request.extensions_mut().insert(memory);
         }
         None => {
             connection.closing.notify_one();
+            connection.on_unread_body();
             let headers = std::mem::take(request.headers_mut());
             let short = headers
                 .iter()
--- a/crates/server/src/listener.rs
+++ b/crates/server/src/listener.rs
@@ -233,7 +233,7 @@
         let builder = self.builder();
         let metered = MeteredStream::new(stream.clone(), Arc::clone(memory.meter()));
         let write_timeout = self.limits.write_timeout();
-        let held = HeldStream::new(metered, Arc::clone(&memory), write_timeout);
+        let held = HeldStream::new(metered, stream.clone(), Arc::clone(&memory), write_timeout);
         let connection = builder.serve_connection(TokioIo::new(held), handler);
         tokio::pin!(connection);
         let first_head = time::sleep(self.limits.header_timeout());
--- a/crates/server/src/shared_stream.rs
+++ b/crates/server/src/shared_stream.rs
@@ -2,11 +2,13 @@
 
 use std::{
     io,
+    net::Shutdown,
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
 };
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -28,6 +30,12 @@
         let _ = self.0.try_write(bytes);
     }
 
+    /// Ends the bytes to the peer, which may still send.
+    pub(crate) fn end_writing(&self) {
+        // Errors are ignored: a closed peer does not need the end.
+        let _ = SockRef::from(&*self.0).shutdown(Shutdown::Write);
+    }
+
     /// Makes the last handle reset the connection instead of closing it.
     pub(crate) fn reset_when_dropped(&self) {
         // Errors are ignored: the connection is closed in any case.
--- a/crates/server/tests/clients/mod.rs
+++ b/crates/server/tests/clients/mod.rs
@@ -8,7 +8,7 @@
 pub mod http2;
 
 use std::{
-    fs,
+    fs, io,
     net::SocketAddr,
     sync::{
         Arc,
@@ -24,7 +24,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     task::JoinSet,
     time,
 };
@@ -57,6 +57,8 @@
 /// Size of the largest head, in bytes; that of an entry process is smaller.
 pub const HEAD_BYTES: usize = 62_000;
 pub const ENTRY_HEAD_BYTES: usize = 15_000;
+/// Receive buffer of a client that does not read its response, in bytes.
+const SMALL_RECEIVE_BUFFER_BYTES: u32 = 4_096;
 /// Attempts of an ordinary caller that is refused with a promise that its request has not run.
 const ORDINARY_ATTEMPTS: usize = 5;
 /// Size of the largest body in chunks of one byte that is sent whole, in bytes.
@@ -245,6 +247,27 @@
         crowd
     }
 
+    /// Connects clients that send a whole request with `body` each and do not read the response.
+    pub async fn gather_without_reading(target: &Target, body: &str) -> Self {
+        let mut crowd = Self::empty();
+        for index in 0..CLIENTS {
+            let (target, progress) = (target.clone(), crowd.progress());
+            let request = format!(
+                "{}content-length: {}\r\n\r\n{body}",
+                target.head(&format!("crowd-{index}")),
+                body.len()
+            );
+            crowd.add(async move {
+                // Keeps the connection open without reading from it.
+                let _stream = send_without_reading(&target, &request).await;
+                progress.on_bytes(1);
+                std::future::pending::<()>().await;
+            });
+        }
+        crowd.settle(target).await;
+        crowd
+    }
+
     pub fn empty() -> Self {
         Self {
             clients: JoinSet::new(),
@@ -282,6 +305,14 @@
     }
 }
 
+async fn send_without_reading(target: &Target, request: &str) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(SMALL_RECEIVE_BUFFER_BYTES)?;
+    let mut stream = socket.connect(target.addr).await?;
+    stream.write_all(request.as_bytes()).await?;
+    Ok(stream)
+}
+
 struct Client {
     target: Target,
     id: String,
--- a/crates/server/tests/clients_gateway.rs
+++ b/crates/server/tests/clients_gateway.rs
@@ -24,7 +24,6 @@
 use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpSocket,
     time,
 };
 
@@ -35,8 +34,6 @@
 const EXCESS_CLIENTS: usize = 2_100;
 /// Size of a response that clients do not read, in bytes.
 const UNREAD_BYTES: usize = 900_000;
-/// Receive buffer of such a client, in bytes.
-const SMALL_RECEIVE_BUFFER_BYTES: u32 = 4_096;
 /// Bandwidth of a link that carries several times the ordinary requests, in Mbit/s.
 const LINK_MBPS: u32 = 4;
 /// Ordinary requests that come over new connections, and the interval between two of them.
@@ -264,21 +261,11 @@
 async fn gateway_responses_that_are_not_read_do_not_exhaust_memory() {
     let _running = RUNNING.lock().await;
     let world = World::start().await;
-    let mut crowd = Crowd::empty();
-    for index in 0..CLIENTS {
-        let target = Target {
-            path: "/large/1",
-            ..world.target.clone()
-        };
-        let progress = crowd.progress();
-        crowd.add(async move {
-            // Keeps the connection open without reading from it.
-            let _stream = request_without_reading(&target, index).await;
-            progress.on_bytes(1);
-            std::future::pending::<()>().await;
-        });
-    }
-    crowd.settle(&world.target).await;
+    let target = Target {
+        path: "/large/1",
+        ..world.target.clone()
+    };
+    let _crowd = Crowd::gather_without_reading(&target, "").await;
     world.target.check().await;
 }
 
@@ -301,21 +288,6 @@
     Ok(stream)
 }
 
-async fn request_without_reading(
-    target: &Target,
-    index: usize,
-) -> std::io::Result<tokio::net::TcpStream> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_recv_buffer_size(SMALL_RECEIVE_BUFFER_BYTES)?;
-    let mut stream = socket.connect(target.addr).await?;
-    let request = format!(
-        "{}content-length: 0\r\n\r\n",
-        target.head(&format!("crowd-{index}"))
-    );
-    stream.write_all(request.as_bytes()).await?;
-    Ok(stream)
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn gateway_one_whole_body_of_the_largest_size_is_served() {
     let _running = RUNNING.lock().await;
@@ -360,15 +332,32 @@
     );
 }
 
-/// Sends a request with a body over the limit, and returns the status line of the response.
-async fn send_overlong(target: &Target, head: &str, piece: &[u8]) -> String {
+/// What a client does when it can't write any more of its body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AfterFailedWrite {
+    /// Reads what has been received.
+    Reads,
+    /// Takes the request for failed.
+    GivesUp,
+}
+
+/// Sends a request with a body over the limit, and returns the status line of the response; nothing
+/// if the client gives up.
+async fn send_overlong(
+    target: &Target,
+    head: &str,
+    piece: &[u8],
+    after_failed_write: AfterFailedWrite,
+) -> String {
     let mut stream = tokio::net::TcpStream::connect(target.addr).await.unwrap();
     let head = format!("{}{head}\r\n\r\n", target.head("overlong"));
     stream.write_all(head.as_bytes()).await.unwrap();
     for _ in 0..OVERLONG_PIECES {
-        // The response is read all the same, as ordinary clients do.
         if stream.write_all(piece).await.is_err() {
-            break;
+            match after_failed_write {
+                AfterFailedWrite::Reads => break,
+                AfterFailedWrite::GivesUp => return String::new(),
+            }
         }
         time::sleep(OVERLONG_PAUSE).await;
     }
@@ -378,8 +367,7 @@
     text.lines().next().unwrap_or_default().to_owned()
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn gateway_refusals_of_bodies_over_the_limit_reach_the_client() {
+async fn check_refusals(after_failed_write: AfterFailedWrite) {
     let _running = RUNNING.lock().await;
     let world = World::start().await;
     let piece = vec![b'x'; BODY_BYTES / 4];
@@ -390,9 +378,19 @@
     ];
     for (head, piece) in &sendings {
         for _ in 0..REFUSED_BODIES {
-            let status = send_overlong(&world.target, head, piece).await;
+            let status = send_overlong(&world.target, head, piece, after_failed_write).await;
             assert!(status.starts_with("HTTP/1.1 413"), "{status:?} to {head}");
         }
     }
     world.target.check().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_refusals_of_bodies_over_the_limit_reach_the_client() {
+    check_refusals(AfterFailedWrite::Reads).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_refusals_reach_a_client_that_gives_up_at_a_failed_write() {
+    check_refusals(AfterFailedWrite::GivesUp).await;
+}
