Forward legal bodies of more than 768 KB to the issuer of their ticket

What callers saw: a legal body of 1 MB with the ticket of another instance was refused with 503 `ticket_issuer_gone`, although the issuer lived, and an answer of that size would have been lost.

Cause: a message between instances took 768 KB of a body or an answer, the default limit of a body is 1 MB.

Change: 1.5 MB in a message of 2 MB. Windows between instances stay at 2 MB.

--- a/crates/server/src/peer/link.rs
+++ b/crates/server/src/peer/link.rs
@@ -15,8 +15,8 @@
 use http::{HeaderMap, Request, Response, StatusCode, header::HeaderValue};
 use savoryvane_core::ids::{Incarnation, InstanceName};
 use savoryvane_wire::peer::{
-    FROM, FROM_INCARNATION, FrameReader, GOSSIP_PATH, MAX_FRAME_BYTES, Message, REQUEST_PATH, TO,
-    TO_INCARNATION, WAIT_MS, encode,
+    FROM, FROM_INCARNATION, FrameReader, GOSSIP_PATH, Message, REQUEST_PATH, TO, TO_INCARNATION,
+    WAIT_MS, encode,
 };
 use tokio::{
     net::TcpStream,
@@ -39,7 +39,7 @@
 /// found within the second in which waiting requests can still meet their deadlines.
 const MAX_RECONNECT_DELAY: Duration = Duration::from_millis(400);
 /// Flow-control window of a stream and of a connection.
-pub(crate) const WINDOW_BYTES: u32 = 2 * MAX_FRAME_BYTES as u32;
+pub(crate) const WINDOW_BYTES: u32 = 2 << 20;
 
 /// Identifies one incarnation of an instance.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- a/crates/server/tests/clients_pipelines.rs
+++ b/crates/server/tests/clients_pipelines.rs
@@ -13,6 +13,7 @@
     send_whole,
 };
 use common::{Deployment, credential};
+use http::StatusCode;
 use process::Entry;
 use savoryvane_wire::platform::{Listed, ListedRole, ListedState};
 use serde_json::json;
@@ -24,7 +25,7 @@
 const EXCESS_CLIENTS: usize = 60;
 /// Number of clients that send whole bodies of many small values.
 const DENSE_CLIENTS: usize = 20;
-/// Size of a body that another instance forwards, in bytes: nearly the largest.
+/// Size of a body that another instance forwards, in bytes.
 const FORWARDED_BYTES: usize = 64_000;
 
 /// An entry process with a pipeline over stand-ins.
@@ -83,7 +84,7 @@
     for _ in 0..500 {
         let body = json!({ "input": 1 }).to_string().into_bytes();
         let sent = target.send("early", body).await;
-        if sent.is_ok_and(|(status, _)| status == http::StatusCode::OK) {
+        if sent.is_ok_and(|(status, _)| status == StatusCode::OK) {
             return;
         }
         time::sleep(Duration::from_millis(20)).await;
@@ -211,6 +212,34 @@
     world.target.check().await;
 }
 
+/// Sends a request over `other` with a ticket of `issuer`. Returns the status.
+async fn send_with_ticket(issuer: &Target, other: &Target, body: Vec<u8>) -> StatusCode {
+    let ticket = common::request_ticket(issuer.addr).await;
+    let mut target = other.clone();
+    target.path = "/v1/pipelines/hold/requests";
+    target.headers.push(("x-ticket", ticket));
+    let sent = target.send("forwarded", body).await;
+    sent.unwrap().0
+}
+
+/// A body of legal size is served wherever it comes in.
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelines_one_whole_body_with_a_ticket_of_another_instance_is_served() {
+    let _running = RUNNING.lock().await;
+    let world = World::start("").await;
+    let other = start_entry(&world.deployment, "entry-2").await;
+    let other_target = target(&other);
+    let send = |bytes| send_with_ticket(&world.target, &other_target, clients::body_of(bytes));
+    // The instances have to know each other.
+    let known = async {
+        while send(FORWARDED_BYTES).await != StatusCode::OK {
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    time::timeout(Duration::from_secs(10), known).await.unwrap();
+    assert_eq!(send(BODY_BYTES).await, StatusCode::OK);
+}
+
 /// Returns a body of nearly `bytes` bytes in which every few bytes are a value.
 fn dense_body(bytes: usize) -> Vec<u8> {
     let value = r#"{"":0},"#;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -64,11 +64,12 @@
 pub const WAIT_MS: &str = "x-wait-ms";
 
 /// Longest frame, in bytes, without its length field.
-pub const MAX_FRAME_BYTES: usize = 1 << 20;
+pub const MAX_FRAME_BYTES: usize = 2 << 20;
 /// Maximum number of entries of a list in a message.
 pub const MAX_ENTRIES: usize = 16_384;
-/// Largest record, input or answer in a message, in bytes.
-pub const MAX_PAYLOAD_BYTES: usize = 768 << 10;
+/// Largest record, input or answer in a message, in bytes: more than the largest body that callers
+/// may send by default.
+pub const MAX_PAYLOAD_BYTES: usize = 1_536 << 10;
 /// Longest request identifier, idempotency key or ticket, in bytes.
 pub const MAX_KEY_BYTES: usize = 256;
 
