Show that unread answers of pipelines do not exhaust memory

The test was not seen failing; it guards a case that only the gateway had. Stand-ins of backend servers can make the outputs of generations larger.

--- a/crates/server/tests/clients_pipelines.rs
+++ b/crates/server/tests/clients_pipelines.rs
@@ -15,6 +15,7 @@
 use common::{Deployment, credential};
 use http::StatusCode;
 use process::Entry;
+use savoryvane_standins::BackendFaults;
 use savoryvane_wire::platform::{Listed, ListedRole, ListedState};
 use serde_json::json;
 use tokio::time::{self, Duration};
@@ -25,6 +26,8 @@
 const EXCESS_CLIENTS: usize = 60;
 /// Number of clients that send whole bodies of many small values.
 const DENSE_CLIENTS: usize = 20;
+/// Bytes of an answer that clients do not read.
+const UNREAD_BYTES: usize = 900_000;
 /// Size of a body that another instance forwards, in bytes.
 const FORWARDED_BYTES: usize = 64_000;
 
@@ -212,6 +215,21 @@
     world.target.check().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelines_answers_that_are_not_read_do_not_exhaust_memory() {
+    let _running = RUNNING.lock().await;
+    let world = World::start("").await;
+    for backend in &world.deployment.backends {
+        backend.set_faults(BackendFaults {
+            padding_bytes: UNREAD_BYTES,
+            ..BackendFaults::default()
+        });
+    }
+    let body = json!({ "input": 1 }).to_string();
+    let _crowd = Crowd::gather_without_reading(&world.target, &body).await;
+    world.target.check().await;
+}
+
 /// Sends a request over `other` with a ticket of `issuer`. Returns the status.
 async fn send_with_ticket(issuer: &Target, other: &Target, body: Vec<u8>) -> StatusCode {
     let ticket = common::request_ticket(issuer.addr).await;
--- a/crates/standins/src/backend_faults.rs
+++ b/crates/standins/src/backend_faults.rs
@@ -49,6 +49,8 @@
     pub garbage_bytes: usize,
     /// Ends the server with all that it runs when a call has this text in its input.
     pub ends_under: Option<String>,
+    /// Bytes that are appended to the output of a generation; 0 for none.
+    pub padding_bytes: usize,
 }
 
 impl Default for BackendFaults {
@@ -69,6 +71,7 @@
             max_write_bytes: 0,
             garbage_bytes: 0,
             ends_under: None,
+            padding_bytes: 0,
         }
     }
 }
--- a/crates/standins/src/job.rs
+++ b/crates/standins/src/job.rs
@@ -8,6 +8,7 @@
     call::{CallId, StageCall, StageEvent},
     objects::StageKind,
 };
+use serde_json::Value;
 use sha2::{Digest, Sha256};
 use tokio::{
     sync::oneshot,
@@ -80,7 +81,7 @@
         let index = self.ran.begin(RanCall {
             id: call.id.clone(),
             kind: call.kind,
-            input: serde_json::Value::clone(&call.input),
+            input: Value::clone(&call.input),
             resume_from: call.resume_from,
             state: RanState::Running,
         });
@@ -114,7 +115,7 @@
         let last = if fails {
             failure(call, busy_us)
         } else {
-            completion(call, busy_us)
+            self.completion(call, busy_us)
         };
         // The work is done, whether or not its answer still finds a reader.
         let _ = outbox.send(last).await;
@@ -142,6 +143,23 @@
         Ok(())
     }
 
+    fn completion(&self, call: &StageCall, busy_us: u64) -> StageEvent {
+        let tokens = match call.kind {
+            StageKind::Generate => tokens_of(step(call), &call.input, &call.previous).len(),
+            _ => 0,
+        };
+        let mut output = stage_output(step(call), &call.input, &call.previous);
+        if let Value::String(text) = &mut output {
+            text.push_str(&"x".repeat(self.faults.borrow().padding_bytes));
+        }
+        StageEvent::Done {
+            id: call.id.clone(),
+            output,
+            tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
+            busy_us,
+        }
+    }
+
     fn service_time(&self, call: &StageCall, rng: &mut Pcg64) -> Duration {
         let mut mean_us = self.settings.service_us;
         if call.kind == StageKind::Generate
@@ -195,16 +213,3 @@
         busy_us,
     }
 }
-
-fn completion(call: &StageCall, busy_us: u64) -> StageEvent {
-    let tokens = match call.kind {
-        StageKind::Generate => tokens_of(step(call), &call.input, &call.previous).len(),
-        _ => 0,
-    };
-    StageEvent::Done {
-        id: call.id.clone(),
-        output: stage_output(step(call), &call.input, &call.previous),
-        tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
-        busy_us,
-    }
-}
