--- a/crates/server/tests/clients/mod.rs
+++ b/crates/server/tests/clients/mod.rs
@@ -91,6 +91,12 @@
     Head(usize),
     /// A few bytes of a head.
     StartOfHead,
+    /// The last chunk of a body, and trailers that do not end.
+    Trailers,
+    /// A chunk whose extension does not end.
+    ChunkExtension,
+    /// Small whole requests, one after the other, without reading a response.
+    RequestsAhead,
 }
 
 /// An interface of a process under test.
@@ -328,6 +334,9 @@
             return;
         };
         let sent = self.send(&mut stream).await;
+        if self.sending == Sending::RequestsAhead {
+            return std::future::pending().await;
+        }
         if sent.is_some() {
             let mut unread = [0; 1_024];
             while stream.read(&mut unread).await.is_ok_and(|count| count > 0) {}
@@ -370,6 +379,23 @@
                 self.write(stream, line.repeat(lines).as_bytes()).await
             }
             Sending::StartOfHead => self.write(stream, b"POST /").await,
+            Sending::Trailers => {
+                let line = format!("x-long: {}\r\n", "x".repeat(990));
+                let start = format!("{head}transfer-encoding: chunked\r\n\r\n0\r\n");
+                self.write(stream, start.as_bytes()).await?;
+                self.write(stream, line.repeat(BODY_BYTES / line.len()).as_bytes())
+                    .await
+            }
+            Sending::ChunkExtension => {
+                let start = format!("{head}transfer-encoding: chunked\r\n\r\n1;");
+                self.write(stream, start.as_bytes()).await?;
+                self.write(stream, "x".repeat(BODY_BYTES).as_bytes()).await
+            }
+            Sending::RequestsAhead => {
+                let request = format!("{head}content-length: 0\r\n\r\n");
+                let requests = request.repeat(BODY_BYTES / request.len());
+                self.write(stream, requests.as_bytes()).await
+            }
         }
     }
 
--- a/crates/server/tests/clients_gateway.rs
+++ b/crates/server/tests/clients_gateway.rs
@@ -232,6 +232,21 @@
     check_crowd(HEAD_CLIENTS, Sending::Head(HEAD_BYTES)).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_trailers_without_an_end_do_not_exhaust_memory() {
+    check_crowd(CLIENTS, Sending::Trailers).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_chunk_extensions_without_an_end_do_not_exhaust_memory() {
+    check_crowd(CLIENTS, Sending::ChunkExtension).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_requests_written_ahead_do_not_exhaust_memory() {
+    check_crowd(CLIENTS, Sending::RequestsAhead).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn gateway_connections_without_a_request_do_not_lock_callers_out() {
     check_crowd(EXCESS_CLIENTS, Sending::StartOfHead).await;
