--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -10,6 +10,7 @@
 mod plain;
 mod runner;
 mod stages;
+mod stale;
 mod store;
 mod world;
 
@@ -27,6 +28,7 @@
     let temp = Path::new(temp);
     let code = match case.as_str() {
         "blind" => blind::run(&record, temp, has_trouble),
+        "stale" => stale::run(&record, temp, has_trouble),
         "copies" => copies::run(&record, temp, has_trouble),
         _ => {
             eprintln!("unknown case: {case}");
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -4,7 +4,8 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{self, Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -51,15 +52,23 @@
 }
 
 impl Ports {
-    /// Finds free ports.
+    /// Finds free ports below those that the system gives to outgoing connections.
     pub fn find() -> Self {
-        let listeners: Vec<TcpListener> = (0..4).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
-        let addr = |index: usize| listeners[index].local_addr().expect("an address");
+        static NEXT: AtomicU16 = AtomicU16::new(0);
+        let first = 20_000 + (process::id() % 200) as u16 * 60;
+        let mut found = Vec::new();
+        while found.len() < 4 {
+            let port = 20_000 + (first - 20_000 + NEXT.fetch_add(1, Ordering::Relaxed)) % 12_000;
+            let addr = SocketAddr::from(([127, 0, 0, 1], port));
+            if TcpListener::bind(addr).is_ok() {
+                found.push(addr);
+            }
+        }
         Self {
-            caller: addr(0),
-            ready: addr(1),
-            peer: addr(2),
-            admin: addr(3),
+            caller: found[0],
+            ready: found[1],
+            peer: found[2],
+            admin: found[3],
         }
     }
 }
