--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -171,11 +171,6 @@
         self.child.is_some()
     }
 
-    /// Returns whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
-    }
-
     /// Returns whether it says that it is ready.
     pub fn is_ready(&self) -> bool {
         let Ok(stream) = TcpStream::connect_timeout(&self.ports.ready, Duration::from_millis(300)) else {
