--- a/review/standin-2/src/config.rs
+++ b/review/standin-2/src/config.rs
@@ -32,9 +32,14 @@
 
 /// Returns a service of servers that run pieces.
 pub fn pieces(name: &str) -> String {
+    pieces_of(name, 10, 17.0, 22.0)
+}
+
+/// Returns a service of servers that run `batch` pieces a call and keep results in `room_mb`.
+pub fn pieces_of(name: &str, batch: u32, item_ms: f64, room_mb: f64) -> String {
     format!(
         "{{\"Name\":\"{name}\",\"HealthPath\":\"/healthz\",\"MaxConns\":370,\"Proto\":\"h1\",\"Tls\":false,\
-         \"Pieces\":{{\"Slots\":1,\"Queue\":2,\"Batch\":10,\"CallMs\":200.0,\"ItemMs\":17.0,\"RoomMb\":22.0,\
+         \"Pieces\":{{\"Slots\":1,\"Queue\":2,\"Batch\":{batch},\"CallMs\":200.0,\"ItemMs\":{item_ms:?},\"RoomMb\":{room_mb:?},\
          \"HandleS\":4.0,\"LinkMbps\":10000}}}}"
     )
 }
--- a/review/standin-2/src/copies.rs
+++ b/review/standin-2/src/copies.rs
@@ -27,7 +27,7 @@
 
 /// What the engines share.
 #[derive(Default)]
-struct Engines {
+pub struct Engines {
     /// Requests that meet a busy engine at their first arrival.
     busy: Mutex<HashSet<String>>,
     /// Runs of each request, with the engine.
@@ -116,7 +116,8 @@
     request("POST", "/letter/2f", &headers, b"describe the lettering")
 }
 
-fn start_engine(id: &str, record: &Record, results: &Results, engines: &Arc<Engines>, has_trouble: bool) -> std::net::SocketAddr {
+/// Starts an engine that streams a few events, and answers a request without its inputs with `Not-Run`.
+pub fn start_engine(id: &str, record: &Record, results: &Results, engines: &Arc<Engines>, has_trouble: bool) -> std::net::SocketAddr {
     let (id, record, results, engines) = (id.to_owned(), record.clone(), Arc::clone(results), Arc::clone(engines));
     serve(Arc::new(move |conn, kept, request: Message| {
         let name = request.header("request-id").unwrap_or_default().to_owned();
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -7,6 +7,7 @@
 mod config;
 mod copies;
 mod http;
+mod keys;
 mod plain;
 mod runner;
 mod stages;
@@ -29,6 +30,7 @@
     let code = match case.as_str() {
         "blind" => blind::run(&record, temp, has_trouble),
         "stale" => stale::run(&record, temp, has_trouble),
+        "keys" => keys::run(&record, temp, has_trouble),
         "copies" => copies::run(&record, temp, has_trouble),
         _ => {
             eprintln!("unknown case: {case}");
--- a/review/standin-2/src/plain.rs
+++ b/review/standin-2/src/plain.rs
@@ -1,6 +1,5 @@
 //! Stand-in of a server of a plain service.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -47,12 +46,3 @@
         Ok(true)
     }))
 }
-
-/// Returns how often each request ran.
-pub fn counts(runs: &Runs) -> HashMap<String, usize> {
-    let mut counts = HashMap::new();
-    for run in runs.lock().expect("runs").iter() {
-        *counts.entry(run.request.clone()).or_insert(0) += 1;
-    }
-    counts
-}
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -73,6 +73,13 @@
     }
 }
 
+/// Limits of a machine.
+pub struct Limits {
+    pub cores: f64,
+    pub link_mbps: f64,
+    pub memory_mb: u64,
+}
+
 /// An instance of the program as a process, which ends with this.
 pub struct Instance {
     pub name: String,
@@ -91,11 +98,34 @@
 impl Instance {
     /// Starts an instance with the settings of the sheet of a small deployment.
     pub fn start(folder: &Path, name: &str, zone: &str, store: SocketAddr, peers: &[SocketAddr], ports: Ports) -> Self {
+        let limits = Limits {
+            cores: 0.25,
+            link_mbps: 1_000.0,
+            memory_mb: 260,
+        };
+        Self::start_with(folder, name, zone, store, peers, ports, limits)
+    }
+
+    /// Starts an instance on a machine with `limits`.
+    pub fn start_with(
+        folder: &Path,
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        peers: &[SocketAddr],
+        ports: Ports,
+        limits: Limits,
+    ) -> Self {
+        let Limits {
+            cores,
+            link_mbps,
+            memory_mb,
+        } = limits;
         let seeds: Vec<String> = peers.iter().map(|addr| format!("\"{addr}\"")).collect();
         let text = format!(
             "instance: \"{name}\"\nzone: \"{zone}\"\nregion: \"nl-midden\"\nlisten:\n  caller: \"{}\"\n  ready: \"{}\"\n  \
-             peer: \"{}\"\n  admin: \"{}\"\nstore: \"{store}\"\nseeds: [{}]\nfirst_start: true\ncores: 0.25\n\
-             link_mbps: 1000.0\nmemory_mb: 260\nmax_descriptors: 4100\nrepeats:\n  ratio: 0.2\n  slack: 58\n  \
+             peer: \"{}\"\n  admin: \"{}\"\nstore: \"{store}\"\nseeds: [{}]\nfirst_start: true\ncores: {cores:?}\n\
+             link_mbps: {link_mbps:?}\nmemory_mb: {memory_mb}\nmax_descriptors: 4100\nrepeats:\n  ratio: 0.2\n  slack: 58\n  \
              instances: 16\n  window_s: 10\nin_force:\n  configuration_ms: 2000\n  leaving_ms: 2000\nlog:\n  form: json\n  \
              level: info\ndrain:\n  grace_ms: 2500\n  kill_after_s: 8\n",
             ports.caller, ports.ready, ports.peer, ports.admin, seeds.join(", "),
@@ -166,6 +196,11 @@
         }
     }
 
+    /// Returns whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
+    }
+
     /// Returns whether it has not been killed.
     pub fn is_running(&self) -> bool {
         self.child.is_some()
