Send a request again to the same server over a new connection

Cause: a server that finds the inputs of a request gone rejects it; the request is sent to it again over the same kept connection. A second copy of the first rejection, which names the request, was believed as the response to the second send, and the request was sent once more.

Ruled out: the choice of the same server, which is the one with room; a response that names another request or none, which is not believed already. Not taken: a new connection for every repeat, since rejections of full servers are frequent and each connection costs time there.

Change: a request remembers the addresses that it has been sent to. A further send to one of them gets a new connection, on which no second copy can arrive.

--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -88,7 +88,13 @@
         let request = caller.to_server(server, &inputs.handles, last_event);
         let sent = self
             .servers
-            .send_reusing(addr, request, caller.deadline, caller.reuse(), may_send)
+            .send_reusing(
+                addr,
+                request,
+                caller.deadline,
+                caller.reuse_for_send(addr),
+                may_send,
+            )
             .await;
         match sent {
             Ok(exchange) => self.read_response(caller, exchange, in_flight).await,
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -22,7 +22,7 @@
     members::Members,
     permits::PermitGuard,
     quarantine::Quarantine,
-    request::{CallerRequest, choose_service, request_host, shared_part_hashes},
+    request::{CallerRequest, SentTo, choose_service, request_host, shared_part_hashes},
     routing_view::RoutingView,
     stage_submission::{ResultsGuard, StageSubmitter},
     stream_origins::StreamOrigins,
@@ -161,6 +161,7 @@
             software: SoftwareBinding::Free,
             arrived,
             deadline: arrived + caller_timeout.min(route_timeout),
+            sent_to: SentTo::default(),
         })
     }
 
--- a/crates/server/src/gateway/request.rs
+++ b/crates/server/src/gateway/request.rs
@@ -1,6 +1,10 @@
 //! A caller's request while it is being processed.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri, header, uri::PathAndQuery};
@@ -14,7 +18,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{connection_memory::RequestMemory, connections::Reuse};
+use crate::{connection_memory::RequestMemory, connections::Reuse, lock::lock};
 
 /// Idle time up to which a pooled connection may carry a request that must not be
 /// repeated; servers close idle connections at any moment.
@@ -41,6 +45,24 @@
     pub(super) arrived: Instant,
     /// Time by which it gets its final response.
     pub(super) deadline: Instant,
+    /// Addresses that it has been sent to.
+    pub(super) sent_to: SentTo,
+}
+
+/// Addresses that a request has been sent to.
+#[derive(Debug, Default)]
+pub(super) struct SentTo(Mutex<Vec<SocketAddr>>);
+
+impl SentTo {
+    /// Records a send to `addr`; returns whether it is the first one.
+    fn insert(&self, addr: SocketAddr) -> bool {
+        let mut addrs = lock(&self.0);
+        let is_first = !addrs.contains(&addr);
+        if is_first {
+            addrs.push(addr);
+        }
+        is_first
+    }
 }
 
 impl CallerRequest {
@@ -57,8 +79,13 @@
         }
     }
 
-    /// Returns which idle connections may carry it.
-    pub(super) fn reuse(&self) -> Reuse {
+    /// Records a send to `addr`; returns which idle connections may carry it.
+    pub(super) fn reuse_for_send(&self, addr: SocketAddr) -> Reuse {
+        if !self.sent_to.insert(addr) {
+            // On the connection of an earlier send, a second copy of the response to that send
+            // names this request too.
+            return Reuse::Never;
+        }
         if self.head.id.is_none() {
             // Its response can't name it, so that a response to another request on the
             // connection could be mistaken for it.
