Apply changes of the register only to the copy that they are relative to

Cause: an instance that knows more of the register than the one it copies from asks for its changes since a revision. When that one, after a freeze, lists the whole register, servers that came and left meanwhile are in none of its changes, and the calm instance keeps them.

Ruled out: a listing for all after each listing of the scheduler, which hundreds of instances would get at once after an outage; reading the records since the last read, which the store forgets and which are more than a listing.

Change: a copy remembers the cursor of its source, and the revision counts only while the instance knows nothing beyond it. A listing is a revision of its own. Updates say from which cursor on they are complete, which is passed on; the message between instances grows at its end.

--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -47,7 +47,7 @@
 pub use cells::{CellLayout, FleetSize, Scope};
 pub use cold_servers::{ColdServers, MAX_ARRIVAL_MS, WINDOW_MS};
 pub use deadlines::RouteDeadlines;
-pub use directory::Directory;
+pub use directory::{CopySource, Directory, PeerUpdate};
 pub use engine_demand::EngineDemand;
 pub use entry::{DirectoryUpdate, ExpiringServer, ServerEntry, ServerState, SyncPoint};
 pub use evacuation::{
--- a/crates/core/src/forwarding/directory.rs
+++ b/crates/core/src/forwarding/directory.rs
@@ -1,5 +1,6 @@
 //! Directory of the registered backend servers.
 
+mod copying;
 mod expiry;
 mod updates;
 mod used;
@@ -9,6 +10,8 @@
     net::SocketAddr,
 };
 
+pub use copying::{CopySource, PeerUpdate};
+
 use super::{
     Cursor, Position, Scope,
     entry::{DirectoryUpdate, ServerEntry, ServerState},
@@ -352,7 +355,7 @@
     /// Applies an update by the register, or by an instance that knows it up to `cursor`. Returns
     /// whether anything changed.
     pub fn update_to(&mut self, update: DirectoryUpdate, cursor: Cursor) -> bool {
-        let before = self.revision;
+        let mut before = self.revision;
         self.merge_leaving(&update);
         if cursor < self.cursor {
             self.merge_newer(&update);
@@ -360,9 +363,9 @@
         }
         match update {
             DirectoryUpdate::Whole(listing) => {
-                // The listing omits servers that came and left since the last cursor.
                 if cursor > self.cursor {
-                    self.changes_from = cursor;
+                    self.on_listed(cursor);
+                    before += 1;
                 }
                 if self.cursor.is_start() {
                     // Instances that merged an earlier revision may have entries that neither
@@ -382,6 +385,14 @@
         self.revision != before
     }
 
+    /// Records that the register was listed up to `cursor`. The listing omits servers that came
+    /// and left since the last cursor, so that other instances have to compare theirs with it even
+    /// if nothing changes here.
+    fn on_listed(&mut self, cursor: Cursor) {
+        self.changes_from = cursor;
+        self.revision += 1;
+    }
+
     /// Records leaving runs from entries at any position, since a departure is final.
     fn merge_leaving(&mut self, update: &DirectoryUpdate) {
         for entry in update.entries() {
--- a/crates/core/src/forwarding/directory/expiry.rs
+++ b/crates/core/src/forwarding/directory/expiry.rs
@@ -27,6 +27,8 @@
             self.merge_newer(&DirectoryUpdate::Whole(listing));
             return self.revision != before;
         }
+        self.on_listed(cursor);
+        let before = self.revision;
         let is_from_copy = cursor.era > self.cursor.era;
         for registered_as in self.missing_from(&listing) {
             if !self.expiring.contains_key(&registered_as) {
@@ -49,7 +51,6 @@
                 self.apply(&registered_as, Some(entry), Some(cursor));
             }
         }
-        self.changes_from = cursor;
         self.advance_cursor(cursor);
         self.revision != before
     }
--- a/crates/server/src/gateway/catch_up.rs
+++ b/crates/server/src/gateway/catch_up.rs
@@ -8,8 +8,8 @@
 
 use savoryvane_core::{
     forwarding::{
-        DirectoryUpdate, ExpiringServer, ListingBudget, RoutingConfig, Scope, StoreRole, SyncPoint,
-        is_relayed_to_peers,
+        CopySource, Cursor, DirectoryUpdate, ExpiringServer, ListingBudget, PeerUpdate,
+        RoutingConfig, Scope, StoreRole, SyncPoint, is_relayed_to_peers,
     },
     ids::{BackendName, Incarnation, InstanceName},
     membership::Contact,
@@ -43,15 +43,13 @@
     listing_budget: Mutex<ListingBudget>,
 }
 
-/// Where servers were copied from last.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct CopySource {
-    /// Run whose directory was copied.
-    incarnation: Incarnation,
-    /// Revision of that directory.
-    revision: u64,
-    /// Servers that were copied.
+/// What the servers in the response to a query are relative to.
+#[derive(Clone, Copy, Debug)]
+struct Requested {
+    /// Servers of which the sender keeps entries.
     scope: Scope,
+    /// Cursor from which on changes are requested.
+    since: Cursor,
 }
 
 impl CatchUp {
@@ -127,15 +125,14 @@
         if is_current && self.confirm_servers_current(remote) {
             return self.record_synced(remote);
         }
-        let query = self.build_query(members, Some(remote.incarnation));
-        let scope = query.scope;
+        let (query, requested) = self.build_query(members, Some(remote.incarnation));
         let query = Message::RoutingQuery(query);
         let response = members
             .peers()
             .request(instance, None, &query, QUERY_TIMEOUT)
             .await;
         if let Ok(Message::RoutingState(state)) = response {
-            self.apply(members, state, scope);
+            self.apply(members, state, requested);
         }
     }
 
@@ -147,6 +144,9 @@
         let is_confirmed = directory.expiring_names().is_empty();
         if is_confirmed {
             directory.advance_cursor(remote.servers);
+            if let Some(source) = &mut *lock(&self.source) {
+                source.cursor = source.cursor.max(remote.servers);
+            }
         }
         is_confirmed
     }
@@ -173,17 +173,22 @@
         self.freshness.on_peer_uptime(age_ms, uptime_ms, era);
     }
 
-    /// Returns the query for everything that the run `of` knows beyond this instance.
-    fn build_query(&self, members: &Members, of: Option<Incarnation>) -> RoutingQuery {
+    /// Returns the query for everything that the run `of` knows beyond this instance, and what
+    /// the servers in the response are relative to.
+    fn build_query(&self, members: &Members, of: Option<Incarnation>) -> (RoutingQuery, Requested) {
         let source = self.source();
-        let (servers, lapsing, scope) = {
+        let source = source.filter(|source| Some(source.incarnation) == of);
+        let (servers, lapsing, scope, source) = {
             let directory = self.view.directory();
+            let source = source.filter(|source| source.is_basis_of(&directory));
             let lapsing = directory.expiring_names();
-            (directory.cursor(), lapsing, directory.scope())
+            (directory.cursor(), lapsing, directory.scope(), source)
         };
-        let source = source.filter(|source| Some(source.incarnation) == of);
-        let source = source.filter(|source| source.scope == scope && !servers.is_start());
-        RoutingQuery {
+        let requested = Requested {
+            scope,
+            since: source.map_or(servers, |source| source.cursor),
+        };
+        let query = RoutingQuery {
             version: self.view.version(),
             revision: source.map(|source| source.revision),
             servers,
@@ -191,11 +196,12 @@
             has_store: !self.store.is_failing(),
             lapsing,
             scope,
-        }
+        };
+        (query, requested)
     }
 
-    /// Merges a peer's state, as far as it is newer. Its servers are those of `scope`.
-    fn apply(&self, members: &Members, state: RoutingState, scope: Scope) {
+    /// Merges a peer's state, as far as it is newer.
+    fn apply(&self, members: &Members, state: RoutingState, requested: Requested) {
         let remote = state.known;
         members.merge_list(state.instances, state.layout, remote.instances);
         if let Some(config) = state.config {
@@ -207,7 +213,13 @@
         let Some(servers) = state.servers else {
             return;
         };
-        if !self.view.update_servers(servers, remote.servers, scope) {
+        let update = PeerUpdate {
+            servers,
+            cursor: remote.servers,
+            changes_from: state.changes_from,
+            since: requested.since,
+        };
+        if !self.view.update_servers(update, requested.scope) {
             return;
         }
         self.merge_uptime(remote, state.store_uptime_ms);
@@ -216,7 +228,8 @@
         *lock(&self.source) = Some(CopySource {
             incarnation: remote.incarnation,
             revision: remote.revision,
-            scope,
+            cursor: remote.servers,
+            scope: requested.scope,
         });
         self.record_synced(remote);
     }
@@ -241,7 +254,7 @@
             .map_or(SyncPoint::Cursor(query.servers), SyncPoint::Revision);
         let known = self.known(members);
         let now_ms = self.clock.now_ms();
-        let (servers, lapsing) = {
+        let (servers, lapsing, changes_from) = {
             let directory = self.view.directory();
             let mut servers = directory.update_for(known_up_to, query.scope);
             if let Some(servers) = &mut servers {
@@ -251,7 +264,7 @@
             if let Some(end_ms) = self.freshness.rewrites_end_ms() {
                 lapsing.extend(directory.missing_among(&query.lapsing, now_ms, end_ms));
             }
-            (servers, lapsing)
+            (servers, lapsing, directory.changes_from())
         };
         let servers = servers.filter(|servers| match servers {
             DirectoryUpdate::Whole(listing) => {
@@ -273,6 +286,7 @@
             evacuations: self.view.evacuation_state(),
             layout: members.listed_layout(),
             store_uptime_ms: self.freshness.store_uptime_ms(),
+            changes_from,
         }
     }
 
@@ -306,8 +320,8 @@
 }
 
 async fn query_peer(members: &Members, catch_up: &CatchUp, contact: &Contact) {
-    let query = catch_up.build_query(members, None);
-    let (scope, lapsing) = (query.scope, query.lapsing.clone());
+    let (query, requested) = catch_up.build_query(members, None);
+    let lapsing = query.lapsing.clone();
     let query = Message::RoutingQuery(query);
     let response = members
         .peers()
@@ -318,6 +332,6 @@
     };
     catch_up.confirm_missing(&lapsing, &state, contact);
     if state.known.servers_age_ms < catch_up.freshness.servers_age_ms() {
-        catch_up.apply(members, state, scope);
+        catch_up.apply(members, state, requested);
     }
 }
--- a/crates/server/src/gateway/routing_view.rs
+++ b/crates/server/src/gateway/routing_view.rs
@@ -14,8 +14,9 @@
     fleet::Fleet,
     forwarding::{
         ColdServers, ColdStart, Cursor, Directory, DirectoryUpdate, EvacuationState, Evacuations,
-        ExpiringServer, FetchTimes, Position, REWRITE_WINDOW_MS, RepeatBudgets, ResponseTimes,
-        RouteDeadlines, RouteTable, RoutingConfig, Scope, ServedSoftware, ServerEntry,
+        ExpiringServer, FetchTimes, PeerUpdate, Position, REWRITE_WINDOW_MS, RepeatBudgets,
+        ResponseTimes, RouteDeadlines, RouteTable, RoutingConfig, Scope, ServedSoftware,
+        ServerEntry,
     },
     ids::{BackendName, PoolName},
     settings::PolicySettings,
@@ -281,31 +282,41 @@
 
     /// Applies the register of servers from the store, which knows it up to `cursor`.
     pub(super) fn update_servers_from_store(&self, listing: Vec<ServerEntry>, cursor: Cursor) {
-        self.merge_servers(DirectoryUpdate::Whole(listing), cursor, "store");
+        let update = DirectoryUpdate::Whole(listing);
+        self.merge_servers(self.directory(), update, cursor, "store");
     }
 
-    /// Applies the servers of `scope` from a peer that knows the register up to `cursor`.
-    /// Returns false if this instance keeps the entries of other servers by now.
-    pub(super) fn update_servers(
-        &self,
-        update: DirectoryUpdate,
-        cursor: Cursor,
-        scope: Scope,
-    ) -> bool {
-        if self.directory().scope() != scope {
+    /// Applies the servers of `scope` from a peer. Returns false if this instance keeps the
+    /// entries of other servers by now, or has learnt of servers that the update does not cover.
+    pub(super) fn update_servers(&self, update: PeerUpdate, scope: Scope) -> bool {
+        let mut directory = self.directory();
+        if directory.scope() != scope {
+            return false;
+        }
+        if !directory.is_covered_by(&update) {
+            drop(directory);
+            info!(self.log, "update of servers is incomplete"; "since" => %update.since,
+                "changes_from" => %update.changes_from, "position" => %update.cursor);
             return false;
         }
-        self.merge_servers(update, cursor, "peer");
+        let known = directory.cursor();
+        directory.on_copied_changes(known, update.changes_from);
+        self.merge_servers(directory, update.servers, update.cursor, "peer");
         true
     }
 
-    fn merge_servers(&self, update: DirectoryUpdate, cursor: Cursor, source: &'static str) {
+    fn merge_servers(
+        &self,
+        mut directory: MutexGuard<'_, Directory>,
+        update: DirectoryUpdate,
+        cursor: Cursor,
+        source: &'static str,
+    ) {
         let (count, is_snapshot) = match &update {
             DirectoryUpdate::Whole(listing) => (listing.len(), true),
             DirectoryUpdate::Changes(changes) => (changes.len(), false),
         };
         let now_ms = self.clock.now_ms();
-        let mut directory = self.directory();
         let known = directory.cursor();
         let is_of_copy = cursor.is_less_complete_copy_than(known);
         let has_changed = match update {
--- a/crates/wire/src/peer/routing.rs
+++ b/crates/wire/src/peer/routing.rs
@@ -118,4 +118,6 @@
     /// Time before the servers of `known` were current in which the responder knows of no outage
     /// of the store, in ms.
     pub store_uptime_ms: u64,
+    /// Position from which on the responder has all changes of the server registry.
+    pub changes_from: Cursor,
 }
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -190,6 +190,7 @@
             }),
             servers: Some(DirectoryUpdate::Changes(vec![("i-1".into(), None)])),
             store_uptime_ms: 9_000,
+            changes_from: cursor(60),
             layout: Some(ListedLayout {
                 layout: layout(),
                 position: cursor(4).position(),
