--- a/crates/server/src/gateway/catch_up.rs
+++ b/crates/server/src/gateway/catch_up.rs
@@ -205,7 +205,7 @@
         let remote = state.known;
         members.merge_list(state.instances, state.layout, remote.instances);
         if let Some(config) = state.config {
-            self.view.apply_config(config, "peer");
+            self.view.apply_config(*config, "peer");
         }
         self.view.on_version_advertised(remote.version);
         self.view.update_evacuations(state.evacuations);
@@ -276,7 +276,7 @@
         let config = table
             .filter(|table| table.version() > query.version)
             .filter(|table| !query.has_store || self.relays(members, table.config()))
-            .map(|table| (**table.config()).clone());
+            .map(|table| Box::new((**table.config()).clone()));
         RoutingState {
             known,
             config,
--- a/crates/wire/src/peer/routing.rs
+++ b/crates/wire/src/peer/routing.rs
@@ -103,7 +103,7 @@
     pub known: KnownState,
     /// The routing configuration, if it is a newer version and the sender of the query
     /// need not read it from the store.
-    pub config: Option<RoutingConfig>,
+    pub config: Option<Box<RoutingConfig>>,
     /// Servers that the sender of the query does not know yet; `None` if the responder does not
     /// have all of them, or has sent as many listings as its link allows.
     pub servers: Option<DirectoryUpdate>,
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -184,10 +184,10 @@
         }),
         Message::RoutingState(RoutingState {
             known: known(),
-            config: Some(RoutingConfig {
+            config: Some(Box::new(RoutingConfig {
                 version: 5,
                 ..RoutingConfig::default()
-            }),
+            })),
             servers: Some(DirectoryUpdate::Changes(vec![("i-1".into(), None)])),
             store_uptime_ms: 9_000,
             changes_from: cursor(60),
