Retry the store by the role that an instance has now

Cause: the time of the next call was fixed when a call failed, by the role of a follower, which pauses for up to 12 s. The instance became the scheduler meanwhile and kept to it.

Ruled out: the reads of the configuration and of the register themselves, which check the role every 100 ms and were held back by that one time. Not taken: ending the pause for the age of the state, which is old everywhere in an outage.

Change: the retry keeps the time of the failure, and the pause is computed at each check.

--- a/crates/core/src/forwarding/store_reads.rs
+++ b/crates/core/src/forwarding/store_reads.rs
@@ -221,24 +221,31 @@
 
 /// Schedules retries of store calls after a failure: one call at a time, of any kind, until
 /// one succeeds.
+///
+/// The pause is that of the instance's role at the time of the check: an instance that becomes the
+/// scheduler during a pause must not finish the longer one of a follower.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreRetry {
     failures: u32,
-    retry_at_ms: u64,
+    failed_at_ms: u64,
+    /// Where in the range of its pause this instance retries, from 0 to 1.
+    jitter: f64,
     is_trying: bool,
 }
 
 impl StoreRetry {
-    /// Begins a call, or returns the time until the next attempt, in ms.
-    pub fn begin(&mut self, now_ms: u64) -> Option<u64> {
-        if self.failures == 0 {
-            return None;
-        }
+    /// Begins a call of an instance with this role, or returns the time until its next attempt, in
+    /// ms.
+    pub fn begin(&mut self, now_ms: u64, role: StoreRole) -> Option<u64> {
+        let earlier_failures = self.failures.checked_sub(1)?;
         if self.is_trying {
             return Some(EAGER_PAUSES_MS[0]);
         }
-        if now_ms < self.retry_at_ms {
-            return Some(self.retry_at_ms - now_ms);
+        let pause_ms = role.pause_ms(earlier_failures);
+        let jitter_ms = (pause_ms as f64 * self.jitter) as u64;
+        let retry_at_ms = self.failed_at_ms + pause_ms / 2 + jitter_ms;
+        if now_ms < retry_at_ms {
+            return Some(retry_at_ms - now_ms);
         }
         self.is_trying = true;
         None
@@ -256,14 +263,14 @@
 
     /// Records a failed call; `jitter`, from 0 to 1, differs between instances, so that they
     /// do not retry at the same time.
-    pub fn on_failed(&mut self, now_ms: u64, role: StoreRole, jitter: f64) {
+    pub fn on_failed(&mut self, now_ms: u64, jitter: f64) {
         if self.failures > 0 && !self.is_trying {
             // The call began before the first failure was known.
             return;
         }
-        let pause_ms = role.pause_ms(self.failures);
         self.failures += 1;
         self.is_trying = false;
-        self.retry_at_ms = now_ms + pause_ms / 2 + (pause_ms as f64 * jitter) as u64;
+        self.failed_at_ms = now_ms;
+        self.jitter = jitter;
     }
 }
--- a/crates/core/tests/forwarding_store_reads.rs
+++ b/crates/core/tests/forwarding_store_reads.rs
@@ -102,9 +102,9 @@
         let mut retry = StoreRetry::default();
         for now_ms in (0..8_000).step_by(10) {
             for _topic in 0..3 {
-                if retry.begin(now_ms).is_none() {
+                if retry.begin(now_ms, role).is_none() {
                     calls += 1;
-                    retry.on_failed(now_ms, role, jitter);
+                    retry.on_failed(now_ms, jitter);
                 }
             }
         }
@@ -114,30 +114,64 @@
 
 #[test]
 fn one_call_at_a_time_tries_a_store_that_failed() {
+    let role = StoreRole::Scheduler;
     let mut retry = StoreRetry::default();
-    assert_eq!(retry.begin(0), None);
-    retry.on_failed(0, StoreRole::Scheduler, 0.5);
-    assert!(retry.begin(10).is_some(), "it is not retried at once");
-    assert_eq!(retry.begin(200), None);
+    assert_eq!(retry.begin(0, role), None);
+    retry.on_failed(0, 0.5);
+    assert!(retry.begin(10, role).is_some(), "it is not retried at once");
+    assert_eq!(retry.begin(200, role), None);
     assert!(
-        retry.begin(200).is_some(),
+        retry.begin(200, role).is_some(),
         "another call waits for the retry"
     );
     retry.on_answered();
-    assert_eq!(retry.begin(210), None);
+    assert_eq!(retry.begin(210, role), None);
+}
+
+/// Guards against an instance that is left alone after an outage and acts on old keys and servers:
+/// the pause of a follower went on after it had become the scheduler.
+#[test]
+fn an_instance_that_becomes_the_scheduler_retries_like_one() {
+    for jitter in [0.0, 0.5, 1.0] {
+        let mut retry = StoreRetry::default();
+        retry.on_failed(0, jitter);
+        let mut failed_at_ms = 0;
+        for now_ms in (0..8_000).step_by(10) {
+            if retry.begin(now_ms, StoreRole::Follower).is_none() {
+                failed_at_ms = now_ms;
+                retry.on_failed(now_ms, jitter);
+            }
+        }
+        assert!(failed_at_ms > 0, "it was tried again");
+        let taken_over_ms = failed_at_ms + 1_000;
+        let wait_ms = retry.begin(taken_over_ms, StoreRole::Scheduler);
+        assert!(wait_ms.unwrap_or(0) <= 200, "{wait_ms:?} ms");
+    }
+}
+
+/// The same for an instance that becomes a reserve, and the other way round.
+#[test]
+fn the_pause_after_a_failed_call_follows_the_role() {
+    let mut retry = StoreRetry::default();
+    retry.on_failed(0, 1.0);
+    let as_follower_ms = retry.begin(10, StoreRole::Follower);
+    assert!(as_follower_ms > Some(1_000), "{as_follower_ms:?} ms");
+    let as_reserve_ms = retry.begin(10, StoreRole::Reserve);
+    assert!(as_reserve_ms <= Some(150), "{as_reserve_ms:?} ms");
+    assert_eq!(retry.begin(10, StoreRole::Follower), as_follower_ms);
 }
 
 /// The scheduler notices within about a second that the store has recovered.
 #[test]
 fn a_scheduler_notices_a_recovered_store_within_about_a_second() {
     let mut retry = StoreRetry::default();
-    retry.on_failed(0, StoreRole::Scheduler, 1.0);
+    retry.on_failed(0, 1.0);
     let mut last_ms = 0;
     for now_ms in (0..60_000).step_by(10) {
-        if retry.begin(now_ms).is_none() {
+        if retry.begin(now_ms, StoreRole::Scheduler).is_none() {
             assert!(now_ms - last_ms <= 1_200, "{last_ms} to {now_ms}");
             last_ms = now_ms;
-            retry.on_failed(now_ms, StoreRole::Scheduler, 1.0);
+            retry.on_failed(now_ms, 1.0);
         }
     }
 }
--- a/crates/server/src/gateway/store.rs
+++ b/crates/server/src/gateway/store.rs
@@ -146,7 +146,11 @@
     /// Begins a call. While calls are failing, returns the time to wait instead, except
     /// for the call that checks whether the store is available again.
     pub(super) fn try_begin(&self) -> std::result::Result<(), Duration> {
-        let wait_ms = self.call_state().retry.begin(self.clock.now_ms());
+        let wait_ms = {
+            let mut call_state = self.call_state();
+            let reader = call_state.reader;
+            call_state.retry.begin(self.clock.now_ms(), reader)
+        };
         wait_ms.map_or(Ok(()), |wait_ms| Err(Duration::from_millis(wait_ms)))
     }
 
@@ -283,11 +287,10 @@
         let now_ms = self.clock.now_ms();
         {
             let mut call_state = self.call_state();
-            let reader = call_state.reader;
             match is_served {
                 true => call_state.retry.on_answered(),
                 false => {
-                    call_state.retry.on_failed(now_ms, reader, rand::random());
+                    call_state.retry.on_failed(now_ms, rand::random());
                     call_state.failed_at_ms = Some(now_ms);
                 }
             }
