Deliver only responses with a valid status

Cause: the HTTP library reads any three digits from 100 on as a status, and nothing judged it.

Ruled out: 000, 001, 099 and statuses without three digits, which were 502 before. Also looked for, and not found: a part of a 200 without a length that is delivered as whole when its server resets the connection during an upload (108 uploads directly, 24 through another instance).

Change: a response whose status is not from 200 to 599 counts as lost at its server.

--- a/crates/server/src/gateway/attempt.rs
+++ b/crates/server/src/gateway/attempt.rs
@@ -1,6 +1,6 @@
 //! One send of a request to one backend server, and its outcome.
 
-use std::{sync::Arc, time::Duration};
+use std::{ops::RangeInclusive, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, Response, StatusCode, Version, header, response::Parts};
@@ -32,6 +32,9 @@
 /// Largest response that is buffered before it is forwarded, in bytes: until then, a response
 /// that breaks off may still be replaced by one from another server.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
+/// Statuses of final responses. The HTTP library reads any other number of three digits, but for
+/// those below 100, as a status too.
+const VALID_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Margin by which a pooled connection is dropped before the server's keep-alive timeout.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 
@@ -390,6 +393,9 @@
         Attribution::Foreign => return Some("it responds to another request"),
         Attribution::Untied => return Some("it names no request on a kept connection"),
     }
+    if !VALID_STATUSES.contains(&status.as_u16()) {
+        return Some("its status is invalid");
+    }
     if !status.is_success() {
         return None;
     }
