Charge what is held back of an event to the memory held for callers

What callers saw: a process takes more memory than its machine has and is killed, with the requests of all its callers, when a server sends an event without an end on many streams.

Cause: up to 1 MB of an event of a resumable stream is held back until it is complete, and nothing bounded that over all streams.

Not taken: a smaller bound for each event, which bounds no sum either.

Change: more than 16 KB held back is charged; without memory for it the event is forwarded as it arrives, and can't be resumed until it ends.

--- a/crates/core/src/forwarding/event_splitter.rs
+++ b/crates/core/src/forwarding/event_splitter.rs
@@ -68,6 +68,23 @@
         }
     }
 
+    /// Returns the number of bytes held back if `added` more arrive and no event ends in them.
+    pub fn held_bytes_with(&self, added: usize) -> usize {
+        match self.holding {
+            Holding::PartialEvents => self.held.len() + added,
+            Holding::Nothing | Holding::NothingUntilEventEnd => 0,
+        }
+    }
+
+    /// Stops holding the event that has begun back, and returns what is held of it. No other
+    /// server can resume the stream until that event is complete.
+    pub fn release_partial(&mut self) -> Bytes {
+        if self.holding == Holding::PartialEvents && !self.held.is_empty() {
+            self.holding = Holding::NothingUntilEventEnd;
+        }
+        std::mem::take(&mut self.held).freeze()
+    }
+
     /// Returns the position after all bytes received.
     pub fn position(&self) -> &EventPosition {
         &self.position
@@ -98,7 +115,6 @@
         if self.held.len() <= MAX_EVENT_BYTES {
             return Bytes::new();
         }
-        self.holding = Holding::NothingUntilEventEnd;
-        self.held.split().freeze()
+        self.release_partial()
     }
 }
--- a/crates/core/tests/forwarding_event_splitter.rs
+++ b/crates/core/tests/forwarding_event_splitter.rs
@@ -45,6 +45,30 @@
     assert!(push_all(&mut splitter, [&b"id: 2\ndata"[..]]).is_empty());
 }
 
+#[test]
+fn an_event_that_can_not_be_held_back_is_forwarded_in_parts() {
+    let mut splitter = EventSplitter::new(true);
+    push_all(&mut splitter, [&b"id: 0\n\nid: 1\nda"[..]]);
+    assert_eq!(splitter.held_bytes_with(3), b"id: 1\nda".len() + 3);
+    assert_eq!(splitter.release_partial(), &b"id: 1\nda"[..]);
+    assert_eq!(splitter.resume_point(), ResumePoint::None);
+    assert_eq!(splitter.held_bytes_with(3), 0, "the rest is not held");
+    assert_eq!(
+        push_all(&mut splitter, [&b"ta: b\n\nid: 2"[..]]),
+        b"ta: b\n\n"
+    );
+    assert_eq!(splitter.resume_point(), ResumePoint::After("1"));
+    assert_eq!(splitter.release_partial(), &b"id: 2"[..]);
+}
+
+#[test]
+fn between_two_events_nothing_is_released() {
+    let mut splitter = EventSplitter::new(true);
+    push_all(&mut splitter, [&b"id: 0\n\n"[..]]);
+    assert!(splitter.release_partial().is_empty());
+    assert_eq!(splitter.resume_point(), ResumePoint::After("0"));
+}
+
 #[test]
 fn the_next_server_continues_after_the_last_event_forwarded() {
     let mut splitter = EventSplitter::new(true);
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -33,6 +33,10 @@
     stream_body::{STREAM_BUFFER_BYTES, StreamSender, stream_body},
 };
 
+/// Largest part of an event that is covered by the charge for a stream's buffer, in bytes. Most
+/// events are smaller, and need no charge of their own.
+const COVERED_EVENT_BYTES: usize = 16 << 10;
+
 /// Starts to forward a stream, and returns the response that carries it.
 pub(super) fn start(
     forwarder: Arc<Forwarder>,
@@ -53,6 +57,7 @@
     }
     let mut charge = caller.memory.response_charge();
     charge.take(STREAM_BUFFER_BYTES);
+    let held = HeldCharge::default();
     let events = EventSplitter::new(is_event_stream && caller.is_resumable());
     let relay = Relay {
         forwarder,
@@ -64,6 +69,7 @@
         timing: EventTiming::default(),
         sender,
         _buffer_charge: charge,
+        held,
         source: Source {
             body,
             framing,
@@ -97,9 +103,44 @@
     sender: StreamSender,
     /// What is buffered of the stream for its caller.
     _buffer_charge: MemoryCharge,
+    /// What is held back of an event.
+    held: HeldCharge,
     source: Source,
 }
 
+/// Charge for the part of an event that is held back.
+#[derive(Debug, Default)]
+struct HeldCharge {
+    charge: Option<MemoryCharge>,
+    bytes: usize,
+}
+
+impl HeldCharge {
+    /// Charges for a buffer of `bytes`; returns false if there is no memory for it.
+    fn try_grow_to(&mut self, bytes: usize, caller: &CallerRequest) -> bool {
+        if bytes <= self.bytes.max(COVERED_EVENT_BYTES) {
+            return true;
+        }
+        // The buffer doubles, and is copied when it grows.
+        let needed_bytes = 2 * bytes;
+        let charge = &mut self.charge;
+        let charge = charge.get_or_insert_with(|| caller.memory.response_charge());
+        let is_granted = charge.try_grow((needed_bytes - self.bytes) as u64).is_ok();
+        if is_granted {
+            self.bytes = needed_bytes;
+        }
+        is_granted
+    }
+
+    /// Returns `bytes`, which were held back, such that they stay charged until they are sent.
+    fn release(&mut self, bytes: Bytes) -> Bytes {
+        match std::mem::take(self).charge {
+            Some(charge) => charge.attach(bytes),
+            None => bytes,
+        }
+    }
+}
+
 /// Arrival times of events, for the log.
 #[derive(Clone, Copy, Debug, Default)]
 struct EventTiming {
@@ -255,9 +296,18 @@
     /// Forwards bytes of the server's body as far as they are complete; returns `None` if the
     /// caller has disconnected.
     async fn forward(&mut self, bytes: Bytes) -> Option<()> {
-        let complete = self.events.push(bytes);
+        let held_bytes = self.events.held_bytes_with(bytes.len());
+        if !self.held.try_grow_to(held_bytes, &self.caller) {
+            info!(self.forwarder.log, "event not held back"; "request" => %self.caller.id,
+                "bytes" => held_bytes);
+            let partial = self.events.release_partial();
+            let partial = self.held.release(partial);
+            self.sender.send(partial).await?;
+        }
+        let mut complete = self.events.push(bytes);
         if !complete.is_empty() {
             self.timing.on_events(self.caller.elapsed_ms());
+            complete = self.held.release(complete);
         }
         self.bind_software();
         self.sender.send(complete).await
--- a/crates/server/tests/clients_gateway.rs
+++ b/crates/server/tests/clients_gateway.rs
@@ -44,6 +44,8 @@
 const OVERLONG_PAUSE: Duration = Duration::from_millis(10);
 /// Bodies over the limit that one client sends one after the other.
 const REFUSED_BODIES: usize = 10;
+/// Time after which the gateway knows the entry of a server.
+const LISTED_AFTER: Duration = Duration::from_secs(2);
 /// Time after which a response counts as lost.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -52,7 +54,7 @@
     target: Target,
     server: ServerStandIn,
     _large: RawServerStandIn,
-    _store: StoreStandIn,
+    store: StoreStandIn,
     gateway: Child,
 }
 
@@ -106,7 +108,7 @@
             target,
             server,
             _large: large,
-            _store: store,
+            store,
             gateway,
         };
         world.wait_until_ready().await;
@@ -147,12 +149,21 @@
             "Resumable": false,
         })
     };
+    let stream_route = |name: &str, service: &str| {
+        let mut route = route(name, service);
+        route["RouteKind"] = "stream".into();
+        route["Resumable"] = true.into();
+        route
+    };
     let service =
         |name: &str| json!({ "Name": name, "HealthPath": "/healthz", "MaxConns": 10_000 });
     json!({
         "Version": 3,
-        "Routes": [route("lookup", "desk"), route("large", "large")],
-        "Services": [service("desk"), service("large")],
+        "Routes": [
+            route("lookup", "desk"), route("large", "large"), route("endless", "endless"),
+            stream_route("letter", "endless"),
+        ],
+        "Services": [service("desk"), service("large"), service("endless")],
         "Tenants": [{ "Name": "one", "ApiKeys": [KEY] }],
         "Limits": { "MaxHeaderBytes": 16_384, "MaxBodyBytes": BODY_BYTES,
             "HeaderTimeoutMs": 5_000, "IdleTimeoutMs": 10_000 },
@@ -184,6 +195,38 @@
     world.target.check().await;
 }
 
+/// Checks a crowd of well-behaved clients whose requests go to a server that responds so.
+async fn check_endless_server(path: &'static str, headers: &[&'static str], end: RawEnd) {
+    let _running = RUNNING.lock().await;
+    let world = World::start().await;
+    let response = RawResponse {
+        status_line: "HTTP/1.1 200 OK",
+        headers: headers.to_vec(),
+        body: Vec::new(),
+        end,
+    };
+    let server = RawServerStandIn::start("i-3", response).await;
+    let entry = server.entry("endless", ZONE);
+    world.store.put("keyed.servers", "i-3", &entry);
+    time::sleep(LISTED_AFTER).await;
+    let crowd_target = Target {
+        path,
+        ..world.target.clone()
+    };
+    let mut crowd = Crowd::empty();
+    for index in 0..CLIENTS {
+        let (target, progress) = (crowd_target.clone(), crowd.progress());
+        crowd.add(async move {
+            // A response that breaks off is as good as any other.
+            let _ = target.send(&format!("crowd-{index}"), b"{}".to_vec()).await;
+            progress.on_bytes(1);
+        });
+    }
+    crowd.settle(&world.target).await;
+    assert!(server.requests() > 0, "no request reached the server");
+    world.target.check().await;
+}
+
 async fn check_http2(requests: Requests) {
     let _running = RUNNING.lock().await;
     let world = World::start().await;
@@ -197,6 +240,23 @@
     world.target.check().await;
 }
 
+/// Guards against bytes of a faulty server that are held without a bound.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_responses_with_heads_without_an_end_do_not_exhaust_memory() {
+    check_endless_server("/endless/1", &[], RawEnd::RepeatsInHead("x-filler: 1\r\n")).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_responses_with_bodies_without_an_end_do_not_exhaust_memory() {
+    check_endless_server("/endless/1", &[], RawEnd::Repeats("0123456789abcdef")).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_responses_with_events_without_an_end_do_not_exhaust_memory() {
+    let headers = ["content-type: text/event-stream"];
+    check_endless_server("/letter/1", &headers, RawEnd::Repeats("0123456789abcdef")).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn gateway_bodies_one_byte_short_do_not_exhaust_memory() {
     check_crowd(CLIENTS, Sending::OneByteShort).await;
