Confirm what is known of a stream's version before it goes on without a record

The model of instances and streams does the same when the caller's new instance has been cut off for 0.2 s.

Cause: a version that alone has served by the instance's own register decided when no other instance responded, while the register may be 2 s old. A response that waits to be read while the process stands still was taken for new.

Ruled out: records, which are found whenever their keepers respond. Not taken: any other instance as a witness, which may be cut off together with this one; a shorter age.

Change: the scheduler, if it is another instance, or a register that is current since the caller has asked confirms the version; otherwise the stream is refused, not run. Ages of the register count from when it was requested.

--- a/crates/core/src/forwarding/take_up.rs
+++ b/crates/core/src/forwarding/take_up.rs
@@ -3,6 +3,12 @@
 //! A record of the stream decides. Without one, the stream may go on only if one software version
 //! alone has served the service, by the knowledge of an instance of each cell, since each cell
 //! knows its own servers.
+//!
+//! An instance that is cut off, or has stood still, knows the register of up to two seconds ago.
+//! Servers of another version may have joined since, and the stream may have begun at one of them
+//! through another instance. So what is known of the own cell has to be confirmed: by its scheduler,
+//! from which all its instances have the register, or by a register that is current since the
+//! caller has asked.
 
 use std::collections::BTreeMap;
 
@@ -47,6 +53,8 @@
     /// Version that alone has served, by cell.
     served: BTreeMap<u32, SoftwareVersion>,
     has_several: bool,
+    /// Whether it is known what has served in the own cell up to now.
+    is_confirmed: bool,
 }
 
 impl TakeUpSearch {
@@ -58,6 +66,7 @@
             cells,
             served: BTreeMap::new(),
             has_several: false,
+            is_confirmed: false,
         }
     }
 
@@ -80,20 +89,41 @@
         None
     }
 
-    /// Decides when no further instance responds.
-    pub fn conclude(self) -> TakeUp {
+    /// Records what is known in the own cell up to now: by its scheduler, if that is another
+    /// instance, or by this instance with a register that is current since the caller has asked.
+    /// Returns the decision if it needs no other instance.
+    pub fn on_current_knowledge(
+        &mut self,
+        cell: u32,
+        knowledge: StreamKnowledge,
+    ) -> Option<TakeUp> {
+        self.is_confirmed |= matches!(knowledge.served, ServedVersions::One(_));
+        self.on_knowledge(cell, knowledge)
+    }
+
+    /// Returns whether the stream can go on once what is known of the own cell is confirmed.
+    pub fn lacks_confirmation(&self) -> bool {
+        !self.is_confirmed && self.has_one_version()
+    }
+
+    fn has_one_version(&self) -> bool {
         let mut versions = self.served.values();
         let first = versions.next();
         let is_alone = first.is_some_and(|first| versions.all(|version| version == first));
-        let covers_all = self.served.len() == self.cells as usize;
-        match first {
-            Some(software) if is_alone && covers_all && !self.has_several => {
-                TakeUp::At(StreamOrigin {
-                    service: self.service,
-                    software: software.clone(),
-                })
-            }
-            _ => TakeUp::Unknown,
+        is_alone && self.served.len() == self.cells as usize && !self.has_several
+    }
+
+    /// Decides when no further instance responds.
+    pub fn conclude(self) -> TakeUp {
+        if !self.is_confirmed || !self.has_one_version() {
+            return TakeUp::Unknown;
         }
+        let Some(software) = self.served.into_values().next() else {
+            return TakeUp::Unknown;
+        };
+        TakeUp::At(StreamOrigin {
+            service: self.service,
+            software,
+        })
     }
 }
--- a/crates/core/tests/forwarding_take_ups.rs
+++ b/crates/core/tests/forwarding_take_ups.rs
@@ -306,23 +306,41 @@
 fn without_a_record_every_cell_has_to_know_the_same_version() {
     let one = |version| absent(ServedVersions::One(name(version)));
     let mut both = search(2);
-    assert_eq!(both.on_knowledge(0, one(1)), None);
+    assert_eq!(both.on_current_knowledge(0, one(1)), None);
     assert_eq!(both.on_knowledge(1, absent(ServedVersions::Unknown)), None);
     assert_eq!(both.on_knowledge(1, one(1)), None);
     assert_eq!(both.conclude(), TakeUp::At(origin(1)));
     let mut half = search(2);
-    half.on_knowledge(0, one(1));
+    half.on_current_knowledge(0, one(1));
     assert_eq!(half.conclude(), TakeUp::Unknown);
     let mut different = search(2);
-    different.on_knowledge(0, one(1));
+    different.on_current_knowledge(0, one(1));
     different.on_knowledge(1, one(2));
     assert_eq!(different.conclude(), TakeUp::Unknown);
     let mut several = search(1);
-    several.on_knowledge(0, one(1));
+    several.on_current_knowledge(0, one(1));
     several.on_knowledge(0, absent(ServedVersions::Several));
     assert_eq!(several.conclude(), TakeUp::Unknown);
 }
 
+#[test]
+fn without_a_record_the_own_cell_has_to_be_known_up_to_now() {
+    let one = || absent(ServedVersions::One(name(1)));
+    let mut alone = search(1);
+    alone.on_knowledge(0, one());
+    alone.on_knowledge(0, one());
+    assert!(alone.lacks_confirmation());
+    assert_eq!(alone.conclude(), TakeUp::Unknown);
+    let mut scheduled = search(1);
+    scheduled.on_knowledge(0, one());
+    scheduled.on_current_knowledge(0, one());
+    assert_eq!(scheduled.conclude(), TakeUp::At(origin(1)));
+    let mut started = search(1);
+    started.on_knowledge(0, one());
+    started.on_current_knowledge(0, absent(ServedVersions::Unknown));
+    assert_eq!(started.conclude(), TakeUp::Unknown, "it has just started");
+}
+
 #[test]
 fn a_record_decides_before_others_respond() {
     let knowledge = StreamKnowledge {
@@ -388,6 +406,8 @@
 struct Instance {
     records: StreamRecords,
     served: ServedSoftware,
+    /// Versions that were registered when it knew the register last.
+    known_versions: BTreeSet<u8>,
     /// Time since which it does not know the register, in ms.
     cut_since_ms: Option<u64>,
 }
@@ -403,9 +423,6 @@
     has_joined: bool,
 }
 
-/// Longest time for which an instance may not know that a version serves, in ms.
-const MAX_LAG_MS: u64 = 2_000;
-
 impl Model {
     fn new() -> Self {
         let mut model = Self {
@@ -431,6 +448,7 @@
                 let age_ms = instance.cut_since_ms.map_or(0, |since| self.now_ms - since);
                 if age_ms == 0 {
                     register(&mut instance.served, self.now_ms, &versions);
+                    instance.known_versions = self.registered.keys().copied().collect();
                 }
                 instance.served.on_register_age(self.now_ms, age_ms);
             }
@@ -467,9 +485,20 @@
         }
     }
 
+    /// Returns the instance from which the others have the register.
+    fn scheduler(&self) -> Option<usize> {
+        let mut instances = self.instances.iter();
+        instances.position(|instance| instance.cut_since_ms.is_none())
+    }
+
+    /// Returns whether an instance knows that servers of a version are registered.
+    fn knows(&self, index: usize, version: u8) -> bool {
+        let instance = &self.instances[index];
+        instance.cut_since_ms.is_none() && instance.known_versions.contains(&version)
+    }
+
     fn begin(&mut self, index: usize, version: u8, reached: u8) {
-        let since_ms = self.registered.get(&version);
-        if since_ms.is_none_or(|since_ms| self.now_ms < since_ms + MAX_LAG_MS) {
+        if !self.registered.contains_key(&version) || !self.knows(index, version) {
             return;
         }
         let record = record(self.streams.len(), version);
@@ -499,7 +528,16 @@
                     origin: instance.records.origin(self.now_ms, &key("one", stream)),
                     served: versions_at(&instance.served, self.now_ms),
                 };
-                decided = decided.or(search.on_knowledge(0, knowledge));
+                let is_current = match other == index {
+                    true => instance.cut_since_ms.is_none(),
+                    false => Some(other) == self.scheduler(),
+                };
+                let decision = if is_current {
+                    search.on_current_knowledge(0, knowledge)
+                } else {
+                    search.on_knowledge(0, knowledge)
+                };
+                decided = decided.or(decision);
             }
         }
         let take_up = decided.unwrap_or_else(|| search.conclude());
@@ -531,6 +569,26 @@
     }
 }
 
+/// Guards against a stream that goes on at another version: an instance that is cut off, or has
+/// stood still, knows one version of a register that is up to 2 s old. Servers of another version
+/// have joined meanwhile, and the stream began at one of them through another instance.
+#[test]
+fn an_instance_that_is_cut_off_does_not_take_up_streams_of_a_version_that_it_does_not_know() {
+    for lag_ms in [0, 200, 1_000, 1_900] {
+        let mut model = Model::new();
+        model.instances[2].cut_since_ms = Some(model.now_ms);
+        model.advance(lag_ms);
+        model.registered.insert(2, model.now_ms);
+        model.advance(50);
+        model.begin(0, 2, 0b010);
+        assert_eq!(model.streams.len(), 1, "it began");
+        for reached in 0..8 {
+            model.take_up(2, 0, reached);
+        }
+        assert!(!model.has_joined, "{lag_ms} ms");
+    }
+}
+
 quickcheck! {
     /// Whatever instances know, lose or can't reach, a stream goes on at its version or nowhere.
     fn no_order_of_events_joins_two_versions(steps: Vec<(u8, u8, u8)>) -> bool {
--- a/crates/server/src/gateway/catch_up.rs
+++ b/crates/server/src/gateway/catch_up.rs
@@ -127,12 +127,13 @@
         }
         let (query, requested) = self.build_query(members, Some(remote.incarnation));
         let query = Message::RoutingQuery(query);
+        let sent_at_ms = self.clock.now_ms();
         let response = members
             .peers()
             .request(instance, None, &query, QUERY_TIMEOUT)
             .await;
         if let Ok(Message::RoutingState(state)) = response {
-            self.apply(members, state, requested);
+            self.apply(members, self.aged(state, sent_at_ms), requested);
         }
     }
 
@@ -200,6 +201,12 @@
         (query, requested)
     }
 
+    /// Returns a state with its ages since the query for it was sent.
+    fn aged(&self, mut state: RoutingState, sent_at_ms: u64) -> RoutingState {
+        state.known = state.known.aged_by(self.clock.now_ms() - sent_at_ms);
+        state
+    }
+
     /// Merges a peer's state, as far as it is newer.
     fn apply(&self, members: &Members, state: RoutingState, requested: Requested) {
         let remote = state.known;
@@ -323,6 +330,7 @@
     let (query, requested) = catch_up.build_query(members, None);
     let lapsing = query.lapsing.clone();
     let query = Message::RoutingQuery(query);
+    let sent_at_ms = catch_up.clock.now_ms();
     let response = members
         .peers()
         .request_at(contact, &query, QUERY_TIMEOUT)
@@ -330,6 +338,7 @@
     let Ok(Message::RoutingState(state)) = response else {
         return;
     };
+    let state = catch_up.aged(state, sent_at_ms);
     catch_up.confirm_missing(&lapsing, &state, contact);
     if state.known.servers_age_ms < catch_up.freshness.servers_age_ms() {
         catch_up.apply(members, state, requested);
--- a/crates/server/src/gateway/stream_origins.rs
+++ b/crates/server/src/gateway/stream_origins.rs
@@ -43,6 +43,11 @@
 const STORED_RECORDS_TIMEOUT: Duration = Duration::from_millis(700);
 /// The same until the scheduler's answer, also while all instances start and it is not known yet.
 const SCHEDULER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time for which a take-up waits for a register that is current since its caller has asked: an
+/// interval between two reads of the scheduler, and a read.
+const CURRENT_REGISTER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Interval between two checks of the register's age meanwhile.
+const REGISTER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between two attempts to ask the scheduler.
 const SCHEDULER_RETRY_INTERVAL: Duration = Duration::from_millis(30);
 
@@ -64,6 +69,31 @@
     has_stored_records: watch::Sender<bool>,
 }
 
+/// What the scheduler of this instance's cell knows of a stream.
+enum SchedulerKnowledge {
+    /// It is this instance.
+    Own(StreamKnowledge),
+    /// It is another one.
+    Other(StreamKnowledge),
+}
+
+impl SchedulerKnowledge {
+    fn into_inner(self) -> StreamKnowledge {
+        match self {
+            Self::Own(knowledge) | Self::Other(knowledge) => knowledge,
+        }
+    }
+}
+
+/// Response to a query about a stream.
+struct QueryResponse {
+    /// Cell of the instance that has responded.
+    cell: u32,
+    knowledge: StreamKnowledge,
+    /// Whether that instance is the scheduler of this one's cell, and another one.
+    is_from_scheduler: bool,
+}
+
 /// A stream that its caller takes up.
 #[derive(Clone, Debug)]
 pub(super) struct TakenUpStream<'a> {
@@ -159,7 +189,8 @@
         let knowledge = self.knowledge_for(query);
         let is_from_other_cell = !self.members.cell().has_instance(from);
         if is_from_other_cell && knowledge.is_empty() {
-            return self.ask_scheduler(query).await.unwrap_or(knowledge);
+            let scheduler = self.ask_scheduler(query).await;
+            return scheduler.map_or(knowledge, SchedulerKnowledge::into_inner);
         }
         knowledge
     }
@@ -180,20 +211,20 @@
     }
 
     /// Asks the scheduler of this instance's cell, as soon as it is known and reachable.
-    async fn ask_scheduler(&self, query: &StreamQuery) -> Option<StreamKnowledge> {
+    async fn ask_scheduler(&self, query: &StreamQuery) -> Option<SchedulerKnowledge> {
         let message = Message::StreamQuery(query.clone());
         let until = time::Instant::now() + SCHEDULER_TIMEOUT;
         while time::Instant::now() < until {
             if self.members.is_scheduler() {
                 self.wait_stored_records_read().await;
-                return Some(self.knowledge_for(query));
+                return Some(SchedulerKnowledge::Own(self.knowledge_for(query)));
             }
             if let Some(scheduler) = self.members.scheduler() {
                 let left = until.saturating_duration_since(time::Instant::now());
                 let peers = self.members.peers();
                 let response = peers.request(&scheduler, None, &message, left).await;
                 if let Ok(Message::StreamState(knowledge)) = response {
-                    return Some(knowledge);
+                    return Some(SchedulerKnowledge::Other(knowledge));
                 }
             }
             time::sleep(SCHEDULER_RETRY_INTERVAL).await;
@@ -246,6 +277,7 @@
 
     /// Finds out where a stream began that its caller takes up.
     pub(super) async fn find(self: &Arc<Self>, stream: TakenUpStream<'_>) -> TakeUp {
+        let asked_at = time::Instant::now();
         let layout = self.members.layout();
         let mut search = TakeUpSearch::new(stream.service.clone(), layout.cells());
         let own_cell = self.members.cell().cell();
@@ -260,7 +292,14 @@
         let mut queries = JoinSet::new();
         {
             let (origins, query) = (Arc::clone(self), Arc::clone(&query));
-            queries.spawn(async move { (own_cell, origins.ask_scheduler(&query).await) });
+            queries.spawn(async move {
+                let knowledge = origins.ask_scheduler(&query).await?;
+                Some(QueryResponse {
+                    cell: own_cell,
+                    is_from_scheduler: matches!(knowledge, SchedulerKnowledge::Other(_)),
+                    knowledge: knowledge.into_inner(),
+                })
+            });
         }
         for cell in 0..layout.cells() {
             let keepers = Arc::new(self.outbox.keepers(stream.key.as_ref(), Some(cell)));
@@ -269,21 +308,50 @@
                 let keepers = Arc::clone(&keepers);
                 queries.spawn(async move {
                     let asked = time::timeout(QUERY_TIMEOUT, origins.ask(&keepers, &query));
-                    (cell, asked.await.ok().flatten())
+                    Some(QueryResponse {
+                        cell,
+                        knowledge: asked.await.ok()??,
+                        is_from_scheduler: false,
+                    })
                 });
             }
         }
         while let Some(response) = queries.join_next().await {
-            let Ok((cell, Some(knowledge))) = response else {
+            let Ok(Some(response)) = response else {
                 continue;
             };
-            if let Some(found) = search.on_knowledge(cell, knowledge) {
+            let found = if response.is_from_scheduler {
+                search.on_current_knowledge(response.cell, response.knowledge)
+            } else {
+                search.on_knowledge(response.cell, response.knowledge)
+            };
+            if let Some(found) = found {
+                return found;
+            }
+        }
+        if search.lacks_confirmation() && self.wait_register_current(asked_at).await {
+            let knowledge = self.knowledge(&stream);
+            if let Some(found) = search.on_current_knowledge(own_cell, knowledge) {
                 return found;
             }
         }
+        if search.lacks_confirmation() {
+            info!(self.log, "version of a stream not confirmed"; "service" => %stream.service,
+                "register_age_ms" => self.freshness.servers_age_ms());
+        }
         search.conclude()
     }
 
+    /// Waits until the register is known to be current since `at`, for a limited time. Returns
+    /// whether it is.
+    async fn wait_register_current(&self, at: time::Instant) -> bool {
+        let is_current = || u128::from(self.freshness.servers_age_ms()) <= at.elapsed().as_millis();
+        while !is_current() && at.elapsed() < CURRENT_REGISTER_TIMEOUT {
+            time::sleep(REGISTER_CHECK_INTERVAL).await;
+        }
+        is_current()
+    }
+
     /// Sends the records that others have to the instances that are asked for them, since this
     /// one leaves.
     pub(super) fn hand_over(self: &Arc<Self>) {
--- a/crates/server/src/gateway/upstream.rs
+++ b/crates/server/src/gateway/upstream.rs
@@ -81,6 +81,7 @@
         selector: fn(&Self) -> MutexGuard<'_, SchedulerSelector>,
     ) -> Option<SchedulerState> {
         let query = Message::SchedulerQuery(SchedulerQuery);
+        let began_ms = self.clock.now_ms();
         let response = self
             .peers()
             .request(instance, None, &query, QUERY_TIMEOUT)
@@ -88,8 +89,9 @@
         let now_ms = self.clock.now_ms();
         let mut selector = selector(self);
         match response {
-            Ok(Message::SchedulerState(state)) if state.is_taking => {
+            Ok(Message::SchedulerState(mut state)) if state.is_taking => {
                 selector.on_response(instance);
+                state.known = state.known.aged_by(now_ms - began_ms);
                 return Some(state);
             }
             Ok(_) => selector.on_declined(now_ms, instance),
--- a/crates/wire/src/peer/routing.rs
+++ b/crates/wire/src/peer/routing.rs
@@ -52,6 +52,19 @@
     pub has_store: bool,
 }
 
+impl KnownState {
+    /// Returns this state for a receiver whose request was sent `elapsed_ms` ago. The response may
+    /// have been waiting to be read for most of that time, for example if the receiver stood still.
+    #[must_use]
+    pub fn aged_by(self, elapsed_ms: u64) -> Self {
+        Self {
+            version_age_ms: self.version_age_ms.saturating_add(elapsed_ms),
+            servers_age_ms: self.servers_age_ms.saturating_add(elapsed_ms),
+            ..self
+        }
+    }
+}
+
 /// Requests the routes, servers and instances that the sender does not know yet.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoutingQuery {
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -489,3 +489,15 @@
     let too_many = [most, vec![stream_record()]].concat();
     assert!(encode(&Message::StreamRecords(too_many)).is_err());
 }
+
+#[test]
+fn ages_that_are_unknown_stay_unknown() {
+    let known = KnownState {
+        servers_age_ms: u64::MAX,
+        version_age_ms: 20,
+        ..known()
+    };
+    let aged = known.aged_by(300);
+    assert_eq!((aged.servers_age_ms, aged.version_age_ms), (u64::MAX, 320));
+    assert_eq!(aged.servers, known.servers);
+}
