Bound the keys and handles that one call to a server of pieces names

Cause: a call names the key of each of its pieces, and is held once more as the body of its request, for a server of each stage at the same time. Pieces were bounded, bytes were not.

Ruled out: the heads themselves, 3.6 MB in a wave.

Change: the keys and handles of one call are 256 KB together, unless it has a single piece.

--- a/crates/core/src/stages/batch.rs
+++ b/crates/core/src/stages/batch.rs
@@ -20,6 +20,10 @@
 /// cheapest request.
 const LARGE_TRANSFER_BYTES: u64 = 100_000;
 
+/// Most bytes of keys and handles that one call names, unless it has a single piece. Callers
+/// choose the length of their keys, and a call to each server of all services is held at once.
+const MAX_CALL_NAMED_BYTES: usize = 256 << 10;
+
 /// The pieces assigned to one server.
 #[derive(Debug)]
 pub(super) struct Batch {
@@ -81,6 +85,7 @@
                 .filter(|_| is_transfer_large),
             can_wait: !queue_key.is_late && latest_start_ms > now_ms + half_batch_ms,
             result_bytes: waiting.result_bytes,
+            named_bytes: request.named_bytes(waiting.piece_id.stage),
             crash_count: CrashCount::of(request),
         };
         let Some(index) = open.choose(&requirements, &isolation) else {
@@ -89,6 +94,7 @@
         isolation.assign(&requirements.crash_count, index);
         let open_batch = &mut open.batches[index];
         open_batch.used_memory_bytes += waiting.result_bytes;
+        open_batch.named_bytes += requirements.named_bytes;
         open_batch.pieces.push(waiting.clone());
         open_batch.suspects.add(&requirements.crash_count);
         if is_transfer_large && !request.prefers_home_zone(waiting.piece_id.stage) {
@@ -123,6 +129,8 @@
     /// Whether it can wait for a server in that zone and still make its goal.
     can_wait: bool,
     result_bytes: u64,
+    /// Size of its key, or of the handles of its inputs, in bytes.
+    named_bytes: usize,
     /// Crash count of its request, which decides on isolation.
     crash_count: CrashCount,
 }
@@ -135,6 +143,8 @@
     memory_bytes: u64,
     /// Memory used there, including the results of this batch, in bytes.
     used_memory_bytes: u64,
+    /// Size of the keys and handles that its pieces name, in bytes.
+    named_bytes: usize,
     pieces: Vec<WaitingPiece>,
     suspects: SuspectGroup,
 }
@@ -161,6 +171,7 @@
                     zone: server.zone.clone(),
                     memory_bytes: server.memory_bytes(now_ms, service.batching.room_bytes),
                     used_memory_bytes: server.used_memory_bytes,
+                    named_bytes: 0,
                     pieces: Vec::new(),
                     suspects: SuspectGroup::new(service.batching.batch_pieces),
                 });
@@ -208,7 +219,9 @@
         let crash_count = &requirements.crash_count;
         let fits = |(index, open_batch): &(usize, &OpenBatch)| {
             let is_begun = !open_batch.pieces.is_empty();
-            open_batch.suspects.accepts(is_begun, crash_count)
+            let named_bytes = open_batch.named_bytes + requirements.named_bytes;
+            (!is_begun || named_bytes <= MAX_CALL_NAMED_BYTES)
+                && open_batch.suspects.accepts(is_begun, crash_count)
                 && isolation.allows(crash_count, *index)
                 && open_batch.pieces.len() < self.batch_pieces
                 && open_batch.used_memory_bytes + requirements.result_bytes
--- a/crates/core/src/stages/request.rs
+++ b/crates/core/src/stages/request.rs
@@ -247,6 +247,20 @@
         results.map(|result| result.handle.clone()).collect()
     }
 
+    /// Returns the size of what a call names for a piece of a stage, in bytes: its key, or the
+    /// handles of its inputs, of which those of one stage have the same length.
+    pub(super) fn named_bytes(&self, stage: usize) -> usize {
+        let after = &self.submission.stages[stage].after;
+        if after.is_empty() {
+            return self.submission.piece_key.len();
+        }
+        let bytes_of = |needed: &usize| {
+            let first = self.results(*needed).next();
+            first.map_or(0, |result| result.handle.len() * self.pieces[*needed].len())
+        };
+        after.iter().map(bytes_of).sum()
+    }
+
     fn results(&self, stage: usize) -> impl Iterator<Item = &ResultRef> {
         let pieces = self.pieces.get(stage).into_iter().flatten();
         pieces.filter_map(|piece| match piece {
--- a/crates/core/tests/stages_scheduler.rs
+++ b/crates/core/tests/stages_scheduler.rs
@@ -319,6 +319,37 @@
     }
 }
 
+/// Guards against calls whose keys take all memory of an instance: callers choose the length of
+/// their keys, and a call names the key of each of its pieces.
+#[test]
+fn a_call_names_a_bounded_number_of_bytes() {
+    const MAX_NAMED_BYTES: usize = 256 << 10;
+    for (key_bytes, requests) in [(12, 4), (15_000, 4), (60_000, 2), (300_000, 1)] {
+        let mut world = World::new(
+            vec![service("a", batching(94, 5.0, MEMORY_BYTES))],
+            vec![server("a-1", "a", "near"), server("a-2", "a", "far")],
+        );
+        for number in 0..requests {
+            let mut submission = World::submission(number, vec![stage("a", &[], 20, 8_000)], 5_000);
+            submission.piece_key = "k".repeat(key_bytes);
+            world.submit(submission);
+        }
+        world.run(5_500);
+        let started: usize = world.calls.iter().map(|(_, call)| call.items.len()).sum();
+        assert!(started > 0, "keys of {key_bytes} bytes");
+        for (_, call) in &world.calls {
+            let is_bounded = call.items.len() * key_bytes <= MAX_NAMED_BYTES;
+            let pieces = call.items.len();
+            assert!(
+                is_bounded || pieces == 1,
+                "{pieces} keys of {key_bytes} bytes"
+            );
+        }
+        let is_batched = world.calls.iter().any(|(_, call)| call.items.len() >= 20);
+        assert_eq!(is_batched, key_bytes == 12, "keys of {key_bytes} bytes");
+    }
+}
+
 /// A submitter that loses its scheduler goes to another one with the pieces completed
 /// before. The first one must not free these results.
 #[test]
