Take long keys and identifiers of callers in submissions, and refuse too many pieces

Cause: messages took keys and identifiers of 256 bytes and 16,384 pieces. The scheduler rejected a submission beyond that as malformed, which counted as its loss.

--- a/crates/core/src/stages/types.rs
+++ b/crates/core/src/stages/types.rs
@@ -65,6 +65,14 @@
     pub ends: u32,
 }
 
+impl Submission {
+    /// Returns the number of pieces of all its stages.
+    pub fn piece_count(&self) -> u64 {
+        let pieces = self.stages.iter().map(|stage| u64::from(stage.pieces));
+        pieces.sum()
+    }
+}
+
 /// A completed piece, as handed over from one scheduler to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DonePiece {
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -11,6 +11,7 @@
     stages::{Refusal, StageOutcome, StageWork, Submission},
 };
 use savoryvane_platform::request::{self, RequestHead};
+use savoryvane_wire::peer::MAX_PIECES;
 use slog::{Logger, info};
 use tokio::time::Instant;
 
@@ -209,6 +210,9 @@
         let ended = tokio::select! {
             ended = self.stages.run(submission) => ended,
             () = self.shutdown.wait_until_within(usual_response_time) =>
+        if submission.piece_count() > MAX_PIECES {
+            return Err(FailureReason::TooManyPieces);
+        }
                 return Err(FailureReason::Leaving),
         };
         match ended.outcome {
--- a/crates/server/src/gateway/local_reply.rs
+++ b/crates/server/src/gateway/local_reply.rs
@@ -45,6 +45,8 @@
     BadBody,
     /// There is no memory for it, or there are too many requests.
     Overloaded,
+    /// Its stages have more pieces than any instance schedules.
+    TooManyPieces,
     /// Its stages would miss the deadline, or failed; with the `Retry-After`, in ms.
     Stages(Refusal, u64),
     /// Too many servers crashed under it; with the time for which it is not sent again,
@@ -89,6 +91,7 @@
             Self::Overloaded => "overloaded",
             Self::Stages(refusal, _) => refusal.as_str(),
             Self::EndsServers(_) => "ends_servers",
+            Self::TooManyPieces => "too_many_pieces",
             Self::PartEndsServers(_) => "part_ends_servers",
             Self::CopyRuns(_) => "copy_runs",
             Self::Leaving => "leaving",
@@ -110,7 +113,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::LargeBody => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
-            Self::BadBody => StatusCode::BAD_REQUEST,
+            Self::BadBody | Self::TooManyPieces => StatusCode::BAD_REQUEST,
             Self::Starting
             | Self::Overloaded
             | Self::Stages(..)
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -72,6 +72,10 @@
 pub const MAX_PAYLOAD_BYTES: usize = 1_536 << 10;
 /// Longest request identifier, idempotency key or ticket, in bytes.
 pub const MAX_KEY_BYTES: usize = 256;
+/// Longest value of a caller's header in a message, in bytes: the longest head that a gateway reads.
+pub const MAX_HEADER_VALUE_BYTES: usize = 64 << 10;
+/// Most pieces of a request's stages.
+pub const MAX_PIECES: u64 = MAX_ENTRIES as u64;
 
 const LENGTH_BYTES: usize = 4;
 const KIND_BYTES: usize = 2;
--- a/crates/wire/src/peer/limits.rs
+++ b/crates/wire/src/peer/limits.rs
@@ -13,8 +13,9 @@
 };
 
 use super::{
-    AnswerState, GrantState, MAX_ENTRIES, MAX_KEY_BYTES, MAX_PAYLOAD_BYTES, MAX_STREAM_RECORDS,
-    Message, PermitState, RoutingState, StageOutcome, Submission, TicketRun,
+    AnswerState, GrantState, MAX_ENTRIES, MAX_HEADER_VALUE_BYTES, MAX_KEY_BYTES, MAX_PAYLOAD_BYTES,
+    MAX_PIECES, MAX_STREAM_RECORDS, Message, PermitState, RoutingState, StageOutcome, Submission,
+    TicketRun,
 };
 
 /// Maximum number of subjects of a request: itself, and parts of its prompt.
@@ -187,9 +188,9 @@
             && is_name_bounded(stage.service.as_str())
     });
     is_name_bounded(submission.key.instance.as_str())
-        && is_key_bounded(submission.request.as_str())
-        && is_key_bounded(&submission.piece_key)
-        && pieces <= MAX_ENTRIES as u64
+        && submission.request.as_str().len() <= MAX_HEADER_VALUE_BYTES
+        && submission.piece_key.len() <= MAX_HEADER_VALUE_BYTES
+        && submission.piece_count() <= MAX_PIECES
         && are_dependencies_earlier
 }
 
