Enforce the operator's limit for the heads of requests

Cause: MaxHeaderBytes was not taken from the configuration.

Change: a head over it gets 431, and its connection is closed. The state that instances exchange holds the limit and has a new kind.

Test: a_head_over_the_operators_limit_is_refused, 200 before.

--- a/crates/core/src/forwarding/objects.rs
+++ b/crates/core/src/forwarding/objects.rs
@@ -23,6 +23,8 @@
 /// Limits for the requests and connections of callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
+    /// Maximum size of the head of a request, in bytes.
+    pub header_bytes: u64,
     /// Maximum size of a request body, in bytes.
     pub body_bytes: u64,
     /// Idle timeout of a connection, in ms.
@@ -32,6 +34,7 @@
 impl Default for CallerLimits {
     fn default() -> Self {
         Self {
+            header_bytes: 64 << 10,
             body_bytes: 4 << 20,
             idle_timeout_ms: 60_000,
         }
--- a/crates/server/src/connection_memory.rs
+++ b/crates/server/src/connection_memory.rs
@@ -236,7 +236,7 @@
 /// [`of_request`] returns. The head of a request that does not fit is dropped at once, but for a few
 /// short headers such as its identifier.
 pub(crate) fn begin_request<B: Body>(connection: &Arc<ConnectionMemory>, request: &mut Request<B>) {
-    connection.meter.on_head(sent_bytes(request));
+    connection.meter.on_head(sent_head_bytes(request));
     match connection.add_request(request) {
         Some(memory) => {
             request.extensions_mut().insert(memory);
@@ -267,7 +267,7 @@
 }
 
 /// Returns the size of a request's head as HTTP/1.1 sends it, in bytes.
-fn sent_bytes<B>(request: &Request<B>) -> u64 {
+pub(crate) fn sent_head_bytes<B>(request: &Request<B>) -> u64 {
     let target_bytes = request
         .uri()
         .path_and_query()
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -123,13 +123,16 @@
         let memory =
             connection_memory::of_request(&mut request).ok_or(FailureReason::Overloaded)?;
         let table = self.view.table().ok_or(FailureReason::Starting)?;
+        let limits = table.config().limits;
+        if connection_memory::sent_head_bytes(&request) > limits.header_bytes {
+            return Err(FailureReason::LargeHead);
+        }
         let matched = table.find(
             request_host(&request),
             request.uri().path(),
             head.key.as_deref(),
         )?;
         let service = choose_service(&matched.route, &head).ok_or(FailureReason::NoServer)?;
-        let limits = table.config().limits;
         let path = request.uri().path_and_query().cloned();
         let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
         let mut digest = DigestBuilder::new(
@@ -207,12 +210,12 @@
             digest: caller.digest(),
             ends: self.quarantine.crash_count(&caller.digest()),
         };
-        let ended = tokio::select! {
-            ended = self.stages.run(submission) => ended,
-            () = self.shutdown.wait_until_within(usual_response_time) =>
         if submission.piece_count() > MAX_PIECES {
             return Err(FailureReason::TooManyPieces);
         }
+        let ended = tokio::select! {
+            ended = self.stages.run(submission) => ended,
+            () = self.shutdown.wait_until_within(usual_response_time) =>
                 return Err(FailureReason::Leaving),
         };
         match ended.outcome {
--- a/crates/server/src/gateway/local_reply.rs
+++ b/crates/server/src/gateway/local_reply.rs
@@ -37,16 +37,18 @@
     NoRoute,
     /// Its API key is missing or unknown.
     UnknownKey,
+    /// Its head is larger than allowed.
+    LargeHead,
     /// Its body is larger than allowed.
     LargeBody,
     /// Its body did not arrive in time.
     SlowBody,
     /// Its body was truncated or its framing is invalid.
     BadBody,
-    /// There is no memory for it, or there are too many requests.
-    Overloaded,
     /// Its stages have more pieces than any instance schedules.
     TooManyPieces,
+    /// There is no memory for it, or there are too many requests.
+    Overloaded,
     /// Its stages would miss the deadline, or failed; with the `Retry-After`, in ms.
     Stages(Refusal, u64),
     /// Too many servers crashed under it; with the time for which it is not sent again,
@@ -85,13 +87,14 @@
             Self::Starting => "starting",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
+            Self::LargeHead => "large_head",
             Self::LargeBody => "large_body",
             Self::SlowBody => "slow_body",
             Self::BadBody => "bad_body",
+            Self::TooManyPieces => "too_many_pieces",
             Self::Overloaded => "overloaded",
             Self::Stages(refusal, _) => refusal.as_str(),
             Self::EndsServers(_) => "ends_servers",
-            Self::TooManyPieces => "too_many_pieces",
             Self::PartEndsServers(_) => "part_ends_servers",
             Self::CopyRuns(_) => "copy_runs",
             Self::Leaving => "leaving",
@@ -111,6 +114,7 @@
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::LargeHead => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::LargeBody => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::BadBody | Self::TooManyPieces => StatusCode::BAD_REQUEST,
@@ -185,6 +189,7 @@
         FailureReason::BadBody
             | FailureReason::SlowBody
             | FailureReason::LargeBody
+            | FailureReason::LargeHead
             | FailureReason::Overloaded
     ) {
         // The rest of the body is not read.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -316,7 +316,7 @@
     /// Request for routes, servers and instances.
     46 RoutingQuery(RoutingQuery),
     /// Response to [`RoutingQuery`].
-    57 RoutingState(RoutingState),
+    58 RoutingState(RoutingState),
     /// Request that exchanges reports of servers that crashed while they ran requests.
     51 CrashQuery(CrashQuery),
     /// Response to [`CrashQuery`].
--- a/crates/wire/src/peer/limits.rs
+++ b/crates/wire/src/peer/limits.rs
@@ -178,11 +178,6 @@
 }
 
 fn is_submission_bounded(submission: &Submission) -> bool {
-    let pieces: u64 = submission
-        .stages
-        .iter()
-        .map(|stage| u64::from(stage.pieces))
-        .sum();
     let are_dependencies_earlier = submission.stages.iter().enumerate().all(|(index, stage)| {
         stage.after.iter().all(|dependency| *dependency < index)
             && is_name_bounded(stage.service.as_str())
