Count the age of the register from the last call of a read

A listing of a large register takes many calls. Counted from the first one, its age could pass the 2 s from which all of it is read again, each time. Also: the cursor of a copy is confirmed only for the run that was copied. Found by reading the diff again; no test shows either.

--- a/crates/server/src/gateway/batch.rs
+++ b/crates/server/src/gateway/batch.rs
@@ -2,6 +2,7 @@
 
 use savoryvane_core::forwarding::{Cursor, Position};
 use savoryvane_platform::store::Record;
+use tokio::time::Instant;
 
 /// The result of one read of a store topic.
 pub(super) struct Batch {
@@ -13,6 +14,8 @@
     pub(super) era: u64,
     /// Offset up to which the topic is known after the read.
     pub(super) next: u64,
+    /// Time at which the last call of the read was sent.
+    pub(super) sent_at: Instant,
 }
 
 impl Batch {
--- a/crates/server/src/gateway/catch_up.rs
+++ b/crates/server/src/gateway/catch_up.rs
@@ -145,7 +145,9 @@
         let is_confirmed = directory.expiring_names().is_empty();
         if is_confirmed {
             directory.advance_cursor(remote.servers);
-            if let Some(source) = &mut *lock(&self.source) {
+            if let Some(source) = &mut *lock(&self.source)
+                && source.incarnation == remote.incarnation
+            {
                 source.cursor = source.cursor.max(remote.servers);
             }
         }
--- a/crates/server/src/gateway/server_register.rs
+++ b/crates/server/src/gateway/server_register.rs
@@ -54,7 +54,6 @@
             continue;
         }
         let known = follower.view.directory().cursor();
-        let sent_at = Instant::now();
         let needs_full_read = follower.freshness.servers_age_ms() > FULL_READ_FROM_AGE_MS;
         let from = (!known.is_start() && !needs_full_read).then(|| known.position());
         let read = topic_reader
@@ -71,7 +70,7 @@
             .had_outage(follower.store.failed_ago_ms());
         has_read = true;
         // The response may have been waiting to be read while this process stood still.
-        let age_ms = sent_at.elapsed().as_millis() as u64;
+        let age_ms = batch.sent_at.elapsed().as_millis() as u64;
         follower.freshness.on_servers(age_ms, batch.era);
         apply(&follower, &mut unreadable, batch, had_outage);
         time::sleep_until(began + READ_INTERVAL).await;
--- a/crates/server/src/gateway/store.rs
+++ b/crates/server/src/gateway/store.rs
@@ -12,7 +12,7 @@
 use quick_error::quick_error;
 use savoryvane_core::forwarding::{Position, StoreRetry, StoreRole};
 use savoryvane_platform::store::{self, Call, InstanceRecord, Page, ReadResponse, Record, Topic};
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use crate::{
     clock::Clock,
@@ -74,6 +74,8 @@
         records: Vec<Record>,
         /// Offset of the first record that was not read.
         next: u64,
+        /// Time at which the call was sent.
+        sent_at: Instant,
     },
     /// The records at that position no longer exist: the latest record of each key has to
     /// be read.
@@ -87,6 +89,8 @@
     pub(super) era: u64,
     /// Offset from which later records have to be read.
     pub(super) end: u64,
+    /// Time at which the last call was sent.
+    pub(super) sent_at: Instant,
 }
 
 /// A response of the store.
@@ -94,6 +98,8 @@
     status: StatusCode,
     era: u64,
     body: Bytes,
+    /// Time at which the call was sent.
+    sent_at: Instant,
 }
 
 /// Calls the store over its own connections.
@@ -190,7 +196,12 @@
         }
         match store::decode_read(topic, from.offset, response.status, &response.body)? {
             ReadResponse::Records { next, records, .. } => {
-                Ok(ReadOutcome::Records { records, next })
+                let sent_at = response.sent_at;
+                Ok(ReadOutcome::Records {
+                    records,
+                    next,
+                    sent_at,
+                })
             }
             ReadResponse::Trimmed { .. } => Ok(ReadOutcome::Trimmed),
         }
@@ -239,7 +250,13 @@
             }
             records.extend(page);
             if !has_more || last_key.is_none() || last_key == after {
-                return Ok(TopicSnapshot { records, era, end });
+                let sent_at = response.sent_at;
+                return Ok(TopicSnapshot {
+                    records,
+                    era,
+                    end,
+                    sent_at,
+                });
             }
             after = last_key;
         }
@@ -274,6 +291,7 @@
 
     async fn call(&self, call: Call, timeout: Duration) -> Result<StoreResponse> {
         let request = request(call.method, self.addr, &call.path, call.body);
+        let sent_at = Instant::now();
         let response = self
             .connections
             .exchange(self.addr, request, timeout, MAX_RESPONSE_BYTES)
@@ -302,6 +320,7 @@
             status: response.status(),
             era,
             body: response.into_body(),
+            sent_at,
         })
     }
 
--- a/crates/server/src/gateway/store_follower.rs
+++ b/crates/server/src/gateway/store_follower.rs
@@ -18,7 +18,7 @@
     freshness::Freshness,
     members::Members,
     routing_view::RoutingView,
-    store::{ReadOutcome, Result, StoreClient, StoreError, TopicSnapshot},
+    store::{ReadOutcome, Result, StoreClient, StoreError},
 };
 
 /// Time that one read of the configuration waits for a change where no other instance
@@ -91,12 +91,17 @@
     ) -> Result<Batch> {
         if let Some(from) = from {
             match store.read(self.topic, from, wait).await? {
-                ReadOutcome::Records { records, next } => {
+                ReadOutcome::Records {
+                    records,
+                    next,
+                    sent_at,
+                } => {
                     return Ok(Batch {
                         records,
                         is_snapshot: false,
                         era: from.era,
                         next,
+                        sent_at,
                     });
                 }
                 ReadOutcome::Trimmed => {
@@ -105,12 +110,13 @@
                 }
             }
         }
-        let TopicSnapshot { records, era, end } = store.newest(self.topic).await?;
+        let snapshot = store.newest(self.topic).await?;
         Ok(Batch {
-            records,
+            records: snapshot.records,
             is_snapshot: true,
-            era,
-            next: end,
+            era: snapshot.era,
+            next: snapshot.end,
+            sent_at: snapshot.sent_at,
         })
     }
 
--- a/crates/server/src/gateway/stream_store.rs
+++ b/crates/server/src/gateway/stream_store.rs
@@ -294,7 +294,7 @@
         let mut at = from;
         loop {
             match self.store.read(Topic::Servers, at, Duration::ZERO).await? {
-                ReadOutcome::Records { records, next } => {
+                ReadOutcome::Records { records, next, .. } => {
                     if next == at.offset {
                         return Ok(Some(all));
                     }
