Free the buffer of a large event once it has been sent

What callers saw: a process takes more memory than its machine has when the servers of many streams pause after a large event.

Cause: the rest that is held back shared the allocation of the event before it, whose charge was given back with the event. Found by reading again.

Ruled out: the release of the charge, which is right once nothing refers to the bytes.

Change: the rest gets a buffer of its own.

--- a/crates/core/src/forwarding/event_splitter.rs
+++ b/crates/core/src/forwarding/event_splitter.rs
@@ -110,7 +110,11 @@
         let held_len = self.held.len();
         self.held.extend_from_slice(bytes);
         if outside_len > 0 {
-            return self.held.split_to(held_len + outside_len).freeze();
+            // The rest gets a buffer of its own, so that it does not keep that of a large event.
+            let rest = BytesMut::from(&bytes[outside_len..]);
+            let mut complete = std::mem::replace(&mut self.held, rest);
+            complete.truncate(held_len + outside_len);
+            return complete.freeze();
         }
         if self.held.len() <= MAX_EVENT_BYTES {
             return Bytes::new();
--- a/crates/server/tests/clients_gateway.rs
+++ b/crates/server/tests/clients_gateway.rs
@@ -44,6 +44,10 @@
 const OVERLONG_PAUSE: Duration = Duration::from_millis(10);
 /// Bodies over the limit that one client sends one after the other.
 const REFUSED_BODIES: usize = 10;
+/// Interval between two streams, in which the event of one is delivered.
+const STREAM_INTERVAL: Duration = Duration::from_millis(50);
+/// Size of an event that is held back until it is complete, in bytes.
+const LARGE_EVENT_BYTES: usize = 900_000;
 /// Time after which the gateway knows the entry of a server.
 const LISTED_AFTER: Duration = Duration::from_secs(2);
 /// Time after which a response counts as lost.
@@ -197,14 +201,19 @@
 
 /// Checks a crowd of well-behaved clients whose requests go to a server that responds so.
 async fn check_endless_server(path: &'static str, headers: &[&'static str], end: RawEnd) {
-    let _running = RUNNING.lock().await;
-    let world = World::start().await;
     let response = RawResponse {
         status_line: "HTTP/1.1 200 OK",
         headers: headers.to_vec(),
         body: Vec::new(),
         end,
     };
+    check_faulty_server(path, response, Duration::ZERO).await;
+}
+
+/// Checks the same with a new request each `interval`.
+async fn check_faulty_server(path: &'static str, response: RawResponse, interval: Duration) {
+    let _running = RUNNING.lock().await;
+    let world = World::start().await;
     let server = RawServerStandIn::start("i-3", response).await;
     let entry = server.entry("endless", ZONE);
     world.store.put("keyed.servers", "i-3", &entry);
@@ -217,6 +226,8 @@
     for index in 0..CLIENTS {
         let (target, progress) = (crowd_target.clone(), crowd.progress());
         crowd.add(async move {
+            time::sleep(interval * index as u32).await;
+            progress.on_bytes(1);
             // A response that breaks off is as good as any other.
             let _ = target.send(&format!("crowd-{index}"), b"{}".to_vec()).await;
             progress.on_bytes(1);
@@ -257,6 +268,19 @@
     check_endless_server("/letter/1", &headers, RawEnd::Repeats("0123456789abcdef")).await;
 }
 
+/// Guards against buffers that are kept after what they held was sent and is no longer charged.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_streams_that_pause_after_a_large_event_do_not_exhaust_memory() {
+    let event = format!("id: 1\ndata: {}\n\n", "x".repeat(LARGE_EVENT_BYTES));
+    let response = RawResponse {
+        status_line: "HTTP/1.1 200 OK",
+        headers: vec!["content-type: text/event-stream"],
+        body: vec![event, "id: 2\n".to_owned()],
+        end: RawEnd::KeepOpen,
+    };
+    check_faulty_server("/letter/1", response, STREAM_INTERVAL).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn gateway_bodies_one_byte_short_do_not_exhaust_memory() {
     check_crowd(CLIENTS, Sending::OneByteShort).await;
