Take no handle of a result that is longer than 256 bytes

What callers saw: none; found by reading again. A server that names handles of 100 KB makes each call of the next stage name them for each of its pieces.

Cause: servers choose the length of handles, and the estimate of a call's bytes takes the first one of each stage for all.

Ruled out: summing up all handles for each waiting piece, which costs a look at the queue its bound on time.

Change: a longer handle counts as a piece that failed, and is made elsewhere.

Test: a_result_with_an_endless_handle_is_not_taken, whose next stage was called before.

--- a/crates/core/src/stages/calls.rs
+++ b/crates/core/src/stages/calls.rs
@@ -14,6 +14,9 @@
     poison::{CRASHES_TO_QUARANTINE, RequestDigest},
 };
 
+/// Longest handle of a result, in bytes. Servers choose it, and a call names the handles of all
+/// inputs of each of its pieces.
+const MAX_HANDLE_BYTES: usize = 256;
 /// Number of times that pieces of one request are repeated before it is refused.
 pub(super) const MAX_REPEATS: u32 = 24;
 /// Multiple of the expected duration after which the pieces of a call are sent
@@ -204,7 +207,11 @@
         waiting: &WaitingPiece,
         outcome: &ItemOutcome,
     ) {
-        let ItemOutcome::Done(handle) = outcome else {
+        let handle = match outcome {
+            ItemOutcome::Done(handle) => Some(handle),
+            _ => None,
+        };
+        let Some(handle) = handle.filter(|handle| handle.len() <= MAX_HANDLE_BYTES) else {
             self.release_memory(call, waiting);
             match outcome {
                 ItemOutcome::Late => self.refuse(now_ms, &waiting.key, Refusal::TooLate),
--- a/crates/core/src/stages/request.rs
+++ b/crates/core/src/stages/request.rs
@@ -248,7 +248,7 @@
     }
 
     /// Returns the size of what a call names for a piece of a stage, in bytes: its key, or the
-    /// handles of its inputs, of which those of one stage have the same length.
+    /// handles of its inputs, estimated by the first one of each stage.
     pub(super) fn named_bytes(&self, stage: usize) -> usize {
         let after = &self.submission.stages[stage].after;
         if after.is_empty() {
--- a/crates/core/tests/stages_scheduler.rs
+++ b/crates/core/tests/stages_scheduler.rs
@@ -7,7 +7,7 @@
 use rand_pcg::Pcg64Mcg;
 use savoryvane_core::{
     ids::{BackendName, InstanceName, RequestId},
-    stages::{DonePiece, Refusal, StageOutcome, StageScheduler},
+    stages::{CallOutcome, DonePiece, ItemOutcome, Refusal, StageOutcome, StageScheduler},
 };
 use stages_world::{World, batching, server, service, stage};
 
@@ -350,6 +350,37 @@
     }
 }
 
+/// Guards against calls whose handles take all memory: servers choose the length of their handles,
+/// and a call names all inputs of each of its pieces.
+#[test]
+fn a_result_with_an_endless_handle_is_not_taken() {
+    let mut world = three_services();
+    world.submit(World::submission(1, three_stages(), 5_000));
+    let long = "h".repeat(100_000);
+    let mut answered = 0;
+    for until_ms in (5..5_000).step_by(5) {
+        while let Some((_, call)) = world.calls.get(answered) {
+            answered += 1;
+            let outcome = ItemOutcome::Done(long.clone());
+            let end = CallOutcome::Answered(vec![outcome; call.items.len()]);
+            let id = call.id;
+            world.scheduler.on_call_ended(world.now_ms, id, &end);
+        }
+        world.run(until_ms);
+    }
+    let services = world.calls.iter().map(|(_, call)| call.service.as_str());
+    assert!(
+        services.clone().all(|service| service == "a"),
+        "no next stage"
+    );
+    assert!(services.count() > 1, "the piece was sent again");
+    let outcome = world.outcome(1);
+    assert!(
+        matches!(outcome, Some(StageOutcome::Refused { .. })),
+        "{outcome:?}"
+    );
+}
+
 /// A submitter that loses its scheduler goes to another one with the pieces completed
 /// before. The first one must not free these results.
 #[test]
